Lay down core values, ports and the replicated state machine

Cause: every later part needs the same ids, messages, errors and ports, and the replicated state's commands, before work can be split.

--- /dev/null
+++ b/currantdeal/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports."""
--- /dev/null
+++ b/currantdeal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon and the operators' commands."""
--- /dev/null
+++ b/currantdeal/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log as a pure state machine."""
--- /dev/null
+++ b/currantdeal/core/__init__.py
@@ -0,0 +1,88 @@
+"""Values, errors and small functions that every package speaks in."""
+
+from currantdeal.core.codec import Codec
+from currantdeal.core.errors import (
+    CodecError,
+    CoreError,
+    CurrantdealError,
+    KvExpiredError,
+    LeaseExpiredError,
+    ParseError,
+    PortError,
+    ReservationError,
+    StaleFenceError,
+    StateUnavailableError,
+    UpstreamError,
+    UpstreamRefusedError,
+    UpstreamSilentError,
+    UpstreamUnreachableError,
+)
+from currantdeal.core.ids import (
+    CallerId,
+    DataCenterId,
+    FencingNumber,
+    GrantId,
+    InstanceId,
+    RegionId,
+    RequestId,
+    UpstreamId,
+)
+from currantdeal.core.outcome import Outcome, Ran, outcome_of
+from currantdeal.core.selectors import (
+    Operator,
+    Selector,
+    Term,
+    check_label,
+    matches,
+    parse_expression,
+)
+from currantdeal.core.upstreams import (
+    Label,
+    LoadReport,
+    Role,
+    Upstream,
+    UpstreamKind,
+)
+from currantdeal.core.work import Work, WorkKind
+
+__all__ = [
+    "CallerId",
+    "Codec",
+    "CodecError",
+    "CoreError",
+    "CurrantdealError",
+    "DataCenterId",
+    "FencingNumber",
+    "GrantId",
+    "InstanceId",
+    "KvExpiredError",
+    "Label",
+    "LeaseExpiredError",
+    "LoadReport",
+    "Operator",
+    "Outcome",
+    "ParseError",
+    "PortError",
+    "Ran",
+    "RegionId",
+    "RequestId",
+    "ReservationError",
+    "Role",
+    "Selector",
+    "StaleFenceError",
+    "StateUnavailableError",
+    "Term",
+    "Upstream",
+    "UpstreamError",
+    "UpstreamId",
+    "UpstreamKind",
+    "UpstreamRefusedError",
+    "UpstreamSilentError",
+    "UpstreamUnreachableError",
+    "Work",
+    "WorkKind",
+    "check_label",
+    "matches",
+    "outcome_of",
+    "parse_expression",
+]
--- /dev/null
+++ b/currantdeal/core/codec.py
@@ -0,0 +1,55 @@
+"""Bytes of typed messages, for disks and for peers.
+
+A message is written as its class's name and its fields, in MessagePack, so
+that a reader knows which class to build.  Only registered classes are read.
+
+Examples
+--------
+>>> from currantdeal.core import Codec, Label
+>>> codec = Codec(classes=(Label,))
+>>> codec.decode(codec.encode(Label(name="tier", value="gold")))
+Label(name='tier', value='gold')
+"""
+
+import msgspec
+
+from currantdeal.core.errors import CodecError
+
+
+class Codec:
+    """Encodes and decodes frozen data classes of a fixed set.
+
+    Parameters
+    ----------
+    classes : tuple of type
+        The classes that may be decoded, told apart by their names.
+
+    Raises
+    ------
+    CodecError
+        By ``encode`` for a class that is not registered, and by ``decode``
+        for bytes that do not hold a message of a registered class.
+    """
+
+    def __init__(self, *, classes):
+        """Build one decoder for each class."""
+        self._decoders = {
+            cls.__name__: msgspec.msgpack.Decoder(cls) for cls in classes
+        }
+        self._envelope = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
+        self._encoder = msgspec.msgpack.Encoder()
+
+    def encode(self, message):
+        """Return the bytes of a message."""
+        name = type(message).__name__
+        if name not in self._decoders:
+            raise CodecError(f"{name} is not a message of this codec")
+        return self._encoder.encode((name, message))
+
+    def decode(self, raw):
+        """Return the message that the bytes hold."""
+        try:
+            name, body = self._envelope.decode(raw)
+            return self._decoders[name].decode(body)
+        except (msgspec.MsgspecError, KeyError) as exc:
+            raise CodecError(f"undecodable message: {exc}") from exc
--- /dev/null
+++ b/currantdeal/core/ids.py
@@ -0,0 +1,22 @@
+"""Names of the things that messages refer to.
+
+Each is a ``str`` at run time; the distinct types let a type checker and a
+reader tell an upstream's name from a caller's.
+
+Examples
+--------
+>>> from currantdeal.core import UpstreamId
+>>> UpstreamId("prefill-1")
+'prefill-1'
+"""
+
+from typing import NewType
+
+InstanceId = NewType("InstanceId", str)
+UpstreamId = NewType("UpstreamId", str)
+CallerId = NewType("CallerId", str)
+RequestId = NewType("RequestId", str)
+RegionId = NewType("RegionId", str)
+DataCenterId = NewType("DataCenterId", str)
+GrantId = NewType("GrantId", str)
+FencingNumber = NewType("FencingNumber", int)
--- /dev/null
+++ b/currantdeal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances are alive and which are homes of upstreams."""
--- /dev/null
+++ b/currantdeal/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load; no network, threads or clocks."""
--- /dev/null
+++ b/currantdeal/ports/__init__.py
@@ -0,0 +1,57 @@
+"""What the inner packages need from outside, as protocols."""
+
+from currantdeal.ports.clock import (
+    Clock,
+)
+from currantdeal.ports.engines import (
+    DecodeRequest,
+    EnginePort,
+    HeldMemory,
+    ImportRequest,
+    OutputChunk,
+    PrefillRequest,
+    PrefillResult,
+)
+from currantdeal.ports.homes import (
+    Grant,
+    HomesPort,
+    ReservationRequest,
+)
+from currantdeal.ports.members import (
+    Member,
+    MembersPort,
+    MemberStatus,
+)
+from currantdeal.ports.services import (
+    Header,
+    ServiceAnswer,
+    ServiceCall,
+    ServicePort,
+)
+from currantdeal.ports.state import (
+    InstanceProgress,
+    StatePort,
+)
+
+__all__ = [
+    "Clock",
+    "DecodeRequest",
+    "EnginePort",
+    "Grant",
+    "Header",
+    "HeldMemory",
+    "HomesPort",
+    "ImportRequest",
+    "InstanceProgress",
+    "Member",
+    "MemberStatus",
+    "MembersPort",
+    "OutputChunk",
+    "PrefillRequest",
+    "PrefillResult",
+    "ReservationRequest",
+    "ServiceAnswer",
+    "ServiceCall",
+    "ServicePort",
+    "StatePort",
+]
--- /dev/null
+++ b/currantdeal/serving/__init__.py
@@ -0,0 +1,1 @@
+"""The life of a request."""
--- /dev/null
+++ b/currantdeal/state/claims.py
@@ -0,0 +1,124 @@
+"""At most once: rules for claims on non-idempotent calls.
+
+An instance sends a non-idempotent call only after its claim has been granted
+in the replicated log.  A resend at any instance meets the claim and gets the
+kept answer, waits for it, or learns that the outcome is unknown.  A claim is
+forgotten only after its retention; when the table is full of younger claims
+a new call is refused, because forgetting one would let an order run twice.
+"""
+
+from dataclasses import replace
+
+from currantdeal.state.cluster import Claim, ClaimSlot, ClaimStatus
+from currantdeal.state.results import (
+    Applied,
+    ClaimExists,
+    ClaimGranted,
+    ClaimMismatch,
+    ClaimTableFull,
+    Invalid,
+)
+
+_EXPIRED_PER_GRANT = 4
+
+
+def grant_claim(state, command):
+    """Return the next state and who may send the call."""
+    state = _forget_expired(state)
+    known = state.claims.get(command.key)
+    if known is not None:
+        return state, _meet_claim(known, command)
+    if len(state.claim_order) >= state.limits.claims:
+        return state, ClaimTableFull(retry_after_s=_until_expiry(state))
+    claim = Claim(
+        key=command.key,
+        token=state.version,
+        owner=command.origin.instance,
+        request_id=command.origin.request_id,
+        digest=command.digest,
+        claimed_wall_s=state.log_wall_s,
+    )
+    state = replace(
+        state,
+        claims=state.claims.set(claim.key, claim),
+        claim_order=state.claim_order.push(
+            ClaimSlot(key=claim.key, token=claim.token)
+        ),
+    )
+    return state, ClaimGranted(token=claim.token)
+
+
+def finish_claim(state, command):
+    """Return the next state with the answer kept for resends."""
+    claim = _owned(state, command)
+    if claim is None:
+        return state, Invalid(message="the claim is not held")
+    after = replace(claim, status=ClaimStatus.ANSWERED, answer=command.answer)
+    return _store(state, after)
+
+
+def release_claim(state, command):
+    """Return the next state without a claim whose call did not run."""
+    claim = _owned(state, command)
+    if claim is None or claim.status is ClaimStatus.ANSWERED:
+        return state, Invalid(message="the claim is not held")
+    state = replace(state, claims=state.claims.delete(claim.key))
+    return state, Applied(version=state.version)
+
+
+def abandon_claim(state, command):
+    """Return the next state with a claim of unknown outcome."""
+    claim = _owned(state, command)
+    if claim is None or claim.status is ClaimStatus.ANSWERED:
+        return state, Invalid(message="the claim is not held")
+    return _store(state, replace(claim, status=ClaimStatus.UNKNOWN))
+
+
+def _meet_claim(known, command):
+    if known.request_id == command.origin.request_id:
+        return ClaimGranted(token=known.token)
+    if known.digest != command.digest:
+        return ClaimMismatch(
+            message="the idempotency key was used with another request"
+        )
+    return ClaimExists(claim=known)
+
+
+def _owned(state, command):
+    claim = state.claims.get(command.key)
+    if claim is None or claim.token != command.token:
+        return None
+    return claim
+
+
+def _store(state, claim):
+    state = replace(state, claims=state.claims.set(claim.key, claim))
+    return state, Applied(version=state.version)
+
+
+def _forget_expired(state):
+    # Work per command stays bounded: a few claims leave for each that comes,
+    # so the table shrinks even after a long idle time without one long pause.
+    for _ in range(_EXPIRED_PER_GRANT):
+        if not len(state.claim_order) or _until_expiry(state) > 0:
+            break
+        slot = state.claim_order.first
+        state = replace(state, claim_order=state.claim_order.pop())
+        if _claim_of(state, slot) is not None:
+            state = replace(state, claims=state.claims.delete(slot.key))
+    return state
+
+
+def _until_expiry(state):
+    oldest = _claim_of(state, state.claim_order.first)
+    if oldest is None:
+        return 0.0
+    expiry_s = oldest.claimed_wall_s + state.limits.claim_retention_s
+    return max(0.0, expiry_s - state.log_wall_s)
+
+
+def _claim_of(state, slot):
+    claim = state.claims.get(slot.key)
+    if claim is None or claim.token != slot.token:
+        return None
+    return claim
--- /dev/null
+++ b/currantdeal/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and a fault-injecting proxy for tests and benchmarks."""
