--- /dev/null
+++ b/currantdeal/adapters/errors.py
@@ -0,0 +1,24 @@
+"""Errors of the adapters that are not seen through a port."""
+
+from currantdeal.core import CurrantdealError
+
+
+class AdapterError(CurrantdealError):
+    """Base of the adapters' own errors."""
+
+
+class PeerError(AdapterError):
+    """A call to another instance brought no answer.
+
+    Parameters
+    ----------
+    message : str
+        What went wrong, for logs.
+    sent : bool
+        True when the other instance may have received the call.
+    """
+
+    def __init__(self, message, *, sent):
+        """Keep the message and whether the call may have arrived."""
+        super().__init__(message)
+        self.sent = sent
--- /dev/null
+++ b/currantdeal/adapters/settings.py
@@ -0,0 +1,193 @@
+"""Settings of one instance, read from a JSON file.
+
+Examples
+--------
+>>> from currantdeal.adapters.settings import parse_settings
+>>> settings = parse_settings(b'''{
+...     "instance": "i1", "region": "lagos", "data_center": "lagos-1",
+...     "caller_address": "127.0.0.1:8101", "peer_address": "127.0.0.1:8201",
+...     "seeds": [], "replicas": [
+...         {"instance": "i1", "peer_address": "127.0.0.1:8201"}],
+...     "data_folder": "data"}''')
+>>> settings.timing.lease_s
+2.0
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+from pathlib import Path
+
+import msgspec
+
+from currantdeal.adapters.errors import AdapterError
+from currantdeal.core import CallerId, DataCenterId, InstanceId, RegionId
+
+
+class SettingsError(AdapterError):
+    """The settings file cannot be read or makes no sense."""
+
+
+class KeyKind(str, Enum):
+    """Whom a key belongs to; one kind is not accepted for another."""
+
+    CALLER = "caller"
+    OPERATOR = "operator"
+    UPSTREAM = "upstream"
+
+
+@dataclass(frozen=True, kw_only=True)
+class KeySettings:
+    """One API key.
+
+    Parameters
+    ----------
+    name : str
+        Shown in logs and in the audit trail.
+    sha256 : str
+        Hash of the key in hexadecimal; the key itself is never kept.
+    caller : CallerId
+        Whom work under this key is charged to; callers' keys only.
+    weight : float
+        Share of the caller against others when the system is full.
+    """
+
+    name: str
+    kind: KeyKind
+    sha256: str
+    caller: CallerId = CallerId("")
+    weight: float = 1.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class PeerSettings:
+    """Where this instance reaches another one."""
+
+    instance: InstanceId
+    peer_address: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class TimingSettings:
+    """Intervals and limits in seconds.
+
+    Parameters
+    ----------
+    lease_s : float
+        Lease on the view; an instance cut off stops giving out new work
+        within it.  Below the three seconds that a withdrawal may take.
+    renew_s : float
+        Interval between renewals of the lease.
+    heartbeat_s : float
+        Interval between heartbeats of the leader.
+    election_s : float
+        Shortest silence of the leader before an election.
+    probe_s : float
+        Interval between membership probes.
+    suspicion_s : float
+        Time between suspecting an instance and declaring it dead.
+    announce_renew_s : float
+        Interval at which upstreams renew.
+    upstream_silence_s : float
+        Silence after which an upstream is retired.
+    entries_keep_s : float
+        How long callers may keep an answer of ``/v1/entries``.
+    stream_silence_s : float
+        Upper bound of the silence allowed within a stream.
+    deadline_s : float
+        Deadline of a request that names none.
+    """
+
+    lease_s: float = 2.0
+    renew_s: float = 0.4
+    heartbeat_s: float = 0.15
+    election_s: float = 0.8
+    probe_s: float = 0.5
+    suspicion_s: float = 1.5
+    announce_renew_s: float = 0.5
+    upstream_silence_s: float = 2.5
+    entries_keep_s: float = 5.0
+    stream_silence_s: float = 1.0
+    deadline_s: float = 10.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class UserWeights:
+    """What a user weighs more when the system is full.
+
+    Parameters
+    ----------
+    goodput : float
+        Weight of requests answered within both latency targets.
+    wasted_prefill : float
+        Weight of prefilled tokens that are thrown away.
+    """
+
+    goodput: float = 1.0
+    wasted_prefill: float = 1.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Settings:
+    """Settings of one instance.
+
+    Parameters
+    ----------
+    caller_address, peer_address : str
+        ``IP:PORT`` to listen on.
+    advertised_caller_address, advertised_peer_address : str
+        Where others reach the instance, if that differs.
+    seeds : tuple of str
+        Peer addresses of a few instances to join through.
+    replicas : tuple of PeerSettings
+        The first replica set; later changes are in the replicated state.
+    routes : tuple of PeerSettings
+        Addresses to use in place of the advertised ones.
+    data_folder : str
+        Folder for durable state; empty on an instance without a disk.
+    keys : tuple of KeySettings
+        Without any, only loopback addresses are served.
+    threads : int
+        Threads that serve callers; each open stream takes one.
+    max_body_bytes, max_header_bytes : int
+        Larger requests are refused.
+    """
+
+    instance: InstanceId
+    region: RegionId
+    data_center: DataCenterId
+    caller_address: str
+    peer_address: str
+    advertised_caller_address: str = ""
+    advertised_peer_address: str = ""
+    seeds: tuple[str, ...] = ()
+    replicas: tuple[PeerSettings, ...] = ()
+    routes: tuple[PeerSettings, ...] = ()
+    data_folder: str = ""
+    keys: tuple[KeySettings, ...] = ()
+    timing: TimingSettings = field(default_factory=TimingSettings)
+    weights: UserWeights = field(default_factory=UserWeights)
+    threads: int = 128
+    max_body_bytes: int = 4_194_304
+    max_header_bytes: int = 32_768
+
+
+def parse_settings(raw):
+    """Return the settings that JSON bytes hold.
+
+    Raises
+    ------
+    SettingsError
+        If the bytes are not settings; the message names the field.
+    """
+    try:
+        return msgspec.json.decode(raw, type=Settings)
+    except msgspec.MsgspecError as exc:
+        raise SettingsError(f"settings: {exc}") from exc
+
+
+def read_settings(path):
+    """Return the settings in a file."""
+    try:
+        return parse_settings(Path(path).read_bytes())
+    except OSError as exc:
+        raise SettingsError(f"settings: {exc}") from exc
