--- a/currantdeal/state/claims.py
+++ b/currantdeal/state/claims.py
@@ -28,7 +28,7 @@
     known = state.claims.get(command.key)
     if known is not None:
         return state, _meet_claim(known, command)
-    if len(state.claim_order) >= state.limits.claims:
+    if _is_full(state):
         return state, ClaimTableFull(retry_after_s=_until_expiry(state))
     claim = Claim(
         key=command.key,
@@ -53,8 +53,14 @@
     claim = _owned(state, command)
     if claim is None:
         return state, Invalid(message="the claim is not held")
-    after = replace(claim, status=ClaimStatus.ANSWERED, answer=command.answer)
-    return _store(state, after)
+    if claim.status is ClaimStatus.ANSWERED:
+        return state, Applied(version=state.version)
+    answer = command.answer
+    if len(answer.body) > state.limits.largest_answer_bytes:
+        answer = None
+    after = replace(claim, status=ClaimStatus.ANSWERED, answer=answer)
+    total = state.answer_bytes + _size(after)
+    return _store(replace(state, answer_bytes=total), after)
 
 
 def release_claim(state, command):
@@ -96,6 +102,16 @@
     return state, Applied(version=state.version)
 
 
+def _is_full(state):
+    return len(state.claim_order) >= state.limits.claims or (
+        state.answer_bytes >= state.limits.answer_bytes
+    )
+
+
+def _size(claim):
+    return len(claim.answer.body) if claim.answer else 0
+
+
 def _forget_expired(state):
     # Work per command stays bounded: a few claims leave for each that comes,
     # so the table shrinks even after a long idle time without one long pause.
@@ -104,8 +120,13 @@
             break
         slot = state.claim_order.first
         state = replace(state, claim_order=state.claim_order.pop())
-        if _claim_of(state, slot) is not None:
-            state = replace(state, claims=state.claims.delete(slot.key))
+        claim = _claim_of(state, slot)
+        if claim is not None:
+            state = replace(
+                state,
+                claims=state.claims.delete(slot.key),
+                answer_bytes=state.answer_bytes - _size(claim),
+            )
     return state
 
 
--- a/currantdeal/state/cluster.py
+++ b/currantdeal/state/cluster.py
@@ -171,6 +171,11 @@
         calls are refused rather than old claims forgotten.
     claim_retention_s : float
         How long a claim and its answer are kept, in seconds.
+    answer_bytes : int
+        Bytes of kept answers at which new calls are refused.
+    largest_answer_bytes : int
+        A larger answer is not kept; a resend learns that the call ran and
+        that its answer is gone.
     finished_orders : int
         Ended engine orders kept for ``currantdeal orders``.
     """
@@ -179,6 +184,8 @@
     remembered_results: int = 4_096
     claims: int = 200_000
     claim_retention_s: float = 86_400.0
+    answer_bytes: int = 67_108_864
+    largest_answer_bytes: int = 65_536
     finished_orders: int = 256
 
 
@@ -192,6 +199,8 @@
         Index of the last log entry that was applied.
     last_fence : int
         Highest fencing number given out.
+    answer_bytes : int
+        Sum of the sizes of the kept answers.
     log_wall_s : float
         Latest wall-clock time in the log, in seconds since the epoch; it
         never goes back.
@@ -206,6 +215,7 @@
     version: int = 0
     last_fence: int = 0
     log_wall_s: float = 0.0
+    answer_bytes: int = 0
     limits: StateLimits = field(default_factory=StateLimits)
     selectors: Map = field(default_factory=Map)
     upstreams: Map = field(default_factory=Map)
--- a/currantdeal/state/snapshot.py
+++ b/currantdeal/state/snapshot.py
@@ -45,6 +45,7 @@
     version: int
     last_fence: int
     log_wall_s: float
+    answer_bytes: int
     limits: StateLimits
     selectors: tuple[SelectorRecord, ...]
     upstreams: tuple[UpstreamRecord, ...]
@@ -64,6 +65,7 @@
             version=state.version,
             last_fence=state.last_fence,
             log_wall_s=state.log_wall_s,
+            answer_bytes=state.answer_bytes,
             limits=state.limits,
             selectors=_sorted_values(state.selectors),
             upstreams=_sorted_values(state.upstreams),
@@ -105,6 +107,7 @@
         version=snap.version,
         last_fence=snap.last_fence,
         log_wall_s=snap.log_wall_s,
+        answer_bytes=snap.answer_bytes,
         limits=snap.limits,
         selectors=Map({rec.selector.name: rec for rec in snap.selectors}),
         upstreams=Map(
