--- a/currantdeal/adapters/settings.py
+++ b/currantdeal/adapters/settings.py
@@ -21,6 +21,7 @@
 
 from currantdeal.adapters.errors import AdapterError
 from currantdeal.core import CallerId, DataCenterId, InstanceId, RegionId
+from currantdeal.policy import UserWeights
 
 
 class SettingsError(AdapterError):
@@ -110,22 +111,6 @@
     deadline_s: float = 10.0
 
 
-@dataclass(frozen=True, kw_only=True)
-class UserWeights:
-    """What a user weighs more when the system is full.
-
-    Parameters
-    ----------
-    goodput : float
-        Weight of requests answered within both latency targets.
-    wasted_prefill : float
-        Weight of prefilled tokens that are thrown away.
-    """
-
-    goodput: float = 1.0
-    wasted_prefill: float = 1.0
-
-
 @dataclass(frozen=True, kw_only=True)
 class Settings:
     """Settings of one instance.
--- /dev/null
+++ b/currantdeal/policy/placement.py
@@ -0,0 +1,224 @@
+"""Placement: which decode and which prefill engine serve a request.
+
+The load pattern is a pool of many engines whose load is known with a lag.
+Choosing at random ignores what is known; choosing the best of all sends every
+entry's next request to the same engine until the next report.  A few
+candidates are sampled and the best of them is taken [1]_, so that a decision
+costs the same with 680 upstreams as with ten and entries do not herd.
+
+Decode comes first, because its memory is scarce: candidates are compared by
+the share of memory that would be in use.  Prefill is chosen for the decode
+engine found: the wait for its queue, the time of computing what is not
+cached, and the transfer.  What a candidate is believed to have cached counts
+as tokens saved, so a hot prefix attracts work until the queue there is longer
+than computing it anew elsewhere; then it is computed there and spread.
+
+Crossing regions costs the one-way delay and a price for the volume, given in
+seconds per gigabyte: traffic crosses only when that buys more time than it
+costs.  Candidates: eight sampled from the own region, two from the others,
+and up to four that may hold the prefix.
+
+References
+----------
+
+.. [1] M. Mitzenmacher, "The Power of Two Choices in Randomized Load
+   Balancing", 2001.
+"""
+
+from dataclasses import dataclass
+
+from currantdeal.core import Upstream
+
+NEAR_SAMPLES = 8
+FAR_SAMPLES = 2
+MAX_HOLDERS = 4
+FAR_DELAY_S = 0.012
+FAR_S_PER_GB = 0.2
+DEFAULT_PREFILL_TOKENS_PER_S = 8_000.0
+FULL_PENALTY_S = 1.0
+SPREAD_S = 0.05
+
+
+@dataclass(frozen=True, kw_only=True)
+class Choice:
+    """Where a request goes.
+
+    Parameters
+    ----------
+    decode, prefill : Upstream
+        The engines; the same one when it serves both roles.
+    cached_tokens : float
+        Leading prompt tokens believed to be cached at the prefill engine.
+    prefill_s : float
+        Predicted time until the prefill has ended, in seconds.
+    transfer_s : float
+        Predicted time of the transfer, in seconds.
+    """
+
+    decode: Upstream
+    prefill: Upstream
+    cached_tokens: float
+    prefill_s: float
+    transfer_s: float
+
+
+class Placement:
+    """Chooses engines for one instance.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Draws the candidates.
+    hints : PrefixHints
+        Where prefixes may be cached.
+    slow : SlowUpstreams
+        Which upstreams to leave out.
+    """
+
+    def __init__(self, *, rng, hints, slow):
+        """Keep what decisions rest on."""
+        self._rng = rng
+        self._hints = hints
+        self._slow = slow
+        self._pools = {}
+
+    def choose(self, work, *, prefills, decodes, load, pieces, now_s):
+        """Return a ``Choice``, or None when no engine matches.
+
+        Parameters
+        ----------
+        prefills, decodes : tuple of Upstream
+            Those that the selectors allow; the same tuple object as long as
+            nothing changed, which saves sorting them by region again.
+        load : callable
+            From an upstream id to its last ``LoadReport`` or None.
+        pieces : int
+            Pieces of decode memory that the work needs.
+        """
+        decode = self._choose_decode(work, decodes, load, pieces, now_s)
+        if decode is None:
+            return None
+        held = self._hints.holders(work.prefix_keys, now_s=now_s)
+        pool = self._pool(prefills)
+        found = self._candidates(pool, decode.region, held, now_s)
+        best = None
+        for upstream in found:
+            choice = _prefill_choice(work, decode, upstream, held, load)
+            score = _price(choice, work)
+            if best is None or score < best[0]:
+                best = (score, choice)
+        return best[1] if best else None
+
+    def _choose_decode(self, work, decodes, load, pieces, now_s):
+        pool = self._pool(decodes)
+        best = None
+        for upstream in self._candidates(pool, work.region, {}, now_s):
+            score = _decode_price(work, upstream, load, pieces)
+            score += self._rng.random() * SPREAD_S
+            if best is None or score < best[0]:
+                best = (score, upstream)
+        return best[1] if best else None
+
+    def _candidates(self, pool, region, held, now_s):
+        found = _sample(self._rng, pool.near(region), NEAR_SAMPLES)
+        found += _sample(self._rng, pool.far(region), FAR_SAMPLES)
+        names = sorted(held, key=held.get, reverse=True)[:MAX_HOLDERS]
+        for name in names:
+            upstream = pool.by_name.get(name)
+            if upstream is not None and upstream not in found:
+                found.append(upstream)
+        healthy = [
+            up
+            for up in found
+            if not self._slow.is_out(pool.group, up.upstream_id, now_s=now_s)
+        ]
+        return healthy or found
+
+    def _pool(self, upstreams):
+        known = self._pools.get(id(upstreams))
+        if known is None or known.upstreams is not upstreams:
+            if len(self._pools) > 64:
+                self._pools.clear()
+            known = self._pools[id(upstreams)] = _Pool(upstreams)
+        return known
+
+
+class _Pool:
+    """Allowed upstreams, sorted by region once."""
+
+    def __init__(self, upstreams):
+        self.upstreams = upstreams
+        self.by_name = {up.upstream_id: up for up in upstreams}
+        self.group = upstreams[0].roles if upstreams else ()
+        self._near = {}
+        self._far = {}
+
+    def near(self, region):
+        if region not in self._near:
+            self._near[region] = [
+                up for up in self.upstreams if up.region == region
+            ]
+        return self._near[region]
+
+    def far(self, region):
+        if region not in self._far:
+            self._far[region] = [
+                up for up in self.upstreams if up.region != region
+            ]
+        return self._far[region]
+
+
+def _sample(rng, upstreams, wanted):
+    if len(upstreams) <= wanted:
+        return list(upstreams)
+    return rng.sample(upstreams, wanted)
+
+
+def _decode_price(work, upstream, load, pieces):
+    report = load(upstream.upstream_id)
+    free = upstream.pieces_total if report is None else report.pieces_free
+    total = max(1, upstream.pieces_total)
+    price_s = 1.0 - max(0, free - pieces) / total
+    if free < pieces:
+        price_s += FULL_PENALTY_S
+    if upstream.region != work.region:
+        price_s += FAR_DELAY_S
+    return price_s
+
+
+def _prefill_choice(work, decode, upstream, held, load):
+    report = load(upstream.upstream_id)
+    rate = DEFAULT_PREFILL_TOKENS_PER_S
+    queued = 0
+    if report is not None:
+        queued = report.queued_tokens
+        rate = report.prefill_tokens_per_s or rate
+    cached = min(held.get(upstream.upstream_id, 0.0), work.prompt_tokens)
+    to_compute = queued + work.prompt_tokens - cached
+    return Choice(
+        decode=decode,
+        prefill=upstream,
+        cached_tokens=cached,
+        prefill_s=to_compute / rate,
+        transfer_s=_transfer_s(work, upstream, decode),
+    )
+
+
+def _transfer_s(work, prefill, decode):
+    if prefill.upstream_id == decode.upstream_id:
+        return 0.0
+    rates = [
+        up.link_bytes_per_s for up in (prefill, decode) if up.link_bytes_per_s
+    ]
+    kv_bytes = work.prompt_tokens * prefill.kv_bytes_per_token
+    moving_s = kv_bytes / min(rates) if rates else 0.0
+    far = prefill.region != decode.region
+    return moving_s + (FAR_DELAY_S if far else 0.0)
+
+
+def _price(choice, work):
+    price_s = choice.prefill_s + choice.transfer_s
+    if choice.prefill.region != choice.decode.region:
+        kv_bytes = work.prompt_tokens * choice.prefill.kv_bytes_per_token
+        price_s += FAR_S_PER_GB * kv_bytes / 1e9
+    return price_s
