Add a metrics port and the times of a reservation

Cause: the ledger of an upstream books memory ahead by how long a request holds it and when it needs it, which a reservation could not say; counters had no port, and prefix keys were not told in the protocol. Conclusion: old callers work unchanged.

--- a/currantdeal/ports/__init__.py
+++ b/currantdeal/ports/__init__.py
@@ -22,6 +22,9 @@
     MembersPort,
     MemberStatus,
 )
+from currantdeal.ports.metrics import (
+    MetricsPort,
+)
 from currantdeal.ports.services import (
     Header,
     ServiceAnswer,
@@ -46,6 +49,7 @@
     "Member",
     "MemberStatus",
     "MembersPort",
+    "MetricsPort",
     "OutputChunk",
     "PrefillRequest",
     "PrefillResult",
--- a/currantdeal/ports/homes.py
+++ b/currantdeal/ports/homes.py
@@ -29,6 +29,10 @@
         Prompt tokens to compute there; 0 on an engine that only decodes.
     kv_bytes : int
         Bytes that its link will carry.
+    hold_s : float
+        Seconds for which the memory is expected to be held.
+    lead_s : float
+        Seconds until the memory is needed, were the grant given now.
     """
 
     request_id: RequestId
@@ -38,6 +42,8 @@
     pieces: int = 0
     prefill_tokens: int = 0
     kv_bytes: int = 0
+    hold_s: float = 1.0
+    lead_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
