Give engines and instances one way to cut prompts into blocks

A prefix cache's events name blocks by hash, and an instance looks for the hashes of what a caller asks, so both need the same function.

--- a/currantdeal/core/__init__.py
+++ b/currantdeal/core/__init__.py
@@ -28,6 +28,7 @@
     UpstreamId,
 )
 from currantdeal.core.outcome import Outcome, Ran, outcome_of
+from currantdeal.core.prefixes import prefix_keys
 from currantdeal.core.selectors import (
     Operator,
     Selector,
@@ -85,4 +86,5 @@
     "matches",
     "outcome_of",
     "parse_expression",
+    "prefix_keys",
 ]
