--- /dev/null
+++ b/currantdeal/adapters/tests/test_gossip.py
@@ -0,0 +1,62 @@
+import socket
+import time
+
+from currantdeal.adapters.clock import SystemClock
+from currantdeal.adapters.gossip import Gossip
+from currantdeal.membership import SwimTiming
+from currantdeal.membership.tests.builders import build_member
+from currantdeal.ports import MemberStatus
+
+LIMIT_S = 30.0
+
+
+def _free_port():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def _start(number, seeds=()):
+    clock = SystemClock()
+    port = _free_port()
+    gossip = Gossip(
+        me=build_member(
+            number,
+            wall_s=clock.wall_s(),
+            peer_address=f"127.0.0.1:{port}",
+        ),
+        seeds=seeds,
+        routes={},
+        bind=("127.0.0.1", port),
+        timing=SwimTiming(probe_s=0.2, suspicion_s=0.4),
+        clock=clock,
+    )
+    gossip.start()
+    return gossip
+
+
+def _until(wanted):
+    end_s = time.monotonic() + LIMIT_S
+    while not wanted():
+        assert time.monotonic() < end_s, "did not come true"
+        time.sleep(0.02)
+
+
+def _status(gossip, name):
+    member = gossip.member(name)
+    return member.status if member else None
+
+
+def test_two_instances_meet_over_udp_and_one_leaves():
+    first = _start(1)
+    second = _start(2, seeds=(f"127.0.0.1:{first.port}",))
+    try:
+        _until(lambda: _status(first, "i2") is MemberStatus.ALIVE)
+        second.set_draining()
+        _until(lambda: first.member("i2").draining)
+        assert first.traffic().received_bytes > 0
+        second.stop()
+        _until(lambda: _status(first, "i2") is MemberStatus.LEFT)
+    finally:
+        first.stop()
+        second.stop()
