--- /dev/null
+++ b/currantdeal/adapters/services.py
@@ -0,0 +1,61 @@
+"""Plain services over HTTP; implements ``ports.ServicePort``."""
+
+from currantdeal.adapters.connections import Connections, HttpRequest
+from currantdeal.ports import Header, ServiceAnswer
+
+REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "trailers",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    }
+)
+"""Headers that concern one connection and are not passed on."""
+
+
+class HttpServices:
+    """Client of plain services.
+
+    Parameters
+    ----------
+    connections : Connections
+        Shared by all clients of upstreams.
+    """
+
+    def __init__(self, *, connections=None):
+        """Keep the connections."""
+        self._connections = connections or Connections()
+
+    def call(self, upstream, call, *, timeout_s):
+        """Send the call once, on a new connection if it may not repeat."""
+        request = HttpRequest(
+            address=upstream.address,
+            method=call.method,
+            path=call.path,
+            headers=tuple((hd.name, hd.value) for hd in call.headers),
+            body=call.body,
+        )
+        response = self._connections.fetch(
+            request,
+            timeout_s=timeout_s,
+            fresh=call.method not in REPEATABLE_METHODS,
+        )
+        return ServiceAnswer(
+            status=response.status,
+            headers=tuple(
+                Header(name=name, value=value)
+                for name, value in response.headers
+                if name.lower() not in HOP_BY_HOP
+            ),
+            body=response.body,
+        )
