Add the life of a request

Cause: nothing carried the policy's decisions out. Conclusion: a refusal names the outcome that is proved over all attempts.

--- /dev/null
+++ b/currantdeal/serving/calls.py
@@ -0,0 +1,183 @@
+"""Life of a call to a plain service.
+
+GET, HEAD and OPTIONS are idempotent and may be tried again within the retry
+budget.  Every other method counts as non-idempotent, also PUT and DELETE,
+because a service may do more on them than HTTP promises; such a call runs at
+most once.  With an idempotency key it is claimed in the replicated state
+first; without one it gets exactly one try.
+"""
+
+import hashlib
+
+from currantdeal.core import Outcome, Ran, Role, UpstreamError, outcome_of
+from currantdeal.serving.decisions import Speed
+from currantdeal.serving.errors import (
+    CallerGoneError,
+    Reason,
+    RefusedError,
+    not_run,
+)
+from currantdeal.serving.requests import CallOutcome
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+
+RETRY_AFTER_S = 1.0
+USUAL_CALL_S = 0.05
+SHORTEST_SEND_S = 0.01
+
+
+def is_idempotent(method):
+    """Return whether calls with an HTTP method may run twice."""
+    return method in IDEMPOTENT_METHODS
+
+
+def digest_of(call):
+    """Return the digest by which two calls count as the same."""
+    digest = hashlib.sha256()
+    for part in (call.method.encode(), call.path.encode(), call.body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+class CallService:
+    """Serves calls to plain services.
+
+    Parameters
+    ----------
+    services : ServicePort
+        Client of the services.
+    claims : ClaimBook
+        Claims on calls that may not run twice.
+    view : ServingView
+        What may be done at present.
+    decisions : pykka.ActorProxy
+        Of ``Decisions``.
+    clock : Clock
+        Time of deadlines.
+    metrics : MetricsPort
+        Counts tries.
+    """
+
+    def __init__(self, *, services, claims, view, decisions, clock, metrics):
+        """Keep the parts."""
+        self._services = services
+        self._claims = claims
+        self._view = view
+        self._decisions = decisions
+        self._clock = clock
+        self._metrics = metrics
+
+    def call(self, request):
+        """Return the service's answer as a ``CallOutcome``.
+
+        Raises
+        ------
+        RefusedError
+            If the call is given up; the outcome says what is proved.
+        """
+        self._view.check_lease()
+        self._view.candidates(request.work, Role.SERVICE)
+        if request.work.idempotent:
+            return CallOutcome(answer=self._repeatable(request))
+        if not request.key:
+            return CallOutcome(answer=self._single_try(request))
+        return self._claimed(request)
+
+    def _repeatable(self, request):
+        self._decisions.need(request.work)
+        ran = Ran.NO
+        attempts = 0
+        while True:
+            attempts += 1
+            upstreams = self._upstreams(request)
+            upstream = upstreams[(attempts - 1) % len(upstreams)]
+            try:
+                return self._send(request, upstream)
+            except UpstreamError as exc:
+                failure = exc
+            ran = failure.ran if ran is Ran.NO else ran
+            decision = self._decisions.may_retry(
+                request.work, ran=failure.ran, attempts=attempts
+            ).get()
+            if not decision.allowed:
+                raise _refusal(failure, ran) from failure
+            self._metrics.add("service_retries_total")
+            self._clock.sleep(decision.delay_s)
+
+    def _single_try(self, request):
+        upstream = self._upstreams(request)[0]
+        try:
+            return self._send(request, upstream)
+        except UpstreamError as exc:
+            raise _refusal(exc, exc.ran) from exc
+
+    def _claimed(self, request):
+        claim = self._claims.claim(request, digest_of(request.call))
+        if claim.kept is not None:
+            return CallOutcome(answer=claim.kept, replayed=True)
+        try:
+            answer = self._send_claimed(request)
+        except RefusedError as exc:
+            if exc.outcome is Outcome.NOT_RUN:
+                self._claims.release(claim)
+            else:
+                self._claims.abandon(claim)
+            raise
+        except BaseException:
+            self._claims.abandon(claim)
+            raise
+        self._claims.finish(claim, answer)
+        return CallOutcome(answer=answer)
+
+    def _send_claimed(self, request):
+        upstreams = self._upstreams(request)
+        for upstream in upstreams:
+            try:
+                return self._send(request, upstream)
+            except UpstreamError as exc:
+                failure = exc
+            # Only a try that is proved not to have run may be followed by
+            # another; anything else could place an order twice.
+            if failure.ran is not Ran.NO:
+                break
+        raise _refusal(failure, failure.ran) from failure
+
+    def _upstreams(self, request):
+        allowed = self._view.candidates(request.work, Role.SERVICE)
+        return self._decisions.order_services(allowed).get()
+
+    def _send(self, request, upstream):
+        work = request.work
+        self._view.check_lease()
+        if not self._view.may_serve(work, Role.SERVICE, upstream):
+            raise not_run(
+                "the service was withdrawn",
+                reason=Reason.NO_MATCHING_UPSTREAM,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        if request.gone():
+            raise CallerGoneError("the caller hung up")
+        started_s = self._clock.monotonic_s()
+        left_s = work.deadline_s - started_s
+        if left_s < SHORTEST_SEND_S:
+            raise not_run(
+                "the deadline passed before the call could be sent",
+                reason=Reason.DEADLINE,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        answer = self._services.call(upstream, request.call, timeout_s=left_s)
+        taken_s = self._clock.monotonic_s() - started_s
+        self._decisions.learn_speed(
+            Speed(upstream=upstream, slowness=taken_s / USUAL_CALL_S)
+        )
+        return answer
+
+
+def _refusal(failure, ran):
+    return RefusedError(
+        f"the service gave no answer: {failure}",
+        reason=Reason.UPSTREAM_FAILED,
+        outcome=outcome_of(ran),
+        retry_after_s=RETRY_AFTER_S if ran is Ran.NO else None,
+    )
