--- /dev/null
+++ b/currantdeal/adapters/http/app.py
@@ -0,0 +1,201 @@
+"""The WSGI application: routes, keys, and errors turned into answers."""
+
+import re
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import structlog
+
+from currantdeal.adapters.http.errors import HttpError, not_found
+from currantdeal.adapters.http.messages import Request
+from currantdeal.adapters.http.problems import (
+    problem,
+    problem_response,
+    refusal_response,
+)
+from currantdeal.adapters.settings import KeyKind
+from currantdeal.core import Outcome
+from currantdeal.serving.errors import CallerGoneError, RefusedError
+
+CLIENT_CLOSED_STATUS = 400
+
+_log = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Route:
+    """One endpoint.
+
+    Parameters
+    ----------
+    methods : frozenset of str
+        HTTP methods; empty for all.
+    pattern : re.Pattern
+        Matches the whole path; its named groups go to the handler.
+    handler : callable
+        From a ``Request`` to a ``Response``.
+    kind : KeyKind or None
+        Kind of key that is needed; None for everybody.
+    """
+
+    methods: frozenset[str]
+    pattern: re.Pattern
+    handler: object
+    kind: KeyKind | None = None
+
+
+class Routes:
+    """Collects the endpoints of an instance.
+
+    Examples
+    --------
+    >>> routes = Routes()
+    >>> routes.add("GET", "/things/(?P<name>[^/]+)", lambda request: request)
+    >>> routes.find("GET", "/things/oven")[1]
+    {'name': 'oven'}
+    """
+
+    def __init__(self):
+        """Start with none."""
+        self._routes = []
+
+    def add(self, methods, pattern, handler, *, kind=None):
+        """Add an endpoint; methods are separated by spaces."""
+        self._routes.append(
+            Route(
+                methods=frozenset(methods.split()),
+                pattern=re.compile(pattern),
+                handler=handler,
+                kind=kind,
+            )
+        )
+
+    def find(self, method, path):
+        """Return the route and the groups of its pattern."""
+        other = set()
+        for route in self._routes:
+            found = route.pattern.fullmatch(path)
+            if found is None:
+                continue
+            if not route.methods or method in route.methods:
+                return route, found.groupdict()
+            other |= route.methods
+        if other:
+            raise HttpError(
+                405,
+                "wrong-method",
+                f"{method} is not served here",
+                headers=(("Allow", ", ".join(sorted(other))),),
+            )
+        raise not_found(f"nothing is served at {path}")
+
+
+class App:
+    """Turns WSGI calls into requests, and handlers' results into answers.
+
+    Parameters
+    ----------
+    routes : Routes
+        The endpoints.
+    keys : KeyRing
+        Who may ask.
+    metrics : MetricsPort
+        Counts answers by status.
+    max_body_bytes : int
+        Larger bodies are refused.
+    """
+
+    def __init__(self, *, routes, keys, metrics, max_body_bytes):
+        """Keep the parts."""
+        self._routes = routes
+        self._keys = keys
+        self._metrics = metrics
+        self._max_body_bytes = max_body_bytes
+
+    def __call__(self, environ, start_response):
+        """Serve one request, as WSGI wants it."""
+        response = self._answer(environ)
+        self._metrics.add("http_answers_total", status=str(response.status))
+        phrase = _phrase(response.status)
+        start_response(f"{response.status} {phrase}", list(response.headers))
+        if isinstance(response.body, bytes):
+            return [response.body]
+        return response.body
+
+    def _answer(self, environ):
+        try:
+            return self._handle(environ)
+        except HttpError as exc:
+            return problem_response(
+                problem(exc.status, exc.reason, str(exc)),
+                headers=exc.headers,
+            )
+        except RefusedError as exc:
+            self._metrics.add(
+                "refusals_total",
+                reason=exc.reason.value,
+                outcome=exc.outcome.value,
+            )
+            return refusal_response(exc)
+        except CallerGoneError:
+            self._metrics.add("callers_gone_total")
+            return problem_response(
+                problem(CLIENT_CLOSED_STATUS, "caller-gone", "hung up")
+            )
+        except Exception:
+            # A fault in a handler must neither end the thread nor show its
+            # inside to a caller; it is seen in the log and in the counter.
+            _log.exception("handler failed", path=environ.get("PATH_INFO"))
+            self._metrics.add("handler_faults_total")
+            return problem_response(
+                problem(
+                    500,
+                    "internal",
+                    "the instance failed",
+                    outcome=Outcome.UNKNOWN.value,
+                )
+            )
+
+    def _handle(self, environ):
+        method = environ["REQUEST_METHOD"]
+        path = environ["PATH_INFO"]
+        route, groups = self._routes.find(method, path)
+        key = None
+        if route.kind is not None:
+            key = self._keys.check(
+                route.kind,
+                environ.get("HTTP_AUTHORIZATION", ""),
+                environ.get("REMOTE_ADDR", ""),
+            )
+        request = Request(
+            method=method,
+            path=path,
+            raw_path=environ.get("REQUEST_URI", path),
+            environ=environ,
+            groups=groups,
+            body=self._read_body(environ),
+            key=key,
+            gone=environ.get("waitress.client_disconnected", _never),
+        )
+        return route.handler(request)
+
+    def _read_body(self, environ):
+        raw = environ["wsgi.input"].read(self._max_body_bytes + 1)
+        if len(raw) > self._max_body_bytes:
+            raise HttpError(
+                413,
+                "body-too-large",
+                f"at most {self._max_body_bytes} bytes are taken",
+            )
+        return raw
+
+
+def _phrase(status):
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
+
+
+def _never():
+    return False
--- /dev/null
+++ b/currantdeal/adapters/http/health.py
@@ -0,0 +1,78 @@
+"""Health, readiness, metrics and the addresses that callers should use."""
+
+from currantdeal.adapters.http.errors import HttpError
+from currantdeal.adapters.http.messages import Response, json_response
+from currantdeal.adapters.settings import KeyKind
+from currantdeal.membership import choose_entries
+
+
+class HealthEndpoints:
+    """What is asked about the instance itself.
+
+    Parameters
+    ----------
+    state : StatePort
+        Tells whether the view may guide work.
+    members : MembersPort
+        Tells which instances serve callers.
+    metrics : Metrics
+        Rendered for scrapers.
+    region : RegionId
+        Region of the instance; its entries come first.
+    keep_s : float
+        How long callers may keep the list of entries, in seconds.
+    rng : random.Random
+        Shuffles entries of equal load.
+    draining : callable
+        Returns True during a planned stop.
+    """
+
+    def __init__(
+        self, *, state, members, metrics, region, keep_s, rng, draining
+    ):
+        """Keep the parts."""
+        self._region = region
+        self._rng = rng
+        self._state = state
+        self._members = members
+        self._metrics = metrics
+        self._keep_s = keep_s
+        self._draining = draining
+
+    def register(self, routes):
+        """Add the endpoints."""
+        routes.add("GET", "/healthz", self.healthz)
+        routes.add("GET", "/readyz", self.readyz)
+        routes.add("GET", "/metrics", self.metrics)
+        routes.add("GET", "/v1/entries", self.entries, kind=KeyKind.CALLER)
+
+    def healthz(self, request):
+        """Say that the process answers."""
+        return json_response({"status": "ok"})
+
+    def readyz(self, request):
+        """Say whether new work is served here."""
+        if self._draining():
+            raise HttpError(503, "draining", "the instance is being stopped")
+        if self._state.lease_remaining_s() <= 0:
+            raise HttpError(503, "no-lease", "the instance is cut off")
+        return json_response(
+            {"status": "ready", "version": self._state.view().version}
+        )
+
+    def metrics(self, request):
+        """Show the metrics in the text format of Prometheus."""
+        content_type, text = self._metrics.render()
+        return Response(headers=(("Content-Type", content_type),), body=text)
+
+    def entries(self, request):
+        """Tell which addresses callers should use."""
+        return json_response(
+            choose_entries(
+                self._members.members(),
+                region=self._region,
+                draining=self._state.view().draining,
+                keep_s=self._keep_s,
+                rng=self._rng,
+            )
+        )
--- /dev/null
+++ b/currantdeal/adapters/http/messages.py
@@ -0,0 +1,85 @@
+"""Requests and responses, as handlers see them."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from currantdeal.adapters.http.errors import bad_request
+from currantdeal.adapters.settings import KeySettings
+
+JSON = "application/json"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Request:
+    """A request whose body has been read and whose key is known.
+
+    Parameters
+    ----------
+    path : str
+        Decoded path.
+    raw_path : str
+        Path and query as they were sent.
+    environ : dict
+        The WSGI environment, for headers.
+    groups : dict
+        What the route's pattern found in the path.
+    key : KeySettings or None
+        The key that was shown; None where the settings name no keys.
+    gone : callable
+        Returns True once the client has hung up.
+    """
+
+    method: str
+    path: str
+    raw_path: str
+    environ: dict
+    groups: dict
+    body: bytes
+    key: KeySettings | None
+    gone: Callable[[], bool]
+
+    def header(self, name, default=""):
+        """Return a header's value."""
+        key = name.upper().replace("-", "_")
+        if key in ("CONTENT_TYPE", "CONTENT_LENGTH"):
+            return self.environ.get(key, default)
+        return self.environ.get(f"HTTP_{key}", default)
+
+    @property
+    def query(self):
+        """The undecoded query."""
+        return self.environ.get("QUERY_STRING", "")
+
+    @property
+    def client_address(self):
+        """Network address of the client."""
+        return self.environ.get("REMOTE_ADDR", "")
+
+    def json(self, wanted):
+        """Return the body as a message of a type, or raise an error."""
+        try:
+            return msgspec.json.decode(self.body, type=wanted)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+            raise bad_request(f"the body: {exc}") from exc
+        except RecursionError as exc:
+            raise bad_request("the body is nested too deeply") from exc
+
+
+@dataclass(frozen=True, kw_only=True)
+class Response:
+    """An answer; the body is bytes, or chunks that are sent as they come."""
+
+    status: int = 200
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes | Iterable[bytes] = field(default=b"")
+
+
+def json_response(message, *, status=200, headers=()):
+    """Return an answer with a message in JSON."""
+    return Response(
+        status=status,
+        headers=(("Content-Type", JSON), *headers),
+        body=msgspec.json.encode(message),
+    )
--- /dev/null
+++ b/currantdeal/adapters/http/server.py
@@ -0,0 +1,157 @@
+"""waitress with limits that fit long streams.
+
+A thread serves one request at a time, so each open stream takes a thread.
+"""
+
+import socket
+import threading
+import time
+
+from waitress import create_server
+from waitress.channel import HTTPChannel
+from waitress.task import WSGITask
+
+UNSENT_TIMEOUT_S = 5.0
+"""Time after which a client that takes no bytes counts as gone.
+
+Its connection may be open for good without anything arriving; the stream
+would hold engine memory until the last output.
+"""
+
+IDLE_TIMEOUT_S = 30
+"""Time for which an idle connection, or half a request, is kept."""
+
+CLEANUP_INTERVAL_S = 2
+OUTPUT_BUFFER_BYTES = 65_536
+CONNECTIONS_PER_THREAD = 4
+RESERVED_FILES = 100
+QUIET_LOOK_S = 0.02
+
+
+class HttpServer:
+    """Listener for callers, upstreams and operators.
+
+    Parameters
+    ----------
+    app : callable
+        WSGI application.
+    host : str
+        IP number to listen on.
+    port : int
+        Port to listen on; 0 picks a free one.
+    threads : int
+        Requests served at a time.
+    max_header_bytes, max_body_bytes : int
+        Larger requests are refused.
+    """
+
+    def __init__(
+        self, *, app, host, port, threads, max_header_bytes, max_body_bytes
+    ):
+        """Bind the listener; nothing is accepted before ``start``."""
+        self._listener = _listen(host, port)
+        self._server = create_server(
+            app,
+            sockets=[self._listener],
+            threads=threads,
+            ident="currantdeal",
+            connection_limit=threads * CONNECTIONS_PER_THREAD + RESERVED_FILES,
+            cleanup_interval=CLEANUP_INTERVAL_S,
+            channel_timeout=IDLE_TIMEOUT_S,
+            channel_request_lookahead=1,
+            max_request_header_size=max_header_bytes,
+            max_request_body_size=max_body_bytes,
+            outbuf_high_watermark=OUTPUT_BUFFER_BYTES,
+            asyncore_use_poll=True,
+            log_socket_errors=False,
+            clear_untrusted_proxy_headers=False,
+        )
+        self._closing = threading.Event()
+        self._server.channel_class = _channel_class(self._closing)
+
+    @property
+    def port(self):
+        """Port that the listener is bound to."""
+        return self._listener.getsockname()[1]
+
+    def start(self):
+        """Serve on threads of its own."""
+        threading.Thread(
+            target=self._run, name="http-server", daemon=True
+        ).start()
+
+    def end_connections(self):
+        """Close each connection after its next answer, for a drain."""
+        self._closing.set()
+
+    def stop_accepting(self):
+        """Close the listener; open connections go on.
+
+        A client that connects afterwards is refused by the operating system,
+        which proves to it that nothing ran.
+        """
+        self._server.del_channel()
+        self._listener.close()
+
+    def wait_quiet(self, *, timeout_s):
+        """Return whether every answer was sent within the timeout.
+
+        A request has ended when its last bytes are in a buffer here; closing
+        the connection then would cut the answer off.
+        """
+        until_s = time.monotonic() + timeout_s
+        while self._is_busy():
+            if time.monotonic() > until_s:
+                return False
+            time.sleep(QUIET_LOOK_S)
+        return True
+
+    def _is_busy(self):
+        channels = list(self._server.active_channels.values())
+        return any(
+            each.requests or each.total_outbufs_len for each in channels
+        )
+
+    def stop(self):
+        """Close the listener and every connection."""
+        self._server.close()
+        self._server.task_dispatcher.shutdown(timeout=1)
+
+    def _run(self):
+        try:
+            self._server.run()
+        except OSError:
+            # The listener was closed by ``stop`` while being polled.
+            return
+
+
+def _listen(host, port):
+    listener = socket.create_server((host, port), backlog=1024)
+    # Accepted connections inherit these.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    listener.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        int(UNSENT_TIMEOUT_S * 1000),
+    )
+    listener.setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, OUTPUT_BUFFER_BYTES
+    )
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 5)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 2)
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+    return listener
+
+
+def _channel_class(closing):
+    class Task(WSGITask):
+        def build_response_header(self):
+            if closing.is_set():
+                self.set_close_on_finish()
+            return super().build_response_header()
+
+    class Channel(HTTPChannel):
+        task_class = Task
+
+    return Channel
