--- /dev/null
+++ b/currantdeal/cli/daemon.py
@@ -0,0 +1,241 @@
+"""One instance: what ``currantdeal serve`` puts together and runs.
+
+``Daemon`` is built in small steps, one for each part; what starts and stops
+is a ``Runner``, so that another part is one more entry in a list.
+
+See Also
+--------
+currantdeal.cli.wiring : builds the ports of an instance
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import structlog
+
+from currantdeal.adapters.connections import Connections
+from currantdeal.adapters.engines import HttpEngines
+from currantdeal.adapters.http import App, HttpServer, Routes
+from currantdeal.adapters.http.auth import KeyRing
+from currantdeal.adapters.http.generation import GenerationEndpoints
+from currantdeal.adapters.http.health import HealthEndpoints
+from currantdeal.adapters.http.intake import Intake
+from currantdeal.adapters.http.operator import OperatorEndpoints
+from currantdeal.adapters.http.services import ServiceEndpoints
+from currantdeal.adapters.http.upstreams import UpstreamEndpoints
+from currantdeal.adapters.services import HttpServices
+from currantdeal.cli.drain import Drain
+from currantdeal.cli.serving import build_serving
+from currantdeal.ports import HomesPort, MembersPort, StatePort
+
+THREADS_KEPT_SHARE = 8
+THREADS_KEPT = 4
+"""Threads kept for short answers: an eighth of all, at least four."""
+
+_log = structlog.get_logger(__name__)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Runner:
+    """Something that runs beside the HTTP server.
+
+    Parameters
+    ----------
+    name : str
+        Shown in the log when it fails to stop.
+    start, stop : callable
+        Called once each; parts stop in the reverse order of their start.
+    """
+
+    name: str
+    start: Callable[[], object]
+    stop: Callable[[], object]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Ports:
+    """The ports of an instance and what runs behind them.
+
+    Parameters
+    ----------
+    runners : tuple of Runner
+        Started before callers are served.
+    hand_over : tuple of callable
+        Called at the end of a drain, when nothing is served any more.
+    """
+
+    state: StatePort
+    homes: HomesPort
+    members: MembersPort
+    runners: tuple[Runner, ...] = ()
+    hand_over: tuple[Callable[[], object], ...] = ()
+
+
+class Daemon:
+    """One instance.
+
+    Parameters
+    ----------
+    settings : Settings
+        Of this instance.
+    ports : Ports
+        Replicated state, homes and membership.
+    clock : Clock
+        Time.
+    metrics : Metrics
+        Counters of the whole instance.
+    """
+
+    def __init__(self, *, settings, ports, clock, metrics):
+        """Bind the listener; nothing runs before ``start``."""
+        self._settings = settings
+        self._ports = ports
+        self._clock = clock
+        self._metrics = metrics
+        connections = Connections()
+        self._serving = build_serving(
+            settings=settings,
+            ports=ports,
+            engines=HttpEngines(connections=connections),
+            services=HttpServices(connections=connections),
+            clock=clock,
+            metrics=metrics,
+            limit=_limit_of(settings.threads),
+        )
+        self._keys = KeyRing(keys=settings.keys)
+        self._http = self._build_http()
+        self._drain = self._build_drain()
+
+    @property
+    def caller_address(self):
+        """``IP:PORT`` that callers are served on."""
+        host, _, _ = self._settings.caller_address.rpartition(":")
+        return f"{host}:{self._http.port}"
+
+    def start(self):
+        """Serve callers once everything behind the ports runs."""
+        for runner in self._ports.runners:
+            runner.start()
+        self._serving.hangups.start()
+        self._drain.start()
+        self._http.start()
+        if self._keys.is_open:
+            _log.warning("no keys in the settings: loopback addresses only")
+        _log.info("serving", address=self.caller_address)
+
+    def request_stop(self):
+        """Begin the graceful shutdown; returns at once."""
+        self._drain.begin()
+
+    def wait(self):
+        """Return once the shutdown has ended."""
+        self._drain.wait()
+        self.stop()
+
+    def stop(self):
+        """Stop at once; ``request_stop`` is the graceful way."""
+        self._drain.stop()
+        self._serving.hangups.stop()
+        self._http.stop()
+        for runner in reversed(self._ports.runners):
+            try:
+                runner.stop()
+            except Exception:
+                _log.exception("stop failed", part=runner.name)
+        self._serving.stop()
+        _log.info("stopped")
+
+    def _build_drain(self):
+        return Drain(
+            instance=self._settings.instance,
+            ports=self._ports,
+            serving=self._serving,
+            http=self._http,
+            keep_s=self._settings.timing.entries_keep_s,
+            clock=self._clock,
+        )
+
+    def _build_http(self):
+        host, _, port = self._settings.caller_address.rpartition(":")
+        return HttpServer(
+            app=App(
+                routes=self._build_routes(),
+                keys=self._keys,
+                metrics=self._metrics,
+                max_body_bytes=self._settings.max_body_bytes,
+            ),
+            host=host,
+            port=int(port),
+            threads=self._settings.threads,
+            max_header_bytes=self._settings.max_header_bytes,
+            max_body_bytes=self._settings.max_body_bytes,
+        )
+
+    def _build_routes(self):
+        routes = Routes()
+        for endpoints in (
+            *self._caller_endpoints(),
+            self._upstream_endpoints(),
+            self._operator_endpoints(),
+            self._health_endpoints(),
+        ):
+            endpoints.register(routes)
+        return routes
+
+    def _caller_endpoints(self):
+        serving = self._serving
+        intake = Intake(
+            region=self._settings.region,
+            deadline_s=self._settings.timing.deadline_s,
+            clock=self._clock,
+        )
+        return (
+            GenerationEndpoints(
+                service=serving.generation,
+                view=serving.view,
+                intake=intake,
+                in_flight=serving.in_flight,
+                clock=self._clock,
+            ),
+            ServiceEndpoints(
+                service=serving.calls,
+                intake=intake,
+                in_flight=serving.in_flight,
+            ),
+        )
+
+    def _upstream_endpoints(self):
+        return UpstreamEndpoints(
+            state=self._ports.state,
+            homes=self._ports.homes,
+            instance=self._settings.instance,
+            renew_every_s=self._settings.timing.announce_renew_s,
+            clock=self._clock,
+        )
+
+    def _operator_endpoints(self):
+        return OperatorEndpoints(
+            state=self._ports.state,
+            homes=self._ports.homes,
+            members=self._ports.members,
+            instance=self._settings.instance,
+            region=self._settings.region,
+            clock=self._clock,
+        )
+
+    def _health_endpoints(self):
+        return HealthEndpoints(
+            state=self._ports.state,
+            members=self._ports.members,
+            metrics=self._metrics,
+            region=self._settings.region,
+            keep_s=self._settings.timing.entries_keep_s,
+            rng=random.Random(),
+            draining=lambda: self._drain.draining,
+        )
+
+
+def _limit_of(threads):
+    kept = max(THREADS_KEPT, threads // THREADS_KEPT_SHARE)
+    return max(1, threads - kept)
--- /dev/null
+++ b/currantdeal/cli/serve.py
@@ -0,0 +1,63 @@
+"""``currantdeal serve``: run one instance."""
+
+import signal
+from pathlib import Path
+
+import click
+
+from currantdeal.adapters.clock import SystemClock
+from currantdeal.adapters.logs import LogFormat, configure_logs
+from currantdeal.adapters.metrics import Metrics
+from currantdeal.adapters.settings import SettingsError, read_settings
+from currantdeal.cli.daemon import Daemon
+from currantdeal.cli.wiring import build_ports
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(path_type=Path),
+    help="Settings of the instance, a JSON file.",
+)
+@click.option(
+    "--log-format",
+    type=click.Choice([each.value for each in LogFormat]),
+    default=LogFormat.JSON.value,
+    show_default=True,
+)
+def serve(path, log_format):
+    """Run one instance until SIGTERM, then drain and exit."""
+    try:
+        settings = read_settings(path)
+    except SettingsError as exc:
+        raise click.ClickException(str(exc)) from exc
+    configure_logs(
+        log_format=LogFormat(log_format), instance=settings.instance
+    )
+    run(settings, build_ports)
+
+
+def run(settings, build):
+    """Run an instance until it is told to stop.
+
+    Parameters
+    ----------
+    settings : Settings
+        Of the instance.
+    build : callable
+        Builds its ``Ports`` from settings, clock and metrics.
+    """
+    clock = SystemClock()
+    metrics = Metrics()
+    daemon = Daemon(
+        settings=settings,
+        ports=build(settings=settings, clock=clock, metrics=metrics),
+        clock=clock,
+        metrics=metrics,
+    )
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: daemon.request_stop())
+    daemon.start()
+    daemon.wait()
--- /dev/null
+++ b/currantdeal/cli/serving.py
@@ -0,0 +1,116 @@
+"""Builds the serving layer of one instance."""
+
+import random
+from dataclasses import dataclass
+
+from currantdeal.policy import UserWeights
+from currantdeal.serving.calls import CallService
+from currantdeal.serving.claims import ClaimBook
+from currantdeal.serving.cleanup import Cleaner
+from currantdeal.serving.decisions import Decisions
+from currantdeal.serving.generation import GenerationService, ServingParts
+from currantdeal.serving.hangups import HangUpMonitor
+from currantdeal.serving.inflight import InFlight
+from currantdeal.serving.reservations import Reserver
+from currantdeal.serving.silence import SilenceLimits
+from currantdeal.serving.view import ServingView
+from currantdeal.serving.waiting import WaitingRoom
+
+
+@dataclass(frozen=True, kw_only=True)
+class Serving:
+    """The serving layer of one instance."""
+
+    view: ServingView
+    generation: GenerationService
+    calls: CallService
+    cleaner: Cleaner
+    hangups: HangUpMonitor
+    in_flight: InFlight
+    actors: tuple
+
+    def stop(self):
+        """Stop the actors."""
+        for actor in self.actors:
+            actor.stop(block=False)
+
+
+def build_serving(
+    *, settings, ports, engines, services, clock, metrics, limit
+):
+    """Return the serving layer.
+
+    Parameters
+    ----------
+    ports : Ports
+        State, homes and members.
+    engines, services : EnginePort, ServicePort
+        Clients of upstreams.
+    limit : int
+        Requests served at a time.
+    """
+    view = ServingView(state=ports.state)
+    cleaner = Cleaner(
+        engines=engines, homes=ports.homes, clock=clock, metrics=metrics
+    )
+    hangups = HangUpMonitor(cleaner=cleaner)
+    weights = UserWeights(
+        goodput=settings.weights.goodput,
+        wasted_prefill=settings.weights.wasted_prefill,
+    )
+    decisions = Decisions.start(
+        clock=clock,
+        rng=random.Random(),
+        load=ports.homes.load,
+        weights=weights,
+    )
+    waiting = WaitingRoom.start(
+        clock=clock,
+        rng=random.Random(),
+        weights=weights,
+        caller_weights=_caller_weights(settings.keys),
+    )
+    reserver = Reserver(
+        instance=settings.instance,
+        view=view,
+        homes=ports.homes,
+        decisions=decisions.proxy(),
+        waiting=waiting.proxy(),
+        cleaner=cleaner,
+        clock=clock,
+    )
+    parts = ServingParts(
+        engines=engines,
+        homes=ports.homes,
+        clock=clock,
+        metrics=metrics,
+        cleaner=cleaner,
+        silence=SilenceLimits(longest_s=settings.timing.stream_silence_s),
+        decisions=decisions.proxy(),
+        reserver=reserver,
+        view=view,
+        hangups=hangups,
+    )
+    calls = CallService(
+        services=services,
+        claims=ClaimBook(
+            state=ports.state, instance=settings.instance, clock=clock
+        ),
+        view=view,
+        decisions=decisions.proxy(),
+        clock=clock,
+        metrics=metrics,
+    )
+    return Serving(
+        view=view,
+        generation=GenerationService(parts=parts),
+        calls=calls,
+        cleaner=cleaner,
+        hangups=hangups,
+        in_flight=InFlight(limit=limit),
+        actors=(decisions, waiting),
+    )
+
+
+def _caller_weights(keys):
+    return {key.caller or key.name: key.weight for key in keys}
