--- a/currantdeal/testing/processes.py
+++ b/currantdeal/testing/processes.py
@@ -31,6 +31,7 @@
 
     def __init__(self, *, arguments, log_path, environment=None):
         """Start the process."""
+        self._arguments = tuple(arguments)
         self._log_path = Path(log_path)
         env = os.environ | {"PYTHONPATH": _python_path()}
         with self._log_path.open("ab") as log:
@@ -42,6 +43,11 @@
                 env=env | (environment or {}),
             )
 
+    @property
+    def arguments(self):
+        """Arguments that the process was started with."""
+        return self._arguments
+
     @property
     def pid(self):
         """Process id."""
@@ -80,6 +86,7 @@
     def kill(self):
         """End the process at once, as a crash would."""
         self.send_signal(signal.SIGKILL)
+        # A frozen process ends too: SIGKILL needs no consent.
         self._popen.wait()
         self._popen.stdout.close()
 
--- /dev/null
+++ b/currantdeal/testing/tests/test_proxy.py
@@ -0,0 +1,95 @@
+import contextlib
+import socket
+import threading
+
+import pytest
+
+from currantdeal.testing.proxy import Cut, FaultProxy, LinkFaults
+from currantdeal.testing.waiting import wait_until
+
+
+def _echo(listener):
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except OSError:
+            return
+        threading.Thread(target=_echo_one, args=(sock,), daemon=True).start()
+
+
+def _echo_one(sock):
+    with sock, contextlib.suppress(ConnectionResetError):
+        while data := sock.recv(1024):
+            sock.sendall(data)
+
+
+@pytest.fixture
+def proxy():
+    listener = socket.create_server(("127.0.0.1", 0))
+    threading.Thread(target=_echo, args=(listener,), daemon=True).start()
+    host, port = listener.getsockname()
+    made = FaultProxy(target=f"{host}:{port}")
+    yield made
+    made.close()
+    listener.close()
+
+
+def _connect(proxy):
+    host, _, port = proxy.address.rpartition(":")
+    sock = socket.create_connection((host, int(port)))
+    sock.settimeout(30)
+    return sock
+
+
+def _hears(sock, data, wait_s):
+    sock.sendall(data)
+    sock.settimeout(wait_s)
+    try:
+        return sock.recv(100) == data
+    except TimeoutError:
+        return False
+
+
+def test_bytes_pass_and_are_counted(proxy):
+    with _connect(proxy) as sock:
+        assert _hears(sock, b"cake", 30)
+    assert proxy.bytes_to_target == proxy.bytes_to_source == 4
+
+
+def test_open_connections_go_silent_while_new_ones_work(proxy):
+    with _connect(proxy) as old, _connect(proxy) as new:
+        assert _hears(old, b"one", 30)
+        proxy.silence_open()
+        assert not _hears(old, b"two", 0.1)
+        new.close()
+        with _connect(proxy) as later:
+            assert _hears(later, b"three", 30)
+
+
+@pytest.mark.parametrize("cut", [Cut.TO_TARGET, Cut.TO_SOURCE, Cut.BOTH])
+def test_a_cut_holds_bytes_until_it_heals(proxy, cut):
+    with _connect(proxy) as sock:
+        proxy.set_faults(LinkFaults(cut=cut))
+        assert not _hears(sock, b"late", 0.1)
+        proxy.set_faults(LinkFaults())
+        sock.settimeout(30)
+        assert sock.recv(100) == b"late"
+
+
+def test_open_connections_are_reset_and_new_ones_refused(proxy):
+    with _connect(proxy) as sock:
+        assert _hears(sock, b"one", 30)
+        proxy.reset_open()
+        with pytest.raises(ConnectionResetError):
+            sock.recv(1)
+    proxy.set_faults(LinkFaults(refuse=True))
+    with _connect(proxy) as sock, pytest.raises(ConnectionResetError):
+        sock.recv(1)
+    wait_until(lambda: proxy.open_connections == 0, what="no connections")
+
+
+def test_an_end_passes_through(proxy):
+    with _connect(proxy) as sock:
+        assert _hears(sock, b"one", 30)
+        sock.shutdown(socket.SHUT_WR)
+        assert sock.recv(1) == b""
