Let the fault proxy carry datagrams, as membership runs over UDP

Membership came in over UDP on the peer port's number, so a cut of the TCP path alone would leave the instances seeing each other alive. A proxy now binds both protocols under one number, and a cut loses datagrams.

bin/test currantdeal/testing/tests/test_proxy.py passes.

--- a/currantdeal/testing/ports.py
+++ b/currantdeal/testing/ports.py
@@ -1,4 +1,4 @@
-"""TCP ports that stay reserved while a harness uses them.
+"""Ports that stay reserved while a harness uses them.
 
 A port picked by binding port 0 may be given to another process between the
 pick and its use, and a parallel test run then fails at random.  So ports are
@@ -59,11 +59,16 @@
         lock = (self._folder / str(port)).open("w")
         try:
             fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            with contextlib.closing(socket.socket()) as probe:
-                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                probe.bind(("127.0.0.1", port))
+            _probe(socket.SOCK_STREAM, port)
+            _probe(socket.SOCK_DGRAM, port)
         except OSError:
             lock.close()
             return False
         self._locks.append(lock)
         return True
+
+
+def _probe(kind, port):
+    with contextlib.closing(socket.socket(socket.AF_INET, kind)) as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        probe.bind(("127.0.0.1", port))
--- a/currantdeal/testing/proxy.py
+++ b/currantdeal/testing/proxy.py
@@ -1,4 +1,4 @@
-"""TCP proxy that injects faults between any two parties.
+"""TCP and UDP proxy that injects faults between any two parties.
 
 All proxies of a process share one event loop on a thread of its own.  Bytes
 that a fault holds back are delivered when it is lifted, as TCP would do
@@ -21,9 +21,12 @@
 from enum import Enum
 from functools import lru_cache
 
+from currantdeal.testing.errors import HarnessError
+
 BLOCK = 65_536
 QUEUE_BLOCKS = 256
 HOLD_POLL_S = 0.01
+BIND_TRIES = 20
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -76,9 +79,42 @@
             writer.transport.abort()
 
 
+class _Datagrams(asyncio.DatagramProtocol):
+    """Forwards datagrams one way, and loses them while the way is cut."""
+
+    def __init__(self, *, target, faults):
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+        self._faults = faults
+        self._transport = None
+        self.passed = 0
+
+    def connection_made(self, transport):
+        self._transport = transport
+
+    def datagram_received(self, data, addr):
+        faults = self._faults()
+        if faults.cut not in (Cut.TO_TARGET, Cut.BOTH):
+            loop = asyncio.get_running_loop()
+            loop.call_later(faults.delay_s, self._send, data)
+
+    def error_received(self, exc):
+        # The target's port is closed; the datagram is lost, which is what
+        # a datagram may be.
+        pass
+
+    def _send(self, data):
+        if not self._transport.is_closing():
+            self._transport.sendto(data, self._target)
+            self.passed += len(data)
+
+
 class FaultProxy:
     """Listens on one address and forwards to another.
 
+    Datagrams to the same port number are forwarded one way; a cut towards
+    the target loses them.
+
     Parameters
     ----------
     target : str
@@ -95,11 +131,13 @@
         self._faults = faults or LinkFaults()
         self._connections = set()
         self._passed = {Cut.TO_TARGET: 0, Cut.TO_SOURCE: 0}
-        host, _, port = address.rpartition(":")
-        listener = socket.create_server((host, int(port)), backlog=256)
+        listener, receiver = _bind(address)
         self._address = "{}:{}".format(*listener.getsockname()[:2])
-        self._server = _on_loop(
-            asyncio.start_server(self._accepted, sock=listener)
+        self._datagrams = _Datagrams(
+            target=target, faults=lambda: self._faults
+        )
+        self._server, self._receiver = _on_loop(
+            self._listen(listener, receiver)
         )
 
     @property
@@ -127,6 +165,11 @@
         """Bytes delivered to those who connected, so far."""
         return self._passed[Cut.TO_SOURCE]
 
+    @property
+    def datagram_bytes(self):
+        """Bytes of datagrams delivered so far."""
+        return self._datagrams.passed
+
     @property
     def open_connections(self):
         """Number of connections that are open."""
@@ -152,8 +195,17 @@
         """Stop listening and close every connection."""
         _on_loop(self._stop())
 
+    async def _listen(self, listener, receiver):
+        server = await asyncio.start_server(self._accepted, sock=listener)
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self._datagrams, sock=receiver
+        )
+        return server, transport
+
     async def _stop(self):
         self._server.close()
+        self._receiver.close()
         await self._close_all(reset=True)
 
     async def _silence(self):
@@ -232,6 +284,22 @@
         return connection.silenced or cut in (direction, Cut.BOTH)
 
 
+def _bind(address):
+    """Return a listener and a datagram socket with one port number."""
+    host, _, port = address.rpartition(":")
+    for _ in range(BIND_TRIES):
+        listener = socket.create_server((host, int(port)), backlog=256)
+        receiver = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            receiver.bind(listener.getsockname()[:2])
+        except OSError:
+            listener.close()
+            receiver.close()
+        else:
+            return listener, receiver
+    raise HarnessError(f"no port for both TCP and UDP at {address}")
+
+
 async def _read_block(reader):
     # A reset on one side reaches the other as an end; a party that needs to
     # tell them apart gets resets from ``reset_open``.
--- a/currantdeal/testing/tests/test_proxy.py
+++ b/currantdeal/testing/tests/test_proxy.py
@@ -93,3 +93,24 @@
         assert _hears(sock, b"one", 30)
         sock.shutdown(socket.SHUT_WR)
         assert sock.recv(1) == b""
+
+
+def test_datagrams_pass_and_are_lost_while_cut():
+    with (
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as target,
+        socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as source,
+    ):
+        target.bind(("127.0.0.1", 0))
+        target.settimeout(0.1)
+        made = FaultProxy(target="{}:{}".format(*target.getsockname()))
+        host, _, port = made.address.rpartition(":")
+        made.set_faults(LinkFaults(cut=Cut.BOTH))
+        source.sendto(b"lost", (host, int(port)))
+        with pytest.raises(TimeoutError):
+            target.recv(100)
+        made.set_faults(LinkFaults())
+        target.settimeout(30)
+        source.sendto(b"cake", (host, int(port)))
+        assert target.recv(100) == b"cake"
+        assert made.datagram_bytes == 4
+        made.close()
