Test the life of requests and calls over fake ports

Cause: what happens on silence, expiry, hang-up, lost leases and lost answers stood untested; a caller who hung up while its order was claimed left a claim of unknown outcome, though nothing had been sent. Change: scripted fakes of engines and services and a manual clock; tests for each decision; the claim of a caller who hung up before the send is released. Conclusion: each failure test was written from what a caller would notice.

--- a/currantdeal/serving/calls.py
+++ b/currantdeal/serving/calls.py
@@ -124,6 +124,10 @@
             else:
                 self._claims.abandon(claim)
             raise
+        except CallerGoneError:
+            # It is only looked for before a call is sent.
+            self._claims.release(claim)
+            raise
         except BaseException:
             self._claims.abandon(claim)
             raise
--- /dev/null
+++ b/currantdeal/serving/tests/test_calls.py
@@ -0,0 +1,227 @@
+import threading
+from dataclasses import replace
+
+import pytest
+
+from currantdeal.core import (
+    Outcome,
+    Ran,
+    StateUnavailableError,
+    UpstreamSilentError,
+    UpstreamUnreachableError,
+)
+from currantdeal.serving.calls import digest_of
+from currantdeal.serving.claims import LONGEST_WAIT_S
+from currantdeal.serving.errors import Reason, RefusedError
+from currantdeal.serving.tests.builders import build_world, order, propose
+from currantdeal.state import ClaimCall, ClaimKey, ClaimStatus, FinishClaim
+
+LOST = UpstreamSilentError("lost", ran=Ran.MAYBE)
+REFUSED = UpstreamUnreachableError("refused", ran=Ran.NO)
+
+
+def _call(world, request):
+    return world.serving.calls.call(request)
+
+
+def _refusal(world, request):
+    with pytest.raises(RefusedError) as caught:
+        _call(world, request)
+    return caught.value
+
+
+def test_read_is_tried_again():
+    """The connection to a shop breaks while a menu is read.
+
+    The customer would see an error that a second try avoids.
+    """
+    world = build_world()
+    world.services.script = [LOST]
+    assert _call(world, order(world, method="GET")).answer.status == 201
+    assert len({each.upstream_id for each in world.services.sent}) == 2
+
+
+@pytest.mark.parametrize(
+    "failure, outcome",
+    [(LOST, Outcome.UNKNOWN), (REFUSED, Outcome.NOT_RUN)],
+)
+def test_order_without_a_key_gets_one_try(failure, outcome):
+    """The connection to a shop fails while an order without a key is sent.
+
+    A second try could place the order twice.
+    """
+    world = build_world()
+    world.services.script = [failure]
+    assert _refusal(world, order(world)).outcome is outcome
+    assert len(world.services.sent) == 1
+
+
+def test_resend_elsewhere_gets_the_first_answer():
+    """A caller loses the answer to an order and sends it to an instance.
+
+    The order would run twice: two cakes for one party.
+    """
+    first = build_world()
+    other = build_world(state=first.state, services=first.services)
+    one = _call(first, order(first, key="k"))
+    two = _call(other, order(other, key="k"))
+    assert (one.answer.body, two.answer.body) == (b"run 1", b"run 1")
+    assert (one.replayed, two.replayed) == (False, True)
+    assert len(first.services.sent) == 1
+
+
+def test_key_with_another_order_is_refused():
+    world = build_world()
+    _call(world, order(world, key="k"))
+    refusal = _refusal(world, order(world, key="k", body=b"another"))
+    assert refusal.reason is Reason.KEY_REUSED
+    assert len(world.services.sent) == 1
+
+
+def test_claimed_order_goes_elsewhere_only_if_it_did_not_run():
+    """One shop refuses the connection, then the next one goes silent.
+
+    After the silence the order may have run, so nobody may send it again.
+    """
+    world = build_world()
+    world.services.script = [REFUSED, LOST]
+    refusal = _refusal(world, order(world, key="k"))
+    assert refusal.outcome is Outcome.UNKNOWN
+    assert len(world.services.sent) == 2
+    again = _refusal(world, order(world, key="k"))
+    assert again.reason is Reason.OUTCOME_UNKNOWN
+    assert len(world.services.sent) == 2
+
+
+def test_order_that_did_not_run_may_be_sent_again():
+    """No shop can be reached.
+
+    The refusal says "not run", so the same key has to work later.
+    """
+    world = build_world()
+    world.services.script = [REFUSED, REFUSED]
+    assert _refusal(world, order(world, key="k")).outcome is Outcome.NOT_RUN
+    assert _call(world, order(world, key="k")).answer.status == 201
+
+
+def test_resend_waits_for_the_running_call():
+    """A caller sends an order again while the first one still runs.
+
+    The resend gets the same answer; it neither runs nor fails.
+    """
+    world = build_world()
+    running, go_on = threading.Event(), threading.Event()
+
+    def hold():
+        running.set()
+        go_on.wait(30)
+
+    world.services.script = [hold]
+    answers = []
+    first = threading.Thread(
+        target=lambda: answers.append(_call(world, order(world, key="k")))
+    )
+    first.start()
+    assert running.wait(30)
+    late = order(world, key="k", deadline_in_s=0.2)
+    assert _refusal(world, late).reason is Reason.STILL_RUNNING
+    go_on.set()
+    first.join(30)
+    assert _call(world, order(world, key="k")).answer == answers[0].answer
+    assert len(world.services.sent) == 1
+
+
+def test_resend_of_a_lost_owner_ends_unknown_in_bounded_time():
+    """The instance that sent an order dies before it has the answer.
+
+    The resend neither waits for ever nor runs the order again.
+    """
+    world = build_world()
+    request = order(world, key="k")
+    propose(
+        world.state,
+        ClaimCall,
+        key=ClaimKey(caller="nube", service="shop", key="k"),
+        digest=digest_of(request.call),
+    )
+    started_s = world.clock.monotonic_s()
+    refusal = _refusal(world, request)
+    assert refusal.outcome is Outcome.UNKNOWN
+    assert world.clock.monotonic_s() - started_s <= LONGEST_WAIT_S
+    assert world.services.sent == []
+
+
+def test_without_quorum_nothing_is_sent():
+    """No quorum answers while an order is claimed.
+
+    Sent without a claim, the order could run twice.
+    """
+    world = build_world()
+    propose = world.state.propose
+
+    def fail(command, *, timeout_s):
+        if isinstance(command, ClaimCall):
+            raise StateUnavailableError("no quorum", proposed=False)
+        return propose(command, timeout_s=timeout_s)
+
+    world.state.propose = fail
+    refusal = _refusal(world, order(world, key="k"))
+    assert refusal.reason is Reason.STATE_UNAVAILABLE
+    assert refusal.outcome is Outcome.NOT_RUN
+    assert world.services.sent == []
+
+
+def test_answer_is_given_and_kept_although_the_leader_is_lost():
+    """The leader dies after an order ran and before its answer is kept.
+
+    The caller gets its answer at once; a resend gets it once a new leader
+    is there.
+    """
+    world = build_world()
+    propose = world.state.propose
+    failures = [1, 2]
+    kept = threading.Event()
+
+    def fail(command, *, timeout_s):
+        if isinstance(command, FinishClaim):
+            if failures:
+                failures.pop()
+                raise StateUnavailableError("no leader", proposed=False)
+            result = propose(command, timeout_s=timeout_s)
+            kept.set()
+            return result
+        return propose(command, timeout_s=timeout_s)
+
+    world.state.propose = fail
+    assert _call(world, order(world, key="k")).answer.body == b"run 1"
+    assert kept.wait(30)
+    assert _call(world, order(world, key="k")).answer.body == b"run 1"
+
+
+def test_claim_of_a_call_that_came_too_late_is_released():
+    """The deadline passes while an order is being claimed.
+
+    Kept, the claim would turn every resend away for a day.
+    """
+    world = build_world()
+    late = order(world, key="k")
+    late = replace(late, work=replace(late.work, deadline_s=0.0))
+    assert _refusal(world, late).outcome is Outcome.NOT_RUN
+    assert world.services.sent == []
+    assert _call(world, order(world, key="k")).answer.status == 201
+
+
+def test_answer_too_large_to_keep_is_not_run_again():
+    world = build_world()
+    key = "k"
+    _call(world, order(world, key=key))
+    state = world.state.view()
+    claim_key, claim = next(iter(state.claims.items()))
+    assert claim.status is ClaimStatus.ANSWERED
+    world.state._state = replace(
+        state,
+        claims=state.claims.set(claim_key, replace(claim, answer=None)),
+    )
+    refusal = _refusal(world, order(world, key=key))
+    assert refusal.reason is Reason.ANSWER_TOO_LARGE
+    assert refusal.outcome is Outcome.FAILED
--- /dev/null
+++ b/currantdeal/serving/tests/test_generation.py
@@ -0,0 +1,272 @@
+import threading
+
+import pytest
+
+from currantdeal.core import (
+    KvExpiredError,
+    Outcome,
+    Ran,
+    Role,
+    UpstreamRefusedError,
+    UpstreamSilentError,
+    UpstreamUnreachableError,
+)
+from currantdeal.ports import OutputChunk
+from currantdeal.serving.errors import CallerGoneError, Reason, RefusedError
+from currantdeal.serving.tests.builders import (
+    build_world,
+    engine,
+    generation,
+    withdraw,
+)
+from currantdeal.testing.fake_upstreams import output
+
+WHOLE = "t0 t1 t2 "
+
+
+def _silent(ran=Ran.MAYBE):
+    return UpstreamSilentError("silent", ran=ran)
+
+
+def _text(stream):
+    return "".join(chunk.text for chunk in stream)
+
+
+def _refusal(world, request):
+    with pytest.raises(RefusedError) as caught:
+        world.serving.generation.complete(request)
+    world.settle()
+    return caught.value
+
+
+def test_whole_path_frees_everything_at_its_end():
+    world = build_world()
+    done = world.serving.generation.complete(generation(world))
+    assert (done.text, done.finish_reason) == (WHOLE, "stop")
+    assert world.engines.names() == ["prefill", "import", "decode"]
+    world.settle()
+    assert world.reserved() == 0
+
+
+def test_silent_stream_goes_on_where_it_stopped():
+    """A connection loses track of a stream after two outputs.
+
+    The caller would wait for ever, or see outputs twice after a repeat.
+    """
+    world = build_world()
+    world.engines.decodes = [
+        [*output(0, 3)[:2], _silent()],
+        [*output(1, 3)[:1], *output(2, 3)],
+    ]
+    stream = world.serving.generation.open(generation(world))
+    assert _text(stream) == WHOLE
+    assert [each.offset for each in world.engines.sent[-2:]] == [0, 2]
+    assert world.counter("stream_resumes_total") == 1
+
+
+def test_hole_in_a_stream_is_filled_before_anything_follows():
+    """An output gets lost on the way, and the next one arrives.
+
+    The caller would read an answer with a word missing.
+    """
+    world = build_world()
+    world.engines.decodes = [[OutputChunk(offset=1, text="t1 ")]]
+    assert _text(world.serving.generation.open(generation(world))) == WHOLE
+
+
+def test_engine_that_forgot_a_stream_is_not_asked_for_ever():
+    """A decode engine restarts in the middle of a stream.
+
+    The caller of a stream gets the failure, one of a whole answer gets the
+    answer of another attempt.
+    """
+    gone = UpstreamRefusedError("unknown-request", ran=Ran.NO)
+    world = build_world()
+    world.engines.decodes = [[*output(0, 3)[:1], _silent()], [gone]]
+    stream = world.serving.generation.open(generation(world))
+    with pytest.raises(UpstreamRefusedError):
+        _text(stream)
+    world.engines.decodes = [[*output(0, 3)[:1], _silent()], [gone]]
+    done = world.serving.generation.complete(generation(world))
+    assert done.text == WHOLE
+
+
+def test_expired_prefill_is_computed_again():
+    """The transfer starts late and the prefill's result is gone by then.
+
+    The caller would be refused although there is time for another prefill.
+    """
+    world = build_world()
+    world.engines.on_import = [KvExpiredError("gone", ran=Ran.NO)]
+    done = world.serving.generation.complete(generation(world))
+    world.settle()
+    assert done.text == WHOLE
+    assert world.engines.names() == 2 * ["prefill", "import"] + ["decode"]
+    assert world.counter("wasted_prefill_tokens_total") == 4
+    assert world.reserved() == 0
+
+
+def test_nothing_is_sent_without_a_lease():
+    """An instance is cut off from the others for longer than its lease.
+
+    It would send work to upstreams that were withdrawn meanwhile.
+    """
+    world = build_world()
+    world.state.lease_s = 0.0
+    refusal = _refusal(world, generation(world))
+    assert refusal.reason is Reason.NO_LEASE
+    assert refusal.outcome is Outcome.NOT_RUN
+    assert refusal.retry_after_s > 0
+    assert world.engines.sent == []
+
+
+def test_lease_that_ends_after_prefill_is_no_not_run():
+    """The lease runs out between prefill and transfer.
+
+    A refusal "not run" would be untrue, since the prefill ran.
+    """
+    world = build_world()
+
+    def cut():
+        world.state.lease_s = 0.0
+
+    world.engines.on_prefill = [cut]
+    refusal = _refusal(world, generation(world))
+    assert world.engines.names() == ["prefill"]
+    assert refusal.outcome is Outcome.FAILED
+    assert world.reserved() == 0
+
+
+def test_upstream_withdrawn_meanwhile_gets_no_work():
+    """The partner withdraws the decode engines while a prefill runs.
+
+    Work would reach them after they were withdrawn.
+    """
+    world = build_world()
+    world.engines.on_prefill = [lambda: withdraw(world.state, "d1", "d2")]
+    refusal = _refusal(world, generation(world))
+    assert world.engines.names() == ["prefill"]
+    assert refusal.outcome is not Outcome.NOT_RUN
+
+
+def test_unknown_outcome_is_not_hidden_by_a_later_refusal():
+    """A prefill may have run; before the retry the lease runs out.
+
+    The last refusal alone would say "not run".
+    """
+    world = build_world()
+
+    def fail():
+        world.state.lease_s = 0.0
+        raise _silent()
+
+    world.engines.on_prefill = [fail]
+    assert _refusal(world, generation(world)).outcome is Outcome.UNKNOWN
+
+
+def test_unreachable_engine_is_retried_elsewhere_within_the_budget():
+    """No connection can be opened to a prefill engine.
+
+    The caller would be refused although other engines are idle; without a
+    bound an outage would multiply the load on what is left.
+    """
+    world = build_world()
+    failure = UpstreamUnreachableError("no", ran=Ran.NO)
+    world.engines.on_prefill = [failure]
+    assert world.serving.generation.complete(generation(world)).text == WHOLE
+    world.engines.on_prefill = [failure] * 9
+    refusal = _refusal(world, generation(world))
+    assert refusal.outcome is Outcome.NOT_RUN
+    assert len(world.engines.on_prefill) == 6
+
+
+def test_full_pool_refuses_before_any_prefill():
+    """Every piece of decode memory is taken until after the deadline.
+
+    Prefills would be computed and thrown away.
+    """
+    world = build_world(
+        upstreams=[
+            engine("p1", Role.PREFILL),
+            engine("d1", Role.DECODE, pieces=1),
+        ]
+    )
+    first = world.serving.generation.open(generation(world, tokens=9))
+    refusal = _refusal(world, generation(world, deadline_in_s=0.5, tokens=9))
+    assert refusal.reason is Reason.OVERLOADED
+    assert refusal.outcome is Outcome.NOT_RUN
+    assert refusal.retry_after_s >= 1.0
+    assert world.engines.names().count("prefill") == 1
+    first.close()
+    world.settle()
+    assert world.reserved() == 0
+
+
+def test_late_first_output_is_not_sent():
+    """An engine takes so long that the deadline passes.
+
+    The caller would get an answer that is of no use any more.
+    """
+    world = build_world()
+    world.engines.on_import = [lambda: world.clock.sleep(60.0)]
+    refusal = _refusal(world, generation(world))
+    assert refusal.reason is Reason.DEADLINE
+    assert refusal.outcome is Outcome.FAILED
+    assert world.counter("wasted_prefill_tokens_total") == 4
+    assert ("d1" in str(world.engines.cancelled)) or (
+        "d2" in str(world.engines.cancelled)
+    )
+
+
+def test_caller_who_hangs_up_frees_memory_at_both_engines():
+    """A caller goes away while its prompt is being computed.
+
+    The engine would work and hold memory for nobody.
+    """
+    world = build_world()
+    blocked, ended = threading.Event(), threading.Event()
+    hung_up = []
+
+    def wait():
+        blocked.set()
+        ended.wait(30)
+        raise UpstreamRefusedError("cancelled", ran=Ran.YES)
+
+    world.engines.on_prefill = [wait]
+    request = generation(world, gone=lambda: bool(hung_up))
+    raised = []
+
+    def serve():
+        try:
+            world.serving.generation.open(request)
+        except CallerGoneError as exc:
+            raised.append(exc)
+
+    thread = threading.Thread(target=serve)
+    thread.start()
+    assert blocked.wait(30)
+    hung_up.append(True)
+    world.serving.hangups.look()
+    world.settle()
+    assert len(world.engines.cancelled) == 1
+    ended.set()
+    thread.join(30)
+    world.settle()
+    assert len(raised) == 1
+    assert world.reserved() == 0
+
+
+def test_closed_stream_is_cancelled_once():
+    """A caller goes away in the middle of its answer.
+
+    The decode engine would hold the memory to the last output.
+    """
+    world = build_world()
+    stream = world.serving.generation.open(generation(world))
+    decode = world.engines.sent[-1]
+    stream.close()
+    stream.close()
+    world.settle()
+    cancelled = [(decode.upstream_id, decode.request_id)]
+    assert world.engines.cancelled == cancelled
+    assert world.reserved() == 0
