--- a/currantdeal/consensus/__init__.py
+++ b/currantdeal/consensus/__init__.py
@@ -1,1 +1,69 @@
-"""Replicated log as a pure state machine."""
+"""The replicated log: Raft as a state machine without input or output."""
+
+from currantdeal.consensus.configuration import Configuration, Replica
+from currantdeal.consensus.errors import (
+    ChangePendingError,
+    CompactedError,
+    ConsensusError,
+    InvariantError,
+    NotLeaderError,
+)
+from currantdeal.consensus.leases import CLOCK_DRIFT, Holder, LeaseTable
+from currantdeal.consensus.log import Log
+from currantdeal.consensus.messages import (
+    MESSAGE_CODEC,
+    AppendAnswer,
+    AppendRequest,
+    Entry,
+    EntryKind,
+    Message,
+    Output,
+    SaveEntries,
+    SaveSnapshot,
+    SaveVote,
+    Snapshot,
+    SnapshotAnswer,
+    SnapshotPiece,
+    Stored,
+    TimeoutNow,
+    VoteAnswer,
+    VoteRequest,
+    Write,
+)
+from currantdeal.consensus.node import Node
+from currantdeal.consensus.raft import NodeSettings, RaftRole
+
+__all__ = [
+    "AppendAnswer",
+    "AppendRequest",
+    "CLOCK_DRIFT",
+    "ChangePendingError",
+    "CompactedError",
+    "Configuration",
+    "ConsensusError",
+    "Entry",
+    "EntryKind",
+    "Holder",
+    "InvariantError",
+    "LeaseTable",
+    "Log",
+    "MESSAGE_CODEC",
+    "Message",
+    "Node",
+    "NodeSettings",
+    "NotLeaderError",
+    "Output",
+    "RaftRole",
+    "Replica",
+    "SaveEntries",
+    "SaveSnapshot",
+    "SaveVote",
+    "Snapshot",
+    "SnapshotAnswer",
+    "SnapshotPiece",
+    "Stored",
+    "TimeoutNow",
+    "VoteAnswer",
+    "VoteRequest",
+    "Write",
+]
--- /dev/null
+++ b/currantdeal/consensus/configuration.py
@@ -0,0 +1,88 @@
+"""Which replicas vote, which ones still learn, and where they are.
+
+The set changes by one voter at a time [1]_, so that any two majorities, of
+the set before and of the set after, share a replica.  A replica that is new,
+or that lost its disk, is a learner first: it gets the log but counts neither
+for commits nor for elections until it has caught up.
+
+References
+==========
+.. [1] D. Ongaro, "Consensus: Bridging Theory and Practice", 2014, chapter 4.
+"""
+
+from dataclasses import dataclass, replace
+
+from currantdeal.consensus.errors import ChangePendingError
+from currantdeal.core import InstanceId
+
+
+@dataclass(frozen=True, kw_only=True)
+class Replica:
+    """One member of the replica set, with its peer address."""
+
+    instance: InstanceId
+    address: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Configuration:
+    """A replica set.
+
+    Examples
+    --------
+    >>> from currantdeal.consensus import Configuration, Replica
+    >>> one = Replica(instance="i1", address="127.0.0.1:1")
+    >>> two = Replica(instance="i2", address="127.0.0.1:2")
+    >>> first = Configuration(voters=(one,))
+    >>> second = first.with_learner(two).with_voter("i2")
+    >>> second.voter_names, second.quorum
+    (('i1', 'i2'), 2)
+    """
+
+    voters: tuple[Replica, ...] = ()
+    learners: tuple[Replica, ...] = ()
+
+    @property
+    def voter_names(self):
+        """Names of the voters."""
+        return tuple(rep.instance for rep in self.voters)
+
+    @property
+    def learner_names(self):
+        """Names of the learners."""
+        return tuple(rep.instance for rep in self.learners)
+
+    @property
+    def members(self):
+        """Voters and learners."""
+        return self.voters + self.learners
+
+    @property
+    def quorum(self):
+        """Number of voters that make a majority."""
+        return len(self.voters) // 2 + 1
+
+    def with_learner(self, replica):
+        """Return the set with one more learner."""
+        names = self.voter_names + self.learner_names
+        if replica.instance in names:
+            raise ChangePendingError(f"{replica.instance} is a member")
+        return replace(self, learners=(*self.learners, replica))
+
+    def with_voter(self, instance):
+        """Return the set with a learner made a voter."""
+        found = [rep for rep in self.learners if rep.instance == instance]
+        if not found:
+            raise ChangePendingError(f"{instance} is no learner")
+        rest = tuple(rep for rep in self.learners if rep not in found)
+        return Configuration(voters=(*self.voters, *found), learners=rest)
+
+    def without(self, instance):
+        """Return the set without a voter or learner."""
+        voters = tuple(rep for rep in self.voters if rep.instance != instance)
+        rest = tuple(rep for rep in self.learners if rep.instance != instance)
+        if len(voters) + len(rest) == len(self.members):
+            raise ChangePendingError(f"{instance} is no member")
+        if not voters:
+            raise ChangePendingError("the last voter cannot be removed")
+        return Configuration(voters=voters, learners=rest)
