--- /dev/null
+++ b/currantdeal/adapters/disk/inspection.py
@@ -0,0 +1,81 @@
+"""Reading a data folder without changing it, for operators."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from currantdeal.adapters.disk.errors import DiskError
+from currantdeal.adapters.disk.folder import read_folder
+
+
+@dataclass(frozen=True, kw_only=True)
+class FolderReport:
+    """What a data folder holds, in figures.
+
+    Parameters
+    ----------
+    blank : bool
+        True when the replica remembers nothing and must learn.
+    torn_bytes : int
+        Left by a crash; cut at the next start.
+    """
+
+    generation: int
+    term: int
+    voted_for: str
+    blank: bool
+    snapshot_index: int
+    snapshot_bytes: int
+    last_index: int
+    records: int
+    segment_bytes: int
+    torn_bytes: int
+    voters: tuple[str, ...]
+    learners: tuple[str, ...]
+
+
+def inspect_folder(path):
+    """Return a report; every record's checksum is checked on the way.
+
+    Raises
+    ------
+    DiskError
+        If the folder is not there, holds nothing, or is damaged.
+    """
+    content = _read(path)
+    stored = content.stored
+    snapshot = stored.snapshot
+    start = snapshot.index if snapshot else 0
+    return FolderReport(
+        generation=content.generation,
+        term=stored.term,
+        voted_for=stored.voted_for or "",
+        blank=snapshot is None,
+        snapshot_index=start,
+        snapshot_bytes=len(snapshot.data) if snapshot else 0,
+        last_index=stored.entries[-1].index if stored.entries else start,
+        records=content.records,
+        segment_bytes=content.good_bytes,
+        torn_bytes=content.torn_bytes,
+        voters=snapshot.configuration.voter_names if snapshot else (),
+        learners=snapshot.configuration.learner_names if snapshot else (),
+    )
+
+
+def export_snapshot(path):
+    """Return the latest snapshot in a folder, or None.
+
+    Raises
+    ------
+    DiskError
+        As ``inspect_folder``.
+    """
+    return _read(path).stored.snapshot
+
+
+def _read(path):
+    if not Path(path).is_dir():
+        raise DiskError(f"{path} is no folder")
+    content = read_folder(path)
+    if content is None:
+        raise DiskError(f"{path} holds no replica")
+    return content
