Run replicas and views on every instance

Cause: serving and membership need a StatePort on instances with and without a disk. The peer listener is shut down before it is closed, or its port stayed taken.

--- a/currantdeal/adapters/disk/folder.py
+++ b/currantdeal/adapters/disk/folder.py
@@ -316,7 +316,10 @@
         os.lseek(self._file, length, os.SEEK_SET)
 
     def _remove_other_files(self):
-        kept = {segment_name(self._generation), snapshot_name(self._generation)}
+        kept = {
+            segment_name(self._generation),
+            snapshot_name(self._generation),
+        }
         for name in os.listdir(self._path):
             ours = name.startswith(("log-", "snapshot-"))
             if ours and name not in kept:
--- a/currantdeal/adapters/peers.py
+++ b/currantdeal/adapters/peers.py
@@ -9,6 +9,7 @@
 """
 
 import contextlib
+import logging
 import socket
 import threading
 import time
@@ -34,6 +35,10 @@
 MAX_IDLE_PER_ADDRESS = 4
 BACKLOG = 256
 
+# The library logs every refused connection, several times a second for a dead
+# instance; the same is raised as PeerError and counted by whoever called.
+logging.getLogger("thrift.transport.TSocket").setLevel(logging.CRITICAL)
+
 _PROTOCOLS = TCompactProtocolAcceleratedFactory()
 
 
@@ -83,6 +88,9 @@
     def stop(self):
         """Close the listener and every connection."""
         self._stopped = True
+        # Closing alone leaves the port taken while a thread waits in accept,
+        # and a restart on the same address within one process would fail.
+        _shut(self._listener)
         self._listener.close()
         with self._lock:
             for sock in self._open:
--- /dev/null
+++ b/currantdeal/adapters/replication/__init__.py
@@ -0,0 +1,6 @@
+"""The runtime of the replicated state: replicas, views and leases."""
+
+from currantdeal.adapters.replication.port import ReplicatedState
+from currantdeal.adapters.replication.service import StateService, build_state
+
+__all__ = ["ReplicatedState", "StateService", "build_state"]
--- /dev/null
+++ b/currantdeal/adapters/replication/local.py
@@ -0,0 +1,125 @@
+"""Asking the replica of this process, if it has one."""
+
+import pykka
+
+from currantdeal.adapters.generated.consensus.ttypes import (
+    LogEntry,
+    ProposeAnswer,
+    ProposeStatus,
+    RenewAnswer,
+    ReplicaAddress,
+)
+from currantdeal.adapters.replication.errors import (
+    NotProposedError,
+    OutcomeUnknownError,
+)
+from currantdeal.adapters.replication.requests import (
+    AskStatus,
+    Propose,
+    ReadSteps,
+    Renew,
+)
+
+ASK_TIMEOUT_S = 2.0
+
+
+class LocalReplica:
+    """The replica of this process, asked in the words of the peers' calls.
+
+    Parameters
+    ----------
+    ref : pykka.ActorRef
+        Of the ``ReplicaActor``.
+    """
+
+    def __init__(self, *, ref):
+        """Keep the reference."""
+        self._ref = ref
+
+    def ask(self, request):
+        """Return the actor's answer; None when it has stopped or is stuck."""
+        try:
+            return self._ref.ask(request, timeout=ASK_TIMEOUT_S)
+        except (pykka.ActorDeadError, pykka.Timeout):
+            return None
+
+    def tell(self, request):
+        """Pass a request without waiting; lost when the actor has stopped."""
+        try:
+            self._ref.tell(request)
+        except pykka.ActorDeadError:
+            return
+
+    def status(self):
+        """Return the ``ReplicaStatus``, or None."""
+        return self.ask(AskStatus())
+
+    def renew(self, request):
+        """Return a ``RenewAnswer``; not granted unless this one leads."""
+        status = self.status()
+        renewed = self.ask(
+            Renew(
+                instance=request.instance,
+                region=request.region,
+                version=request.version,
+            )
+        )
+        if status is None or renewed is None:
+            return RenewAnswer(granted=False)
+        steps, compacted = (), False
+        if renewed.granted:
+            steps, compacted = self._steps_after(request.version)
+        return RenewAnswer(
+            granted=renewed.granted,
+            remaining_s=renewed.remaining_s,
+            version=renewed.version,
+            entries=to_wire(steps),
+            snapshot_needed=compacted,
+            leader=status.leader or "",
+            replicas=[
+                ReplicaAddress(instance=rep.instance, address=rep.address)
+                for rep in status.configuration.members
+            ],
+        )
+
+    def propose(self, request):
+        """Return a ``ProposeAnswer``, after commit if this one leads."""
+        reply = pykka.ThreadingFuture()
+        try:
+            self._ref.tell(Propose(command=request.command, reply=reply))
+            done = reply.get(timeout=request.timeout_s)
+        except (NotProposedError, pykka.ActorDeadError) as exc:
+            return ProposeAnswer(
+                status=ProposeStatus.NOT_PROPOSED, message=str(exc)
+            )
+        except (OutcomeUnknownError, pykka.Timeout) as exc:
+            return ProposeAnswer(
+                status=ProposeStatus.UNKNOWN, message=str(exc)
+            )
+        steps, _ = self._steps_after(request.version)
+        return ProposeAnswer(
+            status=ProposeStatus.DONE,
+            version=done.version,
+            result=done.result,
+            entries=to_wire(steps),
+        )
+
+    def _steps_after(self, version):
+        found = self.ask(ReadSteps(after=version))
+        if found is None:
+            return (), False
+        if found.steps is None:
+            return (), True
+        return found.steps, False
+
+
+def to_wire(steps):
+    """Return steps as Thrift entries."""
+    return [
+        LogEntry(
+            index=step.index,
+            command=step.command is not None,
+            data=step.command or b"",
+        )
+        for step in steps
+    ]
--- /dev/null
+++ b/currantdeal/adapters/replication/names.py
@@ -0,0 +1,3 @@
+"""Names that both ends of a call share."""
+
+SERVICE_NAME = "replica"
--- /dev/null
+++ b/currantdeal/adapters/replication/service.py
@@ -0,0 +1,231 @@
+"""Building the replicated state of one instance from its settings."""
+
+import random
+import threading
+
+from currantdeal.adapters.disk import DataFolder
+from currantdeal.adapters.generated.consensus import Replica as ReplicaService
+from currantdeal.adapters.replication.board import ViewBoard
+from currantdeal.adapters.replication.directory import Directory
+from currantdeal.adapters.replication.follower import ViewFollower
+from currantdeal.adapters.replication.handler import ReplicaHandler
+from currantdeal.adapters.replication.joiner import Joiner
+from currantdeal.adapters.replication.local import LocalReplica
+from currantdeal.adapters.replication.names import SERVICE_NAME
+from currantdeal.adapters.replication.outbox import Outbox
+from currantdeal.adapters.replication.port import ReplicatedState
+from currantdeal.adapters.replication.remote import RemoteReplicas
+from currantdeal.adapters.replication.replica import ReplicaActor
+from currantdeal.adapters.replication.requests import (
+    HandOver,
+    Remove,
+    Tick,
+)
+from currantdeal.consensus import NodeSettings, Replica
+
+TICKS_PER_HEARTBEAT = 3
+HAND_OVER_POLL_S = 0.05
+
+
+class StateService:
+    """The replicated state of one instance, with its threads.
+
+    An instance whose settings name a data folder runs a replica; any other
+    only follows.
+
+    Parameters
+    ----------
+    settings : Settings
+        Of the instance.
+    peer_server : PeerServer
+        Serves this instance's replica; not started here.
+    peer_pool : PeerPool
+        Connections to other instances.
+    clock : Clock
+        Source of time.
+    chance : random.Random or None
+        Source of election timeouts.
+    sync : callable or None
+        In place of ``os.fsync``, for tests.
+
+    Examples
+    --------
+    The daemon wires it like this, in this order::
+
+        state = build_state(settings, peer_server, peer_pool, clock)
+        peer_server.start()
+        state.start()
+        ...                     # hand state.port to serving and membership
+        state.hand_over()       # on a drain, while still serving
+        state.stop()            # when no new work is handed out any more
+    """
+
+    def __init__(
+        self,
+        *,
+        settings,
+        peer_server,
+        peer_pool,
+        clock,
+        chance=None,
+        sync=None,
+    ):
+        """Build the parts and register the replica's handler."""
+        self._clock = clock
+        self._timing = settings.timing
+        self._me = Replica(
+            instance=settings.instance,
+            address=settings.advertised_peer_address or settings.peer_address,
+        )
+        self._first_set = tuple(
+            Replica(instance=rep.instance, address=rep.peer_address)
+            for rep in settings.replicas
+        )
+        self._directory = Directory(
+            me=settings.instance,
+            addresses={rep.instance: rep.address for rep in self._first_set},
+            routes={rt.instance: rt.peer_address for rt in settings.routes},
+        )
+        self._remotes = RemoteReplicas(
+            pool=peer_pool, directory=self._directory
+        )
+        self._board = ViewBoard()
+        self._stopped = threading.Event()
+        self._ref = self._local = self._handler = None
+        self._joiner = self._outbox = None
+        if settings.data_folder:
+            self._add_replica(settings, peer_server, peer_pool, chance, sync)
+        self._follower = ViewFollower(
+            instance=settings.instance,
+            region=settings.region,
+            board=self._board,
+            handler=self._handler,
+            remotes=self._remotes,
+            directory=self._directory,
+            clock=clock,
+            lease_s=self._timing.lease_s,
+            renew_s=self._timing.renew_s,
+        )
+        self._port = ReplicatedState(
+            board=self._board,
+            follower=self._follower,
+            handler=self._handler,
+            remotes=self._remotes,
+            directory=self._directory,
+            clock=clock,
+        )
+
+    @property
+    def port(self):
+        """The ``StatePort`` of this instance."""
+        return self._port
+
+    @property
+    def replica(self):
+        """The ``LocalReplica`` of this process, or None."""
+        return self._local
+
+    def start(self):
+        """Start the threads; the peer server must be serving by now."""
+        if self._ref is not None:
+            threading.Thread(
+                target=self._tick, name="replica-tick", daemon=True
+            ).start()
+            self._joiner.start()
+        self._follower.start()
+
+    def hand_over(self, *, timeout_s=3.0):
+        """Give leadership to another replica; return whether it is given.
+
+        True at once on an instance that does not lead.
+        """
+        if self._local is None:
+            return True
+        due_s = self._clock.monotonic_s() + timeout_s
+        while self._clock.monotonic_s() < due_s:
+            status = self._local.status()
+            if status is None or status.role != "leader":
+                return True
+            self._local.tell(HandOver())
+            self._clock.sleep(HAND_OVER_POLL_S)
+        return False
+
+    def remove_replica(self, instance):
+        """Take a replica out of the set; True when this one could do it."""
+        return bool(self._local and self._local.ask(Remove(instance=instance)))
+
+    def stop(self):
+        """Give up the lease and stop the threads and the replica."""
+        self._stopped.set()
+        self._follower.stop()
+        if self._ref is not None:
+            self._joiner.stop()
+            self._ref.stop()
+            self._outbox.stop()
+
+    def _add_replica(self, settings, peer_server, peer_pool, chance, sync):
+        folder_options = {"sync": sync} if sync else {}
+        folder = DataFolder(path=settings.data_folder, **folder_options)
+        self._outbox = Outbox(
+            pool=peer_pool,
+            address_of=self._directory.address_of,
+            timeout_s=self._timing.election_s,
+        )
+        self._ref = ReplicaActor.start(
+            me=settings.instance,
+            folder=folder,
+            outbox=self._outbox,
+            board=self._board,
+            clock=self._clock,
+            random=chance or random.Random(),
+            node_settings=NodeSettings(
+                heartbeat_s=self._timing.heartbeat_s,
+                election_s=self._timing.election_s,
+            ),
+            lease_s=self._timing.lease_s,
+            on_configuration=self._note_configuration,
+        )
+        self._local = LocalReplica(ref=self._ref)
+        self._handler = ReplicaHandler(
+            local=self._local,
+            remotes=self._remotes,
+            directory=self._directory,
+            board=self._board,
+        )
+        peer_server.register(
+            SERVICE_NAME, ReplicaService.Processor(self._handler)
+        )
+        self._joiner = Joiner(
+            me=self._me,
+            first_set=self._first_set,
+            local=self._local,
+            remotes=self._remotes,
+            directory=self._directory,
+            interval_s=self._timing.election_s / 2.0,
+        )
+
+    def _note_configuration(self, configuration):
+        self._directory.set_addresses(
+            {rep.instance: rep.address for rep in configuration.members}
+        )
+
+    def _tick(self):
+        interval_s = self._timing.heartbeat_s / TICKS_PER_HEARTBEAT
+        while not self._stopped.wait(interval_s):
+            self._local.tell(Tick())
+
+
+def build_state(settings, peer_server, peer_pool, clock, **options):
+    """Return the ``StateService`` of an instance.
+
+    See Also
+    --------
+    StateService
+    """
+    return StateService(
+        settings=settings,
+        peer_server=peer_server,
+        peer_pool=peer_pool,
+        clock=clock,
+        **options,
+    )
--- a/currantdeal/consensus/configuration.py
+++ b/currantdeal/consensus/configuration.py
@@ -6,7 +6,7 @@
 for commits nor for elections until it has caught up.
 
 References
-==========
+----------
 .. [1] D. Ongaro, "Consensus: Bridging Theory and Practice", 2014, chapter 4.
 """
 
--- a/currantdeal/consensus/elections.py
+++ b/currantdeal/consensus/elections.py
@@ -6,7 +6,7 @@
 was cut off does not depose a working leader when it comes back.
 
 References
-==========
+----------
 .. [1] D. Ongaro, "Consensus: Bridging Theory and Practice", 2014.
 """
 
--- a/currantdeal/consensus/leases.py
+++ b/currantdeal/consensus/leases.py
@@ -10,7 +10,7 @@
 out, although it has never heard of their holders.
 
 References
-==========
+----------
 .. [1] Ceph documentation, "Preventing Stale Reads".
 """
 
@@ -72,10 +72,16 @@
     def __init__(self, *, lease_s, elected_s):
         """Start without knowing any holder."""
         self._lease_s = lease_s
+        self._elected_s = elected_s
         self._longest_s = lease_s * (1.0 + CLOCK_DRIFT)
         self._unknown_until_s = elected_s + self._longest_s
         self._holders = {}
 
+    @property
+    def elected_s(self):
+        """Monotonic time of the leader's election."""
+        return self._elected_s
+
     def renew(self, instance, region, version, *, anchor_s, now_s):
         """Return the seconds that the instance may act on its view.
 
@@ -113,9 +119,28 @@
         ends_s = known.ends_s if known else 0.0
         return max(0.0, max(ends_s, self._unknown_until_s) - now_s)
 
-    def holders(self, now_s):
-        """Return who has asked lately, sorted by name."""
+    def holders(self, now_s, *, also=()):
+        """Return who has asked lately, sorted by name.
+
+        Parameters
+        ----------
+        also : iterable of InstanceId
+            Instances that may hold a lease of an earlier leader; they are
+            told too while such a lease may last.
+        """
         for name, holder in tuple(self._holders.items()):
             if holder.ends_s + FORGET_AFTER_S < now_s:
                 del self._holders[name]
-        return tuple(self._holders[name] for name in sorted(self._holders))
+        found = dict(self._holders)
+        if now_s < self._unknown_until_s:
+            for name in also:
+                found.setdefault(name, self._unheard(name))
+        return tuple(found[name] for name in sorted(found))
+
+    def _unheard(self, name):
+        return Holder(
+            instance=name,
+            region=RegionId(""),
+            version=0,
+            ends_s=self._unknown_until_s,
+        )
--- a/currantdeal/consensus/messages.py
+++ b/currantdeal/consensus/messages.py
@@ -4,7 +4,7 @@
 names follow the Raft paper [1]_ where it has one.
 
 References
-==========
+----------
 .. [1] D. Ongaro and J. Ousterhout, "In Search of an Understandable Consensus
    Algorithm", 2014.
 """
--- a/currantdeal/consensus/node.py
+++ b/currantdeal/consensus/node.py
@@ -8,7 +8,7 @@
 currantdeal.consensus.messages.Output
 
 References
-==========
+----------
 .. [1] D. Ongaro and J. Ousterhout, "In Search of an Understandable Consensus
    Algorithm", 2014.
 .. [2] D. Ongaro, "Consensus: Bridging Theory and Practice", 2014.
@@ -283,9 +283,9 @@
 
     def _stop_leading_when_removed(self, now_s):
         raft = self._raft
-        if raft.role is RaftRole.LEADER and not raft.is_voter:
-            if not self.change_pending:
-                raft.follow(raft.term, None, now_s)
+        removed = not raft.is_voter and not self.change_pending
+        if raft.role is RaftRole.LEADER and removed:
+            raft.follow(raft.term, None, now_s)
 
 
 @singledispatch
--- a/currantdeal/consensus/replication.py
+++ b/currantdeal/consensus/replication.py
@@ -5,7 +5,7 @@
 them, and the leader counts itself only after that.
 
 References
-==========
+----------
 .. [1] D. Ongaro, "Consensus: Bridging Theory and Practice", 2014.
 """
 
--- a/docs/idl/consensus.thrift
+++ b/docs/idl/consensus.thrift
@@ -19,8 +19,7 @@
   1: string instance
   2: string region
   3: i64 version
-  4: bool entries_wanted
-  5: bool forwarded
+  4: bool forwarded
 }
 
 struct RenewAnswer {
@@ -43,8 +42,7 @@
   1: binary command
   2: double timeout_s
   3: i64 version
-  4: bool entries_wanted
-  5: bool forwarded
+  4: bool forwarded
 }
 
 struct ProposeAnswer {
