Add the homes of upstreams: ledgers, heartbeats, takeover, orders

Entries that each see lagged load would overcommit an engine, and memory would stay held for entries and homes that died.

Each upstream's ledger is kept by one instance, chosen by rendezvous hashing and made exclusive by AssignHome. A home that takes over grants only when the former one has applied the change or has no lease, has asked living entries what they hold, and has cancelled the rest on the engine. Entries renew all grants at a home with one heartbeat, which carries a digest in place of a list; silence beyond the lease cancels what an entry held. Homes retire silent upstreams, carry engine orders, and are handed over on drain. HomesPort.refresh tells an entry its grant's present fencing number.

--- /dev/null
+++ b/currantdeal/adapters/homes.py
@@ -0,0 +1,326 @@
+"""Reservations wherever the upstream's home is; implements ``HomesPort``."""
+
+import threading
+
+from currantdeal.adapters.errors import PeerError
+from currantdeal.adapters.generated.homes import Homes as HomesService
+from currantdeal.adapters.homes_actor import HomesActor
+from currantdeal.adapters.homes_calls import SERVICE, HomeCalls
+from currantdeal.adapters.homes_links import HomeLinks
+from currantdeal.adapters.homes_messages import HandOver, Tick
+from currantdeal.adapters.homes_server import HomesServer
+from currantdeal.adapters.homes_work import HomeWork
+from currantdeal.core import ReservationError
+from currantdeal.membership import (
+    BookLimits,
+    GrantBook,
+    GrowCall,
+    HomeRefusal,
+    ReserveCall,
+    choose_home,
+    first_incarnation,
+)
+from currantdeal.policy import UserWeights
+
+TICK_S = 0.2
+TRY_S = 0.5
+"""Longest wait for one answer of a home; a silent one is asked again."""
+
+MOVING_S = 0.02
+GROW_S = 0.3
+POLL_S = 0.05
+WORK_THREADS = 12
+
+
+class HomeClient:
+    """Reservations of this instance as an entry, and its own homes.
+
+    Parameters
+    ----------
+    instance : InstanceId
+        This instance.
+    process : int
+        Start of this process.
+    state, members, clock
+        The ports of those names.
+    book : GrantBook
+        What this instance holds.
+    calls : HomeCalls
+        Calls to homes.
+    links : HomeLinks
+        Heartbeats to homes.
+    server : HomesServer
+        Answers calls of others.
+    work : HomeWork
+        Blocking work of the own homes.
+    start_actor : callable
+        Starts the actor that keeps the own homes.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance,
+        process,
+        state,
+        members,
+        clock,
+        book,
+        calls,
+        links,
+        server,
+        work,
+        start_actor,
+    ):
+        """Keep the parts; nothing runs before ``start``."""
+        self._instance = instance
+        self._process = process
+        self._state = state
+        self._members = members
+        self._clock = clock
+        self._book = book
+        self._calls = calls
+        self._links = links
+        self._server = server
+        self._work = work
+        self._start_actor = start_actor
+        self._actor = None
+        self._stopped = threading.Event()
+
+    def start(self):
+        """Take part: take homes, answer others, renew what is held."""
+        self._actor = self._start_actor()
+        self._work.start(self._actor.tell)
+        self._server.attach(self._actor)
+        self._links.start()
+        threading.Thread(
+            target=self._tick, name="homes-tick", daemon=True
+        ).start()
+
+    def stop(self):
+        """End at once; call ``hand_over`` before in a planned stop."""
+        self._stopped.set()
+        self._links.stop()
+        self._work.stop()
+        if self._actor is not None:
+            self._actor.stop(block=False)
+
+    def hand_over(self, *, timeout_s):
+        """Give all homes to others; return whether none is left here.
+
+        Reservations go on at the new homes, and this instance may still
+        reserve there for the requests that it finishes.
+        """
+        self._actor.tell(HandOver())
+        end_s = self._clock.monotonic_s() + timeout_s
+        while self._keeps_homes():
+            if self._clock.monotonic_s() >= end_s:
+                return False
+            self._clock.sleep(POLL_S)
+        return True
+
+    def reserve(self, request, *, timeout_s):
+        """Return a grant, or raise ``ReservationError``.
+
+        While the home is changing it is asked again until the time is up.
+        """
+        end_s = self._clock.monotonic_s() + timeout_s
+        while True:
+            answer = self._try_reserve(request, end_s)
+            if not isinstance(answer, HomeRefusal):
+                return answer
+            left_s = end_s - self._clock.monotonic_s()
+            if not answer.moving or left_s <= MOVING_S:
+                raise ReservationError(
+                    f"{request.upstream_id}: {answer.message}",
+                    retry_after_s=answer.retry_after_s,
+                )
+            self._clock.sleep(MOVING_S)
+
+    def release(self, grant):
+        """Give a grant back; never raises, a lost release is reclaimed."""
+        held = self._book.end(grant.upstream_id, grant.request_id)
+        home = held.home if held else grant.home
+        self._links.release(home, grant.upstream_id, grant.request_id)
+
+    def grow(self, grant, *, pieces):
+        """Return whether the grant was enlarged by some pieces."""
+        held = self._book.get(grant.upstream_id, grant.request_id)
+        if held is None:
+            return False
+        call = GrowCall(
+            upstream_id=grant.upstream_id,
+            request_id=grant.request_id,
+            pieces=pieces,
+        )
+        try:
+            grown = self._calls.grow(held.home, call, timeout_s=GROW_S)
+        except PeerError:
+            return False
+        if grown:
+            self._book.grown(grant, pieces=pieces)
+        return grown
+
+    def refresh(self, grant):
+        """Return the grant as its present home knows it, None if lost."""
+        held = self._book.get(grant.upstream_id, grant.request_id)
+        return held.grant if held else None
+
+    def load(self, upstream_id):
+        """Return the last known load; lagged, and None when unknown."""
+        return self._links.load(upstream_id)
+
+    def report_load(self, report):
+        """Take in a renewal with its load and pass it to the home."""
+        self._links.report(report)
+
+    def _try_reserve(self, request, end_s):
+        home = self._state.view().homes.get(request.upstream_id)
+        if home is None:
+            return HomeRefusal(message="no home yet", moving=True)
+        self._book.ask(request, home=home.instance, fence=home.fence)
+        left_s = max(MOVING_S, end_s - self._clock.monotonic_s())
+        call = ReserveCall(process=self._process, request=request)
+        try:
+            answer = self._calls.reserve(
+                home.instance, call, timeout_s=min(TRY_S, left_s)
+            )
+        except PeerError as exc:
+            self._give_up(request, home, sent=exc.sent)
+            return HomeRefusal(message=f"home silent: {exc}", moving=True)
+        if isinstance(answer, HomeRefusal):
+            self._book.end(request.upstream_id, request.request_id)
+            return answer
+        return self._note(answer)
+
+    def _note(self, grant):
+        self._book.granted(grant)
+        held = self._book.get(grant.upstream_id, grant.request_id)
+        return held.grant if held and held.grant else grant
+
+    def _give_up(self, request, home, *, sent):
+        self._book.end(request.upstream_id, request.request_id)
+        if sent:
+            # The home may have granted it; the memory would stay reserved
+            # until the digests are compared.
+            self._links.release(
+                home.instance, request.upstream_id, request.request_id
+            )
+
+    def _keeps_homes(self):
+        state = self._state.view()
+        others = [
+            member
+            for member in self._members.members()
+            if member.instance != self._instance
+        ]
+        return any(
+            home.instance == self._instance
+            and name in state.upstreams
+            and choose_home(
+                state.upstreams[name].upstream, others, state.draining
+            )
+            for name, home in state.homes.items()
+        )
+
+    def _tick(self):
+        while not self._stopped.is_set():
+            self._actor.tell(Tick())
+            self._stopped.wait(TICK_S)
+
+
+def build_homes(
+    *, settings, clock, state, members, engines, peer_server, peer_pool
+):
+    """Return the homes of an instance, to be started and stopped.
+
+    Parameters
+    ----------
+    settings : Settings
+        The instance's settings.
+    clock, state, members, engines
+        The ports of those names; members as ``build_members`` returns it.
+    peer_server : PeerServer
+        The service is registered there.
+    peer_pool : PeerPool
+        Calls to other instances go through it.
+
+    Returns
+    -------
+    HomeClient
+        With ``start``, ``stop`` and ``hand_over``.
+    """
+    process = first_incarnation(clock.wall_s())
+    instance = settings.instance
+    book = GrantBook()
+    replicas = {
+        replica.instance: replica.peer_address for replica in settings.replicas
+    }
+
+    def address_of(name):
+        return members.peer_address(name) or replicas.get(name, "")
+
+    server = HomesServer(
+        instance=instance,
+        process=process,
+        book=book,
+        pass_on=lambda report: links.report(report, passed_on=True),
+    )
+    calls = HomeCalls(
+        instance=instance,
+        local=server,
+        pool=peer_pool,
+        address_of=address_of,
+    )
+    links = HomeLinks(
+        instance=instance,
+        process=process,
+        book=book,
+        calls=calls,
+        members=members,
+        state=state,
+        clock=clock,
+        beat_s=settings.timing.renew_s,
+        silence_s=settings.timing.lease_s,
+    )
+    work = HomeWork(
+        instance=instance,
+        state=state,
+        members=members,
+        engines=engines,
+        calls=calls,
+        clock=clock,
+        threads=WORK_THREADS,
+    )
+    peer_server.register(SERVICE, HomesService.Processor(server))
+    return HomeClient(
+        instance=instance,
+        process=process,
+        state=state,
+        members=members,
+        clock=clock,
+        book=book,
+        calls=calls,
+        links=links,
+        server=server,
+        work=work,
+        start_actor=lambda: HomesActor.start(
+            instance=instance,
+            state=state,
+            members=members,
+            work=work,
+            clock=clock,
+            weights=_weights_of(settings),
+            limits=BookLimits(
+                entry_silence_s=settings.timing.lease_s,
+                upstream_silence_s=settings.timing.upstream_silence_s,
+            ),
+        ),
+    )
+
+
+def _weights_of(settings):
+    return UserWeights(
+        goodput=settings.weights.goodput,
+        wasted_prefill=settings.weights.wasted_prefill,
+    )
--- /dev/null
+++ b/currantdeal/adapters/homes_links.py
@@ -0,0 +1,284 @@
+"""Heartbeats of this instance, as an entry, to the homes it deals with.
+
+One heartbeat renews everything held at a home and carries the releases and
+load reports that wait for it.  Releases are sent within a few milliseconds,
+because the memory they free is what the next request waits for.
+"""
+
+import contextlib
+import random
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+import structlog
+
+from currantdeal.adapters.errors import PeerError
+from currantdeal.membership import (
+    HeldKey,
+    PassedReports,
+    Sync,
+    digest_of,
+)
+
+BATCH_S = 0.005
+IDLE_HOMES = 16
+"""Homes without grants that are kept in touch with, for their loads."""
+
+SYNC_THREADS = 8
+
+_log = structlog.get_logger(__name__)
+
+
+class _Link:
+    def __init__(self, *, now_s):
+        self.released = []
+        self.reports = {}
+        self.held_wanted = False
+        self.loads_after = 0
+        self.busy = False
+        self.due_s = now_s
+
+
+class HomeLinks:
+    """Keeps in touch with homes.
+
+    Parameters
+    ----------
+    instance : InstanceId
+        This instance.
+    process : int
+        Start of this process.
+    book : GrantBook
+        What this instance holds.
+    calls : HomeCalls
+        Calls to other instances.
+    members : MembersPort
+        Who is alive.
+    state : StatePort
+        Says where homes are.
+    clock : Clock
+        Time.
+    beat_s : float
+        Interval of heartbeats.
+    silence_s : float
+        Silence of this instance after which a home cancels what it holds.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance,
+        process,
+        book,
+        calls,
+        members,
+        state,
+        clock,
+        beat_s,
+        silence_s,
+    ):
+        """Start without links."""
+        self._instance = instance
+        self._process = process
+        self._book = book
+        self._calls = calls
+        self._members = members
+        self._state = state
+        self._clock = clock
+        self._beat_s = beat_s
+        self._silence_s = silence_s
+        self._links = {}
+        self._loads = {}
+        self._passed_on = set()
+        self._lock = threading.Lock()
+        self._wake = threading.Event()
+        self._stopped = False
+        self._pool = ThreadPoolExecutor(
+            max_workers=SYNC_THREADS, thread_name_prefix="home-link"
+        )
+
+    def start(self):
+        """Send heartbeats from now on."""
+        threading.Thread(
+            target=self._run, name="home-links", daemon=True
+        ).start()
+
+    def stop(self):
+        """Send nothing more."""
+        self._stopped = True
+        self._wake.set()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def release(self, home, upstream_id, request_id):
+        """Give a reservation back with the next heartbeat."""
+        key = HeldKey(upstream_id=upstream_id, request_id=request_id)
+        with self._lock:
+            self._link(home).released.append(key)
+        self._wake.set()
+
+    def report(self, report, *, passed_on=False):
+        """Pass a load report on to the upstream's home.
+
+        Parameters
+        ----------
+        passed_on : bool
+            True when another instance has passed it on already; then it is
+            not passed on once more if the home is silent, or reports to a
+            dead home would go round for good.
+        """
+        if passed_on:
+            self._passed_on.add(report.upstream_id)
+        else:
+            self._passed_on.discard(report.upstream_id)
+        self._loads[report.upstream_id] = report
+        home = self._state.view().homes.get(report.upstream_id)
+        if home is None:
+            return
+        with self._lock:
+            link = self._link(home.instance)
+            link.reports[report.upstream_id] = report
+        self._wake.set()
+
+    def load(self, upstream_id):
+        """Return the last known load, or None."""
+        return self._loads.get(upstream_id)
+
+    def _link(self, home):
+        link = self._links.get(home)
+        if link is None:
+            link = _Link(now_s=self._clock.monotonic_s())
+            self._links[home] = link
+        return link
+
+    def _run(self):
+        while not self._stopped:
+            self._wake.wait(self._beat_s / 4)
+            if self._wake.is_set():
+                self._wake.clear()
+                self._clock.sleep(BATCH_S)
+            with contextlib.suppress(RuntimeError):
+                # The pool takes nothing more once it is being stopped.
+                self._send_due(self._clock.monotonic_s())
+
+    def _send_due(self, now_s):
+        wanted = self._wanted()
+        with self._lock:
+            for home in wanted:
+                self._link(home)
+            for home in set(self._links) - wanted:
+                if not self._links[home].busy:
+                    del self._links[home]
+            due = [
+                (home, link)
+                for home, link in self._links.items()
+                if not link.busy and _is_due(link, now_s)
+            ]
+            for _, link in due:
+                link.busy = True
+        for home, link in due:
+            self._pool.submit(self._sync, home, link)
+
+    def _wanted(self):
+        holding = self._book.homes()
+        with self._lock:
+            waiting = {
+                home
+                for home, link in self._links.items()
+                if link.released or link.reports
+            }
+        homes = {home.instance for home in self._state.view().homes.values()}
+        idle = sorted(homes - holding, key=self._distance)
+        return holding | waiting | set(idle[:IDLE_HOMES])
+
+    def _distance(self, home):
+        member = self._members.member(home)
+        me = self._members.member(self._instance)
+        if member is None:
+            return 3, home
+        far = (member.data_center != me.data_center) + (
+            member.region != me.region
+        )
+        return far, home
+
+    def _sync(self, home, link):
+        try:
+            self._exchange(home, link)
+        except Exception:
+            # A future nobody asks for its result would hide the error.
+            _log.exception("heartbeat to a home failed", home=home)
+        finally:
+            link.busy = False
+
+    def _exchange(self, home, link):
+        beat = self._beat(home, link)
+        try:
+            answer = self._calls.sync(
+                home, beat, timeout_s=self._silence_s / 2
+            )
+        except PeerError:
+            self._failed(home, beat)
+            return
+        link.loads_after = answer.loads_after
+        link.held_wanted = answer.list_wanted
+        self._loads.update(
+            (report.upstream_id, report) for report in answer.loads
+        )
+        for key in answer.lost:
+            self._book.end(key.upstream_id, key.request_id)
+
+    def _beat(self, home, link):
+        with self._lock:
+            released, link.released = tuple(link.released), []
+            reports, link.reports = tuple(link.reports.values()), {}
+            link.due_s = self._clock.monotonic_s() + self._beat_s
+        held = self._book.of_home(home)
+        keys = [(h.request.upstream_id, h.request.request_id) for h in held]
+        return Sync(
+            entry=self._instance,
+            process=self._process,
+            claims=digest_of(keys),
+            held=_listed(keys) if link.held_wanted else None,
+            released=released,
+            reports=reports,
+            loads_after=link.loads_after,
+        )
+
+    def _failed(self, home, beat):
+        # Releases are not kept: the digest differs without them, and the
+        # home asks for the list.
+        first_hand = tuple(
+            report
+            for report in beat.reports
+            if report.upstream_id not in self._passed_on
+        )
+        if first_hand:
+            self._pass_on(home, first_hand)
+
+    def _pass_on(self, home, reports):
+        others = [
+            member.instance
+            for member in self._members.members()
+            if member.instance not in (home, self._instance)
+            and member.status.value == "alive"
+        ]
+        if not others:
+            return
+        try:
+            self._calls.pass_on(
+                random.choice(others),
+                PassedReports(reports=reports),
+                timeout_s=self._silence_s / 4,
+            )
+        except PeerError:
+            return
+
+
+def _is_due(link, now_s):
+    return bool(link.released or link.reports) or now_s >= link.due_s
+
+
+def _listed(keys):
+    return tuple(
+        HeldKey(upstream_id=upstream_id, request_id=request_id)
+        for upstream_id, request_id in keys
+    )
--- a/currantdeal/membership/__init__.py
+++ b/currantdeal/membership/__init__.py
@@ -6,7 +6,30 @@
     choose_entries,
 )
 from currantdeal.membership.errors import MembershipError, WireError
-from currantdeal.membership.grants import GrantBook, HeldGrant
+from currantdeal.membership.grants import GrantBook, HeldGrant, digest_of
+from currantdeal.membership.home import Phase, UpstreamHome
+from currantdeal.membership.home_book import BookLimits, Cancel, HomeBook
+from currantdeal.membership.home_messages import (
+    HOME_CODEC,
+    ClaimedGrant,
+    Claims,
+    ClaimsAnswer,
+    ClaimsCall,
+    GrowCall,
+    HeldKey,
+    HomeRefusal,
+    PassedReports,
+    ReserveCall,
+    Sync,
+    SyncAnswer,
+)
+from currantdeal.membership.home_plan import (
+    GiveHome,
+    Presence,
+    Surroundings,
+    TakeHome,
+    plan_homes,
+)
 from currantdeal.membership.messages import (
     Ack,
     Exchange,
@@ -19,30 +42,55 @@
 from currantdeal.membership.table import (
     MemberTable,
     first_incarnation,
+    is_reachable,
     same_process,
 )
 from currantdeal.membership.wire import decode_message, encode_message
 
 __all__ = [
     "Ack",
+    "BookLimits",
+    "Cancel",
+    "ClaimedGrant",
+    "Claims",
+    "ClaimsAnswer",
+    "ClaimsCall",
     "EntriesAnswer",
     "EntryAddress",
     "Exchange",
+    "GiveHome",
     "GrantBook",
+    "GrowCall",
+    "HOME_CODEC",
     "HeldGrant",
+    "HeldKey",
+    "HomeBook",
+    "HomeRefusal",
     "MemberTable",
     "MembershipError",
+    "PassedReports",
+    "Phase",
     "Ping",
     "PingRequest",
+    "Presence",
+    "ReserveCall",
     "Send",
+    "Surroundings",
     "Swim",
     "SwimTiming",
+    "Sync",
+    "SyncAnswer",
+    "TakeHome",
+    "UpstreamHome",
     "WireError",
     "choose_entries",
     "choose_home",
     "decode_message",
+    "digest_of",
     "encode_message",
     "first_incarnation",
     "home_candidates",
+    "is_reachable",
+    "plan_homes",
     "same_process",
 ]
--- a/currantdeal/membership/grants.py
+++ b/currantdeal/membership/grants.py
@@ -4,6 +4,11 @@
 number of its reservations there and a digest over their request ids; the
 home asks for the list only when that differs from its ledger, which happens
 after a lost release.
+
+A reservation whose home is silent is kept.  If the home is dead, its
+successor asks for it; if only the path is cut, the home cancels the request
+on the engine, where the entry sees its stream end.  Forgetting it would have
+the successor cancel requests that are well.
 """
 
 import threading
@@ -12,6 +17,7 @@
 import xxhash
 
 from currantdeal.core import FencingNumber, InstanceId
+from currantdeal.membership.home_messages import Claims
 from currantdeal.ports import Grant, ReservationRequest
 
 
@@ -40,16 +46,8 @@
     grant: Grant | None = None
 
 
-@dataclass(frozen=True, kw_only=True)
-class Claims:
-    """Digest of the reservations that an entry holds at a home."""
-
-    count: int
-    digest: int
-
-
 def digest_of(keys):
-    """Return the digest of (upstream, request) pairs, in any order.
+    """Return the ``Claims`` over (upstream, request) pairs, in any order.
 
     Examples
     --------
@@ -162,18 +160,6 @@
                     self._held[key] = _moved(held, home, fence)
         return self.of_upstream(upstream_id)
 
-    def lose(self, home):
-        """Forget and return what was held at a home that cannot be reached.
-
-        The home reclaims what its entry does not renew, so after the lease
-        nothing held there may be relied on.
-        """
-        with self._lock:
-            lost = [
-                key for key, held in self._held.items() if held.home == home
-            ]
-            return tuple(self._held.pop(key) for key in lost)
-
 
 def _moved(held, home, fence):
     grant = held.grant
--- /dev/null
+++ b/currantdeal/membership/tests/test_home_book.py
@@ -0,0 +1,165 @@
+from currantdeal.core import LoadReport
+from currantdeal.membership import (
+    BookLimits,
+    Cancel,
+    ClaimedGrant,
+    ClaimsAnswer,
+    HeldKey,
+    HomeBook,
+    HomeRefusal,
+    Phase,
+    ReserveCall,
+    Sync,
+    digest_of,
+)
+from currantdeal.membership.tests.builders import build_upstream
+from currantdeal.policy import UserWeights
+from currantdeal.ports import Grant, HeldMemory, ReservationRequest
+
+
+def _book():
+    book = HomeBook(
+        instance="i1",
+        weights=UserWeights(),
+        limits=BookLimits(),
+        now_s=0.0,
+    )
+    book.take(build_upstream(), 7, 0.0).advance(Phase.OPEN)
+    return book
+
+
+def _request(name, pieces=10):
+    return ReservationRequest(
+        request_id=name,
+        caller="ana",
+        entry="i2",
+        upstream_id="decode-1",
+        pieces=pieces,
+    )
+
+
+def _reserve(book, name, now_s, process=1, pieces=10):
+    call = ReserveCall(process=process, request=_request(name, pieces))
+    return book.reserve(call, now_s)
+
+
+def _beat(*names, process=1, listed=False, released=()):
+    keys = [("decode-1", name) for name in names]
+    held = tuple(HeldKey(upstream_id=u, request_id=r) for u, r in keys)
+    return Sync(
+        entry="i2",
+        process=process,
+        claims=digest_of(keys),
+        held=held if listed else None,
+        released=tuple(
+            HeldKey(upstream_id="decode-1", request_id=r) for r in released
+        ),
+    )
+
+
+def _cancelled(*names):
+    return tuple(
+        Cancel(upstream_id="decode-1", request_id=name) for name in names
+    )
+
+
+def test_heartbeats_keep_grants_and_silence_cancels_them():
+    book = _book()
+    assert isinstance(_reserve(book, "r1", 0.0)[0], Grant)
+    for tenth in range(1, 50):
+        book.sync(_beat("r1"), tenth / 10)
+        assert book.silent_entries(tenth / 10) == ()
+    assert book.silent_entries(7.0) == _cancelled("r1")
+    assert book.get("decode-1").idle
+
+
+def test_restarted_entry_loses_what_its_former_process_held():
+    """An entry dies and is back before anybody misses it.
+
+    Its callers' connections are gone, but its heartbeats go on, so the
+    memory of its requests would stay held for good.
+    """
+    book = _book()
+    _reserve(book, "r1", 0.0, process=1)
+    grant, cancels = _reserve(book, "r2", 0.1, process=2)
+    assert isinstance(grant, Grant)
+    assert cancels == _cancelled("r1")
+    late, _ = _reserve(book, "r3", 0.2, process=1)
+    assert isinstance(late, HomeRefusal)
+
+
+def test_lost_release_is_found_by_the_digest():
+    """The message that gives a reservation back is lost.
+
+    The entry goes on renewing, so without a comparison the memory would
+    never come free and the engine would shrink with every lost message.
+    """
+    book = _book()
+    _reserve(book, "r1", 0.0)
+    _reserve(book, "r2", 0.0)
+    assert not book.sync(_beat("r2"), 1.0)[0].list_wanted
+    assert book.sync(_beat("r2"), 1.5)[0].list_wanted
+    answer, cancels = book.sync(_beat("r2", listed=True), 2.0)
+    assert cancels == _cancelled("r1")
+    assert not answer.list_wanted
+
+
+def test_entry_learns_what_the_home_does_not_keep():
+    book = _book()
+    answer, _ = book.sync(_beat("r9", listed=True), 1.0)
+    assert [key.request_id for key in answer.lost] == ["r9"]
+
+
+def test_paused_home_does_not_cancel_what_it_did_not_listen_to():
+    """The home's process is stopped for ten seconds and goes on.
+
+    All entries seem silent to it; cancelling would cut off every stream.
+    """
+    book = _book()
+    _reserve(book, "r1", 0.0)
+    book.excuse_if_paused(10.0, listening=True)
+    assert book.silent_entries(10.1) == ()
+    assert book.silent_upstreams(10.1) == ()
+    assert book.silent_entries(13.0) == _cancelled("r1")
+
+
+def test_home_without_lease_judges_nobody():
+    book = _book()
+    _reserve(book, "r1", 0.0)
+    for tenth in range(50):
+        book.excuse_if_paused(tenth / 10, listening=False)
+    assert book.silent_entries(5.0) == ()
+
+
+def test_adopted_grants_count_and_orphans_are_found():
+    book = _book()
+    home = book.take(build_upstream(), 8, 0.0)
+    claimed = ClaimedGrant(request=_request("r1"), pieces=80)
+    answer = ClaimsAnswer(entry="i2", process=1, claimed=(claimed,))
+    assert isinstance(_reserve(book, "r2", 0.0)[0], HomeRefusal)
+    book.adopt("decode-1", answer, 0.0)
+    home.advance(Phase.OPEN)
+    assert isinstance(_reserve(book, "r2", 0.0, pieces=30)[0], HomeRefusal)
+    held = [
+        HeldMemory(request_id=name, pieces=1, age_s=1.0, fence=7)
+        for name in ("r1", "r8")
+    ]
+    assert [one.request_id for one in home.orphans(held)] == ["r8"]
+
+
+def test_loads_travel_once_and_old_incarnations_are_ignored():
+    book = _book()
+    book.hear(LoadReport(upstream_id="decode-1", incarnation=0), 1.0)
+    answer, _ = book.sync(_beat(), 1.0)
+    assert answer.loads == ()
+    report = LoadReport(upstream_id="decode-1", incarnation=1, running=3)
+    book.hear(report, 1.0)
+    answer, _ = book.sync(_beat(), 1.0)
+    assert answer.loads == (report,)
+    beat = Sync(
+        entry="i2",
+        process=1,
+        claims=digest_of([]),
+        loads_after=answer.loads_after,
+    )
+    assert book.sync(beat, 1.1)[0].loads == ()
--- a/currantdeal/ports/homes.py
+++ b/currantdeal/ports/homes.py
@@ -81,6 +81,13 @@
     def grow(self, grant: Grant, *, pieces: int) -> bool:
         """Return whether the grant was enlarged by some pieces."""
 
+    def refresh(self, grant: Grant) -> Grant | None:
+        """Return the grant under its present home, or None if it is lost.
+
+        Asked before a stream is resumed: a home that took over has another
+        fencing number, and the engine may refuse the former one.
+        """
+
     def load(self, upstream_id: UpstreamId) -> LoadReport | None:
         """Return the last known load; lagged, and None when unknown."""
 
