Count a proxy's bytes before they are sent on

A test that had received its bytes read the counter before the proxy's thread had raised it: two failures in three runs of test_proxy.py. Counting first makes the figure an upper bound that no receiver can outrun.

--- a/currantdeal/testing/proxy.py
+++ b/currantdeal/testing/proxy.py
@@ -105,8 +105,8 @@
 
     def _send(self, data):
         if not self._transport.is_closing():
-            self._transport.sendto(data, self._target)
             self.passed += len(data)
+            self._transport.sendto(data, self._target)
 
 
 class FaultProxy:
@@ -157,17 +157,17 @@
 
     @property
     def bytes_to_target(self):
-        """Bytes delivered to the target so far."""
+        """Bytes sent on to the target so far."""
         return self._passed[Cut.TO_TARGET]
 
     @property
     def bytes_to_source(self):
-        """Bytes delivered to those who connected, so far."""
+        """Bytes sent on to those who connected, so far."""
         return self._passed[Cut.TO_SOURCE]
 
     @property
     def datagram_bytes(self):
-        """Bytes of datagrams delivered so far."""
+        """Bytes of datagrams sent on so far."""
         return self._datagrams.passed
 
     @property
@@ -271,9 +271,9 @@
                 return
             if self._faults.bytes_per_s:
                 await asyncio.sleep(len(block) / self._faults.bytes_per_s)
+            self._passed[direction] += len(block)
             writer.write(block)
             await writer.drain()
-            self._passed[direction] += len(block)
 
     async def _wait_open(self, connection, direction):
         while self._holds(connection, direction):
