Check settings at start, all problems at once, each with its path

msgspec stops at the first wrong field and lets unknown ones pass, so a misspelt timing went unnoticed and kept its default.

--- a/currantdeal/cli/serve.py
+++ b/currantdeal/cli/serve.py
@@ -8,8 +8,10 @@
 from currantdeal.adapters.clock import SystemClock
 from currantdeal.adapters.logs import LogFormat, configure_logs
 from currantdeal.adapters.metrics import Metrics
-from currantdeal.adapters.settings import SettingsError, read_settings
+from currantdeal.adapters.settings import SettingsError
+from currantdeal.adapters.settings_check import read_checked
 from currantdeal.cli.daemon import Daemon
+from currantdeal.cli.errors import CommandError, ExitCode
 from currantdeal.cli.wiring import build_ports
 
 
@@ -30,9 +32,13 @@
 def serve(path, log_format):
     """Run one instance until SIGTERM, then drain and exit."""
     try:
-        settings = read_settings(path)
+        settings = read_checked(path)
     except SettingsError as exc:
-        raise click.ClickException(str(exc)) from exc
+        raise CommandError(
+            str(exc),
+            code=ExitCode.WRONG_SETTINGS,
+            hint=f"correct them; see 'currantdeal settings check {path}'",
+        ) from exc
     configure_logs(
         log_format=LogFormat(log_format), instance=settings.instance
     )
