--- a/currantdeal/cli/main.py
+++ b/currantdeal/cli/main.py
@@ -1,9 +1,23 @@
-"""The ``currantdeal`` command."""
+"""The program ``currantdeal``: daemon and operators' client.
+
+Shell completion is printed by, for example,
+``_CURRANTDEAL_COMPLETE=bash_source currantdeal``.
+"""
 
 import click
 
 import currantdeal
+from currantdeal.cli.selector_commands import selectors
 from currantdeal.cli.serve import serve
+from currantdeal.cli.settings_commands import settings
+from currantdeal.cli.system_commands import (
+    audit,
+    drain,
+    entries,
+    orders,
+    status,
+)
+from currantdeal.cli.upstream_commands import upstreams
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -12,7 +26,15 @@
     """Route requests between separate prefill and decode pools."""
 
 
+main.add_command(audit)
+main.add_command(drain)
+main.add_command(entries)
+main.add_command(orders)
+main.add_command(selectors)
 main.add_command(serve)
+main.add_command(settings)
+main.add_command(status)
+main.add_command(upstreams)
 
 if __name__ == "__main__":
-    main()
+    main(prog_name="currantdeal")
--- /dev/null
+++ b/currantdeal/testing/caller.py
@@ -0,0 +1,218 @@
+"""A caller of the system, as tests and the quickstart play it."""
+
+from dataclasses import dataclass
+
+import msgspec
+import urllib3
+
+from currantdeal.testing.errors import HarnessError
+from currantdeal.testing.shapes import CALLER_KEY
+
+TIMEOUT_S = 60.0
+MODEL = "nube-assistant"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Entry:
+    """An address that callers are told to use."""
+
+    address: str
+    region: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Entries:
+    """Answer of ``/v1/entries``."""
+
+    entries: tuple[Entry, ...]
+    keep_s: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Answer:
+    """What a caller received.
+
+    Parameters
+    ----------
+    body : bytes
+        Whole body, of answers that are not streamed.
+    """
+
+    status: int
+    body: bytes
+
+    def json(self):
+        """Return the body as a value."""
+        return msgspec.json.decode(self.body)
+
+    @property
+    def outcome(self):
+        """Outcome that a refusal states; empty for other answers."""
+        try:
+            return self.json().get("outcome", "")
+        except (msgspec.DecodeError, AttributeError):
+            return ""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Streamed:
+    """What a caller received of a streamed completion."""
+
+    text: str
+    finish_reason: str
+    done: bool
+
+
+class CallerClient:
+    """Sends a caller's requests to one address.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT`` of an instance.
+    key : str
+        The caller's key.
+    """
+
+    def __init__(self, *, address, key=CALLER_KEY):
+        """Open no connection yet."""
+        self._address = address
+        self._headers = {"Content-Type": "application/json"}
+        if key:
+            self._headers["Authorization"] = f"Bearer {key}"
+        self._pool = urllib3.PoolManager(
+            retries=False, timeout=TIMEOUT_S, maxsize=32
+        )
+
+    @property
+    def address(self):
+        """Address that requests go to."""
+        return self._address
+
+    def entries(self):
+        """Ask which addresses to use."""
+        answer = self.call("GET", "/v1/entries")
+        return msgspec.json.decode(answer.body, type=Entries)
+
+    def call(self, method, path, *, body=b"", headers=None):
+        """Send one request and return the whole answer."""
+        try:
+            answer = self._request(method, path, body, headers)
+        except urllib3.exceptions.HTTPError as exc:
+            raise HarnessError(f"{self._address}{path}: {exc}") from exc
+        return Answer(status=answer.status, body=answer.data)
+
+    def order(self, key, body, *, service="shop", path="/orders"):
+        """Place an order under an idempotency key."""
+        return self.call(
+            "POST",
+            f"/services/{service}{path}",
+            body=body,
+            headers={"Idempotency-Key": key},
+        )
+
+    def complete(self, prompt, *, max_tokens=200, headers=None):
+        """Return a completion as one answer."""
+        body = _completion(prompt, max_tokens, stream=False)
+        return self.call("POST", "/v1/completions", body=body, headers=headers)
+
+    def open_stream(self, prompt, *, max_tokens=200, headers=None):
+        """Return a ``CallerStream`` of a completion."""
+        body = _completion(prompt, max_tokens, stream=True)
+        answer = self._request(
+            "POST", "/v1/completions", body, headers, preload_content=False
+        )
+        if answer.status != 200:
+            raise HarnessError(f"{answer.status}: {answer.data!r}")
+        return CallerStream(answer=answer)
+
+    def stream(self, prompt, **options):
+        """Return all that a streamed completion brings."""
+        return self.open_stream(prompt, **options).read()
+
+    def _request(self, method, path, body, headers, **options):
+        return self._pool.request(
+            method,
+            f"http://{self._address}{path}",
+            body=body,
+            headers=self._headers | (headers or {}),
+            **options,
+        )
+
+
+class CallerStream:
+    """A streamed completion that is being received.
+
+    Parameters
+    ----------
+    answer : urllib3.HTTPResponse
+        The open answer.
+    """
+
+    def __init__(self, *, answer):
+        """Receive nothing yet."""
+        self._answer = answer
+        self._texts = []
+        self._reason = ""
+        self._done = False
+        self._events = self._read_events()
+
+    @property
+    def texts(self):
+        """Pieces of text received so far."""
+        return tuple(self._texts)
+
+    def read_some(self, pieces):
+        """Receive until some pieces of text are there."""
+        while len(self._texts) < pieces and self._step():
+            pass
+        return self.texts
+
+    def read(self):
+        """Receive everything and return it."""
+        try:
+            while self._step():
+                pass
+        except urllib3.exceptions.HTTPError as exc:
+            raise HarnessError(f"the stream broke: {exc}") from exc
+        return Streamed(
+            text="".join(self._texts),
+            finish_reason=self._reason,
+            done=self._done,
+        )
+
+    def hang_up(self):
+        """Close the connection in the middle, as a caller who leaves."""
+        self._answer.close()
+
+    def _step(self):
+        event = next(self._events, None)
+        if event is None:
+            return False
+        for choice in event.get("choices", ()):
+            text = choice.get("text") or choice.get("delta", {}).get("content")
+            if text:
+                self._texts.append(text)
+            self._reason = choice.get("finish_reason") or self._reason
+        return True
+
+    def _read_events(self):
+        for line in self._answer:
+            if not line.startswith(b"data: "):
+                continue
+            data = line[len(b"data: ") :].strip()
+            if data == b"[DONE]":
+                self._done = True
+                return
+            yield msgspec.json.decode(data)
+
+
+def _completion(prompt, max_tokens, *, stream):
+    return msgspec.json.encode(
+        {
+            "model": MODEL,
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": stream,
+        }
+    )
--- a/currantdeal/testing/cluster.py
+++ b/currantdeal/testing/cluster.py
@@ -233,7 +233,9 @@
         )
         merged = msgspec.to_builtins(settings) | self._shape.extra
         return Instance(
-            settings=msgspec.convert(merged, Settings), folder=folder
+            settings=msgspec.convert(merged, Settings),
+            folder=folder,
+            command=self._shape.command,
         )
 
     def _replicas(self):
--- a/currantdeal/testing/instance.py
+++ b/currantdeal/testing/instance.py
@@ -23,12 +23,15 @@
         Its settings.
     folder : Path
         Where its settings, log and data are.
+    command : tuple of str
+        Module to run and its arguments, but for the path of the settings.
     """
 
-    def __init__(self, *, settings, folder):
+    def __init__(self, *, settings, folder, command):
         """Write the settings; ``start`` runs the process."""
         self._settings = settings
         self._folder = folder
+        self._command = command
         self._process = None
         self._pool = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
         self._path = folder / "settings.json"
@@ -71,13 +74,7 @@
     def start(self):
         """Start the process."""
         self._process = ChildProcess(
-            arguments=[
-                "-m",
-                "currantdeal.cli.main",
-                "serve",
-                "--settings",
-                str(self._path),
-            ],
+            arguments=["-m", *self._command, str(self._path)],
             log_path=self._folder / "instance.log",
         )
 
--- a/currantdeal/testing/shapes.py
+++ b/currantdeal/testing/shapes.py
@@ -14,6 +14,10 @@
 OPERATOR_KEY = "operator-key-of-the-harness"
 UPSTREAM_KEY = "upstream-key-of-the-harness"
 
+SERVE = ("currantdeal.cli.main", "serve", "--settings")
+ALONE = ("currantdeal.cli.tests.local_daemon",)
+"""A lone instance without replicated state."""
+
 NUBE_REGIONS = ("bizkaia", "cantabria", "asturias")
 
 
@@ -46,6 +50,9 @@
         One-way delay between and within regions; proxied clusters only.
     extra : mapping
         Other settings, the same for each instance.
+    command : tuple of str
+        Module that runs an instance, and what stands before the path of the
+        settings on its command line.
     """
 
     instances: tuple[InstanceShape, ...]
@@ -54,6 +61,7 @@
     region_delay_s: float = 0.0
     local_delay_s: float = 0.0
     extra: dict = field(default_factory=dict)
+    command: tuple[str, ...] = SERVE
 
     def delay_s(self, source, target):
         """Return the one-way delay between two instances."""
