--- a/currantdeal/ports/homes.py
+++ b/currantdeal/ports/homes.py
@@ -29,6 +29,10 @@
         Prompt tokens to compute there; 0 on an engine that only decodes.
     kv_bytes : int
         Bytes that its link will carry.
+    hold_s : float
+        Seconds for which the memory is expected to be held.
+    lead_s : float
+        Seconds until the memory is needed, were the grant given now.
     """
 
     request_id: RequestId
@@ -38,6 +42,8 @@
     pieces: int = 0
     prefill_tokens: int = 0
     kv_bytes: int = 0
+    hold_s: float = 1.0
+    lead_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -75,6 +81,13 @@
     def grow(self, grant: Grant, *, pieces: int) -> bool:
         """Return whether the grant was enlarged by some pieces."""
 
+    def refresh(self, grant: Grant) -> Grant | None:
+        """Return the grant under its present home, or None if it is lost.
+
+        Asked before a stream is resumed: a home that took over has another
+        fencing number, and the engine may refuse the former one.
+        """
+
     def load(self, upstream_id: UpstreamId) -> LoadReport | None:
         """Return the last known load; lagged, and None when unknown."""
 
