--- a/currantdeal/adapters/replication/local.py
+++ b/currantdeal/adapters/replication/local.py
@@ -9,6 +9,7 @@
     RenewAnswer,
     ReplicaAddress,
 )
+from currantdeal.adapters.replication.entries import COMMAND_CODEC
 from currantdeal.adapters.replication.errors import (
     NotProposedError,
     OutcomeUnknownError,
@@ -19,6 +20,7 @@
     ReadSteps,
     Renew,
 )
+from currantdeal.core import CodecError
 
 ASK_TIMEOUT_S = 2.0
 
@@ -86,9 +88,12 @@
         """Return a ``ProposeAnswer``, after commit if this one leads."""
         reply = pykka.ThreadingFuture()
         try:
+            # A command that cannot be decoded would stop every replica when
+            # it is applied, and again after each restart.
+            COMMAND_CODEC.decode(request.command)
             self._ref.tell(Propose(command=request.command, reply=reply))
             done = reply.get(timeout=request.timeout_s)
-        except (NotProposedError, pykka.ActorDeadError) as exc:
+        except (NotProposedError, pykka.ActorDeadError, CodecError) as exc:
             return ProposeAnswer(
                 status=ProposeStatus.NOT_PROPOSED, message=str(exc)
             )
--- a/currantdeal/state/machine.py
+++ b/currantdeal/state/machine.py
@@ -45,7 +45,14 @@
     OrderIssued,
 )
 
-_REMEMBERED = (SetLabels, ApplySelector, DeleteSelector, IssueOrder)
+# A resend of any other command changes nothing more.
+_REMEMBERED = (
+    SetLabels,
+    ApplySelector,
+    DeleteSelector,
+    IssueOrder,
+    AssignHome,
+)
 
 
 def apply_command(state, command, *, version):
