--- a/currantdeal/adapters/disk/__init__.py
+++ b/currantdeal/adapters/disk/__init__.py
@@ -10,7 +10,6 @@
 from currantdeal.adapters.disk.folder import DataFolder, read_folder
 from currantdeal.adapters.disk.inspection import (
     FolderReport,
-    export_snapshot,
     inspect_folder,
 )
 
@@ -22,7 +21,6 @@
     "DiskFullError",
     "FolderLockedError",
     "FolderReport",
-    "export_snapshot",
     "inspect_folder",
     "read_folder",
 ]
--- a/currantdeal/adapters/disk/inspection.py
+++ b/currantdeal/adapters/disk/inspection.py
@@ -61,17 +61,6 @@
     )
 
 
-def export_snapshot(path):
-    """Return the latest snapshot in a folder, or None.
-
-    Raises
-    ------
-    DiskError
-        As ``inspect_folder``.
-    """
-    return _read(path).stored.snapshot
-
-
 def _read(path):
     if not Path(path).is_dir():
         raise DiskError(f"{path} is no folder")
--- a/currantdeal/cli/main.py
+++ b/currantdeal/cli/main.py
@@ -10,6 +10,7 @@
 from currantdeal.cli.selector_commands import selectors
 from currantdeal.cli.serve import serve
 from currantdeal.cli.settings_commands import settings
+from currantdeal.cli.state_commands import state
 from currantdeal.cli.system_commands import (
     audit,
     drain,
@@ -33,6 +34,7 @@
 main.add_command(selectors)
 main.add_command(serve)
 main.add_command(settings)
+main.add_command(state)
 main.add_command(status)
 main.add_command(upstreams)
 
--- /dev/null
+++ b/currantdeal/cli/tests/test_state_commands.py
@@ -0,0 +1,76 @@
+import json
+
+import pytest
+from click.testing import CliRunner
+
+from currantdeal.adapters.disk import DataFolder
+from currantdeal.adapters.replication.entries import COMMAND_CODEC, state_of
+from currantdeal.cli.main import main
+from currantdeal.consensus import (
+    Configuration,
+    Entry,
+    EntryKind,
+    Replica,
+    SaveEntries,
+    SaveSnapshot,
+    Snapshot,
+)
+from currantdeal.state.tests.builders import selector
+
+
+@pytest.fixture
+def folder(tmp_path):
+    members = Configuration(voters=(Replica(instance="i1", address="a:1"),))
+    change = Entry(
+        index=1,
+        term=1,
+        kind=EntryKind.COMMAND,
+        data=COMMAND_CODEC.encode(selector("kept")),
+    )
+    disk = DataFolder(path=tmp_path / "data")
+    first = Snapshot(index=0, term=0, configuration=members)
+    disk.save((SaveSnapshot(snapshot=first), SaveEntries(entries=(change,))))
+    disk.close()
+    return tmp_path / "data"
+
+
+def run(*args):
+    return CliRunner().invoke(main, ["state", *map(str, args)])
+
+
+def test_inspect_and_verify(folder):
+    shown = run("inspect", folder, "--output", "json")
+    assert json.loads(shown.stdout)["last_index"] == 1
+    assert "voters" in run("inspect", folder).stdout
+    assert "whole: 3 records" in run("verify", folder).stdout
+
+
+def test_verify_names_the_damaged_place(folder):
+    """A disk returns a wrong byte; the operator is told what to do."""
+    path = next(folder.glob("log-*"))
+    raw = bytearray(path.read_bytes())
+    raw[40] ^= 1
+    path.write_bytes(raw)
+    result = run("verify", folder)
+    assert result.exit_code == 1
+    assert "byte" in result.stderr
+    assert "next:" in result.stderr
+
+
+def test_new_replica_set_begins_from_a_saved_state(folder, tmp_path):
+    """Two of three replicas are lost for good; the third one's disk is left.
+
+    Everything it holds has to be the start of a new set.
+    """
+    saved = tmp_path / "saved"
+    assert run("snapshot", folder, saved).exit_code == 0
+    assert run("snapshot", folder, saved).exit_code == 1
+    new = tmp_path / "new"
+    options = ("--replica", "i7=10.0.0.7:1", "--replica", "i8=10.0.0.8:1")
+    assert run("restore", saved, new, *options).exit_code == 0
+    assert run("restore", saved, new, *options).exit_code == 1
+    disk = DataFolder(path=new)
+    stored = disk.stored
+    disk.close()
+    assert stored.snapshot.configuration.voter_names == ("i7", "i8")
+    assert "kept" in state_of(stored.snapshot.data).selectors
