Check recorded histories of claims and compare-and-set

Change: a small Wing-Gong checker; four clients race on five instances while the leader is cut off and healed.

--- /dev/null
+++ b/currantdeal/adapters/replication/tests/test_linearizability.py
@@ -0,0 +1,144 @@
+import threading
+import time
+
+from currantdeal.adapters.replication.tests.builders import (
+    LIMIT_S,
+    Cluster,
+    claim,
+    selector,
+    wait_until,
+)
+from currantdeal.consensus.tests.linearizability import (
+    Operation,
+    is_linearizable,
+)
+from currantdeal.core import StateUnavailableError
+from currantdeal.state import Applied, ClaimExists, ClaimGranted
+
+CLIENTS = 4
+CALLS = 12
+KEYS = ("a", "b", "c")
+
+
+def swap(version, expected):
+    """Step of a selector: its version, changed by compare-and-set."""
+    if expected == version:
+        return version + 1, "won"
+    return version, "lost"
+
+
+def hold(owner, asker):
+    """Step of a claim: the first asker holds it for good."""
+    return owner or asker, owner or asker
+
+
+def test_checker_tells_right_from_wrong():
+    def history(*answers):
+        return [
+            Operation(call_s=n, return_s=n + 0.5, ask=0, answer=answer)
+            for n, answer in enumerate(answers)
+        ]
+
+    assert is_linearizable(history("won", "lost"), start=0, step=swap)
+    assert not is_linearizable(history("won", "won"), start=0, step=swap)
+    assert not is_linearizable(history("lost", "won"), start=0, step=swap)
+    lost_answer = Operation(call_s=0.0, ask=0)
+    later = Operation(call_s=1.0, return_s=2.0, ask=0, answer="lost")
+    assert is_linearizable([lost_answer, later], start=0, step=swap)
+
+
+class Client:
+    """Records what one client asked and was answered."""
+
+    def __init__(self, cluster, number, histories):
+        self.cluster = cluster
+        self.number = number
+        self.histories = histories
+        self.done = 0
+
+    def run(self):
+        for turn in range(CALLS):
+            key = KEYS[(turn + self.number) % len(KEYS)]
+            self._record(f"claim-{turn // 3}", self._claim)
+            self._record(key, self._swap)
+            self.done += 1
+
+    def _port(self):
+        names = list(self.cluster.services)
+        return self.cluster.port(names[self.number % len(names)])
+
+    def _claim(self, key):
+        me = f"{self.number}-{self.done}"
+        result = self._port().propose(
+            claim(key, request_id=me), timeout_s=LIMIT_S
+        )
+        if isinstance(result, ClaimGranted):
+            return me, me
+        assert isinstance(result, ClaimExists)
+        return me, result.claim.request_id
+
+    def _swap(self, key):
+        port = self._port()
+        known = port.view().selectors.get(key)
+        version = known.version if known else 0
+        result = port.propose(
+            selector(key, version=version), timeout_s=LIMIT_S
+        )
+        if isinstance(result, Applied):
+            return (version, result.version), "won"
+        return (version, None), "lost"
+
+    def _record(self, key, call):
+        call_s = time.monotonic()
+        try:
+            ask, answer = call(key)
+        except StateUnavailableError:
+            return
+        operation = Operation(
+            call_s=call_s,
+            return_s=time.monotonic(),
+            ask=ask,
+            answer=answer,
+        )
+        self.histories.setdefault(key, []).append(operation)
+
+
+def swap_version(version, ask):
+    """Step of a selector whose versions are those of the state."""
+    expected, after = ask
+    if expected != version:
+        return version, "lost"
+    return after, "won"
+
+
+def test_histories_are_linearizable_through_loss_of_the_leader(tmp_path):
+    """Clients race for claims and selectors while the leader is lost.
+
+    Each answer must fit one order of all calls; otherwise two callers could
+    both believe that theirs is the one booking.
+    """
+    cluster = Cluster(tmp_path, replicas=3, others=2)
+    histories = {}
+    clients = [Client(cluster, n, histories) for n in range(CLIENTS)]
+    threads = [threading.Thread(target=each.run) for each in clients]
+    try:
+        cluster.wait_for_leases()
+        for thread in threads:
+            thread.start()
+        wait_until(lambda: max(each.done for each in clients) >= CALLS // 2)
+        leader = cluster.wait_for_leader()
+        cluster.isolate(leader)
+        wait_until(lambda: cluster.leader() not in (None, leader))
+        cluster.heal()
+        for thread in threads:
+            thread.join()
+    finally:
+        cluster.close()
+    for key, history in histories.items():
+        is_claim = key.startswith("claim")
+        assert is_linearizable(
+            history,
+            start=None if is_claim else 0,
+            step=hold if is_claim else swap_version,
+        ), key
+    assert sum(map(len, histories.values())) == CLIENTS * CALLS * 2
