--- a/currantdeal/testing/caller.py
+++ b/currantdeal/testing/caller.py
@@ -119,8 +119,12 @@
     def open_stream(self, prompt, *, max_tokens=200, headers=None):
         """Return a ``CallerStream`` of a completion."""
         body = _completion(prompt, max_tokens, stream=True)
+        return self.open_stream_of("/v1/completions", body, headers=headers)
+
+    def open_stream_of(self, path, body, *, headers=None):
+        """Return a ``CallerStream`` of any streamed answer."""
         answer = self._request(
-            "POST", "/v1/completions", body, headers, preload_content=False
+            "POST", path, body, headers, preload_content=False
         )
         if answer.status != 200:
             raise HarnessError(f"{answer.status}: {answer.data!r}")
--- a/currantdeal/testing/processes.py
+++ b/currantdeal/testing/processes.py
@@ -78,6 +78,10 @@
                 f"process {self.pid} did not start:\n{self.log[-4000:]}"
             ) from exc
 
+    def read_output(self):
+        """Return everything that the process prints until its end."""
+        return self._popen.stdout.read().decode(errors="replace")
+
     def send_signal(self, number):
         """Send a signal; a process that has ended is fine."""
         with contextlib.suppress(ProcessLookupError):
