Wire the replicated state, membership and homes into serve

Cause: serve had no ports; the daemon ran only over local ones in tests. Change: cli/wiring.py builds peers, state, members and homes as runners, and hands homes, then leadership over at the end of a drain. Conclusion: the daemon uses only the real ports.

--- a/currantdeal/cli/wiring.py
+++ b/currantdeal/cli/wiring.py
@@ -1,14 +1,58 @@
 """Builds the ports of an instance from its settings."""
 
-from currantdeal.adapters.errors import AdapterError
+from functools import partial
+
+from currantdeal.adapters.connections import Connections
+from currantdeal.adapters.engines import HttpEngines
+from currantdeal.adapters.gossip import build_members
+from currantdeal.adapters.homes import build_homes
+from currantdeal.adapters.peers import PeerPool, PeerServer
+from currantdeal.adapters.replication import build_state
+from currantdeal.cli.daemon import Ports, Runner
+
+HAND_OVER_TIMEOUT_S = 5.0
 
 
 def build_ports(*, settings, clock, metrics):
     """Return the ``Ports`` of an instance.
 
-    Raises
-    ------
-    AdapterError
-        Until replicated state, homes and membership are wired in.
+    Parameters
+    ----------
+    settings : Settings
+        Of the instance.
+    clock : Clock
+        Time.
+    metrics : MetricsPort
+        Counters of the instance.
     """
-    raise AdapterError("the replicated state is not wired in yet")
+    host, _, port = settings.peer_address.rpartition(":")
+    peer_server = PeerServer(host=host, port=int(port))
+    peer_pool = PeerPool()
+    state = build_state(settings, peer_server, peer_pool, clock)
+    members = build_members(settings=settings, clock=clock)
+    homes = build_homes(
+        settings=settings,
+        clock=clock,
+        state=state.port,
+        members=members,
+        engines=HttpEngines(connections=Connections()),
+        peer_server=peer_server,
+        peer_pool=peer_pool,
+    )
+    return Ports(
+        state=state.port,
+        homes=homes,
+        members=members,
+        runners=(
+            Runner(
+                name="peers", start=peer_server.start, stop=peer_server.stop
+            ),
+            Runner(name="state", start=state.start, stop=state.stop),
+            Runner(name="members", start=members.start, stop=members.stop),
+            Runner(name="homes", start=homes.start, stop=homes.stop),
+        ),
+        hand_over=(
+            partial(homes.hand_over, timeout_s=HAND_OVER_TIMEOUT_S),
+            partial(state.hand_over, timeout_s=HAND_OVER_TIMEOUT_S),
+        ),
+    )
