--- a/currantdeal/adapters/disk/tests/test_folder.py
+++ b/currantdeal/adapters/disk/tests/test_folder.py
@@ -200,11 +200,11 @@
     write = os.write
 
     def half_write(descriptor, raw):
-        write(descriptor, raw[:10])
+        write(descriptor, raw[:-1])
         raise OSError(errno.ENOSPC, "no space left")
 
     monkeypatch.setattr(folder.os, "write", half_write)
-    for change in (entries(4), snapshot(3)):
+    for change in (entries(4, 5, 6), snapshot(3)):
         with pytest.raises(DiskFullError):
             disk.save((change,))
     monkeypatch.setattr(folder.os, "write", write)
--- /dev/null
+++ b/currantdeal/consensus/tests/mutations.py
@@ -0,0 +1,333 @@
+"""Command that breaks the code in many places and sees each noticed.
+
+Every mutation is made in a copy of the source; then its check runs, which
+has to fail.  The result is printed as the table of
+``docs/measurements/mutations.md``.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import click
+
+import currantdeal
+
+SOURCE = Path(currantdeal.__file__).parent
+LIMIT_S = 600.0
+
+EXPLORE = ("currantdeal.consensus.tests.explore", "--seeds", "3000")
+
+
+def pytest(*paths):
+    """Return the arguments of a run of some tests."""
+    full = [f"currantdeal/{path}" for path in paths]
+    return ("pytest", "-x", "-q", "-p", "no:cacheprovider", *full)
+
+
+NODE = pytest("consensus/tests/test_node.py")
+DISK = pytest("adapters/disk")
+STATE = pytest("state")
+RUNTIME = pytest("adapters/replication")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Mutation:
+    """One broken place.
+
+    Parameters
+    ----------
+    title : str
+        What is broken.
+    path : str
+        The file, below the package.
+    old, new : str
+        Text that stands there once, and what replaces it.
+    check : tuple of str
+        Module and arguments that must fail.
+    """
+
+    title: str
+    path: str
+    old: str
+    new: str
+    check: tuple[str, ...]
+
+
+MUTATIONS = (
+    Mutation(
+        title="log entries are not synced",
+        path="adapters/disk/folder.py",
+        old="            self._sync(descriptor)\n        except OSError",
+        new="            pass\n        except OSError",
+        check=DISK,
+    ),
+    Mutation(
+        title="the folder is not synced after a rename",
+        path="adapters/disk/folder.py",
+        old="        self._sync_folder()\n        return len(raw)",
+        new="        return len(raw)",
+        check=DISK,
+    ),
+    Mutation(
+        title="writes go on after a failed sync",
+        path="adapters/disk/folder.py",
+        old="            self._failed = True\n"
+        "            raise DiskFailedError(str(exc)) from exc\n\n"
+        "    def _save_snapshot",
+        new="            raise DiskFailedError(str(exc)) from exc\n\n"
+        "    def _save_snapshot",
+        check=DISK,
+    ),
+    Mutation(
+        title="half a record stays after the disk was full",
+        path="adapters/disk/folder.py",
+        old="            os.ftruncate(self._file, self._length)\n"
+        "            os.lseek",
+        new="            os.lseek",
+        check=DISK,
+    ),
+    Mutation(
+        title="a record's checksum is not looked at",
+        path="adapters/disk/records.py",
+        old="if body_sum != _body_sum(body, offset):",
+        new="if False:",
+        check=DISK,
+    ),
+    Mutation(
+        title="a header's checksum is not looked at",
+        path="adapters/disk/records.py",
+        old="if found != _header_sum(header, offset):",
+        new="if False:",
+        check=DISK,
+    ),
+    Mutation(
+        title="a learner counts for a commit",
+        path="consensus/replication.py",
+        old="        for name in raft.configuration.voter_names\n"
+        "    ]\n"
+        "    agreed",
+        new="        for name in raft.configuration.voter_names\n"
+        "        + raft.configuration.learner_names\n"
+        "    ]\n"
+        "    agreed",
+        check=EXPLORE,
+    ),
+    Mutation(
+        title="the leader counts itself before its disk has synced",
+        path="consensus/replication.py",
+        old="        raft.synced if name == raft.me",
+        new="        raft.log.last_index if name == raft.me",
+        check=EXPLORE,
+    ),
+    Mutation(
+        title="entries of earlier terms are committed by counting",
+        path="consensus/replication.py",
+        old="if agreed > raft.commit "
+        "and raft.log.term_at(agreed) == raft.term",
+        new="if agreed > raft.commit",
+        check=EXPLORE,
+    ),
+    Mutation(
+        title="a learner is promoted before it has caught up",
+        path="consensus/replication.py",
+        old="if peer.match_index >= raft.commit and peer.acked_s >= recent_s:",
+        new="if recent_s:",
+        check=NODE,
+    ),
+    Mutation(
+        title="no pre-vote",
+        path="consensus/elections.py",
+        old="    raft.role = RaftRole.PRE_CANDIDATE\n    raft.leader = None\n",
+        new="    campaign(raft, now_s)\n    return\n",
+        check=NODE,
+    ),
+    Mutation(
+        title="votes without comparing logs",
+        path="consensus/elections.py",
+        old="    return theirs >= (raft.log.last_term, raft.log.last_index)",
+        new="    return True",
+        check=EXPLORE,
+    ),
+    Mutation(
+        title="votes twice in a term",
+        path="consensus/elections.py",
+        old="        and raft.voted_for in (None, request.sender)\n",
+        new="",
+        check=EXPLORE,
+    ),
+    Mutation(
+        title="a vote is not written",
+        path="consensus/raft.py",
+        old="        self.writes.append(SaveVote(term=term, "
+        "voted_for=voted_for))\n",
+        new="",
+        check=EXPLORE,
+    ),
+    Mutation(
+        title="a replica without memory votes",
+        path="consensus/elections.py",
+        old="        and not raft.blank\n        and _may_win",
+        new="        and _may_win",
+        check=EXPLORE,
+    ),
+    Mutation(
+        title="messages of an earlier term are accepted",
+        path="consensus/following.py",
+        old="    if message.term < raft.term:\n        return False\n",
+        new="",
+        check=EXPLORE,
+    ),
+    Mutation(
+        title="entries are taken without matching the one before",
+        path="consensus/following.py",
+        old="    return known == request.previous_term",
+        new="    return known is not None",
+        check=EXPLORE,
+    ),
+    Mutation(
+        title="a follower commits what it has not compared",
+        path="consensus/following.py",
+        old="    raft.commit = max(raft.commit, min(request.commit, match))",
+        new="    raft.commit = max(\n"
+        "        raft.commit, min(request.commit, raft.log.last_index)\n"
+        "    )",
+        check=EXPLORE,
+    ),
+    Mutation(
+        title="a snapshot leaves conflicting entries in place",
+        path="consensus/following.py",
+        old="    discard = raft.log.term_at(piece.index) != piece.index_term",
+        new="    discard = raft.log.term_at(piece.index) is None",
+        check=EXPLORE,
+    ),
+    Mutation(
+        title="two changes of the replica set at a time",
+        path="consensus/node.py",
+        old="        if self.change_pending:\n            raise",
+        new="        if False:\n            raise",
+        check=NODE,
+    ),
+    Mutation(
+        title="a leader without a quorum goes on",
+        path="consensus/replication.py",
+        old="        raft.follow(raft.term, None, now_s)\n        return\n",
+        new="        pass\n",
+        check=NODE,
+    ),
+    Mutation(
+        title="leases count from the answer, not from the heartbeat",
+        path="consensus/replication.py",
+        old="    return sorted(times, reverse=True)"
+        "[raft.configuration.quorum - 1]",
+        new="    return now_s + 0.0 * len(times)",
+        check=EXPLORE,
+    ),
+    Mutation(
+        title="a new leader does not wait for earlier leases",
+        path="consensus/leases.py",
+        old="        self._unknown_until_s = elected_s + self._longest_s",
+        new="        self._unknown_until_s = elected_s",
+        check=EXPLORE,
+    ),
+    Mutation(
+        title="a cut-off holder of a lease is not waited for",
+        path="consensus/leases.py",
+        old="holder.version >= version or holder.ends_s <= now_s",
+        new="holder.version >= version or holder.ends_s <= now_s + 1.0",
+        check=EXPLORE,
+    ),
+    Mutation(
+        title="an instance keeps its lease when it is cut off",
+        path="adapters/replication/port.py",
+        old="        return max(0.0, self._board.lease_ends_s - self._now_s)",
+        new="        return 1.0 if self._board.lease_ends_s else 0.0",
+        check=RUNTIME,
+    ),
+    Mutation(
+        title="a view is shown before a leader vouched for it",
+        path="adapters/replication/board.py",
+        old="        self._floor = None",
+        new="        self._floor = 0",
+        check=RUNTIME,
+    ),
+    Mutation(
+        title="a claim is granted a second time",
+        path="state/claims.py",
+        old="    if known is not None:\n"
+        "        return state, _meet_claim(known, command)\n",
+        new="",
+        check=STATE,
+    ),
+    Mutation(
+        title="the body's digest is not compared",
+        path="state/claims.py",
+        old="    if known.digest != command.digest:",
+        new="    if False:",
+        check=STATE,
+    ),
+    Mutation(
+        title="a change under an old version is made",
+        path="state/machine.py",
+        old="    if command.expected_version == current_version:",
+        new="    if command.expected_version <= current_version:",
+        check=STATE,
+    ),
+)
+
+
+@click.command()
+@click.option("--only", default="", help="Part of the title.")
+def main(only):
+    """Make each mutation and print whether its check failed."""
+    wanted = [each for each in MUTATIONS if only in each.title]
+    click.echo("| mutation | file | check | noticed | s |")
+    click.echo("|---|---|---|---|---|")
+    missed = sum(not _try(each) for each in wanted)
+    click.echo(f"\n{len(wanted)} mutations, {missed} not noticed")
+    sys.exit(1 if missed else 0)
+
+
+def _try(mutation):
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(folder) / "currantdeal"
+        shutil.copytree(
+            SOURCE, copy, ignore=shutil.ignore_patterns("__pycache__")
+        )
+        path = copy / mutation.path
+        text = path.read_text()
+        if text.count(mutation.old) != 1:
+            raise click.ClickException(f"{mutation.title}: text not found")
+        path.write_text(text.replace(mutation.old, mutation.new))
+        start_s = time.monotonic()
+        caught = _fails(folder, mutation.check)
+    elapsed_s = time.monotonic() - start_s
+    name = next(
+        part for part in mutation.check[::-1] if "." in part or "/" in part
+    )
+    click.echo(
+        f"| {mutation.title} | {mutation.path} | {name} "
+        f"| {'yes' if caught else 'NO'} | {elapsed_s:.0f} |"
+    )
+    return caught
+
+
+def _fails(folder, check):
+    run = subprocess.run(
+        [sys.executable, "-m", *check],
+        cwd=folder,
+        env={**os.environ, "PYTHONPATH": folder},
+        capture_output=True,
+        timeout=LIMIT_S,
+        check=False,
+    )
+    return run.returncode != 0
+
+
+if __name__ == "__main__":
+    main()
