Add the scheduler and the fake of the load experiments

Cause: each policy module alone shows nothing of what callers receive. Change: Scheduler puts the decisions of one instance in order; LoadView corrects lagged reports; a fake of engines and links with a manual clock, a baseline router and the product's policy over it.

--- /dev/null
+++ b/benchmarks/current.py
@@ -0,0 +1,315 @@
+"""The product's policy over the fake engines.
+
+Eight entries, each with its own scheduler, and one ledger for each engine,
+as its home would keep it.  Reservations take no time here; loads are seen as
+they were at the last report.
+"""
+
+from random import Random
+
+from currantdeal.core import Ran, Role
+from currantdeal.policy import (
+    FairQueue,
+    GiveUp,
+    Ledger,
+    LedgerLimits,
+    LedgerRefusal,
+    Pools,
+    Refused,
+    RetryBudget,
+    Scheduler,
+)
+
+from benchmarks.deployments import MODEL
+from benchmarks.fake import Stream
+
+REPORT_S = 0.5
+
+
+class Current:
+    """Routes by ``currantdeal.policy``.
+
+    Parameters
+    ----------
+    scenario : Scenario
+        Gives the deployment.
+    make_ledger, make_scheduler : callable, optional
+        Build other parts, for ablations.
+    """
+
+    preempts = False
+
+    def __init__(
+        self,
+        *,
+        scenario,
+        loop,
+        engines,
+        rng,
+        make_ledger=None,
+        make_scheduler=None,
+    ):
+        """Build entries, ledgers and the first reports."""
+        deployment = scenario.deployment
+        self._loop = loop
+        self._engines = engines
+        self._rng = rng
+        self._weights = deployment.weights
+        self._reports = {}
+        self._pools = _pools(engines)
+        make_ledger = make_ledger or Ledger
+        self._ledgers = {
+            name: make_ledger(limits=_limits(eng), weights=self._weights)
+            for name, eng in engines.items()
+        }
+        make_scheduler = make_scheduler or Scheduler
+        self._entries = [
+            _Entry(
+                router=self,
+                name=f"entry-{index}",
+                region=deployment.regions[index % len(deployment.regions)],
+                rng=Random(rng.random()),
+                make_scheduler=make_scheduler,
+            )
+            for index in range(deployment.entries)
+        ]
+        self._report()
+
+    def arrive(self, request):
+        """Give a request to an entry in its caller's region."""
+        near = [
+            entry
+            for entry in self._entries
+            if entry.region == request.work.region
+        ]
+        self._rng.choice(near).arrive(request)
+
+    def hang_up(self, request):
+        """Cancel what runs for a caller that is gone."""
+        for entry in self._entries:
+            entry.scheduler.cancel(request.work.request_id)
+        for engine in request.engines:
+            engine.cancel((request.work.request_id, request.attempt))
+            self._ledgers[engine.upstream.upstream_id].release(
+                request.work.request_id
+            )
+
+    def _report(self):
+        for name, engine in self._engines.items():
+            self._reports[name] = engine.report()
+        self._loop.after(REPORT_S, self._report)
+
+
+class _Entry:
+    """One instance that serves callers."""
+
+    def __init__(self, *, router, name, region, rng, make_scheduler):
+        self.region = region
+        self._loop = router._loop
+        self._ledgers = router._ledgers
+        self._engines = router._engines
+        self._pools = router._pools
+        self._requests = {}
+        self._budget = RetryBudget(rng=rng)
+        self._polling = False
+        self.scheduler = make_scheduler(
+            entry=name,
+            rng=rng,
+            load=router._reports.get,
+            weights=router._weights,
+            queue=FairQueue(),
+        )
+
+    def arrive(self, request):
+        self._budget.record_try()
+        self._submit(request)
+
+    def _submit(self, request):
+        now_s = self._loop.now_s
+        decision = self.scheduler.submit(request.work, now_s=now_s)
+        if isinstance(decision, Refused):
+            request.refused = True
+            return
+        self._requests[request.work.request_id] = request
+        self._poll()
+
+    def _poll(self):
+        while True:
+            due = self.scheduler.poll(self._pools, now_s=self._loop.now_s)
+            for message in due:
+                self._handle(message)
+            if not due:
+                break
+        self._sleep()
+
+    def _sleep(self):
+        wait_s = self.scheduler.wake_in_s(self._loop.now_s)
+        if wait_s is not None and not self._polling:
+            self._polling = True
+            self._loop.after(max(wait_s, 0.001), self._wake)
+
+    def _wake(self):
+        self._polling = False
+        self._poll()
+
+    def _handle(self, message):
+        if isinstance(message, GiveUp):
+            self._requests.pop(message.work.request_id).refused = True
+        else:
+            self._reserve(message)
+
+    def _reserve(self, plan):
+        now_s = self._loop.now_s
+        decode = plan.choice.decode.upstream_id
+        prefill = plan.choice.prefill.upstream_id
+        memory = self._ledgers[decode].reserve(plan.decode_ask, now_s=now_s)
+        if isinstance(memory, LedgerRefusal):
+            self._blocked(plan, decode, memory)
+            return
+        time = self._ledgers[prefill].reserve(plan.prefill_ask, now_s=now_s)
+        if isinstance(time, LedgerRefusal):
+            self._ledgers[decode].release(plan.work.request_id)
+            self._blocked(plan, prefill, time)
+            return
+        self.scheduler.reserved(plan, now_s=now_s)
+        request = self._requests.pop(plan.work.request_id)
+        self._loop.after(time.start_in_s, self._start, request, plan, now_s)
+
+    def _blocked(self, plan, upstream_id, refusal):
+        self.scheduler.blocked(
+            plan,
+            upstream_id,
+            retry_after_s=refusal.retry_after_s,
+            now_s=self._loop.now_s,
+        )
+
+    def _start(self, request, plan, planned_s):
+        source = self._engines[plan.choice.prefill.upstream_id]
+        target = self._engines[plan.choice.decode.upstream_id]
+        if request.gone:
+            self._release(request, plan)
+            return
+        request.attempt += 1
+        request.engines = (source, target)
+        _Run(
+            entry=self, request=request, plan=plan, planned_s=planned_s
+        ).start(source, target)
+
+    def _release(self, request, plan):
+        for upstream in (plan.choice.decode, plan.choice.prefill):
+            self._ledgers[upstream.upstream_id].release(
+                request.work.request_id
+            )
+
+
+class _Run:
+    """One attempt at a request, from prefill to the last output."""
+
+    def __init__(self, *, entry, request, plan, planned_s):
+        self._entry = entry
+        self._request = request
+        self._plan = plan
+        self._planned_s = planned_s
+        self._before = request.computed_tokens
+        self._began_s = entry._loop.now_s
+        self._prefill_s = 0.0
+
+    def start(self, source, target):
+        left_s = self._request.work.deadline_s - self._began_s
+        self._entry._loop.after(left_s, self._check_late)
+        source.prefill(
+            self._request,
+            lambda expires_s: self._prefilled(source, target, expires_s),
+        )
+
+    def _prefilled(self, source, target, expires_s):
+        entry, request = self._entry, self._request
+        self._prefill_s = entry._loop.now_s - self._began_s
+        name = source.upstream.upstream_id
+        entry._ledgers[name].release(request.work.request_id)
+        ledger = entry._ledgers[target.upstream.upstream_id]
+        stream = Stream(
+            request=request,
+            pieces=self._plan.decode_ask.pieces,
+            grow=lambda: ledger.grow(request.work.request_id, pieces=1),
+            ended=lambda whole: self._ended(whole),
+        )
+
+        def fetched(arrived):
+            if arrived and not request.gone:
+                target.decode(stream)
+            else:
+                target.cancel(stream.key)
+                self._failed()
+
+        target.fetch(source, stream, expires_s, fetched)
+
+    def _check_late(self):
+        # A late answer is worth nothing to the caller but goes on holding
+        # memory that an answer in time could use.
+        if self._request.first_s is None and not self._request.gone:
+            self._request.gone = True
+            for engine in self._request.engines:
+                engine.cancel(
+                    (self._request.work.request_id, self._request.attempt)
+                )
+            self._entry._release(self._request, self._plan)
+
+    def _failed(self):
+        entry, request = self._entry, self._request
+        entry._release(request, self._plan)
+        if request.gone:
+            return
+        decision = entry._budget.decide(
+            ran=Ran.YES,
+            idempotent=True,
+            attempts=request.attempt,
+            time_left_s=request.work.deadline_s - entry._loop.now_s,
+        )
+        if decision.allowed:
+            entry._loop.after(decision.delay_s, entry._submit, request)
+        else:
+            request.refused = True
+
+    def _ended(self, whole):
+        entry, request = self._entry, self._request
+        entry._release(request, self._plan)
+        if not whole:
+            return
+        request.done = True
+        request.useful_tokens = request.computed_tokens - self._before
+        now_s = entry._loop.now_s
+        entry.scheduler.first_output(
+            self._plan,
+            prefill_s=self._prefill_s,
+            path_s=request.first_s - self._planned_s,
+            now_s=now_s,
+        )
+        steps = max(1, request.tokens - 1)
+        entry.scheduler.finished(
+            self._plan,
+            tokens=request.tokens,
+            between_s=(request.last_s - request.first_s) / steps,
+            now_s=now_s,
+        )
+        entry._poll()
+
+
+def _pools(engines):
+    upstreams = [eng.upstream for eng in engines.values()]
+    return Pools(
+        prefills=tuple(up for up in upstreams if Role.PREFILL in up.roles),
+        decodes=tuple(up for up in upstreams if Role.DECODE in up.roles),
+    )
+
+
+def _limits(engine):
+    upstream = engine.upstream
+    prefills = Role.PREFILL in upstream.roles
+    return LedgerLimits(
+        pieces_total=0 if prefills else upstream.pieces_total,
+        prefill_tokens_per_s=(
+            engine.model.prefill_tokens_per_s if prefills else 0.0
+        ),
+        link_bytes_per_s=upstream.link_bytes_per_s,
+    )
--- /dev/null
+++ b/benchmarks/scenario.py
@@ -0,0 +1,102 @@
+"""What happens in one run: who sends how much, and which engine is slow."""
+
+from dataclasses import dataclass, field, replace
+
+from benchmarks.deployments import CallerProfile, Deployment, draw_work
+from benchmarks.fake import Request
+
+WARM_UP_S = 10.0
+MEASURED_S = 50.0
+DRAIN_S = 40.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Phase:
+    """A stretch of time with one offered load.
+
+    Parameters
+    ----------
+    load : float
+        Offered load as a multiple of capacity.
+    """
+
+    from_s: float
+    load: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Scenario:
+    """One run.
+
+    Parameters
+    ----------
+    phases : tuple of Phase
+        In order of time; the first starts at 0.
+    callers : tuple of CallerProfile
+        Shares add up to 1; empty for the deployment's own callers.
+    slow_engine : str
+        Upstream that gets slow; empty for none.
+    slow_factor, slow_from_s, slow_until_s : float
+        How slow and when.
+    """
+
+    deployment: Deployment
+    phases: tuple[Phase, ...]
+    callers: tuple[CallerProfile, ...] = ()
+    slow_engine: str = ""
+    slow_factor: float = 1.0
+    slow_from_s: float = WARM_UP_S
+    slow_until_s: float = float("inf")
+    measured_s: float = MEASURED_S
+    label: str = field(default="")
+
+    @property
+    def end_s(self):
+        """Time of the last arrival, in seconds."""
+        return WARM_UP_S + self.measured_s
+
+    def load_at(self, now_s):
+        """Return the offered load at some time."""
+        current = [ph.load for ph in self.phases if ph.from_s <= now_s]
+        return current[-1]
+
+
+def steady(deployment, load, **changes):
+    """Return a scenario of one constant load."""
+    phases = (Phase(from_s=0.0, load=load),)
+    return Scenario(deployment=deployment, phases=phases, **changes)
+
+
+def arrivals(scenario, rng):
+    """Return the requests of a run in order of arrival.
+
+    Arrivals are a Poisson process at the rate of the phase.
+    """
+    deployment = scenario.deployment
+    callers = scenario.callers or deployment.callers
+    shares = [caller.share for caller in callers]
+    capacity = deployment.capacity_per_s()
+    found = []
+    now_s = 0.0
+    while True:
+        now_s += rng.expovariate(capacity * scenario.load_at(now_s))
+        if now_s >= scenario.end_s:
+            return found
+        profile = rng.choices(callers, shares)[0]
+        work, output = draw_work(
+            rng,
+            profile,
+            request_id=f"r{len(found)}",
+            now_s=now_s,
+            deployment=deployment,
+        )
+        found.append(Request(work=work, output_tokens=output))
+
+
+def with_shares(callers, shares):
+    """Return callers with other shares, normalized to a sum of 1."""
+    total = sum(shares)
+    return tuple(
+        replace(caller, share=share / total)
+        for caller, share in zip(callers, shares, strict=True)
+    )
--- a/currantdeal/policy/__init__.py
+++ b/currantdeal/policy/__init__.py
@@ -15,10 +15,12 @@
     LedgerRefusal,
 )
 from currantdeal.policy.lengths import OutputLengths
-from currantdeal.policy.outliers import SlowUpstreams, Standing
+from currantdeal.policy.load_view import Load, LoadView
+from currantdeal.policy.outliers import SlowUpstreams, Standing, slow_group
 from currantdeal.policy.placement import Choice, Placement
 from currantdeal.policy.prefixes import BLOCK_TOKENS, PrefixHints
 from currantdeal.policy.retry import RetryBudget, RetryDecision
+from currantdeal.policy.scheduler import GiveUp, Plan, Pools, Scheduler
 from currantdeal.policy.weights import EVEN_WEIGHTS, UserWeights
 
 __all__ = [
@@ -29,19 +31,26 @@
     "Choice",
     "EVEN_WEIGHTS",
     "FairQueue",
+    "GiveUp",
     "Ledger",
     "LedgerGrant",
     "LedgerLimits",
     "LedgerRefusal",
+    "Load",
+    "LoadView",
     "OutputLengths",
     "Placement",
+    "Plan",
+    "Pools",
     "PrefixHints",
     "Queued",
     "Refused",
     "RetryBudget",
     "RetryDecision",
+    "Scheduler",
     "SlowUpstreams",
     "Standing",
     "StartRate",
     "UserWeights",
+    "slow_group",
 ]
--- a/currantdeal/policy/admission.py
+++ b/currantdeal/policy/admission.py
@@ -162,6 +162,10 @@
             )
         return Admitted(predicted_s=predicted_s)
 
+    def give_up(self, *, wait_s):
+        """Return ``Refused`` for work that waited and cannot be in time."""
+        return self._refuse("the deadline can no longer be met", wait_s)
+
     def _refuse(self, reason, after_s):
         bounded_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, after_s))
         # Callers refused together would come back together; the spread keeps
--- a/currantdeal/policy/fair_queue.py
+++ b/currantdeal/policy/fair_queue.py
@@ -121,13 +121,6 @@
         self._cost_s += cost_s
         self._size += 1
 
-    def put_back(self, queued):
-        """Undo a pop, after the work could not be started."""
-        work = queued.work
-        finish = self._finish.get(work.caller, self._virtual)
-        self._finish[work.caller] = finish - self._share(queued)
-        self.push(work, cost_s=queued.cost_s)
-
     def pop(self):
         """Return the next ``Queued``, or None when nothing waits."""
         while self._heads:
--- a/currantdeal/policy/outliers.py
+++ b/currantdeal/policy/outliers.py
@@ -43,6 +43,11 @@
     out_until_s: float = 0.0
 
 
+def slow_group(work, role):
+    """Return the group in which an upstream's speed is compared."""
+    return (role, work.target)
+
+
 class SlowUpstreams:
     """Keeps slow upstreams out of the choice.
 
--- a/currantdeal/policy/placement.py
+++ b/currantdeal/policy/placement.py
@@ -27,7 +27,8 @@
 
 from dataclasses import dataclass
 
-from currantdeal.core import Upstream
+from currantdeal.core import Role, Upstream
+from currantdeal.policy.outliers import slow_group
 
 NEAR_SAMPLES = 8
 FAR_SAMPLES = 2
@@ -53,6 +54,9 @@
         Predicted time until the prefill has ended, in seconds.
     transfer_s : float
         Predicted time of the transfer, in seconds.
+    full : bool
+        True when the engines were full a moment ago, so that asking their
+        homes again is of no use yet.
     """
 
     decode: Upstream
@@ -60,6 +64,7 @@
     cached_tokens: float
     prefill_s: float
     transfer_s: float
+    full: bool = False
 
 
 class Placement:
@@ -82,7 +87,7 @@
         self._slow = slow
         self._pools = {}
 
-    def choose(self, work, *, prefills, decodes, load, pieces, now_s):
+    def choose(self, work, *, prefills, decodes, load, tokens, now_s):
         """Return a ``Choice``, or None when no engine matches.
 
         Parameters
@@ -90,36 +95,51 @@
         prefills, decodes : tuple of Upstream
             Those that the selectors allow; the same tuple object as long as
             nothing changed, which saves sorting them by region again.
-        load : callable
-            From an upstream id to its last ``LoadReport`` or None.
-        pieces : int
-            Pieces of decode memory that the work needs.
+        load : LoadView
+            Believed loads.
+        tokens : int
+            Tokens of prompt and expected output, to be held in memory.
         """
-        decode = self._choose_decode(work, decodes, load, pieces, now_s)
+        decode = self._choose_decode(work, decodes, load, tokens, now_s)
         if decode is None:
             return None
         held = self._hints.holders(work.prefix_keys, now_s=now_s)
         pool = self._pool(prefills)
-        found = self._candidates(pool, decode.region, held, now_s)
+        found = self._candidates(
+            pool, decode.region, held, slow_group(work, Role.PREFILL), now_s
+        )
         best = None
         for upstream in found:
-            choice = _prefill_choice(work, decode, upstream, held, load)
+            believed = load.get(upstream.upstream_id, now_s=now_s)
+            cached = held.get(upstream.upstream_id, 0.0)
+            full = believed.full or load.is_full(
+                decode.upstream_id, now_s=now_s
+            )
+            choice = _prefill_choice(
+                work, decode, upstream, cached, believed, full
+            )
             score = _price(choice, work)
+            if believed.full:
+                score += FULL_PENALTY_S
             if best is None or score < best[0]:
                 best = (score, choice)
         return best[1] if best else None
 
-    def _choose_decode(self, work, decodes, load, pieces, now_s):
+    def _choose_decode(self, work, decodes, load, tokens, now_s):
         pool = self._pool(decodes)
         best = None
-        for upstream in self._candidates(pool, work.region, {}, now_s):
-            score = _decode_price(work, upstream, load, pieces)
+        group = slow_group(work, Role.DECODE)
+        for upstream in self._candidates(
+            pool, work.region, {}, group, now_s
+        ):
+            believed = load.get(upstream.upstream_id, now_s=now_s)
+            score = _decode_price(work, upstream, believed, tokens)
             score += self._rng.random() * SPREAD_S
             if best is None or score < best[0]:
                 best = (score, upstream)
         return best[1] if best else None
 
-    def _candidates(self, pool, region, held, now_s):
+    def _candidates(self, pool, region, held, group, now_s):
         found = _sample(self._rng, pool.near(region), NEAR_SAMPLES)
         found += _sample(self._rng, pool.far(region), FAR_SAMPLES)
         names = sorted(held, key=held.get, reverse=True)[:MAX_HOLDERS]
@@ -130,7 +150,7 @@
         healthy = [
             up
             for up in found
-            if not self._slow.is_out(pool.group, up.upstream_id, now_s=now_s)
+            if not self._slow.is_out(group, up.upstream_id, now_s=now_s)
         ]
         return healthy or found
 
@@ -149,7 +169,6 @@
     def __init__(self, upstreams):
         self.upstreams = upstreams
         self.by_name = {up.upstream_id: up for up in upstreams}
-        self.group = upstreams[0].roles if upstreams else ()
         self._near = {}
         self._far = {}
 
@@ -174,33 +193,30 @@
     return rng.sample(upstreams, wanted)
 
 
-def _decode_price(work, upstream, load, pieces):
-    report = load(upstream.upstream_id)
-    free = upstream.pieces_total if report is None else report.pieces_free
+def _decode_price(work, upstream, believed, tokens):
     total = max(1, upstream.pieces_total)
-    price_s = 1.0 - max(0, free - pieces) / total
-    if free < pieces:
+    free = total if believed.pieces_free is None else believed.pieces_free
+    left = free - tokens // upstream.tokens_per_piece
+    price_s = 1.0 - max(0, left) / total
+    if left < 0 or believed.full:
         price_s += FULL_PENALTY_S
     if upstream.region != work.region:
         price_s += FAR_DELAY_S
     return price_s
 
 
-def _prefill_choice(work, decode, upstream, held, load):
-    report = load(upstream.upstream_id)
-    rate = DEFAULT_PREFILL_TOKENS_PER_S
-    queued = 0
-    if report is not None:
-        queued = report.queued_tokens
-        rate = report.prefill_tokens_per_s or rate
-    cached = min(held.get(upstream.upstream_id, 0.0), work.prompt_tokens)
-    to_compute = queued + work.prompt_tokens - cached
+def _prefill_choice(work, decode, upstream, cached, believed, full):
+    rate = believed.prefill_tokens_per_s or DEFAULT_PREFILL_TOKENS_PER_S
+    cached = min(cached, work.prompt_tokens)
+    wait_s = believed.queued_tokens / rate
+    computing_s = (work.prompt_tokens - cached) / rate
     return Choice(
         decode=decode,
         prefill=upstream,
         cached_tokens=cached,
-        prefill_s=to_compute / rate,
+        prefill_s=wait_s + computing_s,
         transfer_s=_transfer_s(work, upstream, decode),
+        full=full,
     )
 
 
