Let serving run the scheduler that the experiments measure

Cause: serving put admission, queue and placement together in its own way: blocked work went back into the queue and lost its turn, loads were not corrected by own sendings, speeds were compared among all engines of a role whatever their model, and what work waited for was never looked at again. So the experiments measured other decisions than callers get. Change: Scheduler.poll hands out Plan, Wait and GiveUp; the actor Decisions passes them to the waiting threads by their tickets. WaitingRoom and Need are gone. Scheduler learns prefill speed, path time and output speed itself. Ruled out: keeping both and testing that they agree; two compositions drift. Conclusion: one composition of the policy.

--- a/benchmarks/current.py
+++ b/benchmarks/current.py
@@ -8,6 +8,7 @@
 from random import Random
 
 from benchmarks.fake import Stream
+from benchmarks.measures import itl_s
 from currantdeal.core import Ran, Role
 from currantdeal.policy import (
     FairQueue,
@@ -15,10 +16,12 @@
     Ledger,
     LedgerLimits,
     LedgerRefusal,
+    Plan,
     Pools,
     Refused,
     RetryBudget,
     Scheduler,
+    Wait,
 )
 
 REPORT_S = 0.5
@@ -106,15 +109,14 @@
         self._loop = router._loop
         self._ledgers = router._ledgers
         self._engines = router._engines
-        self._pools = router._pools
         self._requests = {}
         self._budget = RetryBudget(rng=rng)
-        self._polling = False
         self.scheduler = make_scheduler(
             entry=name,
             rng=rng,
             load=router._reports.get,
             weights=router._weights,
+            pools=lambda work: router._pools,
             queue=FairQueue(),
         )
 
@@ -133,26 +135,17 @@
 
     def _poll(self):
         while True:
-            due = self.scheduler.poll(self._pools, now_s=self._loop.now_s)
+            due = self.scheduler.poll(now_s=self._loop.now_s)
             for message in due:
                 self._handle(message)
-            if not due:
+            if not any(isinstance(message, Plan) for message in due):
                 break
-        self._sleep()
-
-    def _sleep(self):
-        wait_s = self.scheduler.wake_in_s(self._loop.now_s)
-        if wait_s is not None and not self._polling:
-            self._polling = True
-            self._loop.after(max(wait_s, 0.001), self._wake)
-
-    def _wake(self):
-        self._polling = False
-        self._poll()
 
     def _handle(self, message):
         if isinstance(message, GiveUp):
             self._requests.pop(message.work.request_id).refused = True
+        elif isinstance(message, Wait):
+            self._loop.after(message.delay_s, self._poll)
         else:
             self._reserve(message)
 
@@ -210,7 +203,6 @@
         self._planned_s = planned_s
         self._before = request.computed_tokens
         self._began_s = entry._loop.now_s
-        self._prefill_s = 0.0
 
     def start(self, source, target):
         left_s = self._request.work.deadline_s - self._began_s
@@ -222,8 +214,16 @@
 
     def _prefilled(self, source, target, expires_s):
         entry, request = self._entry, self._request
-        self._prefill_s = entry._loop.now_s - self._began_s
+        now_s = entry._loop.now_s
         name = source.upstream.upstream_id
+        computed = request.computed_tokens - self._before
+        entry.scheduler.prefilled(
+            request.work,
+            name,
+            cached_tokens=request.work.prompt_tokens - computed,
+            taken_s=now_s - self._began_s,
+            now_s=now_s,
+        )
         entry._ledgers[name].release(request.work.request_id)
         ledger = entry._ledgers[target.upstream.upstream_id]
         stream = Stream(
@@ -285,17 +285,13 @@
         request.done = True
         request.useful_tokens = request.computed_tokens - self._before
         now_s = entry._loop.now_s
-        entry.scheduler.first_output(
-            self._plan,
-            prefill_s=self._prefill_s,
-            path_s=request.first_s - self._planned_s,
-            now_s=now_s,
-        )
-        steps = max(1, request.tokens - 1)
+        path_s = request.first_s - self._planned_s
+        entry.scheduler.first_output(request.work, path_s=path_s)
         entry.scheduler.finished(
-            self._plan,
+            request.work,
+            self._plan.choice.decode.upstream_id,
             tokens=request.tokens,
-            between_s=(request.last_s - request.first_s) / steps,
+            between_s=itl_s(request),
             now_s=now_s,
         )
         entry._poll()
--- a/currantdeal/cli/serving.py
+++ b/currantdeal/cli/serving.py
@@ -3,7 +3,6 @@
 import random
 from dataclasses import dataclass
 
-from currantdeal.policy import UserWeights
 from currantdeal.serving.calls import CallService
 from currantdeal.serving.claims import ClaimBook
 from currantdeal.serving.cleanup import Cleaner
@@ -14,7 +13,6 @@
 from currantdeal.serving.reservations import Reserver
 from currantdeal.serving.silence import SilenceLimits
 from currantdeal.serving.view import ServingView
-from currantdeal.serving.waiting import WaitingRoom
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -54,20 +52,13 @@
         engines=engines, homes=ports.homes, clock=clock, metrics=metrics
     )
     hangups = HangUpMonitor(cleaner=cleaner)
-    weights = UserWeights(
-        goodput=settings.weights.goodput,
-        wasted_prefill=settings.weights.wasted_prefill,
-    )
     decisions = Decisions.start(
+        instance=settings.instance,
+        view=view,
         clock=clock,
         rng=random.Random(),
         load=ports.homes.load,
-        weights=weights,
-    )
-    waiting = WaitingRoom.start(
-        clock=clock,
-        rng=random.Random(),
-        weights=weights,
+        weights=settings.weights,
         caller_weights=_caller_weights(settings.keys),
     )
     reserver = Reserver(
@@ -75,7 +66,6 @@
         view=view,
         homes=ports.homes,
         decisions=decisions.proxy(),
-        waiting=waiting.proxy(),
         cleaner=cleaner,
         clock=clock,
     )
@@ -108,7 +98,7 @@
         cleaner=cleaner,
         hangups=hangups,
         in_flight=InFlight(limit=limit),
-        actors=(decisions, waiting),
+        actors=(decisions,),
     )
 
 
--- a/currantdeal/membership/home.py
+++ b/currantdeal/membership/home.py
@@ -220,7 +220,7 @@
             prefill_tokens_per_s=self._rate,
             link_bytes_per_s=self._upstream.link_bytes_per_s,
         )
-        return Ledger(limits=limits, weights=self._weights)
+        return Ledger(limits=limits)
 
 
 def _ask_of(request):
--- a/currantdeal/policy/__init__.py
+++ b/currantdeal/policy/__init__.py
@@ -20,7 +20,7 @@
 from currantdeal.policy.placement import Choice, Placement
 from currantdeal.policy.prefixes import BLOCK_TOKENS, PrefixHints
 from currantdeal.policy.retry import RetryBudget, RetryDecision
-from currantdeal.policy.scheduler import GiveUp, Plan, Pools, Scheduler
+from currantdeal.policy.scheduler import GiveUp, Plan, Pools, Scheduler, Wait
 from currantdeal.policy.weights import EVEN_WEIGHTS, UserWeights
 
 __all__ = [
@@ -52,5 +52,6 @@
     "Standing",
     "StartRate",
     "UserWeights",
+    "Wait",
     "slow_group",
 ]
--- a/currantdeal/policy/scheduler.py
+++ b/currantdeal/policy/scheduler.py
@@ -8,11 +8,14 @@
 
 ``submit`` admits work or refuses it.  ``poll`` hands out plans for the work
 whose turn it is, and gives up on work that can no longer be in time.  The
-caller of the scheduler reserves what the plan asks for, decode first, and
-tells how that went by ``reserved`` or ``blocked``.  Blocked work keeps its
-turn: it is planned again, before anything behind it, once the home's
-time to retry has passed.  At most four plans are out at once, because more
-would turn the queue's order into a race between reservations.
+caller of the scheduler reserves what the plan asks for, decode first, tells
+how that went by ``reserved`` or ``blocked``, and polls again.  Blocked work
+keeps its turn: it is planned again at once for another engine, before
+anything behind it, and when every engine is full ``poll`` returns a ``Wait``,
+after which it is to be called again.  At most four plans are out at once,
+because more would turn the queue's order into a race between reservations; a
+reservation takes one round trip, about 25 ms between regions, so four plans
+still start 160 requests a second.
 """
 
 from collections import deque
@@ -38,6 +41,7 @@
 MAX_RATIO = 4.0
 SWEEP_S = 0.05
 FULL_RETRY_S = 0.02
+USUAL_PREFILL_S = 0.01
 INITIAL_RATE = 50.0
 
 
@@ -60,9 +64,12 @@
     ----------
     decode_ask, prefill_ask : Ask
         Reserved in this order at the homes of the chosen engines.
+    output_tokens : int
+        Output tokens that the decode memory is meant for.
     """
 
     work: Work
+    output_tokens: int
     choice: Choice
     decode_ask: Ask
     prefill_ask: Ask
@@ -76,6 +83,14 @@
     refused: Refused
 
 
+@dataclass(frozen=True, kw_only=True)
+class Wait:
+    """Work whose turn it is while every engine is full; poll again later."""
+
+    work: Work
+    delay_s: float
+
+
 class Scheduler:
     """Decides for one target at one instance.
 
@@ -87,6 +102,8 @@
         All chance in the decisions.
     load : callable
         From an upstream id to its last ``LoadReport`` or None.
+    pools : callable
+        From work to the ``Pools`` that the selectors allow for it.
     weights : UserWeights
         What the user weighs more.
     queue, admission, lengths, hints, slow, placement : optional
@@ -98,13 +115,14 @@
     >>> from currantdeal.core import Work, WorkKind
     >>> from currantdeal.policy import Pools, Scheduler
     >>> scheduler = Scheduler(
-    ...     entry="i1", rng=Random(1), load=lambda name: None)
+    ...     entry="i1", rng=Random(1), load=lambda name: None,
+    ...     pools=lambda work: Pools(prefills=(), decodes=()))
     >>> work = Work(request_id="r", caller="c", kind=WorkKind.CHAT,
     ...             target="m", region="r1", prompt_tokens=800)
-    >>> scheduler.submit(work, now_s=0.0)
-    Admitted(predicted_s=0.12)
-    >>> scheduler.poll(Pools(prefills=(), decodes=()), now_s=0.0)
-    ()
+    >>> round(scheduler.submit(work, now_s=0.0).predicted_s, 2)
+    0.12
+    >>> [message.delay_s for message in scheduler.poll(now_s=0.0)]
+    [0.02]
     """
 
     def __init__(
@@ -113,6 +131,7 @@
         entry,
         rng,
         load,
+        pools,
         weights=EVEN_WEIGHTS,
         queue=None,
         admission=None,
@@ -133,6 +152,7 @@
             rng=rng, hints=self._hints, slow=self._slow
         )
         self._load = LoadView(source=load)
+        self._pools_of = pools
         self._rate = StartRate(initial=INITIAL_RATE)
         self._blocked = deque()
         self._plans = {}
@@ -164,31 +184,19 @@
             self._queue.push(work, cost_s=cost_s)
         return decision
 
-    def poll(self, pools, *, now_s):
-        """Return the ``Plan`` and ``GiveUp`` messages that are due."""
+    def poll(self, *, now_s):
+        """Return the ``Plan``, ``Wait`` and ``GiveUp`` messages now due."""
         due = list(self._sweep(now_s))
         while len(self._plans) < MAX_PLANS:
             queued = self._next(now_s)
             if queued is None:
                 break
-            if self._is_late(queued.work, now_s):
-                due.append(self._give_up(queued.work))
-                continue
-            plan = self._plan(queued.work, pools, now_s)
-            if plan is None:
-                self._blocked.append((now_s + FULL_RETRY_S, queued))
+            message = self._turn(queued, now_s)
+            due.append(message)
+            if isinstance(message, Wait):
                 break
-            self._plans[queued.work.request_id] = queued
-            due.append(plan)
         return tuple(due)
 
-    def wake_in_s(self, now_s):
-        """Return seconds until the next poll is useful, None if never."""
-        if not self.waiting:
-            return None
-        times = [at_s - now_s for at_s, _ in self._blocked]
-        return max(0.0, min([SWEEP_S, *times]))
-
     def reserved(self, plan, *, now_s):
         """Take in that all of a plan was reserved and its work starts."""
         queued = self._plans.pop(plan.work.request_id, None)
@@ -231,47 +239,60 @@
         removed = self._queue.remove_if(lambda q: _id(q) == request_id)
         return was_blocked or bool(removed)
 
-    def first_output(self, plan, *, prefill_s, path_s, now_s):
-        """Learn from the first output of started work.
+    def prefilled(self, work, upstream_id, *, cached_tokens, taken_s, now_s):
+        """Learn from a prefill.
 
         Parameters
         ----------
-        prefill_s : float
-            Time the prefill took, its wait included, in seconds.
-        path_s : float
-            Time from the start to the first output, in seconds.
+        cached_tokens : int
+            Leading tokens that the engine did not have to compute.
+        taken_s : float
+            Time from sending to the result, in seconds.
         """
-        ratio = path_s / max(1e-3, _ideal_path_s(plan.work))
-        ratio = min(MAX_RATIO, ratio)
+        if work.prefix_keys and not cached_tokens:
+            self._hints.forget(upstream_id, work.prefix_keys)
+        self._hints.learn(upstream_id, work.prefix_keys, now_s=now_s)
+        computed = max(0, work.prompt_tokens - cached_tokens)
+        usual_s = USUAL_PREFILL_S + computed / DEFAULT_PREFILL_TOKENS_PER_S
+        group = slow_group(work, Role.PREFILL)
+        self._slow.observe(group, upstream_id, taken_s / usual_s, now_s=now_s)
+
+    def first_output(self, work, *, path_s):
+        """Learn from the time between start and first output, in seconds."""
+        ratio = min(MAX_RATIO, path_s / _ideal_path_s(work))
         self._path_ratio += RATIO_SMOOTHING * (ratio - self._path_ratio)
-        tokens = max(1, plan.prefill_ask.prefill_tokens)
-        self._slow.observe(
-            slow_group(plan.work, Role.PREFILL),
-            plan.choice.prefill.upstream_id,
-            prefill_s / tokens,
-            now_s=now_s,
-        )
 
-    def finished(self, plan, *, tokens, between_s, now_s):
+    def finished(self, work, upstream_id, *, tokens, between_s, now_s):
         """Learn from a whole answer.
 
         Parameters
         ----------
+        upstream_id : UpstreamId
+            The decode engine.
         tokens : int
             Output tokens.
         between_s : float
-            Mean time between outputs, in seconds.
+            Mean time between outputs, in seconds; 0 when there were fewer
+            than two.
         """
-        work = plan.work
         self._lengths.observe(
             caller=work.caller, kind=work.kind, tokens=tokens
         )
-        self._slow.observe(
-            slow_group(work, Role.DECODE),
-            plan.choice.decode.upstream_id,
-            between_s,
-            now_s=now_s,
-        )
+        if between_s > 0:
+            group = slow_group(work, Role.DECODE)
+            slowness = between_s / DEFAULT_STEP_S
+            self._slow.observe(group, upstream_id, slowness, now_s=now_s)
+
+    def _turn(self, queued, now_s):
+        work = queued.work
+        if self._is_late(work, now_s):
+            return self._give_up(work)
+        plan = self._plan(work, now_s)
+        if plan is None:
+            self._blocked.append((now_s + FULL_RETRY_S, queued))
+            return Wait(work=work, delay_s=FULL_RETRY_S)
+        self._plans[work.request_id] = queued
+        return plan
 
     def _next(self, now_s):
         if not self._blocked:
@@ -297,7 +318,8 @@
         refused = self._admission.give_up(wait_s=wait_s)
         return GiveUp(work=work, refused=refused)
 
-    def _plan(self, work, pools, now_s):
+    def _plan(self, work, now_s):
+        pools = self._pools_of(work)
         expected = self._expected(work, self._quantile)
         choice = self._placement.choose(
             work,
@@ -325,6 +347,7 @@
         tokens = work.prompt_tokens + expected
         return Plan(
             work=work,
+            output_tokens=expected,
             choice=choice,
             decode_ask=Ask(
                 pieces=-(-tokens // decode.tokens_per_piece),
--- a/currantdeal/serving/calls.py
+++ b/currantdeal/serving/calls.py
@@ -10,7 +10,6 @@
 import hashlib
 
 from currantdeal.core import Outcome, Ran, Role, UpstreamError, outcome_of
-from currantdeal.serving.decisions import Speed
 from currantdeal.serving.errors import (
     CallerGoneError,
     Reason,
@@ -85,7 +84,7 @@
         return self._claimed(request)
 
     def _repeatable(self, request):
-        self._decisions.need(request.work)
+        self._decisions.count_call()
         ran = Ran.NO
         attempts = 0
         while True:
@@ -149,7 +148,7 @@
 
     def _upstreams(self, request):
         allowed = self._view.candidates(request.work, Role.SERVICE)
-        return self._decisions.order_services(allowed).get()
+        return self._decisions.order_services(request.work, allowed).get()
 
     def _send(self, request, upstream):
         work = request.work
@@ -172,8 +171,8 @@
             )
         answer = self._services.call(upstream, request.call, timeout_s=left_s)
         taken_s = self._clock.monotonic_s() - started_s
-        self._decisions.learn_speed(
-            Speed(upstream=upstream, slowness=taken_s / USUAL_CALL_S)
+        self._decisions.learn_service(
+            work, upstream, slowness=taken_s / USUAL_CALL_S
         )
         return answer
 
--- a/currantdeal/serving/generation.py
+++ b/currantdeal/serving/generation.py
@@ -159,12 +159,12 @@
             request=self._request,
             reserved=placed.decode,
             prompt_tokens=result.prompt_tokens,
-            granted_tokens=placed.need.output_tokens,
+            granted_tokens=placed.output_tokens,
             parts=self._parts,
         )
-        return self._prime(stream, result)
+        return self._prime(stream, result, placed.started_s)
 
-    def _prime(self, stream, result):
+    def _prime(self, stream, result, started_s):
         work = self._request.work
         try:
             stream.prime()
@@ -179,6 +179,7 @@
             )
             stream.close()
             raise
+        self._parts.decisions.learn_path(work, now_s - started_s)
         self._parts.metrics.observe(
             "first_output_seconds", now_s - work.arrived_s
         )
@@ -280,13 +281,13 @@
             prefill.upstream,
             work,
             cached_tokens=result.cached_tokens,
-            slowness=taken_s / max(predicted_s, 0.001),
+            taken_s=taken_s,
         )
         return result
 
     def _run_import(self, result):
         decode = self._placed.decode
-        tokens = result.prompt_tokens + self._placed.need.output_tokens
+        tokens = result.prompt_tokens + self._placed.output_tokens
         predicted_s = self._placed.choice.transfer_s
         timeout_s = self._check_sendable(Role.DECODE, decode, predicted_s)
         wanted = ImportRequest(
--- a/currantdeal/serving/reservations.py
+++ b/currantdeal/serving/reservations.py
@@ -10,21 +10,37 @@
 
 import pykka
 
-from currantdeal.core import RequestId, ReservationError, Role, Upstream
-from currantdeal.policy import Choice, Refused
+from currantdeal.core import (
+    RequestId,
+    ReservationError,
+    Role,
+    Upstream,
+    UpstreamId,
+)
+from currantdeal.policy import Ask, Choice, GiveUp, Plan, Refused
 from currantdeal.ports import Grant, ReservationRequest
-from currantdeal.serving.decisions import Need
 from currantdeal.serving.errors import CallerGoneError, Reason, not_run
-from currantdeal.serving.waiting import WAIT_SLICE_S
 
 RESERVE_TIMEOUT_S = 0.5
 """Longest wait for a home's answer, some dozen round trips."""
 
-TRIES_PER_TURN = 3
-"""Decode engines asked in one turn before the request waits again."""
+WAIT_SLICE_S = 0.1
+"""Interval at which a waiting request looks whether its caller is gone."""
 
-SHORTEST_PAUSE_S = 0.02
-LONGEST_PAUSE_S = 0.25
+
+class HomeFullError(ReservationError):
+    """A home refused a part of a plan.
+
+    Parameters
+    ----------
+    upstream_id : UpstreamId
+        The upstream that is full.
+    """
+
+    def __init__(self, message, *, upstream_id: UpstreamId, retry_after_s):
+        """Keep the upstream beside what any refused reservation tells."""
+        super().__init__(message, retry_after_s=retry_after_s)
+        self.upstream_id = upstream_id
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -38,10 +54,19 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Placed:
-    """The engines that are reserved for a request."""
+    """The engines that are reserved for a request.
 
-    need: Need
+    Parameters
+    ----------
+    output_tokens : int
+        Output tokens that the decode memory is meant for.
+    started_s : float
+        Monotonic time at which everything was reserved.
+    """
+
+    output_tokens: int
     choice: Choice
+    started_s: float
     decode: Reserved
     prefill: Reserved
 
@@ -59,150 +84,121 @@
         Where reservations are made.
     decisions : pykka.ActorProxy
         Of ``Decisions``.
-    waiting : pykka.ActorProxy
-        Of ``WaitingRoom``.
     cleaner : Cleaner
         Takes back what is not used.
     clock : Clock
         Paces tries while everything is full.
     """
 
-    def __init__(
-        self, *, instance, view, homes, decisions, waiting, cleaner, clock
-    ):
+    def __init__(self, *, instance, view, homes, decisions, cleaner, clock):
         """Keep the parts."""
         self._instance = instance
         self._view = view
         self._homes = homes
         self._decisions = decisions
-        self._waiting = waiting
         self._cleaner = cleaner
         self._clock = clock
 
     def reserve(self, request, engine_id):
         """Return the reserved engines, or raise a refusal."""
         work = request.work
-        need = self._decisions.need(work).get()
-        ticket = self._enter(work, need)
+        ticket = self._enter(work)
         try:
             while True:
-                self._await_turn(request, ticket)
+                plan = self._await_plan(request, ticket)
                 try:
-                    placed = self._try_engines(work, need, engine_id)
-                except ReservationError as exc:
-                    self._pause(request, exc.retry_after_s)
-                    ticket = self._waiting.put_back(ticket).get()
+                    placed = self._reserve_plan(plan, engine_id)
+                except HomeFullError as exc:
+                    ticket = self._decisions.blocked(
+                        plan, exc.upstream_id, exc.retry_after_s
+                    ).get()
                 else:
-                    self._waiting.started(ticket)
+                    self._decisions.reserved(plan)
                     return placed
         except BaseException:
-            self._waiting.leave(ticket)
+            self._decisions.leave(work)
             raise
 
     def reserve_prefill(self, work, choice, engine_id):
         """Return a reserved turn on the chosen prefill engine."""
         upstream = choice.prefill
         to_compute = work.prompt_tokens - int(choice.cached_tokens)
-        return self._ask(
-            upstream,
-            ReservationRequest(
-                request_id=engine_id,
-                caller=work.caller,
-                entry=self._instance,
-                upstream_id=upstream.upstream_id,
-                prefill_tokens=max(1, to_compute),
-                kv_bytes=work.prompt_tokens * upstream.kv_bytes_per_token,
-            ),
+        ask = Ask(
+            request_id=engine_id,
+            caller=work.caller,
+            entry=self._instance,
+            prefill_tokens=max(1, to_compute),
+            kv_bytes=work.prompt_tokens * upstream.kv_bytes_per_token,
         )
+        return self._ask(upstream, ask, engine_id)
 
-    def _enter(self, work, need):
+    def _enter(self, work):
         self._view.check_lease()
         self._view.candidates(work, Role.PREFILL)
-        decodes = self._view.candidates(work, Role.DECODE)
-        entered = self._waiting.enter(work, need, engines=len(decodes)).get()
+        self._view.candidates(work, Role.DECODE)
+        entered = self._decisions.enter(work).get()
         if isinstance(entered, Refused):
-            raise not_run(
-                entered.reason,
-                reason=Reason.OVERLOADED,
-                retry_after_s=entered.retry_after_s,
-            )
+            raise _refusal(entered)
         return entered
 
-    def _await_turn(self, request, ticket):
+    def _await_plan(self, request, ticket):
         while True:
-            left_s = self._time_left_s(request)
-            if left_s <= 0:
+            if self._time_left_s(request) <= 0:
                 raise _no_memory_in_time(1.0)
+            if request.gone():
+                raise CallerGoneError("the caller hung up")
             try:
-                ticket.turn.get(timeout=min(WAIT_SLICE_S, left_s))
+                message = ticket.turn.get(timeout=WAIT_SLICE_S)
             except pykka.Timeout:
-                if request.gone():
-                    raise CallerGoneError("the caller hung up") from None
-            else:
-                return
-
-    def _try_engines(self, work, need, engine_id):
-        decodes = self._view.candidates(work, Role.DECODE)
-        last = ReservationError("no engine", retry_after_s=LONGEST_PAUSE_S)
-        for _ in range(TRIES_PER_TURN):
-            self._view.check_lease()
-            choice = self._decisions.choose(
-                work,
-                prefills=self._view.candidates(work, Role.PREFILL),
-                decodes=decodes,
-                pieces=self._pieces(work, need, decodes[0]),
-            ).get()
-            try:
-                return self._reserve_both(work, need, choice, engine_id)
-            except ReservationError as exc:
-                last = exc
-            decodes = tuple(up for up in decodes if up != choice.decode)
-            if not decodes:
-                break
-        raise last
-
-    def _reserve_both(self, work, need, choice, engine_id):
-        decode = self._reserve_decode(work, need, choice, engine_id)
+                continue
+            if isinstance(message, Plan):
+                return message
+            if isinstance(message, GiveUp):
+                raise _refusal(message.refused)
+            self._clock.sleep(message.delay_s)
+            ticket = message.ticket
+            self._decisions.poll(request.work)
+
+    def _reserve_plan(self, plan, engine_id):
+        self._view.check_lease()
+        choice = plan.choice
+        decode = self._ask(choice.decode, plan.decode_ask, engine_id)
         try:
-            prefill = self.reserve_prefill(work, choice, f"{engine_id}p1")
+            prefill = self._ask(
+                choice.prefill, plan.prefill_ask, f"{engine_id}p1"
+            )
         except BaseException:
             self._cleaner.release(decode.grant)
             raise
-        return Placed(need=need, choice=choice, decode=decode, prefill=prefill)
-
-    def _reserve_decode(self, work, need, choice, engine_id):
-        upstream = choice.decode
-        return self._ask(
-            upstream,
-            ReservationRequest(
-                request_id=engine_id,
-                caller=work.caller,
-                entry=self._instance,
-                upstream_id=upstream.upstream_id,
-                pieces=self._pieces(work, need, upstream),
-                kv_bytes=work.prompt_tokens * upstream.kv_bytes_per_token,
-                hold_s=need.hold_s,
-                lead_s=choice.prefill_s + choice.transfer_s,
-            ),
+        return Placed(
+            output_tokens=plan.output_tokens,
+            choice=choice,
+            decode=decode,
+            prefill=prefill,
+            started_s=self._clock.monotonic_s(),
         )
 
-    def _ask(self, upstream, wanted):
-        grant = self._homes.reserve(wanted, timeout_s=RESERVE_TIMEOUT_S)
-        return Reserved(
-            upstream=upstream, grant=grant, request_id=wanted.request_id
-        )
-
-    def _pieces(self, work, need, upstream):
-        return pieces_for(upstream, work.prompt_tokens + need.output_tokens)
-
-    def _pause(self, request, wanted_s):
-        if wanted_s >= self._time_left_s(request):
-            raise _no_memory_in_time(max(wanted_s, 1.0))
-        if request.gone():
-            raise CallerGoneError("the caller hung up")
-        self._clock.sleep(
-            min(max(wanted_s, SHORTEST_PAUSE_S), LONGEST_PAUSE_S)
+    def _ask(self, upstream, ask, engine_id):
+        wanted = ReservationRequest(
+            request_id=engine_id,
+            caller=ask.caller,
+            entry=ask.entry,
+            upstream_id=upstream.upstream_id,
+            pieces=ask.pieces,
+            prefill_tokens=ask.prefill_tokens,
+            kv_bytes=ask.kv_bytes,
+            hold_s=ask.hold_s,
+            lead_s=ask.lead_s,
         )
+        try:
+            grant = self._homes.reserve(wanted, timeout_s=RESERVE_TIMEOUT_S)
+        except ReservationError as exc:
+            raise HomeFullError(
+                str(exc),
+                upstream_id=upstream.upstream_id,
+                retry_after_s=exc.retry_after_s,
+            ) from exc
+        return Reserved(upstream=upstream, grant=grant, request_id=engine_id)
 
     def _time_left_s(self, request):
         return request.work.deadline_s - self._clock.monotonic_s()
@@ -213,6 +209,14 @@
     return -(-tokens // upstream.tokens_per_piece)
 
 
+def _refusal(refused):
+    return not_run(
+        refused.reason,
+        reason=Reason.OVERLOADED,
+        retry_after_s=refused.retry_after_s,
+    )
+
+
 def _no_memory_in_time(retry_after_s):
     return not_run(
         "no engine has memory for the request before its deadline",
--- a/currantdeal/serving/streams.py
+++ b/currantdeal/serving/streams.py
@@ -7,7 +7,6 @@
     UpstreamSilentError,
 )
 from currantdeal.ports import DecodeRequest
-from currantdeal.serving.decisions import USUAL_STEP_S, Speed
 
 MAX_RESUMES = 4
 """Resumes in a row that bring no output before the engine counts as gone."""
@@ -94,17 +93,21 @@
         parts.metrics.add("output_tokens_total", self._next_offset)
         if not self._finished:
             return
-        work = self._request.work
-        parts.decisions.learn_output(work, self._next_offset)
-        if self._next_offset < 2:
-            return
-        elapsed_s = self._last_s - self._first_s
-        gap_s = elapsed_s / (self._next_offset - 1)
-        parts.silence.observe(upstream.upstream_id, gap_s)
-        parts.metrics.observe("output_gap_seconds", gap_s)
-        parts.decisions.learn_speed(
-            Speed(upstream=upstream, slowness=gap_s / USUAL_STEP_S)
+        gap_s = self._mean_gap_s()
+        parts.decisions.learn_output(
+            self._request.work,
+            upstream,
+            tokens=self._next_offset,
+            between_s=gap_s,
         )
+        if gap_s > 0:
+            parts.silence.observe(upstream.upstream_id, gap_s)
+            parts.metrics.observe("output_gap_seconds", gap_s)
+
+    def _mean_gap_s(self):
+        if self._next_offset < 2:
+            return 0.0
+        return (self._last_s - self._first_s) / (self._next_offset - 1)
 
     def _read(self):
         resumes = 0
