Test the whole path as callers see it

Cause: the promises to callers were proved over fakes only. Change: a real serve process with stand-ins: the official OpenAI client for chat, streams, completions, models and errors; a caller who hangs up, a silent connection to an engine, a deadline that can't be met, a planned stop during a stream, a caller who takes no more bytes. Conclusion: engine memory was free within 5 s of a hang-up, as the engine's own held list shows.

--- /dev/null
+++ b/currantdeal/cli/tests/test_whole_path.py
@@ -0,0 +1,229 @@
+"""A real ``currantdeal serve`` with stand-ins, as its callers see it."""
+
+import socket
+
+import openai
+import pytest
+
+from currantdeal.adapters.clock import SystemClock
+from currantdeal.adapters.http import server as server_module
+from currantdeal.adapters.metrics import Metrics
+from currantdeal.adapters.settings import Settings, TimingSettings
+from currantdeal.cli.daemon import Daemon
+from currantdeal.cli.tests.local_daemon import build_local_ports
+from currantdeal.testing.caller import MODEL, CallerClient
+from currantdeal.testing.cluster import Cluster
+from currantdeal.testing.engine_messages import EventKind
+from currantdeal.testing.output import expected_output
+from currantdeal.testing.processes import ChildProcess
+from currantdeal.testing.shapes import (
+    CALLER_KEY,
+    OPERATOR_KEY,
+    ClusterShape,
+    spread,
+)
+from currantdeal.testing.standin_client import StandInClient
+from currantdeal.testing.waiting import wait_until
+
+FAST = ("--step-base-s", "0.002", "--step-per-request-s", "0")
+
+ALL = b"""{"selector": {"name": "all"}, "expected_version": 0,
+           "request_id": "all", "wait_s": 20}"""
+
+
+@pytest.fixture(scope="module")
+def cluster(tmp_path_factory):
+    shape = ClusterShape(instances=spread(1))
+    folder = tmp_path_factory.mktemp("whole")
+    with Cluster(folder=folder, shape=shape) as made:
+        made.add_engine("p1", roles=("prefill",))
+        made.add_engine("d1", roles=("decode",))
+        made.add_service("s1")
+        made.start()
+        made.wait_ready()
+        made.wait_upstreams()
+        operator = CallerClient(
+            address=made.caller_addresses[0], key=OPERATOR_KEY
+        )
+        answer = operator.call("PUT", "/operator/selectors/all", body=ALL)
+        assert answer.status == 200
+        yield made
+
+
+@pytest.fixture
+def caller(cluster):
+    return CallerClient(address=cluster.caller_addresses[0])
+
+
+@pytest.fixture
+def client(cluster):
+    return openai.OpenAI(
+        base_url=f"http://{cluster.caller_addresses[0]}/v1",
+        api_key=CALLER_KEY,
+        max_retries=0,
+    )
+
+
+def _nothing_held(cluster):
+    engines = [cluster.stand_in(name).client for name in ("p1", "d1")]
+    return all(not each.held() for each in engines)
+
+
+def test_openai_client_gets_a_whole_chat_completion(client):
+    done = client.chat.completions.create(
+        model=MODEL, messages=[{"role": "user", "content": "cake tokens=7"}]
+    )
+    prompt = "user: cake tokens=7"
+    assert done.choices[0].message.content == expected_output(prompt, 7)
+    assert done.choices[0].finish_reason == "stop"
+    assert done.usage.completion_tokens == 7
+
+
+def test_openai_client_gets_a_streamed_chat_completion(client):
+    chunks = list(
+        client.chat.completions.create(
+            model=MODEL,
+            messages=[
+                {"role": "system", "content": "short"},
+                {"role": "user", "content": "cake tokens=9"},
+            ],
+            stream=True,
+            stream_options={"include_usage": True},
+        )
+    )
+    parts = [
+        choice.delta.content or ""
+        for each in chunks
+        for choice in each.choices
+    ]
+    prompt = "system: short\nuser: cake tokens=9"
+    assert "".join(parts) == expected_output(prompt, 9)
+    assert chunks[-1].usage.completion_tokens == 9
+
+
+def test_openai_client_gets_completions_models_and_errors(client):
+    done = client.completions.create(
+        model=MODEL, prompt="cake tokens=50", max_tokens=4
+    )
+    assert done.choices[0].text == expected_output("cake tokens=50", 4)
+    assert done.choices[0].finish_reason == "length"
+    assert [each.id for each in client.models.list()] == [MODEL]
+    with pytest.raises(openai.NotFoundError) as caught:
+        client.completions.create(model="none", prompt="x")
+    assert caught.value.code == "unknown-target"
+
+
+def test_caller_who_hangs_up_frees_engine_memory(cluster, caller):
+    """A caller closes its connection in the middle of a stream.
+
+    The engine would hold the memory to the last output, for nobody.
+    """
+    stream = caller.open_stream("cake tokens=900", max_tokens=900)
+    assert len(stream.read_some(2)) >= 2
+    assert cluster.stand_in("d1").client.held()
+    stream.hang_up()
+    wait_until(lambda: _nothing_held(cluster), what="free memory", limit_s=5)
+
+
+def test_stream_on_a_silent_connection_goes_on(cluster, caller):
+    """The connection to the engine goes silent, new ones work.
+
+    The caller would wait for ever for the rest of its answer.
+    """
+    stream = caller.open_stream("cake tokens=60")
+    assert len(stream.read_some(2)) >= 2
+    cluster.stand_in("d1").client.set_faults(silence_open_streams=1)
+    received = stream.read()
+    assert received.text == expected_output("cake tokens=60", 60)
+    assert received.done
+    wait_until(lambda: _nothing_held(cluster), what="free memory")
+
+
+def test_deadline_that_cannot_be_met_is_refused_at_once(cluster, caller):
+    """A prompt takes longer to read than the caller can wait.
+
+    The caller would learn of it only after its deadline, and the engine
+    would read the prompt for nothing.
+    """
+    before = cluster.stand_in("p1").client.events()
+    answer = caller.complete(
+        "long catalogue " * 4_000, headers={"X-Deadline-Ms": "300"}
+    )
+    assert (answer.status, answer.outcome) == (503, "not-run")
+    assert cluster.stand_in("p1").client.events() == before
+
+
+def test_menu_is_read_and_headers_pass(caller):
+    answer = caller.call("GET", "/services/shop/menu?of=today")
+    assert answer.status == 200
+    assert answer.json()["menu"]
+
+
+@pytest.fixture
+def alone(tmp_path, monkeypatch):
+    """Yield a daemon over local ports and the fast engine that it uses."""
+    monkeypatch.setattr(server_module, "UNSENT_TIMEOUT_S", 1.0)
+    settings = Settings(
+        instance="i1",
+        region="local",
+        data_center="local-1",
+        caller_address="127.0.0.1:0",
+        peer_address="127.0.0.1:0",
+        timing=TimingSettings(entries_keep_s=0.2),
+    )
+    clock, metrics = SystemClock(), Metrics()
+    ports = build_local_ports(settings=settings, clock=clock, metrics=metrics)
+    daemon = Daemon(
+        settings=settings, ports=ports, clock=clock, metrics=metrics
+    )
+    daemon.start()
+    options = ["--id", "e1", "--instance", daemon.caller_address, *FAST]
+    process = ChildProcess(
+        arguments=["-m", "currantdeal.testing.engine", *options],
+        log_path=tmp_path / "engine.log",
+    )
+    engine = StandInClient(address=process.read_address())
+    wait_until(lambda: ports.state.view().upstreams, what="the engine")
+    yield daemon, engine
+    daemon.stop()
+    process.kill()
+
+
+def test_planned_stop_finishes_a_stream(alone):
+    """An instance is told to stop while it streams an answer.
+
+    The caller would get half an answer.
+    """
+    daemon, engine = alone
+    caller = CallerClient(address=daemon.caller_address)
+    stream = caller.open_stream("cake tokens=800", max_tokens=800)
+    assert len(stream.read_some(2)) >= 2
+    daemon.request_stop()
+    assert stream.read().text == expected_output("cake tokens=800", 800)
+    daemon.wait()
+    assert not engine.held()
+
+
+def test_caller_who_takes_nothing_frees_engine_memory(alone):
+    """A caller's connection stays open but takes no more bytes.
+
+    The stream would hold engine memory for as long as its output is.
+    """
+    daemon, engine = alone
+    host, _, port = daemon.caller_address.rpartition(":")
+    body = (
+        b'{"model": "nube-assistant", "prompt": "cake tokens=4000",'
+        b' "max_tokens": 4000, "stream": true}'
+    )
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        sock.connect((host, int(port)))
+        sock.sendall(
+            b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+            b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+        )
+        wait_until(engine.held, what="held memory")
+        wait_until(lambda: not engine.held(), what="free memory")
+    finished = [each.kind for each in engine.events()]
+    assert EventKind.CANCEL in finished
+    assert EventKind.FINISH not in finished
