Prove that a failing disk acknowledges nothing

Change: a scenario with a failing disk; the cut-off scenario waits until the upstream is seen; the rule on entries of earlier terms has a test of its own.

--- a/currantdeal/adapters/replication/tests/test_replicated_state.py
+++ b/currantdeal/adapters/replication/tests/test_replicated_state.py
@@ -12,6 +12,7 @@
     wait_until,
     withdraw,
 )
+from currantdeal.core import StateUnavailableError
 from currantdeal.state import (
     Applied,
     ClaimExists,
@@ -82,7 +83,7 @@
     as long as the cut lasts.
     """
     propose(cluster, "i1", announce("shop-1"))
-    cluster.wait_for_leases()
+    wait_until(lambda: "shop-1" in cluster.port("i4").view().upstreams)
     cluster.isolate("i4")
     result = propose(cluster, "i1", withdraw("shop-1"))
     cluster.port("i1").wait_in_force(result.version, timeout_s=LIMIT_S)
@@ -139,6 +140,25 @@
     assert "kept" in cluster.port(broken).view().selectors
 
 
+def test_replica_whose_disk_fails_acknowledges_nothing(cluster):
+    """One replica is down and a second one's disk fails.
+
+    Were the second one's answers counted, a change would be accepted that
+    only one disk holds, and the loss of that one would undo it.
+    """
+    leader = cluster.wait_for_leader()
+    down, failing = (n for n in cluster.replicas if n != leader)
+    cluster.wait_for_leases()
+    cluster.kill(down)
+    cluster.failing_disks.add(failing)
+    with pytest.raises(StateUnavailableError) as caught:
+        cluster.port("i4").propose(selector("lost"), timeout_s=1.5)
+    assert caught.value.proposed
+    cluster.start(down)
+    assert isinstance(propose(cluster, "i4", selector("kept")), Applied)
+    assert failing not in (cluster.leader(), None)
+
+
 def test_restart_after_many_changes_never_shows_an_older_version(
     cluster, monkeypatch
 ):
--- a/currantdeal/consensus/tests/test_node.py
+++ b/currantdeal/consensus/tests/test_node.py
@@ -3,6 +3,7 @@
 import pytest
 
 from currantdeal.consensus import (
+    AppendAnswer,
     AppendRequest,
     ChangePendingError,
     Configuration,
@@ -17,6 +18,7 @@
     Replica,
     Snapshot,
     Stored,
+    VoteAnswer,
 )
 
 NAMES = ("i1", "i2", "i3")
@@ -198,3 +200,52 @@
     assert table.in_force(0, 102.1)
     assert table.remaining_s("i7", 102.1) == 0.0
     assert table.holders(102.1, also=("i7",)) == ()
+
+
+def test_entry_of_an_earlier_term_is_not_committed_by_counting():
+    """A new leader finds that a majority holds an entry of an earlier term.
+
+    Another replica may still win and replace it (Raft, figure 8), so an
+    order that counts as accepted here would be lost.
+    """
+    first = Configuration(
+        voters=tuple(Replica(instance=n, address="") for n in NAMES)
+    )
+    old = Entry(index=1, term=1, kind=EntryKind.COMMAND, data=b"order")
+    stored = Stored(
+        term=1,
+        snapshot=Snapshot(index=0, term=0, configuration=first),
+        entries=(old,),
+    )
+    node = Node(
+        me="i1",
+        settings=NodeSettings(),
+        stored=stored,
+        random=random.Random(1),
+        now_s=0.0,
+    )
+    node.tick(2.0)
+    for pre in (True, False):
+        node.receive(
+            VoteAnswer(term=2, sender="i2", to="i1", granted=True, pre=pre),
+            2.0,
+        )
+    assert node.role is RaftRole.LEADER
+    node.synced(node.take_output().last_index)
+
+    def answer(match):
+        node.receive(
+            AppendAnswer(
+                term=2,
+                sender="i2",
+                to="i1",
+                accepted=True,
+                match_index=match,
+                sent_s=2.0,
+            ),
+            2.1,
+        )
+        return node.commit_index
+
+    assert answer(1) == 0
+    assert answer(2) == 2
