--- a/benchmarks/deployments.py
+++ b/benchmarks/deployments.py
@@ -22,6 +22,7 @@
 
 MODEL = "assistant"
 MAX_OUTPUT_TOKENS = 2_000
+SPREAD = 0.5
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -36,6 +37,9 @@
         Leading tokens that all its prompts have in common.
     prompt_tokens, output_tokens : int
         Medians; single requests scatter around them.
+    prefix : str
+        Callers that name the same prefix send the same leading tokens; empty
+        for a prefix of its own.
     """
 
     caller: CallerId
@@ -44,6 +48,7 @@
     prefix_tokens: int
     prompt_tokens: int
     output_tokens: int
+    prefix: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -92,38 +97,31 @@
             kv_bytes_per_token=self.model.kv_bytes_per_token,
         )
 
-    def capacity_per_s(self):
+    def capacity_per_s(self, callers=()):
         """Return the requests a second that the engines can carry at most.
 
         The lesser of what prefill can compute, without caching, and what
         decode memory can hold.
+
+        Parameters
+        ----------
+        callers : tuple of CallerProfile
+            Who sends; the deployment's own callers when empty.
         """
-        prompt, output = self._mean_lengths()
+        prompt, output = _mean_lengths(callers or self.callers)
         prefill_s = self.model.prefill_s(tokens=prompt)
         prefill_per_s = self.prefill_engines / prefill_s
         batch = self.model.pieces_total / self.model.pieces(prompt + output)
         hold_s = output * self.model.step_s(batch=batch)
         return min(prefill_per_s, self.decode_engines * batch / hold_s)
 
-    def _mean_lengths(self):
-        spread = math.exp(SPREAD**2 / 2)
-        prompt = sum(
-            c.share * (c.prefix_tokens + c.prompt_tokens * spread)
-            for c in self.callers
-        )
-        output = sum(c.share * c.output_tokens * spread for c in self.callers)
-        return int(prompt), int(output)
-
-
-SPREAD = 0.5
-
 
 def draw_work(rng, profile, *, request_id, now_s, deployment):
     """Return one request's work and its true output length."""
     own = _scatter(rng, profile.prompt_tokens)
     output = min(MAX_OUTPUT_TOKENS, _scatter(rng, profile.output_tokens))
     blocks = profile.prefix_tokens // BLOCK_TOKENS
-    caller_key = hash_of(profile.caller)
+    prefix_key = hash_of(profile.prefix or profile.caller)
     work = Work(
         request_id=request_id,
         caller=profile.caller,
@@ -132,13 +130,25 @@
         region=profile.region,
         prompt_tokens=profile.prefix_tokens + own,
         max_output_tokens=MAX_OUTPUT_TOKENS,
-        prefix_keys=tuple(caller_key + index for index in range(blocks)),
+        prefix_keys=tuple(prefix_key + index for index in range(blocks)),
         arrived_s=now_s,
         deadline_s=now_s + deployment.ttft_target_s,
     )
     return work, output
 
 
+def _mean_lengths(callers):
+    spread = math.exp(SPREAD**2 / 2)
+    prompt = sum(
+        caller.share * (caller.prefix_tokens + caller.prompt_tokens * spread)
+        for caller in callers
+    )
+    output = sum(
+        caller.share * caller.output_tokens * spread for caller in callers
+    )
+    return int(prompt), int(output)
+
+
 def hash_of(text):
     """Return a number for a text that is the same in every process."""
     number = 0
--- /dev/null
+++ b/benchmarks/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments, one module for each."""
--- /dev/null
+++ b/benchmarks/experiments/hot_prefix.py
@@ -0,0 +1,42 @@
+"""Most prompts begin with the same long text.
+
+Seven in ten requests, of all callers, begin with one catalogue of 6,144
+tokens.  Offered is as much as the engines carry without any caching, so the
+cached prefix decides whether prefill has room to spare; and an engine that
+draws all of them by affinity is overloaded.
+"""
+
+from dataclasses import replace
+
+from benchmarks.comparison import compare
+from benchmarks.runner import run as run_scenario
+from benchmarks.scenario import steady, with_shares
+
+SUMMARY = "seven in ten prompts begin with one long text"
+HOT_SHARE = 0.7
+HOT_PREFIX_TOKENS = 6_144
+LOAD = 1.0
+
+
+def run(*, seed):
+    """Return a ``Comparison``."""
+    return compare("hot-prefix", measure_prefix, seed=seed)
+
+
+def measure_prefix(deployment, router, seed):
+    """Return the measures of one router."""
+    hot = tuple(
+        replace(
+            caller,
+            prefix="hot catalogue",
+            prefix_tokens=HOT_PREFIX_TOKENS,
+            prompt_tokens=256,
+        )
+        for caller in deployment.callers
+    )
+    callers = with_shares(
+        hot + deployment.callers,
+        [HOT_SHARE] * len(hot) + [1.0 - HOT_SHARE] * len(hot),
+    )
+    scenario = steady(deployment, LOAD, callers=callers)
+    return run_scenario(scenario, router, seed=seed)
--- a/benchmarks/measures.py
+++ b/benchmarks/measures.py
@@ -1,6 +1,6 @@
 """What the callers of one run received."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 
 from benchmarks.scenario import WARM_UP_S
 
@@ -23,7 +23,10 @@
         Shares of offered requests refused, and answered or given up outside
         the targets.
     violations : int
-        Promises broken: memory held at the end, requests without an end.
+        Promises broken: memory held at the end, requests without an end, and
+        refusals that say "not run" of work that ran.
+    details : dict
+        Figures of one experiment, by name.
     """
 
     offered_per_s: float
@@ -34,6 +37,11 @@
     refused: float
     late: float
     violations: int
+    details: dict[str, float] = field(default_factory=dict)
+
+    def with_details(self, **details):
+        """Return the same figures with more details."""
+        return replace(self, details={**self.details, **details})
 
     @property
     def good_per_s(self):
@@ -83,6 +91,24 @@
     return request.first_s - request.work.arrived_s
 
 
+def goodput_of(scenario, requests, wanted):
+    """Return the goodput among the measured requests that are wanted.
+
+    Parameters
+    ----------
+    wanted : callable
+        From a request's work to whether it counts.
+    """
+    deployment = scenario.deployment
+    counted = [
+        req
+        for req in requests
+        if req.work.arrived_s >= WARM_UP_S and wanted(req.work)
+    ]
+    good = sum(1 for req in counted if is_good(req, deployment))
+    return good / max(1, len(counted))
+
+
 def _violations(requests, engines):
     open_ended = sum(
         1 for req in requests if not (req.done or req.refused or req.gone)
--- a/benchmarks/scenario.py
+++ b/benchmarks/scenario.py
@@ -1,6 +1,6 @@
 """What happens in one run: who sends how much, and which engine is slow."""
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from benchmarks.deployments import CallerProfile, Deployment, draw_work
 from benchmarks.fake import Request
@@ -34,6 +34,9 @@
         In order of time; the first starts at 0.
     callers : tuple of CallerProfile
         Shares add up to 1; empty for the deployment's own callers.
+    capacity_per_s : float
+        What a load of 1 stands for; 0 for what the engines can carry of
+        these callers' requests.
     slow_engine : str
         Upstream that gets slow; empty for none.
     slow_factor, slow_from_s, slow_until_s : float
@@ -43,12 +46,12 @@
     deployment: Deployment
     phases: tuple[Phase, ...]
     callers: tuple[CallerProfile, ...] = ()
+    capacity_per_s: float = 0.0
     slow_engine: str = ""
     slow_factor: float = 1.0
     slow_from_s: float = WARM_UP_S
     slow_until_s: float = float("inf")
     measured_s: float = MEASURED_S
-    label: str = field(default="")
 
     @property
     def end_s(self):
@@ -75,7 +78,7 @@
     deployment = scenario.deployment
     callers = scenario.callers or deployment.callers
     shares = [caller.share for caller in callers]
-    capacity = deployment.capacity_per_s()
+    capacity = scenario.capacity_per_s or deployment.capacity_per_s(callers)
     found = []
     now_s = 0.0
     while True:
