--- a/currantdeal/testing/quickstart.py
+++ b/currantdeal/testing/quickstart.py
@@ -25,15 +25,14 @@
 from currantdeal.testing.processes import ChildProcess
 from currantdeal.testing.progress import StepFailedError, Steps, check
 from currantdeal.testing.shapes import (
-    ALONE,
     CALLER_KEY,
     OPERATOR_KEY,
-    SERVE,
     ClusterShape,
     spread,
 )
 from currantdeal.testing.waiting import wait_until
 
+INSTANCES = 3
 ENTRIES_KEEP_S = 2.0
 CHAT_TOKENS = 40
 REQUESTS_AFTER_WITHDRAWAL = 6
@@ -47,22 +46,17 @@
     ----------
     folder : Path
         Empty folder for settings, logs and data.
-    alone : bool
-        True for one instance without replicated state.
     """
 
-    def __init__(self, *, folder, alone=False):
+    def __init__(self, *, folder):
         """Reserve addresses; ``run`` does the steps."""
         self._folder = folder
-        self._alone = alone
-        self._count = 1 if alone else 3
         self._steps = Steps()
         self._cluster = Cluster(
             folder=folder,
             shape=ClusterShape(
-                instances=spread(self._count),
+                instances=spread(INSTANCES),
                 timing=TimingSettings(entries_keep_s=ENTRIES_KEEP_S),
-                command=ALONE if alone else SERVE,
             ),
         )
 
@@ -87,11 +81,10 @@
         self._order_twice()
         self._browse_menu()
         self._withdraw()
-        if not self._alone:
-            self._drain_under_load()
+        self._drain_under_load()
 
     def _start_instances(self):
-        with self._steps.step(f"start {self._count} instances") as say:
+        with self._steps.step("start three instances in three regions") as say:
             self._cluster.start()
             self._cluster.wait_ready()
             for instance in self._cluster.instances.values():
@@ -200,12 +193,12 @@
             check(not bad, f"not whole: {bad[:3]}")
 
     def _caller(self, index):
-        address = self._cluster.caller_addresses[index % self._count]
+        address = self._cluster.caller_addresses[index % INSTANCES]
         return CallerClient(address=address)
 
     def _all_entries(self):
         found = self._caller(0).entries()
-        return found if len(found.entries) == self._count else None
+        return found if len(found.entries) == INSTANCES else None
 
     def _prefills(self, name):
         events = self._cluster.stand_in(name).client.events()
@@ -232,11 +225,10 @@
 
 @click.command()
 @click.option("--keep", is_flag=True, help="Leave everything running.")
-@click.option("--alone", is_flag=True, help="One instance, no replicas.")
-def main(keep, alone):
+def main(keep):
     """Run the main job; exit non-zero naming the step that failed."""
     with tempfile.TemporaryDirectory(prefix="currantdeal-") as folder:
-        quickstart = Quickstart(folder=Path(folder), alone=alone)
+        quickstart = Quickstart(folder=Path(folder))
         with quickstart.cluster:
             try:
                 quickstart.run()
