Ask an entry for its claims until it answers, before a home opens

Cause: on a busy machine test_drained_instance_hands_its_homes_over failed once: the new home granted 30 pieces beside 71 that were held. A home that took over asked each entry twice, 0.5 s each, and went on as if an entry without an answer held nothing; its memory would be granted again and its streams cancelled as held for nobody. Change: an entry is asked for 3 s, or until it is dead and without a lease. Ruled out: the ledger's adoption, which its own tests cover. Figures: the new test of an entry that fails to answer four times failed before and passes after; test_homes.py: 8 of 8 after. An entry that is cut off from the home alone for longer than that still loses its grants, as a silent entry does.

--- a/currantdeal/adapters/homes_work.py
+++ b/currantdeal/adapters/homes_work.py
@@ -42,7 +42,14 @@
 
 PROPOSE_S = 2.0
 CLAIMS_S = 0.5
-CLAIMS_TRIES = 2
+CLAIMS_LIMIT_S = 3.0
+"""Time for which an entry that does not answer is asked again.
+
+Longer than a lease, so that an entry that is merely slow gets to answer, and
+short enough that memory of one that is gone is free within five seconds.
+"""
+
+CLAIMS_PAUSE_S = 0.05
 FORMER_POLL_S = 0.05
 ACTOR_NAME = "homes"
 
@@ -220,13 +227,33 @@
         )
 
     def _ask(self, name, call):
-        for _ in range(CLAIMS_TRIES):
+        # What an entry holds and does not tell would be given out a second
+        # time, and its streams cancelled on the engine as held for nobody;
+        # so one attempt that got no answer says nothing.
+        end_s = self._clock.monotonic_s() + CLAIMS_LIMIT_S
+        while not self._stopped:
             try:
                 return self._calls.claims(name, call, timeout_s=CLAIMS_S)
             except PeerError:
-                continue
+                if self._clock.monotonic_s() >= end_s or self._is_gone(name):
+                    return None
+            self._clock.sleep(CLAIMS_PAUSE_S)
         return None
 
+    def _is_gone(self, name):
+        if any(
+            member.instance == name and is_reachable(member)
+            for member in self._members.members()
+        ):
+            return False
+        try:
+            return not any(
+                progress.instance == name and progress.lease_remaining_s > 0
+                for progress in self._state.progress()
+            )
+        except PortError:
+            return False
+
     def _held(self, home):
         try:
             return self._engines.held(home.upstream)
