--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the whole and of its parts."""
+"""Measurements of the product, run by ``bin/bench``."""
