Show queued prefills in the stand-in's held list, and cancel them at once

A prefill under way held memory that /engine/held did not show, so a test of memory held for a dead entry would have passed without a cancel.

bin/test currantdeal/testing/tests/test_engine.py: 10 passed.

--- a/currantdeal/testing/engine_prefill.py
+++ b/currantdeal/testing/engine_prefill.py
@@ -10,7 +10,7 @@
 import time
 from dataclasses import dataclass
 
-from currantdeal.ports import HeldMemory, PrefillResult
+from currantdeal.ports import HeldMemory, PrefillRequest, PrefillResult
 from currantdeal.testing.engine_messages import EventKind, Stage
 from currantdeal.testing.errors import RefusedError
 from currantdeal.testing.output import count_tokens
@@ -28,6 +28,16 @@
     fence: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class QueuedPrefill:
+    """A prefill that waits or is computed; its memory is taken already."""
+
+    kv_id: str
+    request: PrefillRequest
+    tokens: int
+    since_s: float
+
+
 class PrefillPool:
     """Computes and keeps prefill results.
 
@@ -68,31 +78,26 @@
     def queued_tokens(self):
         """Prompt tokens that wait or are computed."""
         with self._changed:
-            return sum(count_tokens(req.prompt) for req in self._in_order())
+            return sum(queued.tokens for queued in self._queued.values())
 
     def run(self, request):
         """Compute a KV cache when its turn comes, and keep the result."""
         tokens = count_tokens(request.prompt)
         ticket = (-request.priority, next(self._tickets))
-        kv_id = f"{request.request_id}.{ticket[1]}"
-        self._memory.take(kv_id, self._model.pieces(tokens))
+        queued = QueuedPrefill(
+            kv_id=f"{request.request_id}.{ticket[1]}",
+            request=request,
+            tokens=tokens,
+            since_s=time.monotonic(),
+        )
+        self._memory.take(queued.kv_id, self._model.pieces(tokens))
         try:
-            cached = self._wait_and_compute(ticket, request, tokens)
+            cached = self._wait_and_compute(ticket, queued)
         except RefusedError:
-            self._memory.release(kv_id)
+            self._memory.release(queued.kv_id)
             raise
-        result = KvResult(
-            kv_id=kv_id,
-            request_id=request.request_id,
-            prompt=request.prompt,
-            tokens=tokens,
-            done_s=time.monotonic(),
-            fence=request.fence,
-        )
-        with self._changed:
-            self._results[kv_id] = result
         return PrefillResult(
-            kv_id=kv_id,
+            kv_id=queued.kv_id,
             prompt_tokens=tokens,
             cached_tokens=cached,
             expires_in_s=self._model.kv_expiry_s,
@@ -129,8 +134,8 @@
         with self._changed:
             tickets = [
                 ticket
-                for ticket, req in self._queued.items()
-                if req.request_id == request_id
+                for ticket, queued in self._queued.items()
+                if queued.request.request_id == request_id
             ]
             for ticket in tickets:
                 del self._queued[ticket]
@@ -146,47 +151,73 @@
         return bool(tickets or exports) or dropped
 
     def held(self):
-        """Return what is held for results."""
-        now_s = time.monotonic()
+        """Return what is held for prefills and for their results."""
         with self._changed:
+            queued = list(self._queued.values())
             results = [*self._results.values(), *self._exporting.values()]
         return [
-            HeldMemory(
-                request_id=result.request_id,
-                pieces=self._memory.held_by(result.kv_id),
-                age_s=now_s - result.done_s,
-                fence=result.fence,
-            )
-            for result in results
+            *(
+                self._held(one.kv_id, one.request, one.since_s)
+                for one in queued
+            ),
+            *(self._held(one.kv_id, one, one.done_s) for one in results),
         ]
 
-    def _wait_and_compute(self, ticket, request, tokens):
-        self._enqueue(ticket, request)
+    def _held(self, kv_id, request, since_s):
+        return HeldMemory(
+            request_id=request.request_id,
+            pieces=self._memory.held_by(kv_id),
+            age_s=time.monotonic() - since_s,
+            fence=request.fence,
+        )
+
+    def _wait_and_compute(self, ticket, queued):
+        self._enqueue(ticket, queued)
         try:
             self._await_turn(ticket)
             self._switch.maybe_die(Stage.PREFILL)
-            found = self._cache.use(request.prompt, time.monotonic())
-            cached = min(found, tokens - 1)
-            time.sleep(self._time_s(tokens, cached))
-            self._journal.note(
-                EventKind.PREFILL,
-                request_id=request.request_id,
-                tokens=tokens - cached,
-                fence=request.fence,
-            )
-            self._refuse_if_cancelled(ticket, tokens - cached)
+            prompt = queued.request.prompt
+            found = self._cache.use(prompt, time.monotonic())
+            cached = min(found, queued.tokens - 1)
+            self._compute(ticket, queued, cached)
         finally:
             self._leave(ticket)
         return cached
 
+    def _compute(self, ticket, queued, cached):
+        time_s = self._time_s(queued.tokens, cached)
+        started_s = time.monotonic()
+        with self._changed:
+            cancelled = self._changed.wait_for(
+                lambda: ticket not in self._queued, timeout=time_s
+            )
+            if not cancelled:
+                self._keep(self._queued.pop(ticket))
+        share = min(1.0, (time.monotonic() - started_s) / time_s)
+        computed = round((queued.tokens - cached) * share)
+        self._note(EventKind.PREFILL, queued.request, computed)
+        if cancelled:
+            self._note(EventKind.KV_EXPIRED, queued.request, computed)
+            raise RefusedError(404, "unknown-request", "cancelled")
+
+    def _keep(self, queued):
+        self._results[queued.kv_id] = KvResult(
+            kv_id=queued.kv_id,
+            request_id=queued.request.request_id,
+            prompt=queued.request.prompt,
+            tokens=queued.tokens,
+            done_s=time.monotonic(),
+            fence=queued.request.fence,
+        )
+
     def _time_s(self, tokens, cached):
         plain_s = self._model.prefill_s(tokens=tokens, cached_tokens=cached)
         return plain_s * self._switch.faults.slow_factor
 
-    def _enqueue(self, ticket, request):
+    def _enqueue(self, ticket, queued):
         with self._changed:
             heapq.heappush(self._turns, ticket)
-            self._queued[ticket] = request
+            self._queued[ticket] = queued
 
     def _await_turn(self, ticket):
         with self._changed:
@@ -196,13 +227,6 @@
             if ticket not in self._queued:
                 raise RefusedError(404, "unknown-request", "cancelled")
 
-    def _refuse_if_cancelled(self, ticket, computed):
-        with self._changed:
-            request = self._queued.get(ticket)
-        if request is None:
-            self._journal.note(EventKind.KV_EXPIRED, tokens=computed)
-            raise RefusedError(404, "unknown-request", "cancelled")
-
     def _leave(self, ticket):
         with self._changed:
             self._queued.pop(ticket, None)
@@ -210,9 +234,6 @@
             heapq.heapify(self._turns)
             self._changed.notify_all()
 
-    def _in_order(self):
-        return [self._queued[t] for t in self._turns if t in self._queued]
-
     def _drop(self, matches):
         with self._changed:
             dropped = [res for res in self._results.values() if matches(res)]
@@ -224,9 +245,12 @@
 
     def _free(self, result, kind):
         self._memory.release(result.kv_id)
+        self._note(kind, result, result.tokens)
+
+    def _note(self, kind, request, tokens):
         self._journal.note(
             kind,
-            request_id=result.request_id,
-            tokens=result.tokens,
-            fence=result.fence,
+            request_id=request.request_id,
+            tokens=tokens,
+            fence=request.fence,
         )
--- a/currantdeal/testing/tests/test_engine.py
+++ b/currantdeal/testing/tests/test_engine.py
@@ -172,3 +172,20 @@
     with pytest.raises(HarnessError):
         _prefill(engine)
     assert child.wait() != 0
+
+
+def test_a_cancelled_prefill_frees_its_memory_at_once(start_engine):
+    _, engine = start_engine("p1")
+    engine.set_faults(slow_factor=1000.0)
+    ended = threading.Event()
+
+    def run():
+        with pytest.raises(RefusedError):
+            _prefill(engine)
+        ended.set()
+
+    threading.Thread(target=run, daemon=True).start()
+    wait_until(lambda: engine.held(), what="a prefill")
+    engine.post("/engine/cancel", {"request_id": "r1"})
+    assert ended.wait(30)
+    assert engine.held() == ()
