Prove the callers' promises by scenarios over real processes

The promises have to hold while processes die and connections go silent, and be judged by what callers received and by the stand-ins' journals.

--- /dev/null
+++ b/currantdeal/testing/tests/scenario_world.py
@@ -0,0 +1,99 @@
+"""What the scenarios on callers' promises share: one cluster and its state."""
+
+import threading
+from dataclasses import dataclass, field
+
+from currantdeal.core import Selector
+from currantdeal.testing.caller import CallerClient
+from currantdeal.testing.cluster import Cluster
+from currantdeal.testing.engine_messages import EngineFaults
+from currantdeal.testing.operator import OperatorCalls
+from currantdeal.testing.service import ServiceFaults
+from currantdeal.testing.shapes import ClusterShape, spread
+from currantdeal.testing.waiting import wait_until
+
+ENGINES = ("p1", "p2", "d1", "d2")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Noted:
+    """What the steps of one scenario noted."""
+
+    answers: list = field(default_factory=list)
+    streams: list = field(default_factory=list)
+    keys: list = field(default_factory=list)
+
+
+class World:
+    """A proxied cluster of three instances with engines and a shop."""
+
+    def __init__(self, *, folder):
+        """Start everything and let every upstream serve."""
+        shape = ClusterShape(instances=spread(3), proxied=True)
+        self.cluster = Cluster(folder=folder, shape=shape)
+        self.names = [one.name for one in shape.instances]
+        try:
+            self._start(shape)
+        except BaseException:
+            self.cluster.close()
+            raise
+
+    def _start(self, shape):
+        self.cluster.start()
+        for name in ENGINES:
+            role = "prefill" if name.startswith("p") else "decode"
+            place = shape.instances[int(name[1]) - 1]
+            self.cluster.add_engine(name, roles=(role,), place=place)
+        self.cluster.add_service("shop-1")
+        self.cluster.wait_ready()
+        self.cluster.wait_upstreams()
+        self.operator(0).apply_selector(Selector(name="all"))
+
+    def engine(self, name):
+        """Return the client of an engine."""
+        return self.cluster.stand_in(name).client
+
+    @property
+    def shop(self):
+        """Client of the shop."""
+        return self.cluster.stand_in("shop-1").client
+
+    def caller(self, index):
+        """Return a caller of one instance."""
+        instance = self.cluster.instance(self.names[index])
+        return CallerClient(address=instance.advertised)
+
+    def operator(self, index):
+        """Return an operator at one instance."""
+        instance = self.cluster.instance(self.names[index])
+        return OperatorCalls(address=instance.address)
+
+    def held(self):
+        """Return what all engines hold."""
+        return [one for name in ENGINES for one in self.engine(name).held()]
+
+    def reset(self):
+        """Lift every fault and restart what was killed."""
+        self.cluster.heal()
+        for name in ENGINES:
+            self.engine(name).set_faults(**_fields(EngineFaults()))
+        self.shop.set_faults(**_fields(ServiceFaults()))
+        for instance in self.cluster.instances.values():
+            if not instance.process.running:
+                instance.start()
+        self.cluster.wait_ready()
+        self.cluster.wait_upstreams()
+        wait_until(lambda: not self.held(), what="free engines")
+
+
+def in_background(work):
+    """Run a function on a thread and return the thread."""
+    thread = threading.Thread(target=work, daemon=True)
+    thread.start()
+    return thread
+
+
+def _fields(faults):
+    return {
+        name: getattr(faults, name) for name in faults.__dataclass_fields__
+    }
