Split the pings that wait for answers off membership

The protocol's module had grown to 441 lines with two subjects: which pings wait, and what their answers mean.

--- a/currantdeal/membership/__init__.py
+++ b/currantdeal/membership/__init__.py
@@ -38,7 +38,8 @@
     Send,
 )
 from currantdeal.membership.placement import choose_home, home_candidates
-from currantdeal.membership.swim import Swim, SwimTiming
+from currantdeal.membership.probes import SwimTiming
+from currantdeal.membership.swim import Swim
 from currantdeal.membership.table import (
     MemberTable,
     first_incarnation,
--- a/currantdeal/membership/swim.py
+++ b/currantdeal/membership/swim.py
@@ -18,7 +18,7 @@
    Infection-style Process Group Membership Protocol", DSN 2002.
 """
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from functools import singledispatchmethod
 
 from currantdeal.core import InstanceId
@@ -29,6 +29,7 @@
     PingRequest,
     Send,
 )
+from currantdeal.membership.probes import ProbeBook
 from currantdeal.membership.rumors import RumorQueue
 from currantdeal.membership.table import (
     MemberTable,
@@ -46,58 +47,6 @@
 """Budget of one part of an exchange, under the usual 1,500 of a packet."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class SwimTiming:
-    """Intervals in seconds.
-
-    Parameters
-    ----------
-    probe_s : float
-        Interval between pings; also how long one may stay unanswered.
-    suspicion_s : float
-        Time that a suspected instance has to refute.
-    rejoin_s : float
-        Interval between pings of an instance that was declared dead.
-    exchange_s : float
-        Shortest interval between exchanges of everything known.
-    exchange_per_member_s : float
-        What each member adds to that interval, so that the bytes a second
-        stay the same whatever the number of members.
-    forget_s : float
-        How long a dead instance is remembered.
-    helpers : int
-        Instances that are asked to ping one that does not answer.
-    """
-
-    probe_s: float = 0.5
-    suspicion_s: float = 1.5
-    rejoin_s: float = 1.0
-    exchange_s: float = 5.0
-    exchange_per_member_s: float = 0.2
-    forget_s: float = 86_400.0
-    helpers: int = 3
-
-    @property
-    def direct_s(self):
-        """Time after which others are asked to ping."""
-        return self.probe_s * 0.4
-
-
-@dataclass(frozen=True, kw_only=True)
-class _Probe:
-    target: InstanceId
-    incarnation: int
-    ask_others_s: float
-    ends_s: float
-
-
-@dataclass(frozen=True, kw_only=True)
-class _Relay:
-    requester: InstanceId
-    seq: int
-    ends_s: float
-
-
 class Swim:
     """Membership of one instance.
 
@@ -127,9 +76,7 @@
         )
         self._rumors.add(me)
         self._order = []
-        self._seq = 0
-        self._probes = {}
-        self._relays = {}
+        self._probes = ProbeBook(timing=timing)
         self._suspected = {}
         self._ticked_s = now_s
         self._probe_due_s = now_s
@@ -208,25 +155,17 @@
 
     @_answer.register
     def _(self, message: Ack, now_s):
-        relay = self._relays.pop(message.seq, None)
-        if relay is not None:
-            return self._pass_on(relay, message)
-        probe = self._probes.get(message.seq)
-        if probe is not None and probe.target == message.subject:
-            del self._probes[message.seq]
-        return []
+        relay = self._probes.answered(message.seq, message.subject)
+        if relay is None:
+            return []
+        return self._pass_on(relay, message)
 
     @_answer.register
     def _(self, message: PingRequest, now_s):
         target = self._table.get(message.target)
         if target is None:
             return []
-        seq = self._next_seq()
-        self._relays[seq] = _Relay(
-            requester=message.sender.instance,
-            seq=message.seq,
-            ends_s=now_s + self._timing.probe_s,
-        )
+        seq = self._probes.relay(message.sender.instance, message.seq, now_s)
         return [self._ping(target, seq)]
 
     @_answer.register
@@ -281,7 +220,7 @@
             return
         # This process did not run: answers wait unread in its socket, and
         # without this every probed instance would be suspected at once.
-        self._probes = {}
+        self._probes.forget()
         self._suspected = {
             name: due_s + pause_s for name, due_s in self._suspected.items()
         }
@@ -292,22 +231,15 @@
                 suspect = self._table.get(name)
                 dead = replace(suspect, status=MemberStatus.DEAD)
                 self._take(dead, now_s)
-        self._relays = {
-            seq: relay
-            for seq, relay in self._relays.items()
-            if now_s < relay.ends_s
-        }
 
     def _check_probes(self, now_s):
-        sends = []
-        for seq, probe in list(self._probes.items()):
-            if now_s >= probe.ends_s:
-                del self._probes[seq]
-                self._suspect(probe, now_s)
-            elif now_s >= probe.ask_others_s:
-                self._probes[seq] = replace(probe, ask_others_s=float("inf"))
-                sends += self._ask_others(probe, seq)
-        return sends
+        for probe in self._probes.unanswered(now_s):
+            self._suspect(probe, now_s)
+        return [
+            send
+            for probe in self._probes.to_ask_others(now_s)
+            for send in self._ask_others(probe)
+        ]
 
     def _suspect(self, probe, now_s):
         member = self._table.get(probe.target)
@@ -319,13 +251,13 @@
             suspect = replace(member, status=MemberStatus.SUSPECT)
             self._take(suspect, now_s)
 
-    def _ask_others(self, probe, seq):
+    def _ask_others(self, probe):
         helpers = self._pick(self._timing.helpers, but=probe.target)
         return [
             self._send(
                 helper,
                 PingRequest(
-                    seq=seq,
+                    seq=probe.seq,
                     sender=self.me,
                     target=probe.target,
                     rumors=self._news(),
@@ -338,14 +270,7 @@
         target = self._next_target()
         if target is None:
             return []
-        seq = self._next_seq()
-        self._probes[seq] = _Probe(
-            target=target.instance,
-            incarnation=target.incarnation,
-            ask_others_s=now_s + self._timing.direct_s,
-            ends_s=now_s + 2 * self._timing.probe_s,
-        )
-        return [self._ping(target, seq)]
+        return [self._ping(target, self._probes.probe(target, now_s))]
 
     def _next_target(self):
         for _ in range(2):
@@ -364,7 +289,7 @@
         if not gone:
             return []
         member = self._rng.choice(gone)
-        return [self._ping(member, self._next_seq(), (member,))]
+        return [self._ping(member, self._probes.next_seq(), (member,))]
 
     def _hello(self, seed):
         hello = Exchange(sender=self.me, reply_wanted=True)
@@ -435,7 +360,3 @@
 
     def _news(self):
         return self._rumors.take(group_size=len(self._table.reachable) + 1)
-
-    def _next_seq(self):
-        self._seq += 1
-        return self._seq
