Count the time an answer is kept from when everybody knows of a stop

A rolling restart of 8 instances under load reset 14 requests: other instances told callers of the stopping one until gossip reached them, and those answers were kept beyond the stopping instance's own waiting time. The stopping instance now marks itself in the replicated state and waits until that is in force before it counts.

--- a/currantdeal/cli/drain.py
+++ b/currantdeal/cli/drain.py
@@ -18,6 +18,9 @@
 CLEAN_TIMEOUT_S = 5.0
 SEND_TIMEOUT_S = 10.0
 PROPOSE_TIMEOUT_S = 2.0
+IN_FORCE_TIMEOUT_S = 5.0
+"""A little more than two leases, after which everybody has the mark."""
+
 
 _log = structlog.get_logger(__name__)
 
@@ -81,11 +84,20 @@
         while not self._clear_mark():
             if self._stopping.wait(LOOK_S):
                 return
+        self._become_ready()
         while not self._stopping.wait(LOOK_S):
             self._ports.members.set_load(self._serving.in_flight.load)
             if self._instance in self._ports.state.view().draining:
                 self.begin()
 
+    def _become_ready(self):
+        while self._ports.state.lease_remaining_s() <= 0:
+            if self._stopping.wait(LOOK_S):
+                return
+        self._ports.members.set_ready()
+        if self.draining:
+            self._ports.members.set_draining()
+
     def _clear_mark(self):
         try:
             self._ports.state.propose(
@@ -112,6 +124,7 @@
         _log.info("draining", requests=self._serving.in_flight.count)
         self._ports.members.set_draining()
         self._http.end_connections()
+        self._leave_entries()
         self._stopping.wait(self._keep_s)
         self._finish_requests()
         self._http.stop_accepting()
@@ -122,6 +135,20 @@
         _log.info("drained")
         self._ended.set()
 
+    def _leave_entries(self):
+        # Others go on telling callers of this instance until they have
+        # heard of the stop.  If the time for which such an answer may be
+        # kept were counted from here, callers who were told last would find
+        # the listener closed and their requests reset.
+        state = self._ports.state
+        try:
+            result = state.propose(
+                self._mark(draining=True), timeout_s=PROPOSE_TIMEOUT_S
+            )
+            state.wait_in_force(result.version, timeout_s=IN_FORCE_TIMEOUT_S)
+        except StateUnavailableError:
+            _log.warning("the others may not know of the stop yet")
+
     def _finish_requests(self):
         in_flight = self._serving.in_flight
         while not in_flight.wait_idle(timeout_s=IDLE_SLICE_S):
