Tell callers of an instance only once it is ready

In a rolling restart of 8 instances under load 18 of 2,061 requests were refused with no-lease: a starting instance joined the membership, and so the list of entries, before it held its first lease.

--- a/benchmarks/control_member.py
+++ b/benchmarks/control_member.py
@@ -168,6 +168,7 @@
     )
     server.start()
     members.start()
+    members.set_ready()
     homes.start()
     mine = [
         LoadReport(upstream_id=f"engine-{index}", incarnation=1)
--- a/currantdeal/adapters/gossip.py
+++ b/currantdeal/adapters/gossip.py
@@ -191,6 +191,10 @@
         advertised = member.peer_address if member else ""
         return self._routes.get(instance, advertised)
 
+    def set_ready(self):
+        """Tell the others that callers may be sent to this instance."""
+        self._tell(_Change(draining=False))
+
     def set_draining(self):
         """Tell the others that this instance takes no more callers."""
         self._tell(_Change(draining=True))
@@ -282,6 +286,7 @@
         peer_address=settings.advertised_peer_address or settings.peer_address,
         region=settings.region,
         data_center=settings.data_center,
+        draining=True,
     )
     return Gossip(
         me=me,
--- a/currantdeal/ports/members.py
+++ b/currantdeal/ports/members.py
@@ -49,6 +49,13 @@
     def members(self) -> tuple[Member, ...]:
         """Return all known instances, this one included, sorted by name."""
 
+    def set_ready(self) -> None:
+        """Tell the others that callers may be sent to this instance.
+
+        Until then it counts as draining: it has no lease yet and would
+        refuse whoever is sent to it.
+        """
+
     def set_draining(self) -> None:
         """Tell the others that this instance takes no more callers."""
 
--- a/currantdeal/testing/local_ports.py
+++ b/currantdeal/testing/local_ports.py
@@ -167,6 +167,9 @@
         """Return the instance, unless it drains."""
         return () if self.draining else (self._me,)
 
+    def set_ready(self):
+        """Do nothing: it is ready from the start."""
+
     def set_draining(self):
         """Leave the list."""
         self.draining = True
