--- /dev/null
+++ b/currantdeal/tests/scenarios/world.py
@@ -0,0 +1,185 @@
+"""What the steps of the scenarios share."""
+
+import msgspec
+import urllib3
+
+from currantdeal.testing.caller import CallerClient
+from currantdeal.testing.cluster import Cluster
+from currantdeal.testing.errors import HarnessError
+from currantdeal.testing.shapes import OPERATOR_KEY, ClusterShape, spread
+from currantdeal.testing.traffic import CallerLoad, Received
+from currantdeal.testing.verdicts import (
+    judge_answers,
+    judge_cuts,
+    judge_orders,
+    judge_refused_orders,
+)
+from currantdeal.testing.waiting import wait_until
+
+LIMIT_S = 60.0
+FAST = ("--step-base-s", "0.004")
+WAIT_S = 20
+
+
+class World:
+    """A cluster, its callers and its operator."""
+
+    def __init__(self, *, folder):
+        """Start nothing yet."""
+        self._folder = folder
+        self._requests = 0
+        self.cluster = None
+        self.load = None
+        self.failed = set()
+        self.notes = {}
+
+    def start(self, count, *, replicas=3, engines=2, told=(), **shape):
+        """Start instances, engines and a shop, and let all work be done."""
+        instances = spread(count, replicas=replicas)
+        self.cluster = Cluster(
+            folder=self._folder,
+            shape=ClusterShape(instances=instances, **shape),
+        )
+        self.cluster.start()
+        self.cluster.wait_ready(limit_s=LIMIT_S)
+        for number in range(1, engines + 1):
+            for role in ("prefill", "decode"):
+                self.cluster.add_engine(
+                    f"{role}-{number}",
+                    roles=(role,),
+                    options=FAST,
+                    told=told,
+                )
+        self.cluster.add_service("shop-1", told=told)
+        self.cluster.wait_upstreams(limit_s=LIMIT_S)
+        answer = self.apply("all", {"name": "all"})
+        assert answer.status == 200, answer.body
+
+    def close(self):
+        """End everything."""
+        if self.load is not None:
+            self.load.stop()
+        if self.cluster is not None:
+            self.cluster.close()
+
+    def names(self):
+        """Return the names of the instances that have not failed."""
+        return [n for n in self.cluster.instances if n not in self.failed]
+
+    def any_instance(self, *but):
+        """Return a living instance other than some."""
+        name = next(n for n in self.names() if n not in but)
+        return self.cluster.instance(name)
+
+    def call(self, method, path, body=None, *, at=None):
+        """Send an operator's call to an instance."""
+        address = (at or self.any_instance()).address
+        client = CallerClient(address=address, key=OPERATOR_KEY)
+        raw = msgspec.json.encode(body) if body is not None else b""
+        return client.call(method, path, body=raw)
+
+    def request_id(self):
+        """Return a new request id."""
+        self._requests += 1
+        return f"scenario-{self._requests}"
+
+    def apply(self, name, selector, *, version=0, at=None, request_id=None):
+        """Apply a selector and wait until it is in force."""
+        body = {
+            "selector": selector,
+            "expected_version": version,
+            "request_id": request_id or self.request_id(),
+            "wait_s": WAIT_S,
+        }
+        return self.call("PUT", f"/operator/selectors/{name}", body, at=at)
+
+    def label(self, upstream, value, *, version, name="withdrawn", at=None):
+        """Set a label of an upstream."""
+        body = {
+            "upstream_id": upstream,
+            "labels": [{"name": name, "value": value}],
+            "expected_version": version,
+            "request_id": self.request_id(),
+            "wait_s": 0,
+        }
+        path = f"/operator/upstreams/{upstream}/labels"
+        return self.call("POST", path, body, at=at)
+
+    def status(self, name):
+        """Return what an instance says, or None if it does not answer."""
+        try:
+            return self.cluster.instance(name).status()
+        except (HarnessError, urllib3.exceptions.HTTPError):
+            return None
+
+    def leader(self):
+        """Wait for a leader that a living instance names."""
+        return wait_until(self._leader, what="leader", limit_s=LIMIT_S)
+
+    def fail(self, name):
+        """Kill an instance."""
+        self.failed.add(name)
+        self.cluster.instance(name).kill()
+
+    def send_load(self, **options):
+        """Let callers send from now on."""
+        addresses = self.cluster.caller_addresses
+        options = {"addresses": addresses} | options
+        self.load = CallerLoad(**options)
+        self.load.start()
+        self.await_served(5)
+
+    def await_served(self, more):
+        """Wait until callers have received some more whole answers."""
+        before = self.load.count()
+        wait_until(
+            lambda: self.load.count() >= before + more,
+            what=f"{more} more answers",
+            limit_s=LIMIT_S,
+        )
+
+    def failed_addresses(self):
+        """Return the caller addresses of instances that failed."""
+        return {self.cluster.instance(name).advertised for name in self.failed}
+
+    def runs(self):
+        """Return the shop's journal."""
+        return self.cluster.stand_in("shop-1").client.runs()
+
+    def engines(self):
+        """Return the clients of the engines."""
+        return [
+            each.client
+            for name, each in self.cluster.stand_ins.items()
+            if name != "shop-1"
+        ]
+
+    def judge(self):
+        """Stop the callers and return what was promised and not kept."""
+        self.load.stop()
+        sent, runs = self.load.sent, self.runs()
+        return (
+            judge_answers(sent)
+            + judge_orders(sent, runs)
+            + judge_refused_orders(sent, runs)
+            + judge_cuts(sent, allowed=self.failed_addresses())
+        )
+
+    def await_nothing_held(self):
+        """Wait until no engine holds memory."""
+        wait_until(
+            lambda: not any(engine.held() for engine in self.engines()),
+            what="free engine memory",
+            limit_s=LIMIT_S,
+        )
+
+    def count(self, received):
+        """Return how many requests ended in a way."""
+        return self.load.count(received=Received(received))
+
+    def _leader(self):
+        for name in self.names():
+            status = self.status(name)
+            if status and status["leader"] in self.names():
+                return status["leader"]
+        return None
