Keep what comes free for the caller that used least, and one turn a caller

Freed memory went to whichever entry asked in the right moment, and within an entry the hot caller's blocked work stood before everyone's. Ruled out: admission alone (polite callers were admitted and then gave up), and keeping blocked work in the fair queue (it loses its turn).

--- a/currantdeal/policy/__init__.py
+++ b/currantdeal/policy/__init__.py
@@ -22,6 +22,7 @@
 from currantdeal.policy.prefixes import BLOCK_TOKENS, PrefixHints
 from currantdeal.policy.retry import RetryBudget, RetryDecision
 from currantdeal.policy.scheduler import GiveUp, Plan, Pools, Scheduler, Wait
+from currantdeal.policy.waiters import Waiter, Waiters
 from currantdeal.policy.weights import EVEN_WEIGHTS, UserWeights
 
 __all__ = [
@@ -55,5 +56,7 @@
     "StartRate",
     "UserWeights",
     "Wait",
+    "Waiter",
+    "Waiters",
     "slow_group",
 ]
--- a/currantdeal/policy/fair_queue.py
+++ b/currantdeal/policy/fair_queue.py
@@ -121,16 +121,31 @@
         self._cost_s += cost_s
         self._size += 1
 
-    def pop(self):
-        """Return the next ``Queued``, or None when nothing waits."""
-        while self._heads:
-            start, _, caller = heapq.heappop(self._heads)
+    def pop(self, *, skip=()):
+        """Return the next ``Queued``, or None when nothing waits.
+
+        Parameters
+        ----------
+        skip : collection of CallerId
+            Callers whose turn does not count now.
+        """
+        skipped = []
+        found = None
+        while self._heads and found is None:
+            head = heapq.heappop(self._heads)
+            start, _, caller = head
             waiting = self._callers.get(caller)
-            if waiting is not None and waiting.items:
-                return self._take(caller, waiting, start)
-            self._callers.pop(caller, None)
-        self._forget_idle()
-        return None
+            if waiting is None or not waiting.items:
+                self._callers.pop(caller, None)
+            elif caller in skip:
+                skipped.append(head)
+            else:
+                found = self._take(caller, waiting, start)
+        for head in skipped:
+            heapq.heappush(self._heads, head)
+        if not self._heads:
+            self._forget_idle()
+        return found
 
     def remove_late(self, now_s):
         """Remove and return the work whose deadline has passed."""
--- a/currantdeal/policy/ledger.py
+++ b/currantdeal/policy/ledger.py
@@ -30,10 +30,11 @@
 
 from currantdeal.core import CallerId, InstanceId, RequestId
 from currantdeal.policy.batch_limit import BatchLimit
+from currantdeal.policy.waiters import Waiters
 
 MAX_BACKLOG_S = 0.2
 MIN_RETRY_AFTER_S = 0.02
-MAX_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 1.0
 UNKNOWN_WAIT_S = 60.0
 
 
@@ -135,7 +136,7 @@
     60
     >>> other = Ask(request_id="r2", caller="c", entry="i1", pieces=60)
     >>> ledger.reserve(other, now_s=0.0)
-    LedgerRefusal(retry_after_s=0.1)
+    LedgerRefusal(retry_after_s=1.0)
     """
 
     def __init__(self, *, limits):
@@ -144,6 +145,7 @@
         self._grants = {}
         self._stalled = set()
         self._streams = 0
+        self._waiters = Waiters()
         self._batch = BatchLimit(target_s=limits.output_gap_s)
         self._used = 0
         self._prefill_until_s = 0.0
@@ -172,11 +174,13 @@
         known = self._grants.get(ask.request_id)
         if known is not None:
             return known
-        if ask.pieces and self._is_full(ask.pieces):
-            return _refusal(self._memory_wait_s(ask.pieces, now_s))
+        refusal = self._refusal(ask, now_s)
+        if refusal is not None:
+            self._waiters.wait(ask.request_id, ask.caller, now_s=now_s)
+            return refusal
+        self._waiters.leave(ask.request_id)
+        self._waiters.used(ask.caller, self._cost_s(ask), now_s=now_s)
         backlog_s = self._backlog_s(ask, now_s)
-        if backlog_s > self._limits.max_backlog_s:
-            return _refusal(backlog_s - self._limits.max_backlog_s)
         return self._grant(ask, now_s, backlog_s)
 
     def grow(self, request_id, *, pieces):
@@ -239,6 +243,22 @@
         """Take in a reservation that another home granted before."""
         return self._grant(ask, now_s, 0.0)
 
+    def _refusal(self, ask, now_s):
+        if ask.pieces and self._is_full(ask.pieces):
+            return _refused(self._memory_wait_s(ask.pieces, now_s))
+        over_s = self._backlog_s(ask, now_s) - self._limits.max_backlog_s
+        if over_s > 0:
+            return _refused(over_s)
+        if not self._waiters.is_next(ask.request_id, ask.caller, now_s=now_s):
+            return _refused(0.0)
+        return None
+
+    def _cost_s(self, ask):
+        total = max(1, self._limits.pieces_total)
+        rate = self._limits.prefill_tokens_per_s
+        prefill_s = ask.prefill_tokens / rate if rate > 0 else 0.0
+        return ask.hold_s * ask.pieces / total + prefill_s
+
     def _is_full(self, pieces):
         return (
             pieces > self.pieces_free
@@ -290,6 +310,6 @@
     return grant.ends_s
 
 
-def _refusal(after_s):
+def _refused(after_s):
     bounded_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, after_s))
     return LedgerRefusal(retry_after_s=bounded_s)
--- a/currantdeal/policy/load_view.py
+++ b/currantdeal/policy/load_view.py
@@ -3,9 +3,8 @@
 The load pattern is a burst within one report interval.  Reports arrive about
 every half second, so a router that believes them alone sends everything of
 that half second to the engine that looked emptiest.  What this instance has
-sent itself since then it knows, and a home's refusal tells that an engine is
-full: both are added to the report for half a second, after which the next
-report contains them.
+sent itself since then it knows: it is added to the report for half a second,
+after which the next report contains it.
 """
 
 from collections import deque
@@ -26,15 +25,12 @@
         Prompt tokens that wait for prefill.
     prefill_tokens_per_s, step_s : float
         Measured speed; 0 when unknown.
-    full : bool
-        True when its home refused a reservation a moment ago.
     """
 
     pieces_free: int | None = None
     queued_tokens: int = 0
     prefill_tokens_per_s: float = 0.0
     step_s: float = 0.0
-    full: bool = False
 
 
 class LoadView:
@@ -62,36 +58,25 @@
         """Start without own sendings."""
         self._source = source
         self._sent = {}
-        self._full_until_s = {}
 
     def get(self, upstream_id, *, now_s):
         """Return the believed ``Load`` of an upstream."""
         report = self._source(upstream_id)
         pieces, tokens = self._recent(upstream_id, now_s)
-        full = self.is_full(upstream_id, now_s=now_s)
         if report is None:
-            return Load(queued_tokens=tokens, full=full)
+            return Load(queued_tokens=tokens)
         return Load(
             pieces_free=report.pieces_free - pieces,
             queued_tokens=report.queued_tokens + tokens,
             prefill_tokens_per_s=report.prefill_tokens_per_s,
             step_s=report.step_s,
-            full=full,
         )
 
-    def is_full(self, upstream_id, *, now_s):
-        """Return whether its home refused a reservation a moment ago."""
-        return self._full_until_s.get(upstream_id, 0.0) > now_s
-
     def sent(self, upstream_id, *, pieces, tokens, now_s):
         """Remember what was just reserved at an upstream."""
         recent = self._sent.setdefault(upstream_id, deque())
         recent.append((now_s, pieces, tokens))
 
-    def refused(self, upstream_id, *, until_s):
-        """Remember that an upstream is full until some time."""
-        self._full_until_s[upstream_id] = until_s
-
     def _recent(self, upstream_id, now_s):
         recent = self._sent.get(upstream_id)
         if not recent:
--- a/currantdeal/policy/placement.py
+++ b/currantdeal/policy/placement.py
@@ -54,9 +54,6 @@
         Predicted time until the prefill has ended, in seconds.
     transfer_s : float
         Predicted time of the transfer, in seconds.
-    full : bool
-        True when the engines were full a moment ago, so that asking their
-        homes again is of no use yet.
     """
 
     decode: Upstream
@@ -64,7 +61,6 @@
     cached_tokens: float
     prefill_s: float
     transfer_s: float
-    full: bool = False
 
 
 class Placement:
@@ -87,8 +83,19 @@
         self._slow = slow
         self._pools = {}
 
-    def choose(self, work, *, prefills, decodes, load, tokens, now_s):
-        """Return a ``Choice``, or None when no engine matches.
+    def choose(
+        self,
+        work,
+        *,
+        prefills,
+        decodes,
+        load,
+        tokens,
+        now_s,
+        full=(),
+        wanted=None,
+    ):
+        """Return a ``Choice``, or None when no engine is left.
 
         Parameters
         ----------
@@ -99,45 +106,59 @@
             Believed loads.
         tokens : int
             Tokens of prompt and expected output, to be held in memory.
+        full : collection of UpstreamId
+            Engines whose homes refused the work a moment ago.
+        wanted : UpstreamId, optional
+            The decode engine that the work waits for, if still allowed.
         """
-        decode = self._choose_decode(work, decodes, load, tokens, now_s)
+        decode = self._pool(decodes).by_name.get(wanted)
+        if decode is None:
+            decode = self._choose_decode(
+                work, decodes, load, tokens, now_s, full
+            )
         if decode is None:
             return None
-        held = self._hints.holders(work.prefix_keys, now_s=now_s)
-        pool = self._pool(prefills)
+        return self._choose_prefill(work, prefills, decode, load, now_s, full)
+
+    def _choose_decode(self, work, decodes, load, tokens, now_s, full):
         found = self._candidates(
-            pool, decode.region, held, slow_group(work, Role.PREFILL), now_s
+            self._pool(decodes), work, work.region, Role.DECODE, {}, now_s
         )
         best = None
         for upstream in found:
+            if upstream.upstream_id in full:
+                continue
             believed = load.get(upstream.upstream_id, now_s=now_s)
-            cached = held.get(upstream.upstream_id, 0.0)
-            full = believed.full or load.is_full(
-                decode.upstream_id, now_s=now_s
-            )
-            choice = _prefill_choice(
-                work, decode, upstream, cached, believed, full
-            )
-            score = _price(choice, work)
-            if believed.full:
-                score += FULL_PENALTY_S
+            score = _decode_price(work, upstream, believed, tokens)
+            score += self._rng.random() * SPREAD_S
             if best is None or score < best[0]:
-                best = (score, choice)
+                best = (score, upstream)
         return best[1] if best else None
 
-    def _choose_decode(self, work, decodes, load, tokens, now_s):
-        pool = self._pool(decodes)
+    def _choose_prefill(self, work, prefills, decode, load, now_s, full):
+        held = self._hints.holders(work.prefix_keys, now_s=now_s)
+        found = self._candidates(
+            self._pool(prefills),
+            work,
+            decode.region,
+            Role.PREFILL,
+            held,
+            now_s,
+        )
         best = None
-        group = slow_group(work, Role.DECODE)
-        for upstream in self._candidates(pool, work.region, {}, group, now_s):
+        for upstream in found:
+            if upstream.upstream_id in full:
+                continue
             believed = load.get(upstream.upstream_id, now_s=now_s)
-            score = _decode_price(work, upstream, believed, tokens)
-            score += self._rng.random() * SPREAD_S
+            cached = held.get(upstream.upstream_id, 0.0)
+            choice = _prefill_choice(work, decode, upstream, cached, believed)
+            score = _price(choice, work)
             if best is None or score < best[0]:
-                best = (score, upstream)
+                best = (score, choice)
         return best[1] if best else None
 
-    def _candidates(self, pool, region, held, group, now_s):
+    def _candidates(self, pool, work, region, role, held, now_s):
+        group = slow_group(work, role)
         found = _sample(self._rng, pool.near(region), NEAR_SAMPLES)
         found += _sample(self._rng, pool.far(region), FAR_SAMPLES)
         names = sorted(held, key=held.get, reverse=True)[:MAX_HOLDERS]
@@ -196,14 +217,14 @@
     free = total if believed.pieces_free is None else believed.pieces_free
     left = free - tokens // upstream.tokens_per_piece
     price_s = 1.0 - max(0, left) / total
-    if left < 0 or believed.full:
+    if left < 0:
         price_s += FULL_PENALTY_S
     if upstream.region != work.region:
         price_s += FAR_DELAY_S
     return price_s
 
 
-def _prefill_choice(work, decode, upstream, cached, believed, full):
+def _prefill_choice(work, decode, upstream, cached, believed):
     rate = believed.prefill_tokens_per_s or DEFAULT_PREFILL_TOKENS_PER_S
     cached = min(cached, work.prompt_tokens)
     wait_s = believed.queued_tokens / rate
@@ -214,7 +235,6 @@
         cached_tokens=cached,
         prefill_s=wait_s + computing_s,
         transfer_s=_transfer_s(work, upstream, decode),
-        full=full,
     )
 
 
--- a/currantdeal/policy/scheduler.py
+++ b/currantdeal/policy/scheduler.py
@@ -9,16 +9,18 @@
 ``submit`` admits work or refuses it.  ``poll`` hands out plans for the work
 whose turn it is, and gives up on work that can no longer be in time.  The
 caller of the scheduler reserves what the plan asks for, decode first, tells
-how that went by ``reserved`` or ``blocked``, and polls again.  Blocked work
-keeps its turn: it is planned again at once for another engine, before
-anything behind it, and when every engine is full ``poll`` returns a ``Wait``,
-after which it is to be called again.  At most four plans are out at once,
-because more would turn the queue's order into a race between reservations; a
-reservation takes one round trip, about 25 ms between regions, so four plans
-still start 160 requests a second.
+how that went by ``reserved`` or ``blocked``, and polls again.
+
+Blocked work keeps its turn.  It is planned for up to three engines; when all
+refuse, ``poll`` returns a ``Wait``, after which it is to be called again.
+The work then waits for the engine that promised room first: it asks there
+every 20 ms, by which it keeps its place at that engine's home, and looks at
+one of the others in between.  Each caller has one such turn at a time, so
+that a hot caller whose work waits for an engine delays nobody else's, and at
+most sixteen callers have one, which bounds what an entry asks of homes to
+some hundred reservations a second.
 """
 
-from collections import deque
 from dataclasses import dataclass
 
 from currantdeal.core import Role, Upstream, Work
@@ -32,7 +34,10 @@
 from currantdeal.policy.prefixes import PrefixHints
 from currantdeal.policy.weights import EVEN_WEIGHTS
 
-MAX_PLANS = 4
+MAX_TURNS = 16
+ASKED_AT_ONCE = 3
+ASKED_AGAIN = 2
+FULL_DECODE_S = 0.3
 MIN_QUANTILE = 0.7
 CAUTIOUS_QUANTILE = 0.2
 DEFAULT_STEP_S = 0.02
@@ -154,15 +159,14 @@
         self._load = LoadView(source=load)
         self._pools_of = pools
         self._rate = StartRate(initial=INITIAL_RATE)
-        self._blocked = deque()
-        self._plans = {}
+        self._turns = {}
         self._path_ratio = 1.0
         self._next_sweep_s = 0.0
 
     @property
     def waiting(self):
         """Number of pieces of work that have not been started."""
-        return len(self._queue) + len(self._blocked) + len(self._plans)
+        return len(self._queue) + len(self._turns)
 
     @property
     def slow(self):
@@ -187,24 +191,25 @@
     def poll(self, *, now_s):
         """Return the ``Plan``, ``Wait`` and ``GiveUp`` messages now due."""
         due = list(self._sweep(now_s))
-        while len(self._plans) < MAX_PLANS:
-            queued = self._next(now_s)
+        for turn in list(self._turns.values()):
+            if turn.due_s is not None and turn.due_s <= now_s:
+                due.append(self._take_turn(turn, now_s))
+        while len(self._turns) < MAX_TURNS:
+            busy = {turn.queued.work.caller for turn in self._turns.values()}
+            queued = self._queue.pop(skip=busy)
             if queued is None:
                 break
-            message = self._turn(queued, now_s)
-            due.append(message)
-            if isinstance(message, Wait):
-                break
+            due.append(self._take_turn(_Turn(queued), now_s))
         return tuple(due)
 
     def reserved(self, plan, *, now_s):
         """Take in that all of a plan was reserved and its work starts."""
-        queued = self._plans.pop(plan.work.request_id, None)
-        if queued is None:
+        turn = self._turns.pop(plan.work.request_id, None)
+        if turn is None:
             return
         choice = plan.choice
         self._rate.record(
-            cost_s=queued.cost_s, now_s=now_s, waiting=self.waiting > 0
+            cost_s=turn.queued.cost_s, now_s=now_s, waiting=self.waiting > 0
         )
         self._load.sent(
             choice.decode.upstream_id,
@@ -224,20 +229,20 @@
 
     def blocked(self, plan, upstream_id, *, retry_after_s, now_s):
         """Take in that a home refused a part of a plan."""
-        queued = self._plans.pop(plan.work.request_id, None)
-        self._load.refused(upstream_id, until_s=now_s + retry_after_s)
-        if queued is not None:
-            self._blocked.append((now_s, queued))
+        turn = self._turns.get(plan.work.request_id)
+        if turn is None:
+            return
+        turn.due_s = now_s
+        if upstream_id == plan.choice.decode.upstream_id:
+            turn.refused_by(upstream_id, retry_after_s, now_s)
+        else:
+            turn.full_until_s[upstream_id] = now_s + retry_after_s
 
     def cancel(self, request_id):
         """Forget waiting work whose caller is gone; return if it waited."""
-        if self._plans.pop(request_id, None) is not None:
+        if self._turns.pop(request_id, None) is not None:
             return True
-        kept = [it for it in self._blocked if _id(it[1]) != request_id]
-        was_blocked = len(kept) < len(self._blocked)
-        self._blocked = deque(kept)
-        removed = self._queue.remove_if(lambda q: _id(q) == request_id)
-        return was_blocked or bool(removed)
+        return bool(self._queue.remove_if(lambda q: _id(q) == request_id))
 
     def prefilled(self, work, upstream_id, *, cached_tokens, taken_s, now_s):
         """Learn from a prefill.
@@ -283,24 +288,20 @@
             slowness = between_s / DEFAULT_STEP_S
             self._slow.observe(group, upstream_id, slowness, now_s=now_s)
 
-    def _turn(self, queued, now_s):
-        work = queued.work
+    def _take_turn(self, turn, now_s):
+        work = turn.queued.work
         if self._is_late(work, now_s):
+            self._turns.pop(work.request_id, None)
             return self._give_up(work)
-        plan = self._plan(work, now_s)
+        self._turns[work.request_id] = turn
+        plan = self._plan(turn, now_s) if turn.asks_left > 0 else None
         if plan is None:
-            self._blocked.append((now_s + FULL_RETRY_S, queued))
+            turn.pause(now_s)
             return Wait(work=work, delay_s=FULL_RETRY_S)
-        self._plans[work.request_id] = queued
+        turn.asks_left -= 1
+        turn.due_s = None
         return plan
 
-    def _next(self, now_s):
-        if not self._blocked:
-            return self._queue.pop()
-        if self._blocked[0][0] > now_s:
-            return None
-        return self._blocked.popleft()[1]
-
     def _sweep(self, now_s):
         if now_s < self._next_sweep_s:
             return ()
@@ -318,7 +319,8 @@
         refused = self._admission.give_up(wait_s=wait_s)
         return GiveUp(work=work, refused=refused)
 
-    def _plan(self, work, now_s):
+    def _plan(self, turn, now_s):
+        work = turn.queued.work
         pools = self._pools_of(work)
         expected = self._expected(work, self._quantile)
         choice = self._placement.choose(
@@ -328,8 +330,10 @@
             load=self._load,
             tokens=work.prompt_tokens + expected,
             now_s=now_s,
+            full=turn.full(now_s),
+            wanted=turn.take_wanted(),
         )
-        if choice is None or choice.full:
+        if choice is None:
             return None
         return self._asks(work, choice, expected, now_s)
 
@@ -376,13 +380,60 @@
         return prefill_s + decode_s
 
     def _ahead_s(self, work):
-        blocked_s = sum(queued.cost_s for _, queued in self._blocked)
-        return blocked_s + self._queue.cost_ahead_s(work.caller)
+        turns_s = sum(
+            turn.queued.cost_s
+            for turn in self._turns.values()
+            if turn.queued.work.caller == work.caller
+        )
+        return turns_s + self._queue.cost_ahead_s(work.caller)
 
     def _path_s(self, work):
         return self._path_ratio * _ideal_path_s(work)
 
 
+class _Turn:
+    """Work whose turn it is, until it is reserved or given up."""
+
+    def __init__(self, queued):
+        self.queued = queued
+        self.due_s = None
+        self.asks_left = ASKED_AT_ONCE
+        self.full_until_s = {}
+        self._wanted = None
+        self._wanted_wait_s = float("inf")
+        self._ask_wanted = False
+        self._settled = False
+
+    def refused_by(self, upstream_id, retry_after_s, now_s):
+        """Note a refusal, and wait for the engine that has room first."""
+        self.full_until_s[upstream_id] = now_s + FULL_DECODE_S
+        if not self._settled and retry_after_s < self._wanted_wait_s:
+            self._wanted = upstream_id
+            self._wanted_wait_s = retry_after_s
+
+    def pause(self, now_s):
+        """Ask the wanted engine first, once the pause is over."""
+        self.due_s = now_s + FULL_RETRY_S
+        self.asks_left = ASKED_AGAIN
+        self._ask_wanted = True
+        self._settled = self._wanted is not None
+
+    def take_wanted(self):
+        """Return the engine to ask first after a pause, or None."""
+        if not self._ask_wanted:
+            return None
+        self._ask_wanted = False
+        return self._wanted
+
+    def full(self, now_s):
+        """Return the engines that refused a moment ago."""
+        return {
+            name
+            for name, until_s in self.full_until_s.items()
+            if until_s > now_s
+        }
+
+
 def _ideal_path_s(work):
     prefill_s = work.prompt_tokens / DEFAULT_PREFILL_TOKENS_PER_S
     return prefill_s + DEFAULT_STEP_S
