Carry a stream on when its decode engine dies

Cause: a decode engine that died or restarted left its callers with half an answer and an error event; a retry went to the dead engine as likely as to a living one, because it looks idle until its silence is noticed. Change: another engine generates the output anew and it goes on behind what the caller has, if that part comes out the same, else the stream ends with an error; an upstream that gave no answer is left out for a second. Ruled out: prefilling the prompt with the output so far, which engines that tokenize differently at the joint answer differently, and the dialect counts offsets from the first output. Figures: before, a stream of 90 tokens ended in an error when its engine was killed after 5; after, it is whole (test_stream_outlives_its_decode_engine).

--- a/currantdeal/adapters/http/generation.py
+++ b/currantdeal/adapters/http/generation.py
@@ -8,10 +8,10 @@
     ChatBody,
     CompletionBody,
 )
-from currantdeal.adapters.http.problems import problem
+from currantdeal.adapters.http.problems import problem_of_refusal
 from currantdeal.adapters.settings import KeyKind
-from currantdeal.core import Outcome, UpstreamError, WorkKind, prefix_keys
-from currantdeal.serving.errors import CallerGoneError
+from currantdeal.core import WorkKind, prefix_keys
+from currantdeal.serving.errors import CallerGoneError, RefusedError
 from currantdeal.serving.prompts import estimate_tokens
 from currantdeal.serving.requests import GenerationRequest
 
@@ -168,17 +168,10 @@
                     yield self._last(chunk)
                     return
                 yield text_event(chunk.text)
-        except UpstreamError as exc:
+        except RefusedError as exc:
             # Part of the answer is out, so the status cannot tell of the
             # failure; the event does, and no end marker follows it.
-            yield event_of(
-                problem(
-                    502,
-                    "upstream-failed",
-                    f"the output broke off: {exc}",
-                    outcome=Outcome.FAILED.value,
-                )
-            )
+            yield event_of(problem_of_refusal(exc))
         except CallerGoneError:
             return
 
--- a/currantdeal/cli/serving.py
+++ b/currantdeal/cli/serving.py
@@ -7,9 +7,10 @@
 from currantdeal.serving.claims import ClaimBook
 from currantdeal.serving.cleanup import Cleaner
 from currantdeal.serving.decisions import Decisions
-from currantdeal.serving.generation import GenerationService, ServingParts
+from currantdeal.serving.generation import GenerationService
 from currantdeal.serving.hangups import HangUpMonitor
 from currantdeal.serving.inflight import InFlight
+from currantdeal.serving.parts import ServingParts
 from currantdeal.serving.reservations import Reserver
 from currantdeal.serving.silence import SilenceLimits
 from currantdeal.serving.view import ServingView
--- a/currantdeal/cli/tests/test_whole_path.py
+++ b/currantdeal/cli/tests/test_whole_path.py
@@ -159,6 +159,25 @@
     assert answer.json()["menu"]
 
 
+def test_stream_outlives_its_decode_engine(cluster, caller):
+    """A decode engine is killed in the middle of a stream.
+
+    The caller would get half an answer.
+    """
+    cluster.add_engine("d2", roles=("decode",))
+    cluster.wait_upstreams()
+    stream = caller.open_stream("cake tokens=90")
+    assert len(stream.read_some(5)) >= 5
+    held = {
+        name: cluster.stand_in(name).client.held() for name in ("d1", "d2")
+    }
+    killed = next(name for name, found in held.items() if found)
+    cluster.stand_in(killed).process.kill()
+    received = stream.read()
+    assert received.text == expected_output("cake tokens=90", 90)
+    assert received.done
+
+
 @pytest.fixture
 def alone(tmp_path, monkeypatch):
     """Yield a daemon over local ports and the fast engine that it uses."""
--- a/currantdeal/policy/scheduler.py
+++ b/currantdeal/policy/scheduler.py
@@ -41,6 +41,7 @@
 MAX_RATIO = 4.0
 SWEEP_S = 0.05
 FULL_RETRY_S = 0.02
+FAILED_S = 1.0
 USUAL_PREFILL_S = 0.01
 INITIAL_RATE = 50.0
 
@@ -229,6 +230,14 @@
         if queued is not None:
             self._blocked.append((now_s, queued))
 
+    def failed(self, upstream_id, *, now_s):
+        """Take in that an upstream gave no answer; it is left out a while.
+
+        A dead engine looks idle until its silence is noticed.  Without this
+        a retry would go to it as likely as to a living one.
+        """
+        self._load.refused(upstream_id, until_s=now_s + FAILED_S)
+
     def cancel(self, request_id):
         """Forget waiting work whose caller is gone; return if it waited."""
         if self._plans.pop(request_id, None) is not None:
--- a/currantdeal/serving/decisions.py
+++ b/currantdeal/serving/decisions.py
@@ -193,6 +193,10 @@
             now_s=self._now_s(),
         )
 
+    def learn_failure(self, work, upstream):
+        """Take in that an upstream could not be reached or fell silent."""
+        self._scheduler(work).failed(upstream.upstream_id, now_s=self._now_s())
+
     def learn_path(self, work, path_s):
         """Take in the time between start and first output."""
         self._scheduler(work).first_output(work, path_s=path_s)
--- a/currantdeal/serving/errors.py
+++ b/currantdeal/serving/errors.py
@@ -61,3 +61,13 @@
         outcome=Outcome.NOT_RUN,
         retry_after_s=retry_after_s,
     )
+
+
+def late_answer():
+    """Return the refusal of work whose first output came too late."""
+    return RefusedError(
+        "the first output came too late",
+        reason=Reason.DEADLINE,
+        outcome=Outcome.FAILED,
+        retry_after_s=1.0,
+    )
--- a/currantdeal/serving/streams.py
+++ b/currantdeal/serving/streams.py
@@ -123,6 +123,9 @@
                     resumes = 0
                 resumes += 1
                 if not self._may_resume(resumes):
+                    self._parts.decisions.learn_failure(
+                        self._request.work, self._reserved.upstream
+                    )
                     raise
                 self._parts.metrics.add("stream_resumes_total")
 
