--- a/currantdeal/policy/scheduler.py
+++ b/currantdeal/policy/scheduler.py
@@ -53,6 +53,7 @@
 CAUTIOUS_START_MARGIN = 0.2
 SWEEP_S = 0.05
 FULL_RETRY_S = 0.02
+FAILED_S = 1.0
 USUAL_PREFILL_S = 0.01
 INITIAL_RATE = 50.0
 
@@ -248,6 +249,14 @@
         else:
             turn.full_until_s[upstream_id] = now_s + retry_after_s
 
+    def failed(self, upstream_id, *, now_s):
+        """Take in that an upstream gave no answer; it is left out a while.
+
+        A dead engine looks idle until its silence is noticed.  Without this
+        a retry would go to it as likely as to a living one.
+        """
+        self._load.refused(upstream_id, until_s=now_s + FAILED_S)
+
     def cancel(self, request_id):
         """Forget waiting work whose caller is gone; return if it waited."""
         if self._turns.pop(request_id, None) is not None:
