--- a/currantdeal/policy/__init__.py
+++ b/currantdeal/policy/__init__.py
@@ -6,6 +6,7 @@
     Refused,
     StartRate,
 )
+from currantdeal.policy.batch_limit import BatchLimit
 from currantdeal.policy.fair_queue import FairQueue, Queued
 from currantdeal.policy.ledger import (
     Ask,
@@ -21,6 +22,7 @@
 from currantdeal.policy.prefixes import BLOCK_TOKENS, PrefixHints
 from currantdeal.policy.retry import RetryBudget, RetryDecision
 from currantdeal.policy.scheduler import GiveUp, Plan, Pools, Scheduler, Wait
+from currantdeal.policy.waiters import Waiter, Waiters
 from currantdeal.policy.weights import EVEN_WEIGHTS, UserWeights
 
 __all__ = [
@@ -28,6 +30,7 @@
     "Admitted",
     "Ask",
     "BLOCK_TOKENS",
+    "BatchLimit",
     "Choice",
     "EVEN_WEIGHTS",
     "FairQueue",
@@ -53,5 +56,7 @@
     "StartRate",
     "UserWeights",
     "Wait",
+    "Waiter",
+    "Waiters",
     "slow_group",
 ]
