Test that a replica without memory grants no vote

Cause: 3000 schedules did not notice when it did; losing a disk between two votes of one term is too rare there. Change: a test of the rule; the mutation is checked by it.

--- a/currantdeal/consensus/tests/mutations.py
+++ b/currantdeal/consensus/tests/mutations.py
@@ -174,7 +174,7 @@
         path="consensus/elections.py",
         old="        and not raft.blank\n        and _may_win",
         new="        and _may_win",
-        check=EXPLORE,
+        check=NODE,
     ),
     Mutation(
         title="messages of an earlier term are accepted",
--- a/currantdeal/consensus/tests/test_node.py
+++ b/currantdeal/consensus/tests/test_node.py
@@ -19,6 +19,7 @@
     Snapshot,
     Stored,
     VoteAnswer,
+    VoteRequest,
 )
 
 NAMES = ("i1", "i2", "i3")
@@ -138,6 +139,28 @@
     assert trio.nodes["i4"].last_index == leader.last_index
 
 
+def test_replica_without_memory_grants_no_vote():
+    """A replica's disk was lost after it had voted, and it is asked again.
+
+    Two votes in one term could make two leaders.
+    """
+    node = Trio(names=(*NAMES, "i4")).nodes["i4"]
+    for pre in (True, False):
+        node.receive(
+            VoteRequest(
+                term=3,
+                sender="i1",
+                to="i4",
+                last_index=9,
+                last_term=2,
+                pre=pre,
+            ),
+            0.0,
+        )
+    answers = node.take_output().messages
+    assert [answer.granted for answer in answers] == [False, False]
+
+
 def test_only_one_change_of_the_replica_set_at_a_time():
     """Two operators replace two replicas at once.
 
