Send answers back on the call that brought the question

Cause: at rest the leader of 8 instances used 40 ms of processor time a second; each heartbeat took two calls and each renewal three turns of the actor. Change: deliver returns the messages that answer its sender once they are synced; a renewal is one turn of the actor; proposers and open calls moved to waiting.py.

--- a/currantdeal/adapters/replication/handler.py
+++ b/currantdeal/adapters/replication/handler.py
@@ -21,7 +21,6 @@
 from currantdeal.adapters.replication.requests import (
     AskInForce,
     AskProgress,
-    Deliver,
     Join,
     ReleaseLease,
 )
@@ -59,12 +58,17 @@
         self._lock = threading.Lock()
 
     def deliver(self, messages):
-        """Take messages from another replica."""
+        """Take messages from another replica; return those to it."""
         try:
             found = tuple(MESSAGE_CODEC.decode(raw) for raw in messages)
         except CodecError:
-            return
-        self._local.tell(Deliver(messages=found))
+            return []
+        if not found:
+            return []
+        return [
+            MESSAGE_CODEC.encode(answer)
+            for answer in self._local.deliver(found)
+        ]
 
     def renew(self, request):
         """Grant a lease, or pass the request to the leader."""
--- a/currantdeal/adapters/replication/local.py
+++ b/currantdeal/adapters/replication/local.py
@@ -16,6 +16,7 @@
 )
 from currantdeal.adapters.replication.requests import (
     AskStatus,
+    Deliver,
     Propose,
     ReadSteps,
     Renew,
@@ -56,9 +57,20 @@
         """Return the ``ReplicaStatus``, or None."""
         return self.ask(AskStatus())
 
+    def deliver(self, messages):
+        """Pass messages of one replica; return those that answer them."""
+        reply = pykka.ThreadingFuture()
+        request = Deliver(
+            messages=messages, sender=messages[0].sender, reply=reply
+        )
+        try:
+            self._ref.tell(request)
+            return reply.get(timeout=ASK_TIMEOUT_S)
+        except (pykka.ActorDeadError, pykka.Timeout):
+            return ()
+
     def renew(self, request):
         """Return a ``RenewAnswer``; not granted unless this one leads."""
-        status = self.status()
         renewed = self.ask(
             Renew(
                 instance=request.instance,
@@ -66,21 +78,18 @@
                 version=request.version,
             )
         )
-        if status is None or renewed is None:
+        if renewed is None:
             return RenewAnswer(granted=False)
-        steps, compacted = (), False
-        if renewed.granted:
-            steps, compacted = self._steps_after(request.version)
         return RenewAnswer(
             granted=renewed.granted,
             remaining_s=renewed.remaining_s,
             version=renewed.version,
-            entries=to_wire(steps),
-            snapshot_needed=compacted,
-            leader=status.leader or "",
+            entries=to_wire(renewed.steps),
+            snapshot_needed=renewed.compacted,
+            leader=renewed.leader or "",
             replicas=[
                 ReplicaAddress(instance=rep.instance, address=rep.address)
-                for rep in status.configuration.members
+                for rep in renewed.members
             ],
         )
 
@@ -101,7 +110,8 @@
             return ProposeAnswer(
                 status=ProposeStatus.UNKNOWN, message=str(exc)
             )
-        steps, _ = self._steps_after(request.version)
+        found = self.ask(ReadSteps(after=request.version))
+        steps = found.steps or () if found else ()
         return ProposeAnswer(
             status=ProposeStatus.DONE,
             version=done.version,
@@ -109,14 +119,6 @@
             entries=to_wire(steps),
         )
 
-    def _steps_after(self, version):
-        found = self.ask(ReadSteps(after=version))
-        if found is None:
-            return (), False
-        if found.steps is None:
-            return (), True
-        return found.steps, False
-
 
 def to_wire(steps):
     """Return steps as Thrift entries."""
--- a/currantdeal/adapters/replication/outbox.py
+++ b/currantdeal/adapters/replication/outbox.py
@@ -35,13 +35,16 @@
         Takes an instance's name and returns its peer address, or None.
     timeout_s : float
         Longest wait for a receiver to take a batch.
+    take_answers : callable
+        Takes the messages that come back at once.
     """
 
-    def __init__(self, *, pool, address_of, timeout_s):
+    def __init__(self, *, pool, address_of, timeout_s, take_answers):
         """Start without any lanes."""
         self._pool = pool
         self._address_of = address_of
         self._timeout_s = timeout_s
+        self._take_answers = take_answers
         self._queues = {}
 
     def send(self, messages):
@@ -88,7 +91,7 @@
             return False
         raw = [MESSAGE_CODEC.encode(message) for message in batch]
         try:
-            self._pool.call(
+            answers = self._pool.call(
                 address,
                 SERVICE_NAME,
                 ReplicaService.Client,
@@ -97,6 +100,10 @@
             )
         except PeerError:
             return False
+        if answers:
+            self._take_answers(
+                tuple(MESSAGE_CODEC.decode(answer) for answer in answers)
+            )
         return True
 
 
--- a/currantdeal/adapters/replication/replica.py
+++ b/currantdeal/adapters/replication/replica.py
@@ -12,15 +12,11 @@
 
 from currantdeal.adapters.disk import DiskError
 from currantdeal.adapters.replication.entries import (
-    RESULT_CODEC,
     state_of,
     step_of,
     take_step,
 )
-from currantdeal.adapters.replication.errors import (
-    NotProposedError,
-    OutcomeUnknownError,
-)
+from currantdeal.adapters.replication.errors import NotProposedError
 from currantdeal.adapters.replication.requests import (
     AskInForce,
     AskProgress,
@@ -33,7 +29,6 @@
     Join,
     LeaseProgress,
     Propose,
-    Proposed,
     ReadSteps,
     ReleaseLease,
     Remove,
@@ -43,6 +38,11 @@
     Steps,
     Tick,
 )
+from currantdeal.adapters.replication.waiting import (
+    Callers,
+    Proposals,
+    fail,
+)
 from currantdeal.consensus import (
     CompactedError,
     ConsensusError,
@@ -132,7 +132,8 @@
         self._state = state_of(data)
         self._snapshot_index = self._state.version
         self._encoding = False
-        self._pending = {}
+        self._proposals = Proposals()
+        self._callers = Callers()
         self._leases = None
         self._unwritten = 0
         self._held = None
@@ -151,7 +152,8 @@
 
     def on_stop(self):
         """Fail what is pending and give up the folder."""
-        self._fail_pending("the instance stops")
+        self._callers.release()
+        self._proposals.fail_all("the instance stops")
         self._folder.close()
 
     @property
@@ -173,6 +175,8 @@
 
     @_take.register
     def _(self, message: Deliver):
+        if message.reply is not None:
+            self._callers.add(message.sender, message.reply)
         # A replica whose disk takes nothing must not answer; to the others
         # it looks like one that is cut off.
         if self._held is None:
@@ -182,20 +186,22 @@
     @_take.register
     def _(self, message: Propose):
         if not self._leads:
-            message.reply.set_exception(_raised(NotProposedError("no leader")))
+            fail(message.reply, NotProposedError("no leader"))
             return
         try:
             (entry,) = self._node.propose((message.command,), self._now_s)
         except NotLeaderError as exc:
-            message.reply.set_exception(_raised(NotProposedError(str(exc))))
+            fail(message.reply, NotProposedError(str(exc)))
             return
-        self._pending[entry.index] = (entry.term, message.reply)
+        self._proposals.add(entry, message.reply)
 
     @_take.register
     def _(self, message: Renew):
         now_s = self._now_s
+        members = self._node.configuration.members
+        leader = self._node.leader
         if not self._leads or message.version > self._state.version:
-            return Renewed(granted=False)
+            return Renewed(granted=False, leader=leader, members=members)
         remaining_s = self._lease_table().renew(
             message.instance,
             message.region,
@@ -203,10 +209,15 @@
             anchor_s=self._node.quorum_acked_s(now_s),
             now_s=now_s,
         )
+        found = self._steps_after(message.version)
         return Renewed(
             granted=remaining_s > 0.0,
+            leader=leader,
+            members=members,
             remaining_s=remaining_s,
             version=self._state.version,
+            steps=found.steps or (),
+            compacted=found.steps is None,
         )
 
     @_take.register
@@ -216,16 +227,7 @@
 
     @_take.register
     def _(self, message: ReadSteps):
-        try:
-            entries = self._node.entries_after(
-                message.after, limit=MAX_STEPS, max_bytes=MAX_STEP_BYTES
-            )
-        except CompactedError:
-            return Steps(version=self._state.version, steps=None)
-        steps = tuple(
-            step_of(e) for e in entries if e.index <= self._state.version
-        )
-        return Steps(version=self._state.version, steps=steps)
+        return self._steps_after(message.after)
 
     @_take.register
     def _(self, message: AskInForce):
@@ -301,6 +303,18 @@
                 index=message.index, data=message.data, keep=KEEP_ENTRIES
             )
 
+    def _steps_after(self, version):
+        try:
+            entries = self._node.entries_after(
+                version, limit=MAX_STEPS, max_bytes=MAX_STEP_BYTES
+            )
+        except CompactedError:
+            return Steps(version=self._state.version, steps=None)
+        steps = tuple(
+            step_of(e) for e in entries if e.index <= self._state.version
+        )
+        return Steps(version=self._state.version, steps=steps)
+
     def _change(self, ask):
         try:
             ask()
@@ -323,8 +337,9 @@
     def _flush(self):
         while self._carry_out():
             pass
-        if not self._node.is_ready and self._pending:
-            self._fail_pending("leadership was lost")
+        self._callers.release()
+        if not self._node.is_ready:
+            self._proposals.fail_all("leadership was lost")
         self._note_changes()
         self._start_compaction()
 
@@ -335,7 +350,11 @@
         if not self._save(output):
             return False
         self._node.synced(output.last_index)
-        self._outbox.send(output.messages)
+        self._outbox.send(
+            message
+            for message in output.messages
+            if not self._callers.take(message)
+        )
         if output.installed is not None:
             self._state = state_of(output.installed.data)
             self._snapshot_index = output.installed.index
@@ -351,7 +370,7 @@
         except DiskError as exc:
             if self._held is None:
                 _log.error("disk-refused", error=str(exc))
-                self._fail_pending("the disk takes no writes")
+                self._proposals.fail_all("the disk takes no writes")
             self._held = output
             return False
         if self._held is not None:
@@ -361,20 +380,7 @@
 
     def _apply(self, entry):
         self._state, result = take_step(self._state, step_of(entry))
-        term, reply = self._pending.pop(entry.index, (None, None))
-        if reply is None:
-            return
-        if term != entry.term:
-            reply.set_exception(_raised(NotProposedError("overtaken")))
-            return
-        reply.set(
-            Proposed(version=entry.index, result=RESULT_CODEC.encode(result))
-        )
-
-    def _fail_pending(self, reason):
-        for _, reply in self._pending.values():
-            reply.set_exception(_raised(OutcomeUnknownError(reason)))
-        self._pending.clear()
+        self._proposals.resolve(entry, result)
 
     def _note_changes(self):
         role = self._node.role
@@ -402,7 +408,3 @@
         # an election timeout, and the state is immutable.
         data = encode_state(state)
         self.actor_ref.tell(Compact(index=state.version, data=data))
-
-
-def _raised(error):
-    return type(error), error, None
--- a/currantdeal/adapters/replication/requests.py
+++ b/currantdeal/adapters/replication/requests.py
@@ -16,9 +16,20 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Deliver:
-    """Messages came from another replica."""
+    """Messages came from another replica.
+
+    Parameters
+    ----------
+    sender : InstanceId or None
+        Whom ``reply`` answers.
+    reply : Future or None
+        Gets the messages to the sender that they lead to, once those may be
+        sent; otherwise these would need a call of their own.
+    """
 
     messages: tuple[Message, ...]
+    sender: InstanceId | None = None
+    reply: Future | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -48,11 +59,23 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Renewed:
-    """The leader's answer to a renewal."""
+    """A replica's answer to a renewal.
+
+    Parameters
+    ----------
+    steps : tuple of Step
+        What the instance has not seen, as far as one answer holds it.
+    compacted : bool
+        True when the instance needs a snapshot instead.
+    """
 
     granted: bool
+    leader: InstanceId | None
+    members: tuple[Replica, ...]
     remaining_s: float = 0.0
     version: int = 0
+    steps: tuple[Step, ...] = ()
+    compacted: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/currantdeal/adapters/replication/service.py
+++ b/currantdeal/adapters/replication/service.py
@@ -17,6 +17,7 @@
 from currantdeal.adapters.replication.remote import RemoteReplicas
 from currantdeal.adapters.replication.replica import ReplicaActor
 from currantdeal.adapters.replication.requests import (
+    Deliver,
     HandOver,
     Remove,
     Tick,
@@ -170,6 +171,7 @@
             pool=peer_pool,
             address_of=self._directory.address_of,
             timeout_s=self._timing.election_s,
+            take_answers=self._take_answers,
         )
         self._ref = ReplicaActor.start(
             me=settings.instance,
@@ -209,6 +211,9 @@
             {rep.instance: rep.address for rep in configuration.members}
         )
 
+    def _take_answers(self, messages):
+        self._local.tell(Deliver(messages=messages))
+
     def _tick(self):
         interval_s = self._timing.heartbeat_s / TICKS_PER_HEARTBEAT
         while not self._stopped.wait(interval_s):
--- a/docs/idl/consensus.thrift
+++ b/docs/idl/consensus.thrift
@@ -97,7 +97,7 @@
 }
 
 service Replica {
-  void deliver(1: list<binary> messages)
+  list<binary> deliver(1: list<binary> messages)
   RenewAnswer renew(1: RenewRequest request)
   ProposeAnswer propose(1: ProposeRequest request)
   StatePiece state_piece(1: StatePieceRequest request)
