--- a/currantdeal/adapters/replication/replica.py
+++ b/currantdeal/adapters/replication/replica.py
@@ -4,13 +4,13 @@
 proposals and messages that came while the one before was under way.
 """
 
-import threading
 from functools import singledispatchmethod
 
 import pykka
 import structlog
 
 from currantdeal.adapters.disk import DiskError
+from currantdeal.adapters.replication import compaction
 from currantdeal.adapters.replication.entries import (
     state_of,
     step_of,
@@ -51,20 +51,10 @@
     Node,
     NotLeaderError,
 )
-from currantdeal.state import encode_state
 
 MAX_UNWRITTEN = 256
 """Messages handled at most before the writes are synced."""
 
-COMPACT_ENTRIES = 4_096
-"""Entries after a snapshot that call for the next one."""
-
-COMPACT_BYTES = 16_777_216
-"""Length of the segment that calls for the next snapshot."""
-
-KEEP_ENTRIES = 2_048
-"""Entries kept before a snapshot, so that a short lag needs no snapshot."""
-
 MAX_STEPS = 512
 MAX_STEP_BYTES = 262_144
 
@@ -130,8 +120,9 @@
         )
         data = stored.snapshot.data if stored.snapshot else b""
         self._state = state_of(data)
-        self._snapshot_index = self._state.version
-        self._encoding = False
+        self._compaction = compaction.Compaction(
+            index=self._state.version, tell=self._tell_self
+        )
         self._proposals = Proposals()
         self._callers = Callers()
         self._leases = None
@@ -296,11 +287,12 @@
 
     @_take.register
     def _(self, message: Compact):
-        self._encoding = False
         if message.index >= self._node.base_index:
-            self._snapshot_index = message.index
+            self._compaction.note(message.index)
             self._node.compact(
-                index=message.index, data=message.data, keep=KEEP_ENTRIES
+                index=message.index,
+                data=message.data,
+                keep=compaction.KEEP_ENTRIES,
             )
 
     def _steps_after(self, version):
@@ -341,7 +333,8 @@
         if not self._node.is_ready:
             self._proposals.fail_all("leadership was lost")
         self._note_changes()
-        self._start_compaction()
+        if self._held is None:
+            self._compaction.consider(self._state, self._folder.segment_bytes)
 
     def _carry_out(self):
         output = self._held or self._node.take_output()
@@ -357,7 +350,7 @@
         )
         if output.installed is not None:
             self._state = state_of(output.installed.data)
-            self._snapshot_index = output.installed.index
+            self._compaction.note(output.installed.index)
         for entry in output.committed:
             self._apply(entry)
         if output.installed is not None or output.committed:
@@ -382,6 +375,12 @@
         self._state, result = take_step(self._state, step_of(entry))
         self._proposals.resolve(entry, result)
 
+    def _tell_self(self, message):
+        try:
+            self.actor_ref.tell(message)
+        except pykka.ActorDeadError:
+            return
+
     def _note_changes(self):
         role = self._node.role
         if role is not self._shown_role:
@@ -391,20 +390,3 @@
         if configuration is not self._configuration:
             self._configuration = configuration
             self._on_configuration(configuration)
-
-    def _start_compaction(self):
-        behind = self._state.version - self._snapshot_index
-        due = behind >= COMPACT_ENTRIES or (
-            behind and self._folder.segment_bytes >= COMPACT_BYTES
-        )
-        if due and not self._encoding and self._held is None:
-            self._encoding = True
-            threading.Thread(
-                target=self._encode, args=(self._state,), daemon=True
-            ).start()
-
-    def _encode(self, state):
-        # On a thread of its own: encoding a large state takes longer than
-        # an election timeout, and the state is immutable.
-        data = encode_state(state)
-        self.actor_ref.tell(Compact(index=state.version, data=data))
--- a/currantdeal/adapters/replication/tests/test_replicated_state.py
+++ b/currantdeal/adapters/replication/tests/test_replicated_state.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from currantdeal.adapters.replication import replica as replica_module
+from currantdeal.adapters.replication import compaction
 from currantdeal.adapters.replication.tests.builders import (
     LIMIT_S,
     Cluster,
@@ -167,8 +167,8 @@
     Showing what its disk held would bring
     a withdrawn upstream back to work for a moment.
     """
-    monkeypatch.setattr(replica_module, "COMPACT_ENTRIES", 40)
-    monkeypatch.setattr(replica_module, "KEEP_ENTRIES", 5)
+    monkeypatch.setattr(compaction, "COMPACT_ENTRIES", 40)
+    monkeypatch.setattr(compaction, "KEEP_ENTRIES", 5)
     leader = cluster.wait_for_leader()
     away = next(n for n in cluster.replicas if n != leader)
     cluster.wait_for_leases()
