Keep the answer of an order that comes after its deadline

A drain waits for such calls. Keeping an answer takes no longer than the time left, so that a lost leader makes no answer late.

--- a/currantdeal/cli/drain.py
+++ b/currantdeal/cli/drain.py
@@ -17,6 +17,9 @@
 IDLE_SLICE_S = 1.0
 CLEAN_TIMEOUT_S = 5.0
 SEND_TIMEOUT_S = 10.0
+CALLS_TIMEOUT_S = 40.0
+"""Longest time after its caller's deadline that a claimed call may run on."""
+
 PROPOSE_TIMEOUT_S = 2.0
 
 _log = structlog.get_logger(__name__)
@@ -116,6 +119,7 @@
         self._finish_requests()
         self._http.stop_accepting()
         self._finish_requests()
+        self._serving.calls.wait_idle(timeout_s=CALLS_TIMEOUT_S)
         self._http.wait_quiet(timeout_s=SEND_TIMEOUT_S)
         self._serving.cleaner.wait_idle(timeout_s=CLEAN_TIMEOUT_S)
         self._hand_over()
--- a/currantdeal/serving/calls.py
+++ b/currantdeal/serving/calls.py
@@ -9,7 +9,8 @@
 
 import hashlib
 
-from currantdeal.core import Outcome, Ran, Role, UpstreamError, outcome_of
+from currantdeal.core import Ran, Role, UpstreamError, outcome_of
+from currantdeal.serving.claimed_calls import LATE_S, ClaimedCalls
 from currantdeal.serving.errors import (
     CallerGoneError,
     Reason,
@@ -62,11 +63,16 @@
         """Keep the parts."""
         self._services = services
         self._claims = claims
+        self._claimed_calls = ClaimedCalls(claims=claims, clock=clock)
         self._view = view
         self._decisions = decisions
         self._clock = clock
         self._metrics = metrics
 
+    def wait_idle(self, *, timeout_s):
+        """Return whether no claimed call was left within the timeout."""
+        return self._claimed_calls.wait_idle(timeout_s=timeout_s)
+
     def call(self, request):
         """Return the service's answer as a ``CallOutcome``.
 
@@ -116,28 +122,20 @@
         if claim.kept is not None:
             return CallOutcome(answer=claim.kept, replayed=True)
         try:
-            answer = self._send_claimed(request)
-        except RefusedError as exc:
-            if exc.outcome is Outcome.NOT_RUN:
-                self._claims.release(claim)
-            else:
-                self._claims.abandon(claim)
-            raise
-        except CallerGoneError:
-            # It is only looked for before a call is sent.
+            self._time_to_send_s(request.work)
+        except RefusedError:
             self._claims.release(claim)
             raise
-        except BaseException:
-            self._claims.abandon(claim)
-            raise
-        self._claims.finish(claim, answer)
+        answer = self._claimed_calls.run(
+            request, claim, lambda: self._send_claimed(request)
+        )
         return CallOutcome(answer=answer)
 
     def _send_claimed(self, request):
         upstreams = self._upstreams(request)
         for upstream in upstreams:
             try:
-                return self._send(request, upstream)
+                return self._send(request, upstream, late_s=LATE_S)
             except UpstreamError as exc:
                 failure = exc
             # Only a try that is proved not to have run may be followed by
@@ -150,7 +148,7 @@
         allowed = self._view.candidates(request.work, Role.SERVICE)
         return self._decisions.order_services(request.work, allowed).get()
 
-    def _send(self, request, upstream):
+    def _send(self, request, upstream, *, late_s=0.0):
         work = request.work
         self._view.check_lease()
         if not self._view.may_serve(work, Role.SERVICE, upstream):
@@ -162,19 +160,25 @@
         if request.gone():
             raise CallerGoneError("the caller hung up")
         started_s = self._clock.monotonic_s()
-        left_s = work.deadline_s - started_s
+        left_s = self._time_to_send_s(work)
+        answer = self._services.call(
+            upstream, request.call, timeout_s=left_s + late_s
+        )
+        taken_s = self._clock.monotonic_s() - started_s
+        self._decisions.learn_service(
+            work, upstream, slowness=taken_s / USUAL_CALL_S
+        )
+        return answer
+
+    def _time_to_send_s(self, work):
+        left_s = work.deadline_s - self._clock.monotonic_s()
         if left_s < SHORTEST_SEND_S:
             raise not_run(
                 "the deadline passed before the call could be sent",
                 reason=Reason.DEADLINE,
                 retry_after_s=RETRY_AFTER_S,
             )
-        answer = self._services.call(upstream, request.call, timeout_s=left_s)
-        taken_s = self._clock.monotonic_s() - started_s
-        self._decisions.learn_service(
-            work, upstream, slowness=taken_s / USUAL_CALL_S
-        )
-        return answer
+        return left_s
 
 
 def _refusal(failure, ran):
--- a/currantdeal/serving/claims.py
+++ b/currantdeal/serving/claims.py
@@ -110,8 +110,8 @@
             self._clock.sleep(pause_s)
             pause_s = min(LONGEST_PAUSE_S, 2 * pause_s)
 
-    def finish(self, claim, answer):
-        """Keep the answer for resends."""
+    def finish(self, claim, answer, *, timeout_s=PROPOSE_TIMEOUT_S):
+        """Keep the answer for resends, in the background if it takes long."""
         kept = CallAnswer(
             status=answer.status,
             content_type=_content_type(answer),
@@ -123,7 +123,8 @@
                 key=claim.key,
                 token=claim.token,
                 answer=kept,
-            )
+            ),
+            timeout_s=timeout_s,
         )
 
     def release(self, claim):
@@ -165,9 +166,9 @@
                 retry_after_s=1.0,
             ) from exc
 
-    def _end(self, command):
+    def _end(self, command, *, timeout_s=PROPOSE_TIMEOUT_S):
         try:
-            self._state.propose(command, timeout_s=PROPOSE_TIMEOUT_S)
+            self._state.propose(command, timeout_s=timeout_s)
         except StateUnavailableError:
             # The caller's answer doesn't wait for a leader; the end of the
             # claim is proposed again in the background.
--- a/currantdeal/serving/tests/test_calls.py
+++ b/currantdeal/serving/tests/test_calls.py
@@ -151,6 +151,25 @@
     assert world.services.sent == []
 
 
+def test_late_answer_of_an_order_is_kept_for_a_resend():
+    """A shop answers an order after the caller's deadline.
+
+    The late answer must not come as if it were in time, and must not be
+    lost: the caller would not know whether there will be a cake.
+    """
+    world = build_world()
+    go_on = threading.Event()
+    world.services.script = [lambda: go_on.wait(30)]
+    late = order(world, key="k", deadline_in_s=0.1)
+    refusal = _refusal(world, late)
+    assert refusal.reason is Reason.DEADLINE
+    assert refusal.outcome is Outcome.UNKNOWN
+    go_on.set()
+    assert world.serving.calls.wait_idle(timeout_s=30)
+    assert _call(world, order(world, key="k")).answer.body == b"run 1"
+    assert len(world.services.sent) == 1
+
+
 def test_without_quorum_nothing_is_sent():
     """No quorum answers while an order is claimed.
 
