Show the status of an instance that no leader answers

Cause: the scenario test_a_region_is_cut_off_and_healed failed once on a busy machine: asked for its status while it knew of no leader, an instance answered 500, because the progress of the others could not be learned. Change: the progress is then empty and the rest is shown. Conclusion: an operator asks just when an instance is cut off.

--- a/currantdeal/adapters/http/operator.py
+++ b/currantdeal/adapters/http/operator.py
@@ -180,7 +180,7 @@
                 leader=self._state.leader(),
                 lease_remaining_s=self._state.lease_remaining_s(),
                 draining=tuple(sorted(state.draining)),
-                progress=self._state.progress(),
+                progress=self._progress(),
                 members=self._members.members(),
                 loads=tuple(found for found in reports if found is not None),
             )
@@ -281,6 +281,14 @@
         )
         return json_response({"records": records})
 
+    def _progress(self):
+        # An instance that is cut off must still tell what it believes; that
+        # is when an operator asks.
+        try:
+            return self._state.progress()
+        except StateUnavailableError:
+            return ()
+
     def _shown(self, state, record):
         name = record.upstream.upstream_id
         return ShownUpstream(
