Grant no lease before the new leader has applied its log

Change: a leader is ready once take_output has given out its first entry. Ruled out: loss of entries; the log was whole and the next renewal had it.

--- a/currantdeal/consensus/node.py
+++ b/currantdeal/consensus/node.py
@@ -63,7 +63,9 @@
     >>> node.tick(2.0)
     >>> node.synced(node.take_output().last_index)
     >>> node.is_ready
-    True
+    False
+    >>> [entry.index for entry in node.take_output().committed], node.is_ready
+    ([1], True)
     >>> [entry.index for entry in node.propose((b"x", b"y"), 2.1)]
     [2, 3]
     """
@@ -101,10 +103,16 @@
 
     @property
     def is_ready(self):
-        """True on a leader that knows everything committed before it."""
+        """True on a leader that has given out all that was committed before.
+
+        What is committed but not yet given out by ``take_output`` is not
+        applied either.  A leader that granted a lease between the two would
+        grant it for a view from before changes that are in force; one would
+        notice it as an old selector that guides work after a restart.
+        """
         raft = self._raft
         leads = raft.role is RaftRole.LEADER
-        return leads and raft.commit >= raft.first_own_index
+        return leads and raft.applied >= raft.first_own_index
 
     @property
     def commit_index(self):
--- a/currantdeal/consensus/tests/test_node.py
+++ b/currantdeal/consensus/tests/test_node.py
@@ -317,3 +317,34 @@
     assert output.installed.data == b"state"
     assert output.writes[-1].discard
     assert (node.last_index, node.commit_index) == (2, 2)
+
+
+def test_leader_is_not_ready_before_it_has_given_out_what_is_committed():
+    """Every replica restarts, and one leads before it has applied its log.
+
+    If it granted a lease then, an instance would work by an empty view and
+    send work to upstreams that were withdrawn before the restart.
+    """
+    alone = Configuration(voters=(Replica(instance="i1", address=""),))
+    stored = Stored(
+        term=1,
+        voted_for="i1",
+        snapshot=Snapshot(index=0, term=0, configuration=alone),
+        entries=(
+            Entry(index=1, term=1, kind=EntryKind.COMMAND, data=b"change"),
+        ),
+    )
+    node = Node(
+        me="i1",
+        settings=NodeSettings(),
+        stored=stored,
+        random=random.Random(1),
+        now_s=0.0,
+    )
+    node.tick(2.0)
+    node.synced(node.take_output().last_index)
+    assert node.commit_index == 2
+    assert not node.is_ready
+    committed = node.take_output().committed
+    assert [entry.index for entry in committed] == [1, 2]
+    assert node.is_ready
