Run the operators' pages as one test

Cause: test_docs failed in 2 of 5 parallel runs: its parametrised lines were spread over workers although marked as one group, each with a cluster of its own, so a selector was deleted where it had not been applied. Change: one test runs all lines in order; the group option is gone again. Conclusion: the fault was the test's, not the product's.

--- a/currantdeal/cli/tests/test_docs.py
+++ b/currantdeal/cli/tests/test_docs.py
@@ -15,25 +15,27 @@
 LAST = "drain.md"
 
 
+def _blocks(page, wanted):
+    for language, text in BLOCK.findall(page.read_text()):
+        if language == wanted:
+            yield text
+
+
 def _commands():
     pages = sorted(
         PAGES.glob("*.md"), key=lambda page: (page.name == LAST, page.name)
     )
-    return [
-        pytest.param(line, id=f"{page.stem}:{line}")
-        for page in pages
-        for language, text in BLOCK.findall(page.read_text())
-        if language == "sh"
-        for line in text.splitlines()
-        if line.startswith("currantdeal ")
-    ]
+    for page in pages:
+        for text in _blocks(page, "sh"):
+            for line in text.splitlines():
+                if line.startswith("currantdeal "):
+                    yield line
 
 
-@pytest.fixture(scope="module")
-def cluster(tmp_path_factory):
-    folder = tmp_path_factory.mktemp("docs")
+@pytest.fixture
+def cluster(tmp_path):
     with Cluster(
-        folder=folder, shape=ClusterShape(instances=spread(3))
+        folder=tmp_path, shape=ClusterShape(instances=spread(3))
     ) as found:
         for name in ("decode-1", "decode-2"):
             found.add_engine(name, roles=("decode",))
@@ -43,28 +45,22 @@
         yield found
 
 
-@pytest.mark.xdist_group("docs")
-@pytest.mark.parametrize("line", _commands())
-def test_commands_of_the_operators_pages_work(line, cluster, tmp_path):
-    (settings,) = [
-        text
-        for language, text in BLOCK.findall((PAGES / "deploy.md").read_text())
-        if language == "json"
-    ]
-    (tmp_path / "settings.json").write_text(settings)
-    arguments = [
-        str(tmp_path / word) if word == "settings.json" else word
-        for word in shlex.split(line)[1:]
-    ]
-    result = CliRunner().invoke(
-        main,
-        arguments,
-        env={
-            "CURRANTDEAL_ADDRESS": " ".join(cluster.caller_addresses),
-            "CURRANTDEAL_OPERATOR_KEY": OPERATOR_KEY,
-        },
-    )
-    assert result.exit_code == 0, result.output
+def test_commands_of_the_operators_pages_work(cluster, tmp_path):
+    settings = tmp_path / "settings.json"
+    settings.write_text(next(_blocks(PAGES / "deploy.md", "json")))
+    environment = {
+        "CURRANTDEAL_ADDRESS": " ".join(cluster.caller_addresses),
+        "CURRANTDEAL_OPERATOR_KEY": OPERATOR_KEY,
+    }
+    lines = list(_commands())
+    assert lines
+    for line in lines:
+        words = [
+            str(settings) if word == settings.name else word
+            for word in shlex.split(line)[1:]
+        ]
+        result = CliRunner().invoke(main, words, env=environment)
+        assert result.exit_code == 0, f"{line}\n{result.output}"
 
 
 def test_every_operators_page_is_linked_from_another():
