Say of a change that may be made that its outcome is unknown

Cause: under load a withdrawal got 503 with outcome not-run while the text said that it may still be made; problems of HttpError always said not-run. The harness's operator gave up on that answer, which failed test_an_upstream_is_withdrawn_while_an_instance_is_cut_off once. Change: HttpError carries an outcome; an operator's change whose proposal may commit says unknown. The harness resends under the same request id, as the answer asks and as the command line does.

--- a/currantdeal/adapters/http/app.py
+++ b/currantdeal/adapters/http/app.py
@@ -127,7 +127,12 @@
             return self._handle(environ)
         except HttpError as exc:
             return problem_response(
-                problem(exc.status, exc.reason, str(exc)),
+                problem(
+                    exc.status,
+                    exc.reason,
+                    str(exc),
+                    outcome=exc.outcome.value,
+                ),
                 headers=exc.headers,
             )
         except RefusedError as exc:
--- a/currantdeal/adapters/http/errors.py
+++ b/currantdeal/adapters/http/errors.py
@@ -1,6 +1,7 @@
 """Errors of the HTTP interface, which become answers."""
 
 from currantdeal.adapters.errors import AdapterError
+from currantdeal.core import Outcome
 
 
 class HttpError(AdapterError):
@@ -16,14 +17,19 @@
         What is wrong and what to do, for people.
     headers : tuple of tuple
         Further headers of the answer.
+    outcome : Outcome
+        What is proved of what was asked.
     """
 
-    def __init__(self, status, reason, message, *, headers=()):
+    def __init__(
+        self, status, reason, message, *, headers=(), outcome=Outcome.NOT_RUN
+    ):
         """Keep what the answer needs."""
         super().__init__(message)
         self.status = status
         self.reason = reason
         self.headers = headers
+        self.outcome = outcome
 
 
 def bad_request(message, *, reason="bad-request"):
--- a/currantdeal/adapters/http/operator.py
+++ b/currantdeal/adapters/http/operator.py
@@ -12,7 +12,12 @@
 from currantdeal.adapters.http.errors import HttpError, bad_request
 from currantdeal.adapters.http.messages import json_response
 from currantdeal.adapters.settings import KeyKind
-from currantdeal.core import Label, Selector, StateUnavailableError
+from currantdeal.core import (
+    Label,
+    Outcome,
+    Selector,
+    StateUnavailableError,
+)
 from currantdeal.state import (
     ApplySelector,
     Conflict,
@@ -305,13 +310,14 @@
         try:
             result = self._state.propose(command, timeout_s=PROPOSE_TIMEOUT_S)
         except StateUnavailableError as exc:
-            outcome = "may still be" if exc.proposed else "was not"
+            fate = "may still be" if exc.proposed else "was not"
             raise HttpError(
                 503,
                 "state-unavailable",
-                f"no quorum answered in time; the change {outcome} made; "
+                f"no quorum answered in time; the change {fate} made; "
                 "send it again under the same request id",
                 headers=(("Retry-After", "1"),),
+                outcome=Outcome.UNKNOWN if exc.proposed else Outcome.NOT_RUN,
             ) from exc
         if isinstance(result, Conflict):
             raise HttpError(
@@ -344,6 +350,7 @@
                 "not-in-force",
                 f"version {version} is accepted and was not in force "
                 "everywhere in time",
+                outcome=Outcome.UNKNOWN,
             ) from exc
 
     def _origin(self, request, body):
--- a/currantdeal/testing/operator.py
+++ b/currantdeal/testing/operator.py
@@ -12,6 +12,9 @@
 from currantdeal.testing.shapes import OPERATOR_KEY
 
 TIMEOUT_S = 30.0
+TRIES = 6
+UNAVAILABLE = 503
+"""No quorum in time; the change is sent again under its request id."""
 
 
 class OperatorCalls:
@@ -60,19 +63,22 @@
 
     def _send(self, method, path, body):
         url = f"http://{self._address}/operator/{path}"
-        try:
-            answer = self._pool.request(
-                method,
-                url,
-                body=msgspec.json.encode(body),
-                headers={
-                    "Authorization": f"Bearer {OPERATOR_KEY}",
-                    "Content-Type": "application/json",
-                },
-            )
-        except urllib3.exceptions.HTTPError as exc:
-            raise HarnessError(f"{url}: {exc}") from exc
+        raw = msgspec.json.encode(body)
+        for _ in range(TRIES):
+            answer = self._ask(method, url, raw)
+            if answer.status != UNAVAILABLE:
+                break
         found = msgspec.json.decode(answer.data)
         if answer.status >= 400:
             raise RefusedError(answer.status, "refused", str(found))
         return found
+
+    def _ask(self, method, url, raw):
+        headers = {
+            "Authorization": f"Bearer {OPERATOR_KEY}",
+            "Content-Type": "application/json",
+        }
+        try:
+            return self._pool.request(method, url, body=raw, headers=headers)
+        except urllib3.exceptions.HTTPError as exc:
+            raise HarnessError(f"{url}: {exc}") from exc
