Sharpen two serving tests and show gauges of the instance

Cause: of the mutations tried on a scratch copy, two went unnoticed: an expired prefill that lost its decode memory, and a refusal that told the outcome of the last attempt only. /metrics had no gauges. Change: the tests look at the decode request's name and at a second failed attempt; requests in flight, living members, version and lease are set at each scrape.

--- a/currantdeal/adapters/http/health.py
+++ b/currantdeal/adapters/http/health.py
@@ -4,6 +4,7 @@
 from currantdeal.adapters.http.messages import Response, json_response
 from currantdeal.adapters.settings import KeyKind
 from currantdeal.membership import choose_entries
+from currantdeal.ports import MemberStatus
 
 
 class HealthEndpoints:
@@ -17,6 +18,8 @@
         Tells which instances serve callers.
     metrics : Metrics
         Rendered for scrapers.
+    in_flight : InFlight
+        Counts the requests being served.
     region : RegionId
         Region of the instance; its entries come first.
     keep_s : float
@@ -28,9 +31,19 @@
     """
 
     def __init__(
-        self, *, state, members, metrics, region, keep_s, rng, draining
+        self,
+        *,
+        state,
+        members,
+        metrics,
+        in_flight,
+        region,
+        keep_s,
+        rng,
+        draining,
     ):
         """Keep the parts."""
+        self._in_flight = in_flight
         self._region = region
         self._rng = rng
         self._state = state
@@ -62,9 +75,22 @@
 
     def metrics(self, request):
         """Show the metrics in the text format of Prometheus."""
+        self._measure()
         content_type, text = self._metrics.render()
         return Response(headers=(("Content-Type", content_type),), body=text)
 
+    def _measure(self):
+        alive = [
+            member
+            for member in self._members.members()
+            if member.status is MemberStatus.ALIVE
+        ]
+        metrics = self._metrics
+        metrics.set("requests_in_flight", self._in_flight.count)
+        metrics.set("members_alive", len(alive))
+        metrics.set("state_version", self._state.view().version)
+        metrics.set("lease_remaining_seconds", self._state.lease_remaining_s())
+
     def entries(self, request):
         """Tell which addresses callers should use."""
         return json_response(
--- a/currantdeal/adapters/http/tests/test_bad_input.py
+++ b/currantdeal/adapters/http/tests/test_bad_input.py
@@ -122,6 +122,14 @@
         assert json.loads(body)["outcome"] == "not-run"
 
 
+def test_metrics_tell_of_the_instance(address):
+    raw = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
+    status, body = _send(address, raw)
+    assert status == 200
+    assert b"currantdeal_requests_in_flight 0" in body
+    assert b"currantdeal_members_alive 1" in body
+
+
 def test_half_a_request_blocks_nobody(address):
     """More callers than threads send half a request and fall silent.
 
--- a/currantdeal/cli/daemon.py
+++ b/currantdeal/cli/daemon.py
@@ -229,6 +229,7 @@
             state=self._ports.state,
             members=self._ports.members,
             metrics=self._metrics,
+            in_flight=self._serving.in_flight,
             region=self._settings.region,
             keep_s=self._settings.timing.entries_keep_s,
             rng=random.Random(),
--- a/currantdeal/serving/tests/test_generation.py
+++ b/currantdeal/serving/tests/test_generation.py
@@ -136,6 +136,7 @@
     world.settle()
     assert done.text == WHOLE
     assert world.engines.names() == 2 * ["prefill", "import"] + ["decode"]
+    assert world.engines.sent[-1].request_id.endswith(".1")
     assert world.counter("wasted_prefill_tokens_total") == 4
     assert world.reserved() == 0
 
@@ -186,7 +187,8 @@
 def test_unknown_outcome_is_not_hidden_by_a_later_refusal():
     """A prefill may have run; before the retry the lease runs out.
 
-    The last refusal alone would say "not run".
+    The last refusal alone would say "not run", and so would the failure of
+    a second attempt that cannot open a connection.
     """
     world = build_world()
 
@@ -196,6 +198,10 @@
 
     world.engines.on_prefill = [fail]
     assert _refusal(world, generation(world)).outcome is Outcome.UNKNOWN
+    world.state.lease_s = 10.0
+    failure = UpstreamUnreachableError("no", ran=Ran.NO)
+    world.engines.on_prefill = [_silent(), failure, failure]
+    assert _refusal(world, generation(world)).outcome is Outcome.UNKNOWN
 
 
 def test_unreachable_engine_is_retried_elsewhere_within_the_budget():
