--- a/currantdeal/consensus/tests/test_node.py
+++ b/currantdeal/consensus/tests/test_node.py
@@ -17,8 +17,10 @@
     RaftRole,
     Replica,
     Snapshot,
+    SnapshotPiece,
     Stored,
     VoteAnswer,
+    VoteRequest,
 )
 
 NAMES = ("i1", "i2", "i3")
@@ -138,6 +140,28 @@
     assert trio.nodes["i4"].last_index == leader.last_index
 
 
+def test_replica_without_memory_grants_no_vote():
+    """A replica's disk was lost after it had voted, and it is asked again.
+
+    Two votes in one term could make two leaders.
+    """
+    node = Trio(names=(*NAMES, "i4")).nodes["i4"]
+    for pre in (True, False):
+        node.receive(
+            VoteRequest(
+                term=3,
+                sender="i1",
+                to="i4",
+                last_index=9,
+                last_term=2,
+                pre=pre,
+            ),
+            0.0,
+        )
+    answers = node.take_output().messages
+    assert [answer.granted for answer in answers] == [False, False]
+
+
 def test_only_one_change_of_the_replica_set_at_a_time():
     """Two operators replace two replicas at once.
 
@@ -249,3 +273,47 @@
 
     assert answer(1) == 0
     assert answer(2) == 2
+
+
+def test_snapshot_replaces_entries_that_contradict_it():
+    """A follower that kept entries of a lost leader gets a snapshot.
+
+    Keeping the entries after it would put changes into force that were
+    never accepted.
+    """
+    first = Configuration(
+        voters=tuple(Replica(instance=n, address="") for n in NAMES)
+    )
+    lost = tuple(
+        Entry(index=n, term=1, kind=EntryKind.COMMAND) for n in (1, 2, 3)
+    )
+    node = Node(
+        me="i1",
+        settings=NodeSettings(),
+        stored=Stored(
+            term=1,
+            snapshot=Snapshot(index=0, term=0, configuration=first),
+            entries=lost,
+        ),
+        random=random.Random(1),
+        now_s=0.0,
+    )
+    node.receive(
+        SnapshotPiece(
+            term=2,
+            sender="i2",
+            to="i1",
+            index=2,
+            index_term=2,
+            configuration=first,
+            offset=0,
+            total=5,
+            data=b"state",
+            sent_s=0.0,
+        ),
+        0.0,
+    )
+    output = node.take_output()
+    assert output.installed.data == b"state"
+    assert output.writes[-1].discard
+    assert (node.last_index, node.commit_index) == (2, 2)
