--- a/currantdeal/cli/tests/test_whole_path.py
+++ b/currantdeal/cli/tests/test_whole_path.py
@@ -1,6 +1,7 @@
 """A real ``currantdeal serve`` with stand-ins, as its callers see it."""
 
 import socket
+import threading
 
 import openai
 import pytest
@@ -9,6 +10,7 @@
 from currantdeal.adapters.http import server as server_module
 from currantdeal.adapters.metrics import Metrics
 from currantdeal.adapters.settings import Settings, TimingSettings
+from currantdeal.cli import drain as drain_module
 from currantdeal.cli.daemon import Daemon
 from currantdeal.cli.tests.local_daemon import build_local_ports
 from currantdeal.testing.caller import MODEL, CallerClient
@@ -182,6 +184,7 @@
 def alone(tmp_path, monkeypatch):
     """Yield a daemon over local ports and the fast engine that it uses."""
     monkeypatch.setattr(server_module, "UNSENT_TIMEOUT_S", 1.0)
+    monkeypatch.setattr(drain_module, "SEND_TIMEOUT_S", 0.2)
     settings = Settings(
         instance="i1",
         region="local",
@@ -218,8 +221,10 @@
     stream = caller.open_stream("cake tokens=800", max_tokens=800)
     assert len(stream.read_some(2)) >= 2
     daemon.request_stop()
+    process = threading.Thread(target=daemon.wait)
+    process.start()
     assert stream.read().text == expected_output("cake tokens=800", 800)
-    daemon.wait()
+    process.join()
     assert not engine.held()
 
 
--- a/currantdeal/serving/tests/test_calls.py
+++ b/currantdeal/serving/tests/test_calls.py
@@ -13,7 +13,12 @@
 from currantdeal.serving.calls import digest_of
 from currantdeal.serving.claims import LONGEST_WAIT_S
 from currantdeal.serving.errors import Reason, RefusedError
-from currantdeal.serving.tests.builders import build_world, order, propose
+from currantdeal.serving.tests.builders import (
+    build_world,
+    order,
+    propose,
+    shop,
+)
 from currantdeal.state import ClaimCall, ClaimKey, ClaimStatus, FinishClaim
 
 LOST = UpstreamSilentError("lost", ran=Ran.MAYBE)
@@ -83,7 +88,7 @@
 
     After the silence the order may have run, so nobody may send it again.
     """
-    world = build_world()
+    world = build_world(upstreams=[shop(f"s{n}") for n in (1, 2, 3)])
     world.services.script = [REFUSED, LOST]
     refusal = _refusal(world, order(world, key="k"))
     assert refusal.outcome is Outcome.UNKNOWN
