Split the building of the serving layer

Change: the parts and the decisions are built by functions of their own. Conclusion: no behaviour changed.

--- a/currantdeal/cli/serving.py
+++ b/currantdeal/cli/serving.py
@@ -3,6 +3,8 @@
 import random
 from dataclasses import dataclass
 
+import pykka
+
 from currantdeal.serving.calls import CallService
 from currantdeal.serving.claims import ClaimBook
 from currantdeal.serving.cleanup import Cleaner
@@ -26,12 +28,11 @@
     cleaner: Cleaner
     hangups: HangUpMonitor
     in_flight: InFlight
-    actors: tuple
+    decisions: pykka.ActorProxy
 
     def stop(self):
-        """Stop the actors."""
-        for actor in self.actors:
-            actor.stop(block=False)
+        """Stop the actor."""
+        self.decisions.actor_ref.stop(block=False)
 
 
 def build_serving(
@@ -48,59 +49,68 @@
     limit : int
         Requests served at a time.
     """
+    parts = _build_parts(settings, ports, engines, clock, metrics)
+    claims = ClaimBook(
+        state=ports.state, instance=settings.instance, clock=clock
+    )
+    calls = CallService(
+        services=services,
+        claims=claims,
+        view=parts.view,
+        decisions=parts.decisions,
+        clock=clock,
+        metrics=metrics,
+    )
+    return Serving(
+        view=parts.view,
+        generation=GenerationService(parts=parts),
+        calls=calls,
+        cleaner=parts.cleaner,
+        hangups=parts.hangups,
+        in_flight=InFlight(limit=limit),
+        decisions=parts.decisions,
+    )
+
+
+def _build_parts(settings, ports, engines, clock, metrics):
     view = ServingView(state=ports.state)
     cleaner = Cleaner(
         engines=engines, homes=ports.homes, clock=clock, metrics=metrics
     )
-    hangups = HangUpMonitor(cleaner=cleaner)
-    decisions = Decisions.start(
-        instance=settings.instance,
-        view=view,
-        clock=clock,
-        rng=random.Random(),
-        load=ports.homes.load,
-        weights=settings.weights,
-        caller_weights=_caller_weights(settings.keys),
-    )
+    decisions = _start_decisions(settings, ports, view, clock)
     reserver = Reserver(
         instance=settings.instance,
         view=view,
         homes=ports.homes,
-        decisions=decisions.proxy(),
+        decisions=decisions,
         cleaner=cleaner,
         clock=clock,
     )
-    parts = ServingParts(
+    return ServingParts(
         engines=engines,
         homes=ports.homes,
         clock=clock,
         metrics=metrics,
         cleaner=cleaner,
         silence=SilenceLimits(longest_s=settings.timing.stream_silence_s),
-        decisions=decisions.proxy(),
+        decisions=decisions,
         reserver=reserver,
         view=view,
-        hangups=hangups,
+        hangups=HangUpMonitor(cleaner=cleaner),
     )
-    calls = CallService(
-        services=services,
-        claims=ClaimBook(
-            state=ports.state, instance=settings.instance, clock=clock
-        ),
+
+
+def _start_decisions(settings, ports, view, clock):
+    actor = Decisions.start(
+        instance=settings.instance,
         view=view,
-        decisions=decisions.proxy(),
         clock=clock,
-        metrics=metrics,
-    )
-    return Serving(
-        view=view,
-        generation=GenerationService(parts=parts),
-        calls=calls,
-        cleaner=cleaner,
-        hangups=hangups,
-        in_flight=InFlight(limit=limit),
-        actors=(decisions,),
+        rng=random.Random(),
+        load=ports.homes.load,
+        weights=settings.weights,
+        caller_weights=_caller_weights(settings.keys),
     )
+    return actor.proxy()
 
 
 def _caller_weights(keys):
