--- a/currantdeal/testing/quickstart.py
+++ b/currantdeal/testing/quickstart.py
@@ -4,6 +4,7 @@
 service; then what a caller and an operator do, each step checked.
 """
 
+import signal
 import sys
 import tempfile
 import threading
@@ -227,6 +228,9 @@
 @click.option("--keep", is_flag=True, help="Leave everything running.")
 def main(keep):
     """Run the main job; exit non-zero naming the step that failed."""
+    # Without this SIGTERM would end this process alone, and leave the ones
+    # it started running for good.
+    signal.signal(signal.SIGTERM, _raise_interrupt)
     with tempfile.TemporaryDirectory(prefix="currantdeal-") as folder:
         quickstart = Quickstart(folder=Path(folder))
         with quickstart.cluster:
@@ -240,6 +244,10 @@
                 _keep_up(quickstart.cluster)
 
 
+def _raise_interrupt(*_):
+    raise KeyboardInterrupt
+
+
 def _keep_up(cluster):
     click.echo(f"instances: {' '.join(cluster.caller_addresses)}")
     click.echo(f"caller's key: {CALLER_KEY}")
--- a/currantdeal/testing/tests/features/callers.feature
+++ b/currantdeal/testing/tests/features/callers.feature
@@ -29,6 +29,31 @@
       | transfer |
       | decode   |
 
+  Scenario Outline: An engine dies in the middle of a request
+    An engine's process ends without a word while it computes, sends or
+    takes a KV cache, or writes output. What it held is gone; a caller would
+    see an error, or a stream that ends in the middle.
+
+    When an engine dies with a request in <stage>
+    Then every stream is whole
+    And no engine holds memory after 5 seconds
+
+    Examples:
+      | stage   |
+      | prefill |
+      | export  |
+      | import  |
+      | decode  |
+
+  Scenario: A transfer stalls
+    An engine sends half of a KV cache and then nothing more, while the
+    connection stays open. The request would wait for ever, and hold memory
+    at both engines.
+
+    When transfers from one engine stall
+    Then every stream is whole
+    And no engine holds memory after 5 seconds
+
   Scenario: Every pooled connection goes silent at once
     A device between instances and engines forgets all connections that it
     tracks. Nothing is closed and nothing arrives; a caller would see a
--- a/currantdeal/testing/tests/scenario_world.py
+++ b/currantdeal/testing/tests/scenario_world.py
@@ -69,12 +69,20 @@
         return OperatorCalls(address=instance.address)
 
     def held(self):
-        """Return what all engines hold."""
-        return [one for name in ENGINES for one in self.engine(name).held()]
+        """Return what all engines that live hold."""
+        return [
+            one
+            for name in ENGINES
+            if self.cluster.stand_in(name).process.running
+            for one in self.engine(name).held()
+        ]
 
     def reset(self):
         """Lift every fault and restart what was killed."""
         self.cluster.heal()
+        for name, stand_in in self.cluster.stand_ins.items():
+            if not stand_in.process.running:
+                self.cluster.restart_stand_in(name)
         for name in ENGINES:
             self.engine(name).set_faults(**_fields(EngineFaults()))
         self.shop.set_faults(**_fields(ServiceFaults()))
--- a/currantdeal/testing/tests/test_callers.py
+++ b/currantdeal/testing/tests/test_callers.py
@@ -62,6 +62,28 @@
     world.cluster.instance(world.names[0]).kill()
 
 
+@when(parsers.parse("an engine dies with a request in {stage}"))
+def engine_dies(world, noted, stage):
+    name = "p1" if stage in ("prefill", "export") else "d1"
+    world.engine(name).set_faults(die_at=stage)
+    process = world.cluster.stand_in(name).process
+    _stream_until(
+        world, noted, lambda: not process.running, f"a death in {stage}"
+    )
+
+
+@when("transfers from one engine stall")
+def transfers_stall(world, noted):
+    world.engine("p1").set_faults(stall_transfer=True)
+    before = len(_prefills(world, "p1"))
+    _stream_until(
+        world,
+        noted,
+        lambda: len(_prefills(world, "p1")) > before,
+        "a prefill at the engine whose transfers stall",
+    )
+
+
 @when(
     parsers.parse("every open connection goes silent under {count:d} streams")
 )
@@ -241,6 +263,16 @@
     assert not bad
 
 
+def _stream_until(world, noted, condition, what):
+    def stream():
+        number = len(noted.streams)
+        prompt = f"{what} {number} tokens=30 " + "cake " * 100
+        noted.streams.append(ask_once(world.caller(number % 3), prompt, 30))
+        return condition()
+
+    wait_until(stream, what=what)
+
+
 def _slow_down(world, stage):
     for name in ENGINES:
         if stage == "transfer":
