--- a/currantdeal/testing/caller.py
+++ b/currantdeal/testing/caller.py
@@ -72,11 +72,14 @@
         ``IP:PORT`` of an instance.
     key : str
         The caller's key.
+    model : str
+        Model that completions ask for.
     """
 
-    def __init__(self, *, address, key=CALLER_KEY):
+    def __init__(self, *, address, key=CALLER_KEY, model=MODEL):
         """Open no connection yet."""
         self._address = address
+        self._model = model
         self._headers = {"Content-Type": "application/json"}
         if key:
             self._headers["Authorization"] = f"Bearer {key}"
@@ -113,12 +116,12 @@
 
     def complete(self, prompt, *, max_tokens=200, headers=None):
         """Return a completion as one answer."""
-        body = _completion(prompt, max_tokens, stream=False)
+        body = _completion(self._model, prompt, max_tokens, stream=False)
         return self.call("POST", "/v1/completions", body=body, headers=headers)
 
     def open_stream(self, prompt, *, max_tokens=200, headers=None):
         """Return a ``CallerStream`` of a completion."""
-        body = _completion(prompt, max_tokens, stream=True)
+        body = _completion(self._model, prompt, max_tokens, stream=True)
         return self.open_stream_of("/v1/completions", body, headers=headers)
 
     def open_stream_of(self, path, body, *, headers=None):
@@ -211,10 +214,10 @@
             yield msgspec.json.decode(data)
 
 
-def _completion(prompt, max_tokens, *, stream):
+def _completion(model, prompt, max_tokens, *, stream):
     return msgspec.json.encode(
         {
-            "model": MODEL,
+            "model": model,
             "prompt": prompt,
             "max_tokens": max_tokens,
             "stream": stream,
--- a/currantdeal/testing/instance.py
+++ b/currantdeal/testing/instance.py
@@ -25,13 +25,16 @@
         Where its settings, log and data are.
     command : tuple of str
         Module to run and its arguments, but for the path of the settings.
+    key : str
+        Operator's key, to read its status.
     """
 
-    def __init__(self, *, settings, folder, command):
+    def __init__(self, *, settings, folder, command, key=OPERATOR_KEY):
         """Write the settings; ``start`` runs the process."""
         self._settings = settings
         self._folder = folder
         self._command = command
+        self._key = key
         self._process = None
         self._pool = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
         self._path = folder / "settings.json"
@@ -134,5 +137,5 @@
         return self._pool.request(
             "GET",
             f"http://{self.address}{path}",
-            headers={"Authorization": f"Bearer {OPERATOR_KEY}"},
+            headers={"Authorization": f"Bearer {self._key}"},
         )
