Propose a change again when the leader stays silent for a second

A change that a follower passed on to a leader which was cut off just then waited for it during the whole five seconds and failed, although another leader had been elected after two: the scenario of a withdrawal during a cut failed 3 times of 3 when the isolated instance happened to lead. One try now ends after a second and the change is proposed again under its request id, which makes it happen once.

--- a/currantdeal/adapters/replication/port.py
+++ b/currantdeal/adapters/replication/port.py
@@ -15,6 +15,14 @@
 from currantdeal.ports import InstanceProgress
 
 RETRY_S = 0.05
+TRY_S = 1.0
+"""Longest wait for one try at proposing, in seconds.
+
+A leader that was cut off keeps its followers' calls open without a word.  A
+change that waited for it to the end would fail, although another leader is
+elected after a second or two; so it is proposed again under its request id,
+which makes it happen once.
+"""
 POLL_S = 0.05
 QUERY_TIMEOUT_S = 1.0
 CALL_SLACK_S = 0.25
@@ -73,7 +81,7 @@
         maybe_proposed = False
         message = "no leader is known"
         while (left_s := due_s - self._now_s) > 0:
-            answer = self._propose_once(raw, left_s)
+            answer = self._propose_once(raw, min(left_s, TRY_S))
             if answer.status == ProposeStatus.DONE:
                 return self._take_result(answer, due_s)
             maybe_proposed |= answer.status == ProposeStatus.UNKNOWN
