--- a/currantdeal/adapters/replication/replica.py
+++ b/currantdeal/adapters/replication/replica.py
@@ -4,23 +4,19 @@
 proposals and messages that came while the one before was under way.
 """
 
-import threading
 from functools import singledispatchmethod
 
 import pykka
 import structlog
 
 from currantdeal.adapters.disk import DiskError
+from currantdeal.adapters.replication import compaction
 from currantdeal.adapters.replication.entries import (
-    RESULT_CODEC,
     state_of,
     step_of,
     take_step,
 )
-from currantdeal.adapters.replication.errors import (
-    NotProposedError,
-    OutcomeUnknownError,
-)
+from currantdeal.adapters.replication.errors import NotProposedError
 from currantdeal.adapters.replication.requests import (
     AskInForce,
     AskProgress,
@@ -33,7 +29,6 @@
     Join,
     LeaseProgress,
     Propose,
-    Proposed,
     ReadSteps,
     ReleaseLease,
     Remove,
@@ -43,6 +38,11 @@
     Steps,
     Tick,
 )
+from currantdeal.adapters.replication.waiting import (
+    Callers,
+    Proposals,
+    fail,
+)
 from currantdeal.consensus import (
     CompactedError,
     ConsensusError,
@@ -51,20 +51,10 @@
     Node,
     NotLeaderError,
 )
-from currantdeal.state import encode_state
 
 MAX_UNWRITTEN = 256
 """Messages handled at most before the writes are synced."""
 
-COMPACT_ENTRIES = 4_096
-"""Entries after a snapshot that call for the next one."""
-
-COMPACT_BYTES = 16_777_216
-"""Length of the segment that calls for the next snapshot."""
-
-KEEP_ENTRIES = 2_048
-"""Entries kept before a snapshot, so that a short lag needs no snapshot."""
-
 MAX_STEPS = 512
 MAX_STEP_BYTES = 262_144
 
@@ -130,9 +120,11 @@
         )
         data = stored.snapshot.data if stored.snapshot else b""
         self._state = state_of(data)
-        self._snapshot_index = self._state.version
-        self._encoding = False
-        self._pending = {}
+        self._compaction = compaction.Compaction(
+            index=self._state.version, tell=self._tell_self
+        )
+        self._proposals = Proposals()
+        self._callers = Callers()
         self._leases = None
         self._unwritten = 0
         self._held = None
@@ -151,7 +143,8 @@
 
     def on_stop(self):
         """Fail what is pending and give up the folder."""
-        self._fail_pending("the instance stops")
+        self._callers.release()
+        self._proposals.fail_all("the instance stops")
         self._folder.close()
 
     @property
@@ -173,6 +166,8 @@
 
     @_take.register
     def _(self, message: Deliver):
+        if message.reply is not None:
+            self._callers.add(message.sender, message.reply)
         # A replica whose disk takes nothing must not answer; to the others
         # it looks like one that is cut off.
         if self._held is None:
@@ -182,20 +177,22 @@
     @_take.register
     def _(self, message: Propose):
         if not self._leads:
-            message.reply.set_exception(_raised(NotProposedError("no leader")))
+            fail(message.reply, NotProposedError("no leader"))
             return
         try:
             (entry,) = self._node.propose((message.command,), self._now_s)
         except NotLeaderError as exc:
-            message.reply.set_exception(_raised(NotProposedError(str(exc))))
+            fail(message.reply, NotProposedError(str(exc)))
             return
-        self._pending[entry.index] = (entry.term, message.reply)
+        self._proposals.add(entry, message.reply)
 
     @_take.register
     def _(self, message: Renew):
         now_s = self._now_s
+        members = self._node.configuration.members
+        leader = self._node.leader
         if not self._leads or message.version > self._state.version:
-            return Renewed(granted=False)
+            return Renewed(granted=False, leader=leader, members=members)
         remaining_s = self._lease_table().renew(
             message.instance,
             message.region,
@@ -203,10 +200,15 @@
             anchor_s=self._node.quorum_acked_s(now_s),
             now_s=now_s,
         )
+        found = self._steps_after(message.version)
         return Renewed(
             granted=remaining_s > 0.0,
+            leader=leader,
+            members=members,
             remaining_s=remaining_s,
             version=self._state.version,
+            steps=found.steps or (),
+            compacted=found.steps is None,
         )
 
     @_take.register
@@ -216,16 +218,7 @@
 
     @_take.register
     def _(self, message: ReadSteps):
-        try:
-            entries = self._node.entries_after(
-                message.after, limit=MAX_STEPS, max_bytes=MAX_STEP_BYTES
-            )
-        except CompactedError:
-            return Steps(version=self._state.version, steps=None)
-        steps = tuple(
-            step_of(e) for e in entries if e.index <= self._state.version
-        )
-        return Steps(version=self._state.version, steps=steps)
+        return self._steps_after(message.after)
 
     @_take.register
     def _(self, message: AskInForce):
@@ -294,13 +287,26 @@
 
     @_take.register
     def _(self, message: Compact):
-        self._encoding = False
         if message.index >= self._node.base_index:
-            self._snapshot_index = message.index
+            self._compaction.note(message.index)
             self._node.compact(
-                index=message.index, data=message.data, keep=KEEP_ENTRIES
+                index=message.index,
+                data=message.data,
+                keep=compaction.KEEP_ENTRIES,
             )
 
+    def _steps_after(self, version):
+        try:
+            entries = self._node.entries_after(
+                version, limit=MAX_STEPS, max_bytes=MAX_STEP_BYTES
+            )
+        except CompactedError:
+            return Steps(version=self._state.version, steps=None)
+        steps = tuple(
+            step_of(e) for e in entries if e.index <= self._state.version
+        )
+        return Steps(version=self._state.version, steps=steps)
+
     def _change(self, ask):
         try:
             ask()
@@ -323,10 +329,12 @@
     def _flush(self):
         while self._carry_out():
             pass
-        if not self._node.is_ready and self._pending:
-            self._fail_pending("leadership was lost")
+        self._callers.release()
+        if not self._node.is_ready:
+            self._proposals.fail_all("leadership was lost")
         self._note_changes()
-        self._start_compaction()
+        if self._held is None:
+            self._compaction.consider(self._state, self._folder.segment_bytes)
 
     def _carry_out(self):
         output = self._held or self._node.take_output()
@@ -335,10 +343,14 @@
         if not self._save(output):
             return False
         self._node.synced(output.last_index)
-        self._outbox.send(output.messages)
+        self._outbox.send(
+            message
+            for message in output.messages
+            if not self._callers.take(message)
+        )
         if output.installed is not None:
             self._state = state_of(output.installed.data)
-            self._snapshot_index = output.installed.index
+            self._compaction.note(output.installed.index)
         for entry in output.committed:
             self._apply(entry)
         if output.installed is not None or output.committed:
@@ -351,7 +363,7 @@
         except DiskError as exc:
             if self._held is None:
                 _log.error("disk-refused", error=str(exc))
-                self._fail_pending("the disk takes no writes")
+                self._proposals.fail_all("the disk takes no writes")
             self._held = output
             return False
         if self._held is not None:
@@ -361,20 +373,13 @@
 
     def _apply(self, entry):
         self._state, result = take_step(self._state, step_of(entry))
-        term, reply = self._pending.pop(entry.index, (None, None))
-        if reply is None:
-            return
-        if term != entry.term:
-            reply.set_exception(_raised(NotProposedError("overtaken")))
-            return
-        reply.set(
-            Proposed(version=entry.index, result=RESULT_CODEC.encode(result))
-        )
+        self._proposals.resolve(entry, result)
 
-    def _fail_pending(self, reason):
-        for _, reply in self._pending.values():
-            reply.set_exception(_raised(OutcomeUnknownError(reason)))
-        self._pending.clear()
+    def _tell_self(self, message):
+        try:
+            self.actor_ref.tell(message)
+        except pykka.ActorDeadError:
+            return
 
     def _note_changes(self):
         role = self._node.role
@@ -385,24 +390,3 @@
         if configuration is not self._configuration:
             self._configuration = configuration
             self._on_configuration(configuration)
-
-    def _start_compaction(self):
-        behind = self._state.version - self._snapshot_index
-        due = behind >= COMPACT_ENTRIES or (
-            behind and self._folder.segment_bytes >= COMPACT_BYTES
-        )
-        if due and not self._encoding and self._held is None:
-            self._encoding = True
-            threading.Thread(
-                target=self._encode, args=(self._state,), daemon=True
-            ).start()
-
-    def _encode(self, state):
-        # On a thread of its own: encoding a large state takes longer than
-        # an election timeout, and the state is immutable.
-        data = encode_state(state)
-        self.actor_ref.tell(Compact(index=state.version, data=data))
-
-
-def _raised(error):
-    return type(error), error, None
