--- a/currantdeal/testing/operator.py
+++ b/currantdeal/testing/operator.py
@@ -10,11 +10,10 @@
 from currantdeal.state import WITHDRAWN_LABEL
 from currantdeal.testing.errors import HarnessError, RefusedError
 from currantdeal.testing.shapes import OPERATOR_KEY
+from currantdeal.testing.waiting import wait_until
 
 TIMEOUT_S = 30.0
-TRIES = 6
 UNAVAILABLE = 503
-"""No quorum in time; the change is sent again under its request id."""
 
 
 class OperatorCalls:
@@ -62,23 +61,30 @@
         return self._send("POST", f"upstreams/{upstream_id}/labels", body)
 
     def _send(self, method, path, body):
+        # A change that no leader took in time is sent again under the
+        # request id it had, as an operator is told to do.
+        return wait_until(
+            lambda: self._send_once(method, path, body),
+            what=f"an answer to {method} {path}",
+        )
+
+    def _send_once(self, method, path, body):
         url = f"http://{self._address}/operator/{path}"
-        raw = msgspec.json.encode(body)
-        for _ in range(TRIES):
-            answer = self._ask(method, url, raw)
-            if answer.status != UNAVAILABLE:
-                break
+        try:
+            answer = self._pool.request(
+                method,
+                url,
+                body=msgspec.json.encode(body),
+                headers={
+                    "Authorization": f"Bearer {OPERATOR_KEY}",
+                    "Content-Type": "application/json",
+                },
+            )
+        except urllib3.exceptions.HTTPError as exc:
+            raise HarnessError(f"{url}: {exc}") from exc
+        if answer.status == UNAVAILABLE:
+            return None
         found = msgspec.json.decode(answer.data)
         if answer.status >= 400:
             raise RefusedError(answer.status, "refused", str(found))
         return found
-
-    def _ask(self, method, url, raw):
-        headers = {
-            "Authorization": f"Bearer {OPERATOR_KEY}",
-            "Content-Type": "application/json",
-        }
-        try:
-            return self._pool.request(method, url, body=raw, headers=headers)
-        except urllib3.exceptions.HTTPError as exc:
-            raise HarnessError(f"{url}: {exc}") from exc
