--- a/currantdeal/testing/traffic.py
+++ b/currantdeal/testing/traffic.py
@@ -22,6 +22,9 @@
 READ_S = 15.0
 RESEND_S = 30.0
 PAUSE_S = 0.05
+REFUSED_PAUSE_S = 0.5
+"""Pause of a caller after a refusal; a polite one does not hammer."""
+
 TOKENS = 30
 MAX_UNKNOWN = 3
 """Answers "unknown" after which a caller sends an order no more."""
@@ -234,8 +237,11 @@
             self._stopped.wait(PAUSE_S * chance.random())
 
     def _note(self, **fields):
+        one = Sent(ended_s=time.time(), **fields)
         with self._lock:
-            self._sent.append(Sent(ended_s=time.time(), **fields))
+            self._sent.append(one)
+        if one.final:
+            self._stopped.wait(_pause_after(one.received))
 
     def _stream(self, entries, number):
         prompt = f"suggest a cake for {number} tokens={TOKENS}"
@@ -298,7 +304,7 @@
                 final=final,
             )
             if not final:
-                time.sleep(PAUSE_S)
+                self._stopped.wait(_pause_after(received))
 
     def _call(self, entries, entry, method, path, headers, wanted=CREATED):
         key = headers.get("Idempotency-Key", "")
@@ -341,6 +347,10 @@
     return Received.WHOLE, ""
 
 
+def _pause_after(received):
+    return 0.0 if received is Received.WHOLE else REFUSED_PAUSE_S
+
+
 def _read_text(answer):
     text, done = "", False
     for line in answer:
--- a/currantdeal/tests/scenarios/world.py
+++ b/currantdeal/testing/world.py
@@ -1,4 +1,6 @@
-"""What the steps of the scenarios share."""
+"""A cluster with its callers and its operator, for scenarios and the soak."""
+
+import time
 
 import msgspec
 import urllib3
@@ -105,6 +107,32 @@
         path = f"/operator/upstreams/{upstream}/labels"
         return self.call("POST", path, body, at=at)
 
+    def set_withdrawn(self, upstream, withdrawn, *, at):
+        """Withdraw an upstream or restore it; return when it was accepted.
+
+        Returns
+        -------
+        float or None
+            Wall-clock time in seconds since the epoch; None if refused.
+        """
+        found = at.operator("/operator/upstreams")["upstreams"]
+        versions = {
+            one["upstream"]["upstream_id"]: one["labels_version"]
+            for one in found
+        }
+        label = [{"name": "withdrawn", "value": "yes"}]
+        body = {
+            "upstream_id": upstream,
+            "labels": label if withdrawn else [],
+            "removed": [] if withdrawn else ["withdrawn"],
+            "expected_version": versions.get(upstream, 0),
+            "request_id": self.request_id(),
+            "wait_s": 0,
+        }
+        path = f"/operator/upstreams/{upstream}/labels"
+        answer = self.call("POST", path, body, at=at)
+        return time.time() if answer.status == 200 else None
+
     def status(self, name):
         """Return what an instance says, or None if it does not answer."""
         try:
--- a/currantdeal/tests/scenarios/test_scenarios.py
+++ b/currantdeal/tests/scenarios/test_scenarios.py
@@ -19,7 +19,7 @@
     judge_withdrawal,
 )
 from currantdeal.testing.waiting import wait_until
-from currantdeal.tests.scenarios.world import LIMIT_S, World
+from currantdeal.testing.world import LIMIT_S, World
 
 scenarios("instances.feature", "upstreams.feature")
 
