--- a/currantdeal/tests/scenarios/test_scenarios.py
+++ b/currantdeal/tests/scenarios/test_scenarios.py
@@ -397,7 +397,7 @@
 
 
 def _believed(world, name, other):
-    status = world.status(name)
+    status = world.status(name) or {"members": ()}
     found = {m["instance"]: m["status"] for m in status["members"]}
     return found.get(other)
 
