--- a/benchmarks/experiments/crash.py
+++ b/benchmarks/experiments/crash.py
@@ -12,8 +12,8 @@
         home = runs.home()
         runs.begin()
         runs.world.fail(home)
-        runs.note("declared dead", lambda: runs.believed(home) == {"dead"})
         runs.note("another home", lambda: runs.home() in runs.world.names())
+        runs.note("declared dead", lambda: runs.believed(home) == {"dead"})
         return runs.end("crash")
     finally:
         runs.world.close()
