Show no lease beside a version from before it

The status read the view before the lease, and the first renewal came between the two; ruled out was a lease given for an old view, as the follower applies the leader's version before it extends. The lease is now read first.

--- a/currantdeal/adapters/http/operator.py
+++ b/currantdeal/adapters/http/operator.py
@@ -170,6 +170,10 @@
 
     def status(self, request):
         """Tell what is in force, and where."""
+        # Read before the view: a lease that begins in between would be
+        # shown beside the version from before it, as if work were handed
+        # out under a version that is long past.
+        lease_remaining_s = self._state.lease_remaining_s()
         state = self._state.view()
         reports = map(self._homes.load, sorted(state.upstreams))
         return json_response(
@@ -178,7 +182,7 @@
                 region=self._region,
                 version=state.version,
                 leader=self._state.leader(),
-                lease_remaining_s=self._state.lease_remaining_s(),
+                lease_remaining_s=lease_remaining_s,
                 draining=tuple(sorted(state.draining)),
                 progress=self._progress(),
                 members=self._members.members(),
