Plan homes only when something changed, and look members up by name

Plans are now kept until members, homes, upstreams or draining change (loads do not count), and the nearest homes for half a second.

--- a/currantdeal/adapters/gossip.py
+++ b/currantdeal/adapters/gossip.py
@@ -152,6 +152,7 @@
             now_s=clock.monotonic_s(),
         )
         self._members = self._swim.members()
+        self._by_name = {m.instance: m for m in self._members}
         self._told_load = 0.0
         self._traffic = Traffic()
         self._received = Traffic()
@@ -190,8 +191,7 @@
 
     def member(self, instance):
         """Return one known instance, or None."""
-        found = (m for m in self._members if m.instance == instance)
-        return next(found, None)
+        return self._by_name.get(instance)
 
     def peer_address(self, instance):
         """Return where to reach an instance, or an empty string."""
@@ -263,15 +263,17 @@
         return host, int(port)
 
     def _publish(self, members):
-        before = {m.instance: m.status for m in self._members}
+        before = self._by_name
         for member in members:
-            if before.get(member.instance) is not member.status:
+            known = before.get(member.instance)
+            if known is None or known.status is not member.status:
                 _log.info(
                     "member",
                     instance=member.instance,
                     status=member.status.value,
                 )
         self._members = members
+        self._by_name = {m.instance: m for m in members}
 
 
 def build_members(*, settings, clock):
--- a/currantdeal/adapters/homes_actor.py
+++ b/currantdeal/adapters/homes_actor.py
@@ -22,6 +22,7 @@
 from currantdeal.membership import (
     GrowCall,
     HomeBook,
+    HomePlanner,
     HomeRefusal,
     PassedReports,
     Phase,
@@ -29,7 +30,6 @@
     ReserveCall,
     Surroundings,
     Sync,
-    plan_homes,
 )
 
 HELD_CHECK_S = 1.0
@@ -91,6 +91,7 @@
             unseen_s=UNSEEN_S,
             now_s=now_s,
         )
+        self._planner = HomePlanner()
         self._orders = OrderDesk(work=work)
         self._leaving = False
         self._moving = set()
@@ -243,7 +244,7 @@
                 {home.instance for home in state.homes.values()}, now_s
             ),
         )
-        for move in plan_homes(state, self._book.fences, around):
+        for move in self._planner.plan(state, self._book.fences, around):
             if move.upstream_id not in self._moving:
                 self._moving.add(move.upstream_id)
                 self._start_move(move)
--- a/currantdeal/adapters/homes_links.py
+++ b/currantdeal/adapters/homes_links.py
@@ -26,6 +26,9 @@
 IDLE_HOMES = 16
 """Homes without grants that are kept in touch with, for their loads."""
 
+NEAREST_S = 0.5
+"""Interval at which the nearest homes are chosen anew."""
+
 IDLE_FACTOR = 2
 """So many times longer is the interval at a home where nothing is held."""
 
@@ -96,6 +99,8 @@
         self._loads = {}
         self._passed_on = set()
         self._holding = set()
+        self._nearest = set()
+        self._nearest_due_s = 0.0
         self._lock = threading.Lock()
         self._wake = threading.Event()
         self._stopped = False
@@ -199,14 +204,24 @@
                 for home, link in self._links.items()
                 if link.released or link.reports
             }
-        homes = {home.instance for home in self._state.view().homes.values()}
-        idle = sorted(homes - holding, key=self._distance)
-        return holding | waiting | set(idle[:IDLE_HOMES])
-
-    def _distance(self, home):
-        member = self._members.member(home)
-        me = self._members.member(self._instance)
-        if member is None:
+        return holding | waiting | self._nearest_homes()
+
+    def _nearest_homes(self):
+        now_s = self._clock.monotonic_s()
+        if now_s >= self._nearest_due_s:
+            # Sorting hundreds of homes ten times a second would take more
+            # processor time than all heartbeats together.
+            self._nearest_due_s = now_s + NEAREST_S
+            state = self._state.view()
+            found = {m.instance: m for m in self._members.members()}
+            homes = {home.instance for home in state.homes.values()}
+            nearest = sorted(homes, key=lambda h: self._distance(h, found))
+            self._nearest = set(nearest[:IDLE_HOMES])
+        return self._nearest
+
+    def _distance(self, home, found):
+        member, me = found.get(home), found.get(self._instance)
+        if member is None or me is None:
             return 3, home
         far = (member.data_center != me.data_center) + (
             member.region != me.region
--- a/currantdeal/membership/__init__.py
+++ b/currantdeal/membership/__init__.py
@@ -25,6 +25,7 @@
 )
 from currantdeal.membership.home_plan import (
     GiveHome,
+    HomePlanner,
     Presence,
     Surroundings,
     TakeHome,
@@ -67,6 +68,7 @@
     "HeldGrant",
     "HeldKey",
     "HomeBook",
+    "HomePlanner",
     "HomeRefusal",
     "MemberTable",
     "MembershipError",
--- a/currantdeal/membership/home_plan.py
+++ b/currantdeal/membership/home_plan.py
@@ -87,6 +87,47 @@
     return _at_most_one_rebalance(found, around)
 
 
+class HomePlanner:
+    """Plans anew only when something has changed that a plan depends on.
+
+    Load pattern: a tick several times a second, and changes of membership
+    or homes some hundred times a day.  Hashing every upstream against every
+    candidate on each tick would cost more than all other control together;
+    loads, which change all the time, do not count.
+    """
+
+    def __init__(self):
+        """Start without a plan."""
+        self._known = None
+        self._moves = []
+
+    def plan(self, state, mine, around):
+        """Return the moves of ``plan_homes``."""
+        known = (
+            state.upstreams,
+            state.homes,
+            dict(mine),
+            around.draining,
+            around.settled,
+            around.absent,
+            tuple(_placed(member) for member in around.members),
+        )
+        if known != self._known:
+            self._known = known
+            self._moves = plan_homes(state, mine, around)
+        return self._moves
+
+
+def _placed(member):
+    return (
+        member.instance,
+        member.status,
+        member.draining,
+        member.region,
+        member.data_center,
+    )
+
+
 def _plan(upstream, home, mine, around):
     name = upstream.upstream_id
     wanted = choose_home(upstream, around.members, around.draining)
