--- a/currantdeal/adapters/replication/local.py
+++ b/currantdeal/adapters/replication/local.py
@@ -1,5 +1,7 @@
 """Asking the replica of this process, if it has one."""
 
+from dataclasses import replace
+
 import pykka
 
 from currantdeal.adapters.generated.consensus.ttypes import (
@@ -25,6 +27,9 @@
 
 ASK_TIMEOUT_S = 2.0
 
+MAX_CLOCK_ERROR_S = 60.0
+"""Most by which a proposer's clock may be ahead of the leader's."""
+
 
 class LocalReplica:
     """The replica of this process, asked in the words of the peers' calls.
@@ -33,11 +38,14 @@
     ----------
     ref : pykka.ActorRef
         Of the ``ReplicaActor``.
+    clock : Clock
+        Bounds the times that proposers put into commands.
     """
 
-    def __init__(self, *, ref):
-        """Keep the reference."""
+    def __init__(self, *, ref, clock):
+        """Keep the reference and the clock."""
         self._ref = ref
+        self._clock = clock
 
     def ask(self, request):
         """Return the actor's answer; None when it has stopped or is stuck."""
@@ -97,10 +105,8 @@
         """Return a ``ProposeAnswer``, after commit if this one leads."""
         reply = pykka.ThreadingFuture()
         try:
-            # A command that cannot be decoded would stop every replica when
-            # it is applied, and again after each restart.
-            COMMAND_CODEC.decode(request.command)
-            self._ref.tell(Propose(command=request.command, reply=reply))
+            command = self._check(request.command)
+            self._ref.tell(Propose(command=command, reply=reply))
             done = reply.get(timeout=request.timeout_s)
         except (NotProposedError, pykka.ActorDeadError, CodecError) as exc:
             return ProposeAnswer(
@@ -119,6 +125,19 @@
             entries=to_wire(steps),
         )
 
+    def _check(self, raw):
+        # A command that cannot be decoded would stop every replica when it
+        # is applied, and again after each restart.
+        command = COMMAND_CODEC.decode(raw)
+        latest_s = self._clock.wall_s() + MAX_CLOCK_ERROR_S
+        if command.origin.wall_s <= latest_s:
+            return raw
+        # Claims expire by the latest time in the log.  One instance whose
+        # clock is days ahead would make all of them expire at once, and a
+        # resent order would run a second time.
+        origin = replace(command.origin, wall_s=latest_s)
+        return COMMAND_CODEC.encode(replace(command, origin=origin))
+
 
 def to_wire(steps):
     """Return steps as Thrift entries."""
--- a/currantdeal/adapters/replication/service.py
+++ b/currantdeal/adapters/replication/service.py
@@ -187,7 +187,7 @@
             lease_s=self._timing.lease_s,
             on_configuration=self._note_configuration,
         )
-        self._local = LocalReplica(ref=self._ref)
+        self._local = LocalReplica(ref=self._ref, clock=self._clock)
         self._handler = ReplicaHandler(
             local=self._local,
             remotes=self._remotes,
--- a/currantdeal/adapters/replication/tests/builders.py
+++ b/currantdeal/adapters/replication/tests/builders.py
@@ -40,13 +40,13 @@
         time.sleep(0.01)
 
 
-def origin(*, request_id=None, instance="i1"):
+def origin(*, request_id=None, instance="i1", wall_s=None):
     """Return an origin, by default of a request of its own."""
     return Origin(
         request_id=request_id or f"request-{next(_numbers)}",
         actor="ana",
         instance=instance,
-        wall_s=time.time(),
+        wall_s=time.time() if wall_s is None else wall_s,
     )
 
 
--- a/currantdeal/adapters/replication/tests/test_replicated_state.py
+++ b/currantdeal/adapters/replication/tests/test_replicated_state.py
@@ -1,4 +1,5 @@
 import shutil
+import time
 
 import pytest
 
@@ -76,6 +77,19 @@
     assert again.claim.token == granted.token
 
 
+def test_clock_far_ahead_makes_no_claim_expire(cluster):
+    """An instance's clock is two days ahead when it claims a call.
+
+    Were its time taken, every claim would count as older than its retention,
+    and an order that is sent again would run a second time.
+    """
+    propose(cluster, "i4", claim("cake"))
+    ahead_s = time.time() + 2 * 86_400.0
+    propose(cluster, "i2", claim("other", wall_s=ahead_s))
+    again = propose(cluster, "i4", claim("cake"))
+    assert isinstance(again, ClaimExists)
+
+
 def test_cut_off_instance_loses_its_lease_before_a_withdrawal_counts(cluster):
     """An instance is cut off silently and an upstream is withdrawn.
 
