Split the data folder and shorten the longest functions

Change: disk/replay.py puts a folder's files together; builders of directory and follower in StateService.

--- a/currantdeal/adapters/disk/__init__.py
+++ b/currantdeal/adapters/disk/__init__.py
@@ -7,11 +7,12 @@
     DiskFullError,
     FolderLockedError,
 )
-from currantdeal.adapters.disk.folder import DataFolder, read_folder
+from currantdeal.adapters.disk.folder import DataFolder
 from currantdeal.adapters.disk.inspection import (
     FolderReport,
     inspect_folder,
 )
+from currantdeal.adapters.disk.replay import read_folder
 
 __all__ = [
     "DataFolder",
--- a/currantdeal/adapters/disk/backup.py
+++ b/currantdeal/adapters/disk/backup.py
@@ -9,8 +9,9 @@
 from pathlib import Path
 
 from currantdeal.adapters.disk.errors import DiskCorruptError, DiskError
-from currantdeal.adapters.disk.folder import DataFolder, read_folder
+from currantdeal.adapters.disk.folder import DataFolder
 from currantdeal.adapters.disk.records import MAGIC, encode_record, scan
+from currantdeal.adapters.disk.replay import read_folder
 from currantdeal.adapters.replication.entries import (
     state_of,
     step_of,
--- a/currantdeal/adapters/disk/inspection.py
+++ b/currantdeal/adapters/disk/inspection.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 from currantdeal.adapters.disk.errors import DiskError
-from currantdeal.adapters.disk.folder import read_folder
+from currantdeal.adapters.disk.replay import read_folder
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/currantdeal/adapters/replication/replica.py
+++ b/currantdeal/adapters/replication/replica.py
@@ -103,7 +103,6 @@
     ):
         """Start from what the folder holds."""
         super().__init__()
-        self._me = me
         self._folder = folder
         self._outbox = outbox
         self._board = board
@@ -118,8 +117,9 @@
             random=random,
             now_s=clock.monotonic_s(),
         )
-        data = stored.snapshot.data if stored.snapshot else b""
-        self._state = state_of(data)
+        self._state = state_of(
+            stored.snapshot.data if stored.snapshot else b""
+        )
         self._compaction = compaction.Compaction(
             index=self._state.version, tell=self._tell_self
         )
--- a/currantdeal/adapters/replication/service.py
+++ b/currantdeal/adapters/replication/service.py
@@ -82,11 +82,7 @@
             Replica(instance=rep.instance, address=rep.peer_address)
             for rep in settings.replicas
         )
-        self._directory = Directory(
-            me=settings.instance,
-            addresses={rep.instance: rep.address for rep in self._first_set},
-            routes={rt.instance: rt.peer_address for rt in settings.routes},
-        )
+        self._directory = self._build_directory(settings)
         self._remotes = RemoteReplicas(
             pool=peer_pool, directory=self._directory
         )
@@ -96,17 +92,7 @@
         self._joiner = self._outbox = None
         if settings.data_folder:
             self._add_replica(settings, peer_server, peer_pool, chance, sync)
-        self._follower = ViewFollower(
-            instance=settings.instance,
-            region=settings.region,
-            board=self._board,
-            handler=self._handler,
-            remotes=self._remotes,
-            directory=self._directory,
-            clock=clock,
-            lease_s=self._timing.lease_s,
-            renew_s=self._timing.renew_s,
-        )
+        self._follower = self._build_follower(settings)
         self._port = ReplicatedState(
             board=self._board,
             follower=self._follower,
@@ -164,6 +150,26 @@
             self._ref.stop()
             self._outbox.stop()
 
+    def _build_directory(self, settings):
+        return Directory(
+            me=settings.instance,
+            addresses={rep.instance: rep.address for rep in self._first_set},
+            routes={rt.instance: rt.peer_address for rt in settings.routes},
+        )
+
+    def _build_follower(self, settings):
+        return ViewFollower(
+            instance=settings.instance,
+            region=settings.region,
+            board=self._board,
+            handler=self._handler,
+            remotes=self._remotes,
+            directory=self._directory,
+            clock=self._clock,
+            lease_s=self._timing.lease_s,
+            renew_s=self._timing.renew_s,
+        )
+
     def _add_replica(self, settings, peer_server, peer_pool, chance, sync):
         folder_options = {"sync": sync} if sync else {}
         folder = DataFolder(path=settings.data_folder, **folder_options)
--- a/currantdeal/consensus/raft.py
+++ b/currantdeal/consensus/raft.py
@@ -116,10 +116,7 @@
             self.log.append(entry)
             self._note_configuration(entry)
         self.synced = self.log.last_index
-        self.early = []
-        self.writes = []
-        self.messages = []
-        self.installed = None
+        self._clear_output()
         self.election_due_s = 0.0
         self.reset_election_timer(now_s)
 
@@ -202,6 +199,12 @@
         ):
             self.configurations.pop(0)
 
+    def _clear_output(self):
+        self.early = []
+        self.writes = []
+        self.messages = []
+        self.installed = None
+
     def _note_configuration(self, entry):
         if entry.kind is EntryKind.CONFIGURATION:
             self.use_configuration(
