Give a proposal's answer one second before another replica is asked

Change: the first attempt waits 1 s, later ones twice as long each; the state recognises the resend by its request id.

--- a/currantdeal/adapters/replication/port.py
+++ b/currantdeal/adapters/replication/port.py
@@ -19,6 +19,14 @@
 QUERY_TIMEOUT_S = 1.0
 CALL_SLACK_S = 0.25
 
+ATTEMPT_S = 1.0
+"""Longest wait for one answer to a proposal; doubled at each attempt.
+
+A leader that is cut off silently answers nothing.  Without this bound it
+would use up the proposer's whole time, although another replica leads after
+a second or two.  A resend is recognised by its request id.
+"""
+
 
 class ReplicatedState:
     """Implements ``ports.StatePort`` on every instance.
@@ -72,11 +80,14 @@
         raw = COMMAND_CODEC.encode(command)
         maybe_proposed = False
         message = "no leader is known"
+        attempt_s = ATTEMPT_S
         while (left_s := due_s - self._now_s) > 0:
-            answer = self._propose_once(raw, left_s)
+            answer = self._propose_once(raw, min(attempt_s, left_s))
             if answer.status == ProposeStatus.DONE:
                 return self._take_result(answer, due_s)
             maybe_proposed |= answer.status == ProposeStatus.UNKNOWN
+            if answer.status == ProposeStatus.UNKNOWN:
+                attempt_s *= 2.0
             message = answer.message or message
             self._clock.sleep(min(RETRY_S, left_s))
         raise StateUnavailableError(message, proposed=maybe_proposed)
@@ -130,26 +141,26 @@
     def _now_s(self):
         return self._clock.monotonic_s()
 
-    def _propose_once(self, raw, left_s):
+    def _propose_once(self, raw, wait_s):
         answer = ProposeAnswer(status=ProposeStatus.NOT_PROPOSED)
         if self._handler is not None:
-            request = self._request(raw, left_s, local=True)
+            request = self._request(raw, wait_s, local=True)
             answer = self._handler.propose(request)
         candidates = iter(self._directory.candidates())
         while answer.status == ProposeStatus.NOT_PROPOSED:
             replica = next(candidates, None)
             if replica is None:
                 break
-            answer = self._propose_to(replica, raw, left_s)
+            answer = self._propose_to(replica, raw, wait_s)
         return answer
 
-    def _propose_to(self, replica, raw, left_s):
-        request = self._request(raw, left_s, local=False)
+    def _propose_to(self, replica, raw, wait_s):
+        request = self._request(raw, wait_s, local=False)
         try:
             return self._remotes.call(
                 replica,
                 lambda client: client.propose(request),
-                timeout_s=left_s + CALL_SLACK_S,
+                timeout_s=wait_s + CALL_SLACK_S,
             )
         except PeerError as exc:
             status = (
@@ -159,10 +170,10 @@
             )
             return ProposeAnswer(status=status, message=str(exc))
 
-    def _request(self, raw, left_s, *, local):
+    def _request(self, raw, wait_s, *, local):
         return ProposeRequest(
             command=raw,
-            timeout_s=left_s,
+            timeout_s=wait_s,
             version=self._board.version,
             forwarded=local,
         )
--- a/currantdeal/adapters/replication/tests/builders.py
+++ b/currantdeal/adapters/replication/tests/builders.py
@@ -102,9 +102,13 @@
         """Start with every path whole."""
         super().__init__()
         self.cut = set()
+        self.silent = set()
 
     def call(self, address, *args, timeout_s):
         """Fail at once on a cut path."""
+        if address in self.silent:
+            time.sleep(timeout_s)
+            raise PeerError(f"{address}: silent", sent=True)
         if address in self.cut:
             raise PeerError(f"{address}: cut", sent=True)
         answer = super().call(address, *args, timeout_s=timeout_s)
@@ -179,10 +183,17 @@
         for pool in self.pools.values():
             pool.cut.add(self.addresses[name])
 
+    def silence(self, name):
+        """Let every call to an instance wait in vain."""
+        self.isolate(name)
+        for pool in self.pools.values():
+            pool.silent.add(self.addresses[name])
+
     def heal(self):
         """Make every path whole."""
         for pool in self.pools.values():
             pool.cut.clear()
+            pool.silent.clear()
 
     def folder(self, name):
         """Return the data folder of a replica."""
--- a/currantdeal/adapters/replication/tests/test_replicated_state.py
+++ b/currantdeal/adapters/replication/tests/test_replicated_state.py
@@ -127,6 +127,17 @@
     wait_until(lambda: "during" in cluster.port(old).view().selectors)
 
 
+def test_silent_leader_does_not_use_up_the_proposers_time(cluster):
+    """The leader's path goes silent, and an operator withdraws an upstream.
+
+    Waiting for the silent leader to the end would refuse the withdrawal,
+    although another replica leads long before.
+    """
+    propose(cluster, "i4", announce("shop-1"))
+    cluster.silence(cluster.wait_for_leader())
+    assert isinstance(propose(cluster, "i4", withdraw("shop-1")), Applied)
+
+
 def test_replica_that_lost_its_disk_learns_before_it_counts(cluster):
     """A replica's disk is lost and replaced by an empty one.
 
