--- a/currantdeal/adapters/replication/tests/test_replicated_state.py
+++ b/currantdeal/adapters/replication/tests/test_replicated_state.py
@@ -1,4 +1,5 @@
 import shutil
+import time
 
 import pytest
 
@@ -76,6 +77,19 @@
     assert again.claim.token == granted.token
 
 
+def test_clock_far_ahead_makes_no_claim_expire(cluster):
+    """An instance's clock is two days ahead when it claims a call.
+
+    Were its time taken, every claim would count as older than its retention,
+    and an order that is sent again would run a second time.
+    """
+    propose(cluster, "i4", claim("cake"))
+    ahead_s = time.time() + 2 * 86_400.0
+    propose(cluster, "i2", claim("other", wall_s=ahead_s))
+    again = propose(cluster, "i4", claim("cake"))
+    assert isinstance(again, ClaimExists)
+
+
 def test_cut_off_instance_loses_its_lease_before_a_withdrawal_counts(cluster):
     """An instance is cut off silently and an upstream is withdrawn.
 
@@ -113,6 +127,17 @@
     wait_until(lambda: "during" in cluster.port(old).view().selectors)
 
 
+def test_silent_leader_does_not_use_up_the_proposers_time(cluster):
+    """The leader's path goes silent, and an operator withdraws an upstream.
+
+    Waiting for the silent leader to the end would refuse the withdrawal,
+    although another replica leads long before.
+    """
+    propose(cluster, "i4", announce("shop-1"))
+    cluster.silence(cluster.wait_for_leader())
+    assert isinstance(propose(cluster, "i4", withdraw("shop-1")), Applied)
+
+
 def test_replica_that_lost_its_disk_learns_before_it_counts(cluster):
     """A replica's disk is lost and replaced by an empty one.
 
