Bound batches and end stand-stills at the homes; leave failed engines out

Cause: the ledgers of real homes had no target between outputs and never asked for the stream to give up when all wait for memory. Change: output_gap_s in the timing settings reaches the ledgers in place of the weights, which they no longer use; homes pass load reports on and cancel the victim; Scheduler.failed keeps its own list, with a test.

--- a/currantdeal/adapters/homes.py
+++ b/currantdeal/adapters/homes.py
@@ -20,7 +20,6 @@
     choose_home,
     first_incarnation,
 )
-from currantdeal.policy import UserWeights
 
 TICK_S = 0.2
 TRY_S = 0.5
@@ -310,17 +309,10 @@
             members=members,
             work=work,
             clock=clock,
-            weights=_weights_of(settings),
+            output_gap_s=settings.timing.output_gap_s,
             limits=BookLimits(
                 entry_silence_s=settings.timing.lease_s,
                 upstream_silence_s=settings.timing.upstream_silence_s,
             ),
         ),
     )
-
-
-def _weights_of(settings):
-    return UserWeights(
-        goodput=settings.weights.goodput,
-        wasted_prefill=settings.weights.wasted_prefill,
-    )
--- a/currantdeal/adapters/homes_actor.py
+++ b/currantdeal/adapters/homes_actor.py
@@ -59,8 +59,8 @@
         Does what takes time.
     clock : Clock
         Time.
-    weights : UserWeights
-        What the user weighs more.
+    output_gap_s : float
+        Longest time between outputs that decoding should keep, in seconds.
     limits : BookLimits
         When others are given up.
     """
@@ -68,7 +68,15 @@
     use_daemon_thread = True
 
     def __init__(
-        self, *, instance, state, members, work, clock, weights, limits
+        self,
+        *,
+        instance,
+        state,
+        members,
+        work,
+        clock,
+        output_gap_s,
+        limits,
     ):
         """Start without homes."""
         super().__init__()
@@ -79,7 +87,10 @@
         self._work = work
         self._clock = clock
         self._book = HomeBook(
-            instance=instance, weights=weights, limits=limits, now_s=now_s
+            instance=instance,
+            output_gap_s=output_gap_s,
+            limits=limits,
+            now_s=now_s,
         )
         self._presence = Presence(
             settle_s=SETTLE_S, absence_s=ABSENCE_S, now_s=now_s
@@ -111,7 +122,9 @@
     def _(self, message: GrowCall, now_s):
         if self._refusal(message.upstream_id) is not None:
             return False
-        return self._book.grow(message)
+        grown, cancels = self._book.grow(message)
+        self._cancel_all(cancels)
+        return grown
 
     @_handle.register
     def _(self, message: Sync, now_s):
--- a/currantdeal/adapters/settings.py
+++ b/currantdeal/adapters/settings.py
@@ -96,6 +96,9 @@
         Upper bound of the silence allowed within a stream.
     deadline_s : float
         Deadline of a request that names none.
+    output_gap_s : float
+        Target of the time between outputs; engines are given no more streams
+        than keep it.
     """
 
     lease_s: float = 2.0
@@ -109,6 +112,7 @@
     entries_keep_s: float = 5.0
     stream_silence_s: float = 1.0
     deadline_s: float = 10.0
+    output_gap_s: float = 0.04
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/currantdeal/adapters/tests/test_homes_work.py
+++ b/currantdeal/adapters/tests/test_homes_work.py
@@ -42,7 +42,7 @@
         upstream=build_upstream(),
         fence=2,
         instance="i1",
-        weights=None,
+        output_gap_s=0.04,
         now_s=0.0,
     )
     work.take_claims(home)
--- a/currantdeal/membership/home.py
+++ b/currantdeal/membership/home.py
@@ -46,18 +46,18 @@
         Under which this instance became its home.
     instance : InstanceId
         This instance.
-    weights : UserWeights
-        What the user weighs more.
+    output_gap_s : float
+        Longest time between outputs that decoding should keep, in seconds.
     now_s : float
         Monotonic time, in seconds.
     """
 
-    def __init__(self, *, upstream, fence, instance, weights, now_s):
+    def __init__(self, *, upstream, fence, instance, output_gap_s, now_s):
         """Start with an empty ledger, before reconciliation."""
         self._upstream = upstream
         self._fence = FencingNumber(fence)
         self._instance = InstanceId(instance)
-        self._weights = weights
+        self._output_gap_s = output_gap_s
         self._phase = Phase.WAITING
         self._closed = False
         self._present = True
@@ -136,6 +136,7 @@
         if report.prefill_tokens_per_s > 0 and not self._rate:
             self._rate = report.prefill_tokens_per_s
             self._rebuild_ledger(now_s)
+        self._ledger.hear(running=report.running, step_s=report.step_s)
         return True
 
     def excuse(self, now_s):
@@ -174,6 +175,17 @@
         """Return whether a grant was enlarged."""
         return self._ledger.grow(request_id, pieces=pieces)
 
+    def give_up_victim(self):
+        """Release and return the request to cancel so that others go on.
+
+        When every stream on the engine waits for memory none will ever end;
+        one would notice by streams that stop together in the middle.
+        """
+        victim = self._ledger.victim()
+        if victim is not None:
+            self.release(victim)
+        return victim
+
     def release(self, request_id):
         """Take a grant back."""
         self._granted_s.pop(request_id, None)
@@ -219,6 +231,7 @@
             pieces_total=self._upstream.pieces_total,
             prefill_tokens_per_s=self._rate,
             link_bytes_per_s=self._upstream.link_bytes_per_s,
+            output_gap_s=self._output_gap_s,
         )
         return Ledger(limits=limits)
 
--- a/currantdeal/membership/home_book.py
+++ b/currantdeal/membership/home_book.py
@@ -73,18 +73,18 @@
     ----------
     instance : InstanceId
         This instance.
-    weights : UserWeights
-        What the user weighs more.
+    output_gap_s : float
+        Longest time between outputs that decoding should keep, in seconds.
     limits : BookLimits
         When others are given up.
     now_s : float
         Monotonic time, in seconds.
     """
 
-    def __init__(self, *, instance, weights, limits, now_s):
+    def __init__(self, *, instance, output_gap_s, limits, now_s):
         """Start without homes."""
         self._instance = InstanceId(instance)
-        self._weights = weights
+        self._output_gap_s = output_gap_s
         self._limits = limits
         self._homes = {}
         self._entries = {}
@@ -127,7 +127,7 @@
             upstream=upstream,
             fence=fence,
             instance=self._instance,
-            weights=self._weights,
+            output_gap_s=self._output_gap_s,
             now_s=now_s,
         )
         self._homes[upstream.upstream_id] = home
@@ -154,9 +154,16 @@
         return home.reserve(call.request, now_s), cancels
 
     def grow(self, call):
-        """Return whether a grant was enlarged."""
+        """Return whether a grant was enlarged, and what to cancel."""
         home = self._homes.get(call.upstream_id)
-        return home is not None and home.grow(call.request_id, call.pieces)
+        if home is None:
+            return False, ()
+        if home.grow(call.request_id, call.pieces):
+            return True, ()
+        victim = home.give_up_victim()
+        if victim is None:
+            return False, ()
+        return False, (_cancel(call.upstream_id, victim),)
 
     def adopt(self, upstream_id, answer, now_s):
         """Take in what an entry claims of an upstream."""
--- a/currantdeal/membership/tests/test_home_book.py
+++ b/currantdeal/membership/tests/test_home_book.py
@@ -13,14 +13,13 @@
     digest_of,
 )
 from currantdeal.membership.tests.builders import build_upstream
-from currantdeal.policy import UserWeights
 from currantdeal.ports import Grant, HeldMemory, ReservationRequest
 
 
 def _book():
     book = HomeBook(
         instance="i1",
-        weights=UserWeights(),
+        output_gap_s=0.04,
         limits=BookLimits(),
         now_s=0.0,
     )
--- a/currantdeal/policy/scheduler.py
+++ b/currantdeal/policy/scheduler.py
@@ -171,6 +171,7 @@
         self._pools_of = pools
         self._rate = StartRate(initial=INITIAL_RATE)
         self._turns = {}
+        self._failed_until_s = {}
         self._path_ratio = 1.0
         self._next_sweep_s = 0.0
 
@@ -255,7 +256,7 @@
         A dead engine looks idle until its silence is noticed.  Without this
         a retry would go to it as likely as to a living one.
         """
-        self._load.refused(upstream_id, until_s=now_s + FAILED_S)
+        self._failed_until_s[upstream_id] = now_s + FAILED_S
 
     def cancel(self, request_id):
         """Forget waiting work whose caller is gone; return if it waited."""
@@ -350,13 +351,19 @@
             load=self._load,
             tokens=work.prompt_tokens + expected,
             now_s=now_s,
-            full=turn.full(now_s),
+            full=turn.full(now_s) | self._failed(now_s),
             wanted=turn.take_wanted(),
         )
         if choice is None:
             return None
         return self._asks(work, choice, expected, now_s)
 
+    def _failed(self, now_s):
+        for name, until_s in list(self._failed_until_s.items()):
+            if until_s <= now_s:
+                del self._failed_until_s[name]
+        return self._failed_until_s.keys()
+
     def _asks(self, work, choice, expected, now_s):
         decode, prefill = choice.decode, choice.prefill
         step_s = self._load.get(decode.upstream_id, now_s=now_s).step_s
--- /dev/null
+++ b/currantdeal/policy/tests/test_scheduler.py
@@ -0,0 +1,88 @@
+from random import Random
+
+import pytest
+
+from currantdeal.core import Role
+from currantdeal.policy import GiveUp, Plan, Pools, Scheduler, Wait
+from currantdeal.policy.tests.builders import engine, work
+
+POOLS = Pools(
+    prefills=(engine("p1", Role.PREFILL),),
+    decodes=(engine("d1"), engine("d2")),
+)
+
+
+@pytest.fixture
+def scheduler():
+    return Scheduler(
+        entry="i1",
+        rng=Random(1),
+        load=lambda name: None,
+        pools=lambda work: POOLS,
+    )
+
+
+def _block(scheduler, plan, *, now_s, after_s=0.1):
+    scheduler.blocked(
+        plan,
+        plan.choice.decode.upstream_id,
+        retry_after_s=after_s,
+        now_s=now_s,
+    )
+
+
+def test_plan_asks_for_decode_memory_of_prompt_and_output(scheduler):
+    scheduler.submit(work(), now_s=0.0)
+    (plan,) = scheduler.poll(now_s=0.0)
+    assert plan.decode_ask.pieces == -(-(800 + plan.output_tokens) // 16)
+    assert plan.prefill_ask.prefill_tokens == 800
+
+
+def test_failed_engine_is_left_out_for_a_while(scheduler):
+    """A dead engine looks idle until its silence is noticed.  Work that is
+    sent there is answered late or not at all.
+    """
+    scheduler.failed("d1", now_s=0.0)
+    for number in range(8):
+        scheduler.submit(work(f"r{number}", f"c{number}"), now_s=0.0)
+    plans = scheduler.poll(now_s=0.0)
+    assert {plan.choice.decode.upstream_id for plan in plans} == {"d2"}
+
+
+def test_refused_work_asks_elsewhere_and_then_waits(scheduler):
+    scheduler.submit(work(), now_s=0.0)
+    (first,) = scheduler.poll(now_s=0.0)
+    _block(scheduler, first, now_s=0.0)
+    (second,) = scheduler.poll(now_s=0.0)
+    assert second.choice.decode != first.choice.decode
+    _block(scheduler, second, now_s=0.0, after_s=0.05)
+    (wait,) = scheduler.poll(now_s=0.0)
+    assert isinstance(wait, Wait)
+    (again,) = scheduler.poll(now_s=wait.delay_s)
+    assert again.choice.decode == second.choice.decode
+
+
+def test_blocked_hot_caller_delays_nobody_else(scheduler):
+    """A hot caller's work waits for a full engine.  Were it alone at the
+    head of the queue, polite callers would be refused for its sake.
+    """
+    for number in range(5):
+        scheduler.submit(work(f"h{number}", "hot"), now_s=0.0)
+    (plan,) = scheduler.poll(now_s=0.0)
+    assert plan.work.caller == "hot"
+    scheduler.submit(work("p1", "polite"), now_s=0.0)
+    (polite,) = scheduler.poll(now_s=0.0)
+    assert isinstance(polite, Plan) and polite.work.caller == "polite"
+
+
+def test_work_that_cannot_be_in_time_is_given_up_before_it_runs(scheduler):
+    """Engines stay full until it is too late for a waiting request.  Started
+    all the same, it would cost a prefill and be answered late.
+    """
+    scheduler.submit(work(deadline_s=1.0), now_s=0.0)
+    (plan,) = scheduler.poll(now_s=0.0)
+    _block(scheduler, plan, now_s=0.95)
+    (message,) = scheduler.poll(now_s=0.95)
+    assert isinstance(message, GiveUp)
+    assert message.refused.retry_after_s >= 1.0
+    assert scheduler.waiting == 0
