--- a/currantdeal/policy/tests/test_scheduler.py
+++ b/currantdeal/policy/tests/test_scheduler.py
@@ -39,8 +39,9 @@
 
 
 def test_failed_engine_is_left_out_for_a_while(scheduler):
-    """A dead engine looks idle until its silence is noticed.  Work that is
-    sent there is answered late or not at all.
+    """A dead engine looks idle until its silence is noticed.
+
+    Work that is sent there is answered late or not at all.
     """
     scheduler.failed("d1", now_s=0.0)
     for number in range(8):
@@ -63,8 +64,10 @@
 
 
 def test_blocked_hot_caller_delays_nobody_else(scheduler):
-    """A hot caller's work waits for a full engine.  Were it alone at the
-    head of the queue, polite callers would be refused for its sake.
+    """A hot caller's work waits for a full engine.
+
+    Were it alone at the head of the queue, polite callers would be refused
+    for its sake.
     """
     for number in range(5):
         scheduler.submit(work(f"h{number}", "hot"), now_s=0.0)
@@ -76,8 +79,9 @@
 
 
 def test_work_that_cannot_be_in_time_is_given_up_before_it_runs(scheduler):
-    """Engines stay full until it is too late for a waiting request.  Started
-    all the same, it would cost a prefill and be answered late.
+    """Engines stay full until it is too late for a waiting request.
+
+    Started all the same, it would cost a prefill and be answered late.
     """
     scheduler.submit(work(deadline_s=1.0), now_s=0.0)
     (plan,) = scheduler.poll(now_s=0.0)
