Do not wait for a home that gives no answer

Cause: a home that is unreachable or changing refuses with no time to retry; the scheduler read that as room at once, waited for that engine and paid a timeout at every turn, and with one turn a caller nothing else of the caller was served meanwhile. Change: such a home counts as full for a second and is not waited for; a caller has up to four turns.

--- a/currantdeal/policy/scheduler.py
+++ b/currantdeal/policy/scheduler.py
@@ -15,10 +15,11 @@
 refuse, ``poll`` returns a ``Wait``, after which it is to be called again.
 The work then waits for the engine that promised room first: it asks there
 every 20 ms, by which it keeps its place at that engine's home, and looks at
-one of the others in between.  Each caller has one such turn at a time, so
-that a hot caller whose work waits for an engine delays nobody else's, and at
-most sixteen callers have one, which bounds what an entry asks of homes to
-some hundred reservations a second.
+one of the others in between.  Each caller has at most four such turns at a
+time, so that a hot caller whose work waits for engines delays nobody else's,
+and a home that does not answer delays only some of a caller's work.  Sixteen
+turns in all bound what an entry asks of homes to some hundred reservations a
+second.
 
 Work is started only if its path to the first output, lengthened by 10%, and
 by up to 30% for users who weigh waste, still ends before its deadline:
@@ -26,6 +27,7 @@
 with 20% a tenth of that, for the same goodput.
 """
 
+from collections import Counter
 from dataclasses import dataclass
 
 from currantdeal.core import Role, Upstream, Work
@@ -40,9 +42,11 @@
 from currantdeal.policy.weights import EVEN_WEIGHTS
 
 MAX_TURNS = 16
+MAX_TURNS_PER_CALLER = 4
 ASKED_AT_ONCE = 3
 ASKED_AGAIN = 2
 FULL_DECODE_S = 0.3
+UNREACHABLE_S = 1.0
 MIN_QUANTILE = 0.7
 CAUTIOUS_QUANTILE = 0.2
 DEFAULT_STEP_S = 0.02
@@ -207,8 +211,7 @@
             if turn.due_s is not None and turn.due_s <= now_s:
                 due.append(self._take_turn(turn, now_s))
         while len(self._turns) < MAX_TURNS:
-            busy = {turn.queued.work.caller for turn in self._turns.values()}
-            queued = self._queue.pop(skip=busy)
+            queued = self._queue.pop(skip=self._busy_callers())
             if queued is None:
                 break
             due.append(self._take_turn(_Turn(queued), now_s))
@@ -248,7 +251,9 @@
         if upstream_id == plan.choice.decode.upstream_id:
             turn.refused_by(upstream_id, retry_after_s, now_s)
         else:
-            turn.full_until_s[upstream_id] = now_s + retry_after_s
+            turn.full_until_s[upstream_id] = now_s + (
+                retry_after_s or UNREACHABLE_S
+            )
 
     def failed(self, upstream_id, *, now_s):
         """Take in that an upstream gave no answer; it is left out a while.
@@ -308,6 +313,16 @@
             slowness = between_s / DEFAULT_STEP_S
             self._slow.observe(group, upstream_id, slowness, now_s=now_s)
 
+    def _busy_callers(self):
+        turns = Counter(
+            turn.queued.work.caller for turn in self._turns.values()
+        )
+        return {
+            caller
+            for caller, count in turns.items()
+            if count >= MAX_TURNS_PER_CALLER
+        }
+
     def _take_turn(self, turn, now_s):
         work = turn.queued.work
         if self._is_late(work, now_s):
@@ -434,6 +449,10 @@
     def refused_by(self, upstream_id, retry_after_s, now_s):
         """Note a refusal, and wait for the engine that has room first."""
         self.full_until_s[upstream_id] = now_s + FULL_DECODE_S
+        if retry_after_s <= 0:
+            # The home did not answer or is changing.  It promises nothing,
+            # and waiting for it would cost a timeout at every turn.
+            retry_after_s = UNREACHABLE_S
         if not self._settled and retry_after_s < self._wanted_wait_s:
             self._wanted = upstream_id
             self._wanted_wait_s = retry_after_s
