Split the scheduler by job

Change: plans (messages), turns (asking homes) and estimates (what work will take) are modules of their own.

--- a/currantdeal/policy/__init__.py
+++ b/currantdeal/policy/__init__.py
@@ -7,6 +7,7 @@
     StartRate,
 )
 from currantdeal.policy.batch_limit import BatchLimit
+from currantdeal.policy.estimates import Estimates
 from currantdeal.policy.fair_queue import FairQueue, Queued
 from currantdeal.policy.ledger import (
     Ask,
@@ -19,9 +20,10 @@
 from currantdeal.policy.load_view import Load, LoadView
 from currantdeal.policy.outliers import SlowUpstreams, Standing, slow_group
 from currantdeal.policy.placement import Choice, Placement
+from currantdeal.policy.plans import GiveUp, Plan, Pools, Wait
 from currantdeal.policy.prefixes import BLOCK_TOKENS, PrefixHints
 from currantdeal.policy.retry import RetryBudget, RetryDecision
-from currantdeal.policy.scheduler import GiveUp, Plan, Pools, Scheduler, Wait
+from currantdeal.policy.scheduler import Scheduler
 from currantdeal.policy.waiters import Waiter, Waiters
 from currantdeal.policy.weights import EVEN_WEIGHTS, UserWeights
 
@@ -33,6 +35,7 @@
     "BatchLimit",
     "Choice",
     "EVEN_WEIGHTS",
+    "Estimates",
     "FairQueue",
     "GiveUp",
     "Ledger",
--- a/currantdeal/policy/scheduler.py
+++ b/currantdeal/policy/scheduler.py
@@ -28,86 +28,32 @@
 """
 
 from collections import Counter
-from dataclasses import dataclass
 
-from currantdeal.core import Role, Upstream, Work
+from currantdeal.core import Role
 from currantdeal.policy.admission import Admission, Refused, StartRate
+from currantdeal.policy.estimates import (
+    STEP_S,
+    Estimates,
+    usual_prefill_s,
+)
 from currantdeal.policy.fair_queue import FairQueue, Queued
 from currantdeal.policy.ledger import Ask
 from currantdeal.policy.lengths import OutputLengths
 from currantdeal.policy.load_view import LoadView
 from currantdeal.policy.outliers import SlowUpstreams, slow_group
-from currantdeal.policy.placement import Choice, Placement
+from currantdeal.policy.placement import Placement
+from currantdeal.policy.plans import GiveUp, Plan, Wait
 from currantdeal.policy.prefixes import PrefixHints
+from currantdeal.policy.turns import PAUSE_S, Turn
 from currantdeal.policy.weights import EVEN_WEIGHTS
 
 MAX_TURNS = 16
 MAX_TURNS_PER_CALLER = 4
-ASKED_AT_ONCE = 3
-ASKED_AGAIN = 2
-FULL_DECODE_S = 0.3
-UNREACHABLE_S = 1.0
-MIN_QUANTILE = 0.7
-CAUTIOUS_QUANTILE = 0.2
-DEFAULT_STEP_S = 0.02
-DEFAULT_PREFILL_TOKENS_PER_S = 8_000.0
-RATIO_SMOOTHING = 0.1
-MAX_RATIO = 4.0
-MIN_START_MARGIN = 0.1
-CAUTIOUS_START_MARGIN = 0.2
 SWEEP_S = 0.05
-FULL_RETRY_S = 0.02
 FAILED_S = 1.0
-USUAL_PREFILL_S = 0.01
 INITIAL_RATE = 50.0
 
 
-@dataclass(frozen=True, kw_only=True)
-class Pools:
-    """Upstreams that the selectors allow for a target, by role.
-
-    The tuples should stay the same objects while nothing changes.
-    """
-
-    prefills: tuple[Upstream, ...]
-    decodes: tuple[Upstream, ...]
-
-
-@dataclass(frozen=True, kw_only=True)
-class Plan:
-    """Work whose turn it is, and what to reserve for it.
-
-    Parameters
-    ----------
-    decode_ask, prefill_ask : Ask
-        Reserved in this order at the homes of the chosen engines.
-    output_tokens : int
-        Output tokens that the decode memory is meant for.
-    """
-
-    work: Work
-    output_tokens: int
-    choice: Choice
-    decode_ask: Ask
-    prefill_ask: Ask
-
-
-@dataclass(frozen=True, kw_only=True)
-class GiveUp:
-    """Work that waited and can no longer be in time; it did not run."""
-
-    work: Work
-    refused: Refused
-
-
-@dataclass(frozen=True, kw_only=True)
-class Wait:
-    """Work whose turn it is while every engine is full; poll again later."""
-
-    work: Work
-    delay_s: float
-
-
 class Scheduler:
     """Decides for one target at one instance.
 
@@ -159,15 +105,13 @@
     ):
         """Build the parts that are not given."""
         self._entry = entry
-        self._quantile = MIN_QUANTILE + CAUTIOUS_QUANTILE * weights.caution
-        self._start_margin = (
-            1.0 + MIN_START_MARGIN + CAUTIOUS_START_MARGIN * weights.caution
-        )
         # An empty queue is falsy, so "queue or FairQueue()" would drop it and
         # with it the weights of the callers.
         self._queue = FairQueue() if queue is None else queue
         self._admission = admission or Admission(rng=rng, weights=weights)
-        self._lengths = lengths or OutputLengths()
+        self._estimates = Estimates(
+            lengths=lengths or OutputLengths(), weights=weights
+        )
         self._hints = hints or PrefixHints()
         self._slow = slow or SlowUpstreams()
         self._placement = placement or Placement(
@@ -178,7 +122,6 @@
         self._rate = StartRate(initial=INITIAL_RATE)
         self._turns = {}
         self._failed_until_s = {}
-        self._path_ratio = 1.0
         self._next_sweep_s = 0.0
 
     @property
@@ -193,14 +136,14 @@
 
     def submit(self, work, *, now_s):
         """Return ``Admitted`` or ``Refused`` for new work."""
-        cost_s = self._cost_s(work)
+        cost_s = self._estimates.cost_s(work)
         decision = self._admission.decide(
             time_left_s=work.deadline_s - now_s,
             cost_ahead_s=self._ahead_s(work),
             cost_s=cost_s,
             queued_s=self._queue.cost_s,
             rate_per_s=self._rate.per_s,
-            path_s=self._path_s(work),
+            path_s=self._estimates.path_s(work),
         )
         if not isinstance(decision, Refused):
             self._queue.push(work, cost_s=cost_s)
@@ -216,7 +159,7 @@
             queued = self._queue.pop(skip=self._busy_callers())
             if queued is None:
                 break
-            due.append(self._take_turn(_Turn(queued), now_s))
+            due.append(self._take_turn(Turn(queued=queued), now_s))
         return tuple(due)
 
     def reserved(self, plan, *, now_s):
@@ -253,9 +196,7 @@
         if upstream_id == plan.choice.decode.upstream_id:
             turn.refused_by(upstream_id, retry_after_s, now_s)
         else:
-            turn.full_until_s[upstream_id] = now_s + (
-                retry_after_s or UNREACHABLE_S
-            )
+            turn.refused_prefill(upstream_id, retry_after_s, now_s)
 
     def failed(self, upstream_id, *, now_s):
         """Take in that an upstream gave no answer; it is left out a while.
@@ -285,14 +226,13 @@
             self._hints.forget(upstream_id, work.prefix_keys)
         self._hints.learn(upstream_id, work.prefix_keys, now_s=now_s)
         computed = max(0, work.prompt_tokens - cached_tokens)
-        usual_s = USUAL_PREFILL_S + computed / DEFAULT_PREFILL_TOKENS_PER_S
+        usual_s = usual_prefill_s(computed)
         group = slow_group(work, Role.PREFILL)
         self._slow.observe(group, upstream_id, taken_s / usual_s, now_s=now_s)
 
     def first_output(self, work, *, path_s):
         """Learn from the time between start and first output, in seconds."""
-        ratio = min(MAX_RATIO, path_s / _ideal_path_s(work))
-        self._path_ratio += RATIO_SMOOTHING * (ratio - self._path_ratio)
+        self._estimates.learn_path(work, path_s)
 
     def finished(self, work, upstream_id, *, tokens, between_s, now_s):
         """Learn from a whole answer.
@@ -307,12 +247,10 @@
             Mean time between outputs, in seconds; 0 when there were fewer
             than two.
         """
-        self._lengths.observe(
-            caller=work.caller, kind=work.kind, tokens=tokens
-        )
+        self._estimates.learn_output(work, tokens)
         if between_s > 0:
             group = slow_group(work, Role.DECODE)
-            slowness = between_s / DEFAULT_STEP_S
+            slowness = between_s / STEP_S
             self._slow.observe(group, upstream_id, slowness, now_s=now_s)
 
     def _busy_callers(self):
@@ -327,14 +265,14 @@
 
     def _take_turn(self, turn, now_s):
         work = turn.queued.work
-        if self._is_late(work, now_s):
+        if self._estimates.is_late(work, now_s):
             self._turns.pop(work.request_id, None)
             return self._give_up(work)
         self._turns[work.request_id] = turn
         plan = self._plan(turn, now_s) if turn.asks_left > 0 else None
         if plan is None:
             turn.pause(now_s)
-            return Wait(work=work, delay_s=FULL_RETRY_S)
+            return Wait(work=work, delay_s=PAUSE_S)
         turn.asks_left -= 1
         turn.due_s = None
         return plan
@@ -344,14 +282,10 @@
             return ()
         self._next_sweep_s = now_s + SWEEP_S
         late = self._queue.remove_if(
-            lambda queued: self._is_late(queued.work, now_s)
+            lambda queued: self._estimates.is_late(queued.work, now_s)
         )
         return tuple(self._give_up(queued.work) for queued in late)
 
-    def _is_late(self, work, now_s):
-        path_s = self._path_s(work) * self._start_margin
-        return now_s + path_s > work.deadline_s
-
     def _give_up(self, work):
         wait_s = self._queue.cost_s / max(self._rate.per_s, 1e-6)
         refused = self._admission.give_up(wait_s=wait_s)
@@ -360,7 +294,7 @@
     def _plan(self, turn, now_s):
         work = turn.queued.work
         pools = self._pools_of(work)
-        expected = self._expected(work, self._quantile)
+        expected = self._estimates.reserved_tokens(work)
         choice = self._placement.choose(
             work,
             prefills=pools.prefills,
@@ -384,7 +318,6 @@
     def _asks(self, work, choice, expected, now_s):
         decode, prefill = choice.decode, choice.prefill
         step_s = self._load.get(decode.upstream_id, now_s=now_s).step_s
-        median = self._expected(work, 0.5)
         kv_bytes = work.prompt_tokens * prefill.kv_bytes_per_token
         ask = {
             "request_id": work.request_id,
@@ -400,7 +333,7 @@
             decode_ask=Ask(
                 pieces=-(-tokens // decode.tokens_per_piece),
                 kv_bytes=kv_bytes,
-                hold_s=median * (step_s or DEFAULT_STEP_S),
+                hold_s=self._estimates.hold_s(work, step_s),
                 **ask,
             ),
             prefill_ask=Ask(
@@ -410,19 +343,6 @@
             ),
         )
 
-    def _expected(self, work, quantile):
-        return self._lengths.expected(
-            caller=work.caller,
-            kind=work.kind,
-            max_output_tokens=work.max_output_tokens,
-            quantile=quantile,
-        )
-
-    def _cost_s(self, work):
-        prefill_s = work.prompt_tokens / DEFAULT_PREFILL_TOKENS_PER_S
-        decode_s = self._expected(work, 0.5) * DEFAULT_STEP_S
-        return prefill_s + decode_s
-
     def _ahead_s(self, work):
         turns_s = sum(
             turn.queued.cost_s
@@ -431,61 +351,6 @@
         )
         return turns_s + self._queue.cost_ahead_s(work.caller)
 
-    def _path_s(self, work):
-        return self._path_ratio * _ideal_path_s(work)
-
-
-class _Turn:
-    """Work whose turn it is, until it is reserved or given up."""
-
-    def __init__(self, queued):
-        self.queued = queued
-        self.due_s = None
-        self.asks_left = ASKED_AT_ONCE
-        self.full_until_s = {}
-        self._wanted = None
-        self._wanted_wait_s = float("inf")
-        self._ask_wanted = False
-        self._settled = False
-
-    def refused_by(self, upstream_id, retry_after_s, now_s):
-        """Note a refusal, and wait for the engine that has room first."""
-        self.full_until_s[upstream_id] = now_s + FULL_DECODE_S
-        if retry_after_s <= 0:
-            # The home did not answer or is changing.  It promises nothing,
-            # and waiting for it would cost a timeout at every turn.
-            retry_after_s = UNREACHABLE_S
-        if not self._settled and retry_after_s < self._wanted_wait_s:
-            self._wanted = upstream_id
-            self._wanted_wait_s = retry_after_s
-
-    def pause(self, now_s):
-        """Ask the wanted engine first, once the pause is over."""
-        self.due_s = now_s + FULL_RETRY_S
-        self.asks_left = ASKED_AGAIN
-        self._ask_wanted = True
-        self._settled = self._wanted is not None
-
-    def take_wanted(self):
-        """Return the engine to ask first after a pause, or None."""
-        if not self._ask_wanted:
-            return None
-        self._ask_wanted = False
-        return self._wanted
-
-    def full(self, now_s):
-        """Return the engines that refused a moment ago."""
-        return {
-            name
-            for name, until_s in self.full_until_s.items()
-            if until_s > now_s
-        }
-
-
-def _ideal_path_s(work):
-    prefill_s = work.prompt_tokens / DEFAULT_PREFILL_TOKENS_PER_S
-    return prefill_s + DEFAULT_STEP_S
-
 
 def _id(queued: Queued):
     return queued.work.request_id
