--- a/currantdeal/policy/tests/test_small_decisions.py
+++ b/currantdeal/policy/tests/test_small_decisions.py
@@ -5,6 +5,7 @@
 from currantdeal.core import Ran, WorkKind
 from currantdeal.policy import (
     Admission,
+    Estimates,
     FairQueue,
     LoadView,
     OutputLengths,
@@ -14,6 +15,7 @@
     RetryBudget,
     SlowUpstreams,
     StartRate,
+    UserWeights,
 )
 from currantdeal.policy.outliers import OUT_S
 from currantdeal.policy.tests.builders import engine, work
@@ -145,3 +147,19 @@
     assert chosen() == "near"
     loads.sent("near", pieces=0, tokens=8_000, now_s=0.0)
     assert chosen() == "far"
+
+
+def test_weight_on_waste_reserves_more_and_starts_nothing_late():
+    lengths = OutputLengths()
+    for tokens in range(10, 200, 10):
+        lengths.observe(caller="c", kind=WorkKind.CHAT, tokens=tokens)
+    careful, bold = (
+        Estimates(lengths=lengths, weights=weights)
+        for weights in (
+            UserWeights(goodput=0.0, wasted_prefill=1.0),
+            UserWeights(goodput=1.0, wasted_prefill=0.0),
+        )
+    )
+    wanted = work(deadline_s=0.15)
+    assert careful.reserved_tokens(wanted) > bold.reserved_tokens(wanted)
+    assert careful.is_late(wanted, 0.0) and not bold.is_late(wanted, 0.0)
