--- a/currantdeal/membership/__init__.py
+++ b/currantdeal/membership/__init__.py
@@ -25,11 +25,13 @@
 )
 from currantdeal.membership.home_plan import (
     GiveHome,
+    HomePlanner,
     Presence,
     Surroundings,
     TakeHome,
     plan_homes,
 )
+from currantdeal.membership.load_wire import decode_loads, encode_loads
 from currantdeal.membership.messages import (
     Ack,
     Exchange,
@@ -66,6 +68,7 @@
     "HeldGrant",
     "HeldKey",
     "HomeBook",
+    "HomePlanner",
     "HomeRefusal",
     "MemberTable",
     "MembershipError",
@@ -86,8 +89,10 @@
     "WireError",
     "choose_entries",
     "choose_home",
+    "decode_loads",
     "decode_message",
     "digest_of",
+    "encode_loads",
     "encode_message",
     "first_incarnation",
     "home_candidates",
