--- a/benchmarks/consensus_cluster.py
+++ b/benchmarks/consensus_cluster.py
@@ -66,9 +66,14 @@
         How many there are.
     delay_s : float
         One-way delay between any two instances.
+    proxied : bool
+        Put a proxy on every path; without one, paths have no delay and can
+        be neither cut nor counted, and many more instances fit a machine.
     """
 
-    def __init__(self, *, folder, replicas, instances, delay_s):
+    def __init__(
+        self, *, folder, replicas, instances, delay_s=0.0, proxied=True
+    ):
         """Start every process and wait for every lease."""
         self._folder = Path(folder)
         self.names = [f"i{n + 1}" for n in range(instances)]
@@ -81,7 +86,7 @@
             )
             for source in self.names
             for target in self.replicas
-            if source != target
+            if source != target and proxied
         }
         self.children = {}
         for name in self.names:
--- a/benchmarks/experiments/control_cost.py
+++ b/benchmarks/experiments/control_cost.py
@@ -72,7 +72,7 @@
     def render(self):
         """Return the report as text."""
         parts = (*self.by_members, *self.by_upstreams, *self.slopes)
-        return "\n".join(_line(asdict(part)) for part in parts)
+        return "\n".join(line_of(asdict(part)) for part in parts)
 
 
 def run(*, seed, members=MEMBERS, upstreams=UPSTREAMS, seconds=SECONDS):
@@ -174,7 +174,8 @@
     )
 
 
-def _line(values):
+def line_of(values):
+    """Return a row of named values as text."""
     return "  ".join(f"{name}={_short(v)}" for name, v in values.items())
 
 
--- /dev/null
+++ b/benchmarks/experiments/slopes.py
@@ -0,0 +1,260 @@
+"""Slopes for the page on capacity: what each more of something costs.
+
+State is measured in this process over growing numbers of upstreams, claims
+and callers; the view of the state is spread over real processes at three
+sizes, without proxies, with three replicas.  ``bin/bench control-cost`` has
+the slopes of membership and homes, ``bin/bench stream-cost`` those of
+streams and ``bin/bench decision-cost`` those of decisions.
+"""
+
+import tempfile
+import time
+import tracemalloc
+from dataclasses import asdict, dataclass
+from statistics import median
+
+from benchmarks.consensus_cluster import Cluster
+from benchmarks.experiments.control_cost import Slope, fit, line_of
+from currantdeal.core import Role, Selector, WorkKind
+from currantdeal.state import (
+    ApplySelector,
+    ClaimCall,
+    ClaimKey,
+    ClusterState,
+    Eligibility,
+    FinishClaim,
+    WorkClass,
+    apply_command,
+    encode_state,
+)
+from currantdeal.state.tests.builders import ANSWER, announce, origin
+
+SUMMARY = "what each upstream, claim and instance adds to state and view"
+
+UPSTREAMS = (85, 340, 680)
+CLAIMS = (5_000, 20_000, 50_000)
+INSTANCES = (8, 32, 104)
+REPLICAS = 3
+CHANGES = 10
+SETTLE_S = 3.0
+IDLE_S = 10.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class StatePoint:
+    """The state with some number of records.
+
+    Parameters
+    ----------
+    heap_bytes, snapshot_bytes : float
+        In memory, and encoded.
+    apply_us : float
+        Median processor time of the commands that made it.
+    match_us : float
+        Time to match all upstreams anew after a change; 0 for claims.
+    """
+
+    count: int
+    heap_bytes: float
+    snapshot_bytes: float
+    apply_us: float
+    match_us: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class ViewPoint:
+    """The view at some number of instances.
+
+    Parameters
+    ----------
+    leader_cpu_ms_per_s, replica_cpu_ms_per_s, entry_cpu_ms_per_s : float
+        Idle; the mean over the instances of a kind.
+    leader_rss_mb, entry_rss_mb : float
+        Resident memory.
+    in_force_s, in_force_max_s : float
+        From accepted to in force at all instances.
+    """
+
+    instances: int
+    leader_cpu_ms_per_s: float
+    replica_cpu_ms_per_s: float
+    entry_cpu_ms_per_s: float
+    leader_rss_mb: float
+    entry_rss_mb: float
+    in_force_s: float
+    in_force_max_s: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Report:
+    """Points and slopes of a run."""
+
+    experiment: str
+    by_upstreams: tuple[StatePoint, ...]
+    by_claims: tuple[StatePoint, ...]
+    by_instances: tuple[ViewPoint, ...]
+    slopes: tuple[Slope, ...]
+
+    def render(self):
+        """Return the report as text."""
+        parts = (
+            *self.by_upstreams,
+            *self.by_claims,
+            *self.by_instances,
+            *self.slopes,
+        )
+        return "\n".join(line_of(asdict(part)) for part in parts)
+
+
+def run(*, seed, instances=INSTANCES):
+    """Return a ``Report``; nothing depends on the seed."""
+    by_upstreams = tuple(measure_upstreams(count) for count in UPSTREAMS)
+    by_claims = tuple(measure_claims(count) for count in CLAIMS)
+    by_instances = tuple(measure_view(count) for count in instances)
+    return Report(
+        experiment="slopes",
+        by_upstreams=by_upstreams,
+        by_claims=by_claims,
+        by_instances=by_instances,
+        slopes=(
+            *_fits(by_upstreams, "count", ("heap_bytes", "snapshot_bytes")),
+            *_fits(by_upstreams, "count", ("match_us",)),
+            *_fits(by_claims, "count", ("heap_bytes", "snapshot_bytes")),
+            *_fits(
+                by_instances,
+                "instances",
+                ("leader_cpu_ms_per_s", "leader_rss_mb", "in_force_s"),
+            ),
+        ),
+    )
+
+
+def measure_upstreams(count):
+    """Return the ``StatePoint`` of a state with some upstreams."""
+    commands = [
+        announce(f"engine-{number}", labels=(("tier", "gold"), ("deal", "a")))
+        for number in range(count)
+    ]
+    state, heap, apply_us = _build(commands)
+    state, _ = apply_command(
+        state,
+        ApplySelector(
+            origin=origin(),
+            selector=Selector(name="gold", expression="tier=gold"),
+            expected_version=0,
+        ),
+        version=state.version + 1,
+    )
+    wanted = WorkClass(
+        kind=WorkKind.SERVICE,
+        target="shop",
+        role=Role.SERVICE,
+        region="lagos",
+    )
+    return StatePoint(
+        count=count,
+        heap_bytes=heap,
+        snapshot_bytes=len(encode_state(state)),
+        apply_us=apply_us,
+        match_us=_median_us(lambda: Eligibility(state=state).allowed(wanted)),
+    )
+
+
+def measure_claims(count):
+    """Return the ``StatePoint`` of a state with some answered claims."""
+    commands = []
+    for number in range(count):
+        key = ClaimKey(caller="nube", service="shop", key=f"order-{number}")
+        commands.append(ClaimCall(origin=origin(), key=key, digest="d" * 64))
+        commands.append(
+            FinishClaim(
+                origin=origin(), key=key, token=2 * number + 1, answer=ANSWER
+            )
+        )
+    state, heap, apply_us = _build(commands)
+    return StatePoint(
+        count=count,
+        heap_bytes=heap,
+        snapshot_bytes=len(encode_state(state)),
+        apply_us=apply_us,
+    )
+
+
+def measure_view(count):
+    """Return the ``ViewPoint`` of some real processes."""
+    with tempfile.TemporaryDirectory() as folder:
+        cluster = Cluster(
+            folder=folder, replicas=REPLICAS, instances=count, proxied=False
+        )
+        try:
+            time.sleep(SETTLE_S)
+            return _view_point(cluster)
+        finally:
+            cluster.close()
+
+
+def _view_point(cluster):
+    leader = cluster.leader()
+    followers = [name for name in cluster.replicas if name != leader]
+    entries = cluster.names[REPLICAS:]
+    spent = _idle_cpu(cluster)
+    client = cluster.children[cluster.names[-1]]
+    changes = [client.ask("change") for _ in range(CHANGES)]
+    in_force = [change["in_force_s"] for change in changes]
+    return ViewPoint(
+        instances=len(cluster.names),
+        leader_cpu_ms_per_s=spent[leader],
+        replica_cpu_ms_per_s=_mean(spent[name] for name in followers),
+        entry_cpu_ms_per_s=_mean(spent[name] for name in entries),
+        leader_rss_mb=cluster.children[leader].ask("memory")["rss_mb"],
+        entry_rss_mb=client.ask("memory")["rss_mb"],
+        in_force_s=median(in_force),
+        in_force_max_s=max(in_force),
+    )
+
+
+def _idle_cpu(cluster):
+    before = _cpu(cluster)
+    time.sleep(IDLE_S)
+    after = _cpu(cluster)
+    return {n: 1e3 * (after[n] - before[n]) / IDLE_S for n in before}
+
+
+def _cpu(cluster):
+    return {
+        name: child.ask("usage")["cpu_s"]
+        for name, child in cluster.children.items()
+    }
+
+
+def _build(commands):
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    state = ClusterState()
+    for command in commands:
+        state, _ = apply_command(state, command, version=state.version + 1)
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    last = commands[-1]
+    apply_us = _median_us(
+        lambda: apply_command(state, last, version=state.version + 1)
+    )
+    return state, after - before, apply_us
+
+
+def _median_us(work, *, rounds=51):
+    times = []
+    for _ in range(rounds):
+        start_s = time.process_time()
+        work()
+        times.append(time.process_time() - start_s)
+    return 1e6 * median(times)
+
+
+def _mean(values):
+    values = list(values)
+    return sum(values) / len(values)
+
+
+def _fits(points, over, costs):
+    return tuple(fit(points, cost=cost, over=over) for cost in costs)
--- a/currantdeal/adapters/homes_links.py
+++ b/currantdeal/adapters/homes_links.py
@@ -5,7 +5,6 @@
 because the memory they free is what the next request waits for.
 """
 
-import contextlib
 import random
 import threading
 from concurrent.futures import ThreadPoolExecutor
@@ -166,9 +165,14 @@
             if self._wake.is_set():
                 self._wake.clear()
                 self._clock.sleep(BATCH_S)
-            with contextlib.suppress(RuntimeError):
-                # The pool takes nothing more once it is being stopped.
+            try:
                 self._send_due(self._clock.monotonic_s())
+            except Exception:
+                # Without this thread every grant of this instance runs out
+                # while its streams go on, and homes cancel them.  Once it is
+                # being stopped, the pool takes nothing more.
+                if not self._stopped:
+                    _log.exception("heartbeats failed")
 
     def _send_due(self, now_s):
         wanted = self._wanted()
--- a/currantdeal/adapters/tests/test_homes.py
+++ b/currantdeal/adapters/tests/test_homes.py
@@ -16,6 +16,8 @@
     Origin,
 )
 
+LEASE_S = 1.0
+
 
 @pytest.fixture
 def instances():
@@ -181,3 +183,27 @@
         return instances.shared.state.orders[issued.order_id].status
 
     until(lambda: status() is OrderStatus.DONE)
+
+
+def test_one_fault_does_not_end_the_heartbeats(instances):
+    """One look at the members fails while an entry's streams run.
+
+    If heartbeats ended with it, the home would take the entry for dead and
+    cancel its streams, and callers would lose their output.
+    """
+    instances.reserve(1, entry="i1", pieces=10)
+    home = instances.home().instance
+    entry = instances.other(home)
+    _running(instances, 2, entry=entry, pieces=10)
+    links = instances.homes[entry]._links
+    send, failures, sent = links._send_due, [AttributeError("a fault")], []
+
+    def fail_once(now_s):
+        if failures:
+            raise failures.pop()
+        send(now_s)
+        sent.append(now_s)
+
+    links._send_due = fail_once
+    until(lambda: sent and sent[-1] - sent[0] > 2 * LEASE_S)
+    assert instances.engine.cancelled == []
--- a/currantdeal/cli/tests/test_docs.py
+++ b/currantdeal/cli/tests/test_docs.py
@@ -68,3 +68,23 @@
     texts.append((PAGES.parents[1] / "README.md").read_text())
     for page in PAGES.glob("*.md"):
         assert any(f"{page.name})" in text for text in texts), page.name
+
+
+def _known_tests():
+    root = PAGES.parents[1]
+    for folder in ("currantdeal", "benchmarks"):
+        for path in (root / folder).rglob("test_*.py"):
+            yield from re.findall(r"def (test_\w+)", path.read_text())
+        for path in (root / folder).rglob("*.feature"):
+            titles = re.findall(
+                r"Scenario(?: Outline)?: (.*)", path.read_text()
+            )
+            for title in titles:
+                yield "test_" + re.sub(r"\W+", "_", title.lower())
+
+
+def test_every_test_that_proves_a_promise_exists():
+    page = (PAGES.parent / "promises.md").read_text()
+    named = set(re.findall(r"`(test_\w+)`", page))
+    assert named
+    assert named - set(_known_tests()) == set()
