--- a/benchmarks/consensus_cluster.py
+++ b/benchmarks/consensus_cluster.py
@@ -1,6 +1,5 @@
 """Real processes of the replicated state, with a proxy on every path."""
 
-import socket
 import subprocess
 import sys
 import time
@@ -10,6 +9,7 @@
 
 from benchmarks.consensus_instance import Ask
 from currantdeal.adapters.settings import PeerSettings, Settings
+from currantdeal.testing.ports import PortReservations
 from currantdeal.testing.proxy import Cut, FaultProxy, LinkFaults
 
 REGIONS = ("bizkaia", "cantabria", "asturias")
@@ -79,7 +79,10 @@
         self.names = [f"i{n + 1}" for n in range(instances)]
         self.replicas = self.names[:replicas]
         self._faults = LinkFaults(delay_s=delay_s)
-        self._addresses = {name: free_address() for name in self.names}
+        self._ports = PortReservations()
+        self._addresses = {
+            name: self._ports.take_address() for name in self.names
+        }
         self.proxies = {
             (source, target): FaultProxy(
                 target=self._addresses[target], faults=self._faults
@@ -169,9 +172,4 @@
             self.kill(name)
         for proxy in self.proxies.values():
             proxy.close()
-
-
-def free_address():
-    """Return an address on loopback that nothing listens on."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return f"127.0.0.1:{listener.getsockname()[1]}"
+        self._ports.close()
--- a/benchmarks/experiments/slopes.py
+++ b/benchmarks/experiments/slopes.py
@@ -11,11 +11,15 @@
 import time
 import tracemalloc
 from dataclasses import asdict, dataclass
+from hashlib import sha256
 from statistics import median
 
 from benchmarks.consensus_cluster import Cluster
 from benchmarks.experiments.control_cost import Slope, fit, line_of
-from currantdeal.core import Role, Selector, WorkKind
+from currantdeal.adapters.http.auth import KeyRing
+from currantdeal.adapters.settings import KeyKind, KeySettings
+from currantdeal.core import CallerId, Role, Selector, WorkKind
+from currantdeal.policy import OutputLengths
 from currantdeal.state import (
     ApplySelector,
     ClaimCall,
@@ -33,6 +37,7 @@
 
 UPSTREAMS = (85, 340, 680)
 CLAIMS = (5_000, 20_000, 50_000)
+CALLERS = (1_000, 5_000, 17_000)
 INSTANCES = (8, 32, 104)
 REPLICAS = 3
 CHANGES = 10
@@ -61,6 +66,14 @@
     match_us: float = 0.0
 
 
+@dataclass(frozen=True, kw_only=True)
+class CallerPoint:
+    """What an entry keeps of some number of callers, in bytes of memory."""
+
+    count: int
+    heap_bytes: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class ViewPoint:
     """The view at some number of instances.
@@ -92,6 +105,7 @@
     experiment: str
     by_upstreams: tuple[StatePoint, ...]
     by_claims: tuple[StatePoint, ...]
+    by_callers: tuple[CallerPoint, ...]
     by_instances: tuple[ViewPoint, ...]
     slopes: tuple[Slope, ...]
 
@@ -100,6 +114,7 @@
         parts = (
             *self.by_upstreams,
             *self.by_claims,
+            *self.by_callers,
             *self.by_instances,
             *self.slopes,
         )
@@ -110,16 +125,19 @@
     """Return a ``Report``; nothing depends on the seed."""
     by_upstreams = tuple(measure_upstreams(count) for count in UPSTREAMS)
     by_claims = tuple(measure_claims(count) for count in CLAIMS)
+    by_callers = tuple(measure_callers(count) for count in CALLERS)
     by_instances = tuple(measure_view(count) for count in instances)
     return Report(
         experiment="slopes",
         by_upstreams=by_upstreams,
         by_claims=by_claims,
+        by_callers=by_callers,
         by_instances=by_instances,
         slopes=(
             *_fits(by_upstreams, "count", ("heap_bytes", "snapshot_bytes")),
             *_fits(by_upstreams, "count", ("match_us",)),
             *_fits(by_claims, "count", ("heap_bytes", "snapshot_bytes")),
+            *_fits(by_callers, "count", ("heap_bytes",)),
             *_fits(
                 by_instances,
                 "instances",
@@ -180,6 +198,34 @@
     )
 
 
+def measure_callers(count):
+    """Return the ``CallerPoint`` of keys and learned lengths."""
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    keys = tuple(_key_of(number) for number in range(count))
+    ring = KeyRing(keys=keys)
+    lengths = OutputLengths()
+    for key in keys:
+        for tokens in (100, 120, 150):
+            lengths.observe(
+                caller=key.caller, kind=WorkKind.CHAT, tokens=tokens
+            )
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del ring
+    return CallerPoint(count=count, heap_bytes=after - before)
+
+
+def _key_of(number):
+    name = f"organisation-{number}"
+    return KeySettings(
+        name=name,
+        kind=KeyKind.CALLER,
+        sha256=sha256(name.encode()).hexdigest(),
+        caller=CallerId(name),
+    )
+
+
 def measure_view(count):
     """Return the ``ViewPoint`` of some real processes."""
     with tempfile.TemporaryDirectory() as folder:
