--- a/currantdeal/adapters/homes.py
+++ b/currantdeal/adapters/homes.py
@@ -1,6 +1,7 @@
 """Reservations wherever the upstream's home is; implements ``HomesPort``."""
 
 import threading
+from functools import partial
 
 from currantdeal.adapters.errors import PeerError
 from currantdeal.adapters.generated.homes import Homes as HomesService
@@ -249,70 +250,67 @@
     HomeClient
         With ``start``, ``stop`` and ``hand_over``.
     """
+    common = {"instance": settings.instance, "clock": clock, "state": state}
     process = first_incarnation(clock.wall_s())
-    instance = settings.instance
     book = GrantBook()
-    replicas = {
-        replica.instance: replica.peer_address for replica in settings.replicas
-    }
-
-    def address_of(name):
-        return members.peer_address(name) or replicas.get(name, "")
-
     server = HomesServer(
-        instance=instance,
+        instance=settings.instance,
         process=process,
         book=book,
         pass_on=lambda report: links.report(report, passed_on=True),
     )
     calls = HomeCalls(
-        instance=instance,
+        instance=settings.instance,
         local=server,
         pool=peer_pool,
-        address_of=address_of,
+        address_of=partial(_address_of, settings, members),
     )
     links = HomeLinks(
-        instance=instance,
+        **common,
         process=process,
         book=book,
         calls=calls,
         members=members,
-        state=state,
-        clock=clock,
         beat_s=settings.timing.renew_s,
         silence_s=settings.timing.lease_s,
     )
     work = HomeWork(
-        instance=instance,
-        state=state,
+        **common,
         members=members,
         engines=engines,
         calls=calls,
-        clock=clock,
         threads=WORK_THREADS,
     )
     peer_server.register(SERVICE, HomesService.Processor(server))
     return HomeClient(
-        instance=instance,
+        **common,
         process=process,
-        state=state,
         members=members,
-        clock=clock,
         book=book,
         calls=calls,
         links=links,
         server=server,
         work=work,
-        start_actor=lambda: HomesActor.start(
-            instance=instance,
-            state=state,
+        start_actor=partial(
+            HomesActor.start,
+            **common,
             members=members,
             work=work,
-            clock=clock,
             output_gap_s=settings.timing.output_gap_s,
-            limits=BookLimits(
-                entry_silence_s=settings.timing.lease_s,
-                upstream_silence_s=settings.timing.upstream_silence_s,
-            ),
+            limits=_limits_of(settings.timing),
         ),
     )
+
+
+def _address_of(settings, members, name):
+    replicas = {
+        replica.instance: replica.peer_address for replica in settings.replicas
+    }
+    return members.peer_address(name) or replicas.get(name, "")
+
+
+def _limits_of(timing):
+    return BookLimits(
+        entry_silence_s=timing.lease_s,
+        upstream_silence_s=timing.upstream_silence_s,
+    )
--- a/currantdeal/cli/wiring.py
+++ b/currantdeal/cli/wiring.py
@@ -43,13 +43,14 @@
         state=state.port,
         homes=homes,
         members=members,
-        runners=(
-            Runner(
-                name="peers", start=peer_server.start, stop=peer_server.stop
-            ),
-            Runner(name="state", start=state.start, stop=state.stop),
-            Runner(name="members", start=members.start, stop=members.stop),
-            Runner(name="homes", start=homes.start, stop=homes.stop),
+        runners=tuple(
+            Runner(name=name, start=part.start, stop=part.stop)
+            for name, part in (
+                ("peers", peer_server),
+                ("state", state),
+                ("members", members),
+                ("homes", homes),
+            )
         ),
         hand_over=(
             partial(homes.hand_over, timeout_s=HAND_OVER_TIMEOUT_S),
