--- a/currantdeal/cli/tests/test_docs.py
+++ b/currantdeal/cli/tests/test_docs.py
@@ -88,3 +88,15 @@
     named = set(re.findall(r"`(test_\w+)`", page))
     assert named
     assert named - set(_known_tests()) == set()
+
+
+@pytest.mark.parametrize("shell", ["bash", "zsh", "fish"])
+def test_shell_completion_is_printed(shell):
+    result = CliRunner().invoke(
+        main,
+        [],
+        prog_name="currantdeal",
+        env={"_CURRANTDEAL_COMPLETE": f"{shell}_source"},
+    )
+    assert result.exit_code == 0, result.output
+    assert "_CURRANTDEAL_COMPLETE" in result.output
--- a/currantdeal/testing/cluster.py
+++ b/currantdeal/testing/cluster.py
@@ -179,6 +179,16 @@
         """Cut all instances of a region silently off the others."""
         self._set_cut(self._names_in(region), Cut.BOTH)
 
+    def silence_open(self):
+        """Hold every open connection silently for good; new ones work.
+
+        Connections of callers to instances are left alone.
+        """
+        between = self._peer_proxies.values()
+        before = [one.proxy for one in self._stand_ins.values()]
+        for proxy in (*between, *before):
+            proxy.silence_open()
+
     def heal(self):
         """Lift every cut between instances and before callers."""
         self._set_cut(tuple(self._instances), Cut.NONE)
--- a/currantdeal/testing/tests/test_callers.py
+++ b/currantdeal/testing/tests/test_callers.py
@@ -98,12 +98,7 @@
 
     threads = [in_background(lambda n=n: run(n)) for n in range(count)]
     wait_until(lambda: _decoding(world) >= count, what="running streams")
-    for name in (*ENGINES, "shop-1"):
-        world.cluster.stand_in(name).proxy.silence_open()
-    for source in world.names:
-        for target in world.names:
-            if source != target:
-                world.cluster.peer_proxy(source, target).silence_open()
+    world.cluster.silence_open()
     for thread in threads:
         thread.join()
 
