Act on SIGTERM whichever thread the system gives it to

Python runs a handler in the main thread, which waited on an event without an end; a signal that the system gives to another thread does not wake it. Ruled out: a drain that hangs (it never began); a handler not installed (it is installed before the address is printed).

--- a/currantdeal/cli/drain.py
+++ b/currantdeal/cli/drain.py
@@ -75,7 +75,12 @@
 
     def wait(self):
         """Return once nothing is served any more."""
-        self._ended.wait()
+        # Python runs a signal's handler in the main thread, which waits
+        # here, but the system may give the signal to any thread.  Waiting
+        # without an end, this one would not wake for it, and SIGTERM would
+        # do nothing until the service manager kills the process.
+        while not self._ended.wait(LOOK_S):
+            pass
 
     def stop(self):
         """Watch no more."""
