Let the soak pass over an instance that cannot be asked

Change: the harness turns the error into its own, and the soak goes on to the next instance. Conclusion: the soak's fault, no promise was concerned.

--- a/benchmarks/soak_faults.py
+++ b/benchmarks/soak_faults.py
@@ -4,6 +4,8 @@
 import time
 from dataclasses import dataclass
 
+import urllib3
+
 from currantdeal.testing.errors import HarnessError
 from currantdeal.testing.proxy import Cut
 
@@ -305,7 +307,7 @@
             try:
                 at = self._cluster.instance(name)
                 return self._world.set_withdrawn(engine, withdrawn, at=at)
-            except HarnessError:
+            except (HarnessError, urllib3.exceptions.HTTPError):
                 continue
         return None
 
--- a/currantdeal/testing/instance.py
+++ b/currantdeal/testing/instance.py
@@ -119,7 +119,10 @@
 
     def operator(self, path):
         """Return the decoded answer of an operator's read."""
-        answer = self._get(path)
+        try:
+            answer = self._get(path)
+        except urllib3.exceptions.HTTPError as exc:
+            raise HarnessError(f"{self.name}: {exc}") from exc
         if answer.status != READY:
             raise HarnessError(f"{path}: {answer.status} {answer.data!r}")
         return msgspec.json.decode(answer.data)
