--- a/benchmarks/experiments/slopes.py
+++ b/benchmarks/experiments/slopes.py
@@ -18,6 +18,11 @@
 from benchmarks.experiments.control_cost import Slope, fit, line_of
 from currantdeal.adapters.http.auth import KeyRing
 from currantdeal.adapters.settings import KeyKind, KeySettings
+from currantdeal.adapters.tests.home_builders import (
+    Instances,
+    build_request,
+    until,
+)
 from currantdeal.core import CallerId, Role, Selector, WorkKind
 from currantdeal.policy import OutputLengths
 from currantdeal.state import (
@@ -38,6 +43,9 @@
 UPSTREAMS = (85, 340, 680)
 CLAIMS = (5_000, 20_000, 50_000)
 CALLERS = (1_000, 5_000, 17_000)
+RESERVATIONS = (100, 300, 1_000)
+RENEW_EVERY = 50
+CALL_S = 5.0
 INSTANCES = (8, 32, 104)
 REPLICAS = 3
 CHANGES = 10
@@ -74,6 +82,14 @@
     heap_bytes: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class ReservationPoint:
+    """Processor time of reservations and releases, entry and home together."""
+
+    count: int
+    cpu_us: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class ViewPoint:
     """The view at some number of instances.
@@ -106,6 +122,7 @@
     by_upstreams: tuple[StatePoint, ...]
     by_claims: tuple[StatePoint, ...]
     by_callers: tuple[CallerPoint, ...]
+    by_reservations: tuple[ReservationPoint, ...]
     by_instances: tuple[ViewPoint, ...]
     slopes: tuple[Slope, ...]
 
@@ -115,6 +132,7 @@
             *self.by_upstreams,
             *self.by_claims,
             *self.by_callers,
+            *self.by_reservations,
             *self.by_instances,
             *self.slopes,
         )
@@ -126,18 +144,21 @@
     by_upstreams = tuple(measure_upstreams(count) for count in UPSTREAMS)
     by_claims = tuple(measure_claims(count) for count in CLAIMS)
     by_callers = tuple(measure_callers(count) for count in CALLERS)
+    by_reservations = measure_reservations(RESERVATIONS)
     by_instances = tuple(measure_view(count) for count in instances)
     return Report(
         experiment="slopes",
         by_upstreams=by_upstreams,
         by_claims=by_claims,
         by_callers=by_callers,
+        by_reservations=by_reservations,
         by_instances=by_instances,
         slopes=(
             *_fits(by_upstreams, "count", ("heap_bytes", "snapshot_bytes")),
             *_fits(by_upstreams, "count", ("match_us",)),
             *_fits(by_claims, "count", ("heap_bytes", "snapshot_bytes")),
             *_fits(by_callers, "count", ("heap_bytes",)),
+            *_fits(by_reservations, "count", ("cpu_us",)),
             *_fits(
                 by_instances,
                 "instances",
@@ -226,6 +247,30 @@
     )
 
 
+def measure_reservations(counts):
+    """Return the ``ReservationPoint`` of each count, over one connection."""
+    instances = Instances(count=2)
+    try:
+        until(lambda: instances.shared.state.homes)
+        instances.reserve(0, entry="i1", pieces=1)
+        entry = instances.other(instances.home().instance)
+        return tuple(_reserve(instances, entry, count) for count in counts)
+    finally:
+        instances.stop()
+
+
+def _reserve(instances, entry, count):
+    homes = instances.homes[entry]
+    start_s = time.process_time()
+    for number in range(count):
+        if number % RENEW_EVERY == 0:
+            instances.renew()
+        request = build_request(f"{count}/{number}", entry=entry, pieces=1)
+        homes.release(homes.reserve(request, timeout_s=CALL_S))
+    spent_s = time.process_time() - start_s
+    return ReservationPoint(count=count, cpu_us=1e6 * spent_s)
+
+
 def measure_view(count):
     """Return the ``ViewPoint`` of some real processes."""
     with tempfile.TemporaryDirectory() as folder:
