Let the adapters' tests wait by the harness's wait_until

Cause: two test builders had written the wait on a condition again beside currantdeal.testing.waiting.wait_until. Change: both call it, with the same limit of 30 s; no assertion is touched. Conclusion: one loop to read; nothing else changes.

--- a/currantdeal/adapters/replication/tests/builders.py
+++ b/currantdeal/adapters/replication/tests/builders.py
@@ -24,6 +24,7 @@
     Origin,
     SetLabels,
 )
+from currantdeal.testing import waiting
 
 LIMIT_S = 30.0
 TIMING = TimingSettings(
@@ -32,12 +33,9 @@
 _numbers = itertools.count(1)
 
 
-def wait_until(condition, *, limit_s=LIMIT_S):
+def wait_until(condition):
     """Return once a condition holds; fail after the limit."""
-    due_s = time.monotonic() + limit_s
-    while not condition():
-        assert time.monotonic() < due_s, "condition did not come about"
-        time.sleep(0.01)
+    waiting.wait_until(condition, what="condition", limit_s=LIMIT_S)
 
 
 def origin(*, request_id=None, instance="i1", wall_s=None):
--- a/currantdeal/adapters/tests/home_builders.py
+++ b/currantdeal/adapters/tests/home_builders.py
@@ -23,15 +23,13 @@
     Origin,
     apply_command,
 )
+from currantdeal.testing.waiting import wait_until
 
 LIMIT_S = 30.0
 
 
 def until(wanted):
-    end_s = time.monotonic() + LIMIT_S
-    while not wanted():
-        assert time.monotonic() < end_s, "did not come true"
-        time.sleep(0.02)
+    wait_until(wanted, what="condition of the test", limit_s=LIMIT_S)
 
 
 def build_request(number, *, entry, pieces=10, upstream_id="decode-1"):
