Split the engines of a service by a plan that the leader orders

Change: policy/stage_plan.py decides the split, control/orders.py gives the orders from the leader alone, with the term as fencing number. Control instances that joined late fetch the records they miss; before, a third of the look-ups at the directory failed there.

--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -12,13 +12,17 @@
 from currantdeal.consensus import MESSAGE_CODEC
 from currantdeal.consensus import NodeSettings as LogSettings
 from currantdeal.control.membership import JOIN_INTERVAL_S, Membership
+from currantdeal.control.orders import StageOrders
 from currantdeal.control.replica import Replica
 from currantdeal.control.service import ControlService
 from currantdeal.entry.subscription import HEARTBEAT_S
+from currantdeal.node.http_client import ConnectionPool
 from currantdeal.node.http_server import HttpServer
 from currantdeal.node.messages import RaftNotice
 from currantdeal.node.peers import PeerConnection, PeerLink
 from currantdeal.node.settings import split_address
+from currantdeal.platform.bounds import read_bounds
+from currantdeal.platform.calls import PlatformCalls
 from currantdeal.platform.control import PlatformControl
 
 LOG_HEARTBEAT_S = 0.2
@@ -76,6 +80,16 @@
             clock=time.monotonic,
         )
 
+        self._orders = StageOrders(
+            me=settings.instance,
+            replica=self._replica,
+            registry=self._service.registry,
+            pool=ConnectionPool(),
+            dialect=PlatformCalls(),
+            pause_s=read_bounds(settings.bounds).order_pause_s,
+            clock=time.monotonic,
+        )
+
     async def run(self):
         """Run until told to stop."""
         settings = self._file.current
@@ -98,6 +112,7 @@
             asyncio.ensure_future(self._file.watch()),
             asyncio.ensure_future(every(HEARTBEAT_S, self._beat)),
             asyncio.ensure_future(self._join()),
+            asyncio.ensure_future(self._orders.run()),
         ]
         stop = asyncio.ensure_future(self._stopping.wait())
         done, _ = await asyncio.wait(
--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -130,7 +130,7 @@
             address=settings.listen.callers,
             data_center=settings.data_center,
             region=settings.region,
-            ready=self._ready,
+            ready=self._is_ready,
             started_ms=self._started_ms,
             sequence=self._sequence,
         )
--- a/currantdeal/control/directory.py
+++ b/currantdeal/control/directory.py
@@ -44,6 +44,10 @@
         """All records."""
         return tuple(self._records.values())
 
+    def knows(self, instance):
+        """Return whether an entry has a record."""
+        return instance in self._records
+
     def merge(self, record, *, now_s):
         """Take in a heartbeat and return whether it brought news."""
         known = self._records.get(record.instance)
--- a/currantdeal/control/errors.py
+++ b/currantdeal/control/errors.py
@@ -12,4 +12,4 @@
 
 
 class NotCertainError(ControlError):
-    """This instance cannot tell which configuration is the newest."""
+    """Nobody here can tell which configuration is the newest."""
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -29,6 +29,7 @@
     ProposeConfigCall,
     RaftNotice,
     ReadConfigCall,
+    RecordsCall,
     Renewal,
     RenewalsNotice,
     SourceNotice,
@@ -46,6 +47,9 @@
 READ_TIMEOUT_S = 0.9
 """Time for a read; callers wait one second before they ask elsewhere."""
 
+FETCH_TIMEOUT_S = 1.0
+"""Time for another control instance to send all its records."""
+
 SPREAD_TIMEOUT_S = 0.4
 """Time for other control instances to confirm that an upstream leaves."""
 
@@ -102,6 +106,7 @@
         self._config_frame = None
         self._renewed = {}
         self._renewed_entries = {}
+        self._fetching = set()
         self.prompt_tokens = 0
 
     @property
@@ -154,6 +159,7 @@
     def spread_renewals(self):
         """Tell the other control instances whose heartbeats came here."""
         notice = RenewalsNotice(
+            sender=self._me,
             upstreams=tuple(self._renewed.values()),
             entries=tuple(self._renewed_entries.values()),
         )
@@ -281,6 +287,12 @@
             self.directory.merge(record, now_s=self._clock())
         return Done(accepted=True)
 
+    @_take_call.register
+    async def _(self, call: RecordsCall, connection):
+        return SpreadCall(
+            upstreams=self.registry.records, entries=self.directory.records
+        )
+
     @_take_call.register
     async def _(self, call: SubscribeCall, connection):
         self._subscribers.add(connection)
@@ -347,6 +359,7 @@
 
     def _take_renewals(self, notice):
         now_s = self._clock()
+        self._fetch_unknown(notice)
         for renewal in notice.upstreams:
             self.registry.heard(
                 renewal.name, renewal.started_ms, renewal.sequence, now_s=now_s
@@ -356,6 +369,34 @@
                 renewal.name, renewal.started_ms, renewal.sequence, now_s=now_s
             )
 
+    def _fetch_unknown(self, notice):
+        """Fetch the records of a sender who renews what is not known here.
+
+        That is so after a restart, and on an instance that joined after the
+        news was spread.
+        """
+        unknown = any(
+            self.registry.get(renewal.name) is None
+            for renewal in notice.upstreams
+        ) or any(
+            not self.directory.knows(renewal.name)
+            for renewal in notice.entries
+        )
+        if unknown and notice.sender not in self._fetching:
+            self._fetching.add(notice.sender)
+            asyncio.ensure_future(self._fetch(notice.sender))
+
+    async def _fetch(self, address):
+        try:
+            found = await self._links(address).call(
+                RecordsCall(), timeout_s=FETCH_TIMEOUT_S
+            )
+        except PeerUnreachableError:
+            return
+        finally:
+            self._fetching.discard(address)
+        await self._take_call(found, None)
+
     def _others(self):
         return [
             address
--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -118,8 +118,9 @@
         self.first_output_s = None
 
     def note(self, step):
-        """Keep a step for the request's log line."""
-        self.steps.append(step)
+        """Keep a step, with its time, for the request's log line."""
+        after_s = asyncio.get_running_loop().time() - self.request.arrived_s
+        self.steps.append(f"{after_s:.3f} {step}")
 
     def time_left_s(self, now_s):
         """Return the seconds in which an answer is of use."""
--- a/currantdeal/entry/events.py
+++ b/currantdeal/entry/events.py
@@ -5,7 +5,7 @@
 
 
 class EventSplitter:
-    """Takes bytes of an event stream and gives out whole events.
+    r"""Takes bytes of an event stream and gives out whole events.
 
     An upstream that crashes may stop in the middle of an event.  If the part
     were passed on, the next upstream's events would be joined to it and the
@@ -45,6 +45,13 @@
         self._note_ids(whole)
         return whole
 
+    def drop_rest(self):
+        """Forget an event that its upstream did not finish.
+
+        The upstream that goes on sends it again from its beginning.
+        """
+        self._buffer = b""
+
     def _note_ids(self, whole):
         at = max(whole.rfind(b"\nid:"), -1)
         if at < 0 and not whole.startswith(b"id:"):
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -119,6 +119,7 @@
             return False
         prefill = None
         used = False
+        self._course.note(f"memory at {reservation.record.upstream}")
         self._context.memory.reserved(
             reservation.record.upstream, reservation.tokens
         )
@@ -397,6 +398,7 @@
     def _note_broken(self, record, exc):
         course = self._course
         course.runs = max(course.runs, 1) if exc.sent else course.runs
+        self._splitter.drop_rest()
         self._avoid.add(record.upstream)
         self._note_unreachable(record, exc)
         _log.info(
--- a/currantdeal/entry/subscription.py
+++ b/currantdeal/entry/subscription.py
@@ -165,7 +165,10 @@
     def _on_notice(self, connection, message):
         self._heard_s = self._clock()
         if isinstance(message, ConfigNotice):
+            first = not self._view.version
             self._view.take_config(message.version, message.packed)
+            if first:
+                self.announce()
         elif isinstance(message, UpstreamsNotice):
             self._view.take_upstreams(
                 message.upstreams, complete=message.complete
--- a/currantdeal/node/messages.py
+++ b/currantdeal/node/messages.py
@@ -91,12 +91,24 @@
 
 @dataclass(frozen=True, kw_only=True)
 class RenewalsNotice:
-    """The renewing heartbeats that an instance has received lately."""
+    """The renewing heartbeats that an instance has received lately.
 
+    Parameters
+    ----------
+    sender : str
+        Peer address of that instance.
+    """
+
+    sender: str
     upstreams: tuple[Renewal, ...] = ()
     entries: tuple[Renewal, ...] = ()
 
 
+@dataclass(frozen=True, kw_only=True)
+class RecordsCall:
+    """Ask a control instance for all its records: a ``SpreadCall``."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class SubscribeCall:
     """An entry asks for the view; answered by ``Done``, then notices come.
@@ -177,6 +189,7 @@
         Done,
         SpreadCall,
         RenewalsNotice,
+        RecordsCall,
         SubscribeCall,
         EntryNotice,
         ConfigNotice,
