--- a/currantdeal/entry/events.py
+++ b/currantdeal/entry/events.py
@@ -14,10 +14,10 @@
     Examples
     --------
     >>> splitter = EventSplitter()
-    >>> splitter.take(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
-    b'id: 1\\ndata: a\\n\\n'
+    >>> splitter.take(b"id: 1\ndata: a\n\nid: 2\nda")
+    b'id: 1\ndata: a\n\n'
     >>> splitter.last_id, splitter.rest
-    ('1', b'id: 2\\nda')
+    ('1', b'id: 2\nda')
     """
 
     def __init__(self):
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -61,6 +61,11 @@
             lambda: _Connection(server=self), host, port, backlog=1024
         )
 
+    @property
+    def address(self):
+        """Host and port at which this server listens."""
+        return self._server.sockets[0].getsockname()[:2]
+
     def stop_listening(self):
         """Accept no more connections."""
         if self._server is not None:
--- /dev/null
+++ b/currantdeal/node/tests/test_bad_input.py
@@ -0,0 +1,121 @@
+import asyncio
+
+import pytest
+
+from currantdeal.testing.entry_world import (
+    entry_world,
+    read_to_end,
+    request_bytes,
+)
+from currantdeal.testing.platform_upstream import StandInUpstream
+
+ID = "X-Currantdeal-Request-Id: r-1\r\n"
+HEAD = f"POST /order/1 HTTP/1.1\r\nHost: cakes.example\r\n{ID}"
+SMUGGLED = "GET /menu/2 HTTP/1.1\r\nHost: cakes.example\r\n\r\n"
+
+
+def _ask(raw):
+    async def run():
+        standin = StandInUpstream()
+        async with entry_world() as world:
+            await standin.start()
+            world.know(standin)
+            return await world.ask(raw), standin.seen
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (
+            HEAD + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "0\r\n\r\n" + SMUGGLED,
+            b"400",
+        ),
+        (
+            HEAD + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+            b"400",
+        ),
+        (HEAD + "X-Long: a\r\n b\r\nContent-Length: 0\r\n\r\n", b"400"),
+        (HEAD + "X-Bare: a\nContent-Length: 0\r\n\r\n", b"400"),
+        (HEAD + "Content-Length: -1\r\n\r\n", b"400"),
+        (HEAD + "Transfer-Encoding: gzip\r\n\r\n", b"501"),
+        (HEAD + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", b"400"),
+        (HEAD + "Bad Name: 1\r\n\r\n", b"400"),
+        ("POST /order/1 HTTP/1.1\r\n\r\n", b"400"),
+        ("POST http://a/order/1 HTTP/1.1\r\nHost: a\r\n\r\n", b"400"),
+        ("no request at all\r\n\r\n", b"400"),
+        (HEAD + f"X-Long: {'a' * 5000}\r\n\r\n", b"431"),
+        (HEAD + "Content-Length: 70000\r\n\r\n", b"413"),
+        (HEAD, b"408"),
+    ],
+)
+def test_what_two_parsers_may_read_differently_is_refused(raw, status):
+    """Someone sends bytes that end in different places for two parsers.
+
+    Whatever stands behind the first end would run as a request that no
+    caller made.
+    """
+    answer, seen = _ask(raw.encode())
+    assert answer.split()[1] == status
+    assert answer.count(b"HTTP/1.1") == 1
+    assert seen == []
+
+
+def test_a_body_in_chunks_arrives_whole():
+    raw = HEAD + (
+        "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "5\r\ncake=\r\n1\r\n1\r\n0\r\n\r\n"
+    )
+    answer, (request,) = _ask(raw.encode())
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert request.body == b"cake=1"
+    assert request.get("Content-Length") == "6"
+    assert not request.get("Transfer-Encoding")
+
+
+def test_a_caller_that_waits_to_be_asked_for_its_body_is_asked():
+    async def run():
+        standin = StandInUpstream()
+        async with entry_world() as world:
+            await standin.start()
+            world.know(standin)
+            raw = HEAD + (
+                "Expect: 100-continue\r\nContent-Length: 6\r\n"
+                "Connection: close\r\n\r\n"
+            )
+            reader, writer = await world.send(raw.encode())
+            async with asyncio.timeout(2.0):
+                told = await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"cake=1")
+                return told, await read_to_end(reader)
+
+    told, answer = asyncio.run(run())
+    assert told.startswith(b"HTTP/1.1 100")
+    assert answer.startswith(b"HTTP/1.1 200")
+
+
+def test_a_half_request_reaches_nobody():
+    """A caller sends half of an order and goes away."""
+
+    async def run():
+        standin = StandInUpstream()
+        async with entry_world() as world:
+            await standin.start()
+            world.know(standin)
+            raw = HEAD + "Content-Length: 100\r\n\r\ncake"
+            _, writer = await world.send(raw.encode())
+            await asyncio.sleep(0.05)
+            writer.close()
+            await asyncio.sleep(0.1)
+            return standin.seen
+
+    assert asyncio.run(run()) == []
+
+
+def test_bytes_behind_a_request_are_the_next_request():
+    first = request_bytes("/order/1", body=b"one", close=False)
+    answer, seen = _ask(first + request_bytes("/order/2", body=b"two"))
+    assert [r.body for r in seen] == [b"one", b"two"]
+    assert answer.count(b"HTTP/1.1 200") == 2
--- /dev/null
+++ b/currantdeal/testing/entry_world.py
@@ -0,0 +1,203 @@
+"""An entry in this process, with stand-ins as upstreams and raw callers."""
+
+import asyncio
+import random
+import zlib
+from contextlib import asynccontextmanager
+
+import msgspec
+
+from currantdeal.adapters.metrics import Metrics
+from currantdeal.entry.context import BudgetBounds, EntryContext
+from currantdeal.entry.service import EntryService
+from currantdeal.entry.view import EntryView
+from currantdeal.node.http_client import ConnectionPool
+from currantdeal.node.http_server import HttpServer
+from currantdeal.platform.calls import PlatformCalls
+from currantdeal.platform.config import decode_config
+from currantdeal.registry import Stage, UpstreamRecord, UpstreamState
+
+LIMITS = {
+    "MaxHeaderBytes": 4_096,
+    "MaxBodyBytes": 65_536,
+    "HeaderTimeoutMs": 400,
+    "IdleTimeoutMs": 5_000,
+}
+
+
+def config_body(*, version=1, timeout_ms=2_000, limits=None):
+    """Return the bytes of a configuration with one route of each kind."""
+    return msgspec.json.encode(
+        {
+            "Version": version,
+            "Routes": [
+                _route("menu", "idempotent", "shop", timeout_ms, 2),
+                _route("order", "non_idempotent", "shop", timeout_ms, 1),
+                _route("note", "streaming", "model", timeout_ms, 1),
+                {
+                    **_route("draft", "streaming", "model", timeout_ms, 2),
+                    "Resumable": True,
+                },
+            ],
+            "Services": [
+                {"Name": "shop", "HealthPath": "/h", "MaxConnections": 9},
+                {
+                    "Name": "model",
+                    "HealthPath": "/h",
+                    "MaxConnections": 9,
+                    "Engine": {
+                        "Slots": 8,
+                        "KvCapacityTokens": 30_000,
+                        "HoldMs": 2_000.0,
+                        "Stride": 10,
+                        "SwitchS": 6.0,
+                    },
+                },
+            ],
+            "Limits": limits or LIMITS,
+        }
+    )
+
+
+def _route(name, kind, service, timeout_ms, attempts):
+    return {
+        "Name": name,
+        "Hostname": "cakes.example",
+        "PathPrefix": f"/{name}/",
+        "RouteType": kind,
+        "TimeoutMs": timeout_ms,
+        "TargetLatencyMs": 300,
+        "Priority": 1,
+        "Service": service,
+        "MaxAttempts": attempts,
+    }
+
+
+class EntryWorld:
+    """An entry and what it knows.
+
+    Parameters
+    ----------
+    context : EntryContext
+        Shared by the requests.
+    service : EntryService
+        Handles them.
+    server : HttpServer
+        Listens for callers.
+    address : tuple
+        Host and port of the entry.
+    """
+
+    def __init__(self, *, context, service, server, address):
+        """Keep the parts."""
+        self.context = context
+        self.service = service
+        self.server = server
+        self.address = address
+        self._sequence = 0
+
+    def know(self, standin, *, service="shop", stage=None, state=None):
+        """Announce an upstream to the entry."""
+        self._sequence += 1
+        record = UpstreamRecord(
+            upstream=standin.upstream,
+            service=service,
+            address=standin.address,
+            data_center="dc1",
+            slots=8,
+            state=state or UpstreamState.READY,
+            started_ms=1_000,
+            sequence=self._sequence,
+            stage=stage,
+        )
+        self.context.view.take_upstreams((record,), complete=False)
+
+    def know_engines(self, prefill, *decode):
+        """Announce a prefill engine and decode engines."""
+        self.know(prefill, service="model", stage=Stage.PREFILL)
+        for standin in decode:
+            self.know(standin, service="model", stage=Stage.DECODE)
+
+    async def send(self, raw):
+        """Open a connection and send bytes."""
+        reader, writer = await asyncio.open_connection(*self.address)
+        writer.write(raw)
+        await writer.drain()
+        return reader, writer
+
+    async def ask(self, raw, *, timeout_s=5.0):
+        """Send a request that closes its connection; returns all bytes."""
+        reader, writer = await self.send(raw)
+        async with asyncio.timeout(timeout_s):
+            answer = await read_to_end(reader)
+        writer.close()
+        return answer
+
+
+async def read_to_end(reader):
+    """Return all bytes until the connection ends, however it ends."""
+    parts = []
+    try:
+        while data := await reader.read(65_536):
+            parts.append(data)
+    except ConnectionError:
+        parts.append(b"<reset>")
+    return b"".join(parts)
+
+
+def request_bytes(target, *, method="POST", body=b"x", more=(), close=True):
+    """Return the bytes of a proper request."""
+    lines = [
+        f"{method} {target} HTTP/1.1",
+        "Host: cakes.example",
+        "X-Currantdeal-Request-Id: r-1",
+        "X-Currantdeal-Deadline-Ms: 3000",
+        *more,
+    ]
+    if close:
+        lines.append("Connection: close")
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+GENERATION = (
+    "X-Currantdeal-Model: m",
+    "X-Currantdeal-Token-Counts: 3000,900",
+    "X-Currantdeal-Length-Hint: 500",
+)
+"""Headers that make a request a generation."""
+
+
+@asynccontextmanager
+async def entry_world(*, config=None, allowance=100.0):
+    """Run an entry for the time of a test."""
+    loop = asyncio.get_running_loop()
+    view = EntryView(
+        read_config=decode_config,
+        data_center="dc1",
+        region="r1",
+        region_of={"dc1": "r1"},
+        heartbeat_s=1.0,
+        clock=loop.time,
+    )
+    if config != b"":
+        view.take_config(1, zlib.compress(config or config_body()))
+    context = EntryContext(
+        view=view,
+        pool=ConnectionPool(),
+        dialect=PlatformCalls(),
+        random=random.Random(1),
+        budget=BudgetBounds(ratio=0.2, allowance=allowance, window_s=10.0),
+        metrics=Metrics(),
+    )
+    service = EntryService(context=context)
+    server = HttpServer(handler=service.handle, limits=lambda: view.limits)
+    await server.start("127.0.0.1", 0)
+    address = server.address
+    try:
+        yield EntryWorld(
+            context=context, service=service, server=server, address=address
+        )
+    finally:
+        server.stop_listening()
--- a/currantdeal/tests/test_imports.py
+++ b/currantdeal/tests/test_imports.py
@@ -8,7 +8,9 @@
 # From inside to outside: a package may import what stands before it.
 ALLOWED = {
     "core": set(),
-    "policy": {"core"},
+    "routing": {"core"},
+    "registry": set(),
+    "policy": {"core", "registry"},
     "state": {"core"},
     "ports": {"core", "state"},
     "consensus": {"core"},
@@ -23,6 +25,18 @@
         "membership",
         "serving",
     },
+    "node": {"core", "routing", "registry", "adapters"},
+    "control": {
+        "core",
+        "policy",
+        "routing",
+        "registry",
+        "consensus",
+        "adapters",
+        "node",
+    },
+    "entry": {"core", "policy", "routing", "registry", "node"},
+    "platform": {"core", "routing", "registry", "node"},
     "cli": {
         "core",
         "ports",
@@ -32,8 +46,24 @@
         "membership",
         "serving",
         "adapters",
+        "routing",
+        "registry",
+        "node",
+        "control",
+        "entry",
+        "platform",
+    },
+    "testing": {
+        "core",
+        "ports",
+        "state",
+        "policy",
+        "adapters",
+        "registry",
+        "node",
+        "entry",
+        "platform",
     },
-    "testing": {"core", "ports", "state", "policy", "adapters"},
 }
 
 
@@ -67,3 +97,12 @@
         if package in ALLOWED and package not in allowed | {name}
     ]
     assert wrong == []
+
+
+def test_only_the_wiring_knows_the_platform():
+    outside = [
+        name
+        for name, allowed in ALLOWED.items()
+        if "platform" in allowed and name not in ("cli", "testing")
+    ]
+    assert outside == []
