Prove control with replicas in process and with real processes

Elections after 0.4 s instead of 0.8 s, since all entries wait for one after a kill of all processes.

--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -25,9 +25,13 @@
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.platform.control import PlatformControl
 
-LOG_HEARTBEAT_S = 0.2
-ELECTION_S = 0.8
-"""Four missed heartbeats; sixty times the delay between regions."""
+LOG_HEARTBEAT_S = 0.1
+ELECTION_S = 0.4
+"""Four missed heartbeats; thirty times the delay between regions.
+
+An election is what entries wait for after all processes were killed.  A
+pre-vote comes first, so that a leader that is merely slow is not deposed.
+"""
 
 HAND_OVER_S = 0.6
 """Time from the request to stop until the end, for the hand-over."""
--- /dev/null
+++ b/currantdeal/cli/tests/test_node_processes.py
@@ -0,0 +1,203 @@
+import asyncio
+import json
+import signal
+import threading
+import time
+
+import pytest
+
+from currantdeal.testing.entry_world import config_body, request_bytes
+from currantdeal.testing.node_processes import NodeCluster
+from currantdeal.testing.platform_upstream import StandInUpstream
+
+ORDER = request_bytes("/order/1", body=b"cake=1")
+
+
+class _Upstreams:
+    """Stand-ins on a thread of their own."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(
+            target=self.loop.run_forever, daemon=True
+        )
+        self._thread.start()
+
+    def run(self, work):
+        return asyncio.run_coroutine_threadsafe(work, self.loop).result(20)
+
+    def add(self, **options):
+        standin = StandInUpstream(**options)
+        self.run(standin.start())
+        return standin
+
+    def stop(self):
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join()
+
+
+@pytest.fixture
+def upstreams():
+    found = _Upstreams()
+    yield found
+    found.stop()
+
+
+def _beat(standin, *, state="ready", sequence=1):
+    return {
+        "Service": "shop",
+        "Address": standin.address,
+        "Zone": "dc1",
+        "Version": "v1",
+        "Slots": 6,
+        "State": state,
+        "ColdRemainingMs": 0,
+        "Sequence": sequence,
+        "born": 1_700_000_000_000,
+    }
+
+
+async def _send(address, raw):
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(raw)
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+def _ask(entry, raw):
+    address = entry.settings["listen"]["callers"]
+    return asyncio.run(_send(address, raw))
+
+
+def _until(condition, timeout_s=15.0):
+    ends = time.monotonic() + timeout_s
+    while time.monotonic() < ends:
+        if condition():
+            return
+        time.sleep(0.05)
+    raise AssertionError("it never came to be")
+
+
+def _served(entry):
+    return _ask(entry, ORDER).startswith(b"HTTP/1.1 200")
+
+
+def test_the_whole_path_with_real_processes(tmp_path, upstreams):
+    standin = upstreams.add()
+    with NodeCluster(folder=tmp_path) as cluster:
+        cluster.put_config(config_body(version=3))
+        cluster.announce("u1", _beat(standin))
+        for entry in cluster.entries:
+            _until(lambda entry=entry: cluster.is_ready(entry))
+            _until(lambda entry=entry: _served(entry))
+        assert json.loads(cluster.get_config())["Version"] == 3
+        _check_directory(cluster)
+        _check_refused_config(cluster)
+        _check_drain(cluster, standin)
+
+
+def _check_directory(cluster):
+    directory = cluster.control[0].settings["listen"]["directory"]
+    url = f"http://{directory}/v1/resolve?Name=a&Region=r1&Zone=dc1"
+    wanted = {e.settings["listen"]["callers"] for e in cluster.entries}
+
+    def complete():
+        status, body = cluster.call("GET", url)
+        return status == 200 and set(json.loads(body)["Addresses"]) == wanted
+
+    _until(complete)
+
+
+def _check_refused_config(cluster):
+    url = cluster.control_url(cluster.control[1], "/v1/config")
+    broken = config_body(version=9).replace(b'"shop"', b'"none"', 1)
+    assert cluster.call("PUT", url, broken)[0] == 400
+    assert cluster.call("PUT", url, config_body(version=9)[:-9])[0] == 400
+    assert json.loads(cluster.get_config())["Version"] == 3
+
+
+def _check_drain(cluster, standin):
+    cluster.announce("u1", _beat(standin, state="draining", sequence=2))
+    time.sleep(0.5)
+    before = len(standin.seen)
+    for entry in cluster.entries:
+        assert _ask(entry, ORDER).startswith(b"HTTP/1.1 503")
+    assert len(standin.seen) == before
+
+
+def test_changes_outlive_the_kill_of_all_processes(tmp_path, upstreams):
+    """Every process is killed right after a change was acknowledged.
+
+    After the restart operators read the change back, and callers are served
+    by it, without any upstream announcing itself anew in a special way.
+    """
+    standin = upstreams.add()
+    with NodeCluster(folder=tmp_path) as cluster:
+        cluster.put_config(config_body(version=3))
+        cluster.put_config(config_body(version=8))
+        for process in cluster.processes:
+            process.kill()
+        for process in cluster.processes:
+            process.settings["first_start"] = process.role == "entry"
+            process.start()
+        assert json.loads(cluster.get_config())["Version"] == 8
+        cluster.announce("u1", _beat(standin, sequence=2))
+        for entry in cluster.entries:
+            _until(lambda entry=entry: _served(entry))
+
+
+def test_a_planned_stop_finishes_what_it_has_read(tmp_path, upstreams):
+    """An entry is told to stop while an order is at the upstream.
+
+    The order has its answer before the process ends, and requests that come
+    while callers still hold the entry's address are answered too.
+    """
+
+    async def slow(standin, request, writer):
+        await asyncio.sleep(1.0)
+        return False
+
+    standin = upstreams.add(script=slow)
+    with NodeCluster(folder=tmp_path, entries=1) as cluster:
+        (entry,) = cluster.entries
+        cluster.put_config(config_body(version=3))
+        cluster.announce("u1", _beat(standin))
+        _until(lambda: _served(entry))
+        answers = []
+        asking = threading.Thread(
+            target=lambda: answers.append(_ask(entry, ORDER))
+        )
+        asking.start()
+        time.sleep(0.3)
+        entry.send_signal(signal.SIGTERM)
+        time.sleep(0.1)
+        assert not cluster.is_ready(entry)
+        late = _ask(entry, ORDER)
+        asking.join()
+        assert answers[0].startswith(b"HTTP/1.1 200")
+        assert late.startswith(b"HTTP/1.1 200")
+        assert b"connection: close" in late.lower()
+        assert entry.wait(8.0) == 0
+
+
+def test_unusable_settings_change_nothing(tmp_path):
+    """A settings file is replaced by one that cannot be read.
+
+    The process goes on with what it has and says so.
+    """
+    with NodeCluster(folder=tmp_path, entries=1) as cluster:
+        (entry,) = cluster.entries
+        cluster.put_config(config_body(version=3))
+        _until(lambda: cluster.is_ready(entry))
+        entry.write_settings(peer_port="none")
+        entry.send_signal(signal.SIGHUP)
+        _until(
+            lambda: any(
+                line["event"] == "settings-refused"
+                and "peer_port" in line["why"]
+                for line in entry.lines
+            )
+        )
+        assert cluster.is_ready(entry)
--- /dev/null
+++ b/currantdeal/control/tests/builders.py
@@ -0,0 +1,97 @@
+"""Control replicas in one process, joined by a network of a test's making."""
+
+import asyncio
+import random
+import zlib
+
+from currantdeal.adapters.disk import DataFolder
+from currantdeal.consensus import (
+    MESSAGE_CODEC,
+    Configuration,
+    NodeSettings,
+)
+from currantdeal.consensus import Replica as Member
+from currantdeal.control.deployment_state import SetConfig
+from currantdeal.control.replica import Replica
+
+FAST = NodeSettings(heartbeat_s=0.03, election_s=0.15)
+"""Intervals that let a test see an election in half a second."""
+
+
+def a_change(version, content=b"config"):
+    """Return the command that brings a configuration."""
+    return SetConfig(version=version, packed=zlib.compress(content))
+
+
+class ReplicaGroup:
+    """Replicas and the paths between them.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Gets one data folder for each replica.
+    names : iterable of str
+        Names of the replicas.
+    """
+
+    def __init__(self, *, folder, names):
+        """Start none before ``start``."""
+        self._folder = folder
+        self.names = tuple(names)
+        self.replicas = {}
+        self.cut_off = set()
+        self._tasks = {}
+
+    def start(self, name, *, first=False, sync=None):
+        """Start a replica on its folder."""
+        loop = asyncio.get_running_loop()
+        options = {"sync": sync} if sync else {}
+        replica = Replica(
+            me=name,
+            folder=DataFolder(path=self._folder / name, **options),
+            node_settings=FAST,
+            random=random.Random(name),
+            clock=loop.time,
+            send=lambda messages: self._deliver(name, messages),
+            on_state=lambda state: None,
+        )
+        if first:
+            members = [Member(instance=n, address=n) for n in self.names]
+            replica.bootstrap(Configuration(voters=tuple(members)))
+        self.replicas[name] = replica
+        self._tasks[name] = asyncio.ensure_future(replica.run())
+        return replica
+
+    def start_all(self):
+        """Start the first replica set."""
+        for name in self.names:
+            self.start(name, first=True)
+
+    async def stop(self, name):
+        """Stop a replica without notice."""
+        task = self._tasks.pop(name)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        self.replicas.pop(name)._folder.close()
+
+    async def stop_all(self):
+        """Stop what still runs."""
+        for name in tuple(self._tasks):
+            await self.stop(name)
+
+    async def leader(self, *, among=None, timeout_s=5.0):
+        """Return the replica that leads."""
+        async with asyncio.timeout(timeout_s):
+            while True:
+                for name, replica in self.replicas.items():
+                    wanted = among is None or name in among
+                    if wanted and replica.leads:
+                        return replica
+                await asyncio.sleep(0.01)
+
+    def _deliver(self, sender, messages):
+        for message in messages:
+            replica = self.replicas.get(message.to)
+            if replica is None or {sender, message.to} & self.cut_off:
+                continue
+            replica.deliver([MESSAGE_CODEC.encode(message)])
--- /dev/null
+++ b/currantdeal/entry/tests/test_view.py
@@ -0,0 +1,75 @@
+import zlib
+
+from currantdeal.entry.view import EntryView
+from currantdeal.platform.config import decode_config
+from currantdeal.registry import UpstreamState
+from currantdeal.registry.tests.builders import an_upstream
+from currantdeal.testing.entry_world import config_body
+
+
+def _view():
+    return EntryView(
+        read_config=decode_config,
+        data_center="dc1",
+        region="r1",
+        region_of={"dc1": "r1", "dc2": "r1", "dc3": "r2"},
+        heartbeat_s=1.0,
+        clock=lambda: 0.0,
+    )
+
+
+def _packed(version):
+    return zlib.compress(config_body(version=version))
+
+
+def test_a_view_never_goes_back():
+    """An entry follows a control instance that lags behind the last one.
+
+    Requests would be handled by routes that an operator has replaced.
+    """
+    view = _view()
+    view.take_config(5, _packed(5))
+    view.take_config(4, _packed(4))
+    assert view.version == 5
+
+
+def test_an_unreadable_configuration_changes_nothing():
+    view = _view()
+    view.take_config(5, _packed(5))
+    view.take_config(6, b"not compressed")
+    view.take_config(7, zlib.compress(b"{}"))
+    assert view.version == 5
+
+
+def test_an_upstream_that_drains_gets_no_work():
+    view = _view()
+    view.take_upstreams((an_upstream(),), complete=False)
+    assert view.takes_work("u1")
+    draining = an_upstream(sequence=2, state=UpstreamState.DRAINING)
+    view.take_upstreams((draining,), complete=False)
+    assert view.ready("shop") == ()
+    assert not view.takes_work("u1")
+
+
+def test_a_restarted_control_instance_takes_nothing_away():
+    """A control instance has restarted and heard only some upstreams yet.
+
+    If its list counted as whole, entries would refuse work that the others
+    could do.
+    """
+    view = _view()
+    first, second = an_upstream(), an_upstream(upstream="u2", address="a:2")
+    view.take_upstreams((first, second), complete=True)
+    view.take_upstreams((first,), complete=False)
+    assert len(view.ready("shop")) == 2
+    view.take_upstreams((first,), complete=True)
+    assert [r.upstream for r in view.ready("shop")] == ["u1"]
+
+
+def test_distance_counts_data_centre_and_region():
+    view = _view()
+    found = [
+        view.distance(an_upstream(data_center=name))
+        for name in ("dc1", "dc2", "dc3", "elsewhere")
+    ]
+    assert found == [0, 1, 2, 2]
