Explain a request from the logs; serve metrics on an address of their own

Cause: on-call engineers have only logs and metrics, and nothing led from a request's id to its cause.

Change: currantdeal explain REQUEST-ID FILES tells a request's steps and what its process believed around that time, reading files line by line. Metrics of both roles on the address in the settings: counters, histograms of first output, prefill, wait for memory and loop delay, gauges set when read.

--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -8,7 +8,14 @@
 import structlog
 
 from currantdeal.adapters.disk import DataFolder
-from currantdeal.cli.process import SettingsFile, every, on_signals
+from currantdeal.adapters.metrics import Metrics
+from currantdeal.cli.process import (
+    LoopDelay,
+    MetricsPage,
+    SettingsFile,
+    every,
+    on_signals,
+)
 from currantdeal.consensus import MESSAGE_CODEC
 from currantdeal.consensus import NodeSettings as LogSettings
 from currantdeal.control.membership import JOIN_INTERVAL_S, Membership
@@ -56,6 +63,7 @@
         self._me = settings.peer_address
         self._links = {}
         self._stopping = None
+        self._metrics = Metrics()
         self._replica = Replica(
             me=self._me,
             folder=DataFolder(path=settings.data_folder),
@@ -111,7 +119,11 @@
         self._membership.begin(first_start=bool(settings.first_start))
         self._service.on_state(self._replica.state)
         await self._listen(settings)
+        page = MetricsPage(metrics=self._metrics, refresh=self._set_gauges)
+        await page.start(settings.listen.metrics)
+        delay = LoopDelay(metrics=self._metrics)
         tasks = [
+            asyncio.ensure_future(delay.run()),
             asyncio.ensure_future(self._replica.run()),
             asyncio.ensure_future(self._file.watch()),
             asyncio.ensure_future(every(HEARTBEAT_S, self._beat)),
@@ -145,6 +157,17 @@
         for address in filter(None, dict.fromkeys(wanted)):
             await server.start(*split_address(address))
 
+    def _set_gauges(self):
+        node = self._replica.node
+        self._metrics.set("config_version", self._replica.state.version)
+        self._metrics.set("term", node.term)
+        self._metrics.set("leads", float(self._replica.leads))
+        self._metrics.set("knows_leader", float(self._service.current))
+        self._metrics.set("voters", len(node.configuration.voter_names))
+        self._metrics.set("log_index", node.commit_index)
+        for name, value in self._service.sizes.items():
+            self._metrics.set(name, value)
+
     def _beat(self):
         self._service.tell_subscribers()
         self._service.spread_renewals()
--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -7,7 +7,12 @@
 import structlog
 
 from currantdeal.adapters.metrics import Metrics
-from currantdeal.cli.process import SettingsFile, on_signals
+from currantdeal.cli.process import (
+    LoopDelay,
+    MetricsPage,
+    SettingsFile,
+    on_signals,
+)
 from currantdeal.entry.context import BudgetBounds, EntryContext
 from currantdeal.entry.service import EntryService
 from currantdeal.entry.subscription import Subscription
@@ -105,7 +110,11 @@
         await self._server.start(*split_address(settings.listen.callers))
         side = HttpServer(handler=self._answer_side)
         await side.start(*split_address(settings.listen.readiness))
+        page = MetricsPage(metrics=self._metrics, refresh=self._set_gauges)
+        await page.start(settings.listen.metrics)
+        delay = LoopDelay(metrics=self._metrics)
         tasks = [
+            asyncio.ensure_future(delay.run()),
             asyncio.ensure_future(self._subscription.run()),
             asyncio.ensure_future(self._file.watch()),
         ]
@@ -152,12 +161,21 @@
         while self._server.busy and loop.time() < ends_s:
             await asyncio.sleep(0.05)
 
+    def _set_gauges(self):
+        view = self._view
+        self._metrics.set("config_version", view.version)
+        self._metrics.set("view_age_seconds", view.age_s)
+        self._metrics.set("requests_in_progress", self._server.busy)
+        self._metrics.set("entries", view.entries)
+        table = view.table
+        for service in table.services if table is not None else ():
+            self._metrics.set(
+                "upstreams",
+                len(view.ready(service.name)),
+                service=service.name,
+            )
+
     async def _answer_side(self, request, responder):
-        if request.head.target.startswith("/metrics"):
-            content_type, text = self._metrics.render()
-            headers = ((b"content-type", content_type.encode()),)
-            responder.answer(200, headers, text)
-            return
         status = 200 if self._is_ready else 503
         responder.answer(status, (), b"")
 
--- a/currantdeal/cli/main.py
+++ b/currantdeal/cli/main.py
@@ -7,6 +7,7 @@
 import click
 
 import currantdeal
+from currantdeal.cli.explain import explain
 from currantdeal.cli.selector_commands import selectors
 from currantdeal.cli.serve import serve
 from currantdeal.cli.settings_commands import settings
@@ -30,6 +31,7 @@
 main.add_command(audit)
 main.add_command(drain)
 main.add_command(entries)
+main.add_command(explain)
 main.add_command(orders)
 main.add_command(selectors)
 main.add_command(serve)
--- a/currantdeal/cli/process.py
+++ b/currantdeal/cli/process.py
@@ -7,7 +7,8 @@
 import structlog
 
 from currantdeal.node.errors import SettingsFileError
-from currantdeal.node.settings import read_settings
+from currantdeal.node.http_server import HttpServer
+from currantdeal.node.settings import read_settings, split_address
 
 SETTINGS_INTERVAL_S = 2.0
 """Interval at which the settings file is looked at.
@@ -72,6 +73,61 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
 
 
+class MetricsPage:
+    """Serves the metrics of a process.
+
+    Parameters
+    ----------
+    metrics : currantdeal.adapters.metrics.Metrics
+        The registry.
+    refresh : callable
+        Sets the gauges; called for each page, so that nobody pays for
+        gauges that nobody reads.
+    """
+
+    def __init__(self, *, metrics, refresh):
+        """Serve nothing before ``start``."""
+        self._metrics = metrics
+        self._refresh = refresh
+
+    async def start(self, address):
+        """Listen, if there is an address."""
+        if address:
+            server = HttpServer(handler=self._answer)
+            await server.start(*split_address(address))
+
+    async def _answer(self, request, responder):
+        self._refresh()
+        content_type, text = self._metrics.render()
+        headers = ((b"content-type", content_type.encode()),)
+        responder.answer(200, headers, text)
+
+
+class LoopDelay:
+    """Measures how late the event loop is.
+
+    Parameters
+    ----------
+    metrics : currantdeal.adapters.metrics.Metrics
+        Gets a histogram of the delays.
+    """
+
+    INTERVAL_S = 0.5
+
+    def __init__(self, *, metrics):
+        """Measure nothing before ``run``."""
+        self._metrics = metrics
+
+    async def run(self):
+        """Measure, until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due_s = loop.time() + self.INTERVAL_S
+            await asyncio.sleep(self.INTERVAL_S)
+            delay_s = max(0.0, loop.time() - due_s)
+            self._metrics.observe("loop_delay_seconds", delay_s)
+
+
 async def every(interval_s, action):
     """Call a function again and again, until cancelled."""
     while True:
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -121,6 +121,16 @@
         """True while this instance is in touch with the leader."""
         return self._replica.knows_leader
 
+    @property
+    def sizes(self):
+        """Numbers of upstreams, entries and subscribers, by their names."""
+        live = self.directory.live(now_s=self._clock())
+        return {
+            "upstreams": len(self.registry.present),
+            "entries": len(live),
+            "subscribers": len(self._subscribers),
+        }
+
     async def handle_http(self, request, responder):
         """Answer one call from outside."""
         operation = self._dialect.read_operation(request.head)
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -142,6 +142,8 @@
         prefill = None
         used = False
         self._course.note(f"memory at {reservation.record.upstream}")
+        waited_s = self._now_s - self._course.request.arrived_s
+        self._context.metrics.observe("memory_wait_seconds", waited_s)
         self._context.memory.reserved(
             reservation.record.upstream, reservation.tokens
         )
@@ -177,6 +179,7 @@
         return True
 
     def _may_repeat(self):
+        self._context.metrics.add("repeats_wanted_total")
         return self._context.may_repeat(self._course.service.name)
 
     def release_held(self):
@@ -317,7 +320,9 @@
             course.note(f"prefill at {record.upstream}: {exc}")
             return None
         meter = context.meter(course.service.name)
-        meter.read(course.call.prompt_tokens, self._now_s - began_s)
+        took_s = self._now_s - began_s
+        meter.read(course.call.prompt_tokens, took_s)
+        context.metrics.observe("prefill_seconds", took_s)
         course.note(f"prefill at {record.upstream}")
         return _Prefill(record=record, handle=handle)
 
--- a/currantdeal/node/settings.py
+++ b/currantdeal/node/settings.py
@@ -21,6 +21,7 @@
     readiness: str = ""
     control: str = ""
     directory: str = ""
+    metrics: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
