--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -31,10 +31,10 @@
 A stream lasts three to four seconds, and the process is killed after eight.
 """
 
-STOP_ACCEPTING_AFTER_S = 5.0
+STOP_ACCEPTING_AFTER_S = 6.0
 """Time after the request to stop from which no connection is accepted.
 
-Callers keep the directory's answer for up to three times 1.5 s.
+Callers keep the directory's answer for four seconds, a few for longer.
 """
 
 LEAVE_BEFORE_KILL_S = 0.4
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -58,11 +58,12 @@
 DEMAND_WINDOW_S = 15.0
 """Time over which demand is measured: a burst and the pause after it."""
 
-DIRECTORY_KEEP_S = 1.5
+DIRECTORY_KEEP_S = 4.0
 """Time for which callers may keep the directory's answer.
 
-Some keep it three times as long; an entry that stops goes on accepting for
-that time.
+Each look-up is a chance to meet a control instance that does not answer, and
+costs its caller a second then.  An entry that stops or fails meanwhile costs
+one connection that is refused, after which its callers choose another.
 """
 
 SETTLED_S = 8.0
