--- a/currantdeal/policy/stage_plan.py
+++ b/currantdeal/policy/stage_plan.py
@@ -32,7 +32,7 @@
 DECODE_FULL = 0.8
 """Share of a decode engine's memory that streams may fill in the mean."""
 
-WORTHWHILE = 1.6
+WORTHWHILE = 1.45
 """Factor by which a better split must ease the more loaded stage.
 
 A change takes an engine away for six seconds.  With 1.25, a pool of six was
--- /dev/null
+++ b/currantdeal/policy/tests/test_stage_plan.py
@@ -0,0 +1,68 @@
+from currantdeal.policy.demand import Busy, Demand, busy_engines
+from currantdeal.policy.stage_plan import plan_stages, wanted_prefill
+from currantdeal.registry import Stage
+from currantdeal.registry.tests.builders import an_upstream
+
+
+def _engines(prefill, decode):
+    stages = [Stage.PREFILL] * prefill + [Stage.DECODE] * decode
+    return [
+        an_upstream(upstream=f"e{n}", address=f"e{n}:1", stage=stage)
+        for n, stage in enumerate(stages)
+    ]
+
+
+def test_a_pool_that_fits_is_left_as_it_is():
+    busy = Busy(prefill=0.95, decode=2.4)
+    assert plan_stages(_engines(2, 4), busy=busy) == ()
+
+
+def test_engines_that_are_lost_are_made_up_for():
+    """Two of four decode engines leave, two prefill engines are left.
+
+    Streams are refused for want of memory while prefill engines idle.
+    """
+    busy = Busy(prefill=0.5, decode=2.6)
+    (change,) = plan_stages(_engines(2, 2), busy=busy)
+    assert change.stage is Stage.DECODE
+
+
+def test_without_any_prefill_engine_one_is_made():
+    """The only prefill engine crashes for good."""
+    busy = Busy(prefill=0.5, decode=1.5)
+    (change,) = plan_stages(_engines(0, 4), busy=busy)
+    assert change.stage is Stage.PREFILL
+
+
+def test_a_burst_of_long_prompts_moves_engines_to_prefill():
+    busy = Busy(prefill=4.0, decode=2.0)
+    changes = plan_stages(_engines(2, 10), busy=busy)
+    assert {change.stage for change in changes} == {Stage.PREFILL}
+    assert len(changes) >= 3
+
+
+def test_both_stages_keep_an_engine():
+    assert wanted_prefill(2, busy=Busy(prefill=9.0, decode=0.1)) == 1
+    assert wanted_prefill(2, busy=Busy(prefill=0.0, decode=9.0)) == 1
+    assert wanted_prefill(1) == 0
+
+
+def test_two_holders_plan_the_same():
+    """A new leader takes over in the middle of a change.
+
+    If it chose other engines, more would be away at once.
+    """
+    engines = _engines(5, 4)
+    assert plan_stages(engines) == plan_stages(list(reversed(engines)))
+
+
+def test_refused_generations_count_as_demand():
+    """A pool refuses half of its callers.
+
+    Measured by what ran alone, it would look half as loaded.
+    """
+    ran = Demand(offered=20, ended=20, prefill_s=2.0, memory_token_s=8e4)
+    refused = Demand(offered=40, ended=20, prefill_s=4.0, memory_token_s=8e4)
+    few = busy_engines(ran, window_s=10.0, kv_tokens=10_000)
+    many = busy_engines(refused, window_s=10.0, kv_tokens=10_000)
+    assert many.decode == 2 * few.decode
