--- a/currantdeal/cli/story.py
+++ b/currantdeal/cli/story.py
@@ -36,7 +36,12 @@
 """Events that concern every request of their process."""
 
 _UPSTREAM_EVENTS = frozenset(
-    {"upstream-changed", "upstream-dropped", "engine-switches"}
+    {
+        "engine-switches",
+        "upstream-changed",
+        "upstream-dropped",
+        "upstream-replaced",
+    }
 )
 """Events that concern the requests of one upstream."""
 
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -26,7 +26,7 @@
 from currantdeal.node.http_client import exchange
 from currantdeal.policy.decode_memory import Demand, tokens_to_reserve
 from currantdeal.policy.return_time import Shortage
-from currantdeal.policy.standing import in_order
+from currantdeal.policy.standing import PREFILL_FAR_PENALTY, in_order
 from currantdeal.registry import Stage, UpstreamRecord
 from currantdeal.routing import Repeat
 
@@ -53,6 +53,9 @@
 for their first event.
 """
 
+PROMPTS_AT_A_TIME = 1
+"""Prompts that a prefill engine reads at a time; the others wait."""
+
 RELEASE_TIMEOUT_S = 0.5
 
 RESUME_SILENCE_S = 1.2
@@ -256,6 +259,10 @@
         except ExchangeError as exc:
             self._note_unreachable(record, exc)
             return None
+        traits = context.dialect.read_reply(head)
+        context.view.note_answer(record, traits.answered_by)
+        if not context.view.takes_work(record.upstream):
+            return None
         if head.status != 200:
             context.memory.refused(record.upstream, now_s=self._now_s)
             return None
@@ -272,9 +279,13 @@
         engines = in_order(
             context.view.engines(course.service.name, Stage.PREFILL),
             context.prefills,
-            distance=context.view.distance,
+            distance=lambda record: context.view.distance_between(
+                record, reservation.record
+            ),
             random=context.random,
             now_s=self._now_s,
+            places=PROMPTS_AT_A_TIME,
+            far_penalty=PREFILL_FAR_PENALTY,
         )
         if not engines:
             return None
@@ -305,6 +316,7 @@
         finally:
             context.prefills.ended(record.upstream)
         traits = context.dialect.read_reply(head)
+        context.view.note_answer(record, traits.answered_by)
         context.prefills.answered(record.upstream, error=head.status != 200)
         if traits.load is not None:
             in_use = traits.load.running + traits.load.waiting
@@ -359,6 +371,7 @@
         context, course = self._context, self._course
         head = await self._patiently(connection.head(), record)
         traits = context.dialect.read_reply(head)
+        context.view.note_answer(record, traits.answered_by)
         if traits.not_run:
             await connection.rest(limit=1 << 20)
             # It granted memory and does not take what was granted for, as
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -152,6 +152,7 @@
 
 def _judge(context, course, record, head, body):
     traits = context.dialect.read_reply(head)
+    context.view.note_answer(record, traits.answered_by)
     if traits.load is not None:
         context.standings.reported(
             record.upstream,
--- a/currantdeal/entry/tests/test_generation.py
+++ b/currantdeal/entry/tests/test_generation.py
@@ -237,6 +237,38 @@
     assert decode.runs == []
 
 
+def test_an_engine_that_was_replaced_is_asked_once():
+    """An engine restarts under another name at the same address.
+
+    It grants memory and refuses the stream that is meant for its earlier
+    self; each further prompt read for it would be read in vain.
+    """
+
+    async def other(standin, request, writer):
+        if request.target.startswith("/v1/"):
+            return False
+        writer.write(
+            b"HTTP/1.1 421 No\r\nX-Currantdeal-Instance-Id: d9\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        return True
+
+    async def run():
+        prefill, replaced, sound = await _engines(other, None)
+        async with entry_world() as world:
+            world.know_engines(prefill, replaced, sound)
+            answers = []
+            for _ in range(3):
+                answers.append(await world.ask(NOTE))
+                # Longer than an engine that refused is left alone.
+                await asyncio.sleep(0.6)
+            return answers, replaced
+
+    answers, replaced = asyncio.run(run())
+    assert all(_pieces(a) == list(range(1, EVENTS + 1)) for a in answers)
+    assert len(replaced.runs) <= 1
+
+
 def test_a_caller_that_leaves_ends_the_run_at_the_engine():
     """A caller closes its connection in the middle of a stream.
 
--- a/currantdeal/entry/view.py
+++ b/currantdeal/entry/view.py
@@ -92,6 +92,24 @@
             if record.stage is stage and not self._is_switching(record, now_s)
         ]
 
+    def note_answer(self, record, answered_by):
+        """Drop an upstream at whose address another one answers.
+
+        It was restarted under another name, and its announcement has not
+        come yet.  Each request that is sent there until then is refused,
+        after its prompt was read elsewhere.
+        """
+        if answered_by in ("", record.upstream):
+            return
+        if self.takes_work(record.upstream):
+            self._registry.leave(record.upstream, now_s=self._clock())
+            self._sort()
+            _log.info(
+                "upstream-replaced",
+                upstream=record.upstream,
+                answered_by=answered_by,
+            )
+
     def take_switching(self, upstream, for_s):
         """Leave an engine alone until it announces another stage."""
         record = self._registry.get(upstream)
@@ -107,10 +125,11 @@
 
     def distance(self, record):
         """Return 0 in this data centre, 1 in this region, 2 elsewhere."""
-        if record.data_center == self._data_center:
-            return 0
-        same = self._region_of.get(record.data_center) == self._region
-        return 1 if same else 2
+        return self._between(record.data_center, self._data_center)
+
+    def distance_between(self, first, second):
+        """Return the same for two upstreams."""
+        return self._between(first.data_center, second.data_center)
 
     def take_config(self, version, packed):
         """Bring a committed configuration into force, if it is newer."""
@@ -141,6 +160,12 @@
             self._drop_unnamed({r.upstream for r in records}, now_s)
         self._sort()
 
+    def _between(self, first, second):
+        if first == second:
+            return 0
+        region = self._region_of.get(second, self._region)
+        return 1 if self._region_of.get(first) == region else 2
+
     def _is_switching(self, record, now_s):
         stage, until_s = self._switching.get(record.upstream, (None, 0.0))
         if now_s >= until_s or record.stage is not stage:
--- a/currantdeal/node/dialect.py
+++ b/currantdeal/node/dialect.py
@@ -89,6 +89,8 @@
         The upstream's load, where it tells it.
     leaving : bool
         True when the upstream closes the connection after the answer.
+    answered_by : str
+        Name of the upstream that answers, where it tells it, or empty.
     """
 
     not_run: bool
@@ -96,6 +98,7 @@
     request_id: str
     load: UpstreamLoad | None = None
     leaving: bool = False
+    answered_by: str = ""
 
 
 class UpstreamDialect(Protocol):
--- a/currantdeal/platform/calls.py
+++ b/currantdeal/platform/calls.py
@@ -64,6 +64,7 @@
             and not _has(head, b"content-encoding"),
             request_id=_text(head, names.REQUEST_ID),
             load=_load(_text(head, names.LOAD)),
+            answered_by=_text(head, names.INSTANCE),
             leaving=b"close" in _text(head, b"connection").lower().encode(),
         )
 
--- a/currantdeal/platform/headers.py
+++ b/currantdeal/platform/headers.py
@@ -1,6 +1,7 @@
 """Header names of the platform."""
 
 REQUEST_ID = b"x-currantdeal-request-id"
+INSTANCE = b"x-currantdeal-instance-id"
 DEADLINE = b"x-currantdeal-deadline-ms"
 EXPECTED_INSTANCE = b"x-currantdeal-expected-instance"
 EXPECTED_VERSION = b"x-currantdeal-expected-version"
--- a/currantdeal/policy/standing.py
+++ b/currantdeal/policy/standing.py
@@ -31,6 +31,14 @@
 A path between regions costs 25 ms of 400, and its bytes are paid for.
 """
 
+PREFILL_FAR_PENALTY = 0.7
+"""Prompts that a prefill engine near the decode engine may have more to read.
+
+A prompt takes 0.1 s to read; moving its KV cache to another region takes
+0.03 s longer than within a data centre, and its bytes cost three times as
+much.
+"""
+
 
 @dataclass(kw_only=True)
 class _Standing:
@@ -111,7 +119,16 @@
         return self._standings.setdefault(upstream, _Standing())
 
 
-def in_order(records, standings, *, distance, random, now_s):
+def in_order(
+    records,
+    standings,
+    *,
+    distance,
+    random,
+    now_s,
+    places=None,
+    far_penalty=FAR_PENALTY,
+):
     """Return upstreams in the order in which to try them.
 
     Those that are out come last instead of not at all: when all of a
@@ -122,13 +139,19 @@
     records : iterable of UpstreamRecord
         The upstreams of one service that take work.
     distance : callable
-        0 for a record in this data centre, 1 in this region, 2 elsewhere.
+        0 for a record in the same data centre, 1 in the same region, 2
+        elsewhere.
+    places : int or None
+        Requests that an upstream works on at a time; its slots by default.
+    far_penalty : float
+        What another region adds to the load.
     """
 
     def key(record):
         name = record.upstream
-        load = standings.load(name, record.slots, now_s=now_s)
-        far = FAR_PENALTY * (distance(record) == 2)
+        slots = places or record.slots
+        load = standings.load(name, slots, now_s=now_s)
+        far = far_penalty * (distance(record) == 2)
         return (
             standings.is_out(name, now_s=now_s),
             load + far,
