Split control and generations into modules with one job

Change: control/config_access, control/exchange and control/demand_book out of the service; entry/memory and entry/prefill out of the generation.

--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -18,6 +18,9 @@
 )
 from currantdeal.consensus import MESSAGE_CODEC
 from currantdeal.consensus import NodeSettings as LogSettings
+from currantdeal.control.config_access import ConfigAccess
+from currantdeal.control.demand_book import DemandBook
+from currantdeal.control.exchange import RecordExchange
 from currantdeal.control.membership import JOIN_INTERVAL_S, Membership
 from currantdeal.control.orders import StageOrders
 from currantdeal.control.replica import Replica
@@ -82,20 +85,33 @@
             first_set=lambda: self._file.current.control_peers,
             clock=time.monotonic,
         )
+        dialect = PlatformControl()
+        exchange = RecordExchange(
+            me=self._me,
+            control=lambda: self._membership.control_addresses,
+            links=self._link,
+            heartbeat_s=settings.heartbeat_ms / 1_000.0,
+            clock=time.monotonic,
+        )
+        demand = DemandBook(
+            read_config=dialect.read_config, clock=time.monotonic
+        )
         self._service = ControlService(
-            dialect=PlatformControl(),
+            dialect=dialect,
             replica=self._replica,
             membership=self._membership,
-            links=self._link,
-            me=self._me,
-            heartbeat_s=settings.heartbeat_ms / 1_000.0,
+            config=ConfigAccess(
+                replica=self._replica, links=self._link, me=self._me
+            ),
+            exchange=exchange,
+            demand=demand,
             clock=time.monotonic,
         )
-
         self._orders = StageOrders(
             me=settings.instance,
             replica=self._replica,
-            service=self._service,
+            exchange=exchange,
+            demand=demand,
             pool=ConnectionPool(),
             dialect=PlatformCalls(),
             pause_s=read_bounds(settings.bounds).order_pause_s,
@@ -126,7 +142,7 @@
             asyncio.ensure_future(delay.run()),
             asyncio.ensure_future(self._replica.run()),
             asyncio.ensure_future(self._file.watch()),
-            asyncio.ensure_future(every(HEARTBEAT_S, self._beat)),
+            asyncio.ensure_future(every(HEARTBEAT_S, self._service.beat)),
             asyncio.ensure_future(self._join()),
             asyncio.ensure_future(self._orders.run()),
         ]
@@ -168,11 +184,6 @@
         for name, value in self._service.sizes.items():
             self._metrics.set(name, value)
 
-    def _beat(self):
-        self._service.tell_subscribers()
-        self._service.spread_renewals()
-        self._service.expire()
-
     async def _join(self):
         while True:
             await asyncio.sleep(JOIN_INTERVAL_S)
--- a/currantdeal/control/orders.py
+++ b/currantdeal/control/orders.py
@@ -52,8 +52,10 @@
         Name of this instance as a holder.
     replica : Replica
         Tells who leads.
-    service : ControlService
-        Knows the engines and the demand, and reaches the entries.
+    exchange : RecordExchange
+        Knows the engines, and reaches the entries.
+    demand : DemandBook
+        Knows what generations ask of them.
     pool : ConnectionPool
         Connections to them.
     dialect : currantdeal.node.dialect.UpstreamDialect
@@ -64,11 +66,23 @@
         Returns monotonic seconds.
     """
 
-    def __init__(self, *, me, replica, service, pool, dialect, pause_s, clock):
+    def __init__(
+        self,
+        *,
+        me,
+        replica,
+        exchange,
+        demand,
+        pool,
+        dialect,
+        pause_s,
+        clock,
+    ):
         """Give no order before ``run``."""
         self._me = me
         self._replica = replica
-        self._service = service
+        self._exchange = exchange
+        self._demand = demand
         self._pool = pool
         self._dialect = dialect
         self._pause_s = pause_s + EXTRA_PAUSE_S
@@ -99,7 +113,7 @@
             last_s = self._ordered_s.get(service, -CHANGE_PAUSE_S)
             if now_s - last_s < CHANGE_PAUSE_S:
                 continue
-            busy = self._service.busy(service)
+            busy = self._demand.busy(service)
             changes = plan_stages(engines, busy=busy)
             if changes:
                 self._ordered_s[service] = now_s
@@ -117,7 +131,7 @@
 
     def _engines(self):
         found = {}
-        for record in self._service.registry.present:
+        for record in self._exchange.registry.present:
             ready = record.state is UpstreamState.READY
             if ready and record.stage is not None:
                 found.setdefault(record.service, []).append(record)
@@ -155,8 +169,8 @@
         if status == ACCEPTED_LATER:
             # Meanwhile the engine still grants memory and then refuses what
             # comes for it, after the prompt was read elsewhere.
-            for_s = self._service.switch_s(record.service) + SWITCH_MARGIN_S
-            self._service.tell_switching(record.upstream, for_s)
+            for_s = self._demand.switch_s(record.service) + SWITCH_MARGIN_S
+            self._exchange.tell_switching(record.upstream, for_s)
         if status == FENCED:
             # Another holder has given orders under a later number.
             self._fenced_term = term
--- a/currantdeal/control/tests/test_orders.py
+++ b/currantdeal/control/tests/test_orders.py
@@ -65,7 +65,8 @@
         orders = StageOrders(
             me="control-1",
             replica=replica or _Replica(),
-            service=service,
+            exchange=service,
+            demand=service,
             pool=ConnectionPool(),
             dialect=PlatformCalls(),
             pause_s=PAUSE_S,
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -6,28 +6,24 @@
 """
 
 import asyncio
-from dataclasses import dataclass
 
 import structlog
 
-from currantdeal.core.errors import DialectError
 from currantdeal.entry.errors import (
     BrokenOffError,
     FailedError,
     RefusedError,
 )
 from currantdeal.entry.events import EventSplitter
+from currantdeal.entry.memory import MemorySeeker
+from currantdeal.entry.prefill import free_prompt, read_prompt
 from currantdeal.node.dialect import Directions
 from currantdeal.node.errors import (
     ConnectError,
     ExchangeError,
     SilentUpstreamError,
 )
-from currantdeal.node.http_client import exchange
-from currantdeal.policy.decode_memory import Demand, tokens_to_reserve
 from currantdeal.policy.return_time import Shortage
-from currantdeal.policy.standing import PREFILL_FAR_PENALTY, in_order
-from currantdeal.registry import Stage, UpstreamRecord
 from currantdeal.routing import Repeat
 
 RESERVE_WAIT_S = 0.6
@@ -37,27 +33,6 @@
 the prompt and moving its KV cache take a quarter of a second of 0.9 s.
 """
 
-RESERVE_PAUSE_S = 0.05
-"""Pause between two rounds of asking all engines for memory."""
-
-RESERVE_TIMEOUT_S = 0.4
-"""Time to answer a reservation, which is a small local matter."""
-
-PREFILL_PATIENCE_S = 1.6
-"""Time after which the decode engine reads the prompt itself.
-
-The reservation ends after two seconds.  A shorter time makes the first event
-come sooner and the others later: a decode engine reads between the tokens of
-its streams, and two prompts at once stretch their pauses beyond 0.3 s.  With
-0.35 s, 16 of 100 streams more were late for their pauses than came in time
-for their first event.
-"""
-
-PROMPTS_AT_A_TIME = 1
-"""Prompts that a prefill engine reads at a time; the others wait."""
-
-RELEASE_TIMEOUT_S = 0.5
-
 RESUME_SILENCE_S = 1.2
 """Silence after which a stream that may be resumed goes on elsewhere.
 
@@ -80,23 +55,6 @@
 _log = structlog.get_logger(__name__)
 
 
-@dataclass(frozen=True, kw_only=True)
-class _Reservation:
-    record: UpstreamRecord
-    tokens: int
-    number: str
-
-
-@dataclass(frozen=True, kw_only=True)
-class _Prefill:
-    record: UpstreamRecord
-    handle: str
-
-    @property
-    def source(self):
-        return f"{self.record.address}/{self.handle}"
-
-
 async def serve_generation(context, course):
     """Run a generation and pass its events on.
 
@@ -128,7 +86,7 @@
         self._begun = False
         self._splitter = EventSplitter()
         self._reason = "no engine took it"
-        self._avoid = set()
+        self._memory = MemorySeeker(context=context, course=course)
         self._held = None
 
     @property
@@ -151,7 +109,9 @@
             reservation.record.upstream, reservation.tokens
         )
         try:
-            prefill = await self._prefill(reservation)
+            prefill = await read_prompt(
+                self._context, self._course, reservation.record
+            )
             if not self._context.view.takes_work(reservation.record.upstream):
                 self._reason = "the engine left meanwhile"
                 return False
@@ -162,7 +122,9 @@
                 reservation.record.upstream, reservation.tokens
             )
             if not used:
-                self._release(reservation, prefill)
+                self._memory.release(reservation)
+            if not used and prefill is not None:
+                free_prompt(self._context, prefill)
 
     def may_try_again(self):
         """Return whether another attempt is allowed and of use."""
@@ -188,7 +150,7 @@
     def release_held(self):
         """Give back memory that was reserved and is not needed any more."""
         if self._held is not None:
-            self._release(self._held, None)
+            self._memory.release(self._held)
             self._held = None
 
     def give_up(self):
@@ -201,142 +163,10 @@
 
     async def _reserve(self):
         course = self._course
-        tokens = self._tokens()
         until_s = min(course.request.arrived_s + RESERVE_WAIT_S, course.ends_s)
         if self._begun:
             until_s = self._now_s + RESUME_WAIT_S
-        while True:
-            for record in self._engines_by_memory():
-                reservation = await self._ask_for_memory(record, tokens)
-                if reservation is not None:
-                    return reservation
-            if self._now_s + RESERVE_PAUSE_S > until_s:
-                return None
-            await asyncio.sleep(RESERVE_PAUSE_S)
-
-    def _tokens(self):
-        call = self._course.call
-        demand = Demand(
-            prompt_tokens=call.prompt_tokens,
-            max_output_tokens=call.max_output_tokens,
-            expected_output_tokens=call.expected_output_tokens,
-        )
-        return tokens_to_reserve(demand, self._course.service.engine.kv_tokens)
-
-    def _engines_by_memory(self):
-        view, context = self._context.view, self._context
-        records = {
-            record.upstream: record
-            for record in view.engines(self._course.service.name, Stage.DECODE)
-            if record.upstream not in self._avoid
-            and not context.standings.is_out(
-                record.upstream, now_s=self._now_s
-            )
-        }
-        ordered = context.memory.order(
-            list(records),
-            distance=lambda name: view.distance(records[name]),
-            now_s=self._now_s,
-        )
-        return [records[name] for name in ordered]
-
-    async def _ask_for_memory(self, record, tokens):
-        context = self._context
-        engine = self._course.service.engine
-        call = context.dialect.reserve(
-            record.address,
-            tokens=tokens,
-            hold_s=engine.hold_s,
-            upstream=record.upstream,
-        )
-        try:
-            head, body = await exchange(
-                context.pool,
-                record.address,
-                call,
-                timeout_s=RESERVE_TIMEOUT_S,
-            )
-        except ExchangeError as exc:
-            self._note_unreachable(record, exc)
-            return None
-        traits = context.dialect.read_reply(head)
-        context.view.note_answer(record, traits.answered_by)
-        if not context.view.takes_work(record.upstream):
-            return None
-        if head.status != 200:
-            context.memory.refused(record.upstream, now_s=self._now_s)
-            return None
-        try:
-            number = context.dialect.read_reservation(body)
-        except DialectError as exc:
-            _log.warning("reservation-unreadable", why=str(exc))
-            return None
-        return _Reservation(record=record, tokens=tokens, number=number)
-
-    async def _prefill(self, reservation):
-        """Have the prompt read; None where the decode engine must do it."""
-        context, course = self._context, self._course
-        engines = in_order(
-            context.view.engines(course.service.name, Stage.PREFILL),
-            context.prefills,
-            distance=lambda record: context.view.distance_between(
-                record, reservation.record
-            ),
-            random=context.random,
-            now_s=self._now_s,
-            places=PROMPTS_AT_A_TIME,
-            far_penalty=PREFILL_FAR_PENALTY,
-        )
-        if not engines:
-            return None
-        return await self._prefill_at(engines[0])
-
-    async def _prefill_at(self, record):
-        context, course = self._context, self._course
-        left_s = min(PREFILL_PATIENCE_S, course.time_left_s(self._now_s))
-        directions = Directions(
-            upstream=record.upstream, time_left_s=left_s, prefill_only=True
-        )
-        call = context.dialect.outgoing(
-            course.request.head, course.request.body, directions
-        )
-        context.prefills.began(record.upstream)
-        began_s = self._now_s
-        try:
-            head, body = await exchange(
-                context.pool, record.address, call, timeout_s=left_s
-            )
-        except ExchangeError as exc:
-            if isinstance(exc, ConnectError):
-                context.prefills.unreachable(
-                    record.upstream, now_s=self._now_s
-                )
-            course.note(f"prefill at {record.upstream}: {exc}")
-            return None
-        finally:
-            context.prefills.ended(record.upstream)
-        traits = context.dialect.read_reply(head)
-        context.view.note_answer(record, traits.answered_by)
-        context.prefills.answered(record.upstream, error=head.status != 200)
-        if traits.load is not None:
-            in_use = traits.load.running + traits.load.waiting
-            context.prefills.reported(
-                record.upstream, in_use, now_s=self._now_s
-            )
-        if head.status != 200:
-            course.note(f"prefill at {record.upstream}: {head.status}")
-            return None
-        try:
-            handle = context.dialect.read_prefill(body)
-        except DialectError as exc:
-            course.note(f"prefill at {record.upstream}: {exc}")
-            return None
-        meter = context.meter(course.service.name)
-        took_s = self._now_s - began_s
-        meter.read(course.call.prompt_tokens, took_s)
-        context.metrics.observe("prefill_seconds", took_s)
-        course.note(f"prefill at {record.upstream}")
-        return _Prefill(record=record, handle=handle)
+        return await self._memory.find(until_s)
 
     async def _decode(self, reservation, prefill):
         context, course = self._context, self._course
@@ -354,7 +184,8 @@
         try:
             connection = await context.pool.take(record.address)
         except ConnectError as exc:
-            self._note_unreachable(record, exc)
+            self._reason = str(exc)
+            self._memory.note_unreachable(record, exc)
             return False
         context.standings.began(record.upstream)
         try:
@@ -463,32 +294,19 @@
             task.cancel()
 
     async def _reserve_elsewhere(self, record):
-        tokens = self._tokens()
-        for other in self._engines_by_memory():
-            if other.upstream == record.upstream:
-                continue
-            reservation = await self._ask_for_memory(other, tokens)
-            if reservation is None:
-                continue
-            if self._may_repeat():
-                return reservation
-            self._release(reservation, None)
-            return None
+        reservation = await self._memory.find_now(but=record)
+        if reservation is None or self._may_repeat():
+            return reservation
+        self._memory.release(reservation)
         return None
 
-    def _note_unreachable(self, record, exc):
-        context = self._context
-        self._reason = str(exc)
-        context.standings.unreachable(record.upstream, now_s=self._now_s)
-        context.pool.forget(record.address)
-        self._course.note(f"{record.upstream}: {exc}")
-
     def _note_broken(self, record, exc):
         course = self._course
         course.runs = max(course.runs, 1) if exc.sent else course.runs
         self._splitter.drop_rest()
-        self._avoid.add(record.upstream)
-        self._note_unreachable(record, exc)
+        self._reason = str(exc)
+        self._memory.avoid(record)
+        self._memory.note_unreachable(record, exc)
         _log.info(
             "stream-broken",
             request=course.call.request_id,
@@ -497,32 +315,6 @@
             why=str(exc),
         )
 
-    def _release(self, reservation, prefill):
-        context = self._context
-        call = context.dialect.release_reservation(
-            reservation.record.address, reservation.number
-        )
-        context.in_background(
-            _quietly(context, reservation.record.address, call)
-        )
-        if prefill is not None:
-            call = context.dialect.release_prefill(
-                prefill.record.address, prefill.handle
-            )
-            context.in_background(
-                _quietly(context, prefill.record.address, call)
-            )
-
-
-async def _quietly(context, address, call):
-    try:
-        await exchange(
-            context.pool, address, call, timeout_s=RELEASE_TIMEOUT_S
-        )
-    except ExchangeError as exc:
-        # What was reserved runs out by itself at the engine.
-        _log.info("release-failed", address=address, why=str(exc))
-
 
 def _without_length(headers):
     return tuple(h for h in headers if h[0] != b"content-length")
--- /dev/null
+++ b/currantdeal/entry/prefill.py
@@ -0,0 +1,116 @@
+"""Having the prompt of a generation read by a prefill engine."""
+
+from dataclasses import dataclass
+
+from currantdeal.core.errors import DialectError
+from currantdeal.entry.memory import release
+from currantdeal.node.dialect import Directions
+from currantdeal.node.errors import ConnectError, ExchangeError
+from currantdeal.node.http_client import exchange
+from currantdeal.policy.standing import PREFILL_FAR_PENALTY, in_order
+from currantdeal.registry import Stage, UpstreamRecord
+
+PREFILL_PATIENCE_S = 1.6
+"""Time after which the decode engine reads the prompt itself.
+
+The reservation ends after two seconds.  A shorter time makes the first event
+come sooner and the others later: a decode engine reads between the tokens of
+its streams, and two prompts at once stretch their pauses beyond 0.3 s.  With
+0.35 s, 16 of 100 streams more were late for their pauses than came in time
+for their first event.
+"""
+
+PROMPTS_AT_A_TIME = 1
+"""Prompts that a prefill engine reads at a time; the others wait."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Prefill:
+    """A KV cache that waits at a prefill engine."""
+
+    record: UpstreamRecord
+    handle: str
+
+    @property
+    def source(self):
+        """Where a decode engine fetches it."""
+        return f"{self.record.address}/{self.handle}"
+
+
+async def read_prompt(context, course, near):
+    """Have the prompt read; None where the decode engine must do it.
+
+    Parameters
+    ----------
+    near : UpstreamRecord
+        The decode engine that will fetch the KV cache.
+    """
+    engines = in_order(
+        context.view.engines(course.service.name, Stage.PREFILL),
+        context.prefills,
+        distance=lambda record: context.view.distance_between(record, near),
+        random=context.random,
+        now_s=context.now_s,
+        places=PROMPTS_AT_A_TIME,
+        far_penalty=PREFILL_FAR_PENALTY,
+    )
+    if not engines:
+        return None
+    began_s = context.now_s
+    prefill = await _read_at(context, course, engines[0])
+    if prefill is not None:
+        took_s = context.now_s - began_s
+        meter = context.meter(course.service.name)
+        meter.read(course.call.prompt_tokens, took_s)
+        context.metrics.observe("prefill_seconds", took_s)
+        course.note(f"prefill at {prefill.record.upstream}")
+    return prefill
+
+
+def free_prompt(context, prefill):
+    """Free a KV cache that nobody will fetch."""
+    call = context.dialect.release_prefill(
+        prefill.record.address, prefill.handle
+    )
+    release(context, prefill.record.address, call)
+
+
+async def _read_at(context, course, record):
+    left_s = min(PREFILL_PATIENCE_S, course.time_left_s(context.now_s))
+    directions = Directions(
+        upstream=record.upstream, time_left_s=left_s, prefill_only=True
+    )
+    call = context.dialect.outgoing(
+        course.request.head, course.request.body, directions
+    )
+    context.prefills.began(record.upstream)
+    try:
+        head, body = await exchange(
+            context.pool, record.address, call, timeout_s=left_s
+        )
+    except ExchangeError as exc:
+        if isinstance(exc, ConnectError):
+            context.prefills.unreachable(record.upstream, now_s=context.now_s)
+        course.note(f"prefill at {record.upstream}: {exc}")
+        return None
+    finally:
+        context.prefills.ended(record.upstream)
+    _note_answer(context, record, head)
+    if head.status != 200:
+        course.note(f"prefill at {record.upstream}: {head.status}")
+        return None
+    try:
+        handle = context.dialect.read_prefill(body)
+    except DialectError as exc:
+        course.note(f"prefill at {record.upstream}: {exc}")
+        return None
+    return Prefill(record=record, handle=handle)
+
+
+def _note_answer(context, record, head):
+    traits = context.dialect.read_reply(head)
+    context.view.note_answer(record, traits.answered_by)
+    context.prefills.answered(record.upstream, error=head.status != 200)
+    if traits.load is not None:
+        in_use = traits.load.running + traits.load.waiting
+        context.prefills.reported(record.upstream, in_use, now_s=context.now_s)
--- a/currantdeal/entry/subscription.py
+++ b/currantdeal/entry/subscription.py
@@ -1,6 +1,6 @@
 """Keeping an entry's view up to date.
 
-An entry follows one control instance, the nearest that answers.  It leaves
+An entry follows one control instance.  It leaves
 it for another when it falls silent or is out of touch with the leader:
 behind a partition it would go on as before and keep the entry on an old
 view, which callers notice as changes that never arrive.
@@ -107,12 +107,9 @@
 
     def _candidates(self):
         now_s = self._clock()
-        known = dict.fromkeys((*self._near_first(), *self._seeds()))
+        known = dict.fromkeys((*self._known, *self._seeds()))
         return sorted(known, key=lambda a: self._avoid.get(a, 0.0) > now_s)
 
-    def _near_first(self):
-        return self._known
-
     async def _subscribe(self, address):
         try:
             connection = await connect_peer(address, on_notice=self._on_notice)
--- a/currantdeal/entry/view.py
+++ b/currantdeal/entry/view.py
@@ -5,7 +5,7 @@
 import structlog
 
 from currantdeal.core.errors import DialectError
-from currantdeal.registry import Stage, UpstreamRegistry, UpstreamState
+from currantdeal.registry import UpstreamRegistry, UpstreamState
 from currantdeal.routing import CallerLimits, RouteTable
 
 _log = structlog.get_logger(__name__)
@@ -185,8 +185,3 @@
             if record.state is UpstreamState.READY:
                 found.setdefault(record.service, []).append(record)
         self._by_service = {name: tuple(rs) for name, rs in found.items()}
-
-
-def is_engine(record):
-    """Return whether an upstream is a model engine."""
-    return record.stage in (Stage.PREFILL, Stage.DECODE)
