--- /dev/null
+++ b/currantdeal/node/tests/test_peers.py
@@ -0,0 +1,104 @@
+import asyncio
+
+import pytest
+
+from currantdeal.node.errors import PeerUnreachableError
+from currantdeal.node.messages import Done, JoinCall, ReadConfigCall
+from currantdeal.node.peers import PeerConnection, PeerLink
+
+CALL = JoinCall(instance="a", address="a", blank=False)
+
+
+async def _server(on_call, notices=None):
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        lambda: PeerConnection(
+            on_notice=lambda c, m: notices is not None and notices.append(m),
+            on_call=on_call,
+            on_lost=lambda c: None,
+        ),
+        "127.0.0.1",
+        0,
+    )
+    host, port = server.sockets[0].getsockname()
+    return server, PeerLink(address=f"{host}:{port}")
+
+
+def test_answers_find_their_calls_whatever_their_order():
+    async def answer(connection, message):
+        if isinstance(message, ReadConfigCall):
+            await asyncio.sleep(0.1)
+            return Done(accepted=False)
+        return Done(accepted=True)
+
+    async def run():
+        _, link = await _server(answer)
+        return await asyncio.gather(
+            link.call(ReadConfigCall(), timeout_s=2.0),
+            link.call(CALL, timeout_s=2.0),
+        )
+
+    slow, fast = asyncio.run(run())
+    assert (slow.accepted, fast.accepted) == (False, True)
+
+
+def test_a_connection_that_went_silent_is_replaced():
+    """Something between two instances has lost track of their connection.
+
+    Every later call on it would wait in vain.
+    """
+    calls = []
+
+    async def answer(connection, message):
+        calls.append(message)
+        if len(calls) == 1:
+            await asyncio.sleep(30.0)
+        return Done(accepted=True)
+
+    async def run():
+        _, link = await _server(answer)
+        with pytest.raises(PeerUnreachableError):
+            await link.call(CALL, timeout_s=0.2)
+        return await link.call(CALL, timeout_s=2.0)
+
+    assert asyncio.run(run()).accepted
+
+
+def test_bytes_that_are_no_frame_end_the_connection():
+    async def run():
+        server, _ = await _server(None)
+        host, port = server.sockets[0].getsockname()
+        reader, writer = await asyncio.open_connection(host, port)
+        writer.write(b"\x00\x00\x00\x05hello")
+        async with asyncio.timeout(2.0):
+            try:
+                return await reader.read()
+            except ConnectionError:
+                return b""
+
+    assert asyncio.run(run()) == b""
+
+
+def test_nobody_there_is_told_in_time():
+    async def run():
+        server, link = await _server(None)
+        server.close()
+        await server.wait_closed()
+        with pytest.raises(PeerUnreachableError):
+            await link.call(CALL, timeout_s=0.5)
+
+    asyncio.run(run())
+
+
+def test_notices_are_sent_without_waiting():
+    notices = []
+
+    async def run():
+        _, link = await _server(None, notices)
+        link.notify(CALL)
+        await asyncio.sleep(0.1)
+        link.notify(CALL)
+        await asyncio.sleep(0.1)
+
+    asyncio.run(run())
+    assert notices == [CALL, CALL]
--- /dev/null
+++ b/currantdeal/platform/tests/test_control.py
@@ -0,0 +1,126 @@
+import json
+
+import pytest
+
+from currantdeal.core.errors import DialectError
+from currantdeal.node.dialect import (
+    Announce,
+    FindEntries,
+    GetConfig,
+    Leave,
+    PutConfig,
+)
+from currantdeal.node.head import RequestHead
+from currantdeal.platform.control import PlatformControl
+from currantdeal.registry import Stage, UpstreamState
+from currantdeal.routing import Repeat
+from currantdeal.testing.entry_world import config_body
+
+BEAT = {
+    "Service": "huvo11a",
+    "Address": "10.128.0.9:8080",
+    "Zone": "lagos-ikeja",
+    "Version": "v1",
+    "Slots": 48,
+    "State": "ready",
+    "ColdRemainingMs": 1500,
+    "Stage": "decode",
+    "Models": [{"Name": "m", "Version": 1, "Adapters": []}],
+    "Sequence": 4,
+    "born": 1_700_000_000_000,
+    "Unknown": {"to": "us"},
+}
+DIALECT = PlatformControl()
+
+
+def _beat(**changes):
+    changed = {**BEAT, **changes}
+    kept = {key: value for key, value in changed.items() if value != "gone"}
+    return json.dumps(kept).encode()
+
+
+def _operation(method, target):
+    return DIALECT.read_operation(
+        RequestHead(method=method, target=target, headers=())
+    )
+
+
+def test_calls_are_known_by_method_and_path():
+    assert _operation("PUT", "/v1/config") == PutConfig()
+    assert _operation("GET", "/v1/config") == GetConfig()
+    beat = _operation("PUT", "/v1/instances/i-7f%2F1")
+    assert beat == Announce(upstream="i-7f/1")
+    assert _operation("DELETE", "/v1/instances/i-1") == Leave(upstream="i-1")
+    found = _operation("GET", "/v1/resolve?Name=a.example&Region=r&Zone=z")
+    assert found == FindEntries(host="a.example", region="r", data_center="z")
+    assert _operation("POST", "/v1/config") is None
+
+
+def test_a_heartbeat_becomes_a_record():
+    record = DIALECT.read_announcement("i-1", _beat())
+    assert record.upstream == "i-1"
+    assert record.service == "huvo11a"
+    assert record.data_center == "lagos-ikeja"
+    assert record.stage is Stage.DECODE
+    assert record.state is UpstreamState.READY
+    assert record.cold_s == 1.5
+    assert record.started_ms == 1_700_000_000_000
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"\xff\xfe",
+        b"[]",
+        b"{}",
+        _beat(born="gone"),
+        _beat(born=1.5),
+        _beat(born="yesterday"),
+        _beat(Sequence="4"),
+        _beat(State="sleeping"),
+        _beat(Stage="both"),
+        _beat(Address="nowhere"),
+        _beat(Address=["10.0.0.1:80"]),
+        _beat(Service=""),
+        _beat(Slots=None),
+    ],
+)
+def test_what_another_writer_sent_names_no_upstream(body):
+    """Something else writes heartbeats in a format of its own.
+
+    Taken for an upstream, it would be sent requests that nobody answers.
+    """
+    with pytest.raises(DialectError):
+        DIALECT.read_announcement("i-1", body)
+
+
+def test_a_configuration_is_decoded_into_own_types():
+    config = DIALECT.read_config(config_body(version=7, timeout_ms=1500))
+    assert config.version == 7
+    repeats = {route.name: route.repeat for route in config.routes}
+    assert repeats == {
+        "menu": Repeat.FREELY,
+        "order": Repeat.ONCE,
+        "note": Repeat.ONCE,
+        "draft": Repeat.RESUMABLE,
+    }
+    assert {route.timeout_s for route in config.routes} == {1.5}
+    (model,) = [s for s in config.services if s.engine is not None]
+    assert model.engine.kv_tokens == 30_000
+    assert model.engine.hold_s == 2.0
+    assert config.limits.max_head_bytes == 4_096
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        config_body()[:-20],
+        config_body().replace(b'"idempotent"', b'"sometimes"'),
+        config_body().replace(b'"Version":1', b'"Version":"1"'),
+        config_body().replace(b'"Service":"shop",', b"", 1),
+        b"",
+    ],
+)
+def test_a_configuration_that_is_cut_short_is_no_configuration(body):
+    with pytest.raises(DialectError):
+        DIALECT.read_config(body)
