Show version, age, leader and budget of the platform's processes

Cause: status read only the stand-alone daemon.

Change: currantdeal nodes reads the metrics pages of entry and control processes; the budget that is left is a gauge.

--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -167,6 +167,8 @@
         self._metrics.set("view_age_seconds", view.age_s)
         self._metrics.set("requests_in_progress", self._server.busy)
         self._metrics.set("entries", view.entries)
+        for name, left in self._context.budgets_left().items():
+            self._metrics.set("retry_budget_left", left, service=name)
         table = view.table
         for service in table.services if table is not None else ():
             self._metrics.set(
--- a/currantdeal/cli/main.py
+++ b/currantdeal/cli/main.py
@@ -8,6 +8,7 @@
 
 import currantdeal
 from currantdeal.cli.explain import explain
+from currantdeal.cli.node_status import nodes
 from currantdeal.cli.selector_commands import selectors
 from currantdeal.cli.serve import serve
 from currantdeal.cli.settings_commands import settings
@@ -32,6 +33,7 @@
 main.add_command(drain)
 main.add_command(entries)
 main.add_command(explain)
+main.add_command(nodes)
 main.add_command(orders)
 main.add_command(selectors)
 main.add_command(serve)
--- a/currantdeal/cli/tests/test_node_processes.py
+++ b/currantdeal/cli/tests/test_node_processes.py
@@ -5,7 +5,9 @@
 import time
 
 import pytest
+from click.testing import CliRunner
 
+from currantdeal.cli.main import main
 from currantdeal.testing.entry_world import config_body, request_bytes
 from currantdeal.testing.node_processes import NodeCluster
 from currantdeal.testing.platform_upstream import StandInUpstream
@@ -94,6 +96,7 @@
             _until(lambda entry=entry: _served(entry))
         assert json.loads(cluster.get_config())["Version"] == 3
         _check_directory(cluster)
+        _check_status(cluster)
         _check_refused_config(cluster)
         _check_drain(cluster, standin)
 
@@ -110,6 +113,18 @@
     _until(complete)
 
 
+def _check_status(cluster):
+    addresses = [p.settings["listen"]["metrics"] for p in cluster.processes]
+    shown = CliRunner().invoke(main, ["nodes", *addresses])
+    assert shown.exit_code == 0
+    rows = [line.split() for line in shown.output.splitlines()[1:]]
+    assert [row[1] for row in rows] == ["control"] * 3 + ["entry"] * 2
+    assert {row[2] for row in rows} == {"3"}
+    assert [row[4] for row in rows[:3]].count("1") == 1
+    lost = CliRunner().invoke(main, ["nodes", "127.0.0.1:1"])
+    assert lost.exit_code == 1
+
+
 def _check_refused_config(cluster):
     url = cluster.control_url(cluster.control[1], "/v1/config")
     broken = config_body(version=9).replace(b'"shop"', b'"none"', 1)
--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -58,6 +58,13 @@
             now_s=self.now_s, entries=self.view.entries
         )
 
+    def budgets_left(self):
+        """Return the repeats that each service's budget allows now."""
+        return {
+            name: budget.left(now_s=self.now_s, entries=self.view.entries)
+            for name, budget in self._budgets.items()
+        }
+
     def meter(self, service):
         """Return what measures the demand of a service."""
         return self._meters.setdefault(service, DemandMeter())
--- a/currantdeal/policy/shared_budget.py
+++ b/currantdeal/policy/shared_budget.py
@@ -53,14 +53,18 @@
 
     def take(self, *, now_s, entries):
         """Use the budget for one repeat, if it allows one."""
+        if self.left(now_s=now_s, entries=entries) < 1.0:
+            return False
+        self._repeats.append(now_s)
+        return True
+
+    def left(self, *, now_s, entries):
+        """Return the repeats that the budget allows now."""
         self._drop_old(self._requests, now_s)
         self._drop_old(self._repeats, now_s)
         allowed = self._ratio * len(self._requests)
         allowed += self._allowance / max(1, entries)
-        if len(self._repeats) + 1 > (1.0 - KEPT_BACK) * allowed:
-            return False
-        self._repeats.append(now_s)
-        return True
+        return (1.0 - KEPT_BACK) * allowed - len(self._repeats)
 
     def _drop_old(self, times, now_s):
         while times and times[0] <= now_s - self._window_s:
--- a/currantdeal/testing/node_processes.py
+++ b/currantdeal/testing/node_processes.py
@@ -106,7 +106,7 @@
         """Write down who is where; nothing starts before ``start``."""
         self._folder = folder
         self._base = _free_base()
-        self._ports = [_free_port() for _ in range(5)]
+        self._ports = [_free_port() for _ in range(6)]
         self.control = [
             self._control(number) for number in range(1, control + 1)
         ]
@@ -199,6 +199,7 @@
         listen = {
             "control": f"{host}:{self._ports[0]}",
             "directory": f"{host}:{self._ports[1]}",
+            "metrics": f"{host}:{self._ports[5]}",
         }
         settings = self._settings(f"control-{number}", host, listen)
         return NodeProcess(
@@ -210,6 +211,7 @@
         listen = {
             "callers": f"{host}:{self._ports[3]}",
             "readiness": f"{host}:{self._ports[4]}",
+            "metrics": f"{host}:{self._ports[5]}",
         }
         settings = self._settings(f"entry-{number}", host, listen)
         return NodeProcess(
