--- /dev/null
+++ b/currantdeal/platform/tests/test_settings_template.py
@@ -0,0 +1,105 @@
+import json
+import re
+from pathlib import Path
+
+import msgspec
+import pytest
+
+import currantdeal
+from currantdeal.node.errors import SettingsFileError
+from currantdeal.node.settings import NodeSettings, read_settings
+from currantdeal.platform.bounds import read_bounds
+
+TEMPLATE = (
+    Path(currantdeal.__file__)
+    .parents[1]
+    .joinpath("deploy", "settings.json.template")
+)
+GIVEN = {
+    "NodeName": "frontend-bizkaia-a-1",
+    "Ip": "10.1.0.38",
+    "Zone": "bizkaia-a",
+    "Region": "bizkaia",
+    "InternalPorts": [7380, 7395],
+    "Seeds": ["10.1.0.41:8144", "10.2.0.43:8144", "10.3.0.8:8144"],
+    "Bootstrap": True,
+    "HeartbeatMs": 1200,
+    "Zones": {"bizkaia-a": "bizkaia", "cantabria-a": "cantabria"},
+    "Listen": {
+        "Frontend": "10.1.0.38:8149",
+        "Readiness": "10.1.0.38:8141",
+    },
+    "FaultTolerance": {"Machines": 1},
+    "Bounds": {
+        "GraceS": 8,
+        "RetryBudgetRatio": 0.2,
+        "RetryBurst": 56,
+        "BudgetWindowS": 10,
+        "LeaseMs": 3000,
+        "FencingRequired": True,
+        "RetryAfterS": 7.9,
+    },
+}
+
+
+def _value(path, given):
+    found = given
+    for part in path.split("."):
+        if isinstance(found, list):
+            found = found[int(part)]
+        else:
+            found = found.get(part)
+        if found is None:
+            return None
+    return found
+
+
+def _render(text, given):
+    """Fill in the template as the platform does."""
+
+    def fill(match):
+        path, _, form = match.group(1).partition("|")
+        value = _value(path, given)
+        if form == "json":
+            return json.dumps(value)
+        return "" if value is None else str(value)
+
+    return re.sub(r"\{\{([^}]+)\}\}", fill, text)
+
+
+def _settings(given):
+    text = _render(TEMPLATE.read_text(), given)
+    return msgspec.json.decode(text, type=NodeSettings)
+
+
+def test_the_template_gives_the_settings_of_an_entry():
+    settings = _settings(GIVEN)
+    assert settings.instance == "frontend-bizkaia-a-1"
+    assert settings.peer_address == "10.1.0.38:7380"
+    assert settings.listen.callers == "10.1.0.38:8149"
+    assert settings.listen.control == ""
+    assert settings.control_peers[0] == "10.1.0.41:7380"
+    assert settings.first_start
+    bounds = read_bounds(settings.bounds)
+    assert bounds.retry_allowance == 56.0
+    assert bounds.order_pause_s == 3.0
+
+
+def test_missing_fields_do_not_keep_a_process_from_starting():
+    """A later platform leaves out what this version does not need."""
+    given = {
+        key: value
+        for key, value in GIVEN.items()
+        if key not in ("Bootstrap", "FaultTolerance", "Bounds")
+    }
+    given["Bounds"] = {}
+    settings = _settings(given)
+    assert not settings.first_start
+    assert read_bounds(settings.bounds).grace_s == 8.0
+
+
+def test_a_wrong_value_is_named_with_its_place(tmp_path):
+    path = tmp_path / "settings.json"
+    path.write_text(_render(TEMPLATE.read_text(), {**GIVEN, "Ip": 7}))
+    with pytest.raises(SettingsFileError, match=r"address"):
+        read_settings(path)
