--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -100,14 +100,14 @@
     window_s: float
 
 
-class Course:
+class ActiveRequest:
     """One request on its way.
 
     Parameters
     ----------
-    request : currantdeal.node.http_server.Request
+    request : currantdeal.node.http_request.Request
         The whole request.
-    responder : currantdeal.node.http_server.Responder
+    responder : currantdeal.node.http_request.Responder
         Takes the answer.
     call : currantdeal.node.dialect.CallerRequest
         What its head says.
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -55,7 +55,7 @@
 _log = structlog.get_logger(__name__)
 
 
-async def serve_generation(context, course):
+async def serve_generation(context, active):
     """Run a generation and pass its events on.
 
     Raises
@@ -67,7 +67,7 @@
     BrokenOffError
         If it ended early after a part was passed on.
     """
-    run = _Run(context=context, course=course)
+    run = _Run(context=context, active=active)
     try:
         for attempt in range(MAX_TRIES):
             if attempt and not run.may_try_again():
@@ -80,13 +80,13 @@
 
 
 class _Run:
-    def __init__(self, *, context, course):
+    def __init__(self, *, context, active):
         self._context = context
-        self._course = course
+        self._active = active
         self._begun = False
         self._splitter = EventSplitter()
         self._reason = "no engine took it"
-        self._memory = MemorySeeker(context=context, course=course)
+        self._memory = MemorySeeker(context=context, active=active)
         self._held = None
 
     @property
@@ -102,15 +102,15 @@
             return False
         prefill = None
         used = False
-        self._course.note(f"memory at {reservation.record.upstream}")
-        waited_s = self._now_s - self._course.request.arrived_s
+        self._active.note(f"memory at {reservation.record.upstream}")
+        waited_s = self._now_s - self._active.request.arrived_s
         self._context.metrics.observe("memory_wait_seconds", waited_s)
         self._context.memory.reserved(
             reservation.record.upstream, reservation.tokens
         )
         try:
             prefill = await read_prompt(
-                self._context, self._course, reservation.record
+                self._context, self._active, reservation.record
             )
             if not self._context.view.takes_work(reservation.record.upstream):
                 self._reason = "the engine left meanwhile"
@@ -128,24 +128,24 @@
 
     def may_try_again(self):
         """Return whether another attempt is allowed and of use."""
-        course = self._course
+        active = self._active
         if self._reason == "no memory":
             return False
-        if course.time_left_s(self._now_s) < course.route.target_s / 4:
+        if active.time_left_s(self._now_s) < active.route.target_s / 4:
             return False
-        resumable = course.route.repeat is Repeat.RESUMABLE
-        if course.runs and not resumable:
+        resumable = active.route.repeat is Repeat.RESUMABLE
+        if active.runs and not resumable:
             return False
-        if course.runs >= course.route.max_upstreams:
+        if active.runs >= active.route.max_upstreams:
             return False
         if self._held is None and not self._may_repeat():
-            course.note("no-budget")
+            active.note("no-budget")
             return False
         return True
 
     def _may_repeat(self):
         self._context.metrics.add("repeats_wanted_total")
-        return self._context.may_repeat(self._course.service.name)
+        return self._context.may_repeat(self._active.service.name)
 
     def release_held(self):
         """Give back memory that was reserved and is not needed any more."""
@@ -157,29 +157,29 @@
         """Raise what the caller is told."""
         if self._begun:
             raise BrokenOffError(self._reason)
-        if self._course.runs:
+        if self._active.runs:
             raise FailedError(self._reason)
         raise RefusedError(self._reason, shortage=Shortage.MEMORY)
 
     async def _reserve(self):
-        course = self._course
-        until_s = min(course.request.arrived_s + RESERVE_WAIT_S, course.ends_s)
+        active = self._active
+        until_s = min(active.request.arrived_s + RESERVE_WAIT_S, active.ends_s)
         if self._begun:
             until_s = self._now_s + RESUME_WAIT_S
         return await self._memory.find(until_s)
 
     async def _decode(self, reservation, prefill):
-        context, course = self._context, self._course
+        context, active = self._context, self._active
         record = reservation.record
         directions = Directions(
             upstream=record.upstream,
-            time_left_s=course.time_left_s(self._now_s),
+            time_left_s=active.time_left_s(self._now_s),
             kv_source=prefill.source if prefill else "",
             reservation=reservation.number,
-            resume_after=self._splitter.last_id or course.call.resume_after,
+            resume_after=self._splitter.last_id or active.call.resume_after,
         )
         call = context.dialect.outgoing(
-            course.request.head, course.request.body, directions
+            active.request.head, active.request.body, directions
         )
         try:
             connection = await context.pool.take(record.address)
@@ -199,7 +199,7 @@
             context.pool.put_back(connection)
 
     async def _stream(self, connection, record):
-        context, course = self._context, self._course
+        context, active = self._context, self._active
         head = await self._patiently(connection.head(), record)
         traits = context.dialect.read_reply(head)
         context.view.note_answer(record, traits.answered_by)
@@ -209,18 +209,18 @@
             # while it changes its stage; asking again costs a prompt.
             context.standings.unreachable(record.upstream, now_s=self._now_s)
             self._reason = f"refused with {head.status}"
-            course.note(f"decode at {record.upstream}: {head.status}")
+            active.note(f"decode at {record.upstream}: {head.status}")
             return False
-        course.runs += 1
-        foreign = traits.request_id not in ("", course.call.request_id)
+        active.runs += 1
+        foreign = traits.request_id not in ("", active.call.request_id)
         if foreign or not traits.genuine:
             self._reason = "not an answer to this request"
-            course.note(f"decode at {record.upstream}: {self._reason}")
+            active.note(f"decode at {record.upstream}: {self._reason}")
             connection.close()
             return False
         if head.status != 200:
             return await self._pass_error(connection, head, record)
-        course.note(f"decode at {record.upstream}")
+        active.note(f"decode at {record.upstream}")
         began_s = self._now_s
         await self._pass_events(connection, head, record)
         context.standings.answered(record.upstream, error=False)
@@ -232,21 +232,21 @@
 
         It grows by one event after the other, so half of the output counts.
         """
-        course = self._course
-        per_event = course.service.engine.tokens_per_event
+        active = self._active
+        per_event = active.service.engine.tokens_per_event
         output = self._splitter.count * per_event
-        tokens = course.call.prompt_tokens + output / 2
-        self._context.meter(course.service.name).end(tokens, held_s)
+        tokens = active.call.prompt_tokens + output / 2
+        self._context.meter(active.service.name).end(tokens, held_s)
 
     async def _pass_error(self, connection, head, record):
         body = await connection.rest()
         self._context.standings.answered(record.upstream, error=True)
-        self._course.note(f"decode at {record.upstream}: {head.status}")
+        self._active.note(f"decode at {record.upstream}: {head.status}")
         if self._begun:
             self._reason = f"resumed run failed with {head.status}"
             return False
         headers = _without_length(self._context.dialect.reply_headers(head))
-        self._course.responder.answer(head.status, headers, body)
+        self._active.responder.answer(head.status, headers, body)
         self._begun = True
         return True
 
@@ -262,24 +262,24 @@
             await self._send(head, self._splitter.rest)
         if not self._begun:
             self._begin(head)
-        self._course.responder.finish()
+        self._active.responder.finish()
 
     async def _send(self, head, data):
         if not self._begun:
             self._begin(head)
-        await self._course.responder.send(data)
+        await self._active.responder.send(data)
 
     def _begin(self, head):
         self._begun = True
-        self._course.first_output_s = self._now_s
+        self._active.first_output_s = self._now_s
         headers = _without_length(self._context.dialect.reply_headers(head))
-        self._course.responder.begin(head.status, headers)
+        self._active.responder.begin(head.status, headers)
 
     async def _patiently(self, work, record):
         """Wait for an engine, not too long where another can go on."""
-        course = self._course
-        resumable = course.route.repeat is Repeat.RESUMABLE
-        if not resumable or course.runs >= course.route.max_upstreams:
+        active = self._active
+        resumable = active.route.repeat is Repeat.RESUMABLE
+        if not resumable or active.runs >= active.route.max_upstreams:
             return await work
         task = asyncio.ensure_future(work)
         try:
@@ -301,15 +301,15 @@
         return None
 
     def _note_broken(self, record, exc):
-        course = self._course
-        course.runs = max(course.runs, 1) if exc.sent else course.runs
+        active = self._active
+        active.runs = max(active.runs, 1) if exc.sent else active.runs
         self._splitter.drop_rest()
         self._reason = str(exc)
         self._memory.avoid(record)
         self._memory.note_unreachable(record, exc)
         _log.info(
             "stream-broken",
-            request=course.call.request_id,
+            request=active.call.request_id,
             upstream=record.upstream,
             after=self._splitter.last_id,
             why=str(exc),
--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -38,14 +38,14 @@
     ----------
     context : EntryContext
         Shared by the requests of an entry.
-    course : Course
+    active : ActiveRequest
         The generation.
     """
 
-    def __init__(self, *, context, course):
+    def __init__(self, *, context, active):
         """Ask nobody yet."""
         self._context = context
-        self._course = course
+        self._active = active
         self._avoid = set()
 
     @property
@@ -88,11 +88,11 @@
         context = self._context
         context.standings.unreachable(record.upstream, now_s=self._now_s)
         context.pool.forget(record.address)
-        self._course.note(f"{record.upstream}: {exc}")
+        self._active.note(f"{record.upstream}: {exc}")
 
     async def _ask(self, record):
         context = self._context
-        engine = self._course.service.engine
+        engine = self._active.service.engine
         tokens = self._tokens()
         call = context.dialect.reserve(
             record.address,
@@ -128,7 +128,7 @@
         view, context = self._context.view, self._context
         records = {
             record.upstream: record
-            for record in view.engines(self._course.service.name, Stage.DECODE)
+            for record in view.engines(self._active.service.name, Stage.DECODE)
             if record.upstream not in self._avoid
             and not context.standings.is_out(
                 record.upstream, now_s=self._now_s
@@ -142,13 +142,13 @@
         return [records[name] for name in ordered]
 
     def _tokens(self):
-        call = self._course.call
+        call = self._active.call
         demand = Demand(
             prompt_tokens=call.prompt_tokens,
             max_output_tokens=call.max_output_tokens,
             expected_output_tokens=call.expected_output_tokens,
         )
-        return tokens_to_reserve(demand, self._course.service.engine.kv_tokens)
+        return tokens_to_reserve(demand, self._active.service.engine.kv_tokens)
 
 
 def release(context, address, call):
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -36,7 +36,7 @@
 _log = structlog.get_logger(__name__)
 
 
-async def serve_plain(context, course):
+async def serve_plain(context, active):
     """Find an upstream that answers, and pass its answer on.
 
     Raises
@@ -49,21 +49,21 @@
     tried = set()
     last = None
     while len(tried) < MAX_TRIES:
-        record = _next_upstream(context, course, tried)
+        record = _next_upstream(context, active, tried)
         if record is None:
             break
-        if tried and not context.may_repeat(course.service.name):
-            course.note("no-budget")
+        if tried and not context.may_repeat(active.service.name):
+            active.note("no-budget")
             break
         tried.add(record.upstream)
-        answer = await _try(context, course, record)
+        answer = await _try(context, active, record)
         if answer.final:
-            _pass_on(context, course, answer)
+            _pass_on(context, active, answer)
             return
         last = answer if answer.head is not None else last
-        if not _may_go_on(course):
+        if not _may_go_on(active):
             break
-    _give_up(context, course, last)
+    _give_up(context, active, last)
 
 
 class _Answer:
@@ -79,10 +79,10 @@
         self.final = final
 
 
-def _next_upstream(context, course, tried):
+def _next_upstream(context, active, tried):
     ready = [
         record
-        for record in context.view.ready(course.service.name)
+        for record in context.view.ready(active.service.name)
         if record.upstream not in tried
     ]
     ordered = in_order(
@@ -95,28 +95,28 @@
     return ordered[0] if ordered else None
 
 
-def _may_go_on(course):
-    if course.runs == 0:
+def _may_go_on(active):
+    if active.runs == 0:
         return True
-    repeatable = course.route.repeat is Repeat.FREELY
-    return repeatable and course.runs < course.route.max_upstreams
+    repeatable = active.route.repeat is Repeat.FREELY
+    return repeatable and active.runs < active.route.max_upstreams
 
 
-def _patience_s(course, now_s):
-    left_s = course.time_left_s(now_s)
-    repeatable = course.route.repeat is Repeat.FREELY
-    if repeatable and course.runs + 1 < course.route.max_upstreams:
+def _patience_s(active, now_s):
+    left_s = active.time_left_s(now_s)
+    repeatable = active.route.repeat is Repeat.FREELY
+    if repeatable and active.runs + 1 < active.route.max_upstreams:
         return FIRST_TRY_SHARE * left_s
     return left_s
 
 
-async def _try(context, course, record):
+async def _try(context, active, record):
     now_s = context.now_s
     directions = Directions(
-        upstream=record.upstream, time_left_s=course.time_left_s(now_s)
+        upstream=record.upstream, time_left_s=active.time_left_s(now_s)
     )
     outgoing = context.dialect.outgoing(
-        course.request.head, course.request.body, directions
+        active.request.head, active.request.body, directions
     )
     context.standings.began(record.upstream)
     try:
@@ -124,33 +124,33 @@
             context.pool,
             record.address,
             outgoing,
-            timeout_s=_patience_s(course, now_s),
+            timeout_s=_patience_s(active, now_s),
             limit=MAX_ANSWER_BYTES,
         )
     except ExchangeError as exc:
-        return _note_failure(context, course, record, exc)
+        return _note_failure(context, active, record, exc)
     except asyncio.CancelledError:
-        course.runs += 1
+        active.runs += 1
         raise
     finally:
         context.standings.ended(record.upstream)
-    return _judge(context, course, record, head, body)
+    return _judge(context, active, record, head, body)
 
 
-def _note_failure(context, course, record, exc):
+def _note_failure(context, active, record, exc):
     if exc.sent:
-        course.runs += 1
+        active.runs += 1
     silent = isinstance(exc, (ConnectError, SilentUpstreamError))
     if silent:
         context.standings.unreachable(record.upstream, now_s=context.now_s)
         context.pool.forget(record.address)
     else:
         context.standings.answered(record.upstream, error=True)
-    course.note(f"{record.upstream}: {exc}")
+    active.note(f"{record.upstream}: {exc}")
     return _Answer()
 
 
-def _judge(context, course, record, head, body):
+def _judge(context, active, record, head, body):
     traits = context.dialect.read_reply(head)
     context.view.note_answer(record, traits.answered_by)
     if traits.load is not None:
@@ -161,34 +161,34 @@
         )
     if traits.not_run:
         context.standings.answered(record.upstream, error=False)
-        course.note(f"{record.upstream}: refused with {head.status}")
+        active.note(f"{record.upstream}: refused with {head.status}")
         return _Answer()
-    course.runs += 1
-    foreign = traits.request_id not in ("", course.call.request_id)
+    active.runs += 1
+    foreign = traits.request_id not in ("", active.call.request_id)
     if foreign or not traits.genuine:
         context.standings.answered(record.upstream, error=True)
-        course.note(f"{record.upstream}: not an answer to this request")
+        active.note(f"{record.upstream}: not an answer to this request")
         return _Answer()
     error = head.status >= 500
     context.standings.answered(record.upstream, error=error)
-    course.note(f"{record.upstream}: {head.status}")
+    active.note(f"{record.upstream}: {head.status}")
     return _Answer(head=head, body=body, final=not error)
 
 
-def _pass_on(context, course, answer):
+def _pass_on(context, active, answer):
     headers = tuple(
         (key, value)
         for key, value in context.dialect.reply_headers(answer.head)
         if key != b"content-length"
     )
-    course.first_output_s = context.now_s
-    course.responder.answer(answer.head.status, headers, answer.body)
+    active.first_output_s = context.now_s
+    active.responder.answer(answer.head.status, headers, answer.body)
 
 
-def _give_up(context, course, last):
+def _give_up(context, active, last):
     if last is not None:
-        _pass_on(context, course, last)
+        _pass_on(context, active, last)
         return
-    if course.runs == 0:
+    if active.runs == 0:
         raise RefusedError("no upstream took it", shortage=Shortage.UPSTREAMS)
     raise FailedError("an upstream may have run it")
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -37,7 +37,7 @@
         return f"{self.record.address}/{self.handle}"
 
 
-async def read_prompt(context, course, near):
+async def read_prompt(context, active, near):
     """Have the prompt read; None where the decode engine must do it.
 
     Parameters
@@ -46,7 +46,7 @@
         The decode engine that will fetch the KV cache.
     """
     engines = in_order(
-        context.view.engines(course.service.name, Stage.PREFILL),
+        context.view.engines(active.service.name, Stage.PREFILL),
         context.prefills,
         distance=lambda record: context.view.distance_between(record, near),
         random=context.random,
@@ -57,13 +57,13 @@
     if not engines:
         return None
     began_s = context.now_s
-    prefill = await _read_at(context, course, engines[0])
+    prefill = await _read_at(context, active, engines[0])
     if prefill is not None:
         took_s = context.now_s - began_s
-        meter = context.meter(course.service.name)
-        meter.read(course.call.prompt_tokens, took_s)
+        meter = context.meter(active.service.name)
+        meter.read(active.call.prompt_tokens, took_s)
         context.metrics.observe("prefill_seconds", took_s)
-        course.note(f"prefill at {prefill.record.upstream}")
+        active.note(f"prefill at {prefill.record.upstream}")
     return prefill
 
 
@@ -75,13 +75,13 @@
     release(context, prefill.record.address, call)
 
 
-async def _read_at(context, course, record):
-    left_s = min(PREFILL_PATIENCE_S, course.time_left_s(context.now_s))
+async def _read_at(context, active, record):
+    left_s = min(PREFILL_PATIENCE_S, active.time_left_s(context.now_s))
     directions = Directions(
         upstream=record.upstream, time_left_s=left_s, prefill_only=True
     )
     call = context.dialect.outgoing(
-        course.request.head, course.request.body, directions
+        active.request.head, active.request.body, directions
     )
     context.prefills.began(record.upstream)
     try:
@@ -91,18 +91,18 @@
     except ExchangeError as exc:
         if isinstance(exc, ConnectError):
             context.prefills.unreachable(record.upstream, now_s=context.now_s)
-        course.note(f"prefill at {record.upstream}: {exc}")
+        active.note(f"prefill at {record.upstream}: {exc}")
         return None
     finally:
         context.prefills.ended(record.upstream)
     _note_answer(context, record, head)
     if head.status != 200:
-        course.note(f"prefill at {record.upstream}: {head.status}")
+        active.note(f"prefill at {record.upstream}: {head.status}")
         return None
     try:
         handle = context.dialect.read_prefill(body)
     except DialectError as exc:
-        course.note(f"prefill at {record.upstream}: {exc}")
+        active.note(f"prefill at {record.upstream}: {exc}")
         return None
     return Prefill(record=record, handle=handle)
 
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from currantdeal.entry.context import Course
+from currantdeal.entry.context import ActiveRequest
 from currantdeal.entry.errors import (
     BrokenOffError,
     FailedError,
@@ -63,7 +63,7 @@
         patience_s = min(
             call.patience_s or DEFAULT_PATIENCE_S, route.timeout_s
         )
-        course = Course(
+        active = ActiveRequest(
             request=request,
             responder=responder,
             call=call,
@@ -72,56 +72,56 @@
             version=table.version,
             ends_s=request.arrived_s + patience_s - ANSWER_MARGIN_S,
         )
-        await self._run(course)
+        await self._run(active)
 
-    async def _run(self, course):
+    async def _run(self, active):
         outcome = "cancelled"
         try:
-            outcome = await self._serve(course)
+            outcome = await self._serve(active)
         finally:
-            self._note_end(course, outcome)
+            self._note_end(active, outcome)
 
-    async def _serve(self, course):
-        self._context.note_request(course.service.name)
+    async def _serve(self, active):
+        self._context.note_request(active.service.name)
         try:
-            async with asyncio.timeout_at(course.ends_s):
-                await self._work(course)
+            async with asyncio.timeout_at(active.ends_s):
+                await self._work(active)
         except RefusedError as exc:
-            self._refuse(course.request, course.responder, course.call, exc)
+            self._refuse(active.request, active.responder, active.call, exc)
             return f"refused: {exc}"
         except FailedError as exc:
-            self._fail(course, 502, str(exc))
+            self._fail(active, 502, str(exc))
             return f"failed: {exc}"
         except BrokenOffError as exc:
-            course.responder.abort()
+            active.responder.abort()
             return f"broken off: {exc}"
         except TimeoutError:
-            return self._time_out(course)
+            return self._time_out(active)
         return "answered"
 
-    async def _work(self, course):
+    async def _work(self, active):
         generation = (
-            course.service.engine is not None and course.call.prompt_tokens
+            active.service.engine is not None and active.call.prompt_tokens
         )
         if not generation:
-            await serve_plain(self._context, course)
+            await serve_plain(self._context, active)
             return
-        meter = self._context.meter(course.service.name)
-        meter.offer(course.call.prompt_tokens)
+        meter = self._context.meter(active.service.name)
+        meter.offer(active.call.prompt_tokens)
         if self.refuse_streams:
             raise RefusedError(
                 "this instance stops", shortage=Shortage.STOPPING
             )
-        await serve_generation(self._context, course)
+        await serve_generation(self._context, active)
 
-    def _time_out(self, course):
-        if course.responder.started:
-            course.responder.abort()
+    def _time_out(self, active):
+        if active.responder.started:
+            active.responder.abort()
             return "broken off: its time is over"
-        if course.runs:
-            self._fail(course, 504, "its time is over")
+        if active.runs:
+            self._fail(active, 504, "its time is over")
             return "failed: its time is over"
-        self._fail(course, 504, "its time is over before an upstream took it")
+        self._fail(active, 504, "its time is over before an upstream took it")
         return "failed: nothing was free in its time"
 
     def _refuse(self, request, responder, call, refusal):
@@ -156,33 +156,33 @@
             view_age=self._context.view.age_s,
         )
 
-    def _fail(self, course, status, reason):
-        if course.responder.started:
-            course.responder.abort()
+    def _fail(self, active, status, reason):
+        if active.responder.started:
+            active.responder.abort()
         else:
-            course.responder.answer(status, (_TEXT,), _line(reason))
+            active.responder.answer(status, (_TEXT,), _line(reason))
 
-    def _note_end(self, course, outcome):
+    def _note_end(self, active, outcome):
         now_s = self._context.now_s
-        took_s = now_s - course.request.arrived_s
+        took_s = now_s - active.request.arrived_s
         kind = outcome.partition(":")[0]
         metrics = self._context.metrics
-        metrics.add("requests_total", route=course.route.name, outcome=kind)
-        if course.first_output_s is not None:
-            first_s = course.first_output_s - course.request.arrived_s
+        metrics.add("requests_total", route=active.route.name, outcome=kind)
+        if active.first_output_s is not None:
+            first_s = active.first_output_s - active.request.arrived_s
             metrics.observe("first_output_seconds", first_s)
         else:
             first_s = None
         _log.info(
             "request-ended",
-            request=course.call.request_id,
-            route=course.route.name,
-            service=course.service.name,
+            request=active.call.request_id,
+            route=active.route.name,
+            service=active.service.name,
             outcome=outcome,
             took=round(took_s, 4),
             first=None if first_s is None else round(first_s, 4),
-            steps=course.steps,
-            version=course.version,
+            steps=active.steps,
+            version=active.version,
             view_age=self._context.view.age_s,
         )
 
--- /dev/null
+++ b/currantdeal/node/http_request.py
@@ -0,0 +1,81 @@
+"""One request of a caller and its answer, as handlers see them."""
+
+
+class RefusedRequest(Exception):  # noqa: N818
+    """The bytes are not a request that may be handled."""
+
+    def __init__(self, status, reason):
+        """Keep the status to answer with."""
+        super().__init__(reason)
+        self.status = status
+
+
+class Request:
+    """One whole request.
+
+    Parameters
+    ----------
+    head : RequestHead
+        Method, target and headers.
+    body : bytes
+        The whole body, with no transfer coding.
+    arrived_s : float
+        Loop time at which its first bytes came.
+    """
+
+    def __init__(self, *, head, body, arrived_s):
+        """Keep the parts."""
+        self.head = head
+        self.body = body
+        self.arrived_s = arrived_s
+
+
+class Responder:
+    """Writes one answer to a caller."""
+
+    def __init__(self, *, connection):
+        """Answer on a connection."""
+        self._connection = connection
+        self.started = False
+
+    def begin(self, status, headers):
+        """Send the head; without a length the body is sent in chunks."""
+        self.started = True
+        self._connection.send_head(status, headers)
+
+    async def send(self, data):
+        """Send a part of the body; waits while the caller reads slowly."""
+        self._connection.send_body(data)
+        await self._connection.writable()
+
+    def finish(self):
+        """End the answer as complete."""
+        self._connection.send_end()
+
+    def abort(self):
+        """Break the answer off so that it cannot look complete."""
+        self._connection.abort()
+
+    def answer(self, status, headers, body):
+        """Send a whole answer."""
+        length = (b"content-length", str(len(body)).encode("ascii"))
+        self.begin(status, (*headers, length))
+        if body:
+            self._connection.send_body(body)
+        self.finish()
+
+
+def check_head(head):
+    """Refuse a head that two parsers may end in different places."""
+    if b"\n " in head or b"\n\t" in head:
+        raise RefusedRequest(400, "folded header lines are not accepted")
+    if head.count(b"\n") != head.count(b"\r\n"):
+        raise RefusedRequest(400, "lines must end with CR LF")
+
+
+def content_length(headers):
+    """Return the length that a head names, or 0."""
+    for key, value in headers:
+        if key == b"content-length":
+            return int(value)
+    return 0
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -12,6 +12,13 @@
 import h11
 
 from currantdeal.node.head import RequestHead
+from currantdeal.node.http_request import (
+    RefusedRequest,
+    Request,
+    Responder,
+    check_head,
+    content_length,
+)
 from currantdeal.node.sockets import prepare_socket
 from currantdeal.routing import CallerLimits
 
@@ -22,15 +29,6 @@
 """Time left to a caller to read a refusal before its connection closes."""
 
 
-class RefusedRequest(Exception):  # noqa: N818
-    """The bytes are not a request that may be handled."""
-
-    def __init__(self, status, reason):
-        """Keep the status to answer with."""
-        super().__init__(reason)
-        self.status = status
-
-
 class HttpServer:
     """Accepts connections and passes whole requests to a handler.
 
@@ -87,61 +85,6 @@
         return sum(1 for c in self.connections if c.is_busy)
 
 
-class Request:
-    """One whole request.
-
-    Parameters
-    ----------
-    head : RequestHead
-        Method, target and headers.
-    body : bytes
-        The whole body, with no transfer coding.
-    arrived_s : float
-        Loop time at which its first bytes came.
-    """
-
-    def __init__(self, *, head, body, arrived_s):
-        """Keep the parts."""
-        self.head = head
-        self.body = body
-        self.arrived_s = arrived_s
-
-
-class Responder:
-    """Writes one answer to a caller."""
-
-    def __init__(self, *, connection):
-        """Answer on a connection."""
-        self._connection = connection
-        self.started = False
-
-    def begin(self, status, headers):
-        """Send the head; without a length the body is sent in chunks."""
-        self.started = True
-        self._connection.send_head(status, headers)
-
-    async def send(self, data):
-        """Send a part of the body; waits while the caller reads slowly."""
-        self._connection.send_body(data)
-        await self._connection.writable()
-
-    def finish(self):
-        """End the answer as complete."""
-        self._connection.send_end()
-
-    def abort(self):
-        """Break the answer off so that it cannot look complete."""
-        self._connection.abort()
-
-    def answer(self, status, headers, body):
-        """Send a whole answer."""
-        length = (b"content-length", str(len(body)).encode("ascii"))
-        self.begin(status, (*headers, length))
-        if body:
-            self._connection.send_body(body)
-        self.finish()
-
-
 class _Connection(asyncio.Protocol):
     def __init__(self, *, server):
         self._server = server
@@ -257,7 +200,7 @@
         if end > limit:
             raise RefusedRequest(431, "the head is too large")
         head = bytes(self._head_bytes[: end + 4])
-        _check_head(head)
+        check_head(head)
         del self._head_bytes[: end + 4]
         self._http.receive_data(head)
         self._in_body = True
@@ -271,7 +214,7 @@
             raise RefusedRequest(400, "both a length and a transfer coding")
         if not event.target.startswith(b"/"):
             raise RefusedRequest(400, "the target must be a path")
-        length = _content_length(headers)
+        length = content_length(headers)
         if length > self._server.limits().max_body_bytes:
             raise RefusedRequest(413, "the body is too large")
         self._request = RequestHead(
@@ -403,17 +346,3 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=1 << 20
         )
-
-
-def _check_head(head):
-    if b"\n " in head or b"\n\t" in head:
-        raise RefusedRequest(400, "folded header lines are not accepted")
-    if head.count(b"\n") != head.count(b"\r\n"):
-        raise RefusedRequest(400, "lines must end with CR LF")
-
-
-def _content_length(headers):
-    for key, value in headers:
-        if key == b"content-length":
-            return int(value)
-    return 0
--- a/currantdeal/policy/standing.py
+++ b/currantdeal/policy/standing.py
@@ -14,7 +14,9 @@
 full upstreams.
 """
 
-from dataclasses import dataclass, field
+import math
+
+NEVER_S = -math.inf
 
 FIRST_PAUSE_S = 0.5
 LONGEST_PAUSE_S = 4.0
@@ -40,14 +42,14 @@
 """
 
 
-@dataclass(kw_only=True)
 class _Standing:
-    outstanding: int = 0
-    errors: float = 0.0
-    failures: int = 0
-    out_until_s: float = 0.0
-    reported: int = 0
-    reported_s: float = field(default=-1e9)
+    def __init__(self):
+        self.outstanding = 0
+        self.errors = 0.0
+        self.failures = 0
+        self.out_until_s = 0.0
+        self.reported = 0
+        self.reported_s = NEVER_S
 
 
 class Standings:
