Acknowledge no leave that a restarted control instance cannot pass on

Cause: read in the code: a control instance that has just restarted answered 200 to the leave of an upstream it did not know, without telling anybody. Entries would go on sending work to it.

The test failed before.

--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -100,6 +100,10 @@
             "subscribers": len(self._exchange.subscribers),
         }
 
+    @property
+    def _is_settled(self):
+        return self._clock() - self._started_s > SETTLED_S
+
     async def handle_http(self, request, responder):
         """Answer one call from outside."""
         operation = self._dialect.read_operation(request.head)
@@ -192,6 +196,11 @@
     @_operate.register
     async def _(self, operation: Leave, request, responder):
         gone = self._exchange.leave(operation.upstream)
+        if gone is None and not self._is_settled:
+            # The others may know the upstream and go on sending work there;
+            # it asks one of them next.
+            self._answer(responder, 503, "not known here yet")
+            return
         known = gone is not None
         if known and not await self._exchange.spread(upstreams=(gone,)):
             self._answer(responder, 503, "not known to a majority")
@@ -260,11 +269,10 @@
             version=self._replica.state.version,
         )
         self._exchange.take_entry(call.entry)
-        settled = self._clock() - self._started_s > SETTLED_S
         connection.notify(
             UpstreamsNotice(
                 upstreams=self._exchange.registry.records,
-                complete=settled and self.current,
+                complete=self._is_settled and self.current,
             )
         )
         newer = self._replica.state.version > call.config_version
--- /dev/null
+++ b/currantdeal/control/tests/test_service.py
@@ -0,0 +1,71 @@
+import asyncio
+from types import SimpleNamespace
+
+from currantdeal.control.service import SETTLED_S, ControlService
+from currantdeal.node.head import RequestHead
+from currantdeal.platform.control import PlatformControl
+from currantdeal.registry.tests.builders import an_upstream
+
+
+class _Responder:
+    def __init__(self):
+        self.status = None
+
+    def answer(self, status, headers, body):
+        self.status = status
+
+
+class _Exchange:
+    """Records of which nothing but a leave is asked here."""
+
+    def __init__(self, *, known, confirmed=True):
+        self._known = known
+        self._confirmed = confirmed
+
+    def leave(self, upstream):
+        return an_upstream(upstream=upstream) if self._known else None
+
+    async def spread(self, *, upstreams):
+        return self._confirmed
+
+
+def _leave(exchange, *, up_s):
+    now = {"s": 0.0}
+    service = ControlService(
+        dialect=PlatformControl(),
+        replica=None,
+        membership=None,
+        config=None,
+        exchange=exchange,
+        demand=None,
+        clock=lambda: now["s"],
+    )
+    now["s"] = up_s
+    responder = _Responder()
+    head = RequestHead(method="DELETE", target="/v1/instances/u1", headers=())
+    request = SimpleNamespace(head=head, body=b"")
+    asyncio.run(service.handle_http(request, responder))
+    return responder.status
+
+
+def test_a_leave_that_is_confirmed_is_acknowledged():
+    assert _leave(_Exchange(known=True), up_s=1.0) == 200
+
+
+def test_a_leave_that_no_majority_knows_is_not_acknowledged():
+    """The control instance is cut off from the others.
+
+    Entries that follow the others would go on sending work there.
+    """
+    found = _leave(_Exchange(known=True, confirmed=False), up_s=1.0)
+    assert found == 503
+
+
+def test_a_restarted_instance_acknowledges_no_leave_it_cannot_pass_on():
+    """A control instance has restarted and knows no upstreams yet.
+
+    It would tell an upstream that its leave is known while nobody has
+    heard of it, and entries would send work to a closed port.
+    """
+    assert _leave(_Exchange(known=False), up_s=1.0) == 503
+    assert _leave(_Exchange(known=False), up_s=SETTLED_S + 1.0) == 200
