Take out what the read of the whole change found dead or done twice

Cause: the change held six names that nothing used, two classes called Demand, the length of an answer dropped in two places, the size of a reservation worked out for each engine asked, and a whole configuration packed for each log entry only to be compared.

Change: the names are gone; GenerationSize; reply_headers leaves the length out; the size is worked out once; a version that was passed on is not packed again. Behaviour is meant to be as before.

--- a/currantdeal/control/membership.py
+++ b/currantdeal/control/membership.py
@@ -59,9 +59,8 @@
     def control_addresses(self):
         """Peer addresses of the control instances known."""
         members = self._replica.node.configuration.members
-        found = [member.address for member in members]
-        more = [a for a in self._first_set() if a not in found]
-        return tuple(found or more)
+        found = tuple(member.address for member in members)
+        return found or self._first_set()
 
     def begin(self, *, first_start):
         """Begin the first replica set, if this is the very first start."""
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -83,6 +83,7 @@
         self._demand = demand
         self._clock = clock
         self._started_s = clock()
+        self._passed_on = 0
         self._config_frame = None
 
     @property
@@ -118,15 +119,13 @@
 
     def on_state(self, state):
         """Pass a committed configuration on to the subscribers."""
-        if not state.version:
-            return
-        notice = ConfigNotice(version=state.version, packed=state.packed)
-        frame = pack_frame(FrameKind.NOTICE, 0, notice)
-        if self._config_frame == frame:
+        if state.version == self._passed_on:
             return
+        self._passed_on = state.version
         self._demand.note_config(state.packed)
-        self._config_frame = frame
-        self._exchange.publish_frame(frame)
+        notice = ConfigNotice(version=state.version, packed=state.packed)
+        self._config_frame = pack_frame(FrameKind.NOTICE, 0, notice)
+        self._exchange.publish_frame(self._config_frame)
 
     def on_notice(self, connection, message):
         """Take in what another instance says."""
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -245,7 +245,7 @@
         if self._begun:
             self._reason = f"resumed run failed with {head.status}"
             return False
-        headers = _without_length(self._context.dialect.reply_headers(head))
+        headers = self._context.dialect.reply_headers(head)
         self._active.responder.answer(head.status, headers, body)
         self._begun = True
         return True
@@ -272,7 +272,7 @@
     def _begin(self, head):
         self._begun = True
         self._active.first_output_s = self._now_s
-        headers = _without_length(self._context.dialect.reply_headers(head))
+        headers = self._context.dialect.reply_headers(head)
         self._active.responder.begin(head.status, headers)
 
     async def _patiently(self, work, record):
@@ -314,7 +314,3 @@
             after=self._splitter.last_id,
             why=str(exc),
         )
-
-
-def _without_length(headers):
-    return tuple(h for h in headers if h[0] != b"content-length")
--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -8,7 +8,7 @@
 from currantdeal.core.errors import DialectError
 from currantdeal.node.errors import ExchangeError
 from currantdeal.node.http_client import exchange
-from currantdeal.policy.decode_memory import Demand, tokens_to_reserve
+from currantdeal.policy.decode_memory import GenerationSize, tokens_to_reserve
 from currantdeal.registry import Stage, UpstreamRecord
 
 RESERVE_PAUSE_S = 0.05
@@ -47,6 +47,7 @@
         self._context = context
         self._active = active
         self._avoid = set()
+        self._tokens = _tokens(active)
 
     @property
     def _now_s(self):
@@ -93,10 +94,9 @@
     async def _ask(self, record):
         context = self._context
         engine = self._active.service.engine
-        tokens = self._tokens()
         call = context.dialect.reserve(
             record.address,
-            tokens=tokens,
+            tokens=self._tokens,
             hold_s=engine.hold_s,
             upstream=record.upstream,
         )
@@ -122,7 +122,7 @@
         except DialectError as exc:
             _log.warning("reservation-unreadable", why=str(exc))
             return None
-        return Reservation(record=record, tokens=tokens, number=number)
+        return Reservation(record=record, tokens=self._tokens, number=number)
 
     def _engines_by_memory(self):
         view, context = self._context.view, self._context
@@ -141,14 +141,15 @@
         )
         return [records[name] for name in ordered]
 
-    def _tokens(self):
-        call = self._active.call
-        demand = Demand(
-            prompt_tokens=call.prompt_tokens,
-            max_output_tokens=call.max_output_tokens,
-            expected_output_tokens=call.expected_output_tokens,
-        )
-        return tokens_to_reserve(demand, self._active.service.engine.kv_tokens)
+
+def _tokens(active):
+    call = active.call
+    size = GenerationSize(
+        prompt_tokens=call.prompt_tokens,
+        max_output_tokens=call.max_output_tokens,
+        expected_output_tokens=call.expected_output_tokens,
+    )
+    return tokens_to_reserve(size, active.service.engine.kv_tokens)
 
 
 def release(context, address, call):
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -176,11 +176,7 @@
 
 
 def _pass_on(context, active, answer):
-    headers = tuple(
-        (key, value)
-        for key, value in context.dialect.reply_headers(answer.head)
-        if key != b"content-length"
-    )
+    headers = context.dialect.reply_headers(answer.head)
     active.first_output_s = context.now_s
     active.responder.answer(answer.head.status, headers, answer.body)
 
--- a/currantdeal/entry/subscription.py
+++ b/currantdeal/entry/subscription.py
@@ -73,15 +73,6 @@
         self._heard_s = 0.0
         self._current_s = 0.0
 
-    @property
-    def is_current(self):
-        """True while the followed instance is in touch with the leader."""
-        return (
-            self._connection is not None
-            and self._connection.is_open
-            and self._clock() - self._current_s < STALE_AFTER_S
-        )
-
     def announce(self):
         """Tell the followed instance at once what this entry is now."""
         if self._connection is not None and self._connection.is_open:
--- a/currantdeal/node/dialect.py
+++ b/currantdeal/node/dialect.py
@@ -87,8 +87,6 @@
         The request that is answered, or empty.
     load : UpstreamLoad or None
         The upstream's load, where it tells it.
-    leaving : bool
-        True when the upstream closes the connection after the answer.
     answered_by : str
         Name of the upstream that answers, where it tells it, or empty.
     """
@@ -97,7 +95,6 @@
     genuine: bool
     request_id: str
     load: UpstreamLoad | None = None
-    leaving: bool = False
     answered_by: str = ""
 
 
@@ -114,7 +111,10 @@
         """Return the ``ReplyTraits`` of an answer's head."""
 
     def reply_headers(self, head):
-        """Return the headers of an answer that the caller gets."""
+        """Return the headers of an answer that the caller gets.
+
+        A length is left out; whoever passes the answer on frames it anew.
+        """
 
     def reserve(self, address, *, tokens, hold_s, upstream):
         """Return the ``Outgoing`` call that reserves memory at an engine."""
--- a/currantdeal/node/peers.py
+++ b/currantdeal/node/peers.py
@@ -61,18 +61,12 @@
         self._calls = {}
         self._number = 0
         self._tasks = set()
-        self.subscriber = None
 
     @property
     def is_open(self):
         """True until the connection ends."""
         return self._transport is not None and not self._transport.is_closing()
 
-    @property
-    def peer_host(self):
-        """IP address of the other side."""
-        return self._transport.get_extra_info("peername")[0]
-
     def connection_made(self, transport):
         """Take up the transport."""
         self._transport = transport
--- a/currantdeal/platform/calls.py
+++ b/currantdeal/platform/calls.py
@@ -65,12 +65,11 @@
             request_id=_text(head, names.REQUEST_ID),
             load=_load(_text(head, names.LOAD)),
             answered_by=_text(head, names.INSTANCE),
-            leaving=b"close" in _text(head, b"connection").lower().encode(),
         )
 
     def reply_headers(self, head):
-        """Return the headers that the caller gets."""
-        return end_to_end(head.headers)
+        """Return the headers that the caller gets, without a length."""
+        return end_to_end(head.headers, without={b"content-length"})
 
     def reserve(self, address, *, tokens, hold_s, upstream):
         """Encode a reservation of memory."""
--- a/currantdeal/platform/headers.py
+++ b/currantdeal/platform/headers.py
@@ -19,7 +19,6 @@
 KV_FETCH_LONG = b"x-currantdeal-kv-fetch"
 PIN = b"x-currantdeal-pin-ms"
 LAST_EVENT_ID = b"last-event-id"
-RETRY_AFTER = b"retry-after"
 
 SYSTEM_HEADERS = frozenset(
     {
--- a/currantdeal/policy/decode_memory.py
+++ b/currantdeal/policy/decode_memory.py
@@ -34,7 +34,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class Demand:
+class GenerationSize:
     """Tokens of one generation."""
 
     prompt_tokens: int
@@ -42,20 +42,21 @@
     expected_output_tokens: int
 
 
-def tokens_to_reserve(demand, kv_tokens):
+def tokens_to_reserve(size, kv_tokens):
     """Return the tokens to reserve for a generation.
 
     Examples
     --------
-    >>> tokens_to_reserve(Demand(prompt_tokens=3000, max_output_tokens=3060,
-    ...                          expected_output_tokens=1000), 40_000)
+    >>> size = GenerationSize(prompt_tokens=3000, max_output_tokens=3060,
+    ...                       expected_output_tokens=1000)
+    >>> tokens_to_reserve(size, 40_000)
     4200
     """
-    expected = demand.expected_output_tokens
+    expected = size.expected_output_tokens
     if not expected:
-        expected = UNKNOWN_OUTPUT_SHARE * demand.max_output_tokens
-    expected = min(expected, demand.max_output_tokens)
-    wanted = demand.prompt_tokens + round(OUTPUT_SHARE * expected)
+        expected = UNKNOWN_OUTPUT_SHARE * size.max_output_tokens
+    expected = min(expected, size.max_output_tokens)
+    wanted = size.prompt_tokens + round(OUTPUT_SHARE * expected)
     return min(wanted, kv_tokens) if kv_tokens else wanted
 
 
--- a/currantdeal/policy/standing.py
+++ b/currantdeal/policy/standing.py
@@ -111,12 +111,6 @@
             in_use = max(in_use, standing.reported)
         return in_use / max(1, slots) + ERROR_WEIGHT * standing.errors
 
-    def forget_all_but(self, upstreams):
-        """Drop what is known of upstreams that are not there any more."""
-        for name in set(self._standings) - set(upstreams):
-            if self._standings[name].outstanding == 0:
-                del self._standings[name]
-
     def _of(self, upstream):
         return self._standings.setdefault(upstream, _Standing())
 
--- a/currantdeal/policy/tests/test_decode_memory.py
+++ b/currantdeal/policy/tests/test_decode_memory.py
@@ -1,7 +1,7 @@
 from currantdeal.policy.decode_memory import (
     REFUSED_REST_S,
     DecodeMemory,
-    Demand,
+    GenerationSize,
     tokens_to_reserve,
 )
 
@@ -45,10 +45,10 @@
 
 def test_the_estimate_is_kept_within_what_is_allowed():
     """A caller estimates more output than it allows, or gives none."""
-    wild = Demand(
+    wild = GenerationSize(
         prompt_tokens=100, max_output_tokens=50, expected_output_tokens=900
     )
-    silent = Demand(
+    silent = GenerationSize(
         prompt_tokens=100, max_output_tokens=50, expected_output_tokens=0
     )
     assert 100 < tokens_to_reserve(silent, 0) <= 150
