Ask engines that look alike for memory in random order

Cause: each of eighty entries holds a stream or none at an engine, so that by its own count all engines look alike; ties went by name and distance, so all entries of a data centre filled the same engines first until they refused. The streams there then outgrew the memory and were preempted.

Change: ties are drawn; only another region comes later.

What entries don't know of each other stays the cause of most refusals and preemptions.

--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -137,6 +137,7 @@
         ordered = context.memory.order(
             list(records),
             distance=lambda name: view.distance(records[name]),
+            random=context.random,
             now_s=self._now_s,
         )
         return [records[name] for name in ordered]
--- a/currantdeal/policy/decode_memory.py
+++ b/currantdeal/policy/decode_memory.py
@@ -65,12 +65,15 @@
 
     Examples
     --------
+    >>> from random import Random
     >>> memory = DecodeMemory()
     >>> memory.reserved("d1", 4000)
-    >>> memory.order(["d1", "d2"], distance=lambda u: 0, now_s=0.0)
+    >>> memory.order(["d1", "d2"], distance=lambda u: 0, random=Random(1),
+    ...              now_s=0.0)
     ['d2', 'd1']
     >>> memory.refused("d2", now_s=0.0)
-    >>> memory.order(["d1", "d2"], distance=lambda u: 0, now_s=0.1)
+    >>> memory.order(["d1", "d2"], distance=lambda u: 0, random=Random(1),
+    ...              now_s=0.1)
     ['d1', 'd2']
     """
 
@@ -91,12 +94,20 @@
         """Note that an engine had no room."""
         self._refused_s[upstream] = now_s
 
-    def order(self, upstreams, *, distance, now_s):
-        """Return engines in the order in which to ask for memory."""
+    def order(self, upstreams, *, distance, random, now_s):
+        """Return engines in the order in which to ask for memory.
+
+        Engines of which nothing tells them apart come in random order.  In
+        any fixed order all entries ask the same engine first and fill it to
+        the brim while others idle; its streams then grow beyond its memory
+        and are preempted.
+        """
 
         def key(upstream):
             since_s = now_s - self._refused_s.get(upstream, -1e9)
             rests = since_s < REFUSED_REST_S
-            return (rests, self._tokens.get(upstream, 0), distance(upstream))
+            far = distance(upstream) == 2
+            tokens = self._tokens.get(upstream, 0)
+            return (rests, tokens, far, random.random())
 
         return sorted(upstreams, key=key)
--- a/currantdeal/policy/tests/test_decode_memory.py
+++ b/currantdeal/policy/tests/test_decode_memory.py
@@ -1,3 +1,6 @@
+import random
+from collections import Counter
+
 from currantdeal.policy.decode_memory import (
     REFUSED_REST_S,
     DecodeMemory,
@@ -11,7 +14,7 @@
     memory = DecodeMemory()
     placed = []
     for _ in range(12):
-        name = memory.order("abc", distance=lambda u: 0, now_s=0.0)[0]
+        name = _order(memory, "abc")[0]
         memory.reserved(name, 4_000)
         placed.append(name)
     assert [placed.count(name) for name in "abc"] == [4, 4, 4]
@@ -27,7 +30,7 @@
     memory.reserved("a", 20_000)
     placed = []
     for _ in range(8):
-        name = memory.order("ab", distance=lambda u: 0, now_s=0.0)[0]
+        name = _order(memory, "ab")[0]
         memory.reserved(name, 2_500)
         placed.append(name)
     assert placed.count("a") == 0
@@ -37,12 +40,34 @@
     memory = DecodeMemory()
     memory.refused("a", now_s=0.0)
     memory.reserved("b", 9_000)
-    order = memory.order("ab", distance=lambda u: 0, now_s=0.05)
+    order = _order(memory, "ab", now_s=0.05)
     assert order == ["b", "a"]
-    later = memory.order("ab", distance=lambda u: 0, now_s=REFUSED_REST_S)
+    later = _order(memory, "ab", now_s=REFUSED_REST_S)
     assert later == ["a", "b"]
 
 
+def test_entries_that_know_nothing_of_each_other_do_not_ask_the_same_first():
+    """Eighty entries place a stream each on twenty engines.
+
+    Asked in the order of their names, the first engine takes streams until
+    it is full while the others are empty.  Their outputs then grow beyond
+    its memory, some are preempted, and those callers see a long pause.
+    """
+    engines = [f"e{number}" for number in range(20)]
+    draws = random.Random(7)
+    firsts = Counter(
+        _order(DecodeMemory(), engines, draws=draws)[0] for _ in range(80)
+    )
+    assert max(firsts.values()) <= 12
+    assert len(firsts) >= 15
+
+
+def test_engines_in_other_regions_come_after_nearer_ones():
+    distance = {"far": 2, "here": 0, "near": 1}.get
+    order = _order(DecodeMemory(), ["far", "here", "near"], distance=distance)
+    assert order[-1] == "far"
+
+
 def test_the_estimate_is_kept_within_what_is_allowed():
     """A caller estimates more output than it allows, or gives none."""
     wild = GenerationSize(
@@ -54,3 +79,12 @@
     assert 100 < tokens_to_reserve(silent, 0) <= 150
     assert tokens_to_reserve(wild, 0) <= 160
     assert tokens_to_reserve(wild, 120) == 120
+
+
+def _order(memory, engines, *, now_s=0.0, draws=None, distance=lambda name: 0):
+    return memory.order(
+        engines,
+        distance=distance,
+        random=draws or random.Random(1),
+        now_s=now_s,
+    )
