Tell all entries what the others hold at engines

Cause: an entry of eighty holds a stream or none at an engine and knows nothing of the others.

Change: entries report what they hold at decode and prefill engines, control instances add it up, entries get the sums every 0.15 s and correct them by what they did since. Engines without room are not asked; a prompt goes to the engine with the least to read; an engine that two entries can't reach is tried last. The heartbeat between control and entries is defined once.

Engines are now refused by claims before they are full; the share of memory that may be claimed is looked at next.

--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -25,15 +25,15 @@
 from currantdeal.control.orders import StageOrders
 from currantdeal.control.replica import Replica
 from currantdeal.control.service import ControlService
-from currantdeal.entry.subscription import HEARTBEAT_S
 from currantdeal.node.http_client import ConnectionPool
 from currantdeal.node.http_server import HttpServer
 from currantdeal.node.messages import ControlPlace, RaftNotice
-from currantdeal.node.peers import PeerConnection, PeerLink
+from currantdeal.node.peers import HEARTBEAT_S, PeerConnection, PeerLink
 from currantdeal.node.settings import split_address
 from currantdeal.platform.bounds import read_bounds
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.platform.control import PlatformControl
+from currantdeal.policy.shared_load import INTERVAL_S
 
 LOG_HEARTBEAT_S = 0.1
 ELECTION_S = 0.4
@@ -145,6 +145,7 @@
             asyncio.ensure_future(self._replica.run()),
             asyncio.ensure_future(self._file.watch()),
             asyncio.ensure_future(every(HEARTBEAT_S, self._service.beat)),
+            asyncio.ensure_future(every(INTERVAL_S, self._service.tell_loads)),
             asyncio.ensure_future(self._join()),
             asyncio.ensure_future(self._orders.run()),
         ]
--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -11,6 +11,7 @@
     LoopDelay,
     MetricsPage,
     SettingsFile,
+    every,
     on_signals,
 )
 from currantdeal.entry.context import BudgetBounds, EntryContext
@@ -23,6 +24,7 @@
 from currantdeal.platform.bounds import read_bounds
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.platform.config import decode_config
+from currantdeal.policy.shared_load import INTERVAL_S
 from currantdeal.registry import EntryRecord
 
 REFUSE_STREAMS_AFTER_S = 2.5
@@ -88,6 +90,8 @@
             own_record=self._own_record,
             seeds=lambda: self._file.current.control_peers,
             take_demand=self._context.take_demand,
+            report_load=self._context.report_load,
+            take_load=self._context.take_load,
             clock=time.monotonic,
         )
         self._server = HttpServer(
@@ -116,6 +120,9 @@
         tasks = [
             asyncio.ensure_future(delay.run()),
             asyncio.ensure_future(self._subscription.run()),
+            asyncio.ensure_future(
+                every(INTERVAL_S, self._subscription.tell_load)
+            ),
             asyncio.ensure_future(self._file.watch()),
         ]
         stop = asyncio.ensure_future(stopping.wait())
--- a/currantdeal/control/exchange.py
+++ b/currantdeal/control/exchange.py
@@ -51,7 +51,7 @@
 
     def __init__(self, *, me, control, links, heartbeat_s, clock):
         """Start with empty records."""
-        self._me = me.address
+        self.me = me.address
         self._data_centers = {me.address: me.data_center}
         self._control = control
         self._links = links
@@ -155,8 +155,8 @@
             Demand of each service that entries reported here.
         """
         notice = RenewalsNotice(
-            sender=self._me,
-            data_center=self._data_centers[self._me],
+            sender=self.me,
+            data_center=self._data_centers[self.me],
             demand=demand,
             upstreams=tuple(self._renewed.values()),
             entries=tuple(self._renewed_entries.values()),
@@ -164,8 +164,7 @@
         self._renewed = {}
         self._renewed_entries = {}
         if notice.upstreams or notice.entries:
-            for address in self._others():
-                self._links(address).notify(notice)
+            self.tell_others(notice)
 
     async def spread(self, *, upstreams=(), entries=()):
         """Spread news; returns whether a majority has confirmed it."""
@@ -180,6 +179,10 @@
         """Have all entries leave an engine alone while it switches."""
         notice = SwitchingNotice(upstream=upstream, for_s=for_s)
         self.publish(notice)
+        self.tell_others(notice)
+
+    def tell_others(self, notice):
+        """Send a notice to the other control instances."""
         for address in self._others():
             self._links(address).notify(notice)
 
@@ -236,7 +239,7 @@
         task.add_done_callback(self._tasks.discard)
 
     def _others(self):
-        return [address for address in self._control() if address != self._me]
+        return [address for address in self._control() if address != self.me]
 
     async def _confirm(self, address, call):
         try:
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -19,6 +19,7 @@
     Done,
     EntryNotice,
     JoinCall,
+    LoadNotice,
     ProposeConfigCall,
     RaftNotice,
     ReadConfigCall,
@@ -30,7 +31,8 @@
     SwitchingNotice,
     UpstreamsNotice,
 )
-from currantdeal.node.peers import pack_frame
+from currantdeal.node.peers import HEARTBEAT_S, pack_frame
+from currantdeal.policy.shared_load import LoadBook
 from currantdeal.registry import UpstreamState
 from currantdeal.routing import InvalidConfigError, check_config
 
@@ -85,6 +87,9 @@
         self._started_s = clock()
         self._passed_on = 0
         self._config_frame = None
+        self._loads = LoadBook()
+        self._load_told = None
+        self._load_told_s = 0.0
 
     @property
     def current(self):
@@ -134,6 +139,8 @@
         elif isinstance(message, RenewalsNotice):
             self._demand.take(message.demand, reported_here=False)
             self._exchange.take_renewals(message)
+        elif isinstance(message, LoadNotice):
+            self._take_load(connection, message)
         elif isinstance(message, SwitchingNotice):
             self._exchange.publish(message)
         elif isinstance(message, EntryNotice):
@@ -147,6 +154,22 @@
     def on_lost(self, connection):
         """Forget a subscriber."""
         self._exchange.subscribers.discard(connection)
+        self._loads.drop_entry(connection)
+
+    def tell_loads(self):
+        """Pass on what entries hold at engines, where it changed.
+
+        Other control instances get the sum over the entries that report
+        here, entries the sum over all.
+        """
+        now_s = self._clock()
+        here = self._loads.here(now_s=now_s)
+        if here != self._load_told or now_s - self._load_told_s > HEARTBEAT_S:
+            self._load_told = here
+            self._load_told_s = now_s
+            self._exchange.tell_others(self._load_notice(here))
+        total = self._loads.total(now_s=now_s)
+        self._exchange.publish(self._load_notice(total))
 
     def beat(self):
         """Tell the others what is new, and forget who is silent."""
@@ -154,6 +177,16 @@
         self._exchange.spread_renewals(self._demand.take_reported())
         self._exchange.expire()
 
+    def _load_notice(self, load):
+        return LoadNotice(sender=self._exchange.me, load=load)
+
+    def _take_load(self, connection, message):
+        now_s = self._clock()
+        if connection in self._exchange.subscribers:
+            self._loads.take_entry(connection, message.load, now_s=now_s)
+        else:
+            self._loads.take_control(message.sender, message.load, now_s=now_s)
+
     @singledispatchmethod
     async def _operate(self, operation, request, responder):
         raise TypeError(f"not an operation: {operation!r}")
--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -6,6 +6,7 @@
 from currantdeal.policy.decode_memory import DecodeMemory
 from currantdeal.policy.demand import DemandMeter
 from currantdeal.policy.shared_budget import SharedBudget
+from currantdeal.policy.shared_load import EntryLoad
 from currantdeal.policy.standing import Standings
 
 
@@ -36,7 +37,8 @@
         self.random = random
         self.metrics = metrics
         self.standings = Standings()
-        self.memory = DecodeMemory()
+        self.load = EntryLoad()
+        self.memory = DecodeMemory(load=self.load)
         self.prefills = Standings()
         self._bounds = budget
         self._budgets = {}
@@ -73,6 +75,19 @@
         """Return the demand of each service since the last call."""
         return {name: m.take() for name, m in self._meters.items()}
 
+    def report_load(self):
+        """Return what this entry holds at engines, for the others."""
+        now_s = self.now_s
+        out = {
+            *self.standings.out(now_s=now_s),
+            *self.prefills.out(now_s=now_s),
+        }
+        return self.load.report(unreachable=out)
+
+    def take_load(self, load):
+        """Take what all entries hold at engines."""
+        self.load.take(load, now_s=self.now_s)
+
     def in_background(self, work):
         """Run a coroutine that outlives its request."""
         task = asyncio.ensure_future(work)
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -105,7 +105,7 @@
         self._active.note(f"memory at {reservation.record.upstream}")
         waited_s = self._now_s - self._active.request.arrived_s
         self._context.metrics.observe("memory_wait_seconds", waited_s)
-        self._context.memory.reserved(
+        self._context.load.began(
             reservation.record.upstream, reservation.tokens
         )
         try:
@@ -118,7 +118,7 @@
             used = True
             return await self._decode(reservation, prefill)
         finally:
-            self._context.memory.released(
+            self._context.load.ended(
                 reservation.record.upstream, reservation.tokens
             )
             if not used:
--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -136,6 +136,8 @@
         }
         ordered = context.memory.order(
             list(records),
+            tokens=self._tokens,
+            capacity=self._active.service.engine.kv_tokens,
             distance=lambda name: view.distance(records[name]),
             random=context.random,
             now_s=self._now_s,
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -7,7 +7,7 @@
 from currantdeal.node.dialect import Directions
 from currantdeal.node.errors import ConnectError, ExchangeError
 from currantdeal.node.http_client import exchange
-from currantdeal.policy.standing import PREFILL_FAR_PENALTY, in_order
+from currantdeal.policy.prefill_choice import order_prefill
 from currantdeal.registry import Stage, UpstreamRecord
 
 PREFILL_PATIENCE_S = 1.6
@@ -20,9 +20,6 @@
 for their first event.
 """
 
-PROMPTS_AT_A_TIME = 1
-"""Prompts that a prefill engine reads at a time; the others wait."""
-
 
 @dataclass(frozen=True, kw_only=True)
 class Prefill:
@@ -45,19 +42,11 @@
     near : UpstreamRecord
         The decode engine that will fetch the KV cache.
     """
-    engines = in_order(
-        context.view.engines(active.service.name, Stage.PREFILL),
-        context.prefills,
-        distance=lambda record: context.view.distance_between(record, near),
-        random=context.random,
-        now_s=context.now_s,
-        places=PROMPTS_AT_A_TIME,
-        far_penalty=PREFILL_FAR_PENALTY,
-    )
-    if not engines:
+    record = _choose(context, active, near)
+    if record is None:
         return None
     began_s = context.now_s
-    prefill = await _read_at(context, active, engines[0])
+    prefill = await _read_at(context, active, record)
     if prefill is not None:
         took_s = context.now_s - began_s
         meter = context.meter(active.service.name)
@@ -75,6 +64,30 @@
     release(context, prefill.record.address, call)
 
 
+def _choose(context, active, near):
+    now_s = context.now_s
+    service = active.service.name
+    records = {
+        record.upstream: record
+        for record in context.view.engines(service, Stage.PREFILL)
+    }
+    load = context.load
+    ordered = order_prefill(
+        records,
+        backlog=lambda name: load.tokens(name, now_s=now_s),
+        distance=lambda name: context.view.distance_between(
+            records[name], near
+        ),
+        avoided=lambda name: (
+            context.prefills.is_out(name, now_s=now_s)
+            or load.is_suspect(name, now_s=now_s)
+        ),
+        random=context.random,
+        s_per_token=context.meter(service).s_per_token,
+    )
+    return records[ordered[0]] if ordered else None
+
+
 async def _read_at(context, active, record):
     left_s = min(PREFILL_PATIENCE_S, active.time_left_s(context.now_s))
     directions = Directions(
@@ -83,7 +96,8 @@
     call = context.dialect.outgoing(
         active.request.head, active.request.body, directions
     )
-    context.prefills.began(record.upstream)
+    tokens = active.call.prompt_tokens
+    context.load.began(record.upstream, tokens)
     try:
         head, body = await exchange(
             context.pool, record.address, call, timeout_s=left_s
@@ -94,7 +108,7 @@
         active.note(f"prefill at {record.upstream}: {exc}")
         return None
     finally:
-        context.prefills.ended(record.upstream)
+        context.load.ended(record.upstream, tokens)
     _note_answer(context, record, head)
     if head.status != 200:
         active.note(f"prefill at {record.upstream}: {head.status}")
@@ -111,6 +125,3 @@
     traits = context.dialect.read_reply(head)
     context.view.note_answer(record, traits.answered_by)
     context.prefills.answered(record.upstream, error=head.status != 200)
-    if traits.load is not None:
-        in_use = traits.load.running + traits.load.waiting
-        context.prefills.reported(record.upstream, in_use, now_s=context.now_s)
--- a/currantdeal/entry/subscription.py
+++ b/currantdeal/entry/subscription.py
@@ -19,15 +19,13 @@
 from currantdeal.node.messages import (
     ConfigNotice,
     EntryNotice,
+    LoadNotice,
     SourceNotice,
     SubscribeCall,
     SwitchingNotice,
     UpstreamsNotice,
 )
-from currantdeal.node.peers import connect_peer
-
-HEARTBEAT_S = 0.5
-"""Interval of heartbeats in both directions."""
+from currantdeal.node.peers import HEARTBEAT_S, connect_peer
 
 SILENT_AFTER_S = 1.2
 """Silence after which another control instance is followed.
@@ -63,22 +61,40 @@
         Returns the peer addresses that the settings name.
     take_demand : callable
         Returns the demand of each service since the last call.
+    report_load : callable
+        Returns the ``PoolLoad`` of this entry.
+    take_load : callable
+        Takes the ``PoolLoad`` of all entries.
     clock : callable
         Returns monotonic seconds.
     """
 
-    def __init__(self, *, view, own_record, seeds, take_demand, clock):
+    def __init__(
+        self,
+        *,
+        view,
+        own_record,
+        seeds,
+        take_demand,
+        report_load,
+        take_load,
+        clock,
+    ):
         """Follow nobody before ``run``."""
         self._view = view
         self._own_record = own_record
         self._seeds = seeds
         self._take_demand = take_demand
+        self._report_load = report_load
+        self._take_load = take_load
         self._clock = clock
         self._known = {}
         self._avoid = {}
         self._connection = None
         self._source = ""
         self._moving = None
+        self._load_told = None
+        self._load_told_s = 0.0
         self._heard_s = 0.0
         self._current_s = 0.0
 
@@ -91,6 +107,25 @@
                 )
             )
 
+    def tell_load(self):
+        """Tell the followed instance what this entry holds, if it changed.
+
+        An unchanged load is repeated with each heartbeat, since what is not
+        repeated is forgotten.
+        """
+        connection = self._connection
+        if connection is None or not connection.is_open:
+            return
+        now_s = self._clock()
+        load = self._report_load()
+        told = (connection, load)
+        if told == self._load_told and now_s - self._load_told_s < HEARTBEAT_S:
+            return
+        self._load_told = told
+        self._load_told_s = now_s
+        sender = self._own_record().instance
+        connection.notify(LoadNotice(sender=sender, load=load))
+
     async def run(self):
         """Follow, until cancelled."""
         while True:
@@ -210,6 +245,8 @@
             )
         elif isinstance(message, SwitchingNotice):
             self._view.take_switching(message.upstream, message.for_s)
+        elif isinstance(message, LoadNotice):
+            self._take_load(message.load)
         elif isinstance(message, SourceNotice) and followed:
             self._take_source(message, now_s)
 
--- a/currantdeal/entry/tests/test_subscription.py
+++ b/currantdeal/entry/tests/test_subscription.py
@@ -4,6 +4,7 @@
 from currantdeal.entry.subscription import Subscription
 from currantdeal.entry.view import EntryView
 from currantdeal.platform.config import decode_config
+from currantdeal.policy.shared_load import EntryLoad
 from currantdeal.registry.tests.builders import an_entry
 from currantdeal.testing.control_standin import StandInControl
 from currantdeal.testing.waiting import eventually
@@ -24,11 +25,14 @@
         heartbeat_s=1.0,
         clock=loop.time,
     )
+    load = EntryLoad()
     subscription = Subscription(
         view=view,
         own_record=an_entry,
         seeds=lambda: [c.address for c in seeds],
         take_demand=dict,
+        report_load=lambda: load.report(unreachable=()),
+        take_load=lambda sums: load.take(sums, now_s=loop.time()),
         clock=loop.time,
     )
     task = asyncio.ensure_future(subscription.run())
--- a/currantdeal/node/messages.py
+++ b/currantdeal/node/messages.py
@@ -8,6 +8,7 @@
 
 from currantdeal.core import Codec
 from currantdeal.policy.demand import Demand
+from currantdeal.policy.shared_load import PoolLoad
 from currantdeal.registry import EntryRecord, UpstreamRecord
 
 
@@ -145,6 +146,20 @@
     demand: dict[str, Demand]
 
 
+@dataclass(frozen=True, kw_only=True)
+class LoadNotice:
+    """Load of engines: an entry's, or a sum over entries.
+
+    Parameters
+    ----------
+    sender : str
+        The entry, or the peer address of the control instance.
+    """
+
+    sender: str
+    load: PoolLoad
+
+
 @dataclass(frozen=True, kw_only=True)
 class ConfigNotice:
     """A committed configuration, compressed with zlib."""
@@ -231,6 +246,7 @@
         RecordsCall,
         SubscribeCall,
         EntryNotice,
+        LoadNotice,
         ConfigNotice,
         UpstreamsNotice,
         SwitchingNotice,
--- a/currantdeal/node/peers.py
+++ b/currantdeal/node/peers.py
@@ -18,6 +18,13 @@
 from currantdeal.node.settings import split_address
 from currantdeal.node.sockets import prepare_socket
 
+HEARTBEAT_S = 0.5
+"""Interval at which control instances and entries hear from each other.
+
+Two missed ones are noticed within half of the 2.5 s in which an upstream
+that leaves must be known everywhere.
+"""
+
 MAX_FRAME_BYTES = 16_777_216
 """Largest frame: four times the largest configuration that is accepted."""
 
--- a/currantdeal/policy/decode_memory.py
+++ b/currantdeal/policy/decode_memory.py
@@ -33,6 +33,27 @@
 """
 
 
+FULL = 1.1
+"""Share of an engine's memory that generations may claim in all.
+
+Claims are for the end of each output, and streams on an engine are at
+different points of theirs, so that a little more than the whole fits.
+"""
+
+FAR_SHARE = 0.1
+"""Share of memory that an engine in another region must have more free."""
+
+JITTER_SHARE = 0.1
+"""Random share of memory, so that entries do not choose alike.
+
+The size of one generation: the sums of all entries miss about one for each
+engine in a burst.
+"""
+
+UNKNOWN_CAPACITY = 30_000
+"""Memory of an engine that does not tell its own, in tokens: a usual one."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class GenerationSize:
     """Tokens of one generation."""
@@ -61,53 +82,72 @@
 
 
 class DecodeMemory:
-    """What one entry knows of the memory of decode engines.
+    """In which order one entry asks decode engines for memory.
+
+    Parameters
+    ----------
+    load : currantdeal.policy.shared_load.EntryLoad
+        What is held at each engine.
 
     Examples
     --------
     >>> from random import Random
-    >>> memory = DecodeMemory()
-    >>> memory.reserved("d1", 4000)
-    >>> memory.order(["d1", "d2"], distance=lambda u: 0, random=Random(1),
-    ...              now_s=0.0)
+    >>> from currantdeal.policy.shared_load import EntryLoad
+    >>> load = EntryLoad()
+    >>> memory = DecodeMemory(load=load)
+    >>> load.began("d1", 12_000)
+    >>> memory.order(["d1", "d2"], tokens=4000, capacity=30_000,
+    ...              distance=lambda u: 0, random=Random(1), now_s=0.0)
     ['d2', 'd1']
     >>> memory.refused("d2", now_s=0.0)
-    >>> memory.order(["d1", "d2"], distance=lambda u: 0, random=Random(1),
-    ...              now_s=0.1)
+    >>> memory.order(["d1", "d2"], tokens=4000, capacity=30_000,
+    ...              distance=lambda u: 0, random=Random(1), now_s=0.1)
     ['d1', 'd2']
     """
 
-    def __init__(self):
-        """Start without knowledge."""
-        self._tokens = {}
+    def __init__(self, *, load):
+        """Start without a refusal."""
+        self._load = load
         self._refused_s = {}
 
-    def reserved(self, upstream, tokens):
-        """Note tokens that this entry holds at an engine."""
-        self._tokens[upstream] = self._tokens.get(upstream, 0) + tokens
-
-    def released(self, upstream, tokens):
-        """Note that this entry holds them no longer."""
-        self._tokens[upstream] = self._tokens.get(upstream, 0) - tokens
-
     def refused(self, upstream, *, now_s):
         """Note that an engine had no room."""
         self._refused_s[upstream] = now_s
 
-    def order(self, upstreams, *, distance, random, now_s):
+    def order(self, upstreams, *, tokens, capacity, distance, random, now_s):
         """Return engines in the order in which to ask for memory.
 
-        Engines of which nothing tells them apart come in random order.  In
-        any fixed order all entries ask the same engine first and fill it to
-        the brim while others idle; its streams then grow beyond its memory
-        and are preempted.
+        Engines that are believed to have no room are left out.  Among
+        nearly equal ones the order is drawn: in any fixed order all entries
+        ask the same engine first and fill it to the brim while others idle.
+
+        Parameters
+        ----------
+        tokens : int
+            Memory that is wanted.
+        capacity : int
+            Memory of each engine; 0 if unknown.
+        distance : callable
+            0 for an engine in this data centre, 1 in this region, 2
+            elsewhere.
         """
+        load = self._load
+        whole = capacity or UNKNOWN_CAPACITY
+        known = capacity and load.knows_others(now_s=now_s)
+
+        def has_room(upstream):
+            wanted = load.tokens(upstream, now_s=now_s) + tokens
+            return wanted <= FULL * whole
 
         def key(upstream):
             since_s = now_s - self._refused_s.get(upstream, -1e9)
-            rests = since_s < REFUSED_REST_S
-            far = distance(upstream) == 2
-            tokens = self._tokens.get(upstream, 0)
-            return (rests, tokens, far, random.random())
-
-        return sorted(upstreams, key=key)
+            filled = load.tokens(upstream, now_s=now_s) / whole
+            far = FAR_SHARE * (distance(upstream) == 2)
+            return (
+                load.is_suspect(upstream, now_s=now_s),
+                since_s < REFUSED_REST_S,
+                filled + far + random.uniform(0.0, JITTER_SHARE),
+            )
+
+        found = filter(has_room, upstreams) if known else upstreams
+        return sorted(found, key=key)
--- a/currantdeal/policy/demand.py
+++ b/currantdeal/policy/demand.py
@@ -75,6 +75,11 @@
         self._s_per_token = None
         self._demand = Demand()
 
+    @property
+    def s_per_token(self):
+        """Time in which an idle engine reads a token; None if unknown."""
+        return self._s_per_token
+
     def offer(self, prompt_tokens):
         """Note a generation that a caller asked for."""
         prefill_s = prompt_tokens * (self._s_per_token or 0.0)
--- a/currantdeal/policy/standing.py
+++ b/currantdeal/policy/standing.py
@@ -33,14 +33,6 @@
 A path between regions costs 25 ms of 400, and its bytes are paid for.
 """
 
-PREFILL_FAR_PENALTY = 0.7
-"""Prompts that a prefill engine near the decode engine may have more to read.
-
-A prompt takes 0.1 s to read; moving its KV cache to another region takes
-0.03 s longer than within a data centre, and its bytes cost three times as
-much.
-"""
-
 
 class _Standing:
     def __init__(self):
@@ -103,6 +95,14 @@
         """Return whether an upstream is to be left alone for now."""
         return now_s < self._of(upstream).out_until_s
 
+    def out(self, *, now_s):
+        """Return the upstreams that are to be left alone for now."""
+        return tuple(
+            name
+            for name, standing in self._standings.items()
+            if now_s < standing.out_until_s
+        )
+
     def load(self, upstream, slots, *, now_s):
         """Return the share of an upstream's places that seem in use."""
         standing = self._of(upstream)
@@ -122,8 +122,6 @@
     distance,
     random,
     now_s,
-    places=None,
-    far_penalty=FAR_PENALTY,
 ):
     """Return upstreams in the order in which to try them.
 
@@ -137,17 +135,12 @@
     distance : callable
         0 for a record in the same data centre, 1 in the same region, 2
         elsewhere.
-    places : int or None
-        Requests that an upstream works on at a time; its slots by default.
-    far_penalty : float
-        What another region adds to the load.
     """
 
     def key(record):
         name = record.upstream
-        slots = places or record.slots
-        load = standings.load(name, slots, now_s=now_s)
-        far = far_penalty * (distance(record) == 2)
+        load = standings.load(name, record.slots, now_s=now_s)
+        far = FAR_PENALTY * (distance(record) == 2)
         return (
             standings.is_out(name, now_s=now_s),
             load + far,
--- a/currantdeal/policy/tests/test_decode_memory.py
+++ b/currantdeal/policy/tests/test_decode_memory.py
@@ -7,15 +7,16 @@
     GenerationSize,
     tokens_to_reserve,
 )
+from currantdeal.policy.shared_load import EntryLoad
 
 
 def test_a_burst_goes_to_the_engines_in_turn():
     """Twelve generations come at once to an entry with three engines."""
-    memory = DecodeMemory()
+    load = EntryLoad()
     placed = []
     for _ in range(12):
-        name = _order(memory, "abc")[0]
-        memory.reserved(name, 4_000)
+        name = _order(load, "abc")[0]
+        load.began(name, 4_000)
         placed.append(name)
     assert [placed.count(name) for name in "abc"] == [4, 4, 4]
 
@@ -26,23 +27,24 @@
     Counted as one request, its engine would get as many more as the others
     and preempt them.
     """
-    memory = DecodeMemory()
-    memory.reserved("a", 20_000)
+    load = EntryLoad()
+    load.began("a", 20_000)
     placed = []
     for _ in range(8):
-        name = _order(memory, "ab")[0]
-        memory.reserved(name, 2_500)
+        name = _order(load, "ab")[0]
+        load.began(name, 2_500)
         placed.append(name)
     assert placed.count("a") == 0
 
 
 def test_a_full_engine_is_asked_last_for_a_moment():
-    memory = DecodeMemory()
+    load = EntryLoad()
+    memory = DecodeMemory(load=load)
     memory.refused("a", now_s=0.0)
-    memory.reserved("b", 9_000)
-    order = _order(memory, "ab", now_s=0.05)
+    load.began("b", 9_000)
+    order = _order(load, "ab", memory=memory, now_s=0.05)
     assert order == ["b", "a"]
-    later = _order(memory, "ab", now_s=REFUSED_REST_S)
+    later = _order(load, "ab", memory=memory, now_s=REFUSED_REST_S)
     assert later == ["a", "b"]
 
 
@@ -56,7 +58,7 @@
     engines = [f"e{number}" for number in range(20)]
     draws = random.Random(7)
     firsts = Counter(
-        _order(DecodeMemory(), engines, draws=draws)[0] for _ in range(80)
+        _order(EntryLoad(), engines, draws=draws)[0] for _ in range(80)
     )
     assert max(firsts.values()) <= 12
     assert len(firsts) >= 15
@@ -64,7 +66,7 @@
 
 def test_engines_in_other_regions_come_after_nearer_ones():
     distance = {"far": 2, "here": 0, "near": 1}.get
-    order = _order(DecodeMemory(), ["far", "here", "near"], distance=distance)
+    order = _order(EntryLoad(), ["far", "here", "near"], distance=distance)
     assert order[-1] == "far"
 
 
@@ -81,9 +83,20 @@
     assert tokens_to_reserve(wild, 120) == 120
 
 
-def _order(memory, engines, *, now_s=0.0, draws=None, distance=lambda name: 0):
+def _order(
+    load,
+    engines,
+    *,
+    memory=None,
+    now_s=0.0,
+    draws=None,
+    distance=lambda name: 0,
+):
+    memory = memory or DecodeMemory(load=load)
     return memory.order(
         engines,
+        tokens=4_000,
+        capacity=30_000,
         distance=distance,
         random=draws or random.Random(1),
         now_s=now_s,
--- a/currantdeal/policy/tests/test_standing.py
+++ b/currantdeal/policy/tests/test_standing.py
@@ -2,7 +2,6 @@
 
 from currantdeal.policy.standing import (
     LONGEST_PAUSE_S,
-    PREFILL_FAR_PENALTY,
     Standings,
     in_order,
 )
@@ -127,28 +126,3 @@
     standings.reported("bad", 6, now_s=0.0)
     assert standings.load("bad", 6, now_s=0.5) == 1.0
     assert standings.load("bad", 6, now_s=5.0) == 0.0
-
-
-def test_prompts_go_to_the_shorter_queue_even_if_it_is_far():
-    """A prefill engine near the decode engine has two prompts waiting.
-
-    Judged by its many slots it would look idle, and prompts would queue
-    there while another engine reads none.
-    """
-    standings = Standings()
-    near = {"good": 0, "bad": 2, "third": 2}
-    chosen = []
-    for _ in range(6):
-        record = in_order(
-            ALL,
-            standings,
-            distance=lambda record: near[record.upstream],
-            random=Random(1),
-            now_s=0.0,
-            places=1,
-            far_penalty=PREFILL_FAR_PENALTY,
-        )[0]
-        standings.began(record.upstream)
-        chosen.append(record.upstream)
-    assert chosen[0] == "good"
-    assert sorted(chosen.count(r.upstream) for r in ALL) == [2, 2, 2]
