Measure the demand on prefill engines by the fastest reading of all entries

Cause: each entry multiplied its prompts by its own fastest reading. An entry of eighty has read one or two prompts by the first plan, and these had waited for others.

Change: entries report tokens and their fastest reading, and the fastest of all counts. The test of refused generations gives prompt tokens no more, since it never looked at prefill.

--- a/currantdeal/policy/demand.py
+++ b/currantdeal/policy/demand.py
@@ -4,6 +4,12 @@
 has nothing else to do, and for how long a stream holds how much memory.
 Generations that were refused count as the mean of those that ran; otherwise
 a pool that refuses half of its callers would look half as loaded as it is.
+
+How long an idle engine takes for a prompt shows only where one was idle.  An
+entry of eighty has seen one prompt or two by the time of the first plan, and
+both may have waited for others: its own fastest reading made the demand on
+prefill engines look nearly twice as high.  So the fastest reading of all
+entries counts.
 """
 
 from collections import deque
@@ -33,8 +39,10 @@
     ----------
     offered, ended : int
         Generations that began to be handled, and that ended whole.
-    prefill_s : float
-        Engine seconds of reading the prompts that were offered.
+    prompt_tokens : int
+        Tokens of the prompts that were offered.
+    s_per_token : float
+        Shortest time seen for reading a token, in seconds; 0 if none was.
     memory_token_s : float
         Tokens of memory times the seconds for which they were held, of those
         that ended.
@@ -42,7 +50,8 @@
 
     offered: int = 0
     ended: int = 0
-    prefill_s: float = 0.0
+    prompt_tokens: int = 0
+    s_per_token: float = 0.0
     memory_token_s: float = 0.0
 
     def __add__(self, other):
@@ -50,11 +59,17 @@
         return Demand(
             offered=self.offered + other.offered,
             ended=self.ended + other.ended,
-            prefill_s=self.prefill_s + other.prefill_s,
+            prompt_tokens=self.prompt_tokens + other.prompt_tokens,
+            s_per_token=_faster(self.s_per_token, other.s_per_token),
             memory_token_s=self.memory_token_s + other.memory_token_s,
         )
 
 
+def _faster(one, other):
+    known = [speed for speed in (one, other) if speed > 0.0]
+    return min(known, default=0.0)
+
+
 class DemandMeter:
     """Measures the generations of one entry.
 
@@ -64,10 +79,11 @@
     >>> meter.read(1000, 0.1)
     >>> meter.offer(2000)
     >>> meter.end(3000, 2.0)
-    >>> meter.take()
-    Demand(offered=1, ended=1, prefill_s=0.2, memory_token_s=6000.0)
-    >>> meter.take()
-    Demand(offered=0, ended=0, prefill_s=0.0, memory_token_s=0.0)
+    >>> meter.take()  # doctest: +NORMALIZE_WHITESPACE
+    Demand(offered=1, ended=1, prompt_tokens=2000, s_per_token=0.0001,
+           memory_token_s=6000.0)
+    >>> meter.take().prompt_tokens
+    0
     """
 
     def __init__(self):
@@ -82,8 +98,7 @@
 
     def offer(self, prompt_tokens):
         """Note a generation that a caller asked for."""
-        prefill_s = prompt_tokens * (self._s_per_token or 0.0)
-        self._demand += Demand(offered=1, prefill_s=prefill_s)
+        self._demand += Demand(offered=1, prompt_tokens=prompt_tokens)
 
     def read(self, prompt_tokens, took_s):
         """Note that a prefill engine read a prompt."""
@@ -102,7 +117,8 @@
 
     def take(self):
         """Return the demand since the last call."""
-        taken, self._demand = self._demand, Demand()
+        speed = Demand(s_per_token=self._s_per_token or 0.0)
+        taken, self._demand = self._demand + speed, Demand()
         return taken
 
 
@@ -117,10 +133,10 @@
     Examples
     --------
     >>> window = DemandWindow(window_s=10.0)
-    >>> window.add(Demand(offered=4, prefill_s=2.0), now_s=1.0)
-    >>> window.add(Demand(offered=4, prefill_s=2.0), now_s=9.0)
-    >>> window.total(now_s=10.0).prefill_s, window.total(now_s=12.0).prefill_s
-    (4.0, 2.0)
+    >>> window.add(Demand(offered=4, ended=1), now_s=1.0)
+    >>> window.add(Demand(offered=4, ended=1), now_s=9.0)
+    >>> window.total(now_s=10.0).offered, window.total(now_s=12.0).offered
+    (8, 4)
     """
 
     def __init__(self, *, window_s):
@@ -171,8 +187,8 @@
 
     Examples
     --------
-    >>> demand = Demand(offered=20, ended=10, prefill_s=5.0,
-    ...                 memory_token_s=100_000.0)
+    >>> demand = Demand(offered=20, ended=10, prompt_tokens=50_000,
+    ...                 s_per_token=0.0001, memory_token_s=100_000.0)
     >>> busy_engines(demand, window_s=10.0, kv_tokens=10_000)
     Busy(prefill=0.5, decode=2.0)
     """
@@ -181,6 +197,6 @@
     refused = min(MOST_SCALE, max(1.0, demand.offered / demand.ended))
     memory = demand.memory_token_s * refused
     return Busy(
-        prefill=demand.prefill_s / window_s,
+        prefill=demand.prompt_tokens * demand.s_per_token / window_s,
         decode=memory / window_s / kv_tokens,
     )
--- a/currantdeal/policy/tests/test_stage_plan.py
+++ b/currantdeal/policy/tests/test_stage_plan.py
@@ -1,4 +1,9 @@
-from currantdeal.policy.demand import Busy, Demand, busy_engines
+from currantdeal.policy.demand import (
+    Busy,
+    Demand,
+    DemandMeter,
+    busy_engines,
+)
 from currantdeal.policy.stage_plan import plan_stages, wanted_prefill
 from currantdeal.registry import Stage
 from currantdeal.registry.tests.builders import an_upstream
@@ -61,8 +66,26 @@
 
     Measured by what ran alone, it would look half as loaded.
     """
-    ran = Demand(offered=20, ended=20, prefill_s=2.0, memory_token_s=8e4)
-    refused = Demand(offered=40, ended=20, prefill_s=4.0, memory_token_s=8e4)
+    ran = Demand(offered=20, ended=20, memory_token_s=8e4)
+    refused = Demand(offered=40, ended=20, memory_token_s=8e4)
     few = busy_engines(ran, window_s=10.0, kv_tokens=10_000)
     many = busy_engines(refused, window_s=10.0, kv_tokens=10_000)
     assert many.decode == 2 * few.decode
+
+
+def test_prompts_that_waited_do_not_look_like_slow_engines():
+    """Of forty entries one has met an idle prefill engine.
+
+    Each has seen a prompt or two.  If every entry counted its own prompts by
+    its own fastest reading, engines would be taken from decoding in the
+    middle of a burst.
+    """
+    total = Demand()
+    for number in range(40):
+        meter = DemandMeter()
+        meter.offer(3_000)
+        meter.read(3_000, 0.1 if number == 7 else 0.25)
+        meter.end(4_000, 3.0)
+        total += meter.take()
+    busy = busy_engines(total, window_s=10.0, kv_tokens=30_000)
+    assert round(busy.prefill, 2) == 0.4
