Keep connections as long as upstreams say, for what may be lost

An entry asks one of fifty engines every few seconds; connections were given up after 4 s, while the upstreams name 10 s.

Change: a reservation, its release and a prompt may go on a connection that is idle until 1.5 s before the end that the upstream names; if it was given up meanwhile, they are sent once more on a new one. What may run only once keeps to 4 s. The pool and its exchange are a module of their own.

--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -25,7 +25,7 @@
 from currantdeal.control.orders import StageOrders
 from currantdeal.control.replica import Replica
 from currantdeal.control.service import ControlService
-from currantdeal.node.http_client import ConnectionPool
+from currantdeal.node.connection_pool import ConnectionPool
 from currantdeal.node.http_server import HttpServer
 from currantdeal.node.messages import ControlPlace, RaftNotice
 from currantdeal.node.peers import HEARTBEAT_S, PeerConnection, PeerLink
--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -18,7 +18,7 @@
 from currantdeal.entry.service import EntryService
 from currantdeal.entry.subscription import Subscription
 from currantdeal.entry.view import EntryView
-from currantdeal.node.http_client import ConnectionPool
+from currantdeal.node.connection_pool import ConnectionPool
 from currantdeal.node.http_server import HttpServer
 from currantdeal.node.settings import split_address
 from currantdeal.platform.bounds import read_bounds
--- a/currantdeal/control/orders.py
+++ b/currantdeal/control/orders.py
@@ -13,9 +13,9 @@
 import structlog
 
 from currantdeal.control.errors import NotCertainError
+from currantdeal.node.connection_pool import exchange
 from currantdeal.node.dialect import StageOrder
 from currantdeal.node.errors import ExchangeError
-from currantdeal.node.http_client import exchange
 from currantdeal.policy.stage_plan import CHANGE_PAUSE_S, plan_stages
 from currantdeal.registry import UpstreamState
 
--- a/currantdeal/control/tests/test_orders.py
+++ b/currantdeal/control/tests/test_orders.py
@@ -3,7 +3,7 @@
 
 from currantdeal.control.errors import NotCertainError
 from currantdeal.control.orders import QUIET_S, StageOrders
-from currantdeal.node.http_client import ConnectionPool
+from currantdeal.node.connection_pool import ConnectionPool
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.registry import Stage
 from currantdeal.registry.tests.builders import an_upstream
--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -6,8 +6,8 @@
 import structlog
 
 from currantdeal.core.errors import DialectError
+from currantdeal.node.connection_pool import exchange
 from currantdeal.node.errors import ExchangeError
-from currantdeal.node.http_client import exchange
 from currantdeal.policy.decode_memory import GenerationSize, tokens_to_reserve
 from currantdeal.registry import Stage, UpstreamRecord
 
@@ -106,6 +106,7 @@
                 record.address,
                 call,
                 timeout_s=RESERVE_TIMEOUT_S,
+                harmless=True,
             )
         except ExchangeError as exc:
             self.note_unreachable(record, exc)
@@ -163,7 +164,11 @@
 async def _quietly(context, address, call):
     try:
         await exchange(
-            context.pool, address, call, timeout_s=RELEASE_TIMEOUT_S
+            context.pool,
+            address,
+            call,
+            timeout_s=RELEASE_TIMEOUT_S,
+            harmless=True,
         )
     except ExchangeError as exc:
         # What was reserved runs out by itself at the engine.
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -9,13 +9,13 @@
 import structlog
 
 from currantdeal.entry.errors import FailedError, RefusedError
+from currantdeal.node.connection_pool import exchange
 from currantdeal.node.dialect import Directions
 from currantdeal.node.errors import (
     ConnectError,
     ExchangeError,
     SilentUpstreamError,
 )
-from currantdeal.node.http_client import exchange
 from currantdeal.policy.return_time import Shortage
 from currantdeal.policy.standing import in_order
 from currantdeal.routing import Repeat
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -4,9 +4,9 @@
 
 from currantdeal.core.errors import DialectError
 from currantdeal.entry.memory import release
+from currantdeal.node.connection_pool import exchange
 from currantdeal.node.dialect import Directions
 from currantdeal.node.errors import ConnectError, ExchangeError
-from currantdeal.node.http_client import exchange
 from currantdeal.policy.prefill_choice import order_prefill
 from currantdeal.registry import Stage, UpstreamRecord
 
@@ -100,7 +100,11 @@
     context.load.began(record.upstream, tokens)
     try:
         head, body = await exchange(
-            context.pool, record.address, call, timeout_s=left_s
+            context.pool,
+            record.address,
+            call,
+            timeout_s=left_s,
+            harmless=True,
         )
     except ExchangeError as exc:
         if isinstance(exc, ConnectError):
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -11,24 +11,12 @@
 
 import h11
 
-from currantdeal.node.errors import (
-    BrokenAnswerError,
-    ConnectError,
-    SilentUpstreamError,
-)
+from currantdeal.node.errors import BrokenAnswerError
 from currantdeal.node.head import ReplyHead
-from currantdeal.node.settings import split_address
 from currantdeal.node.sockets import prepare_socket
 
-CONNECT_TIMEOUT_S = 0.8
-"""Time to open a connection.
-
-A path between regions needs 25 ms; a lost first packet is repeated after a
-second, by which time another upstream has long answered.
-"""
-
 IDLE_REUSE_S = 4.0
-"""Longest idle time after which a connection is used again.
+"""Longest idle time after which any request may be sent on a connection.
 
 An upstream that closes an idle connection may do so while a request is on
 its way, and whether that request ran is then unknown.  Most upstreams keep
@@ -36,8 +24,12 @@
 of that holds.
 """
 
-MAX_IDLE = 16
-"""Idle connections kept for one upstream."""
+IDLE_MARGIN_S = 1.5
+"""Time before the end that an upstream names, for requests that may be lost.
+
+Their way takes 25 ms and upstreams name whole seconds.  A reservation or a
+prompt that is lost is sent again on a new connection.
+"""
 
 MAX_UNREAD_BYTES = 262_144
 """Answer bytes that wait for a slow caller before reading stops."""
@@ -59,7 +51,7 @@
         self._unread = 0
         self._paused = False
         self._idle_since_s = 0.0
-        self._idle_limit_s = IDLE_REUSE_S
+        self._kept_s = None
         self._reusable = False
 
     def connection_made(self, transport):
@@ -93,15 +85,20 @@
             self._lost = f"connection lost: {exc or 'closed'}"
         self._wake()
 
-    @property
-    def is_usable(self):
-        """True while another request may be sent."""
+    def is_usable(self, *, harmless=False):
+        """Return whether another request may be sent.
+
+        Parameters
+        ----------
+        harmless : bool
+            True for a request that may be lost and sent again.
+        """
+        if self._lost is not None or self._transport.is_closing():
+            return False
+        if not self.used:
+            return True
         idle_s = self._loop.time() - self._idle_since_s
-        return (
-            self._lost is None
-            and not self._transport.is_closing()
-            and (not self.used or idle_s < self._idle_limit_s)
-        )
+        return idle_s < _reuse_limit_s(self._kept_s, harmless=harmless)
 
     def send(self, outgoing):
         """Write a request."""
@@ -219,93 +216,22 @@
     def _note_keep_alive(self, event):
         for key, value in event.headers:
             if key == b"keep-alive":
-                self._idle_limit_s = _reuse_limit_s(value)
+                self._kept_s = _named_s(value)
 
 
-class ConnectionPool:
-    """Connections to upstreams, kept for reuse.
-
-    A new connection costs an upstream as much as several health checks.
-    """
-
-    def __init__(self):
-        """Start without any."""
-        self._idle = {}
-
-    async def take(self, address, *, timeout_s=CONNECT_TIMEOUT_S):
-        """Return a connection, kept or new.
-
-        Raises
-        ------
-        ConnectError
-            If none could be opened in time.
-        """
-        kept = self._idle.get(address)
-        while kept:
-            connection = kept.pop()
-            if connection.is_usable:
-                return connection
-            connection.close()
-        return await _connect(address, timeout_s)
-
-    def put_back(self, connection):
-        """Keep a connection whose exchange is over, or close it."""
-        kept = self._idle.setdefault(connection.address, [])
-        if connection.reusable and len(kept) < MAX_IDLE:
-            kept.append(connection)
-        else:
-            connection.close()
-
-    def forget(self, address):
-        """Close the idle connections to an address."""
-        for connection in self._idle.pop(address, ()):
-            connection.close()
-
-
-async def exchange(pool, address, outgoing, *, timeout_s, limit=1 << 20):
-    """Send a small request and return the head and the whole body.
-
-    Raises
-    ------
-    ExchangeError
-        If there is no whole answer within ``timeout_s``.
-    """
-    connection = await pool.take(address, timeout_s=timeout_s)
-    try:
-        async with asyncio.timeout(timeout_s):
-            connection.send(outgoing)
-            head = await connection.head()
-            body = await connection.rest(limit=limit)
-    except TimeoutError:
-        connection.close()
-        raise SilentUpstreamError(
-            f"no answer from {address} in {timeout_s:.2f} s", sent=True
-        ) from None
-    except BaseException:
-        connection.close()
-        raise
-    pool.put_back(connection)
-    return head, body
-
-
-async def _connect(address, timeout_s):
-    loop = asyncio.get_running_loop()
-    host, port = split_address(address)
-    try:
-        async with asyncio.timeout(min(timeout_s, CONNECT_TIMEOUT_S)):
-            _, connection = await loop.create_connection(
-                lambda: UpstreamConnection(address=address), host, port
-            )
-    except TimeoutError:
-        raise ConnectError(f"{address} does not accept") from None
-    except OSError as exc:
-        raise ConnectError(f"{address}: {exc}") from exc
-    return connection
-
-
-def _reuse_limit_s(value):
+def _named_s(value):
+    """Return the idle time that a Keep-Alive header names, or None."""
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
         if name.lower() == b"timeout" and number.isdigit():
-            return min(IDLE_REUSE_S, int(number) / 2)
-    return IDLE_REUSE_S
+            return int(number)
+    return None
+
+
+def _reuse_limit_s(kept_s, *, harmless):
+    if kept_s is None:
+        return IDLE_REUSE_S
+    careful_s = min(IDLE_REUSE_S, kept_s / 2)
+    if harmless:
+        return max(careful_s, kept_s - IDLE_MARGIN_S)
+    return careful_s
--- a/currantdeal/testing/entry_world.py
+++ b/currantdeal/testing/entry_world.py
@@ -11,7 +11,7 @@
 from currantdeal.entry.context import BudgetBounds, EntryContext
 from currantdeal.entry.service import EntryService
 from currantdeal.entry.view import EntryView
-from currantdeal.node.http_client import ConnectionPool
+from currantdeal.node.connection_pool import ConnectionPool
 from currantdeal.node.http_server import HttpServer
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.platform.config import decode_config
