Follow a control instance without a leader rather than none; log the longest pause

Cause: while the control instances are cut apart none of them is in touch with a leader. Meanwhile the entries had no source and placed streams without the load of the others.

Change: an instance out of touch declines before it sends anything; if all do, the nearest is followed until one in touch takes the entry. A request's last line and a histogram have the longest pause between its outputs.

--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -293,6 +293,10 @@
 
     @_take_call.register
     async def _(self, call: SubscribeCall, connection):
+        if not (self.current or call.provisional):
+            # While the control instances are cut apart, entries ask each of
+            # them in turn; sending all records each time would fill links.
+            return Done(accepted=False)
         self._exchange.subscribers.add(connection)
         _log.info(
             "entry-subscribed",
@@ -310,7 +314,7 @@
         newer = self._replica.state.version > call.config_version
         if newer and self._config_frame is not None:
             connection.send_packed(self._config_frame)
-        return Done(accepted=self.current)
+        return Done(accepted=True)
 
     def _tell_subscribers(self):
         live = self._exchange.directory.live(now_s=self._clock())
--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -148,6 +148,17 @@
         self.runs = 0
         self.steps = []
         self.first_output_s = None
+        self.longest_pause_s = 0.0
+        self._last_output_s = None
+
+    def note_output(self, now_s):
+        """Note that a part of the answer goes to the caller."""
+        if self._last_output_s is None:
+            self.first_output_s = now_s
+        else:
+            pause_s = now_s - self._last_output_s
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self._last_output_s = now_s
 
     def note(self, step):
         """Keep a step, with its time, for the request's log line."""
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -267,11 +267,11 @@
     async def _send(self, head, data):
         if not self._begun:
             self._begin(head)
+        self._active.note_output(self._now_s)
         await self._active.responder.send(data)
 
     def _begin(self, head):
         self._begun = True
-        self._active.first_output_s = self._now_s
         headers = self._context.dialect.reply_headers(head)
         self._active.responder.begin(head.status, headers)
 
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -177,7 +177,7 @@
 
 def _pass_on(context, active, answer):
     headers = context.dialect.reply_headers(answer.head)
-    active.first_output_s = context.now_s
+    active.note_output(context.now_s)
     active.responder.answer(answer.head.status, headers, answer.body)
 
 
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -171,6 +171,7 @@
         if active.first_output_s is not None:
             first_s = active.first_output_s - active.request.arrived_s
             metrics.observe("first_output_seconds", first_s)
+            metrics.observe("longest_pause_seconds", active.longest_pause_s)
         else:
             first_s = None
         _log.info(
@@ -181,6 +182,7 @@
             outcome=outcome,
             took=round(took_s, 4),
             first=None if first_s is None else round(first_s, 4),
+            longest_pause=round(active.longest_pause_s, 4),
             steps=active.steps,
             version=active.version,
             view_age=self._context.view.age_s,
--- a/currantdeal/entry/subscription.py
+++ b/currantdeal/entry/subscription.py
@@ -1,9 +1,9 @@
 """Keeping an entry's view up to date.
 
 An entry follows one control instance, the nearest that it can.  It leaves
-it for another when it falls silent or is out of touch with the leader:
-behind a partition it would go on as before and keep the entry on an old
-view, which callers notice as changes that never arrive.
+it for another when it falls silent, or when another is in touch with the
+leader and it is not: behind a partition it would go on as before and keep
+the entry on an old view, which callers notice as changes that never arrive.
 
 Eighty entries that all follow the first instance of a list load that one
 instance and its links between regions, and all of them lose their source
@@ -135,11 +135,23 @@
 
     async def _follow_one(self):
         while True:
-            for address in self._candidates():
-                if await self._subscribe(address):
-                    return
+            if await self._subscribe_to_any(self._candidates()):
+                return
+            # Without a leader none of them is current.  What an instance
+            # hears itself, of upstreams and of the load, is still worth
+            # more than nothing.
+            if await self._subscribe_to_any(
+                self._candidates(), provisional=True
+            ):
+                return
             await asyncio.sleep(0.1)
 
+    async def _subscribe_to_any(self, addresses, *, provisional=False):
+        for address in addresses:
+            if await self._subscribe(address, provisional=provisional):
+                return True
+        return False
+
     def _candidates(self):
         now_s = self._clock()
         known = dict.fromkeys((*self._known, *self._seeds()))
@@ -151,7 +163,7 @@
             ),
         )
 
-    async def _subscribe(self, address):
+    async def _subscribe(self, address, *, provisional=False):
         """Follow an instance from now on, if it takes this entry."""
         try:
             connection = await connect_peer(address, on_notice=self._on_notice)
@@ -159,7 +171,9 @@
             self._avoid[address] = self._clock() + AVOID_S
             return False
         call = SubscribeCall(
-            entry=self._own_record(), config_version=self._view.version
+            entry=self._own_record(),
+            config_version=self._view.version,
+            provisional=provisional,
         )
         try:
             answer = await connection.call(call, timeout_s=SUBSCRIBE_TIMEOUT_S)
@@ -176,13 +190,15 @@
         before, self._connection = self._connection, connection
         self._source = address
         self._heard_s = now_s
-        self._current_s = now_s
+        if not provisional:
+            self._current_s = now_s
         if before is not None:
             before.close()
         _log.info(
             "control-followed",
             source=address,
             distance=self._known.get(address),
+            provisional=provisional,
             version=self._view.version,
         )
         return True
@@ -195,27 +211,31 @@
             if now_s - self._heard_s > SILENT_AFTER_S:
                 self._note_lost("silent")
                 return
-            if now_s - self._current_s > STALE_AFTER_S:
-                self._note_lost("out of touch with the leader")
-                return
-            self._move_nearer()
+            self._look_for_better(now_s)
         self._note_lost("connection lost")
 
-    def _move_nearer(self):
-        """Begin to follow a nearer instance, if there is one.
+    def _look_for_better(self, now_s):
+        """Begin to follow a better instance, if there may be one.
 
-        The present one is followed until the other has taken this entry, so
-        that no news is missed when the other does not answer.
+        A nearer one is better, and any other than one that is out of touch
+        with the leader.  The present one is followed until the other has
+        taken this entry, so that no news is missed when it does not answer.
         """
         if self._moving is not None and not self._moving.done():
             return
-        now_s = self._clock()
+        stale = now_s - self._current_s > STALE_AFTER_S
         here = self._known.get(self._source, UNKNOWN_DISTANCE)
-        for address, distance in self._known.items():
-            avoided = self._avoid.get(address, 0.0) > now_s
-            if distance < here and not avoided:
-                self._moving = asyncio.ensure_future(self._subscribe(address))
-                return
+        better = [
+            address
+            for address in self._candidates()
+            if address != self._source
+            and self._avoid.get(address, 0.0) <= now_s
+            and (stale or self._known.get(address, UNKNOWN_DISTANCE) < here)
+        ]
+        if better:
+            self._moving = asyncio.ensure_future(
+                self._subscribe_to_any(better)
+            )
 
     def _note_lost(self, why):
         _log.warning(
--- a/currantdeal/entry/tests/test_subscription.py
+++ b/currantdeal/entry/tests/test_subscription.py
@@ -97,3 +97,28 @@
             await eventually(lambda: far.subscribers, what="subscription")
 
     asyncio.run(run())
+
+
+def test_without_a_leader_an_entry_still_hears_of_the_load():
+    """The control instances are cut apart and none reaches a majority.
+
+    An entry that followed none of them would place streams without knowing
+    what the others hold, on top of the trouble that there is.
+    """
+
+    async def run():
+        one = StandInControl(data_center="dc1")
+        other = StandInControl(data_center="dc3")
+        one.accepts = other.accepts = False
+        async with _followed(one, other, seeds=[one, other]):
+            await eventually(
+                lambda: one.subscribers, what="subscription", limit_s=8.0
+            )
+            other.accepts = True
+            await eventually(
+                lambda: other.subscribers and not one.subscribers,
+                what="move to the one in touch",
+                limit_s=8.0,
+            )
+
+    asyncio.run(run())
--- a/currantdeal/node/messages.py
+++ b/currantdeal/node/messages.py
@@ -126,10 +126,14 @@
     ----------
     config_version : int
         The version that the entry holds; 0 if none.
+    provisional : bool
+        True if an instance out of touch with the leader will do: no other
+        was found.
     """
 
     entry: EntryRecord
     config_version: int
+    provisional: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/currantdeal/testing/control_standin.py
+++ b/currantdeal/testing/control_standin.py
@@ -20,6 +20,11 @@
     ----------
     data_center : str
         Where it says that it is.
+
+    Attributes
+    ----------
+    accepts : bool
+        False while it is out of touch with the leader.
     """
 
     def __init__(self, *, data_center):
@@ -70,9 +75,12 @@
             connection.close()
 
     async def _on_call(self, connection, message):
-        if isinstance(message, SubscribeCall) and self.accepts:
+        taken = self.accepts
+        if isinstance(message, SubscribeCall):
+            taken = taken or message.provisional
+        if taken:
             self.subscribers.append(connection)
-        return Done(accepted=self.accepts)
+        return Done(accepted=taken)
 
     def _on_lost(self, connection):
         if connection in self.subscribers:
@@ -81,5 +89,7 @@
     async def _beat(self):
         while True:
             places = tuple(c.place for c in (self, *self.others))
-            self.publish(SourceNotice(current=True, control=places, entries=1))
+            self.publish(
+                SourceNotice(current=self.accepts, control=places, entries=1)
+            )
             await asyncio.sleep(BEAT_S)
