Mend what the read of the whole change found written twice or too long

The soak had a second reader of a stream's events and a second heartbeat of an upstream; both are now the stand-in's, used by the tests too. Its faults were coroutines without anything to wait for and kept their tasks in two places. Asking a control instance is apart from following it, the pool opens connections in one method, and the interval of the shared load is called what it is. tell_loads said that entries get sums only where they changed; they get them each time, since their age counts.

Behaviour is meant to be as before; no assertion changed.

--- a/benchmarks/soak_callers.py
+++ b/benchmarks/soak_callers.py
@@ -7,7 +7,7 @@
 import h11
 
 from currantdeal.testing.entry_world import GENERATION
-from currantdeal.testing.platform_upstream import EVENTS
+from currantdeal.testing.platform_upstream import EVENTS, pieces
 
 PATIENCE_S = 3.0
 """Time that a caller waits, which its requests say."""
@@ -167,15 +167,6 @@
             return
 
 
-def pieces(attempt):
-    """Return the numbers of the events that a stream brought."""
-    return [
-        int(line.split()[-1])
-        for line in attempt.body.decode("latin-1").splitlines()
-        if line.startswith("data: piece")
-    ]
-
-
 def judge_attempts(attempts, runs):
     """Return what callers were promised and did not get.
 
@@ -212,6 +203,8 @@
         if one.body != one.number.encode():
             return [("its own whole answer", f"{one.number}: {one.body!r}")]
         return []
-    if pieces(one) != list(range(1, EVENTS + 1)):
-        return [("events whole and in order", f"{one.number}: {pieces(one)}")]
+    if pieces(one.body) != list(range(1, EVENTS + 1)):
+        return [
+            ("events whole and in order", f"{one.number}: {pieces(one.body)}")
+        ]
     return []
--- a/benchmarks/soak_node_faults.py
+++ b/benchmarks/soak_node_faults.py
@@ -47,14 +47,14 @@
             self._harm_entry,
         )
 
-    async def begin(self):
+    def begin(self):
         """Begin a fault and return its name.
 
         A kind that finds all its places taken gives way to another one.
         """
         name = None
         while name is None:
-            name = await self._chance.choice(self._kinds)()
+            name = self._chance.choice(self._kinds)()
         return name
 
     async def heal(self):
@@ -79,7 +79,10 @@
             undo()
             self._busy.discard(process)
 
-        task = asyncio.ensure_future(wait())
+        self._run(wait())
+
+    def _run(self, work):
+        task = asyncio.ensure_future(work)
         self._pending.add(task)
         task.add_done_callback(self._pending.discard)
 
@@ -91,7 +94,7 @@
         ]
         return self._chance.choice(found) if found else None
 
-    async def _kill(self):
+    def _kill(self):
         process = self._process()
         if process is None:
             return None
@@ -99,7 +102,7 @@
         self._later(lambda: _restart(process), process=process)
         return f"kill-{process.role}"
 
-    async def _pause(self):
+    def _pause(self):
         process = self._process()
         if process is None:
             return None
@@ -111,7 +114,7 @@
         )
         return f"pause-{process.role}"
 
-    async def _stop(self):
+    def _stop(self):
         process = self._process()
         if process is None:
             return None
@@ -124,7 +127,7 @@
         self._later(undo, process=process)
         return f"stop-{process.role}"
 
-    async def _kill_all_control(self):
+    def _kill_all_control(self):
         control = self._soak.cluster.control
         if self._busy.intersection(control):
             return None
@@ -137,13 +140,13 @@
             )
         return "kill-all-control"
 
-    async def _lose_disk(self):
-        return await self._harm_disk("lose-disk", _lose_folder)
+    def _lose_disk(self):
+        return self._harm_disk("lose-disk", _lose_folder)
 
-    async def _tear_disk(self):
-        return await self._harm_disk("tear-disk", _tear_files)
+    def _tear_disk(self):
+        return self._harm_disk("tear-disk", _tear_files)
 
-    async def _harm_disk(self, name, harm):
+    def _harm_disk(self, name, harm):
         """Kill a control instance and harm its disk.
 
         One disk may be lost at a time, so no other control instance is
@@ -164,9 +167,7 @@
 
         def undo():
             _restart(process)
-            task = asyncio.ensure_future(self._free_control_later())
-            self._pending.add(task)
-            task.add_done_callback(self._pending.discard)
+            self._run(self._free_control_later())
 
         self._later(undo, process=process)
         return name
@@ -175,17 +176,17 @@
         await asyncio.sleep(DISK_PAUSE_S)
         self._busy.difference_update(self._soak.cluster.control)
 
-    async def _hang_up(self):
+    def _hang_up(self):
         process = self._process()
         if process is not None:
             process.send_signal(signal.SIGHUP)
         return "hang-up"
 
-    async def _harm_upstream(self):
+    def _harm_upstream(self):
         upstream = self._chance.choice(self._soak.upstreams)
         return self._harm_link(upstream.proxy, "upstream")
 
-    async def _harm_entry(self):
+    def _harm_entry(self):
         name = self._chance.choice(sorted(self._soak.entry_proxies))
         return self._harm_link(self._soak.entry_proxies[name], "entry")
 
--- a/benchmarks/soak_nodes.py
+++ b/benchmarks/soak_nodes.py
@@ -24,7 +24,7 @@
 from benchmarks.soak_node_faults import NodeFaults
 from currantdeal.testing.entry_world import config_body
 from currantdeal.testing.node_processes import NodeCluster
-from currantdeal.testing.platform_upstream import StandInUpstream
+from currantdeal.testing.platform_upstream import StandInUpstream, heartbeat
 from currantdeal.testing.proxy import FaultProxy
 
 ROUND_S = 12.0
@@ -60,7 +60,7 @@
         self._service = service
         self._stage = stage
         self._sequence = 0
-        self.born = 1_700_000_000_000
+        self.born = 0
 
     async def start(self):
         """Listen, behind the proxy."""
@@ -70,21 +70,18 @@
     def beat(self):
         """Return the next heartbeat."""
         self._sequence += 1
-        found = {
-            "Service": self._service,
-            "Address": self.proxy.address,
-            "Zone": "dc1",
-            "Version": "v1",
-            "Slots": 8,
-            "State": self.state,
-            "ColdRemainingMs": 0,
-            "Sequence": self._sequence,
-            "born": self.born,
-        }
+        more = {}
         if self._stage:
-            found["Stage"] = self._stage
-            found["Models"] = [{"Name": "m", "Version": 1, "Adapters": []}]
-        return found
+            models = [{"Name": "m", "Version": 1, "Adapters": []}]
+            more = {"Stage": self._stage, "Models": models}
+        return heartbeat(
+            self.proxy.address,
+            self._service,
+            state=self.state,
+            sequence=self._sequence,
+            born=self.born,
+            **more,
+        )
 
 
 async def _echo(standin, request, writer):
@@ -172,7 +169,7 @@
         ends_s = loop.time() + ROUND_S
         names = []
         while loop.time() < ends_s:
-            names.append(await faults.begin())
+            names.append(faults.begin())
             await asyncio.sleep(self.chance.uniform(0.1, 1.5))
         await faults.heal()
         await self._recover(f"{names}")
@@ -313,7 +310,7 @@
         await asyncio.sleep(1.0)
         late = upstream.standin.seen[before:]
         self.check("no work after a drain", not late, f"{len(late)} requests")
-        upstream.born += 1_000
+        upstream.born += 1
         upstream.state = "ready"
 
     def _judge(self):
--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -33,7 +33,7 @@
 from currantdeal.platform.bounds import read_bounds
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.platform.control import PlatformControl
-from currantdeal.policy.shared_load import INTERVAL_S
+from currantdeal.policy.shared_load import LOAD_INTERVAL_S
 
 LOG_HEARTBEAT_S = 0.1
 ELECTION_S = 0.4
@@ -145,7 +145,9 @@
             asyncio.ensure_future(self._replica.run()),
             asyncio.ensure_future(self._file.watch()),
             asyncio.ensure_future(every(HEARTBEAT_S, self._service.beat)),
-            asyncio.ensure_future(every(INTERVAL_S, self._service.tell_loads)),
+            asyncio.ensure_future(
+                every(LOAD_INTERVAL_S, self._service.tell_loads)
+            ),
             asyncio.ensure_future(self._join()),
             asyncio.ensure_future(self._orders.run()),
         ]
--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -24,7 +24,7 @@
 from currantdeal.platform.bounds import read_bounds
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.platform.config import decode_config
-from currantdeal.policy.shared_load import INTERVAL_S
+from currantdeal.policy.shared_load import LOAD_INTERVAL_S
 from currantdeal.registry import EntryRecord
 
 REFUSE_STREAMS_AFTER_S = 2.5
@@ -121,7 +121,7 @@
             asyncio.ensure_future(delay.run()),
             asyncio.ensure_future(self._subscription.run()),
             asyncio.ensure_future(
-                every(INTERVAL_S, self._subscription.tell_load)
+                every(LOAD_INTERVAL_S, self._subscription.tell_load)
             ),
             asyncio.ensure_future(self._file.watch()),
         ]
--- a/currantdeal/cli/tests/test_node_processes.py
+++ b/currantdeal/cli/tests/test_node_processes.py
@@ -12,7 +12,7 @@
 from currantdeal.cli.main import main
 from currantdeal.testing.entry_world import config_body, request_bytes
 from currantdeal.testing.node_processes import NodeCluster
-from currantdeal.testing.platform_upstream import StandInUpstream
+from currantdeal.testing.platform_upstream import StandInUpstream, heartbeat
 
 ORDER = request_bytes("/order/1", body=b"cake=1")
 
@@ -47,18 +47,8 @@
     found.stop()
 
 
-def _beat(standin, *, state="ready", sequence=1):
-    return {
-        "Service": "shop",
-        "Address": standin.address,
-        "Zone": "dc1",
-        "Version": "v1",
-        "Slots": 6,
-        "State": state,
-        "ColdRemainingMs": 0,
-        "Sequence": sequence,
-        "born": 1_700_000_000_000,
-    }
+def _beat(standin, **more):
+    return heartbeat(standin.address, "shop", **more)
 
 
 async def _send(address, raw):
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -157,10 +157,11 @@
         self._loads.drop_entry(connection)
 
     def tell_loads(self):
-        """Pass on what entries hold at engines, where it changed.
+        """Pass on what entries hold at engines.
 
         Other control instances get the sum over the entries that report
-        here, entries the sum over all.
+        here, when it changed and with each heartbeat.  Entries get the sum
+        over all each time: how fresh it is tells them whether to believe it.
         """
         now_s = self._clock()
         here = self._loads.here(now_s=now_s)
--- a/currantdeal/entry/subscription.py
+++ b/currantdeal/entry/subscription.py
@@ -165,25 +165,8 @@
 
     async def _subscribe(self, address, *, provisional=False):
         """Follow an instance from now on, if it takes this entry."""
-        try:
-            connection = await connect_peer(address, on_notice=self._on_notice)
-        except PeerUnreachableError:
-            self._avoid[address] = self._clock() + AVOID_S
-            return False
-        call = SubscribeCall(
-            entry=self._own_record(),
-            config_version=self._view.version,
-            provisional=provisional,
-        )
-        try:
-            answer = await connection.call(call, timeout_s=SUBSCRIBE_TIMEOUT_S)
-        except PeerUnreachableError:
-            answer = None
-        except asyncio.CancelledError:
-            connection.close()
-            raise
-        if answer is None or not answer.accepted:
-            connection.close()
+        connection = await self._ask(address, provisional)
+        if connection is None:
             self._avoid[address] = self._clock() + AVOID_S
             return False
         now_s = self._clock()
@@ -203,6 +186,29 @@
         )
         return True
 
+    async def _ask(self, address, provisional):
+        """Return a connection to an instance; None if it takes no entry."""
+        try:
+            connection = await connect_peer(address, on_notice=self._on_notice)
+        except PeerUnreachableError:
+            return None
+        call = SubscribeCall(
+            entry=self._own_record(),
+            config_version=self._view.version,
+            provisional=provisional,
+        )
+        try:
+            answer = await connection.call(call, timeout_s=SUBSCRIBE_TIMEOUT_S)
+        except PeerUnreachableError:
+            answer = None
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+        if answer is None or not answer.accepted:
+            connection.close()
+            return None
+        return connection
+
     async def _stay(self):
         while self._connection.is_open:
             await asyncio.sleep(HEARTBEAT_S)
--- a/currantdeal/entry/tests/test_generation.py
+++ b/currantdeal/entry/tests/test_generation.py
@@ -11,6 +11,7 @@
 from currantdeal.testing.platform_upstream import (
     EVENTS,
     StandInUpstream,
+    pieces,
     refuse,
     send_chunk,
     send_event,
@@ -21,14 +22,6 @@
 DRAFT = request_bytes("/draft/1", more=GENERATION)
 
 
-def _pieces(answer):
-    return [
-        int(line.split()[-1])
-        for line in answer.decode("latin-1").splitlines()
-        if line.startswith("data: piece")
-    ]
-
-
 async def _engines(*scripts):
     found = [StandInUpstream(upstream="p1")]
     found += [
@@ -67,7 +60,7 @@
             return await world.ask(NOTE), prefill, decode
 
     answer, prefill, decode = asyncio.run(run())
-    assert _pieces(answer) == list(range(1, EVENTS + 1))
+    assert pieces(answer) == list(range(1, EVENTS + 1))
     assert answer.endswith(b"0\r\n\r\n")
     assert b"by-d1" in answer
     reserve, stream = decode.seen
@@ -95,7 +88,7 @@
             return await world.ask(DRAFT), first, second
 
     answer, first, second = asyncio.run(run())
-    assert _pieces(answer) == list(range(1, EVENTS + 1))
+    assert pieces(answer) == list(range(1, EVENTS + 1))
     assert b"data: pieid" not in answer
     assert answer.endswith(b"0\r\n\r\n")
     assert len(first.runs) + len(second.runs) == 2
@@ -132,7 +125,7 @@
             return await world.ask(draft), second
 
     answer, second = asyncio.run(run())
-    assert _pieces(answer) == list(range(1, EVENTS + 1))
+    assert pieces(answer) == list(range(1, EVENTS + 1))
     assert answer.endswith(b"0\r\n\r\n")
     assert second.seen != []
 
@@ -158,7 +151,7 @@
             return await world.ask(DRAFT)
 
     answer = asyncio.run(run())
-    assert _pieces(answer) == list(range(1, EVENTS + 1))
+    assert pieces(answer) == list(range(1, EVENTS + 1))
 
 
 def test_a_stream_that_may_not_be_repeated_is_broken_off_visibly():
@@ -176,7 +169,7 @@
             return await world.ask(NOTE), first, second
 
     answer, first, second = asyncio.run(run())
-    assert _pieces(answer) == [1, 2]
+    assert pieces(answer) == [1, 2]
     assert not answer.endswith(b"0\r\n\r\n")
     assert len(first.runs) + len(second.runs) == 1
 
@@ -265,7 +258,7 @@
             return answers, replaced
 
     answers, replaced = asyncio.run(run())
-    assert all(_pieces(a) == list(range(1, EVENTS + 1)) for a in answers)
+    assert all(pieces(a) == list(range(1, EVENTS + 1)) for a in answers)
     assert len(replaced.runs) <= 1
 
 
--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -71,7 +71,18 @@
         ConnectError
             If none could be opened in time.
         """
-        return await _connect(address, timeout_s)
+        loop = asyncio.get_running_loop()
+        host, port = split_address(address)
+        try:
+            async with asyncio.timeout(min(timeout_s, CONNECT_TIMEOUT_S)):
+                _, connection = await loop.create_connection(
+                    lambda: UpstreamConnection(address=address), host, port
+                )
+        except TimeoutError:
+            raise ConnectError(f"{address} does not accept") from None
+        except OSError as exc:
+            raise ConnectError(f"{address}: {exc}") from exc
+        return connection
 
     def put_back(self, connection):
         """Keep a connection whose exchange is over, or close it."""
@@ -142,18 +153,3 @@
         raise
     pool.put_back(connection)
     return head, body
-
-
-async def _connect(address, timeout_s):
-    loop = asyncio.get_running_loop()
-    host, port = split_address(address)
-    try:
-        async with asyncio.timeout(min(timeout_s, CONNECT_TIMEOUT_S)):
-            _, connection = await loop.create_connection(
-                lambda: UpstreamConnection(address=address), host, port
-            )
-    except TimeoutError:
-        raise ConnectError(f"{address} does not accept") from None
-    except OSError as exc:
-        raise ConnectError(f"{address}: {exc}") from exc
-    return connection
--- a/currantdeal/policy/decode_memory.py
+++ b/currantdeal/policy/decode_memory.py
@@ -32,7 +32,6 @@
 the same refusal.
 """
 
-
 FULL = 1.15
 """Share of an engine's memory that generations may claim in all.
 
--- a/currantdeal/policy/shared_load.py
+++ b/currantdeal/policy/shared_load.py
@@ -20,7 +20,7 @@
 
 from dataclasses import dataclass
 
-INTERVAL_S = 0.15
+LOAD_INTERVAL_S = 0.15
 """Interval at which changed loads are passed on, at each of three steps.
 
 Half of it on average at each step makes a sum a quarter of a second old; a
--- a/currantdeal/testing/platform_upstream.py
+++ b/currantdeal/testing/platform_upstream.py
@@ -135,6 +135,39 @@
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
 
 
+def heartbeat(address, service, *, state="ready", sequence=1, born=0, **more):
+    """Return what an upstream says of itself.
+
+    Parameters
+    ----------
+    born : int
+        Start of its process, in seconds after a fixed time.
+    more : dict
+        Further fields, such as the stage of an engine.
+    """
+    return {
+        "Service": service,
+        "Address": address,
+        "Zone": "dc1",
+        "Version": "v1",
+        "Slots": 8,
+        "State": state,
+        "ColdRemainingMs": 0,
+        "Sequence": sequence,
+        "born": 1_700_000_000_000 + 1_000 * born,
+        **more,
+    }
+
+
+def pieces(answer):
+    """Return the numbers of the events that the bytes of a stream hold."""
+    return [
+        int(line.split()[-1])
+        for line in answer.decode("latin-1").splitlines()
+        if line.startswith("data: piece")
+    ]
+
+
 def send_event(writer, number):
     """Send one event as a chunk."""
     send_chunk(writer, f"id: {number}\ndata: piece {number}\n\n".encode())
