Tell who counts as a replica, and which votes are missing

Operators saw changes refused for minutes while three control instances ran; no line told who counts, when that changes, or which votes were granted, so a replica set that counts an absent one and a join that is refused look alike. Three lines and two gauges tell them apart: replica-set-changed, no-leader and join-unanswered, the last two every five seconds at most.

--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -144,6 +144,7 @@
             term=self._replica.node.term,
             version=self._replica.state.version,
             blank=self._replica.node.blank,
+            voters=self._replica.node.configuration.voter_names,
         )
         self._membership.begin(first_start=bool(settings.first_start))
         self._service.on_state(self._replica.state)
@@ -196,6 +197,8 @@
         self._metrics.set("leads", float(self._replica.leads))
         self._metrics.set("knows_leader", float(self._service.current))
         self._metrics.set("voters", len(node.configuration.voter_names))
+        self._metrics.set("learners", len(node.configuration.learner_names))
+        self._metrics.set("quorum", node.configuration.quorum)
         self._metrics.set("log_index", node.commit_index)
         for name, value in self._service.sizes.items():
             self._metrics.set(name, value)
--- a/currantdeal/consensus/node.py
+++ b/currantdeal/consensus/node.py
@@ -91,6 +91,13 @@
         """The leader of the current term, if known."""
         return self._raft.leader
 
+    @property
+    def votes(self):
+        """Who has granted a vote in the round that runs; sorted names."""
+        raft = self._raft
+        asks = (RaftRole.PRE_CANDIDATE, RaftRole.CANDIDATE)
+        return tuple(sorted(raft.votes)) if raft.role in asks else ()
+
     @property
     def blank(self):
         """True on a replica that has lost, or never had, its memory."""
--- a/currantdeal/control/membership.py
+++ b/currantdeal/control/membership.py
@@ -30,6 +30,9 @@
 ALONE_S = 2.5
 """Time without a leader after which a voter asks whether it is still one."""
 
+UNANSWERED_INTERVAL_S = 5.0
+"""Pause between two lines that say that nobody takes this instance in."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -54,6 +57,7 @@
         self._first_set = first_set
         self._clock = clock
         self._led_s = clock()
+        self._unanswered_told_s = clock()
 
     @property
     def control_addresses(self):
@@ -84,6 +88,7 @@
             return
         call = JoinCall(instance=self._me, address=self._me, blank=node.blank)
         known = (*self.control_addresses, *self._first_set())
+        answers = {}
         for address in dict.fromkeys(known):
             if address == self._me:
                 continue
@@ -92,9 +97,12 @@
                     call, timeout_s=JOIN_TIMEOUT_S
                 )
             except PeerUnreachableError:
+                answers[address] = "unreachable"
                 continue
             if answer.accepted:
                 return
+            answers[address] = "refused"
+        self._tell_unanswered(answers, blank=node.blank)
 
     async def on_join(self, call):
         """Take an instance in, or pass its call on to the leader."""
@@ -118,6 +126,18 @@
             _log.info("replica-joins", replica=call.instance, blank=call.blank)
         return Done(accepted=taken)
 
+    def _tell_unanswered(self, answers, *, blank):
+        now_s = self._clock()
+        if now_s - self._unanswered_told_s < UNANSWERED_INTERVAL_S:
+            return
+        self._unanswered_told_s = now_s
+        _log.warning(
+            "join-unanswered",
+            answers=answers,
+            blank=blank,
+            alone_s=round(now_s - self._led_s, 3),
+        )
+
     async def _forward(self, call):
         leader = self._replica.node.leader
         if call.forwarded or leader is None or leader == self._me:
--- a/currantdeal/control/replica.py
+++ b/currantdeal/control/replica.py
@@ -25,6 +25,7 @@
     DeploymentState,
 )
 from currantdeal.control.errors import NotCertainError, NotCommittedError
+from currantdeal.control.replica_watch import ReplicaWatch
 
 TICK_S = 0.05
 """Interval at which timeouts are looked at; a third of a heartbeat."""
@@ -83,7 +84,7 @@
         self._wanted = asyncio.Event()
         self._proposals = {}
         self._barriers = []
-        self._shown = None
+        self._watch = ReplicaWatch(clock=clock)
         self._disk = ThreadPoolExecutor(1, thread_name_prefix="disk")
 
     @property
@@ -239,15 +240,7 @@
             self._fail_waiting("leadership was lost")
         if self._barriers:
             self._release_barriers()
-        shown = self.node.leader
-        if shown != self._shown:
-            self._shown = shown
-            _log.info(
-                "leader-changed",
-                leader=shown or "",
-                term=self.node.term,
-                role=self.node.role.value,
-            )
+        self._watch.look(self.node)
 
     def _release_barriers(self):
         if not self.leads:
