Reproduce the incident: a departed control instance still counts

Callers are refused for good once a control instance has been replaced, the old one is away and one of the others loses its disk. The lines of the test with real processes decide between the hypotheses: two replicas restart with four voters and a quorum of three, get two votes at most, and the third is refused a place by both because nobody leads.

--- a/currantdeal/cli/tests/test_node_processes.py
+++ b/currantdeal/cli/tests/test_node_processes.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import shutil
 import signal
 import subprocess
 import sys
@@ -155,6 +156,40 @@
             _until(lambda entry=entry: _served(entry))
 
 
+@pytest.mark.known_red
+def test_a_stopped_control_instance_counts_no_more(tmp_path, upstreams):
+    """A control instance is replaced: the new one first, then the old stops.
+
+    Right after that all machines lose power, and the new one comes back with
+    an empty disk.  Nobody is elected any more, operators can't read back what
+    was acknowledged, and callers are refused for good.
+    """
+    standin = upstreams.add()
+    with NodeCluster(folder=tmp_path, control=4) as cluster:
+        old, *rest = cluster.control
+        new = rest[-1]
+        cluster.put_config(config_body(version=3))
+        _until(lambda: _holds(cluster, new, version=3))
+        old.send_signal(signal.SIGTERM)
+        assert old.wait(8.0) == 0
+        cluster.put_config(config_body(version=8))
+        for process in cluster.processes:
+            process.kill()
+        shutil.rmtree(new.settings["data_folder"])
+        for process in (*rest, *cluster.entries):
+            process.settings["first_start"] = False
+            process.start()
+        assert json.loads(cluster.get_config())["Version"] == 8
+        cluster.announce("u1", _beat(standin, sequence=2))
+        for entry in cluster.entries:
+            _until(lambda entry=entry: _served(entry))
+
+
+def _holds(cluster, control, *, version):
+    status, raw = cluster.call("GET", cluster.metrics_url(control))
+    return status == 200 and f"config_version {version}" in raw.decode()
+
+
 def test_a_planned_stop_finishes_what_it_has_read(tmp_path, upstreams):
     """An entry is told to stop while an order is at the upstream.
 
--- a/currantdeal/consensus/tests/test_node.py
+++ b/currantdeal/consensus/tests/test_node.py
@@ -22,87 +22,7 @@
     VoteAnswer,
     VoteRequest,
 )
-
-NAMES = ("i1", "i2", "i3")
-
-
-class Trio:
-    """Three machines that hear each other at once, but for the cut ones."""
-
-    def __init__(self, *, voters=NAMES, names=NAMES, settings=None):
-        self.settings = settings or NodeSettings()
-        first = Configuration(
-            voters=tuple(Replica(instance=n, address="") for n in voters)
-        )
-        start = Snapshot(index=0, term=0, configuration=first)
-        self.start = start
-        self.now_s = 0.0
-        self.cut = set()
-        self.nodes = {
-            name: Node(
-                me=name,
-                settings=self.settings,
-                stored=Stored(snapshot=start if name in voters else None),
-                random=random.Random(name),
-                now_s=0.0,
-            )
-            for name in names
-        }
-        self.installed = set()
-
-    def run(self, seconds):
-        """Let time pass, with every message delivered."""
-        end_s = self.now_s + seconds
-        while self.now_s < end_s:
-            self.now_s += 0.05
-            for node in self.nodes.values():
-                node.tick(self.now_s)
-            while any([self._pump(name) for name in self.nodes]):
-                pass
-
-    def leader(self):
-        """Return the machine that leads, once there is one."""
-        for _ in range(100):
-            ready = [
-                node
-                for name, node in self.nodes.items()
-                if node.is_ready and name not in self.cut
-            ]
-            if ready:
-                return ready[0]
-            self.run(0.1)
-        raise AssertionError("nobody leads")
-
-    def name_of(self, node):
-        """Return a machine's name."""
-        return next(n for n, found in self.nodes.items() if found is node)
-
-    def restart(self, name):
-        """Start a machine again with what it had on its disk."""
-        raft = self.nodes[name]._raft
-        entries = raft.log.after(0, limit=100, max_bytes=1_000_000)
-        self.nodes[name] = Node(
-            me=name,
-            settings=self.settings,
-            stored=Stored(
-                snapshot=self.start,
-                term=raft.term,
-                voted_for=raft.voted_for,
-                entries=tuple(entries),
-            ),
-            random=random.Random(name),
-            now_s=self.now_s,
-        )
-
-    def _pump(self, name):
-        output = self.nodes[name].take_output()
-        self.nodes[name].synced(output.last_index)
-        if output.installed:
-            self.installed.add(name)
-        for message in output.early + output.messages:
-            if not {name, message.to} & self.cut:
-                self.nodes[message.to].receive(message, self.now_s)
-        return bool(output.early or output.messages or output.committed)
+from currantdeal.consensus.tests.builders import NAMES, Machines
 
 
 def test_replica_that_was_cut_off_does_not_depose_the_leader():
@@ -111,15 +31,15 @@
     Without the pre-vote its term would have grown meanwhile, and every
     return from a partition would stop all changes for an election.
     """
-    trio = Trio()
-    leader = trio.leader()
+    machines = Machines()
+    leader = machines.leader()
     term = leader.term
-    away = next(n for n in NAMES if trio.nodes[n] is not leader)
-    trio.cut = {away}
-    trio.run(10.0)
-    trio.cut = set()
-    trio.run(3.0)
-    assert trio.leader() is leader
+    away = next(n for n in NAMES if machines.nodes[n] is not leader)
+    machines.cut = {away}
+    machines.run(10.0)
+    machines.cut = set()
+    machines.run(3.0)
+    assert machines.leader() is leader
     assert leader.term == term
 
 
@@ -128,14 +48,14 @@
 
     If it stayed leader it would go on telling its instances that it is.
     """
-    trio = Trio()
-    old = trio.leader()
-    trio.cut = {trio.name_of(old)}
-    trio.run(4.0)
+    machines = Machines()
+    old = machines.leader()
+    machines.cut = {machines.name_of(old)}
+    machines.run(4.0)
     assert old.role is not RaftRole.LEADER
     with pytest.raises(NotLeaderError):
-        old.propose((b"x",), trio.now_s)
-    assert trio.leader() is not old
+        old.propose((b"x",), machines.now_s)
+    assert machines.leader() is not old
 
 
 def test_learner_counts_only_after_it_has_caught_up():
@@ -143,20 +63,20 @@
 
     Were it counted at once, a quorum could rest on an empty disk.
     """
-    trio = Trio(names=(*NAMES, "i4"))
-    leader = trio.leader()
-    leader.propose((b"x",) * 50, trio.now_s)
-    trio.run(0.5)
+    machines = Machines(names=(*NAMES, "i4"))
+    leader = machines.leader()
+    leader.propose((b"x",) * 50, machines.now_s)
+    machines.run(0.5)
     leader.compact(index=leader.commit_index - 5, data=b"state", keep=0)
-    trio.cut = {"i4"}
+    machines.cut = {"i4"}
     leader.join(Replica(instance="i4", address=""), blank=True, now_s=1.0)
-    trio.run(1.0)
+    machines.run(1.0)
     assert leader.configuration.learner_names == ("i4",)
-    trio.cut = set()
-    trio.run(2.0)
+    machines.cut = set()
+    machines.run(2.0)
     assert "i4" in leader.configuration.voter_names
-    assert "i4" in trio.installed
-    assert trio.nodes["i4"].last_index == leader.last_index
+    assert "i4" in machines.installed
+    assert machines.nodes["i4"].last_index == leader.last_index
 
 
 def test_replica_without_memory_grants_no_vote():
@@ -164,7 +84,7 @@
 
     Two votes in one term could make two leaders.
     """
-    node = Trio(names=(*NAMES, "i4")).nodes["i4"]
+    node = Machines(names=(*NAMES, "i4")).nodes["i4"]
     for pre in (True, False):
         node.receive(
             VoteRequest(
@@ -186,13 +106,13 @@
 
     Two changes together could give two quorums without a common replica.
     """
-    trio = Trio()
-    leader = trio.leader()
-    others = [n for n in NAMES if trio.nodes[n] is not leader]
-    leader.remove(others[0], trio.now_s)
+    machines = Machines()
+    leader = machines.leader()
+    others = [n for n in NAMES if machines.nodes[n] is not leader]
+    leader.remove(others[0], machines.now_s)
     with pytest.raises(ChangePendingError):
-        leader.remove(others[1], trio.now_s)
-    trio.run(0.5)
+        leader.remove(others[1], machines.now_s)
+    machines.run(0.5)
     assert len(leader.configuration.voters) == 2
 
 
@@ -201,8 +121,8 @@
 
     The replica stops with a clear error instead of losing an order.
     """
-    trio = Trio()
-    leader = trio.leader()
+    machines = Machines()
+    leader = machines.leader()
     wrong = Entry(index=1, term=9, kind=EntryKind.NOTHING)
     message = AppendRequest(
         term=9,
@@ -215,19 +135,19 @@
         entries=(wrong,),
     )
     with pytest.raises(InvariantError):
-        leader.receive(message, trio.now_s)
+        leader.receive(message, machines.now_s)
 
 
 def test_hand_over_goes_to_a_replica_that_has_everything():
-    trio = Trio()
-    leader = trio.leader()
-    entries = leader.propose((b"x",), trio.now_s)
-    leader.transfer(trio.now_s)
+    machines = Machines()
+    leader = machines.leader()
+    entries = leader.propose((b"x",), machines.now_s)
+    leader.transfer(machines.now_s)
     with pytest.raises(NotLeaderError):
-        leader.propose((b"y",), trio.now_s)
-    trio.run(0.3)
-    assert trio.leader() is not leader
-    assert trio.leader().commit_index > entries[0].index
+        leader.propose((b"y",), machines.now_s)
+    machines.run(0.3)
+    assert machines.leader() is not leader
+    assert machines.leader().commit_index > entries[0].index
 
 
 def test_new_leader_waits_for_leases_it_has_not_heard_of():
@@ -376,22 +296,22 @@
     refused everywhere.
     """
     settings = NodeSettings(election_s=0.8, first_election_s=0.1)
-    trio = Trio(settings=settings)
-    trio.run(0.5)
-    assert any(node.is_ready for node in trio.nodes.values())
+    machines = Machines(settings=settings)
+    machines.run(0.5)
+    assert any(node.is_ready for node in machines.nodes.values())
 
 
 def test_a_replica_that_restarts_does_not_depose_the_leader():
     """One of three restarts and has not heard the leader yet."""
     settings = NodeSettings(election_s=0.8, first_election_s=0.1)
-    trio = Trio(settings=settings)
-    leader = trio.leader()
+    machines = Machines(settings=settings)
+    leader = machines.leader()
     term = leader.term
-    trio.run(3.0)
-    other = next(n for n in NAMES if trio.nodes[n] is not leader)
-    trio.restart(other)
-    trio.run(2.0)
-    assert trio.leader() is leader
+    machines.run(3.0)
+    other = next(n for n in NAMES if machines.nodes[n] is not leader)
+    machines.restart(other)
+    machines.run(2.0)
+    assert machines.leader() is leader
     assert leader.term == term
 
 
@@ -401,8 +321,8 @@
     Told with the next heartbeat only, they refuse callers for that long.
     """
     settings = NodeSettings(heartbeat_s=60.0, first_election_s=0.1)
-    trio = Trio(settings=settings)
-    leader = trio.leader()
-    commits = {node.commit_index for node in trio.nodes.values()}
+    machines = Machines(settings=settings)
+    leader = machines.leader()
+    commits = {node.commit_index for node in machines.nodes.values()}
     assert commits == {leader.commit_index}
     assert leader.commit_index >= 1
--- a/currantdeal/control/replica_watch.py
+++ b/currantdeal/control/replica_watch.py
@@ -26,7 +26,7 @@
         """Start with nothing told."""
         self._clock = clock
         self._leader = None
-        self._configuration = None
+        self._replica_set = None
         self._led_s = clock()
         self._told_s = self._led_s
         self._votes = ()
@@ -35,7 +35,9 @@
         """Log what differs from the last look at a ``Node``."""
         if node.leader != self._leader:
             self._tell_leader(node)
-        if node.configuration != self._configuration:
+        replica_set = (node.configuration, node.change_pending)
+        if replica_set != self._replica_set:
+            self._replica_set = replica_set
             self._tell_replica_set(node)
         if node.leader is not None:
             self._led_s = self._told_s = self._clock()
@@ -53,7 +55,6 @@
         )
 
     def _tell_replica_set(self, node):
-        self._configuration = node.configuration
         _log.info(
             "replica-set-changed",
             **_replica_set(node.configuration),
--- a/currantdeal/testing/node_processes.py
+++ b/currantdeal/testing/node_processes.py
@@ -134,6 +134,10 @@
         """Return the address of a call to control."""
         return f"http://{process.settings['listen']['control']}{path}"
 
+    def metrics_url(self, process):
+        """Return the address of a process's metrics."""
+        return f"http://{process.settings['listen']['metrics']}/metrics"
+
     def call(self, method, url, body=None):
         """Make a call; returns status and body, status 0 if none came."""
         request = urllib.request.Request(url, data=body, method=method)
