Let control instances that are gone or stop count no more

Callers were refused for good after a loss of power, and entries stayed on old routes, once a control instance had been replaced and another one lost its disk.

Cause: a successor came to count beside the voter that it replaced, and that one was only removed when yet another instance asked to join. Of four voters three had to agree, and just three were left, so one lost disk took the majority for good. Class: who is gone counts towards a majority.

A voter that is silent gives way where fewer are needed without it or where a successor is ready, and the successor counts only after that. An instance that stops asks to leave: its successor counts first, then it goes. An extra replica stands by as a learner, since an even number bears no more losses; so the loss of it and of any other can be borne.

test_learner_counts_only_after_it_has_caught_up expected a fourth voter beside three that answer, which is part of the cause.

--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -52,7 +52,7 @@
 """
 
 HAND_OVER_S = 0.6
-"""Time from the request to stop until the end, for the hand-over."""
+"""Shortest time from the request to stop until the end."""
 
 _log = structlog.get_logger(__name__)
 
@@ -171,7 +171,9 @@
             task.result()
         _log.info("stopping", leads=self._replica.leads)
         self._replica.node.transfer(time.monotonic())
-        await asyncio.sleep(HAND_OVER_S)
+        await asyncio.gather(
+            asyncio.sleep(HAND_OVER_S), self._membership.leave()
+        )
         _log.info("stopped")
 
     async def _listen(self, settings):
@@ -199,6 +201,8 @@
         self._metrics.set("voters", len(node.configuration.voter_names))
         self._metrics.set("learners", len(node.configuration.learner_names))
         self._metrics.set("quorum", node.configuration.quorum)
+        silent = node.silent_members(time.monotonic())
+        self._metrics.set("silent_replicas", len(silent))
         self._metrics.set("log_index", node.commit_index)
         for name, value in self._service.sizes.items():
             self._metrics.set(name, value)
--- a/currantdeal/cli/tests/test_node_processes.py
+++ b/currantdeal/cli/tests/test_node_processes.py
@@ -156,13 +156,14 @@
             _until(lambda entry=entry: _served(entry))
 
 
-@pytest.mark.known_red
 def test_a_stopped_control_instance_counts_no_more(tmp_path, upstreams):
     """A control instance is replaced: the new one first, then the old stops.
 
     Right after that all machines lose power, and the new one comes back with
     an empty disk.  Nobody is elected any more, operators can't read back what
     was acknowledged, and callers are refused for good.
+
+    The old one counted as a voter after it had ended; it now asks to leave.
     """
     standin = upstreams.add()
     with NodeCluster(folder=tmp_path, control=4) as cluster:
--- a/currantdeal/consensus/__init__.py
+++ b/currantdeal/consensus/__init__.py
@@ -32,11 +32,19 @@
 )
 from currantdeal.consensus.node import Node
 from currantdeal.consensus.raft import NodeSettings, RaftRole
+from currantdeal.consensus.replica_set import (
+    ChangeReason,
+    MemberHealth,
+    ReplicaSetChange,
+    may_give_way,
+    next_change,
+)
 
 __all__ = [
     "AppendAnswer",
     "AppendRequest",
     "CLOCK_DRIFT",
+    "ChangeReason",
     "ChangePendingError",
     "CompactedError",
     "Configuration",
@@ -48,6 +56,7 @@
     "LeaseTable",
     "Log",
     "MESSAGE_CODEC",
+    "MemberHealth",
     "Message",
     "Node",
     "NodeSettings",
@@ -55,6 +64,7 @@
     "Output",
     "RaftRole",
     "Replica",
+    "ReplicaSetChange",
     "SaveEntries",
     "SaveSnapshot",
     "SaveVote",
@@ -66,4 +76,6 @@
     "VoteAnswer",
     "VoteRequest",
     "Write",
+    "may_give_way",
+    "next_change",
 ]
--- a/currantdeal/consensus/node.py
+++ b/currantdeal/consensus/node.py
@@ -146,6 +146,11 @@
         """The latest replica set known."""
         return self._raft.configuration
 
+    @property
+    def set_change(self):
+        """The latest ``ReplicaSetChange`` of this replica as leader."""
+        return self._raft.set_change
+
     @property
     def change_pending(self):
         """True while the latest replica set is not committed."""
@@ -164,21 +169,11 @@
         """Return since when a quorum has known this leader."""
         return replication.quorum_acked_s(self._raft, now_s)
 
-    def silent_voters(self, now_s, *, for_s):
-        """Return the voters that have not answered this leader for a time.
-
-        A leader younger than that time knows of none.
-        """
-        raft = self._raft
-        if raft.role is not RaftRole.LEADER or now_s - raft.elected_s < for_s:
-            return ()
-        return tuple(
-            name
-            for name in raft.configuration.voter_names
-            if name != raft.me
-            and now_s - max(raft.progress[name].acked_s, raft.elected_s)
-            >= for_s
-        )
+    def silent_members(self, now_s):
+        """Return who may be gone for good; a follower knows of nobody."""
+        if self._raft.role is not RaftRole.LEADER:
+            return frozenset()
+        return replication.silent_members(self._raft, now_s)
 
     def tick(self, now_s):
         """Let time pass."""
@@ -214,10 +209,10 @@
         """Take one step towards having a replica as a voter.
 
         A voter without memory is removed first, and a replica that is no
-        member becomes a learner; learners are promoted by the leader when
-        they have caught up.
+        member becomes a learner; see ``next_change`` for what follows.
         """
         self._check_may_change()
+        self._raft.leaving_s.pop(replica.instance, None)
         configuration = self._raft.configuration
         if replica.instance in configuration.voter_names and blank:
             changed = configuration.without(replica.instance)
@@ -231,6 +226,23 @@
             changed = configuration.with_learner(replica)
         replication.change_configuration(self._raft, changed, now_s)
 
+    def leave(self, instance, now_s):
+        """Note that a member stops; returns whether it counts no more.
+
+        Raises
+        ------
+        NotLeaderError
+            If this replica does not lead.
+        """
+        raft = self._raft
+        if not self.is_ready:
+            raise NotLeaderError(f"{raft.me} does not lead")
+        names = [member.instance for member in raft.configuration.members]
+        if instance not in names:
+            return not self.change_pending
+        raft.leaving_s[instance] = now_s
+        return False
+
     def remove(self, instance, now_s):
         """Take a replica out of the set."""
         self._check_may_change()
--- a/currantdeal/consensus/raft.py
+++ b/currantdeal/consensus/raft.py
@@ -46,6 +46,9 @@
     first_election_s : float or None
         The same for a replica that has not heard a leader since its start;
         ``election_s`` if None.
+    silent_s : float
+        Silence after which a replica may be gone for good.  Shorter pauses,
+        such as a restart, end by themselves.
     max_entries, max_bytes : int
         Bounds of one message with entries.
     window_entries : int
@@ -57,6 +60,7 @@
     heartbeat_s: float = 0.15
     election_s: float = 0.8
     first_election_s: float | None = None
+    silent_s: float = 3.0
     max_entries: int = 256
     max_bytes: int = 262_144
     window_entries: int = 2_048
@@ -66,11 +70,12 @@
 class Progress:
     """What the leader knows of another replica."""
 
-    def __init__(self, *, next_index):
+    def __init__(self, *, next_index, now_s):
         """Start without knowing what the replica has."""
         self.next_index = next_index
         self.match_index = 0
         self.acked_s = NEVER_S
+        self.heard_s = now_s
         self.sending = None
         self.offset = 0
 
@@ -104,6 +109,8 @@
         self.heard_s = NEVER_S
         self.votes = set()
         self.progress = {}
+        self.leaving_s = {}
+        self.set_change = None
         self.first_own_index = 0
         self.elected_s = NEVER_S
         self.transfer_to = None
--- a/currantdeal/consensus/replication.py
+++ b/currantdeal/consensus/replication.py
@@ -1,4 +1,4 @@
-"""The leader's part: replication, commit, learners and hand-over.
+"""The leader's part: replication, commit, replica set and hand-over.
 
 Raft's log replication with pipelining and batching (thesis [1]_, section
 10.2): entries go to the followers while the leader's own disk still syncs
@@ -18,6 +18,13 @@
     TimeoutNow,
 )
 from currantdeal.consensus.raft import NEVER_S, Progress, RaftRole
+from currantdeal.consensus.replica_set import MemberHealth, next_change
+
+LEAVING_S = 1.0
+"""Time for which a replica's word that it stops holds, unless repeated.
+
+One that stopped and was started again has not left.
+"""
 
 
 def lead(raft, now_s):
@@ -32,6 +39,7 @@
     raft.elected_s = now_s
     raft.transfer_to = None
     raft.progress = {}
+    raft.leaving_s = {}
     raft.first_own_index = raft.log.last_index + 1
     append(raft, (b"",), EntryKind.NOTHING, now_s)
 
@@ -44,7 +52,7 @@
         for n, data in enumerate(payloads)
     ]
     raft.append(entries)
-    _follow_configuration(raft)
+    _follow_configuration(raft, now_s)
     broadcast(raft, now_s)
     return entries
 
@@ -56,7 +64,7 @@
 
 
 def tick(raft, now_s):
-    """Send heartbeats, promote learners, step down without a quorum."""
+    """Send heartbeats, adapt the replica set, step down without a quorum."""
     limit_s = 2.0 * raft.settings.election_s
     if now_s - max(quorum_acked_s(raft, now_s), raft.elected_s) > limit_s:
         raft.follow(raft.term, None, now_s)
@@ -65,7 +73,7 @@
         raft.transfer_to = None
     if now_s >= raft.heartbeat_due_s:
         broadcast(raft, now_s)
-    _promote_learner(raft, now_s)
+    _adapt_replica_set(raft, now_s)
 
 
 def broadcast(raft, now_s):
@@ -98,6 +106,7 @@
     if answer.blank:
         _start_snapshot(raft, answer.sender, peer, now_s)
         return
+    peer.heard_s = now_s
     peer.acked_s = max(peer.acked_s, answer.sent_s)
     if not answer.accepted:
         behind = peer.match_index + 1
@@ -122,6 +131,7 @@
         return
     if peer is None or peer.sending is None:
         return
+    peer.heard_s = now_s
     if not answer.blank:
         peer.acked_s = max(peer.acked_s, answer.sent_s)
     if answer.index == peer.sending.index:
@@ -174,27 +184,52 @@
     )
 
 
-def _promote_learner(raft, now_s):
+def silent_members(raft, now_s):
+    """Return who may be gone for good, as far as this leader knows."""
+    limit_s = now_s - raft.settings.silent_s
+    return frozenset(
+        name for name, peer in raft.progress.items() if peer.heard_s <= limit_s
+    )
+
+
+def _adapt_replica_set(raft, now_s):
     if raft.configuration_index > raft.commit:
         return
     if raft.commit < raft.first_own_index:
         return
+    change = next_change(raft.configuration, _health(raft, now_s))
+    if change is not None:
+        raft.set_change = change
+        change_configuration(raft, change.configuration, now_s)
+
+
+def _health(raft, now_s):
     recent_s = now_s - raft.settings.election_s
-    for name in raft.configuration.learner_names:
-        peer = raft.progress[name]
-        if peer.match_index >= raft.commit and peer.acked_s >= recent_s:
-            change_configuration(
-                raft, raft.configuration.with_voter(name), now_s
-            )
-            return
+    told_s = now_s - LEAVING_S
+    answering = frozenset(
+        name for name, peer in raft.progress.items() if peer.acked_s > recent_s
+    )
+    return MemberHealth(
+        answering=answering | {raft.me},
+        silent=silent_members(raft, now_s),
+        leaving=frozenset(
+            name for name, at_s in raft.leaving_s.items() if at_s > told_s
+        ),
+        caught_up=frozenset(
+            name
+            for name in raft.configuration.learner_names
+            if name in answering
+            and raft.progress[name].match_index >= raft.commit
+        ),
+    )
 
 
-def _follow_configuration(raft):
+def _follow_configuration(raft, now_s):
     members = raft.configuration.voter_names + raft.configuration.learner_names
     wanted = [name for name in members if name != raft.me]
     raft.progress = {
         name: raft.progress.get(name)
-        or Progress(next_index=raft.log.last_index)
+        or Progress(next_index=raft.log.last_index, now_s=now_s)
         for name in wanted
     }
 
--- a/currantdeal/consensus/tests/mutations.py
+++ b/currantdeal/consensus/tests/mutations.py
@@ -136,8 +136,9 @@
     Mutation(
         title="a learner is promoted before it has caught up",
         path="consensus/replication.py",
-        old="if peer.match_index >= raft.commit and peer.acked_s >= recent_s:",
-        new="if recent_s:",
+        old="            if name in answering\n"
+        "            and raft.progress[name].match_index >= raft.commit\n",
+        new="            if recent_s\n",
         check=NODE,
     ),
     Mutation(
--- a/currantdeal/consensus/tests/test_node.py
+++ b/currantdeal/consensus/tests/test_node.py
@@ -68,13 +68,19 @@
     leader.propose((b"x",) * 50, machines.now_s)
     machines.run(0.5)
     leader.compact(index=leader.commit_index - 5, data=b"state", keep=0)
-    machines.cut = {"i4"}
-    leader.join(Replica(instance="i4", address=""), blank=True, now_s=1.0)
+    down = next(n for n in NAMES if machines.nodes[n] is not leader)
+    machines.cut = {down}
+    machines.run(4.0)
+    machines.cut = {down, "i4"}
+    joining = Replica(instance="i4", address="")
+    leader.join(joining, blank=True, now_s=machines.now_s)
     machines.run(1.0)
     assert leader.configuration.learner_names == ("i4",)
-    machines.cut = set()
+    assert leader.configuration.voter_names == NAMES
+    machines.cut = {down}
     machines.run(2.0)
     assert "i4" in leader.configuration.voter_names
+    assert down not in leader.configuration.voter_names
     assert "i4" in machines.installed
     assert machines.nodes["i4"].last_index == leader.last_index
 
--- a/currantdeal/control/membership.py
+++ b/currantdeal/control/membership.py
@@ -5,13 +5,24 @@
 empty later, ask to join: a replica that forgot its votes must not count
 before it has learned again, or two leaders could be elected in one term and
 an acknowledged change would go away.
+
+One that is told to stop asks to leave.  If it is to be replaced, it does not
+return, and the others could not spare it once one more is lost.
 """
 
+import asyncio
+
 import structlog
 
-from currantdeal.consensus import Configuration, RaftRole, Replica
+from currantdeal.consensus import (
+    Configuration,
+    NotLeaderError,
+    RaftRole,
+    Replica,
+    may_give_way,
+)
 from currantdeal.node.errors import PeerUnreachableError
-from currantdeal.node.messages import Done, JoinCall
+from currantdeal.node.messages import Done, JoinCall, LeaveCall
 
 JOIN_INTERVAL_S = 0.4
 """Pause between attempts to join."""
@@ -19,13 +30,11 @@
 JOIN_TIMEOUT_S = 0.6
 """Time for a control instance to answer an attempt."""
 
-SILENT_VOTER_S = 3.0
-"""Silence after which a voter gives way to an instance that asks to join.
+LEAVE_INTERVAL_S = 0.1
+"""Pause between attempts to leave."""
 
-A voter that is gone for good counts towards the majority as long as it is a
-member, and the next failure would leave none.  Shorter pauses, such as a
-restart, end by themselves.
-"""
+LEAVE_LIMIT_S = 1.5
+"""Time for which an instance that stops asks to leave: a few elections."""
 
 ALONE_S = 2.5
 """Time without a leader after which a voter asks whether it is still one."""
@@ -58,6 +67,7 @@
         self._clock = clock
         self._led_s = clock()
         self._unanswered_told_s = clock()
+        self._leaves = False
 
     @property
     def control_addresses(self):
@@ -78,13 +88,14 @@
             self._replica.bootstrap(Configuration(voters=voters))
 
     async def step(self):
-        """Ask to join, if this instance does not take part."""
+        """Ask to join, if this instance should take part and does not."""
         node = self._replica.node
         now_s = self._clock()
         if node.leader is not None:
             self._led_s = now_s
-        settled = self._me in node.configuration.voter_names
-        if settled and not node.blank and now_s - self._led_s < ALONE_S:
+        names = (member.instance for member in node.configuration.members)
+        settled = self._me in names and not node.blank
+        if self._leaves or (settled and now_s - self._led_s < ALONE_S):
             return
         call = JoinCall(instance=self._me, address=self._me, blank=node.blank)
         known = (*self.control_addresses, *self._first_set())
@@ -112,13 +123,6 @@
         joining = Replica(instance=call.instance, address=call.address)
         now_s = self._clock()
         known = joining in node.configuration.members
-        silent = node.silent_voters(now_s, for_s=SILENT_VOTER_S)
-        if silent and not known:
-            gone = silent[0]
-            taken = self._replica.change(lambda n: n.remove(gone, now_s))
-            if taken:
-                _log.info("replica-removed", replica=gone, silent=True)
-            return Done(accepted=taken)
         taken = self._replica.change(
             lambda n: n.join(joining, blank=call.blank, now_s=now_s)
         )
@@ -126,6 +130,45 @@
             _log.info("replica-joins", replica=call.instance, blank=call.blank)
         return Done(accepted=taken)
 
+    async def leave(self):
+        """Ask not to count any more, if this instance can be spared.
+
+        It can't where it is one of an odd number and nobody stands by.
+        """
+        self._leaves = True
+        ends_s = self._clock() + LEAVE_LIMIT_S
+        while self._may_give_way and self._clock() < ends_s:
+            if await self._ask_to_leave():
+                _log.info("replica-left", replica=self._me)
+                return
+            await asyncio.sleep(LEAVE_INTERVAL_S)
+
+    def on_leave(self, call):
+        """Let an instance that stops give way, if this one leads."""
+        node = self._replica.node
+        try:
+            left = node.leave(call.instance, self._clock())
+        except NotLeaderError:
+            return Done(accepted=False)
+        return Done(accepted=left)
+
+    @property
+    def _may_give_way(self):
+        configuration = self._replica.node.configuration
+        return may_give_way(configuration, self._me)
+
+    async def _ask_to_leave(self):
+        leader = self._replica.node.leader
+        if leader is None or leader == self._me:
+            return False
+        try:
+            answer = await self._links(leader).call(
+                LeaveCall(instance=self._me), timeout_s=JOIN_TIMEOUT_S
+            )
+        except PeerUnreachableError:
+            return False
+        return answer.accepted
+
     def _tell_unanswered(self, answers, *, blank):
         now_s = self._clock()
         if now_s - self._unanswered_told_s < UNANSWERED_INTERVAL_S:
--- a/currantdeal/control/replica_watch.py
+++ b/currantdeal/control/replica_watch.py
@@ -27,6 +27,7 @@
         self._clock = clock
         self._leader = None
         self._replica_set = None
+        self._set_change = None
         self._led_s = clock()
         self._told_s = self._led_s
         self._votes = ()
@@ -39,6 +40,8 @@
         if replica_set != self._replica_set:
             self._replica_set = replica_set
             self._tell_replica_set(node)
+        if node.set_change is not self._set_change:
+            self._tell_set_change(node)
         if node.leader is not None:
             self._led_s = self._told_s = self._clock()
             self._votes = ()
@@ -63,6 +66,15 @@
             committed=not node.change_pending,
         )
 
+    def _tell_set_change(self, node):
+        self._set_change = node.set_change
+        _log.info(
+            "replica-set-adapted",
+            replica=node.set_change.replica,
+            reason=node.set_change.reason.value,
+            **_replica_set(node.set_change.configuration),
+        )
+
     def _note_no_leader(self, node):
         # A round of votes begins anew before its answers could be told, so
         # the best of the last rounds is kept.
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -19,6 +19,7 @@
     Done,
     EntryNotice,
     JoinCall,
+    LeaveCall,
     LoadNotice,
     ProposeConfigCall,
     RaftNotice,
@@ -285,6 +286,10 @@
     async def _(self, call: JoinCall, connection):
         return await self._membership.on_join(call)
 
+    @_take_call.register
+    async def _(self, call: LeaveCall, connection):
+        return self._membership.on_leave(call)
+
     @_take_call.register
     async def _(self, call: ProposeConfigCall, connection):
         return Done(accepted=await self._config.propose_here(call))
--- a/currantdeal/node/messages.py
+++ b/currantdeal/node/messages.py
@@ -37,6 +37,16 @@
     forwarded: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class LeaveCall:
+    """A control instance that stops asks not to count any more.
+
+    Answered by ``Done``: accepted once it is no member of the replica set.
+    """
+
+    instance: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class ProposeConfigCall:
     """Ask the leader to bring a configuration into force."""
@@ -258,6 +268,7 @@
     classes=(
         RaftNotice,
         JoinCall,
+        LeaveCall,
         ProposeConfigCall,
         ReadConfigCall,
         ConfigAnswer,
