Confirm a leave by the voters, not by instances that still start

An upstream that left was told to ask again while a control instance was gone and its successor still started: both counted, and of four only two could confirm. The voters of the replica set count now; all are told as before.

--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -101,6 +101,7 @@
                 address=self._me, data_center=settings.data_center
             ),
             control=lambda: self._membership.control_addresses,
+            voters=lambda: self._membership.voter_addresses,
             links=self._link,
             heartbeat_s=settings.heartbeat_ms / 1_000.0,
             clock=time.monotonic,
--- a/currantdeal/control/exchange.py
+++ b/currantdeal/control/exchange.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 
 import structlog
 
@@ -41,6 +42,8 @@
         This instance.
     control : callable
         Returns the peer addresses of all control instances.
+    voters : callable
+        Returns those of them that count towards a majority.
     links : callable
         Returns the ``PeerLink`` to an address.
     heartbeat_s : float
@@ -49,11 +52,12 @@
         Returns monotonic seconds.
     """
 
-    def __init__(self, *, me, control, links, heartbeat_s, clock):
+    def __init__(self, *, me, control, voters, links, heartbeat_s, clock):
         """Start with empty records."""
         self.me = me.address
         self._data_centers = {me.address: me.data_center}
         self._control = control
+        self._voters = voters
         self._links = links
         self._clock = clock
         self.registry = UpstreamRegistry(heartbeat_s=heartbeat_s)
@@ -173,13 +177,21 @@
             self.tell_others(notice)
 
     async def spread(self, *, upstreams=(), entries=()):
-        """Spread news; returns whether a majority has confirmed it."""
+        """Spread news; returns whether a majority has confirmed it.
+
+        All are told, but only the voters of the replica set count.  An
+        instance that still starts, beside one that is gone, would raise the
+        majority above what can answer, and no upstream could leave.
+        """
         call = SpreadCall(upstreams=upstreams, entries=entries)
         others = self._others()
         answers = await asyncio.gather(
             *(self._confirm(address, call) for address in others)
         )
-        return 1 + sum(answers) > (1 + len(others)) // 2
+        confirmed = {self.me}
+        confirmed.update(itertools.compress(others, answers))
+        voters = set(self._voters())
+        return len(voters & confirmed) > len(voters) // 2
 
     def tell_switching(self, upstream, for_s):
         """Have all entries leave an engine alone while it switches."""
--- a/currantdeal/control/membership.py
+++ b/currantdeal/control/membership.py
@@ -76,6 +76,12 @@
         found = tuple(member.address for member in members)
         return found or self._first_set()
 
+    @property
+    def voter_addresses(self):
+        """Those of them that count towards a majority."""
+        voters = self._replica.node.configuration.voters
+        return tuple(v.address for v in voters) or self._first_set()
+
     def begin(self, *, first_start):
         """Begin the first replica set, if this is the very first start."""
         node = self._replica.node
