Have a replica that was replaced while away join again

With the leader's rule a replica that was cut off for long gives way to one that stands by. The stand-alone program asked to join only while its disk was blank, so it stayed behind for good and the next loss found nobody standing by. It now asks whenever it has heard no leader for 2.5 s or is no member.

--- a/currantdeal/adapters/replication/joiner.py
+++ b/currantdeal/adapters/replication/joiner.py
@@ -5,6 +5,9 @@
 its folder empty has lost its disk, or is new: it asks to join, learns, and
 counts once it has caught up.  It never begins a second first set, because
 that would hide everything the first one agreed on.
+
+One that was away for long may have been replaced.  It takes itself for a
+voter still and hears no leader, so it asks again after a while.
 """
 
 import threading
@@ -16,9 +19,15 @@
 
 CALL_TIMEOUT_S = 0.5
 
+ALONE_S = 2.5
+"""Time without a leader after which a member asks whether it is still one."""
+
+SETTLED_INTERVAL_S = 1.0
+"""Pause between looks of a replica that takes part."""
+
 
 class Joiner:
-    """Thread that runs until this replica is a voter.
+    """Thread that has this replica take part, also after it was replaced.
 
     Parameters
     ----------
@@ -34,10 +43,12 @@
         Where they are.
     interval_s : float
         Time between attempts.
+    clock : Clock
+        Source of time.
     """
 
     def __init__(
-        self, *, me, first_set, local, remotes, directory, interval_s
+        self, *, me, first_set, local, remotes, directory, interval_s, clock
     ):
         """Keep the parts; nothing runs before ``start``."""
         self._me = me
@@ -46,8 +57,9 @@
         self._remotes = remotes
         self._directory = directory
         self._interval_s = interval_s
+        self._clock = clock
         self._stopped = threading.Event()
-        self._was_blank = False
+        self._led_s = clock.monotonic_s()
 
     def start(self):
         """Try from now on."""
@@ -61,18 +73,20 @@
         while not self._stopped.is_set():
             status = self._local.status()
             if status is not None and self._is_settled(status):
-                return
+                self._stopped.wait(SETTLED_INTERVAL_S)
+                continue
             if status is not None:
                 self._take_step(status)
             self._stopped.wait(self._interval_s)
 
     def _is_settled(self, status):
-        self._was_blank |= status.blank
-        if status.blank:
+        now_s = self._clock.monotonic_s()
+        if status.leader is not None:
+            self._led_s = now_s
+        members = [rep.instance for rep in status.configuration.members]
+        if status.blank or self._me.instance not in members:
             return False
-        if not self._was_blank:
-            return True
-        return self._me.instance in status.configuration.voter_names
+        return now_s - self._led_s < ALONE_S
 
     def _take_step(self, status):
         if status.fresh and status.blank and self._all_fresh():
--- a/currantdeal/adapters/replication/service.py
+++ b/currantdeal/adapters/replication/service.py
@@ -210,6 +210,7 @@
             remotes=self._remotes,
             directory=self._directory,
             interval_s=self._timing.election_s / 2.0,
+            clock=self._clock,
         )
 
     def _note_configuration(self, configuration):
--- a/currantdeal/adapters/replication/tests/builders.py
+++ b/currantdeal/adapters/replication/tests/builders.py
@@ -116,14 +116,18 @@
 
 
 class Cluster:
-    """Replicas ``i1`` ... and instances without a disk after them."""
+    """Replicas ``i1`` ... and instances without a disk after them.
 
-    def __init__(self, folder, *, replicas=3, others=1):
+    The settings name the replicas of the first set, all if it is None.
+    """
+
+    def __init__(self, folder, *, replicas=3, others=1, first_set=None):
         """Start every instance."""
         self._folder = folder
         self.failing_disks = set()
         names = [f"i{n + 1}" for n in range(replicas + others)]
         self.replicas = names[:replicas]
+        self._first_set = self.replicas[:first_set]
         self._servers = {
             name: PeerServer(host="127.0.0.1", port=0) for name in names
         }
@@ -212,7 +216,7 @@
             peer_address=self.addresses[name],
             replicas=tuple(
                 PeerSettings(instance=rep, peer_address=self.addresses[rep])
-                for rep in self.replicas
+                for rep in self._first_set
             ),
             data_folder=str(self.folder(name)) if replica else "",
             timing=TIMING,
--- a/currantdeal/adapters/replication/tests/test_replicated_state.py
+++ b/currantdeal/adapters/replication/tests/test_replicated_state.py
@@ -165,6 +165,33 @@
     assert "kept" in cluster.port(broken).view().selectors
 
 
+def test_replica_that_gave_way_joins_again_when_it_is_back(tmp_path):
+    """A replica is cut off for so long that one that stood by replaces it.
+
+    When the path is whole again it takes itself for a voter, and hears from
+    nobody: it would stay behind until somebody restarts it, and the next
+    loss would find nobody who stands by.
+    """
+    cluster = Cluster(tmp_path, replicas=4, others=0, first_set=3)
+    try:
+        leader = cluster.wait_for_leader()
+        away = next(n for n in cluster.replicas[:3] if n != leader)
+
+        def members():
+            return cluster.services[leader].replica.status().configuration
+
+        wait_until(lambda: members().learner_names == ("i4",))
+        cluster.isolate(away)
+        wait_until(lambda: "i4" in members().voter_names)
+        assert away not in members().voter_names
+        cluster.heal()
+        wait_until(lambda: members().learner_names == (away,))
+        propose(cluster, leader, selector("after"))
+        wait_until(lambda: "after" in cluster.port(away).view().selectors)
+    finally:
+        cluster.close()
+
+
 def test_replica_whose_disk_fails_acknowledges_nothing(cluster):
     """One replica is down and a second one's disk fails.
 
