--- a/currantdeal/cli/tests/test_node_processes.py
+++ b/currantdeal/cli/tests/test_node_processes.py
@@ -76,7 +76,11 @@
 
 
 def _served(entry):
-    return _ask(entry, ORDER).startswith(b"HTTP/1.1 200")
+    """Return whether an order is served; not while the process starts."""
+    try:
+        return _ask(entry, ORDER).startswith(b"HTTP/1.1 200")
+    except ConnectionRefusedError:
+        return False
 
 
 def test_the_whole_path_with_real_processes(tmp_path, upstreams):
