Give memory back that an engine grants as it is withdrawn

A decode engine that was withdrawn while it answered a reservation kept the memory reserved for nobody until that ran out by itself, while its last streams wanted it. The entry now gives it back; the test failed first.

Who takes part in a replica set stood twice, once for each program that keeps the log; it is one function now.

--- a/currantdeal/adapters/replication/joiner.py
+++ b/currantdeal/adapters/replication/joiner.py
@@ -15,13 +15,10 @@
 from currantdeal.adapters.errors import PeerError
 from currantdeal.adapters.generated.consensus.ttypes import JoinRequest
 from currantdeal.adapters.replication.requests import Bootstrap
-from currantdeal.consensus import Configuration
+from currantdeal.consensus import Configuration, takes_part
 
 CALL_TIMEOUT_S = 0.5
 
-ALONE_S = 2.5
-"""Time without a leader after which a member asks whether it is still one."""
-
 SETTLED_INTERVAL_S = 1.0
 """Pause between looks of a replica that takes part."""
 
@@ -83,10 +80,11 @@
         now_s = self._clock.monotonic_s()
         if status.leader is not None:
             self._led_s = now_s
-        members = [rep.instance for rep in status.configuration.members]
-        if status.blank or self._me.instance not in members:
-            return False
-        return now_s - self._led_s < ALONE_S
+        return not status.blank and takes_part(
+            status.configuration,
+            self._me.instance,
+            alone_s=now_s - self._led_s,
+        )
 
     def _take_step(self, status):
         if status.fresh and status.blank and self._all_fresh():
--- a/currantdeal/consensus/__init__.py
+++ b/currantdeal/consensus/__init__.py
@@ -38,6 +38,7 @@
     ReplicaSetChange,
     may_give_way,
     next_change,
+    takes_part,
 )
 
 __all__ = [
@@ -78,4 +79,5 @@
     "Write",
     "may_give_way",
     "next_change",
+    "takes_part",
 ]
--- a/currantdeal/consensus/replica_set.py
+++ b/currantdeal/consensus/replica_set.py
@@ -14,6 +14,12 @@
 from currantdeal.consensus.configuration import Configuration
 from currantdeal.core import InstanceId
 
+ALONE_S = 2.5
+"""Time without a leader after which a member asks whether it is still one.
+
+It may have been replaced while it was away, and would not be told.
+"""
+
 
 class ChangeReason(str, Enum):
     """Why the leader changes the replica set."""
@@ -91,6 +97,18 @@
     return instance in configuration.learner_names
 
 
+def takes_part(configuration, instance, *, alone_s):
+    """Return whether a replica that is not blank need not ask to join.
+
+    Parameters
+    ----------
+    alone_s : float
+        Seconds since it last knew a leader.
+    """
+    names = configuration.voter_names + configuration.learner_names
+    return instance in names and alone_s < ALONE_S
+
+
 def _drop_learner(configuration, health):
     for name in configuration.learner_names:
         if name in health.silent:
--- a/currantdeal/control/membership.py
+++ b/currantdeal/control/membership.py
@@ -20,6 +20,7 @@
     RaftRole,
     Replica,
     may_give_way,
+    takes_part,
 )
 from currantdeal.node.errors import PeerUnreachableError
 from currantdeal.node.messages import Done, JoinCall, LeaveCall
@@ -36,9 +37,6 @@
 LEAVE_LIMIT_S = 1.5
 """Time for which an instance that stops asks to leave: a few elections."""
 
-ALONE_S = 2.5
-"""Time without a leader after which a voter asks whether it is still one."""
-
 UNANSWERED_INTERVAL_S = 5.0
 """Pause between two lines that say that nobody takes this instance in."""
 
@@ -99,9 +97,10 @@
         now_s = self._clock()
         if node.leader is not None:
             self._led_s = now_s
-        names = (member.instance for member in node.configuration.members)
-        settled = self._me in names and not node.blank
-        if self._leaves or (settled and now_s - self._led_s < ALONE_S):
+        settled = not node.blank and takes_part(
+            node.configuration, self._me, alone_s=now_s - self._led_s
+        )
+        if self._leaves or settled:
             return
         call = JoinCall(instance=self._me, address=self._me, blank=node.blank)
         known = (*self.control_addresses, *self._first_set())
--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -153,17 +153,25 @@
             return None
         traits = context.dialect.read_reply(head)
         context.view.note_answer(record, traits.answered_by)
-        if not context.view.takes_work(record.upstream):
-            return None
+        takes_work = context.view.takes_work(record.upstream)
         if head.status != 200:
-            context.memory.refused(record.upstream, now_s=self._now_s)
+            if takes_work:
+                context.memory.refused(record.upstream, now_s=self._now_s)
             return None
         try:
             number = context.dialect.read_reservation(body)
         except DialectError as exc:
             _log.warning("reservation-unreadable", why=str(exc))
             return None
-        return Reservation(record=record, tokens=self._tokens, number=number)
+        reservation = Reservation(
+            record=record, tokens=self._tokens, number=number
+        )
+        if not takes_work:
+            # It was withdrawn while it answered: what it granted would stay
+            # reserved for nobody while its last streams want memory.
+            self.release(reservation)
+            return None
+        return reservation
 
     def _is_reading(self, upstream):
         """Return whether an engine reads a prompt that this one waits for."""
--- a/currantdeal/entry/tests/test_generation.py
+++ b/currantdeal/entry/tests/test_generation.py
@@ -230,6 +230,38 @@
     assert decode.runs == []
 
 
+def test_memory_that_an_engine_grants_as_it_leaves_is_given_back():
+    """The decode engine is withdrawn while it answers a reservation.
+
+    Nothing may be sent there any more, and what it granted would stay
+    reserved for nobody while its last streams want memory.
+    """
+
+    async def run():
+        prefill, decode = await _engines(None)
+        async with entry_world() as world:
+            world.know_engines(prefill, decode)
+
+            async def leave(standin, request, writer):
+                if request.target == "/v1/hold-take":
+                    world.know(
+                        decode,
+                        service="model",
+                        state=UpstreamState.DRAINING,
+                    )
+                return False
+
+            decode.script = leave
+            answer = await world.ask(NOTE)
+            await asyncio.sleep(0.1)
+            return answer, decode
+
+    answer, decode = asyncio.run(run())
+    assert answer.startswith(b"HTTP/1.1 503")
+    assert "/v1/hold-drop/hold-1" in [r.target for r in decode.seen]
+    assert decode.runs == []
+
+
 def test_an_engine_that_was_replaced_is_asked_once():
     """An engine restarts under another name at the same address.
 
