--- a/currantdeal/control/orders.py
+++ b/currantdeal/control/orders.py
@@ -151,13 +151,17 @@
 
     async def _step(self):
         now_s = self._clock()
-        by_service = self._engines()
-        self._note_engines(by_service, now_s)
+        present = self._engines()
+        self._note_engines(present, now_s)
         if not self._may_order(now_s):
             return
-        self._forget_done(by_service, now_s)
-        for service, records in by_service.items():
-            engines = [self._as_ordered(record) for record in records]
+        self._forget_done(present, now_s)
+        for service in {record.service: None for record in present.values()}:
+            engines = [
+                self._as_ordered(record)
+                for record in present.values()
+                if record.service == service
+            ]
             last_s = self._ordered_s.get(service, -CHANGE_PAUSE_S)
             if lacks_stage(engines) or now_s - last_s >= CHANGE_PAUSE_S:
                 await self._split(service, engines)
@@ -199,15 +203,10 @@
         order = self._ordered.get(record.upstream)
         return record if order is None else replace(record, stage=order.stage)
 
-    def _forget_done(self, by_service, now_s):
+    def _forget_done(self, present, now_s):
         """Forget orders that were carried out, or never will be."""
-        records = {
-            record.upstream: record
-            for engines in by_service.values()
-            for record in engines
-        }
         for name, order in tuple(self._ordered.items()):
-            if not order.is_pending(records.get(name), now_s=now_s):
+            if not order.is_pending(present.get(name), now_s=now_s):
                 del self._ordered[name]
         for name, until_s in tuple(self._refused.items()):
             if now_s >= until_s:
@@ -225,23 +224,21 @@
         self._exchange.tell_switching(record.upstream, for_s)
 
     def _engines(self):
-        found = {}
-        for record in self._exchange.registry.present:
-            ready = record.state is UpstreamState.READY
-            if ready and record.stage is not None:
-                found.setdefault(record.service, []).append(record)
-        return found
-
-    def _note_engines(self, by_service, now_s):
+        """Return the engines that take work, by name."""
+        return {
+            record.upstream: record
+            for record in self._exchange.registry.present
+            if record.state is UpstreamState.READY and record.stage is not None
+        }
+
+    def _note_engines(self, present, now_s):
         """Wait a while after engines came or were lost.
 
         One that announced that it drains is known to be leaving for good, so
         that nothing needs to be waited for.
         """
         seen = {
-            (record.upstream, record.started_ms)
-            for engines in by_service.values()
-            for record in engines
+            (record.upstream, record.started_ms) for record in present.values()
         }
         wait_s = 0.0
         if seen - self._seen:
