Replace control instances in the soak, and end it where nobody leads

The soak killed, paused and stopped control instances and lost their disks, but each of them came back: it could not find that one which is gone still counts.

A drain that nobody acknowledges is a violation after 15 s; it was waited for without end.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -249,10 +249,15 @@
 @click.option("--jobs", default=2, show_default=True)
 @click.option("--control", default=3, show_default=True)
 @click.option("--entries", default=3, show_default=True)
-def nodes(seed, seeds, rounds, jobs, control, entries):
+@click.option("--replacing", is_flag=True, help="Replace control instances.")
+def nodes(seed, seeds, rounds, jobs, control, entries, replacing):
     """Soak entry and control processes, for one seed after the other."""
     play = functools.partial(
-        play_seed, rounds=rounds, control=control, entries=entries
+        play_seed,
+        rounds=rounds,
+        control=control,
+        entries=entries,
+        replacing=replacing,
     )
     failed = []
     spawn = multiprocessing.get_context("spawn")
--- a/benchmarks/soak_nodes.py
+++ b/benchmarks/soak_nodes.py
@@ -22,6 +22,7 @@
 
 from benchmarks.soak_callers import TARGETS, Caller, judge_attempts
 from benchmarks.soak_node_faults import NodeFaults
+from benchmarks.soak_replacements import ReplacingFaults
 from currantdeal.testing.entry_world import config_body
 from currantdeal.testing.node_processes import NodeCluster
 from currantdeal.testing.platform_upstream import StandInUpstream, heartbeat
@@ -104,10 +105,13 @@
         Holds settings, logs and disks.
     control, entries : int
         Numbers of processes.
+    replacing : bool
+        True to replace control instances, too.
     """
 
-    def __init__(self, *, seed, folder, control=3, entries=3):
+    def __init__(self, *, seed, folder, control=3, entries=3, replacing=False):
         """Start nothing before ``run``."""
+        self._faults_of = ReplacingFaults if replacing else NodeFaults
         self.chance = random.Random(seed)
         self.cluster = NodeCluster(
             folder=folder, control=control, entries=entries
@@ -164,7 +168,7 @@
 
     async def _round(self, number):
         callers = self._begin_callers(f"r{number}")
-        faults = NodeFaults(soak=self)
+        faults = self._faults_of(soak=self)
         loop = asyncio.get_running_loop()
         ends_s = loop.time() + ROUND_S
         names = []
@@ -300,11 +304,8 @@
     async def _drain_an_upstream(self):
         upstream = self.upstreams[0]
         upstream.state = "draining"
-        status = 0
-        path = f"/v1/instances/{upstream.name}"
-        while status != 200:
-            body = json.dumps(upstream.beat()).encode()
-            status, _ = await self.call("PUT", path, body)
+        if not await self._told_of_drain(upstream):
+            return
         await asyncio.sleep(DRAIN_S)
         before = len(upstream.standin.seen)
         await asyncio.sleep(1.0)
@@ -313,6 +314,18 @@
         upstream.born += 1
         upstream.state = "ready"
 
+    async def _told_of_drain(self, upstream):
+        """Return whether some control instance acknowledged a drain."""
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + RECOVER_S
+        path = f"/v1/instances/{upstream.name}"
+        status = 0
+        while status != 200 and loop.time() < ends_s:
+            body = json.dumps(upstream.beat()).encode()
+            status, _ = await self.call("PUT", path, body)
+        self.check("a drain is acknowledged", status == 200, f"{status}")
+        return status == 200
+
     def _judge(self):
         runs = Counter(
             request.request_id
@@ -333,9 +346,14 @@
         return self._kind if self._kind in found else found[0]
 
 
-def play_seed(seed, *, rounds, control=3, entries=3):
+def play_seed(seed, *, rounds, control=3, entries=3, replacing=False):
     """Play a soak and return what it did, checked and found.
 
+    Parameters
+    ----------
+    replacing : bool
+        True to replace control instances, too.
+
     Returns
     -------
     dict
@@ -343,7 +361,13 @@
         the logs of a soak with violations are.
     """
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"currantdeal-soak-{seed}-"))
-    soak = NodeSoak(seed=seed, folder=folder, control=control, entries=entries)
+    soak = NodeSoak(
+        seed=seed,
+        folder=folder,
+        control=control,
+        entries=entries,
+        replacing=replacing,
+    )
     asyncio.run(soak.run(rounds=rounds))
     if not soak.violations:
         shutil.rmtree(folder)
--- a/benchmarks/tests/test_soak_nodes.py
+++ b/benchmarks/tests/test_soak_nodes.py
@@ -17,8 +17,16 @@
 """
 
 
-def _check(seed):
-    report = play_seed(seed, rounds=1)
+REPLACING_SEEDS = (200,)
+"""Played with control instances that are replaced.
+
+200: one was lost for good and its successor started; all were killed and a
+disk ended in half a record.  The lost one still counted, and nobody led.
+"""
+
+
+def _check(seed, *, replacing=False):
+    report = play_seed(seed, rounds=1, replacing=replacing)
     assert report["violations"] == []
     assert report["checked"]["what callers received"] > 100
 
@@ -33,6 +41,16 @@
     _check(seed)
 
 
+@pytest.mark.parametrize("seed", REPLACING_SEEDS)
+def test_promises_hold_while_control_instances_are_replaced(seed):
+    """Control instances go for good and others come, besides all else.
+
+    Callers would be refused, and changes not acknowledged, until somebody
+    brings back an instance that is gone.
+    """
+    _check(seed, replacing=True)
+
+
 @pytest.mark.known_red
 @pytest.mark.parametrize("seed", SEEN_ONCE)
 def test_promises_hold_under_faults_that_failed_once(seed):
--- a/currantdeal/testing/node_processes.py
+++ b/currantdeal/testing/node_processes.py
@@ -4,6 +4,7 @@
 same ports, as they do on the platform.
 """
 
+import itertools
 import json
 import os
 import socket
@@ -107,8 +108,9 @@
         self._folder = folder
         self._base = _free_base()
         self._ports = [_free_port() for _ in range(6)]
+        self._numbers = itertools.count(1)
         self.control = [
-            self._control(number) for number in range(1, control + 1)
+            self._control(next(self._numbers)) for _ in range(control)
         ]
         self.entries = [
             self._entry(number) for number in range(1, entries + 1)
@@ -134,6 +136,11 @@
         """Return the address of a call to control."""
         return f"http://{process.settings['listen']['control']}{path}"
 
+    def add_control(self):
+        """Return one more control process, which is to be started."""
+        self.control.append(self._control(next(self._numbers)))
+        return self.control[-1]
+
     def metrics_url(self, process):
         """Return the address of a process's metrics."""
         return f"http://{process.settings['listen']['metrics']}/metrics"
