--- a/currantdeal/control/tests/builders.py
+++ b/currantdeal/control/tests/builders.py
@@ -12,7 +12,10 @@
 )
 from currantdeal.consensus import Replica as Member
 from currantdeal.control.deployment_state import SetConfig
+from currantdeal.control.membership import Membership
 from currantdeal.control.replica import Replica
+from currantdeal.node.errors import PeerUnreachableError
+from currantdeal.node.messages import JoinCall
 
 FAST = NodeSettings(heartbeat_s=0.03, election_s=0.15)
 """Intervals that let a test see an election in half a second."""
@@ -39,6 +42,7 @@
         self._folder = folder
         self.names = tuple(names)
         self.replicas = {}
+        self.memberships = {}
         self.cut_off = set()
         self._tasks = {}
 
@@ -59,6 +63,13 @@
             members = [Member(instance=n, address=n) for n in self.names]
             replica.bootstrap(Configuration(voters=tuple(members)))
         self.replicas[name] = replica
+        self.memberships[name] = Membership(
+            me=name,
+            replica=replica,
+            links=lambda to: _MembershipLink(group=self, to=to),
+            first_set=lambda: self.names,
+            clock=loop.time,
+        )
         self._tasks[name] = asyncio.ensure_future(replica.run())
         return replica
 
@@ -95,3 +106,19 @@
             if replica is None or {sender, message.to} & self.cut_off:
                 continue
             replica.deliver([MESSAGE_CODEC.encode(message)])
+
+
+class _MembershipLink:
+    """The path by which an instance asks another to join or to leave."""
+
+    def __init__(self, *, group, to):
+        self._group = group
+        self._to = to
+
+    async def call(self, call, *, timeout_s):
+        if self._to not in self._group.replicas:
+            raise PeerUnreachableError(self._to)
+        membership = self._group.memberships[self._to]
+        if isinstance(call, JoinCall):
+            return await membership.on_join(call)
+        return membership.on_leave(call)
--- /dev/null
+++ b/currantdeal/control/tests/test_membership.py
@@ -0,0 +1,107 @@
+import asyncio
+import time
+
+import pytest
+
+from currantdeal.control.membership import LEAVE_LIMIT_S
+from currantdeal.control.tests.builders import ReplicaGroup
+
+TRIO = ("a", "b", "c")
+
+
+def _run(tmp_path, work):
+    async def run():
+        group = ReplicaGroup(folder=tmp_path, names=TRIO)
+        group.start_all()
+        try:
+            async with asyncio.timeout(20.0):
+                return await work(group)
+        finally:
+            await group.stop_all()
+
+    return asyncio.run(run())
+
+
+async def _until(condition):
+    while not condition():
+        await asyncio.sleep(0.02)
+
+
+async def _stand_by(group, name):
+    """Start one more instance that learns and stands by."""
+    group.start(name)
+    leader = await group.leader()
+    while leader.node.configuration.learner_names != (name,):
+        await group.memberships[name].step()
+        await asyncio.sleep(0.05)
+    await _until(lambda: not group.replicas[name].node.blank)
+    return leader
+
+
+async def _a_follower(group):
+    leader = await group.leader()
+    return next(n for n in TRIO if group.replicas[n] is not leader)
+
+
+async def _leave(group, name, leader):
+    """Have an instance ask to leave, again where the machine is slow."""
+    while name in leader.node.configuration.voter_names:
+        await group.memberships[name].leave()
+
+
+def test_an_instance_that_stops_is_replaced_before_it_ends(tmp_path):
+    """A control instance is told to stop, and another one stands by.
+
+    If it ended as a voter, the others could not bear one more loss until its
+    silence had been noticed.
+    """
+
+    async def work(group):
+        leader = await _stand_by(group, "d")
+        stopping = await _a_follower(group)
+        await _leave(group, stopping, leader)
+        return stopping, leader.node.configuration
+
+    stopping, configuration = _run(tmp_path, work)
+    left = {*TRIO, "d"} - {stopping}
+    assert set(configuration.voter_names) == left
+    assert configuration.learner_names == ()
+
+
+@pytest.mark.parametrize("leads", [False, True])
+def test_one_of_three_that_stops_does_not_wait(tmp_path, leads):
+    """Operators restart one of three control instances.
+
+    It comes back a moment later.  Its stop must not take longer because it
+    asks for something that nobody can grant.
+    """
+
+    async def work(group):
+        leader = await group.leader()
+        name = await _a_follower(group)
+        if leads:
+            name = next(n for n in TRIO if group.replicas[n] is leader)
+        began_s = time.monotonic()
+        await group.memberships[name].leave()
+        return time.monotonic() - began_s, leader.node.configuration
+
+    took_s, configuration = _run(tmp_path, work)
+    assert took_s < LEAVE_LIMIT_S / 2
+    assert configuration.voter_names == TRIO
+
+
+def test_an_instance_that_left_does_not_join_again_while_it_ends(tmp_path):
+    """It ends a second later, as a voter that is gone."""
+
+    async def work(group):
+        leader = await _stand_by(group, "d")
+        stopping = await _a_follower(group)
+        await _leave(group, stopping, leader)
+        for _ in range(5):
+            await group.memberships[stopping].step()
+            await asyncio.sleep(0.1)
+        return stopping, leader.node.configuration
+
+    stopping, configuration = _run(tmp_path, work)
+    names = configuration.voter_names + configuration.learner_names
+    assert stopping not in names
