Let one that stands by notice that it hears no leader

Cause: only a voter gives its leader up when it has been silent too long. A learner kept the last one for good, so it took itself for current.

Now whoever hears no leader for an election timeout knows none.

--- a/currantdeal/consensus/elections.py
+++ b/currantdeal/consensus/elections.py
@@ -16,14 +16,17 @@
 
 
 def tick(raft, now_s):
-    """Start an election when the leader has been silent too long."""
+    """Give a leader up that has been silent too long; start an election."""
     if now_s < raft.election_due_s:
         return
     raft.reset_election_timer(now_s)
+    # Also where this replica has no vote: one that stands by and was dropped
+    # while it was cut off would go on as if the last leader still led, and
+    # what follows it would stay behind for good.
+    raft.leader = None
     if not raft.is_voter or raft.blank:
         return
     raft.role = RaftRole.PRE_CANDIDATE
-    raft.leader = None
     raft.votes = {raft.me}
     _ask_for_votes(raft, term=raft.term + 1, pre=True, transfer=False)
     _count_votes(raft, now_s)
--- a/currantdeal/consensus/tests/test_replica_set.py
+++ b/currantdeal/consensus/tests/test_replica_set.py
@@ -200,6 +200,25 @@
     assert machines.nodes[away].configuration == leader.configuration
 
 
+def test_one_that_stands_by_notices_that_it_hears_no_leader():
+    """A control instance that stands by is cut off, and forgotten meanwhile.
+
+    When the path is whole again it must ask to join.  If it took the last
+    leader that it heard for the present one, entries that follow it would
+    stay on old routes for good, and never look for another.
+    """
+    machines = _with_spare()
+    leader = machines.leader()
+    leader.join(SUCCESSOR, blank=True, now_s=machines.now_s)
+    machines.run(2.0)
+    stands_by = machines.nodes[SUCCESSOR.instance]
+    assert stands_by.leader == machines.name_of(leader)
+    machines.cut = {SUCCESSOR.instance}
+    machines.run(5.0)
+    assert leader.configuration.learner_names == ()
+    assert stands_by.leader is None
+
+
 def test_a_word_that_a_replica_stops_is_forgotten():
     """A replica says that it stops and is started again at once."""
     machines = _with_spare()
