--- a/currantdeal/control/tests/builders.py
+++ b/currantdeal/control/tests/builders.py
@@ -20,6 +20,9 @@
 FAST = NodeSettings(heartbeat_s=0.03, election_s=0.15)
 """Intervals that let a test see an election in half a second."""
 
+LIMIT_S = 20.0
+"""Time for all that a test does with a group."""
+
 
 def a_change(version, content=b"config"):
     """Return the command that brings a configuration."""
@@ -108,6 +111,21 @@
             replica.deliver([MESSAGE_CODEC.encode(message)])
 
 
+def run_group(folder, work, *, names):
+    """Return what a coroutine finds at a first replica set that runs."""
+
+    async def run():
+        group = ReplicaGroup(folder=folder, names=names)
+        group.start_all()
+        try:
+            async with asyncio.timeout(LIMIT_S):
+                return await work(group)
+        finally:
+            await group.stop_all()
+
+    return asyncio.run(run())
+
+
 class _MembershipLink:
     """The path by which an instance asks another to join or to leave."""
 
--- a/currantdeal/control/tests/test_membership.py
+++ b/currantdeal/control/tests/test_membership.py
@@ -4,22 +4,13 @@
 import pytest
 
 from currantdeal.control.membership import LEAVE_LIMIT_S
-from currantdeal.control.tests.builders import ReplicaGroup
+from currantdeal.control.tests.builders import run_group
 
 TRIO = ("a", "b", "c")
 
 
 def _run(tmp_path, work):
-    async def run():
-        group = ReplicaGroup(folder=tmp_path, names=TRIO)
-        group.start_all()
-        try:
-            async with asyncio.timeout(20.0):
-                return await work(group)
-        finally:
-            await group.stop_all()
-
-    return asyncio.run(run())
+    return run_group(tmp_path, work, names=TRIO)
 
 
 async def _until(condition):
--- a/currantdeal/control/tests/test_replica.py
+++ b/currantdeal/control/tests/test_replica.py
@@ -6,20 +6,11 @@
 
 from currantdeal.consensus import Replica as Member
 from currantdeal.control.errors import NotCertainError, NotCommittedError
-from currantdeal.control.tests.builders import ReplicaGroup, a_change
+from currantdeal.control.tests.builders import a_change, run_group
 
 
-def _run(tmp_path, work, names="abc"):
-    async def run():
-        group = ReplicaGroup(folder=tmp_path, names=names)
-        group.start_all()
-        try:
-            async with asyncio.timeout(20.0):
-                return await work(group)
-        finally:
-            await group.stop_all()
-
-    return asyncio.run(run())
+def _run(tmp_path, work):
+    return run_group(tmp_path, work, names="abc")
 
 
 def test_a_change_is_there_after_all_replicas_were_killed(tmp_path):
