Log lost runs with the request's fingerprint and whether the upstream ended

The lines could not tell whether repeats are one request, who sends it, nor whether an engine's process ended or only its connections. A run that loses its connection now leaves run-lost: a digest of method, host, path, query, credentials and body, the sender's address, the upstream's incarnation, how far the run had come, and whether a new connection is refused, which only an ended process does. The connection that finds out is kept for the next request. No decision depends on it yet.

The digest is that of keyed calls of the product's own interface; both use core.digest_parts.

--- a/currantdeal/core/__init__.py
+++ b/currantdeal/core/__init__.py
@@ -1,6 +1,7 @@
 """Values, errors and small functions that every package speaks in."""
 
 from currantdeal.core.codec import Codec
+from currantdeal.core.digests import digest_parts
 from currantdeal.core.errors import (
     CodecError,
     CoreError,
@@ -83,6 +84,7 @@
     "Work",
     "WorkKind",
     "check_label",
+    "digest_parts",
     "matches",
     "outcome_of",
     "parse_expression",
--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -2,7 +2,10 @@
 
 import asyncio
 from dataclasses import dataclass
+from functools import cached_property
 
+from currantdeal.entry.crash_watch import CrashWatch
+from currantdeal.entry.fingerprint import fingerprint_of
 from currantdeal.entry.probing import Prober
 from currantdeal.entry.steps import Step, kind_of_failure
 from currantdeal.policy.decode_memory import DecodeMemory
@@ -59,6 +62,9 @@
             dialect=dialect,
             in_background=self.in_background,
         )
+        self.crashes = CrashWatch(
+            pool=pool, metrics=metrics, in_background=self.in_background
+        )
 
     @property
     def now_s(self):
@@ -211,6 +217,11 @@
         engine = self.service.engine
         return engine is not None and self.call.prompt_tokens > 0
 
+    @cached_property
+    def fingerprint(self):
+        """By what it counts as the same request when it is sent again."""
+        return fingerprint_of(self.request, self.call)
+
     @property
     def kind(self):
         """The ``CallKind`` of the request."""
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -20,6 +20,7 @@
 from currantdeal.entry.steps import StepKind
 from currantdeal.node.dialect import Directions
 from currantdeal.node.errors import (
+    BrokenAnswerError,
     ConnectError,
     ExchangeError,
     SilentUpstreamError,
@@ -101,6 +102,7 @@
         self._memory = MemorySeeker(context=context, active=active)
         self._held = None
         self._prefill = None
+        self._events_before = 0
 
     @property
     def _now_s(self):
@@ -216,6 +218,7 @@
     async def _decode(self, reservation, prefill):
         context, active = self._context, self._active
         record = reservation.record
+        self._events_before = self._relay.events
         directions = Directions(
             upstream=record.upstream,
             time_left_s=active.time_left_s(self._now_s),
@@ -329,6 +332,9 @@
             active.runs = max(active.runs, 1)
         self._relay.drop_rest()
         self._reason = str(exc)
+        if isinstance(exc, BrokenAnswerError):
+            events = self._relay.events - self._events_before
+            self._context.crashes.lost(active, record, moment, events=events)
         self._memory.avoid(record)
         self._memory.note_unreachable(record, exc)
         _log.info(
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -14,6 +14,7 @@
 from currantdeal.node.connection_pool import exchange
 from currantdeal.node.dialect import Directions
 from currantdeal.node.errors import (
+    BrokenAnswerError,
     ConnectError,
     ExchangeError,
     SilentUpstreamError,
@@ -150,6 +151,8 @@
         context.pool.forget(record.address)
     else:
         context.standings.answered(record.upstream, error=True)
+    if isinstance(exc, BrokenAnswerError):
+        context.crashes.lost(active, record, exc.moment)
     active.note_failure(record.upstream, exc)
     return _Answer(repeatable=outcome.by_entry)
 
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -9,7 +9,7 @@
 from currantdeal.entry.steps import StepKind, kind_of_failure
 from currantdeal.node.connection_pool import exchange
 from currantdeal.node.dialect import Directions
-from currantdeal.node.errors import ExchangeError
+from currantdeal.node.errors import BrokenAnswerError, ExchangeError
 from currantdeal.policy.prompt_reader import (
     decode_engine_reads,
     estimate_prefill,
@@ -176,6 +176,8 @@
         head, body = await _ask(context, active, record, best, in_time)
     except ExchangeError as exc:
         _note_not_read(context, record, exc, began_s)
+        if isinstance(exc, BrokenAnswerError):
+            context.crashes.lost(active, record, exc.moment)
         active.note_failure(record.upstream, exc)
         raise PromptNotReadError(str(exc), taken=exc.sent) from exc
     finally:
--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -12,6 +12,7 @@
 from currantdeal.node.errors import (
     BrokenAnswerError,
     ConnectError,
+    ConnectRefusedError,
     SilentUpstreamError,
 )
 from currantdeal.node.http_client import UpstreamConnection
@@ -70,6 +71,8 @@
 
         Raises
         ------
+        ConnectRefusedError
+            If nobody listens there.
         ConnectError
             If none could be opened in time.
         """
@@ -82,6 +85,8 @@
                 )
         except TimeoutError:
             raise ConnectError(f"{address} does not accept") from None
+        except ConnectionRefusedError as exc:
+            raise ConnectRefusedError(f"{address}: {exc}") from exc
         except OSError as exc:
             raise ConnectError(f"{address}: {exc}") from exc
         return connection
--- a/currantdeal/node/dialect.py
+++ b/currantdeal/node/dialect.py
@@ -26,6 +26,8 @@
         The caller's estimate of the output; 0 without one.
     resume_after : str
         Id of the last event that the caller has, or empty.
+    caller : str
+        Whom the request says that it is from: its credentials, or empty.
     """
 
     request_id: str
@@ -34,6 +36,7 @@
     max_output_tokens: int = 0
     expected_output_tokens: int = 0
     resume_after: str = ""
+    caller: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/currantdeal/node/errors.py
+++ b/currantdeal/node/errors.py
@@ -46,6 +46,10 @@
         super().__init__(message, moment=Moment.CONNECTING)
 
 
+class ConnectRefusedError(ConnectError):
+    """Nobody listens at the address: its process has ended."""
+
+
 class BrokenAnswerError(ExchangeError):
     """The answer ended early, or is not HTTP."""
 
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -59,6 +59,7 @@
     def connection_made(self, transport):
         """Take up the transport."""
         self._transport = transport
+        self._idle_since_s = self._loop.time()
         transport.set_write_buffer_limits(high=0)
         prepare_socket(transport)
 
@@ -109,8 +110,6 @@
         """
         if self._lost is not None or self._transport.is_closing():
             return False
-        if not self.used:
-            return True
         idle_s = self._loop.time() - self._idle_since_s
         return idle_s < _reuse_limit_s(self._kept_s, harmless=harmless)
 
@@ -167,8 +166,9 @@
 
     @property
     def reusable(self):
-        """True after an exchange that left the connection clean."""
-        return self._reusable and self._lost is None
+        """True unless an exchange left the connection unclean."""
+        clean = self._reusable or not self.used
+        return clean and self._lost is None
 
     def close(self):
         """Close at once, which cancels what the upstream does for it."""
--- a/currantdeal/node/http_request.py
+++ b/currantdeal/node/http_request.py
@@ -36,13 +36,16 @@
         The whole body, with no transfer coding.
     arrived_s : float
         Loop time at which its first bytes came.
+    sender : str
+        Network address that it came from, or empty.
     """
 
-    def __init__(self, *, head, body, arrived_s):
+    def __init__(self, *, head, body, arrived_s, sender=""):
         """Keep the parts."""
         self.head = head
         self.body = body
         self.arrived_s = arrived_s
+        self.sender = sender
 
 
 class Responder:
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -99,6 +99,7 @@
         self._server = server
         self._loop = asyncio.get_running_loop()
         self._transport = None
+        self._sender = ""
         self._http = None
         self._head_bytes = bytearray()
         self._in_body = False
@@ -118,6 +119,7 @@
 
     def connection_made(self, transport):
         self._transport = transport
+        self._sender = (transport.get_extra_info("peername") or ("",))[0]
         prepare_socket(transport)
         self._server.connections.add(self)
         self._new_http()
@@ -258,6 +260,7 @@
             head=self._request,
             body=b"".join(self._body),
             arrived_s=self._began_s,
+            sender=self._sender,
         )
         self._body = []
         self._request = None
--- a/currantdeal/platform/calls.py
+++ b/currantdeal/platform/calls.py
@@ -47,6 +47,7 @@
             max_output_tokens=most,
             expected_output_tokens=_whole(_text(head, names.LENGTH_HINT)),
             resume_after=_text(head, names.LAST_EVENT_ID),
+            caller=_text(head, names.AUTHORIZATION),
         )
 
     def outgoing(self, head, body, directions):
--- a/currantdeal/platform/headers.py
+++ b/currantdeal/platform/headers.py
@@ -19,6 +19,7 @@
 KV_FETCH_LONG = b"x-currantdeal-kv-fetch"
 PIN = b"x-currantdeal-pin-ms"
 LAST_EVENT_ID = b"last-event-id"
+AUTHORIZATION = b"authorization"
 
 SYSTEM_HEADERS = frozenset(
     {
--- a/currantdeal/serving/calls.py
+++ b/currantdeal/serving/calls.py
@@ -7,9 +7,13 @@
 first; without one it gets exactly one try.
 """
 
-import hashlib
-
-from currantdeal.core import Ran, Role, UpstreamError, outcome_of
+from currantdeal.core import (
+    Ran,
+    Role,
+    UpstreamError,
+    digest_parts,
+    outcome_of,
+)
 from currantdeal.serving.claimed_calls import LATE_S, ClaimedCalls
 from currantdeal.serving.errors import (
     CallerGoneError,
@@ -33,11 +37,8 @@
 
 def digest_of(call):
     """Return the digest by which two calls count as the same."""
-    digest = hashlib.sha256()
-    for part in (call.method.encode(), call.path.encode(), call.body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.hexdigest()
+    parts = (call.method.encode(), call.path.encode(), call.body)
+    return digest_parts(*parts).hex()
 
 
 class CallService:
