--- a/currantdeal/testing/entry_world.py
+++ b/currantdeal/testing/entry_world.py
@@ -99,7 +99,9 @@
         self.address = address
         self._sequence = 0
 
-    def know(self, standin, *, service="shop", stage=None, state=None):
+    def know(
+        self, standin, *, service="shop", stage=None, state=None, incarnation=1
+    ):
         """Announce an upstream to the entry."""
         self._sequence += 1
         record = UpstreamRecord(
@@ -109,7 +111,7 @@
             data_center="dc1",
             slots=8,
             state=state or UpstreamState.READY,
-            started_ms=1_000,
+            started_ms=1_000 * incarnation,
             sequence=self._sequence,
             stage=stage,
         )
