Share what crashes upstreams among all entries and control, and keep it

Callers saw: repeats at six entries in three data centres; each entry alone would allow three crashes, and a restart three more.

Change: entries tell changed records to the control instance that they follow, which merges them and passes news on to its entries and the other instances, at once and without a leader. Control keeps the book in a file beside its log, written on a thread after each change, so that a loss of power of all forgets nothing; a lost or damaged file costs nothing while another instance or an entry knows.

Not in the replicated log: records can be merged in any order, and it must work without a leader.

Before: four cases of cli/tests/test_query_of_death.py failed (three entries, three control processes; none, an entry, control or all restarted). Now three crashes in all, and each entry refuses at once after each restart.

--- a/currantdeal/adapters/disk/__init__.py
+++ b/currantdeal/adapters/disk/__init__.py
@@ -13,6 +13,7 @@
     inspect_folder,
 )
 from currantdeal.adapters.disk.replay import read_folder
+from currantdeal.adapters.disk.state_file import StateFile
 
 __all__ = [
     "DataFolder",
@@ -22,6 +23,7 @@
     "DiskFullError",
     "FolderLockedError",
     "FolderReport",
+    "StateFile",
     "inspect_folder",
     "read_folder",
 ]
--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -4,10 +4,11 @@
 import random
 import time
 from collections import defaultdict
+from pathlib import Path
 
 import structlog
 
-from currantdeal.adapters.disk import DataFolder
+from currantdeal.adapters.disk import DataFolder, StateFile
 from currantdeal.adapters.metrics import Metrics
 from currantdeal.cli.process import (
     LoopDelay,
@@ -19,6 +20,8 @@
 from currantdeal.consensus import MESSAGE_CODEC
 from currantdeal.consensus import NodeSettings as LogSettings
 from currantdeal.control.config_access import ConfigAccess
+from currantdeal.control.crash_ledger import CrashLedger
+from currantdeal.control.crash_store import CrashStore
 from currantdeal.control.demand_book import DemandBook
 from currantdeal.control.exchange import RecordExchange
 from currantdeal.control.membership import JOIN_INTERVAL_S, Membership
@@ -51,6 +54,9 @@
 refuse the pre-vote.
 """
 
+CRASHES_FILE = "crashes"
+"""Name of the file in the data folder that holds the crash book."""
+
 HAND_OVER_S = 0.6
 """Shortest time from the request to stop until the end."""
 
@@ -109,6 +115,14 @@
         demand = DemandBook(
             read_config=dialect.read_config, clock=time.monotonic
         )
+        self._crash_store = CrashStore(
+            file=StateFile(path=Path(settings.data_folder) / CRASHES_FILE)
+        )
+        self._crashes = CrashLedger(
+            exchange=exchange,
+            clock=time.monotonic,
+            on_change=self._crash_store.save,
+        )
         self._service = ControlService(
             dialect=dialect,
             replica=self._replica,
@@ -118,6 +132,7 @@
             ),
             exchange=exchange,
             demand=demand,
+            crashes=self._crashes,
             clock=time.monotonic,
         )
         self._orders = StageOrders(
@@ -149,6 +164,7 @@
         )
         self._membership.begin(first_start=bool(settings.first_start))
         self._service.on_state(self._replica.state)
+        self._crashes.load(self._crash_store.load())
         await self._listen(settings)
         page = MetricsPage(metrics=self._metrics, refresh=self._set_gauges)
         await page.start(settings.listen.metrics)
@@ -162,6 +178,7 @@
                 every(LOAD_INTERVAL_S, self._service.tell_loads)
             ),
             asyncio.ensure_future(self._join()),
+            asyncio.ensure_future(self._crash_store.run()),
             asyncio.ensure_future(self._orders.run()),
         ]
         stop = asyncio.ensure_future(self._stopping.wait())
@@ -205,6 +222,9 @@
         silent = node.silent_members(time.monotonic())
         self._metrics.set("silent_replicas", len(silent))
         self._metrics.set("log_index", node.commit_index)
+        self._metrics.set(
+            "quarantined_requests", len(self._crashes.quarantined)
+        )
         for name, value in self._service.sizes.items():
             self._metrics.set(name, value)
 
--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -93,9 +93,11 @@
             report_load=self._context.report_load,
             take_load=self._context.take_load,
             take_reading=self._context.take_reading,
+            crashes=self._context.crashes,
             clock=time.monotonic,
         )
         self._context.tell_reading = self._subscription.tell_reading
+        self._context.crashes.tell = self._subscription.tell_crashes
         self._server = HttpServer(
             handler=self._service.handle,
             limits=lambda: self._view.limits,
@@ -176,6 +178,9 @@
         self._metrics.set("view_age_seconds", view.age_s)
         self._metrics.set("requests_in_progress", self._server.busy)
         self._metrics.set("entries", view.entries)
+        self._metrics.set(
+            "quarantined_requests", len(self._context.crashes.quarantined)
+        )
         for name, left in self._context.budgets_left().items():
             self._metrics.set("retry_budget_left", left, service=name)
         table = view.table
--- a/currantdeal/cli/tests/test_query_of_death.py
+++ b/currantdeal/cli/tests/test_query_of_death.py
@@ -111,13 +111,11 @@
     await world.restart(world.cluster.processes)
 
 
-@pytest.mark.known_red
 def test_query_of_death_is_known_to_all_entries(tmp_path):
     """Guards against three crashes at each entry instead of three in all."""
     assert _play(tmp_path, _crash_three, _all_refuse) == ALLOWED_CRASHES
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize(
     "restart", [_restart_an_entry, _restart_control, _restart_all]
 )
--- a/currantdeal/control/exchange.py
+++ b/currantdeal/control/exchange.py
@@ -210,6 +210,10 @@
         for address in self._others():
             self._links(address).notify(notice)
 
+    def tell_one(self, address, notice):
+        """Send a notice to one other control instance."""
+        self._links(address).notify(notice)
+
     def publish(self, message):
         """Send a notice to the entries that follow this instance."""
         self.publish_frame(pack_frame(FrameKind.NOTICE, 0, message))
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -16,6 +16,7 @@
 )
 from currantdeal.node.messages import (
     ConfigNotice,
+    CrashesNotice,
     Done,
     EntryNotice,
     JoinCall,
@@ -71,14 +72,26 @@
         The records of upstreams and entries.
     demand : DemandBook
         What entries measure.
+    crashes : CrashLedger
+        Requests that crash upstreams.
     clock : callable
         Returns monotonic seconds.
     """
 
     def __init__(
-        self, *, dialect, replica, membership, config, exchange, demand, clock
+        self,
+        *,
+        dialect,
+        replica,
+        membership,
+        config,
+        exchange,
+        demand,
+        crashes,
+        clock,
     ):
         """Keep the parts."""
+        self._crashes = crashes
         self._dialect = dialect
         self._replica = replica
         self._membership = membership
@@ -136,22 +149,7 @@
 
     def on_notice(self, connection, message):
         """Take in what another instance says."""
-        if isinstance(message, RaftNotice):
-            self._replica.deliver(message.messages)
-        elif isinstance(message, RenewalsNotice):
-            self._demand.take(message.demand, reported_here=False)
-            self._exchange.take_renewals(message)
-        elif isinstance(message, LoadNotice):
-            self._take_load(connection, message)
-        elif isinstance(message, SwitchingNotice):
-            self._exchange.publish(message)
-        elif isinstance(message, ReadingNotice):
-            self._exchange.pass_on(connection, message)
-        elif isinstance(message, UpstreamsNotice):
-            self._exchange.take_replaced(message.upstreams)
-        elif isinstance(message, EntryNotice):
-            self._demand.take(message.demand, reported_here=True)
-            self._exchange.take_entry(message.entry)
+        self._take_notice(message, connection)
 
     async def on_call(self, connection, message):
         """Answer another instance."""
@@ -187,6 +185,7 @@
         """Tell the others what is new, and forget who is silent."""
         self._tell_subscribers()
         self._exchange.spread_renewals(self._demand.take_reported())
+        self._crashes.beat()
         self._exchange.expire()
 
     def _load_notice(self, load):
@@ -199,6 +198,45 @@
         else:
             self._loads.take_control(message.sender, message.load, now_s=now_s)
 
+    @singledispatchmethod
+    def _take_notice(self, notice, connection):
+        _log.warning("notice-unknown", kind=type(notice).__name__)
+
+    @_take_notice.register
+    def _(self, notice: RaftNotice, connection):
+        self._replica.deliver(notice.messages)
+
+    @_take_notice.register
+    def _(self, notice: RenewalsNotice, connection):
+        self._crashes.heard(notice.sender)
+        self._demand.take(notice.demand, reported_here=False)
+        self._exchange.take_renewals(notice)
+
+    @_take_notice.register
+    def _(self, notice: LoadNotice, connection):
+        self._take_load(connection, notice)
+
+    @_take_notice.register
+    def _(self, notice: SwitchingNotice, connection):
+        self._exchange.publish(notice)
+
+    @_take_notice.register
+    def _(self, notice: CrashesNotice, connection):
+        self._crashes.take(notice)
+
+    @_take_notice.register
+    def _(self, notice: ReadingNotice, connection):
+        self._exchange.pass_on(connection, notice)
+
+    @_take_notice.register
+    def _(self, notice: UpstreamsNotice, connection):
+        self._exchange.take_replaced(notice.upstreams)
+
+    @_take_notice.register
+    def _(self, notice: EntryNotice, connection):
+        self._demand.take(notice.demand, reported_here=True)
+        self._exchange.take_entry(notice.entry)
+
     @singledispatchmethod
     async def _operate(self, operation, request, responder):
         raise TypeError(f"not an operation: {operation!r}")
@@ -321,6 +359,8 @@
             version=self._replica.state.version,
         )
         self._exchange.take_entry(call.entry)
+        # Before the routes, so that it serves nothing that it should refuse.
+        self._crashes.welcome(connection)
         connection.notify(
             UpstreamsNotice(
                 upstreams=self._exchange.registry.records,
--- /dev/null
+++ b/currantdeal/control/tests/test_crash_store.py
@@ -0,0 +1,63 @@
+import asyncio
+
+from currantdeal.adapters.disk import DiskCorruptError, DiskFailedError
+from currantdeal.control import crash_store
+from currantdeal.control.crash_store import CrashStore
+from currantdeal.policy.crash_book import Crash, SuspectRecord
+from currantdeal.testing.waiting import eventually
+
+RECORD = SuspectRecord(
+    fingerprint=b"poison", crashes=(Crash(upstream="u1", started_ms=1),)
+)
+
+
+class _File:
+    """A file of which the first writes fail."""
+
+    def __init__(self, *, failures=0):
+        self.content = None
+        self._failures = failures
+
+    def read(self):
+        return self.content
+
+    def write(self, content):
+        if self._failures:
+            self._failures -= 1
+            raise DiskFailedError("no space left on device")
+        self.content = content
+
+
+class _Damaged:
+    def read(self):
+        raise DiskCorruptError("the checksum is wrong")
+
+
+async def _save(file):
+    store = CrashStore(file=file)
+    task = asyncio.ensure_future(store.run())
+    store.save((RECORD,))
+    await eventually(lambda: file.content, what="the file")
+    task.cancel()
+
+
+def test_records_are_read_back():
+    file = _File()
+    asyncio.run(_save(file))
+    assert CrashStore(file=file).load() == (RECORD,)
+
+
+def test_failed_write_is_tried_again(monkeypatch):
+    """Guards against a full disk after which nothing is saved any more."""
+    monkeypatch.setattr(crash_store, "RETRY_S", 0.01)
+    file = _File(failures=3)
+    asyncio.run(_save(file))
+    assert CrashStore(file=file).load() == (RECORD,)
+
+
+def test_unreadable_file_does_not_keep_control_from_starting():
+    """Guards against a damaged file that ends each start."""
+    assert CrashStore(file=_Damaged()).load() == ()
+    file = _File()
+    file.content = b"of another release"
+    assert CrashStore(file=file).load() == ()
--- a/currantdeal/control/tests/test_service.py
+++ b/currantdeal/control/tests/test_service.py
@@ -38,6 +38,7 @@
         config=None,
         exchange=exchange,
         demand=None,
+        crashes=None,
         clock=lambda: now["s"],
     )
     now["s"] = up_s
--- a/currantdeal/entry/subscription.py
+++ b/currantdeal/entry/subscription.py
@@ -19,6 +19,7 @@
 from currantdeal.node.errors import PeerUnreachableError
 from currantdeal.node.messages import (
     ConfigNotice,
+    CrashesNotice,
     EntryNotice,
     LoadNotice,
     ReadingNotice,
@@ -70,6 +71,8 @@
     take_reading : callable
         Takes a decode engine that reads a prompt of another entry, and for
         how long.
+    crashes : CrashWatch
+        Requests that crash upstreams.
     clock : callable
         Returns monotonic seconds.
     """
@@ -84,6 +87,7 @@
         report_load,
         take_load,
         take_reading,
+        crashes,
         clock,
     ):
         """Follow nobody before ``run``."""
@@ -94,6 +98,7 @@
         self._report_load = report_load
         self._take_load = take_load
         self._take_reading = take_reading
+        self._crashes = crashes
         self._clock = clock
         self._known = {}
         self._avoid = {}
@@ -143,6 +148,12 @@
                 ReadingNotice(entry=entry, upstream=upstream, for_s=for_s)
             )
 
+    def tell_crashes(self, records):
+        """Tell all processes of requests that crash upstreams."""
+        connection = self._connection
+        if connection is not None and connection.is_open:
+            connection.notify(CrashesNotice(records=records))
+
     def _tell_replaced(self, connection):
         """Tell of upstreams at whose address another one answers.
 
@@ -204,6 +215,10 @@
             self._current_s = now_s
         if before is not None:
             before.close()
+        # It may know less than this entry: it, or all of control, may have
+        # started anew.
+        if self._crashes.records:
+            self.tell_crashes(self._crashes.records)
         _log.info(
             "control-followed",
             source=address,
@@ -313,6 +328,10 @@
     def _(self, message: LoadNotice):
         self._take_load(message.load)
 
+    @_take.register
+    def _(self, message: CrashesNotice):
+        self._crashes.take(message.records)
+
     @_take.register
     def _(self, message: ReadingNotice):
         if message.entry != self._own_record().instance:
--- a/currantdeal/entry/tests/test_subscription.py
+++ b/currantdeal/entry/tests/test_subscription.py
@@ -3,15 +3,28 @@
 
 from currantdeal.entry.subscription import Subscription
 from currantdeal.entry.view import EntryView
+from currantdeal.node.messages import CrashesNotice
 from currantdeal.platform.config import decode_config
+from currantdeal.policy.crash_book import Crash, SuspectRecord
 from currantdeal.policy.shared_load import EntryLoad
 from currantdeal.registry.tests.builders import an_entry
 from currantdeal.testing.control_standin import StandInControl
 from currantdeal.testing.waiting import eventually
 
 
+class _Crashes:
+    """Requests that crash upstreams, as an entry knows them."""
+
+    def __init__(self, *records):
+        self.records = records
+        self.taken = []
+
+    def take(self, records):
+        self.taken.extend(records)
+
+
 @asynccontextmanager
-async def _followed(*controls, seeds):
+async def _followed(*controls, seeds, crashes=None):
     loop = asyncio.get_running_loop()
     for control in controls:
         await control.start()
@@ -34,6 +47,7 @@
         report_load=lambda: load.report(unreachable=()),
         take_load=lambda sums: load.take(sums, now_s=loop.time()),
         take_reading=lambda upstream, for_s: None,
+        crashes=crashes or _Crashes(),
         clock=loop.time,
     )
     task = asyncio.ensure_future(subscription.run())
@@ -100,6 +114,27 @@
     asyncio.run(run())
 
 
+def test_source_is_told_which_requests_crash_upstreams():
+    """Guards against control that starts anew and forgets a culprit."""
+    crash = Crash(upstream="u1", started_ms=1)
+    known = SuspectRecord(fingerprint=b"poison", crashes=(crash,))
+    news = SuspectRecord(fingerprint=b"other", crashes=(crash,))
+
+    async def run():
+        crashes = _Crashes(known)
+        control = StandInControl(data_center="dc1")
+        async with _followed(control, seeds=[control], crashes=crashes):
+            await eventually(
+                lambda: CrashesNotice(records=(known,)) in control.notices,
+                what="the entry's records",
+            )
+            control.publish(CrashesNotice(records=(news,)))
+            await eventually(lambda: crashes.taken, what="news")
+            assert crashes.taken == [news]
+
+    asyncio.run(run())
+
+
 def test_without_a_leader_an_entry_still_hears_of_the_load():
     """The control instances are cut apart and none reaches a majority.
 
--- a/currantdeal/node/messages.py
+++ b/currantdeal/node/messages.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from currantdeal.core import Codec
+from currantdeal.policy.crash_book import SuspectRecord
 from currantdeal.policy.demand import Demand
 from currantdeal.policy.shared_load import PoolLoad
 from currantdeal.registry import EntryRecord, UpstreamRecord
@@ -228,6 +229,20 @@
     for_s: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class CrashesNotice:
+    """What is known of requests that crash upstreams.
+
+    Parameters
+    ----------
+    asked_by : str
+        Peer address of the sender if it wants to be told all in return.
+    """
+
+    records: tuple[SuspectRecord, ...]
+    asked_by: str = ""
+
+
 @dataclass(frozen=True, kw_only=True)
 class ControlPlace:
     """Where a control instance is.
@@ -284,5 +299,6 @@
         SwitchingNotice,
         SourceNotice,
         ReadingNotice,
+        CrashesNotice,
     )
 )
