--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -20,7 +20,7 @@
 import click
 
 from benchmarks.soak_faults import FaultMaker
-from benchmarks.soak_nodes import FAULTS, play_seed
+from benchmarks.soak_plays import SOAKS, play_seed
 from currantdeal.adapters.settings import TimingSettings
 from currantdeal.testing.errors import HarnessError
 from currantdeal.testing.traffic import Received
@@ -251,7 +251,7 @@
 @click.option("--entries", default=3, show_default=True)
 @click.option(
     "--faults",
-    type=click.Choice(sorted(FAULTS)),
+    type=click.Choice(sorted(SOAKS)),
     default="random",
     show_default=True,
     help="Set of faults.",
--- a/benchmarks/soak_callers.py
+++ b/benchmarks/soak_callers.py
@@ -67,10 +67,29 @@
         Chooses entries and kinds.
     attempts : list
         Takes every ``Attempt``.
+    kinds : tuple of str
+        Kinds of ``TARGETS`` that it sends.
+    body : bytes or None
+        Of each request; None for the request's own id.
+    longest_pause_s : float
+        Longest pause between two requests.
     """
 
-    def __init__(self, *, name, entries, chance, attempts):
+    def __init__(
+        self,
+        *,
+        name,
+        entries,
+        chance,
+        attempts,
+        kinds=tuple(TARGETS),
+        body=None,
+        longest_pause_s=0.08,
+    ):
         """Send nothing before ``run``."""
+        self._kinds = kinds
+        self._body = body
+        self._longest_pause_s = longest_pause_s
         self._name = name
         self._entries = entries
         self._chance = chance
@@ -82,14 +101,16 @@
         """Send, until cancelled."""
         while True:
             await self.send_one()
-            await asyncio.sleep(self._chance.uniform(0.0, 0.08))
+            await asyncio.sleep(
+                self._chance.uniform(0.0, self._longest_pause_s)
+            )
 
     async def send_one(self):
         """Send one request and note what came back."""
         loop = asyncio.get_running_loop()
         self._count += 1
         number = f"{self._name}-{self._count}"
-        kind = self._chance.choice(tuple(TARGETS))
+        kind = self._chance.choice(self._kinds)
         entry = self._open[0] if self._open else self._draw_entry()
         began_s = loop.time()
         known = {"number": number, "kind": kind, "entry": entry}
@@ -116,7 +137,8 @@
         found = {"status": 0, "body": b"", "whole": False}
         try:
             async with asyncio.timeout(GIVE_UP_S):
-                writer.write(_request(http, number, kind))
+                body = self._body or number.encode()
+                writer.write(_request(http, number, kind, body))
                 await _read(http, reader, found)
         except (OSError, TimeoutError, h11.RemoteProtocolError):
             pass
@@ -128,10 +150,9 @@
         return found
 
 
-def _request(http, number, kind):
+def _request(http, number, kind, body):
     target, more = TARGETS[kind]
     headers = [line.split(": ") for line in more]
-    body = number.encode()
     return (
         http.send(
             h11.Request(
--- a/benchmarks/soak_nodes.py
+++ b/benchmarks/soak_nodes.py
@@ -12,18 +12,13 @@
 
 import asyncio
 import json
-import pathlib
 import random
-import shutil
 import signal
 import subprocess
-import tempfile
 from collections import Counter
 
 from benchmarks.soak_callers import TARGETS, Caller, judge_attempts
 from benchmarks.soak_node_faults import NodeFaults
-from benchmarks.soak_replacements import ReplacingFaults
-from benchmarks.soak_resets import ResettingFaults
 from currantdeal.testing.entry_world import config_body
 from currantdeal.testing.node_processes import NodeCluster
 from currantdeal.testing.platform_upstream import StandInUpstream, heartbeat
@@ -44,28 +39,23 @@
 """Time for a planned stop: the grace of eight seconds and the notice of it."""
 
 
-FAULTS = {
-    "random": NodeFaults,
-    "replacing": ReplacingFaults,
-    "resetting": ResettingFaults,
-}
-"""Sets of faults by their names."""
-
-
 class Upstream:
-    """A stand-in behind a proxy that announces itself.
+    """A stand-in that announces itself, behind a proxy or not.
 
     Parameters
     ----------
     name, service, stage : str
         As in its heartbeats; no stage for a plain service.
+    standin : StandInUpstream or None
+        One that is reached without a proxy; None for a sound one behind one.
     """
 
-    def __init__(self, *, name, service, stage=""):
+    def __init__(self, *, name, service, stage="", standin=None):
         """Start nothing yet."""
         self.name = name
-        self.standin = StandInUpstream(upstream=name, script=_echo)
+        self.standin = standin or StandInUpstream(upstream=name, script=_echo)
         self.proxy = None
+        self._is_proxied = standin is None
         self.state = "ready"
         self._service = service
         self._stage = stage
@@ -75,21 +65,23 @@
     async def start(self):
         """Listen, behind the proxy."""
         await self.standin.start()
-        self.proxy = FaultProxy(target=self.standin.address)
+        if self._is_proxied:
+            self.proxy = FaultProxy(target=self.standin.address)
 
     def beat(self):
         """Return the next heartbeat."""
         self._sequence += 1
+        reached = self.proxy or self.standin
         more = {}
         if self._stage:
             models = [{"Name": "m", "Version": 1, "Adapters": []}]
             more = {"Stage": self._stage, "Models": models}
         return heartbeat(
-            self.proxy.address,
+            reached.address,
             self._service,
             state=self.state,
             sequence=self._sequence,
-            born=self.born,
+            born=self.born + self.standin.incarnation,
             **more,
         )
 
@@ -114,23 +106,20 @@
         Holds settings, logs and disks.
     control, entries : int
         Numbers of processes.
-    faults : str
-        Name of a set of ``FAULTS``.
+    faults : type
+        Begins and heals the faults, such as ``NodeFaults``.
     """
 
-    def __init__(self, *, seed, folder, control=3, entries=3, faults="random"):
+    def __init__(
+        self, *, seed, folder, control=3, entries=3, faults=NodeFaults
+    ):
         """Start nothing before ``run``."""
-        self._faults_of = FAULTS[faults]
+        self._faults_of = faults
         self.chance = random.Random(seed)
         self.cluster = NodeCluster(
             folder=folder, control=control, entries=entries
         )
-        self.upstreams = [
-            *(Upstream(name=f"s{n}", service="shop") for n in range(3)),
-            Upstream(name="p1", service="model", stage="prefill"),
-            Upstream(name="d1", service="model", stage="decode"),
-            Upstream(name="d2", service="model", stage="decode"),
-        ]
+        self.upstreams = self._make_upstreams()
         self.entry_proxies = {}
         self.violations = []
         self.checked = Counter()
@@ -141,6 +130,14 @@
         self._acknowledged = []
         self._version = 0
 
+    def _make_upstreams(self):
+        return [
+            *(Upstream(name=f"s{n}", service="shop") for n in range(3)),
+            Upstream(name="p1", service="model", stage="prefill"),
+            Upstream(name="d1", service="model", stage="decode"),
+            Upstream(name="d2", service="model", stage="decode"),
+        ]
+
     async def run(self, *, rounds):
         """Play rounds of faults and judge them."""
         with self.cluster:
@@ -177,6 +174,7 @@
 
     async def _round(self, number):
         callers = self._begin_callers(f"r{number}")
+        await self._before_faults(number)
         faults = self._faults_of(soak=self)
         loop = asyncio.get_running_loop()
         ends_s = loop.time() + ROUND_S
@@ -193,6 +191,9 @@
             task.cancel()
         self.faults += names
 
+    async def _before_faults(self, number):
+        """Do what a kind of soak does before the faults of a round."""
+
     def _begin_callers(self, prefix):
         entries = {n: p.address for n, p in self.entry_proxies.items()}
         return [
@@ -209,7 +210,9 @@
 
     async def _beats(self):
         while True:
-            await asyncio.gather(*(self._beat(u) for u in self.upstreams))
+            # A process that has ended says nothing.
+            alive = [u for u in self.upstreams if u.standin.is_up]
+            await asyncio.gather(*(self._beat(u) for u in alive))
             await asyncio.sleep(BEAT_S)
 
     async def _beat(self, upstream):
@@ -353,40 +356,3 @@
 
     def choice(self, found):
         return self._kind if self._kind in found else found[0]
-
-
-def play_seed(seed, *, rounds, control=3, entries=3, faults="random"):
-    """Play a soak and return what it did, checked and found.
-
-    Parameters
-    ----------
-    faults : str
-        Name of a set of ``FAULTS``.
-
-    Returns
-    -------
-    dict
-        Seed, faults, checks and violations, ready to be printed, and where
-        the logs of a soak with violations are.
-    """
-    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"currantdeal-soak-{seed}-"))
-    soak = NodeSoak(
-        seed=seed,
-        folder=folder,
-        control=control,
-        entries=entries,
-        faults=faults,
-    )
-    asyncio.run(soak.run(rounds=rounds))
-    if not soak.violations:
-        shutil.rmtree(folder)
-    received = Counter(f"{a.kind} {a.status}" for a in soak.attempts)
-    return {
-        "seed": seed,
-        "faults": soak.faults,
-        "ended": soak.ended,
-        "checked": dict(soak.checked),
-        "received": dict(received),
-        "violations": soak.violations,
-        "logs": str(folder) if soak.violations else "",
-    }
--- a/benchmarks/tests/test_soak_nodes.py
+++ b/benchmarks/tests/test_soak_nodes.py
@@ -1,6 +1,6 @@
 import pytest
 
-from benchmarks.soak_nodes import play_seed
+from benchmarks.soak_plays import play_seed
 
 SEEDS = (1, 122)
 """Seeds played by CI; one that ever failed stays here, with its cause.
@@ -29,6 +29,10 @@
 """Played with bursts of resets on both sides of entries."""
 
 
+CRASHING_SEEDS = (500,)
+"""Played with requests that crash the upstreams that run them."""
+
+
 def _check(seed, *, faults="random"):
     report = play_seed(seed, rounds=1, faults=faults)
     assert report["violations"] == []
@@ -61,6 +65,12 @@
     _check(seed, faults="resetting")
 
 
+@pytest.mark.parametrize("seed", CRASHING_SEEDS)
+def test_promises_hold_beside_requests_that_crash_upstreams(seed):
+    """Guards against a query of death that a fault lets through again."""
+    _check(seed, faults="crashing")
+
+
 @pytest.mark.known_red
 @pytest.mark.parametrize("seed", SEEN_ONCE)
 def test_promises_hold_under_faults_that_failed_once(seed):
--- a/currantdeal/testing/crashing_fleet.py
+++ b/currantdeal/testing/crashing_fleet.py
@@ -41,7 +41,7 @@
 
     @property
     def crashes(self):
-        """Time and request of each crash so far, in order of time."""
+        """Time, id and body of each crash so far, in order of time."""
         return sorted(
             crash
             for standin in self.standins.values()
--- a/currantdeal/testing/crashing_upstream.py
+++ b/currantdeal/testing/crashing_upstream.py
@@ -33,6 +33,12 @@
         Called with this stand-in when it listens again.
     crashes_in_prefill : bool
         Whether the call that prefills a prompt crashes, too.
+
+    Attributes
+    ----------
+    sent, crashes : list of tuple
+        Loop time, id and body of each request that crashes it as it came, and
+        of each that did crash it.
     """
 
     def __init__(
@@ -48,8 +54,7 @@
         """Listen nowhere before ``start``."""
         super().__init__(upstream=upstream)
         self.crashes = []
-        self.incarnation = 0
-        self.is_up = False
+        self.sent = []
         self._crashes_under = crashes_under
         self._down_s = down_s
         self._work_s = work_s
@@ -58,12 +63,6 @@
         self._writers = set()
         self._tasks = set()
 
-    async def start(self, host="127.0.0.1", port=0):
-        """Listen as a new incarnation."""
-        await super().start(host, port)
-        self.incarnation += 1
-        self.is_up = True
-
     async def answer(self, request, writer):
         """Answer after some time, or crash."""
         if request.target.startswith("/v1/"):
@@ -72,6 +71,8 @@
         is_prefill = request.get("X-Currantdeal-Stage") == "prefill"
         streams = bool(request.get("X-Currantdeal-Token-Counts"))
         dies = self._crashes_under(request)
+        if dies:
+            self.sent.append((_now_s(), request.request_id, request.body))
         if is_prefill and not (dies and self._crashes_in_prefill):
             await super().answer(request, writer)
             return
@@ -107,9 +108,7 @@
     def _crash(self, request):
         if not self.is_up:
             return
-        now_s = asyncio.get_running_loop().time()
-        self.crashes.append((now_s, request.request_id))
-        self.is_up = False
+        self.crashes.append((_now_s(), request.request_id, request.body))
         self.stop()
         for writer in tuple(self._writers):
             writer.transport.abort()
@@ -122,3 +121,7 @@
         host, _, port = self.address.rpartition(":")
         await self.start(host, int(port))
         self._on_back(self)
+
+
+def _now_s():
+    return asyncio.get_running_loop().time()
--- a/currantdeal/testing/platform_upstream.py
+++ b/currantdeal/testing/platform_upstream.py
@@ -55,6 +55,8 @@
         self.seen = []
         self.open_connections = 0
         self.address = ""
+        self.incarnation = 0
+        self.is_up = False
         self._server = None
 
     async def start(self, host="127.0.0.1", port=0):
@@ -62,9 +64,12 @@
         self._server = await asyncio.start_server(self._serve, host, port)
         found = self._server.sockets[0].getsockname()
         self.address = f"{found[0]}:{found[1]}"
+        self.incarnation += 1
+        self.is_up = True
 
     def stop(self):
         """Listen no more."""
+        self.is_up = False
         self._server.close()
 
     @property
