Count a crash on a kept connection as a run that was lost

Found while looking for the same cause elsewhere. A prompt or reservation that is lost on a kept connection is sent again on a new one. If the upstream had ended, that one was refused, and the refusal passed for all that happened: the request seemed not sent, its crash did not count, and the next prefill engine was sent the same prompt. One attempt took away two prefill engines and a decode engine.

Now the refusal of the second connection leaves the first error as it was.

--- a/currantdeal/entry/tests/test_query_of_death.py
+++ b/currantdeal/entry/tests/test_query_of_death.py
@@ -103,8 +103,12 @@
         await asyncio.sleep(0.01)
 
 
-def _play(kind, *, bodies=(), senders=0, **options):
-    """Return the fleet, the poison's answers and those of sound requests."""
+def _play(kind, *, bodies=(), senders=0, before=0, **options):
+    """Return the fleet, the poison's answers and those of sound requests.
+
+    Sound requests are sent before it, so that connections are kept, and beside
+    it.
+    """
 
     async def run():
         others = []
@@ -112,6 +116,8 @@
         async with entry_world() as world:
             fleet = _Fleet(world=world, **options)
             await fleet.start()
+            for _ in range(before):
+                await world.ask(_request(kind, b"sound"))
             tasks = [
                 asyncio.ensure_future(
                     _send_others(world, kind, others, bodies=bodies, done=done)
@@ -143,6 +149,12 @@
     assert all(a.startswith(b"HTTP/1.1 429") for a in answers[3:])
 
 
+def test_crash_on_a_kept_connection_counts():
+    """Guards against a crash that passes for a connection that was stale."""
+    fleet, _, _ = _play("note", before=6, crashes_in_prefill=True)
+    assert fleet.crashes == ALLOWED_CRASHES
+
+
 @pytest.mark.parametrize("kind", KINDS)
 def test_requests_beside_a_query_of_death_are_served(kind):
     """Guards against refusing a request for a crash that another caused.
--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -134,10 +134,16 @@
         return await _exchange_on(
             pool, connection, outgoing, timeout_s=timeout_s, limit=limit
         )
-    except BrokenAnswerError:
+    except BrokenAnswerError as exc:
         if not (harmless and kept):
             raise
-    connection = await pool.open(address, timeout_s=timeout_s)
+        broken = exc
+    try:
+        connection = await pool.open(address, timeout_s=timeout_s)
+    except ConnectRefusedError:
+        # The upstream had not given the connection up: it ended, and the
+        # request that was sent may be why.
+        raise broken from None
     return await _exchange_on(
         pool, connection, outgoing, timeout_s=timeout_s, limit=limit
     )
--- a/currantdeal/node/tests/test_connection_pool.py
+++ b/currantdeal/node/tests/test_connection_pool.py
@@ -49,6 +49,31 @@
     assert caught.value.sent
 
 
+async def _ends_on_second(standin, request, writer):
+    if len(standin.seen) == 2:
+        standin.stop()
+        writer.transport.abort()
+        return True
+    return False
+
+
+def test_request_under_which_an_upstream_ended_counts_as_sent():
+    """Guards against a crash that is taken for a refused connection."""
+
+    async def run():
+        standin = StandInUpstream(script=_ends_on_second)
+        await standin.start()
+        pool = ConnectionPool()
+        for _ in range(2):
+            await exchange(
+                pool, standin.address, CALL, timeout_s=1.0, harmless=True
+            )
+
+    with pytest.raises(BrokenAnswerError) as caught:
+        asyncio.run(run())
+    assert caught.value.sent
+
+
 def _is_kept(kept, *, idle_s, harmless):
     """Return whether a second exchange finds the connection of the first."""
 
