Run a quarantined request once more when its service is released anew

A quarantine had no end: a caller whose request crashed one release would be refused for good, also after the fault is mended. A proof costs an upstream, and every part of a service that is still old would pay it, so it is given when all ready upstreams of the service run software that has not crashed under the request; it must be the first such release. If that crashes, too, no further one is tried. Heartbeats already named the version; records carry it now. Tests: no run while one old upstream is ready, one run after, none for a third release, none where the version is not known.

--- a/currantdeal/entry/crash_watch.py
+++ b/currantdeal/entry/crash_watch.py
@@ -62,7 +62,9 @@
         """Return whether a request is not to be run."""
         if not self._book:
             return False
-        return self._book.is_quarantined(active.fingerprint)
+        ready = self._view.ready(active.service.name)
+        software = {record.software for record in ready}
+        return not self._book.may_run(active.fingerprint, software)
 
     def may_send(self, active):
         """Return whether an upstream may be sent a request.
@@ -95,6 +97,7 @@
             upstream=record.upstream,
             started_ms=record.started_ms,
             early=not events,
+            software=record.software,
         )
         active.lost.append(crash.incarnation)
         leaves = not self._view.takes_work(record.upstream)
--- a/currantdeal/platform/control.py
+++ b/currantdeal/platform/control.py
@@ -82,6 +82,7 @@
             sequence=beat.Sequence,
             stage=_stage(beat.Stage),
             cold_s=(beat.ColdRemainingMs or 0.0) / 1_000.0,
+            software=beat.Version or "",
         )
 
     def read_config(self, body):
--- a/currantdeal/policy/crash_book.py
+++ b/currantdeal/policy/crash_book.py
@@ -11,6 +11,10 @@
 the same crashes.  What a request completes clears it of the crashes before, so
 one that is merely popular, and thus beside many crashes, stays clear.
 
+Another release of the upstreams may have mended it.  Once all of a service run
+software that has not crashed under it, it is run again; if that crashes, too,
+it stays in quarantine whatever is released.
+
 What is known only grows, and two books that exchanged their records hold the
 same, in whatever order those came.  No leader and no clock takes part in it.
 """
@@ -50,11 +54,14 @@
         Unix time of the start of its process.
     early : bool
         True if it had sent no output for the request.
+    software : str
+        Version of the software that it ran, or empty.
     """
 
     upstream: str
     started_ms: int
     early: bool = True
+    software: str = ""
 
     @property
     def incarnation(self):
@@ -129,6 +136,20 @@
         suspect = self._suspects.get(fingerprint)
         return suspect is not None and bool(suspect.crashes)
 
+    def may_run(self, fingerprint, software):
+        """Return whether a request may be run.
+
+        Parameters
+        ----------
+        software : iterable of str
+            Versions of the software that the upstreams of its service run.
+        """
+        if fingerprint not in self._quarantined:
+            return True
+        crashed = {crash.software for crash in self.crashes(fingerprint)}
+        released = bool(software) and crashed.isdisjoint(software)
+        return released and len(crashed) == 1
+
     def crashes(self, fingerprint):
         """Return the crashes that count against a request."""
         suspect = self._suspects.get(fingerprint)
--- a/currantdeal/policy/tests/test_crash_book.py
+++ b/currantdeal/policy/tests/test_crash_book.py
@@ -101,6 +101,41 @@
     assert book.is_quarantined(POISON)
 
 
+def _versions(*versions):
+    """Return a book with three crashes of each version of the software."""
+    book = CrashBook()
+    for version, part in itertools.product(versions, range(3)):
+        crash = Crash(
+            upstream=f"{version}-{part}", started_ms=1, software=version
+        )
+        book.add_crash(POISON, crash)
+    return book
+
+
+def test_release_of_all_upstreams_gives_a_culprit_another_run():
+    """Guards against a request that is refused after its fault is mended."""
+    book = _versions("v1")
+    assert not book.may_run(POISON, {"v1"})
+    assert not book.may_run(POISON, {"v1", "v2"})
+    assert book.may_run(POISON, {"v2"})
+
+
+def test_culprit_that_crashes_a_second_release_gets_no_third():
+    """Guards against each release that costs further upstreams."""
+    book = _versions("v1")
+    crash = Crash(upstream="u9", started_ms=1, software="v2")
+    book.add_crash(POISON, crash)
+    assert not book.may_run(POISON, {"v2"})
+    assert not book.may_run(POISON, {"v3"})
+
+
+def test_upstreams_of_unknown_software_give_no_further_run():
+    """Guards against taking a missing version for another release."""
+    book = _versions("")
+    assert not book.may_run(POISON, {""})
+    assert not book.may_run(POISON, set())
+
+
 def test_score_leaves_out_one_incarnation():
     book = _book(poison=(1, 2))
     crash = _crash(2)
--- a/currantdeal/registry/records.py
+++ b/currantdeal/registry/records.py
@@ -38,6 +38,8 @@
         Only of model engines.
     cold_s : float
         How much longer it is slow after its start, as of the heartbeat.
+    software : str
+        Version of the software that it runs, or empty.
     """
 
     upstream: str
@@ -50,6 +52,7 @@
     sequence: int
     stage: Stage | None = None
     cold_s: float = 0.0
+    software: str = ""
 
     @property
     def order(self):
