Quarantine requests that crash upstreams at the product's own interface

A lost connection whose upstream refuses a new one is now its own error (UpstreamCrashedError); a stream is not resumed there; after a second crash an attempt ends; after the third the request is refused with 429 and the reason quarantined, outcome not-run.

A call whose services end for other reasons is tried again and stays clear.

--- a/currantdeal/adapters/connections.py
+++ b/currantdeal/adapters/connections.py
@@ -21,10 +21,12 @@
     ConnectTimeoutError,
     HTTPError,
     NewConnectionError,
+    ReadTimeoutError,
 )
 
 from currantdeal.core import (
     Ran,
+    UpstreamCrashedError,
     UpstreamSilentError,
     UpstreamUnreachableError,
 )
@@ -117,6 +119,8 @@
         ------
         UpstreamUnreachableError
             If no connection could be opened; nothing ran.
+        UpstreamCrashedError
+            If the connection broke and the upstream's process has ended.
         UpstreamSilentError
             If the connection broke or brought nothing; it may have run.
         """
@@ -141,7 +145,7 @@
             raise UpstreamUnreachableError(str(exc), ran=Ran.NO) from exc
         except (HTTPError, OSError) as exc:
             self.forget(request.address)
-            raise UpstreamSilentError(str(exc), ran=Ran.MAYBE) from exc
+            raise lost_run(request.address, exc) from exc
 
     def fetch(self, request, *, timeout_s, fresh=False):
         """Return the response with its whole body, as ``HttpResponse``."""
@@ -151,7 +155,7 @@
         except (HTTPError, OSError) as exc:
             response.close()
             self.forget(request.address)
-            raise UpstreamSilentError(str(exc), ran=Ran.MAYBE) from exc
+            raise lost_run(request.address, exc) from exc
         response.release_conn()
         return HttpResponse(
             status=response.status,
@@ -179,6 +183,29 @@
         )
 
 
+def lost_run(address, failure):
+    """Return the error for a connection that was lost with a request.
+
+    A connection that ends early may have been reset on its way; only a process
+    that has ended refuses a new one.
+    """
+    crashed = not isinstance(failure, ReadTimeoutError) and _refuses(address)
+    error = UpstreamCrashedError if crashed else UpstreamSilentError
+    return error(str(failure), ran=Ran.MAYBE)
+
+
+def _refuses(address):
+    host, _, port = address.rpartition(":")
+    try:
+        socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        # It may be cut off, which is no crash.
+        return False
+    return False
+
+
 def _headers_of(request, fresh):
     headers = urllib3.HTTPHeaderDict()
     for name, value in request.headers:
--- a/currantdeal/adapters/engines.py
+++ b/currantdeal/adapters/engines.py
@@ -6,13 +6,16 @@
 import msgspec
 from urllib3.exceptions import HTTPError
 
-from currantdeal.adapters.connections import Connections, HttpRequest
+from currantdeal.adapters.connections import (
+    Connections,
+    HttpRequest,
+    lost_run,
+)
 from currantdeal.core import (
     KvExpiredError,
     Ran,
     StaleFenceError,
     UpstreamRefusedError,
-    UpstreamSilentError,
 )
 from currantdeal.ports import HeldMemory, OutputChunk, PrefillResult
 
@@ -73,8 +76,9 @@
         )
         try:
             if response.status != 200:
-                raise _refusal(response.status, _read_all(response))
-            yield from _chunks(response)
+                body = _read_all(response, upstream.address)
+                raise _refusal(response.status, body)
+            yield from _chunks(response, upstream.address)
         finally:
             response.close()
 
@@ -128,11 +132,11 @@
     )
 
 
-def _chunks(response):
+def _chunks(response, address):
     # The shortest path there is for each token: one read brings whatever
     # events have arrived, and each is decoded straight into its message.
     rest = b""
-    for data in _reads(response):
+    for data in _reads(response, address):
         *events, rest = (rest + data).split(_EVENT_END)
         for event in events:
             if not event.startswith(_EVENT_START):
@@ -143,10 +147,10 @@
             yield chunk
             if chunk.finish_reason:
                 return
-    raise UpstreamSilentError("the stream broke off", ran=Ran.MAYBE)
+    raise lost_run(address, "the stream broke off")
 
 
-def _reads(response):
+def _reads(response, address):
     """Yield what arrives, as it arrives."""
     try:
         if response.chunked:
@@ -156,14 +160,14 @@
         while data := response.read1(_READ_BYTES):
             yield data
     except (HTTPError, OSError) as exc:
-        raise UpstreamSilentError(str(exc), ran=Ran.MAYBE) from exc
+        raise lost_run(address, exc) from exc
 
 
-def _read_all(response):
+def _read_all(response, address):
     try:
         return response.read()
     except (HTTPError, OSError) as exc:
-        raise UpstreamSilentError(str(exc), ran=Ran.MAYBE) from exc
+        raise lost_run(address, exc) from exc
 
 
 def _decode(decoder, raw):
--- a/currantdeal/adapters/http/problems.py
+++ b/currantdeal/adapters/http/problems.py
@@ -33,6 +33,7 @@
     Reason.CLAIMS_FULL: 503,
     Reason.STATE_UNAVAILABLE: 503,
     Reason.ANSWER_TOO_LARGE: 410,
+    Reason.QUARANTINED: 429,
 }
 
 
--- /dev/null
+++ b/currantdeal/adapters/tests/test_connections.py
@@ -0,0 +1,61 @@
+import socket
+import threading
+
+import pytest
+
+from currantdeal.adapters.connections import Connections, HttpRequest
+from currantdeal.core import (
+    UpstreamCrashedError,
+    UpstreamSilentError,
+    UpstreamUnreachableError,
+)
+
+
+class _Upstream:
+    """Takes one connection, reads its request and drops it."""
+
+    def __init__(self, *, ends):
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        host, port = self._listener.getsockname()
+        self.request = HttpRequest(
+            address=f"{host}:{port}", method="POST", path="/"
+        )
+        self._ends = ends
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self):
+        connection, _ = self._listener.accept()
+        connection.recv(65_536)
+        if self._ends:
+            self.close()
+        connection.close()
+
+    def close(self):
+        self._listener.close()
+
+
+def _failure(upstream):
+    with pytest.raises(UpstreamSilentError) as caught:
+        Connections().fetch(upstream.request, timeout_s=2.0)
+    return caught.value
+
+
+def test_upstream_that_ended_with_a_request_has_crashed():
+    """Guards against a crash that passes for a lost connection."""
+    assert isinstance(_failure(_Upstream(ends=True)), UpstreamCrashedError)
+
+
+def test_upstream_that_dropped_a_connection_has_not_crashed():
+    """Guards against blaming a request for a connection that was reset."""
+    upstream = _Upstream(ends=False)
+    assert not isinstance(_failure(upstream), UpstreamCrashedError)
+    upstream.close()
+
+
+def test_upstream_that_was_gone_before_has_not_crashed():
+    """Guards against blaming a request that was never sent."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        host, port = listener.getsockname()
+    request = HttpRequest(address=f"{host}:{port}", method="POST", path="/")
+    with pytest.raises(UpstreamUnreachableError):
+        Connections().fetch(request, timeout_s=2.0)
--- a/currantdeal/cli/serving.py
+++ b/currantdeal/cli/serving.py
@@ -8,6 +8,7 @@
 from currantdeal.serving.calls import CallService
 from currantdeal.serving.claims import ClaimBook
 from currantdeal.serving.cleanup import Cleaner
+from currantdeal.serving.crash_guard import CrashGuard
 from currantdeal.serving.decisions import Decisions
 from currantdeal.serving.generation import GenerationService
 from currantdeal.serving.hangups import HangUpMonitor
@@ -58,6 +59,7 @@
         claims=claims,
         view=parts.view,
         decisions=parts.decisions,
+        crashes=parts.crashes,
         clock=clock,
         metrics=metrics,
     )
@@ -97,6 +99,7 @@
         reserver=reserver,
         view=view,
         hangups=HangUpMonitor(cleaner=cleaner),
+        crashes=CrashGuard(),
     )
 
 
--- a/currantdeal/core/errors.py
+++ b/currantdeal/core/errors.py
@@ -51,6 +51,10 @@
     """An open connection brought nothing for longer than allowed."""
 
 
+class UpstreamCrashedError(UpstreamSilentError):
+    """The upstream's process ended while it had the request."""
+
+
 class UpstreamRefusedError(UpstreamError):
     """The upstream answered that it will not do the work."""
 
--- a/currantdeal/serving/calls.py
+++ b/currantdeal/serving/calls.py
@@ -10,6 +10,7 @@
 from currantdeal.core import (
     Ran,
     Role,
+    UpstreamCrashedError,
     UpstreamError,
     digest_parts,
     outcome_of,
@@ -54,14 +55,19 @@
         What may be done at present.
     decisions : pykka.ActorProxy
         Of ``Decisions``.
+    crashes : CrashGuard
+        Calls that crash services.
     clock : Clock
         Time of deadlines.
     metrics : MetricsPort
         Counts tries.
     """
 
-    def __init__(self, *, services, claims, view, decisions, clock, metrics):
+    def __init__(
+        self, *, services, claims, view, decisions, crashes, clock, metrics
+    ):
         """Keep the parts."""
+        self._crashes = crashes
         self._services = services
         self._claims = claims
         self._claimed_calls = ClaimedCalls(claims=claims, clock=clock)
@@ -84,6 +90,7 @@
         """
         self._view.check_lease()
         self._view.candidates(request.work, Role.SERVICE)
+        self._crashes.check(request)
         if request.work.idempotent:
             return CallOutcome(answer=self._repeatable(request))
         if not request.key:
@@ -106,7 +113,8 @@
             decision = self._decisions.may_retry(
                 request.work, ran=failure.ran, attempts=attempts
             ).get()
-            if not decision.allowed:
+            again = self._crashes.may_send_again(request)
+            if not (decision.allowed and again):
                 raise _refusal(failure, ran) from failure
             self._metrics.add("service_retries_total")
             self._clock.sleep(decision.delay_s)
@@ -162,9 +170,14 @@
             raise CallerGoneError("the caller hung up")
         started_s = self._clock.monotonic_s()
         left_s = self._time_to_send_s(work)
-        answer = self._services.call(
-            upstream, request.call, timeout_s=left_s + late_s
-        )
+        try:
+            answer = self._services.call(
+                upstream, request.call, timeout_s=left_s + late_s
+            )
+        except UpstreamCrashedError:
+            self._crashes.crashed(request, upstream)
+            raise
+        self._crashes.completed(request)
         taken_s = self._clock.monotonic_s() - started_s
         self._decisions.learn_service(
             work, upstream, slowness=taken_s / USUAL_CALL_S
--- a/currantdeal/serving/errors.py
+++ b/currantdeal/serving/errors.py
@@ -28,6 +28,7 @@
     CLAIMS_FULL = "claims-full"
     STATE_UNAVAILABLE = "state-unavailable"
     ANSWER_TOO_LARGE = "answer-too-large"
+    QUARANTINED = "quarantined"
 
 
 class RefusedError(ServingError):
--- a/currantdeal/serving/filling.py
+++ b/currantdeal/serving/filling.py
@@ -104,7 +104,7 @@
         predicted_s = self._placed.choice.prefill_s
         timeout_s = self._check_sendable(Role.PREFILL, prefill, predicted_s)
         started_s = self._parts.clock.monotonic_s()
-        blaming = self._parts.blaming(work, prefill.upstream)
+        blaming = self._parts.blaming(self._request, prefill.upstream)
         with self._watching(prefill), blaming:
             result = self._parts.engines.prefill(
                 prefill.upstream,
@@ -140,7 +140,7 @@
             fence=decode.grant.fence,
         )
         self._importing = True
-        blaming = self._parts.blaming(self._request.work, decode.upstream)
+        blaming = self._parts.blaming(self._request, decode.upstream)
         with self._watching(decode), blaming:
             self._parts.engines.import_kv(
                 decode.upstream, wanted, timeout_s=timeout_s
--- a/currantdeal/serving/generation.py
+++ b/currantdeal/serving/generation.py
@@ -47,11 +47,13 @@
         CallerGoneError
             If the caller hung up.
         """
+        self._parts.crashes.check(request)
         attempts = Attempts(parts=self._parts, request=request)
         return UnbrokenStream(attempts=attempts, stream=attempts.open())
 
     def complete(self, request):
         """Return the whole answer, trying again where output broke off."""
+        self._parts.crashes.check(request)
         attempts = Attempts(parts=self._parts, request=request)
         stream = attempts.open()
         while True:
@@ -113,7 +115,8 @@
         decision = self._parts.decisions.may_retry(
             work, ran=failure.ran, attempts=self._count
         ).get()
-        if not decision.allowed:
+        again = self._parts.crashes.may_send_again(self._request)
+        if not (decision.allowed and again):
             raise RefusedError(
                 f"the engines failed: {failure}",
                 reason=Reason.UPSTREAM_FAILED,
--- a/currantdeal/serving/requests.py
+++ b/currantdeal/serving/requests.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import cached_property
 
-from currantdeal.core import Work
+from currantdeal.core import Work, digest_parts
 from currantdeal.ports import ServiceAnswer, ServiceCall
 
 
@@ -30,6 +31,12 @@
     prompt: str
     gone: Callable[[], bool] = never_gone
 
+    @cached_property
+    def fingerprint(self):
+        """By what it counts as the same request when it is sent again."""
+        parts = (self.work.caller, self.work.target, self.prompt)
+        return digest_parts(*(str(part).encode() for part in parts))
+
 
 @dataclass(frozen=True, kw_only=True)
 class Completion:
@@ -62,6 +69,14 @@
     key: str = ""
     gone: Callable[[], bool] = never_gone
 
+    @cached_property
+    def fingerprint(self):
+        """By what it counts as the same request when it is sent again."""
+        call = self.call
+        names = (self.work.caller, self.work.target, call.method, call.path)
+        parts = (str(name).encode() for name in names)
+        return digest_parts(*parts, call.body)
+
 
 @dataclass(frozen=True, kw_only=True)
 class CallOutcome:
--- a/currantdeal/serving/streams.py
+++ b/currantdeal/serving/streams.py
@@ -2,6 +2,7 @@
 
 from currantdeal.core import (
     Ran,
+    UpstreamCrashedError,
     UpstreamError,
     UpstreamRefusedError,
     UpstreamSilentError,
@@ -93,6 +94,7 @@
         parts.metrics.add("output_tokens_total", self._next_offset)
         if not self._finished:
             return
+        parts.crashes.completed(self._request)
         gap_s = self._mean_gap_s()
         parts.decisions.learn_output(
             self._request.work,
@@ -118,17 +120,33 @@
                 return
             except UpstreamRefusedError:
                 raise
+            except UpstreamCrashedError:
+                # Nothing is left to resume there, and the process that comes
+                # back may end the same way.
+                self._blame_crash()
+                raise
             except UpstreamError:
                 if self._next_offset > before:
                     resumes = 0
                 resumes += 1
                 if not self._may_resume(resumes):
-                    self._parts.decisions.learn_failure(
-                        self._request.work, self._reserved.upstream
-                    )
+                    self._blame_upstream()
                     raise
                 self._parts.metrics.add("stream_resumes_total")
 
+    def _blame_crash(self):
+        self._parts.crashes.crashed(
+            self._request,
+            self._reserved.upstream,
+            early=not self._next_offset,
+        )
+        self._blame_upstream()
+
+    def _blame_upstream(self):
+        self._parts.decisions.learn_failure(
+            self._request.work, self._reserved.upstream
+        )
+
     def _read_once(self):
         # Offsets guard against outputs that come twice or are missing after
         # a resume; a caller would see doubled words or a hole.
--- /dev/null
+++ b/currantdeal/serving/tests/test_query_of_death.py
@@ -0,0 +1,97 @@
+"""A request that crashes each upstream that runs it."""
+
+from dataclasses import replace
+
+import pytest
+
+from currantdeal.core import Outcome, Ran, Role, UpstreamCrashedError
+from currantdeal.serving.errors import Reason, RefusedError
+from currantdeal.serving.tests.builders import (
+    build_world,
+    engine,
+    generation,
+    order,
+    propose,
+    shop,
+)
+from currantdeal.state import AnnounceUpstream
+
+ALLOWED_CRASHES = 3
+
+
+def _crash(world, sent):
+    """End the upstream that was sent something; it comes back anew."""
+    record = world.state.view().upstreams[sent[-1].upstream_id]
+    born = record.upstream.incarnation + 1
+    again = replace(record.upstream, incarnation=born)
+    propose(world.state, AnnounceUpstream, upstream=again)
+    raise UpstreamCrashedError("ended", ran=Ran.MAYBE)
+
+
+def _crashes(world, sent, number):
+    return [lambda: _crash(world, sent) for _ in range(number)]
+
+
+def _world(crashes, *, stage=None):
+    """Return a world whose upstreams end under what they run at first."""
+    names = range(6)
+    world = build_world(
+        upstreams=[
+            *(engine(f"p{n}", Role.PREFILL) for n in names),
+            *(engine(f"d{n}", Role.DECODE) for n in names),
+            *(shop(f"s{n}") for n in names),
+        ]
+    )
+    sent = world.engines.sent if stage else world.services.sent
+    failures = _crashes(world, sent, crashes)
+    if stage == "prefill":
+        world.engines.on_prefill = failures
+    elif stage == "decode":
+        world.engines.decodes = [[failure] for failure in failures]
+    else:
+        world.services.script = failures
+    return world
+
+
+def _reasons(ask, times):
+    found = []
+    for _ in range(times):
+        with pytest.raises(RefusedError) as caught:
+            ask()
+        found.append((caught.value.reason, caught.value.outcome))
+    return found
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_call_that_crashes_services_is_not_sent_on(method):
+    """Guards against a call that crashes one service after the other."""
+    world = _world(20)
+    request = order(world, method=method)
+    found = _reasons(lambda: world.serving.calls.call(request), 6)
+    assert len(world.services.sent) == ALLOWED_CRASHES
+    assert found[-1] == (Reason.QUARANTINED, Outcome.NOT_RUN)
+
+
+@pytest.mark.parametrize("stage", ["prefill", "decode"])
+def test_prompt_that_crashes_engines_is_not_sent_on(stage):
+    """Guards against a prompt that crashes one engine after the other."""
+    world = _world(20, stage=stage)
+
+    def ask():
+        try:
+            world.serving.generation.complete(generation(world))
+        finally:
+            world.settle()
+
+    found = _reasons(ask, 6)
+    assert world.engines.names().count(stage) == ALLOWED_CRASHES
+    assert found[-1] == (Reason.QUARANTINED, Outcome.NOT_RUN)
+
+
+def test_call_beside_a_crash_is_tried_again_and_cleared():
+    """Guards against refusing calls whose service ended for other reasons."""
+    world = _world(0)
+    for _ in range(5):
+        world.services.script = _crashes(world, world.services.sent, 1)
+        answer = world.serving.calls.call(order(world, method="GET"))
+        assert answer.answer.status == 201
