Refuse heartbeats and changes that cannot be passed on

Found by asking which data from outside ends a process again and again. A heartbeat with a whole number beyond 64 bits was taken into the registry; its renewal could not be encoded, and the control process ended in its next beat, at every control instance and after each restart. One with too many places stayed in the registry, and entries could no longer subscribe. JSON nested too deep and a version beyond 64 bits left the sender without an answer, so that the change was sent again and again. An address with a port beyond 65535 made each request for that upstream end without an answer.

--- a/currantdeal/platform/calls.py
+++ b/currantdeal/platform/calls.py
@@ -15,6 +15,7 @@
 )
 from currantdeal.node.head import Outgoing, end_to_end, find_header
 from currantdeal.platform import headers as names
+from currantdeal.platform.decoding import decode_json
 
 _MS = 1_000.0
 _JSON = (b"content-type", b"application/json")
@@ -91,7 +92,7 @@
 
     def read_reservation(self, body):
         """Decode the answer to a reservation."""
-        return _decode(_HoldReply, body).Hold
+        return decode_json(body, _HoldReply, "reservation").Hold
 
     def release_reservation(self, address, reservation):
         """Encode giving a reservation back."""
@@ -99,7 +100,7 @@
 
     def read_prefill(self, body):
         """Decode the answer of a prefill."""
-        return _decode(_PrefillReply, body).KvHandle
+        return decode_json(body, _PrefillReply, "prefill").KvHandle
 
     def release_prefill(self, address, handle):
         """Encode freeing a KV cache."""
@@ -156,13 +157,6 @@
     )
 
 
-def _decode(cls, body):
-    try:
-        return msgspec.json.decode(body, type=cls)
-    except msgspec.MsgspecError as exc:
-        raise DialectError(f"{cls.__name__}: {exc}") from exc
-
-
 def _has(head, name):
     return any(key == name for key, _ in head.headers)
 
--- a/currantdeal/platform/config.py
+++ b/currantdeal/platform/config.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from currantdeal.core.errors import DialectError
+from currantdeal.platform.decoding import Int64, decode_json
 from currantdeal.routing import (
     CallerLimits,
     EngineTraits,
@@ -61,7 +62,7 @@
 
 
 class _Config(msgspec.Struct):
-    Version: int
+    Version: Int64
     Routes: list[_Route]
     Services: list[_Service]
     Limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -73,12 +74,9 @@
     Raises
     ------
     DialectError
-        If the body is cut short or a field has another type.
+        If the body cannot be read.
     """
-    try:
-        read = msgspec.json.decode(body, type=_Config)
-    except msgspec.MsgspecError as exc:
-        raise DialectError(f"configuration: {exc}") from exc
+    read = decode_json(body, _Config, "configuration")
     return RoutingConfig(
         version=read.Version,
         routes=tuple(_route(route) for route in read.Routes),
--- a/currantdeal/platform/control.py
+++ b/currantdeal/platform/control.py
@@ -3,7 +3,7 @@
 Implements ``currantdeal.node.dialect.ControlDialect``.
 """
 
-import re
+import ipaddress
 from urllib.parse import parse_qs, unquote
 
 import msgspec
@@ -18,21 +18,22 @@
     PutConfig,
 )
 from currantdeal.platform.config import decode_config
+from currantdeal.platform.decoding import Int64, decode_json
 from currantdeal.registry import Stage, UpstreamRecord, UpstreamState
 
 _INSTANCES = "/v1/instances/"
 _CONFIG = "/v1/config"
-_ADDRESS = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
+_HIGHEST_PORT = 65_535
 
 
 class _Beat(msgspec.Struct):
     Service: str
     Address: str
     Zone: str
-    Slots: int
+    Slots: Int64
     State: str
-    Sequence: int
-    born: int
+    Sequence: Int64
+    born: Int64
     Version: str | None = None
     ColdRemainingMs: float | None = 0.0
     Stage: str | None = None
@@ -63,13 +64,10 @@
 
     def read_announcement(self, upstream, body):
         """Decode a heartbeat."""
-        try:
-            beat = msgspec.json.decode(body, type=_Beat)
-        except msgspec.MsgspecError as exc:
-            raise DialectError(f"announcement: {exc}") from exc
+        beat = decode_json(body, _Beat, "announcement")
         if not upstream or not beat.Service:
             raise DialectError("announcement: a name is empty")
-        if not _ADDRESS.fullmatch(beat.Address):
+        if not _is_address(beat.Address):
             raise DialectError(f"announcement: address {beat.Address!r}")
         return UpstreamRecord(
             upstream=upstream,
@@ -108,6 +106,17 @@
     )
 
 
+def _is_address(text):
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdigit() and len(port) <= 5):
+        return False
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return 0 < int(port) <= _HIGHEST_PORT
+
+
 def _state(text):
     states = {
         "ready": UpstreamState.READY,
--- a/currantdeal/platform/tests/test_control.py
+++ b/currantdeal/platform/tests/test_control.py
@@ -67,6 +67,23 @@
     assert record.started_ms == 1_700_000_000_000
 
 
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"Sequence": 10**30},
+        {"born": 2**63},
+        {"Slots": -(10**20)},
+        {"Address": "10.0.0.1:99999"},
+        {"Address": "10.0.0.1:0"},
+        {"Address": "10.0.0.256:80"},
+    ],
+)
+def test_heartbeat_that_cannot_be_passed_on_or_reached_is_refused(changes):
+    """Guards against a record that ends each process that takes it up."""
+    with pytest.raises(DialectError):
+        DIALECT.read_announcement("i-1", _beat(**changes))
+
+
 @pytest.mark.parametrize(
     "body",
     [
