Bound the numbers that are read from headers

Found by asking which data from outside ends a process again and again: a generation that named a prompt of 10^30 tokens ended the entry that took it, as it could not encode what it holds at engines in its next report, and its caller could go on to the next entry. A number in other digits (superscript two) left the caller without an answer.

Sizes, loads and idle times from headers are read by one function and bounded; an error that nobody expects leaves a log line. Before: the entry had ended; now it answers each of five such requests.

--- a/currantdeal/cli/tests/test_poison_records.py
+++ b/currantdeal/cli/tests/test_poison_records.py
@@ -1,11 +1,13 @@
 """Data from outside that could end control again and again."""
 
+import asyncio
 import json
 import time
 
 import pytest
 
-from currantdeal.testing.entry_world import config_body
+from currantdeal.testing.crashing_fleet import CrashingFleet
+from currantdeal.testing.entry_world import config_body, request_bytes
 from currantdeal.testing.node_processes import NodeCluster
 from currantdeal.testing.platform_upstream import heartbeat
 
@@ -77,3 +79,64 @@
         for process in cluster.control:
             url = cluster.control_url(process, "/v1/config")
             assert cluster.call("PUT", url, body)[0] == 400
+
+
+SIZES = {
+    "prompt": ("1" + "0" * 30 + ",900", "500"),
+    "output": ("3000,1" + "0" * 30, "500"),
+    "expected": ("3000,900", "1" + "0" * 30),
+    "sign": ("\u00b2,\u00b3", "500"),
+    "digits": ("3000,900", "9" * 3_000),
+}
+
+
+async def _ask(entry, size):
+    counts, hint = size
+    raw = request_bytes(
+        "/note/1",
+        more=(
+            "X-Currantdeal-Model: m",
+            f"X-Currantdeal-Token-Counts: {counts}",
+            f"X-Currantdeal-Length-Hint: {hint}",
+        ),
+    )
+    host, _, port = entry.settings["listen"]["callers"].rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    # Headers are latin-1 on the wire.
+    writer.write(raw.decode().encode("latin-1"))
+    answer = await reader.read()
+    writer.close()
+    return answer[9:12]
+
+
+async def _await_generations(entry):
+    ends_s = time.monotonic() + START_S
+    while await _ask(entry, ("3000,900", "500")) != b"200":
+        assert time.monotonic() < ends_s, "no generation is served"
+        await asyncio.sleep(0.1)
+
+
+async def _ask_all_sizes(cluster):
+    entry = cluster.entries[0]
+    # A run that lasts is reported to control while it runs.
+    fleet = CrashingFleet(
+        cluster=cluster, crashes_under=lambda request: False, work_s=0.4
+    )
+    await fleet.start()
+    try:
+        await _await_generations(entry)
+        return {name: await _ask(entry, size) for name, size in SIZES.items()}
+    finally:
+        fleet.stop()
+
+
+def test_entry_outlives_a_request_of_any_size(tmp_path):
+    """Guards against one request that ends each entry that takes it."""
+    with NodeCluster(folder=tmp_path, entries=1) as cluster:
+        _await_control(cluster)
+        entry = cluster.entries[0]
+        while not cluster.is_ready(entry):
+            time.sleep(0.1)
+        found = asyncio.run(_ask_all_sizes(cluster))
+        assert entry.is_running
+    assert found == dict.fromkeys(SIZES, b"200")
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -32,6 +32,11 @@
 prompt that is lost is sent again on a new connection.
 """
 
+LONGEST_KEPT_S = 86_400
+"""Longest idle time that an upstream is believed to keep a connection."""
+
+_KEPT_DIGITS = len(str(LONGEST_KEPT_S)) + 1
+
 MAX_UNREAD_BYTES = 262_144
 """Answer bytes that wait for a slow caller before reading stops."""
 
@@ -242,7 +247,7 @@
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
         if name.lower() == b"timeout" and number.isdigit():
-            return int(number)
+            return min(LONGEST_KEPT_S, int(number[:_KEPT_DIGITS]))
     return None
 
 
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -10,6 +10,7 @@
 import asyncio
 
 import h11
+import structlog
 
 from currantdeal.node.head import RequestHead
 from currantdeal.node.http_request import (
@@ -30,6 +31,8 @@
 CLOSE_PATIENCE_S = 0.5
 """Time left to a caller to read a refusal before its connection closes."""
 
+_log = structlog.get_logger(__name__)
+
 _MALFORMED = {
     400: "the request is malformed",
     431: "the head is too large",
@@ -273,6 +276,10 @@
         except asyncio.CancelledError:
             self._transport.abort()
             raise
+        except Exception as exc:
+            # Its caller has no answer, or a part of one.
+            _log.exception("handler-failed", why=repr(exc))
+            self._transport.abort()
         finally:
             self._task = None
             self._next_request()
--- a/currantdeal/platform/calls.py
+++ b/currantdeal/platform/calls.py
@@ -15,7 +15,7 @@
 )
 from currantdeal.node.head import Outgoing, end_to_end, find_header
 from currantdeal.platform import headers as names
-from currantdeal.platform.decoding import decode_json
+from currantdeal.platform.decoding import decode_json, read_whole
 
 _MS = 1_000.0
 _JSON = (b"content-type", b"application/json")
@@ -46,7 +46,7 @@
             patience_s=_seconds(_text(head, names.DEADLINE)),
             prompt_tokens=prompt,
             max_output_tokens=most,
-            expected_output_tokens=_whole(_text(head, names.LENGTH_HINT)),
+            expected_output_tokens=_tokens(_text(head, names.LENGTH_HINT)),
             resume_after=_text(head, names.LAST_EVENT_ID),
             caller=_text(head, names.AUTHORIZATION),
         )
@@ -172,8 +172,8 @@
     return str(value).encode("ascii")
 
 
-def _whole(text):
-    return int(text) if text.isdigit() else 0
+def _tokens(text):
+    return read_whole(text.strip()) or 0
 
 
 def _seconds(text):
@@ -192,12 +192,12 @@
     parts = text.split(",")
     if len(parts) != 2:
         return 0, 0
-    return _whole(parts[0].strip()), _whole(parts[1].strip())
+    return _tokens(parts[0]), _tokens(parts[1])
 
 
 def _load(text):
-    parts = [part.strip() for part in text.split(",")]
-    if len(parts) != 3 or not all(part.isdigit() for part in parts):
+    parts = [read_whole(part.strip()) for part in text.split(",")]
+    if len(parts) != 3 or None in parts:
         return None
-    running, waiting, slots = (int(part) for part in parts)
+    running, waiting, slots = parts
     return UpstreamLoad(running=running, waiting=waiting, slots=slots)
