--- a/currantdeal/entry/errors.py
+++ b/currantdeal/entry/errors.py
@@ -26,12 +26,19 @@
 
 
 class QuarantinedError(RefusedError):
-    """The request crashes the upstreams that run it."""
+    """The request crashes the upstreams that run it.
 
-    def __init__(self):
+    Parameters
+    ----------
+    fingerprint : str
+        As logs show it.
+    """
+
+    def __init__(self, fingerprint):
         """Refuse it as any other that has not run."""
         super().__init__(
-            "it is in quarantine, since upstreams that ran it crashed",
+            f"it is in quarantine as {fingerprint}: upstreams that ran it"
+            " crashed",
             shortage=Shortage.QUARANTINE,
         )
 
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -26,6 +26,7 @@
     ExchangeError,
     SilentUpstreamError,
 )
+from currantdeal.node.fingerprint import shown
 from currantdeal.policy.late_callers import LATE_FULL, LATE_WAIT_TARGETS
 from currantdeal.policy.reset_outcome import Moment, reset_outcome
 from currantdeal.policy.return_time import Shortage
@@ -215,7 +216,7 @@
         if self._active.runs:
             raise FailedError(self._reason)
         if self._context.crashes.is_quarantined(self._active):
-            raise QuarantinedError
+            raise QuarantinedError(shown(self._active.fingerprint))
         raise RefusedError(self._reason, shortage=Shortage.MEMORY)
 
     async def _reserve(self):
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -23,6 +23,7 @@
     ExchangeError,
     SilentUpstreamError,
 )
+from currantdeal.node.fingerprint import shown
 from currantdeal.policy.reset_outcome import reset_outcome
 from currantdeal.policy.return_time import Shortage
 from currantdeal.policy.standing import in_order
@@ -205,7 +206,7 @@
         _pass_on(context, active, last)
         return
     if active.runs == 0 and context.crashes.is_quarantined(active):
-        raise QuarantinedError
+        raise QuarantinedError(shown(active.fingerprint))
     if active.runs == 0:
         raise RefusedError("no upstream took it", shortage=Shortage.UPSTREAMS)
     raise FailedError("an upstream may have run it")
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -15,6 +15,7 @@
 from currantdeal.entry.generation import serve_generation
 from currantdeal.entry.plain import serve_plain
 from currantdeal.node.dialect import CallerRequest
+from currantdeal.node.fingerprint import shown
 from currantdeal.policy.return_time import Shortage, return_after_s
 
 ANSWER_MARGIN_S = 0.03
@@ -117,7 +118,7 @@
 
     async def _work(self, active):
         if self._context.crashes.is_quarantined(active):
-            raise QuarantinedError
+            raise QuarantinedError(shown(active.fingerprint))
         if not active.is_generation:
             await serve_plain(self._context, active)
             return
