--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -74,9 +74,9 @@
         """Loop time."""
         return asyncio.get_running_loop().time()
 
-    def leave_alone(self, record, standings):
-        """Take an upstream that cannot be reached out, until it answers."""
-        self._prober.leave_alone(record, standings)
+    def eject(self, record, standings):
+        """Eject an upstream that cannot be reached, until it answers."""
+        self._prober.eject(record, standings)
 
     def begin_reading(self, upstream, for_s):
         """Note, and tell others, that a decode engine reads a prompt."""
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -274,7 +274,7 @@
             await connection.rest(limit=1 << 20)
             # It granted memory and does not take what was granted for, as
             # while it changes its stage; asking again costs a prompt.
-            context.leave_alone(record, context.standings)
+            context.eject(record, context.standings)
             self._reason = f"refused with {head.status}"
             active.note(StepKind.REFUSED, record.upstream, head.status)
             return False
--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -123,7 +123,7 @@
     def note_unreachable(self, record, exc):
         """Leave an engine alone that cannot be reached or broke off."""
         context = self._context
-        context.leave_alone(record, context.standings)
+        context.eject(record, context.standings)
         context.pool.forget(record.address)
         self._active.note_failure(record.upstream, exc)
 
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -152,7 +152,7 @@
         active.runs += 1
     silent = isinstance(exc, (ConnectError, SilentUpstreamError))
     if silent:
-        context.leave_alone(record, context.standings)
+        context.eject(record, context.standings)
         context.pool.forget(record.address)
     else:
         context.standings.answered(record.upstream, error=True)
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -200,7 +200,7 @@
     """
     kind = kind_of_failure(exc)
     if kind is StepKind.UNREACHABLE:
-        context.leave_alone(record, context.prefills)
+        context.eject(record, context.prefills)
     elif context.prefills.answered_s(record.upstream) <= since_s:
         context.pool.forget(record.address)
         context.prefills.timed_out(record.upstream, now_s=context.now_s)
@@ -232,7 +232,7 @@
     context.view.note_answer(record, traits.answered_by)
     if head.status != 200:
         # It changes its stage or leaves; asking again brings the same.
-        context.leave_alone(record, context.prefills)
+        context.eject(record, context.prefills)
         active.note(StepKind.REFUSED, record.upstream, head.status)
         raise PromptNotReadError(
             f"refused with {head.status}", taken=not traits.not_run
--- a/currantdeal/entry/probing.py
+++ b/currantdeal/entry/probing.py
@@ -1,11 +1,8 @@
-"""Finding out when an upstream that was left alone can be used again.
-
-An upstream that went dark may be back at any moment, and only asking tells.
-If callers' requests did that, each entry would lose some at every end of a
-pause, while the upstream is still away.  So a health check goes ahead of
-them, and the upstream stays out until one is answered.  Its answer also tells
-whether another process has taken the address: reservations there are granted
-and then refused, after the prompt was read elsewhere.
+"""Health checks of ejected upstreams.
+
+An ejected upstream stays out until it answers a health check, so that no
+request of a caller is lost to find out.  The answer also tells whether another
+process has taken the address, whose reservations are granted and then refused.
 """
 
 import asyncio
@@ -16,9 +13,7 @@
 from currantdeal.node.errors import ExchangeError
 
 PROBE_TIMEOUT_S = 0.3
-"""Time to answer a health check: a new connection and a round trip between
-regions, four times over."""
-
+"""Time to answer a health check, including a new connection."""
 
 FIRST_PROBE_S = 0.05
 """Pause before the first health check.
@@ -30,7 +25,7 @@
 
 
 class Prober:
-    """Keeps upstreams out until they answer.
+    """Ejects upstreams until they answer a health check.
 
     Parameters
     ----------
@@ -52,8 +47,8 @@
         self._in_background = in_background
         self._watched = set()
 
-    def leave_alone(self, record, standings):
-        """Take an upstream out until it answers a health check.
+    def eject(self, record, standings):
+        """Eject an upstream until it answers a health check.
 
         Parameters
         ----------
--- a/currantdeal/entry/subscription.py
+++ b/currantdeal/entry/subscription.py
@@ -1,14 +1,11 @@
 """Keeping an entry's view up to date.
 
-An entry follows one control instance, the nearest that it can.  It leaves
-it for another when it falls silent, or when another is in touch with the
-leader and it is not: behind a partition it would go on as before and keep
-the entry on an old view, which callers notice as changes that never arrive.
-
-Eighty entries that all follow the first instance of a list load that one
-instance and its links between regions, and all of them lose their source
-when it fails.  Those that follow the nearest cost no bytes between regions
-and lose one source of several.
+An entry follows the nearest control instance that accepts it.  It moves to
+another when that one is unresponsive, or is out of touch with the leader while
+another is not: behind a partition the entry would keep an old view.
+
+Entries that all follow the first instance of a list load that one and its
+links between regions, and lose their source together.
 """
 
 import asyncio
--- a/currantdeal/entry/tests/test_lost_engines.py
+++ b/currantdeal/entry/tests/test_lost_engines.py
@@ -160,7 +160,7 @@
             _know(world, engines)
             context = world.context
             record = context.view.record("d1")
-            context.leave_alone(record, context.standings)
+            context.eject(record, context.standings)
             await asyncio.sleep(1.0)
             return context.view.takes_work("d1")
 
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -28,8 +28,8 @@
 IDLE_MARGIN_S = 1.5
 """Time before the end that an upstream names, for requests that may be lost.
 
-Their way takes 25 ms and upstreams name whole seconds.  A reservation or a
-prompt that is lost is sent again on a new connection.
+Upstreams name whole seconds.  A reservation or a prompt that is lost is sent
+again on a new connection.
 """
 
 LONGEST_KEPT_S = 86_400
--- a/currantdeal/testing/crashing_upstream.py
+++ b/currantdeal/testing/crashing_upstream.py
@@ -68,15 +68,14 @@
         if request.target.startswith("/v1/"):
             await super().answer(request, writer)
             return
-        is_prefill = request.get("X-Currantdeal-Stage") == "prefill"
-        streams = bool(request.get("X-Currantdeal-Token-Counts"))
+        streams = request.is_generation and not request.is_prefill
         dies = self._crashes_under(request)
         if dies:
             self.sent.append((_now_s(), request.request_id, request.body))
-        if is_prefill and not (dies and self._crashes_in_prefill):
+        if request.is_prefill and not (dies and self._crashes_in_prefill):
             await super().answer(request, writer)
             return
-        if streams and not is_prefill:
+        if streams:
             self.begin_stream(request, writer)
             await writer.drain()
         if dies:
--- a/currantdeal/testing/platform_upstream.py
+++ b/currantdeal/testing/platform_upstream.py
@@ -29,6 +29,16 @@
                 return value
         return ""
 
+    @property
+    def is_prefill(self):
+        """Whether the prompt is to be prefilled for another engine."""
+        return self.get("X-Currantdeal-Stage") == "prefill"
+
+    @property
+    def is_generation(self):
+        """Whether it asks for a stream of events."""
+        return bool(self.get("X-Currantdeal-Token-Counts"))
+
     @property
     def request_id(self):
         """The caller's id of the attempt."""
@@ -78,8 +88,7 @@
         return [
             request
             for request in self.seen
-            if not request.target.startswith("/v1/")
-            and request.get("X-Currantdeal-Stage") != "prefill"
+            if not request.target.startswith("/v1/") and not request.is_prefill
         ]
 
     async def _serve(self, reader, writer):
@@ -105,9 +114,9 @@
             send_json(writer, {"Hold": "hold-1"})
         elif request.target.startswith("/v1/"):
             send_json(writer, {})
-        elif request.get("X-Currantdeal-Stage") == "prefill":
+        elif request.is_prefill:
             send_json(writer, {"KvHandle": "kv-1", "Tokens": 9, "Version": 1})
-        elif request.get("X-Currantdeal-Token-Counts"):
+        elif request.is_generation:
             self.begin_stream(request, writer)
             last = request.get("Last-Event-Id")
             for number in range(int(last or 0) + 1, EVENTS + 1):
