--- a/currantdeal/control/crash_ledger.py
+++ b/currantdeal/control/crash_ledger.py
@@ -11,7 +11,7 @@
 
 from currantdeal.node.messages import CrashesNotice
 from currantdeal.node.peers import HEARTBEAT_S
-from currantdeal.node.suspect_log import log_suspects
+from currantdeal.node.suspect_log import SuspectLog
 from currantdeal.policy.crash_book import CrashBook
 
 SILENT_S = 3 * HEARTBEAT_S
@@ -45,6 +45,7 @@
         self._clock = clock
         self._on_change = on_change
         self._book = CrashBook()
+        self._suspect_log = SuspectLog(log=_log, book=self._book)
         self._recent = {}
         self._heard_s = {}
 
@@ -55,7 +56,7 @@
 
     def load(self, records):
         """Take in what this instance knew before its restart."""
-        log_suspects(_log, self._book, self._book.merge(records))
+        self._suspect_log.note(self._book.merge(records))
 
     def take(self, notice):
         """Take in what an entry or another instance knows, and pass it on.
@@ -69,7 +70,7 @@
         changed = self._book.merge(notice.records)
         if not changed:
             return
-        log_suspects(_log, self._book, changed)
+        self._suspect_log.note(changed)
         now_s = self._clock()
         for record in changed:
             self._recent[record.fingerprint] = (now_s, record)
--- a/currantdeal/entry/crash_watch.py
+++ b/currantdeal/entry/crash_watch.py
@@ -9,7 +9,7 @@
 
 from currantdeal.node.errors import ConnectError, ConnectRefusedError
 from currantdeal.node.fingerprint import shown
-from currantdeal.node.suspect_log import log_suspects
+from currantdeal.node.suspect_log import SuspectLog
 from currantdeal.policy.crash_book import EARLY_WEIGHT, Crash, CrashBook
 
 _log = structlog.get_logger(__name__)
@@ -45,6 +45,7 @@
         self._metrics = metrics
         self._in_background = in_background
         self._book = CrashBook()
+        self._suspect_log = SuspectLog(log=_log, book=self._book)
         self._checks = {}
         self.tell = lambda records: None
 
@@ -114,7 +115,7 @@
 
     def take(self, records):
         """Take in what other processes know."""
-        log_suspects(_log, self._book, self._book.merge(records))
+        self._suspect_log.note(self._book.merge(records))
 
     async def _look(self, active, record, moment, events, crash):
         crashed = await self._has_ended(record)
@@ -134,7 +135,7 @@
             self._spread(self._book.add_crash(active.fingerprint, crash))
 
     def _spread(self, changed):
-        log_suspects(_log, self._book, changed)
+        self._suspect_log.note(changed)
         if changed:
             self.tell(changed)
 
