Look at the versions of upstreams only for requests in quarantine

While anything was in the book, each request went through all upstreams of its service, up to hundreds, for a set that only a quarantined one needs.

--- a/currantdeal/entry/crash_watch.py
+++ b/currantdeal/entry/crash_watch.py
@@ -61,7 +61,7 @@
 
     def is_quarantined(self, active):
         """Return whether a request is not to be run."""
-        if not self._book:
+        if not self._book or not self._book.is_quarantined(active.fingerprint):
             return False
         ready = self._view.ready(active.service.name)
         software = {record.software for record in ready}
