Set replicas' tests up through elections that a busy machine brings

Changes that only set a test up are now proposed until one is committed; what is asserted is as before.

--- a/currantdeal/control/tests/builders.py
+++ b/currantdeal/control/tests/builders.py
@@ -12,6 +12,7 @@
 )
 from currantdeal.consensus import Replica as Member
 from currantdeal.control.deployment_state import SetConfig
+from currantdeal.control.errors import NotCommittedError
 from currantdeal.control.membership import Membership
 from currantdeal.control.replica import Replica
 from currantdeal.node.errors import PeerUnreachableError
@@ -103,6 +104,19 @@
                         return replica
                 await asyncio.sleep(0.01)
 
+    async def propose(self, command, *, among=None):
+        """Return the leader at which a command was committed.
+
+        On a busy machine an election may come in between.
+        """
+        while True:
+            leader = await self.leader(among=among)
+            try:
+                await leader.propose(command)
+            except NotCommittedError:
+                continue
+            return leader
+
     def _deliver(self, sender, messages):
         for message in messages:
             replica = self.replicas.get(message.to)
--- a/currantdeal/control/tests/test_replica.py
+++ b/currantdeal/control/tests/test_replica.py
@@ -21,7 +21,7 @@
     """
 
     async def work(group):
-        await (await group.leader()).propose(a_change(7, b"newest"))
+        await group.propose(a_change(7, b"newest"))
         for name in group.names:
             await group.stop(name)
         for name in group.names:
@@ -40,10 +40,9 @@
     """
 
     async def work(group):
-        leader = await group.leader()
-        await leader.propose(a_change(7, b"first"))
-        await leader.propose(a_change(7, b"second"))
-        await leader.propose(a_change(6, b"older"))
+        await group.propose(a_change(7, b"first"))
+        await group.propose(a_change(7, b"second"))
+        leader = await group.propose(a_change(6, b"older"))
         return await leader.read()
 
     state = _run(tmp_path, work)
@@ -58,15 +57,13 @@
     """
 
     async def work(group):
-        old = await group.leader()
-        await old.propose(a_change(1))
+        old = await group.propose(a_change(1))
         (name,) = [n for n, r in group.replicas.items() if r is old]
         group.cut_off = {name}
         rest = set(group.names) - {name}
         with pytest.raises(NotCertainError):
             await old.read()
-        new = await group.leader(among=rest)
-        await new.propose(a_change(2))
+        new = await group.propose(a_change(2), among=rest)
         return await new.read()
 
     assert _run(tmp_path, work).version == 2
@@ -91,8 +88,7 @@
     """
 
     async def work(group):
-        leader = await group.leader()
-        await leader.propose(a_change(3))
+        leader = await group.propose(a_change(3))
         lost = [n for n, r in group.replicas.items() if r is not leader][0]
         await group.stop(lost)
         for path in (tmp_path / lost).iterdir():
@@ -134,8 +130,8 @@
         old._folder._sync = sync
         stalled.set()
         waiting = asyncio.ensure_future(old.propose(a_change(1)))
-        new = await group.leader(among=set(group.names) - {name})
-        await new.propose(a_change(2))
+        rest = set(group.names) - {name}
+        new = await group.propose(a_change(2), among=rest)
         go_on.set()
         await asyncio.gather(waiting, return_exceptions=True)
         return await new.read()
