--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -26,7 +26,9 @@
 from currantdeal.control.exchange import RecordExchange
 from currantdeal.control.leader_link import LeaderLink
 from currantdeal.control.membership import JOIN_INTERVAL_S, Membership
+from currantdeal.control.operations import ControlOperations
 from currantdeal.control.orders import StageOrders
+from currantdeal.control.quota_owner import QuotaOwner
 from currantdeal.control.replica import Replica
 from currantdeal.control.service import ControlService
 from currantdeal.core import boot_time_s
@@ -107,6 +109,7 @@
             initial_addresses=lambda: self._file.current.control_peers,
             clock=boot_time_s,
         )
+        bounds = read_bounds(settings.bounds)
         dialect = PlatformControl()
         exchange = RecordExchange(
             local_place=ControlPlace(
@@ -118,9 +121,7 @@
             heartbeat_s=settings.heartbeat_ms / 1_000.0,
             clock=boot_time_s,
         )
-        demand = DemandTracker(
-            read_config=dialect.read_config, clock=boot_time_s
-        )
+        demand = DemandTracker(clock=boot_time_s)
         self._crash_store = CrashStore(
             file=StateFile(path=Path(settings.data_folder) / CRASHES_FILE)
         )
@@ -134,13 +135,12 @@
             links=self._link,
             local_id=self._own_address,
         )
+        config = ConfigAccess(replica=self._replica, leader_link=leader_link)
         self._service = ControlService(
             dialect=dialect,
             replica=self._replica,
             membership=self._membership,
-            config=ConfigAccess(
-                replica=self._replica, leader_link=leader_link
-            ),
+            config=config,
             exchange=exchange,
             demand=demand,
             crashes=self._crashes,
@@ -150,6 +150,22 @@
                 supports=exchange.supports_organisations,
                 clock=boot_time_s,
             ),
+            quotas=QuotaOwner(
+                replica=self._replica,
+                leader_link=leader_link,
+                supports=exchange.supports_organisations,
+                entries=lambda: self._service.sizes["entries"],
+                margin=bounds.quota_margin,
+                clock=boot_time_s,
+            ),
+            clock=boot_time_s,
+        )
+        self._operations = ControlOperations(
+            dialect=dialect,
+            config=config,
+            exchange=exchange,
+            has_leader=lambda: self._service.has_leader,
+            registry_is_complete=lambda: self._service.registry_is_complete,
             clock=boot_time_s,
         )
         self._orders = StageOrders(
@@ -159,9 +175,7 @@
             demand=demand,
             pool=ConnectionPool(),
             dialect=PlatformCalls(),
-            min_order_interval_s=read_bounds(
-                settings.bounds
-            ).min_order_interval_s,
+            min_order_interval_s=bounds.min_order_interval_s,
             clock=boot_time_s,
             held_tokens=lambda: self._service.held_tokens,
         )
@@ -230,7 +244,7 @@
             settings.address,
             settings.peer_port,
         )
-        server = HttpServer(handler=self._service.handle_http)
+        server = HttpServer(handler=self._operations.handle)
         wanted = (settings.listen.control, settings.listen.directory)
         for address in filter(None, dict.fromkeys(wanted)):
             await server.start(*split_address(address))
--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -41,6 +41,9 @@
 longer.
 """
 
+QUOTA_REFILL_S = 1.0
+"""Interval at which the reserves of quotas are checked."""
+
 EXIT_MARGIN_S = 0.4
 """Seconds between the exit of the process and its kill by the platform."""
 
@@ -104,6 +107,7 @@
         )
         self._context.crash_watch.publish = self._subscription.publish_crashes
         self._context.access.look_up = self._look_up_config
+        self._context.quotas.ask_owner = self._ask_credit
         self._server = HttpServer(
             handler=self._service.handle,
             limits=lambda: self._view.limits,
@@ -137,6 +141,9 @@
                     LOAD_INTERVAL_S, self._subscription.send_load
                 )
             ),
+            asyncio.ensure_future(
+                call_periodically(QUOTA_REFILL_S, self._context.quotas.refill)
+            ),
             asyncio.ensure_future(self._file.watch()),
         ]
         stop = asyncio.ensure_future(stopping.wait())
@@ -149,7 +156,12 @@
         _log.info("stopped", cut=self._server.active_requests)
 
     async def _look_up_config(self):
-        return await self._subscription.confirm(fresh=True)
+        return await self._subscription.control_calls.confirm(fresh=True)
+
+    async def _ask_credit(self, asks):
+        return await self._subscription.control_calls.ask_credit(
+            self._file.current.instance, asks
+        )
 
     @property
     def _is_ready(self):
--- a/currantdeal/consensus/node.py
+++ b/currantdeal/consensus/node.py
@@ -146,6 +146,11 @@
         """Time at which this replica last became leader."""
         return self._raft.elected_s
 
+    @property
+    def is_transferring(self):
+        """True while a leader hands leadership to another replica."""
+        return self._raft.transfer_to is not None
+
     @property
     def configuration(self):
         """The latest replica set in the log, committed or not."""
--- a/currantdeal/consensus/tests/mutations.py
+++ b/currantdeal/consensus/tests/mutations.py
@@ -34,6 +34,8 @@
 DISK = pytest("adapters/disk")
 STATE = pytest("state")
 RUNTIME = pytest("adapters/replication")
+CREDIT = pytest("organisations/tests/test_credit.py")
+ACCESS = pytest("entry/tests/test_access.py")
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -283,6 +285,41 @@
         new="    if command.expected_version <= current_version:",
         check=STATE,
     ),
+    Mutation(
+        title="the digest of a key is not compared",
+        path="organisations/keys.py",
+        old="        return self._by_digest.get(digest)",
+        new="        return next(iter(self._by_digest.values()), None)",
+        check=ACCESS,
+    ),
+    Mutation(
+        title="the age of the view is not checked at sending",
+        path="node/http_client.py",
+        old="        if boot_time_s() >= outgoing.send_before_s:",
+        new="        if False:",
+        check=ACCESS,
+    ),
+    Mutation(
+        title="unused credit is not returned",
+        path="organisations/credit.py",
+        old="        for units, granted_s in ask.returned:",
+        new="        for units, granted_s in ():",
+        check=CREDIT,
+    ),
+    Mutation(
+        title="a reserve is used after its expiry",
+        path="organisations/credit_pool.py",
+        old="        if units > self._units or now_s >= self._until_s:",
+        new="        if units > self._units:",
+        check=CREDIT,
+    ),
+    Mutation(
+        title="an owner grants at once after its election",
+        path="organisations/credit_bucket.py",
+        old="        if now_s < self._opened_s + bounds.window_s:",
+        new="        if False:",
+        check=CREDIT,
+    ),
 )
 
 
--- a/currantdeal/control/demand_tracker.py
+++ b/currantdeal/control/demand_tracker.py
@@ -1,45 +1,29 @@
 """Aggregates the demand that all entries measure, at one control instance."""
 
-import zlib
-
-import structlog
-
-from currantdeal.core.errors import DialectError
 from currantdeal.policy.demand import Demand, DemandWindow, busy_engines
 
 DEMAND_WINDOW_S = 15.0
 """Length of the sliding window over which demand is summed."""
 
-_log = structlog.get_logger(__name__)
-
 
 class DemandTracker:
     """Demand by service, and the engine traits that convert it into load.
 
     Parameters
     ----------
-    read_config : callable
-        Decodes the bytes of an operator's configuration into a
-        ``RoutingConfig``.
     clock : callable
         Returns monotonic seconds.
     """
 
-    def __init__(self, *, read_config, clock):
+    def __init__(self, *, clock):
         """Start without any demand."""
-        self._read_config = read_config
         self._clock = clock
         self._reported = {}
         self._windows = {}
         self._engine_traits = {}
 
-    def update_config(self, packed):
-        """Read the traits of engines from a compressed configuration."""
-        try:
-            config = self._read_config(zlib.decompress(packed))
-        except DialectError as exc:
-            _log.error("config-unreadable", why=str(exc))
-            return
+    def update_config(self, config):
+        """Use the traits of engines of a committed configuration."""
         self._engine_traits = {
             service.name: service.engine
             for service in config.services
--- /dev/null
+++ b/currantdeal/control/quota_owner.py
@@ -0,0 +1,103 @@
+"""Grants the credit of quotas while this instance leads.
+
+The leader owns all quotas.  It grants only while a quorum has accepted its
+leadership so recently that no later leader can be open, and a new leader
+opens one lease after its election.
+"""
+
+from currantdeal.node.messages import CreditAnswer
+from currantdeal.organisations import CreditOwner
+
+LEASE_S = 0.3
+"""Time from a heartbeat that a quorum answered in which credit is granted."""
+
+LEASE_MARGIN_S = 0.03
+"""Part of the lease that is not used, for clocks of different rates."""
+
+FORWARD_TIMEOUT_S = 0.4
+"""Time in which the leader must answer a forwarded call."""
+
+NO_OWNER = CreditAnswer()
+
+
+class QuotaOwner:
+    """Owner of all quotas on the leader, and the way to it elsewhere.
+
+    Parameters
+    ----------
+    replica : Replica
+        The replica of this process.
+    leader_link : LeaderLink
+        Forwards calls to the leader.
+    supports : callable
+        Returns whether an instance understands ``CreditCall``.
+    entries : callable
+        Returns the number of entries.
+    margin : QuotaMargin
+        Margin above the quotas.
+    clock : callable
+        Returns the seconds that the replica uses.
+    """
+
+    def __init__(
+        self, *, replica, leader_link, supports, entries, margin, clock
+    ):
+        """Start without quotas."""
+        self._replica = replica
+        self._leader_link = leader_link
+        self._supports = supports
+        self._entries = entries
+        self._margin = margin
+        self._clock = clock
+        self._organisations = ()
+        self._owner = None
+
+    def update_config(self, config):
+        """Use the quotas of a committed configuration."""
+        self._organisations = config.organisations or ()
+        if self._owner is not None:
+            self._owner.update(self._organisations, now_s=self._clock())
+
+    async def answer(self, call):
+        """Return the ``CreditAnswer`` to an entry or a control instance."""
+        if self._replica.is_leader:
+            return self._answer_as_leader(call)
+        leader = self._leader_link.address
+        if leader is None or not self._supports(leader):
+            return NO_OWNER
+        answer = await self._leader_link.call(
+            call, timeout_s=FORWARD_TIMEOUT_S
+        )
+        return answer or NO_OWNER
+
+    def _answer_as_leader(self, call):
+        now_s = self._clock()
+        if not self._is_open(now_s):
+            return NO_OWNER
+        owner = self._current_owner(now_s)
+        entries = self._entries()
+        return CreditAnswer(
+            epoch=owner.epoch,
+            grants=tuple(
+                owner.grant(call.entry, ask, entries=entries, now_s=now_s)
+                for ask in call.asks
+            ),
+        )
+
+    def _is_open(self, now_s):
+        node = self._replica.node
+        if node.is_transferring or now_s < node.elected_s + LEASE_S:
+            return False
+        silent_s = now_s - node.quorum_acked_s(now_s)
+        return silent_s < LEASE_S - LEASE_MARGIN_S
+
+    def _current_owner(self, now_s):
+        node = self._replica.node
+        if self._owner is None or self._owner.epoch != node.term:
+            self._owner = CreditOwner(
+                epoch=node.term,
+                margin=self._margin,
+                opened_s=node.elected_s + LEASE_S,
+            )
+            self._owner.update(self._organisations, now_s=now_s)
+        return self._owner
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -4,25 +4,19 @@
 and other control instances over peer connections.
 """
 
+import zlib
 from functools import singledispatchmethod
 
 import structlog
 
 from currantdeal.adapters.generated.peers.ttypes import FrameKind
 from currantdeal.core.errors import DialectError
-from currantdeal.node.dialect import (
-    Announce,
-    CheckReadiness,
-    GetConfig,
-    Leave,
-    LookUpEntries,
-    PutConfig,
-)
 from currantdeal.node.messages import (
     PROTOCOL,
     ConfigNotice,
     ConfirmCall,
     CrashesNotice,
+    CreditCall,
     Done,
     EntryNotice,
     JoinCall,
@@ -42,22 +36,10 @@
 )
 from currantdeal.node.peers import HEARTBEAT_S, pack_frame
 from currantdeal.policy.shared_load import LoadSums
-from currantdeal.registry import UpstreamState
-from currantdeal.routing import InvalidConfigError, check_config
-
-DIRECTORY_TTL_S = 4.0
-"""Time for which callers may cache an answer of the directory.
-
-Each look-up may reach a control instance that does not answer, which costs
-the caller a second.  An entry that stops or fails while its address is cached
-costs one refused connection, after which its callers choose another one.
-"""
 
 REGISTRY_COMPLETE_S = 8.0
 """Time after its start in which an instance receives all upstream records."""
 
-_JSON = (b"content-type", b"application/json")
-_RETRY = (b"retry-after", b"0.3")
 _log = structlog.get_logger(__name__)
 
 
@@ -82,6 +64,8 @@
         Records of requests that crash upstreams.
     confirmation : ViewConfirmation
         Confirms the age of views.
+    quotas : QuotaOwner
+        Credit of quotas.
     clock : callable
         Returns monotonic seconds.
     """
@@ -97,11 +81,13 @@
         demand,
         crashes,
         confirmation,
+        quotas,
         clock,
     ):
         """Start without subscribers and without a configuration."""
         self._crashes = crashes
         self._confirmation = confirmation
+        self._quotas = quotas
         self._dialect = dialect
         self._replica = replica
         self._membership = membership
@@ -132,31 +118,29 @@
         }
 
     @property
-    def _registry_is_complete(self):
+    def registry_is_complete(self):
+        """True once all upstreams have had time to announce themselves."""
         return self._clock() - self._started_s > REGISTRY_COMPLETE_S
 
-    async def handle_http(self, request, responder):
-        """Answer one HTTP call of a caller, an upstream or an operator."""
-        operation = self._dialect.read_operation(request.head)
-        if operation is None:
-            self._answer(responder, 404, "no such call")
-            return
-        try:
-            await self._handle_operation(operation, request, responder)
-        except DialectError as exc:
-            _log.info("call-refused", target=request.head.target, why=str(exc))
-            self._answer(responder, 400, str(exc))
-
     def on_state(self, state):
         """Publish a newly committed configuration to the subscribers."""
         if state.version == self._published_version:
             return
         self._published_version = state.version
-        self._demand.update_config(state.packed)
+        self._update_config(state.packed)
         notice = ConfigNotice(version=state.version, packed=state.packed)
         self._config_frame = pack_frame(FrameKind.NOTICE, 0, notice)
         self._exchange.publish_frame(self._config_frame)
 
+    def _update_config(self, packed):
+        try:
+            config = self._dialect.read_config(zlib.decompress(packed))
+        except DialectError as exc:
+            _log.error("config-unreadable", why=str(exc))
+            return
+        self._demand.update_config(config)
+        self._quotas.update_config(config)
+
     def on_notice(self, connection, message):
         """Handle a notice of an entry or another control instance."""
         self._handle_notice(message, connection)
@@ -251,91 +235,6 @@
         self._demand.record(notice.demand, reported_here=True)
         self._exchange.merge_entry(notice.entry)
 
-    @singledispatchmethod
-    async def _handle_operation(self, operation, request, responder):
-        raise TypeError(f"not an operation: {operation!r}")
-
-    @_handle_operation.register
-    async def _(self, operation: CheckReadiness, request, responder):
-        self._answer(responder, 200, "ready")
-
-    @_handle_operation.register
-    async def _(self, operation: LookUpEntries, request, responder):
-        addresses = self._exchange.directory.choose(
-            operation.region,
-            operation.data_center,
-            now_s=self._clock(),
-            current=self.has_leader,
-        )
-        if not addresses:
-            self._answer(responder, 503, "no entry is known yet")
-            return
-        body = self._dialect.directory_answer(addresses, DIRECTORY_TTL_S)
-        responder.answer(200, (_JSON,), body)
-
-    @_handle_operation.register
-    async def _(self, operation: Announce, request, responder):
-        record = self._dialect.read_announcement(
-            operation.upstream, request.body
-        )
-        changed = self._exchange.merge_upstream(record)
-        leaving = record.state is not UpstreamState.READY
-        if changed or leaving:
-            # After an acknowledged leave, entries send work to the upstream
-            # for a bounded time only.  So a majority must have the record
-            # first, from which all entries receive it.
-            confirmed = await self._exchange.spread(upstreams=(record,))
-            if leaving and not confirmed:
-                self._answer(responder, 503, "not confirmed by a majority")
-                return
-        responder.answer(200, (_JSON,), b"{}")
-
-    @_handle_operation.register
-    async def _(self, operation: Leave, request, responder):
-        gone = self._exchange.leave(operation.upstream)
-        if gone is None and not self._registry_is_complete:
-            # Other control instances may have a record of the upstream, and
-            # their entries would go on sending work there.  The refusal makes
-            # it retry at one of them.
-            self._answer(responder, 503, "no record of the upstream here yet")
-            return
-        known = gone is not None
-        if known and not await self._exchange.spread(upstreams=(gone,)):
-            self._answer(responder, 503, "not confirmed by a majority")
-            return
-        responder.answer(200, (_JSON,), b"{}")
-
-    @_handle_operation.register
-    async def _(self, operation: PutConfig, request, responder):
-        config = self._dialect.read_config(request.body)
-        try:
-            check_config(config)
-        except InvalidConfigError as exc:
-            _log.info("config-refused", version=config.version, why=str(exc))
-            self._answer(responder, 400, str(exc))
-            return
-        call = ProposeConfigCall(version=config.version, raw=request.body)
-        accepted = await self._config.propose(call)
-        _log.info("config-offered", version=config.version, accepted=accepted)
-        if accepted:
-            responder.answer(200, (_JSON,), b"{}")
-        else:
-            self._answer(
-                responder, 503, "outcome unknown: the change can be retried"
-            )
-
-    @_handle_operation.register
-    async def _(self, operation: GetConfig, request, responder):
-        answer = await self._config.read()
-        if not answer.certain:
-            self._answer(
-                responder, 503, "the newest version cannot be determined"
-            )
-        elif not answer.version:
-            self._answer(responder, 404, "there is no configuration yet")
-        else:
-            responder.answer(200, (_JSON,), answer.raw)
-
     @singledispatchmethod
     async def _handle_call(self, call, connection):
         raise TypeError(f"not a call: {call!r}")
@@ -369,6 +268,10 @@
     async def _(self, call: ConfirmCall, connection):
         return await self._confirmation.answer(call)
 
+    @_handle_call.register
+    async def _(self, call: CreditCall, connection):
+        return await self._quotas.answer(call)
+
     @_handle_call.register
     async def _(self, call: SubscribeCall, connection):
         if not (self.has_leader or call.provisional):
@@ -390,7 +293,7 @@
         connection.notify(
             UpstreamsNotice(
                 upstreams=self._exchange.registry.records,
-                complete=self._registry_is_complete and self.has_leader,
+                complete=self.registry_is_complete and self.has_leader,
             )
         )
         connection.notify(self._source_notice())
@@ -407,9 +310,3 @@
             entries=max(1, len(live)),
             protocol=PROTOCOL,
         )
-
-    def _answer(self, responder, status, reason):
-        more = (_RETRY,) if status == 503 else ()
-        responder.answer(
-            status, (_JSON, *more), self._dialect.error_answer(reason)
-        )
--- a/currantdeal/control/tests/test_service.py
+++ b/currantdeal/control/tests/test_operations.py
@@ -1,7 +1,7 @@
 import asyncio
 from types import SimpleNamespace
 
-from currantdeal.control.service import REGISTRY_COMPLETE_S, ControlService
+from currantdeal.control.operations import ControlOperations
 from currantdeal.node.head import RequestHead
 from currantdeal.platform.control import PlatformControl
 from currantdeal.registry.tests.builders import an_upstream
@@ -29,29 +29,24 @@
         return self._confirmed
 
 
-def _leave(exchange, *, up_s):
-    now = {"s": 0.0}
-    service = ControlService(
+def _leave(exchange, *, complete=False):
+    operations = ControlOperations(
         dialect=PlatformControl(),
-        replica=None,
-        membership=None,
         config=None,
         exchange=exchange,
-        demand=None,
-        crashes=None,
-        confirmation=None,
-        clock=lambda: now["s"],
+        has_leader=lambda: True,
+        registry_is_complete=lambda: complete,
+        clock=lambda: 0.0,
     )
-    now["s"] = up_s
     responder = _Responder()
     head = RequestHead(method="DELETE", target="/v1/instances/u1", headers=())
     request = SimpleNamespace(head=head, body=b"")
-    asyncio.run(service.handle_http(request, responder))
+    asyncio.run(operations.handle(request, responder))
     return responder.status
 
 
 def test_a_leave_that_is_confirmed_is_acknowledged():
-    assert _leave(_Exchange(known=True), up_s=1.0) == 200
+    assert _leave(_Exchange(known=True)) == 200
 
 
 def test_a_leave_without_a_majority_is_not_acknowledged():
@@ -60,7 +55,7 @@
     Entries that subscribe to the others would go on sending work to the
     upstream.
     """
-    found = _leave(_Exchange(known=True, confirmed=False), up_s=1.0)
+    found = _leave(_Exchange(known=True, confirmed=False))
     assert found == 503
 
 
@@ -70,7 +65,5 @@
     It would acknowledge the leave of an upstream without having sent it to
     any other instance, and entries would send work to a closed port.
     """
-    assert _leave(_Exchange(known=False), up_s=1.0) == 503
-    assert (
-        _leave(_Exchange(known=False), up_s=REGISTRY_COMPLETE_S + 1.0) == 200
-    )
+    assert _leave(_Exchange(known=False)) == 503
+    assert _leave(_Exchange(known=False), complete=True) == 200
--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -8,6 +8,7 @@
 from currantdeal.entry.access import Access
 from currantdeal.entry.crash_watch import CrashWatch
 from currantdeal.entry.probing import Prober
+from currantdeal.entry.quotas import QuotaClient
 from currantdeal.entry.steps import Step, kind_of_failure
 from currantdeal.node.dialect import ForwardingOptions
 from currantdeal.node.fingerprint import fingerprint_of
@@ -61,6 +62,7 @@
         self.random = random
         self.metrics = metrics
         self.access = Access(view=view, revocation_s=revocation_s)
+        self.quotas = QuotaClient()
         self.health = UpstreamHealth()
         self.load = EntryLoad()
         self.decode_engine_order = DecodeEngineOrder(load=self.load)
@@ -113,6 +115,7 @@
             "time_left_s": active.time_left_s(self.now_s),
             **more,
         }
+        active.was_sent = True
         if active.organisation is not None:
             options["organisation"] = active.organisation.name
             options["send_before_s"] = self.access.valid_until_s
@@ -248,6 +251,8 @@
         Whether its caller has waited before, on an earlier attempt.
     runs : int
         Number of upstreams that may have run it.
+    was_sent : bool
+        Whether it was encoded for an upstream, so that it may have been sent.
     lost_incarnations : list
         Incarnations of upstreams whose connections were lost while they ran
         it.
@@ -276,6 +281,7 @@
         self.organisation = organisation
         self.is_retry = False
         self.runs = 0
+        self.was_sent = False
         self.lost_incarnations = []
         self.search = MemorySearch()
         self.steps = []
--- /dev/null
+++ b/currantdeal/entry/control_calls.py
@@ -0,0 +1,94 @@
+"""Calls for organisations from an entry to its control instance."""
+
+import asyncio
+
+from currantdeal.core import boot_time_s
+from currantdeal.node.errors import PeerUnreachableError
+from currantdeal.node.messages import ConfirmCall, CreditCall
+
+CONFIRM_TIMEOUT_S = 1.0
+"""Time in which an instance must answer a ``ConfirmCall``.
+
+The instance waits for the leader for a part of it, and then answers what it
+knows.
+"""
+
+CREDIT_TIMEOUT_S = 1.0
+"""Time in which an instance must answer a ``CreditCall``, forwarded or not."""
+
+MAX_CONFIRMATION_AGE_S = 2.0
+"""Age of the confirmation from which another instance is tried."""
+
+
+class ControlCalls:
+    """Confirms the view of an entry, and asks for credit of quotas.
+
+    Parameters
+    ----------
+    view : EntryView
+        Updated with each confirmation.
+    connection : callable
+        Returns the connection to a control instance that understands these
+        calls, or None.
+    """
+
+    def __init__(self, *, view, connection):
+        """Start without a pending call."""
+        self._view = view
+        self._connection = connection
+        self._confirming = None
+
+    @property
+    def is_unconfirmed(self):
+        """True if keys are in use and the view is no longer confirmed."""
+        if not self._needs_keys:
+            return False
+        age_s = boot_time_s() - self._view.confirmed_boot_s
+        return age_s > MAX_CONFIRMATION_AGE_S
+
+    @property
+    def _needs_keys(self):
+        table = self._view.route_table
+        return table is not None and table.needs_keys
+
+    async def confirm(self, *, fresh):
+        """Confirm the view; returns whether it is the newest.
+
+        Parameters
+        ----------
+        fresh : bool
+            True to have the leader asked now.
+        """
+        sent_s = boot_time_s()
+        answer = await self._call(ConfirmCall(fresh=fresh), CONFIRM_TIMEOUT_S)
+        if answer is None or not answer.certain:
+            return False
+        # The answer may have been under way for some time; only the time
+        # before the call is certain.
+        self._view.confirm(answer.version, sent_s - answer.age_s)
+        is_held = answer.version <= self._view.version
+        return is_held and (answer.fresh or not fresh)
+
+    def confirm_in_background(self):
+        """Confirm the view if keys are in use, unless that is under way."""
+        if not self._needs_keys:
+            return
+        if self._confirming is None or self._confirming.done():
+            self._confirming = asyncio.ensure_future(self.confirm(fresh=False))
+
+    async def ask_credit(self, entry, asks):
+        """Ask the owner of the quotas for credit.
+
+        Returns its ``CreditAnswer``; None if no instance answers.
+        """
+        call = CreditCall(entry=entry, asks=asks)
+        return await self._call(call, CREDIT_TIMEOUT_S)
+
+    async def _call(self, call, timeout_s):
+        connection = self._connection()
+        if connection is None:
+            return None
+        try:
+            return await connection.call(call, timeout_s=timeout_s)
+        except PeerUnreachableError:
+            return None
--- a/currantdeal/entry/errors.py
+++ b/currantdeal/entry/errors.py
@@ -29,6 +29,26 @@
         self.refusal_reason = refusal_reason
 
 
+class QuotaExceededError(RefusedError):
+    """The quota of an organisation is used up.
+
+    Parameters
+    ----------
+    organisation : str
+        Name of the organisation.
+    retry_after_s : float
+        Time after which the quota allows the request.
+    """
+
+    def __init__(self, organisation, *, retry_after_s):
+        """Compose the reason; the request has not run."""
+        super().__init__(
+            f"the quota of organisation {organisation!r} is used up",
+            refusal_reason=RefusalReason.QUOTA,
+        )
+        self.retry_after_s = retry_after_s
+
+
 class QuarantinedError(RefusedError):
     """The request crashes the upstreams that run it.
 
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -29,12 +29,18 @@
 DEFAULT_CALLER_TIMEOUT_S = 60.0
 """Timeout of a caller that sets none."""
 
-_REFUSAL_STATUS = {RefusalReason.QUARANTINE: 429}
+_REFUSAL_STATUS = {RefusalReason.QUARANTINE: 429, RefusalReason.QUOTA: 429}
 """Statuses of refusals other than 503.
 
-There is capacity for a request in quarantine; the caller must not retry it.
+There is capacity for these requests, but not for the caller to use now.
 """
 
+MAX_CREDIT_WAIT_S = 2.0
+"""Longest wait for the owner of the quotas; it covers its election."""
+
+CREDIT_WAIT_SHARE = 0.5
+"""Largest share of the time left that this wait may take."""
+
 _TEXT_HEADER = (b"content-type", b"text/plain")
 _CHALLENGE = (b"www-authenticate", b"Bearer")
 _OUTCOME_UNKNOWN = (
@@ -152,6 +158,30 @@
     async def _dispatch(self, active):
         if self._context.crash_watch.is_quarantined(active):
             raise QuarantinedError(fingerprint_prefix(active.fingerprint))
+        admission = await self._admit(active)
+        try:
+            await self._forward(active)
+        finally:
+            if admission is not None and not active.was_sent:
+                self._context.quotas.give_back(admission)
+
+    async def _admit(self, active):
+        """Obtain credit; returns what to give back if nothing is sent."""
+        organisation = active.organisation
+        if organisation is None or organisation.quota is None:
+            return None
+        units = organisation.quota.cost(
+            prompt_tokens=active.call.prompt_tokens,
+            max_output_tokens=active.call.max_output_tokens,
+        )
+        left_s = active.time_left_s(self._context.now_s)
+        return await self._context.quotas.admit(
+            organisation,
+            units,
+            wait_s=min(MAX_CREDIT_WAIT_S, CREDIT_WAIT_SHARE * left_s),
+        )
+
+    async def _forward(self, active):
         if not active.is_generation:
             await serve_plain(self._context, active)
             return
@@ -195,6 +225,7 @@
             refusal.refusal_reason,
             caller_timeout_s - waited_s,
             self._context.random,
+            quota_s=getattr(refusal, "retry_after_s", None),
         )
         retry_after = (b"retry-after", f"{max(0.0, after_s):.3f}".encode())
         status = _REFUSAL_STATUS.get(refusal.refusal_reason, 503)
--- a/currantdeal/entry/subscription.py
+++ b/currantdeal/entry/subscription.py
@@ -14,11 +14,10 @@
 
 import structlog
 
-from currantdeal.core import boot_time_s
+from currantdeal.entry.control_calls import ControlCalls
 from currantdeal.node.errors import PeerUnreachableError
 from currantdeal.node.messages import (
     ConfigNotice,
-    ConfirmCall,
     CrashesNotice,
     EntryNotice,
     LoadNotice,
@@ -43,13 +42,6 @@
 SUBSCRIBE_TIMEOUT_S = 0.8
 """Time in which an instance must answer a subscription."""
 
-CONFIRM_TIMEOUT_S = 1.0
-"""Time in which an instance must answer a ``ConfirmCall``.
-
-The instance waits for the leader for a part of it, and then answers what it
-knows.
-"""
-
 AVOID_S = 3.0
 """Time for which an instance that failed or refused is tried last."""
 
@@ -84,6 +76,11 @@
         Requests that crash upstreams.
     clock : callable
         Returns monotonic seconds.
+
+    Attributes
+    ----------
+    control_calls : ControlCalls
+        Calls for organisations to the source.
     """
 
     def __init__(
@@ -119,7 +116,9 @@
         self._last_notice_s = 0.0
         self._last_current_s = 0.0
         self._protocol = 0
-        self._confirming = None
+        self.control_calls = ControlCalls(
+            view=view, connection=self._organisations_connection
+        )
 
     def announce(self):
         """Send this entry's record and demand to the source at once."""
@@ -150,31 +149,6 @@
         sender = self._own_record().instance
         connection.notify(LoadNotice(sender=sender, load=load))
 
-    async def confirm(self, *, fresh):
-        """Confirm the view at the source; returns whether that is possible.
-
-        Parameters
-        ----------
-        fresh : bool
-            True to have the leader asked now.
-        """
-        connection = self._connection
-        if connection is None or not self._protocol:
-            return False
-        sent_s = boot_time_s()
-        try:
-            answer = await connection.call(
-                ConfirmCall(fresh=fresh), timeout_s=CONFIRM_TIMEOUT_S
-            )
-        except PeerUnreachableError:
-            return False
-        if answer.certain:
-            # The answer may have been under way for some time; only the time
-            # before the call is certain.
-            self._view.confirm(answer.version, sent_s - answer.age_s)
-        held = answer.version <= self._view.version
-        return answer.certain and held and (answer.fresh or not fresh)
-
     def announce_local_prefill(self, upstream, for_s):
         """Announce to all entries a local prefill for this entry."""
         connection = self._connection
@@ -292,7 +266,7 @@
         while self._connection.is_open:
             await asyncio.sleep(HEARTBEAT_S)
             self.announce()
-            self._confirm_in_background()
+            self.control_calls.confirm_in_background()
             now_s = self._clock()
             if now_s - self._last_notice_s > SILENCE_TIMEOUT_S:
                 self._record_loss("silent")
@@ -310,7 +284,13 @@
         """
         if self._switch_task is not None and not self._switch_task.done():
             return
-        stale = now_s - self._last_current_s > STALENESS_TIMEOUT_S
+        stale = (
+            now_s - self._last_current_s > STALENESS_TIMEOUT_S
+            or self.control_calls.is_unconfirmed
+        )
+        if stale:
+            # Otherwise the entry would alternate between two of them.
+            self._avoided_until_s[self._source] = now_s + AVOID_S
         current_distance = self._distances.get(self._source, UNKNOWN_DISTANCE)
         better = [
             address
@@ -328,12 +308,8 @@
                 self._subscribe_to_any(better)
             )
 
-    def _confirm_in_background(self):
-        table = self._view.route_table
-        if table is None or not table.needs_keys:
-            return
-        if self._confirming is None or self._confirming.done():
-            self._confirming = asyncio.ensure_future(self.confirm(fresh=False))
+    def _organisations_connection(self):
+        return self._connection if self._protocol else None
 
     def _record_loss(self, why):
         _log.warning(
@@ -365,7 +341,7 @@
         self._view.apply_config(message.version, message.packed)
         if first:
             self.announce()
-            self._confirm_in_background()
+            self.control_calls.confirm_in_background()
 
     @_handle_notice.register
     def _(self, message: UpstreamsNotice):
@@ -405,7 +381,7 @@
         self._view.entries = notice.entries
         known, self._protocol = self._protocol, notice.protocol
         if not known:
-            self._confirm_in_background()
+            self.control_calls.confirm_in_background()
         if notice.current:
             self._last_current_s = now_s
             self._view.confirmed_s = now_s
--- /dev/null
+++ b/currantdeal/entry/tests/test_quotas.py
@@ -0,0 +1,187 @@
+"""Quotas of organisations at an entry, with the owner in the test process."""
+
+import asyncio
+
+import pytest
+
+from currantdeal.core import boot_time_s
+from currantdeal.entry.errors import QuotaExceededError, RefusedError
+from currantdeal.entry.quotas import QuotaClient
+from currantdeal.node.messages import CreditAnswer
+from currantdeal.organisations import CreditOwner, QuotaMargin, QuotaUnit
+from currantdeal.organisations.tests.builders import a_quota, an_organisation
+from currantdeal.testing.entry_world import (
+    config_body,
+    entry_world,
+    request_bytes,
+    tenants,
+)
+from currantdeal.testing.platform_upstream import (
+    StandInUpstream,
+    send_refusal,
+)
+
+BAKERY = an_organisation(
+    quota=a_quota(rate_per_s=0.5, burst=4.0, unit=QuotaUnit.REQUESTS)
+)
+AUTHORIZED = "Authorization: Bearer secret"
+CONFIG = config_body(
+    tenants=tenants(quota={"RatePerS": 0.5, "Burst": 4}, bakery=["secret"])
+)
+
+
+class _Owner:
+    """Owner of the quota of the bakery, which a test may make unreachable."""
+
+    def __init__(self, *, slack=0.0):
+        """Open long ago, so that the bucket is full."""
+        self.reached = True
+        self.asks = []
+        self.owner = CreditOwner(
+            epoch=1,
+            margin=QuotaMargin(window_s=8.0, overshoot=0.0, slack=slack),
+            opened_s=boot_time_s() - 10_000.0,
+        )
+        self.owner.update((BAKERY,), now_s=boot_time_s() - 10_000.0)
+
+    async def ask(self, asks):
+        """Answer like the leader, after a round trip."""
+        await asyncio.sleep(0.005)
+        self.asks.extend(asks)
+        if not self.reached:
+            return CreditAnswer()
+        return CreditAnswer(
+            epoch=1,
+            grants=tuple(
+                self.owner.grant("e1", ask, entries=1, now_s=boot_time_s())
+                for ask in asks
+            ),
+        )
+
+
+async def _admit(client, *, wait_s=0.5):
+    try:
+        return await client.admit(BAKERY, 1, wait_s=wait_s)
+    except RefusedError as exc:
+        return exc
+
+
+def _outcomes(owner, work):
+    async def run():
+        client = QuotaClient()
+        client.ask_owner = owner.ask
+        return await work(client)
+
+    return asyncio.run(run())
+
+
+def test_requests_beyond_the_quota_learn_when_to_return():
+    async def work(client):
+        return await asyncio.gather(*(_admit(client) for _ in range(6)))
+
+    outcomes = _outcomes(_Owner(), work)
+    refused = [o for o in outcomes if isinstance(o, QuotaExceededError)]
+    assert len(refused) == 2
+    assert refused[0].retry_after_s > 0.1
+
+
+def test_requests_that_wait_together_share_a_call():
+    """Load pattern: burst of one organisation at one entry."""
+    owner = _Owner(slack=400.0)
+
+    async def work(client):
+        return await asyncio.gather(*(_admit(client) for _ in range(100)))
+
+    assert not any(isinstance(o, RefusedError) for o in _outcomes(owner, work))
+    assert len(owner.asks) <= 3
+
+
+def test_a_request_waits_for_an_owner_that_is_elected_meanwhile():
+    owner = _Owner()
+    owner.reached = False
+
+    async def work(client):
+        task = asyncio.ensure_future(_admit(client, wait_s=2.0))
+        await asyncio.sleep(0.2)
+        owner.reached = True
+        return await task
+
+    assert not isinstance(_outcomes(owner, work), RefusedError)
+
+
+def test_a_request_is_refused_without_an_owner():
+    owner = _Owner()
+    owner.reached = False
+    outcome = _outcomes(owner, lambda client: _admit(client, wait_s=0.1))
+    assert isinstance(outcome, RefusedError)
+    assert not isinstance(outcome, QuotaExceededError)
+
+
+def test_the_reserve_serves_small_requests_without_an_owner():
+    """Guards against refusals below the quota during an election."""
+    owner = _Owner(slack=400.0)
+
+    async def work(client):
+        await _admit(client)
+        owner.reached = False
+        return [await _admit(client, wait_s=0.05) for _ in range(20)]
+
+    outcomes = _outcomes(owner, work)
+    assert not any(isinstance(o, RefusedError) for o in outcomes)
+
+
+def test_credit_of_a_request_whose_caller_left_is_returned():
+    owner = _Owner()
+
+    async def work(client):
+        tasks = [asyncio.ensure_future(_admit(client)) for _ in range(3)]
+        await asyncio.sleep(0.002)
+        for task in tasks:
+            task.cancel()
+        await asyncio.sleep(0.05)
+        return owner.owner.level("bakery", now_s=boot_time_s())
+
+    assert _outcomes(owner, work) > 4.3
+
+
+def _serve(*raws, script=None, allowance=100.0):
+    """Return the answers of an entry to requests, and its owner's level."""
+
+    async def run():
+        owner = _Owner()
+        standin = StandInUpstream(script=script)
+        async with entry_world(config=CONFIG, allowance=allowance) as world:
+            await standin.start()
+            world.announce(standin)
+            world.context.view.confirm(1, boot_time_s())
+            world.context.quotas.ask_owner = owner.ask
+            answers = [await world.exchange(raw) for raw in raws]
+            await asyncio.sleep(0.05)
+            level = owner.owner.level("bakery", now_s=boot_time_s())
+            return answers, level
+
+    return asyncio.run(run())
+
+
+ORDER = request_bytes("/order/1", body=b"cake=1", more=(AUTHORIZED,))
+
+
+def test_an_entry_answers_429_beyond_the_quota():
+    answers, _ = _serve(*[ORDER] * 5)
+    statuses = [a.split()[1] for a in answers]
+    assert statuses == [b"200", b"200", b"200", b"200", b"429"]
+    assert b"retry-after" in answers[-1].lower()
+
+
+@pytest.mark.parametrize("status", [b"503", b"200"])
+def test_credit_of_requests_that_were_sent_is_used(status):
+    """A request that an upstream refuses has reached it."""
+
+    async def full(standin, request, writer):
+        send_refusal(writer)
+        return True
+
+    script = full if status == b"503" else None
+    (answer,), level = _serve(ORDER, script=script)
+    assert answer.split()[1] == status
+    assert 3.0 < level < 3.9
--- a/currantdeal/node/messages.py
+++ b/currantdeal/node/messages.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from currantdeal.core import Codec
+from currantdeal.organisations import CreditAsk, CreditGrant
 from currantdeal.policy.crash_registry import SuspectRecord
 from currantdeal.policy.demand import Demand
 from currantdeal.policy.shared_load import PoolLoad
@@ -339,6 +340,33 @@
     fresh: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class CreditCall:
+    """An entry asks for credit of quotas; returns a ``CreditAnswer``.
+
+    Control instances forward it to the leader.
+    """
+
+    entry: str
+    asks: tuple[CreditAsk, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class CreditAnswer:
+    """Credit that the owner of the quotas grants.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the owner; 0 if no owner was reached.
+    grants : tuple of CreditGrant
+        One for each ask, in the same order.
+    """
+
+    epoch: int = 0
+    grants: tuple[CreditGrant, ...] = ()
+
+
 PEER_CODEC = Codec(
     classes=(
         RaftNotice,
@@ -362,5 +390,7 @@
         CrashesNotice,
         ConfirmCall,
         ConfirmAnswer,
+        CreditCall,
+        CreditAnswer,
     )
 )
--- a/currantdeal/organisations/__init__.py
+++ b/currantdeal/organisations/__init__.py
@@ -5,6 +5,14 @@
 """
 
 from currantdeal.organisations.check import check_organisations
+from currantdeal.organisations.credit import CreditOwner
+from currantdeal.organisations.credit_bounds import (
+    CreditBounds,
+    QuotaMargin,
+    bounds_of,
+)
+from currantdeal.organisations.credit_messages import CreditAsk, CreditGrant
+from currantdeal.organisations.credit_pool import CreditPool
 from currantdeal.organisations.errors import (
     InvalidOrganisationsError,
     OrganisationsError,
@@ -14,13 +22,20 @@
 from currantdeal.organisations.records import Organisation, Quota, QuotaUnit
 
 __all__ = [
+    "CreditAsk",
+    "CreditBounds",
+    "CreditGrant",
+    "CreditOwner",
+    "CreditPool",
     "InvalidOrganisationsError",
     "KeyTable",
     "Organisation",
     "OrganisationsError",
     "Quota",
+    "QuotaMargin",
     "QuotaUnit",
     "ViewFreshness",
+    "bounds_of",
     "check_organisations",
     "digest_key",
 ]
--- /dev/null
+++ b/currantdeal/organisations/credit.py
@@ -0,0 +1,168 @@
+"""Credit of a quota: granted by one owner, used by many entries.
+
+Load pattern: noisy neighbour.  An organisation sends many times its usual
+work, through all entries and from one moment to the next.  Equal shares for
+the entries would refuse an organisation whose work is spread unevenly, and
+free use until the entries have exchanged their sums overruns the quota by the
+delay of the exchange.  So an entry obtains credit from one owner before it
+sends a request, and keeps a small reserve for the time in which the owner is
+not reached.
+
+Operators state a bound on the use in any window, and what is asked below it
+is owed.  So the owner counts grants in a sliding window.  A new owner does
+not know what earlier ones granted; it starts with a token bucket that is
+empty, and adds the rest of the window once nothing earlier counts in it:
+
+    used <= bucket + extra + pools
+
+``CreditBounds`` divides the bound into these parts.  It holds whatever dies,
+is paused or partitioned: credit for a request is lost unless it is used or
+returned within ``MAX_OPEN_S``, and reserves have an end.
+"""
+
+from currantdeal.organisations.credit_bounds import MAX_OPEN_S, bounds_of
+from currantdeal.organisations.credit_bucket import CreditBucket
+from currantdeal.organisations.credit_messages import CreditGrant
+
+POOL_TTL_S = 20.0
+"""Time after which an unused reserve is lost."""
+
+CLOCK_DRIFT = 0.02
+"""Largest relative difference in rate between two clocks."""
+
+
+class CreditOwner:
+    """Grants the credit of all organisations during one epoch.
+
+    Earlier owners must have stopped to grant before it is opened.
+
+    Parameters
+    ----------
+    epoch : int
+        Distinguishes this owner from earlier and later ones.
+    margin : QuotaMargin
+        Margin above the quotas.
+    opened_s : float
+        Time at which it is opened.
+
+    Examples
+    --------
+    >>> from currantdeal.organisations import (
+    ...     CreditAsk, Organisation, Quota, QuotaMargin)
+    >>> owner = CreditOwner(
+    ...     epoch=1, opened_s=0.0,
+    ...     margin=QuotaMargin(window_s=8.0, overshoot=0.0, slack=0.0))
+    >>> owner.update((Organisation(
+    ...     name="bakery", quota=Quota(rate_per_s=1.0, burst=4.0)),),
+    ...     now_s=0.0)
+    >>> ask = CreditAsk(organisation="bakery", needs=(5, 5, 5))
+    >>> owner.grant("entry-1", ask, entries=1, now_s=60.0).granted
+    (True, False, False)
+    """
+
+    def __init__(self, *, epoch, margin, opened_s):
+        """Open with empty buckets."""
+        self.epoch = epoch
+        self.opened_s = opened_s
+        self._margin = margin
+        self._bounds = {}
+        self._buckets = {}
+
+    def update(self, organisations, *, now_s):
+        """Use the quotas of a configuration.
+
+        A bucket keeps its level, up to its new capacity.
+        """
+        for name in self._buckets:
+            self._refill(name, now_s)
+        self._bounds = {
+            organisation.name: bounds_of(organisation.quota, self._margin)
+            for organisation in organisations
+            if organisation.quota is not None
+        }
+        for name, bucket in tuple(self._buckets.items()):
+            if name not in self._bounds:
+                del self._buckets[name]
+            else:
+                bucket.limit_to(self._bounds[name])
+
+    def grant(self, entry, ask, *, entries, now_s):
+        """Return the ``CreditGrant`` for an ask of an entry.
+
+        Parameters
+        ----------
+        entry : str
+            Name of the entry.
+        entries : int
+            Number of entries, which share the reserves.
+        """
+        bounds = self._bounds.get(ask.organisation)
+        if bounds is None:
+            # Its quota was removed; the entry learns of that as well.
+            return CreditGrant(
+                organisation=ask.organisation,
+                granted=(True,) * len(ask.needs),
+                open_s=MAX_OPEN_S,
+            )
+        bucket = self._refill(ask.organisation, now_s)
+        self._take_back(bucket, bounds, ask, now_s)
+        granted = tuple(
+            bucket.take(need, bounds, now_s=now_s) for need in ask.needs
+        )
+        missing = [n for n, g in zip(ask.needs, granted, strict=True) if not g]
+        return CreditGrant(
+            organisation=ask.organisation,
+            granted=granted,
+            granted_s=now_s,
+            retry_after_s=bucket.promise(missing, bounds),
+            open_s=MAX_OPEN_S,
+            pool=self._fill_pool(bucket, bounds, entry, ask, entries, now_s),
+            pool_ttl_s=POOL_TTL_S,
+        )
+
+    def level(self, organisation, *, now_s):
+        """Return the units that could be granted to an organisation now."""
+        bucket = self._refill(organisation, now_s)
+        return bucket.available(self._bounds[organisation], now_s=now_s)
+
+    def _refill(self, name, now_s):
+        bucket = self._buckets.get(name)
+        if bucket is None:
+            bucket = CreditBucket(opened_s=self.opened_s)
+            self._buckets[name] = bucket
+        bucket.refill(self._bounds[name], now_s=now_s)
+        return bucket
+
+    def _take_back(self, bucket, bounds, ask, now_s):
+        if ask.epoch != self.epoch:
+            return
+        # Credit that was open for longer may come back in another window
+        # than the one in which it was granted.
+        for units, granted_s in ask.returned:
+            if now_s < granted_s + MAX_OPEN_S:
+                bucket.give_back(units, bounds, granted_s=granted_s)
+
+    def _fill_pool(self, bucket, bounds, entry, ask, entries, now_s):
+        """Return the units to add to the reserve of an entry.
+
+        The recorded size of a reserve is an upper bound of what the entry
+        holds, also if an answer is lost.
+        """
+        bucket.expire_pools(now_s)
+        others = sum(
+            units for name, (units, _) in bucket.pools.items() if name != entry
+        )
+        room = int(min(bounds.pools / max(1, entries), bounds.pools - others))
+        held = ask.pool
+        added = max(0, room - held)
+        longest_s = POOL_TTL_S * (1.0 + CLOCK_DRIFT)
+        is_new = now_s < self.opened_s + longest_s
+        if is_new or not bucket.take(added, bounds, now_s=now_s):
+            # Reserves of earlier owners may be in use until they expire, and
+            # their entries keep them, but no more is added meanwhile.
+            added = 0
+        known, _ = bucket.pools.get(entry, (0, 0.0))
+        if held + added or known:
+            size = max(known, held + added)
+            bucket.pools[entry] = (size, now_s + longest_s)
+        return added
--- /dev/null
+++ b/currantdeal/organisations/credit_bounds.py
@@ -0,0 +1,90 @@
+"""Divides a quota and its margin into the parts that credit may use."""
+
+from dataclasses import dataclass
+
+POOL_SHARE = 0.15
+"""Share of the margin for the reserves of the entries."""
+
+MAX_OPEN_S = 0.25
+"""Time for which the credit of one request stays open."""
+
+BASE_SHARE = 0.5
+"""Share of the allowance that a new owner may grant at once.
+
+The rest has to wait until nothing that an earlier owner granted counts.
+"""
+
+BASE_DEPTH_S = 1.0
+"""Capacity of the bucket, as the time in which it fills."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class QuotaMargin:
+    """What operators allow above each quota.
+
+    Parameters
+    ----------
+    window_s : float
+        Length of the sliding window in which use is counted.
+    overshoot : float
+        Margin as a share of the quota in a window.
+    slack : float
+        Further margin, in units of the quota.
+    """
+
+    window_s: float
+    overshoot: float
+    slack: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CreditBounds:
+    """Parts into which a quota and its margin are divided.
+
+    Parameters
+    ----------
+    window_s : float
+        Length of the sliding window in which grants are counted.  It is longer
+        than that of the use by the time for which credit stays open.
+    base_rate_per_s, base_depth : float
+        Token bucket, from which an owner grants from its start.
+    extra : float
+        Units in a window that an owner grants beyond the bucket.
+    pools : float
+        Largest sum of the reserves of all entries.
+
+    Examples
+    --------
+    >>> from currantdeal.organisations import Quota
+    >>> margin = QuotaMargin(window_s=8.5, overshoot=0.1, slack=900.0)
+    >>> bounds = bounds_of(Quota(rate_per_s=100.0, burst=150.0), margin)
+    >>> round(bounds.base_rate_per_s), bounds.extra, bounds.pools
+    (92, 925.0, 150.0)
+    """
+
+    window_s: float
+    base_rate_per_s: float
+    base_depth: float
+    extra: float
+    pools: float
+
+
+def bounds_of(quota, margin):
+    """Return the ``CreditBounds`` of a quota."""
+    limit = quota.rate_per_s * margin.window_s + quota.burst
+    spare = margin.overshoot * limit + margin.slack
+    pools = POOL_SHARE * spare
+    allowance = limit + spare - pools
+    window_s = margin.window_s + MAX_OPEN_S
+    # Credit that is returned to the bucket may be of a grant that was made
+    # before the window.
+    filled_s = window_s + MAX_OPEN_S + BASE_DEPTH_S
+    base_rate_per_s = BASE_SHARE * allowance / filled_s
+    base_depth = BASE_DEPTH_S * base_rate_per_s
+    return CreditBounds(
+        window_s=window_s,
+        base_rate_per_s=base_rate_per_s,
+        base_depth=base_depth,
+        extra=(1.0 - BASE_SHARE) * allowance,
+        pools=pools,
+    )
--- /dev/null
+++ b/currantdeal/organisations/credit_bucket.py
@@ -0,0 +1,122 @@
+"""Grants to one organisation: a token bucket and a sliding window."""
+
+from collections import deque
+
+SLOT_S = 0.1
+"""Resolution of the sliding window."""
+
+
+class CreditBucket:
+    """What an owner has granted to one organisation.
+
+    Parameters
+    ----------
+    opened_s : float
+        Time at which the owner was opened.
+
+    Attributes
+    ----------
+    pools : dict
+        Size and end of the reserve of each entry.
+
+    Examples
+    --------
+    >>> from currantdeal.organisations.credit_bounds import CreditBounds
+    >>> bounds = CreditBounds(
+    ...     window_s=8.0, base_rate_per_s=1.0, base_depth=2.0, extra=5.0,
+    ...     pools=0.0)
+    >>> bucket = CreditBucket(opened_s=0.0)
+    >>> bucket.refill(bounds, now_s=4.0)
+    >>> bucket.available(bounds, now_s=4.0)
+    2.0
+    >>> bucket.refill(bounds, now_s=8.0)
+    >>> bucket.take(6, bounds, now_s=8.0), bucket.take(6, bounds, now_s=8.0)
+    (True, False)
+    """
+
+    def __init__(self, *, opened_s):
+        """Start empty."""
+        self.pools = {}
+        self._opened_s = opened_s
+        self._updated_s = opened_s
+        self._level = 0.0
+        self._promised = 0.0
+        self._slots = deque()
+        self._extra_used = 0.0
+
+    def refill(self, bounds, *, now_s):
+        """Fill the bucket, and drop grants that have left the window."""
+        passed_s = max(0.0, now_s - self._updated_s)
+        gained = bounds.base_rate_per_s * passed_s
+        self._level = min(bounds.base_depth, self._level + gained)
+        self._promised = max(0.0, self._promised - gained)
+        self._updated_s = max(self._updated_s, now_s)
+        while self._slots and self._slots[0][0] <= now_s - bounds.window_s:
+            self._extra_used -= self._slots.popleft()[1]
+
+    def limit_to(self, bounds):
+        """Reduce the level to the capacity of other bounds."""
+        self._level = min(self._level, bounds.base_depth)
+
+    def available(self, bounds, *, now_s):
+        """Return the units that can be granted now."""
+        return self._level + self._extra_left(bounds, now_s)
+
+    def take(self, units, bounds, *, now_s):
+        """Grant units; returns False if there are fewer."""
+        extra = max(0.0, units - self._level)
+        if extra > self._extra_left(bounds, now_s):
+            return False
+        self._level -= units - extra
+        if extra:
+            self._add_to_window(extra, now_s)
+        return True
+
+    def give_back(self, units, bounds, *, granted_s):
+        """Take back units of a grant that were not used.
+
+        They leave the window in which they were counted, so that no window
+        has more grants than before; the rest came from the bucket.
+        """
+        for position in range(len(self._slots) - 1, -1, -1):
+            end_s, counted = self._slots[position]
+            if end_s - SLOT_S <= granted_s <= end_s:
+                removed = min(units, counted)
+                self._slots[position] = (end_s, counted - removed)
+                self._extra_used -= removed
+                units -= removed
+                break
+        self._level = min(bounds.base_depth, self._level + units)
+
+    def promise(self, missing, bounds):
+        """Return the time after which the first missing need can be met.
+
+        What was promised to others before is counted, so that callers who
+        were refused do not return together.
+        """
+        if not missing:
+            return 0.0
+        short = self._promised + missing[0] - self._level
+        self._promised += sum(missing)
+        return round(max(0.0, short) / bounds.base_rate_per_s, 3)
+
+    def expire_pools(self, now_s):
+        """Forget the reserves that can no longer be used."""
+        for entry, (_, ends_s) in tuple(self.pools.items()):
+            if ends_s <= now_s:
+                del self.pools[entry]
+
+    def _extra_left(self, bounds, now_s):
+        if now_s < self._opened_s + bounds.window_s:
+            return 0.0
+        return max(0.0, bounds.extra - self._extra_used)
+
+    def _add_to_window(self, units, now_s):
+        # A slot counts until its end has left the window.
+        end_s = now_s + SLOT_S
+        if self._slots and self._slots[-1][0] >= now_s:
+            end_s, counted = self._slots.pop()
+            self._slots.append((end_s, counted + units))
+        else:
+            self._slots.append((end_s, units))
+        self._extra_used += units
--- a/currantdeal/platform/bounds.py
+++ b/currantdeal/platform/bounds.py
@@ -3,6 +3,8 @@
 import math
 from dataclasses import dataclass
 
+from currantdeal.organisations import QuotaMargin
+
 
 @dataclass(frozen=True, kw_only=True)
 class AgreedBounds:
@@ -20,6 +22,8 @@
     revocation_s : float
         Time after the acknowledgement of a configuration that withdraws a key
         from which no request with it may run; infinite if not bounded.
+    quota_margin : QuotaMargin
+        Margin above the quotas of organisations.
     """
 
     grace_s: float
@@ -28,6 +32,7 @@
     retry_window_s: float
     min_order_interval_s: float
     revocation_s: float
+    quota_margin: QuotaMargin
 
 
 def read_bounds(given):
@@ -41,4 +46,9 @@
         retry_window_s=float(given.get("BudgetWindowS", 10.0)),
         min_order_interval_s=float(given.get("LeaseMs", 3_000.0)) / 1_000.0,
         revocation_s=revocation_s if strict else math.inf,
+        quota_margin=QuotaMargin(
+            window_s=float(given.get("QuotaWindowS", 10.0)),
+            overshoot=float(given.get("QuotaOvershoot", 0.1)),
+            slack=float(given.get("QuotaSlack", 0.0)),
+        ),
     )
--- a/currantdeal/policy/retry_after.py
+++ b/currantdeal/policy/retry_after.py
@@ -21,6 +21,8 @@
     CONFIGURATION = "configuration"
     STOPPING = "stopping"
     QUARANTINE = "quarantine"
+    QUOTA = "quota"
+    QUOTA_OWNER = "quota-owner"
 
 
 _RANGES_S = {
@@ -29,14 +31,19 @@
     RefusalReason.CONFIGURATION: (0.3, 1.0),
     RefusalReason.STOPPING: (0.05, 0.2),
     RefusalReason.QUARANTINE: (60.0, 90.0),
+    RefusalReason.QUOTA: (0.5, 1.5),
+    RefusalReason.QUOTA_OWNER: (0.2, 0.6),
 }
 
+QUOTA_SPREAD = 0.2
+"""Share by which the time of a quota is extended at most, at random."""
 
-def choose_retry_after_s(refusal_reason, time_left_s, random):
+
+def choose_retry_after_s(refusal_reason, time_left_s, random, *, quota_s=None):
     """Return the seconds after which to retry a refused request.
 
-    Except in quarantine they are a third of the time left at most, so that a
-    retry can still be served.
+    Except in quarantine and over a quota they are a third of the time left at
+    most, so that a retry can still be served.
 
     Parameters
     ----------
@@ -46,6 +53,9 @@
         Seconds until the timeout of the caller.
     random : random.Random
         Source of the spread.
+    quota_s : float or None
+        Seconds after which the quota allows the request, if it was refused
+        for that.
 
     Examples
     --------
@@ -57,7 +67,12 @@
     True
     >>> choose_retry_after_s(RefusalReason.QUARANTINE, 0.3, Random(1)) >= 60.0
     True
+    >>> quota = RefusalReason.QUOTA
+    >>> 5.0 <= choose_retry_after_s(quota, 0.3, Random(1), quota_s=5.0) <= 6.0
+    True
     """
+    if quota_s is not None:
+        return round(quota_s * random.uniform(1.0, 1.0 + QUOTA_SPREAD), 3)
     low_s, high_s = _RANGES_S[refusal_reason]
     wanted_s = random.uniform(low_s, high_s)
     if refusal_reason is RefusalReason.QUARANTINE:
