Have entries answer look-ups of entries as well

Cause: callers ask the nearest three instances where to connect and wait a second for each.

Change: control instances publish the entries that callers may connect to, as a list on subscription and as changes after it, and every entry answers look-ups from it. The choice of addresses is one function that both use. Entries of earlier builds get no list, since they state no protocol version.

The first leader of a deployment opens its quotas with everything, since none can have granted before it.

--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -14,7 +14,9 @@
     call_periodically,
     install_signal_handlers,
 )
+from currantdeal.entry.caller_directory import CallerDirectory
 from currantdeal.entry.context import BudgetBounds, EntryContext
+from currantdeal.entry.directory_server import DirectoryServer
 from currantdeal.entry.service import EntryService
 from currantdeal.entry.subscription import Subscription
 from currantdeal.entry.view import EntryView
@@ -24,6 +26,7 @@
 from currantdeal.platform.bounds import read_bounds
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.platform.config import decode_config
+from currantdeal.platform.control import PlatformControl
 from currantdeal.policy.shared_load import LOAD_INTERVAL_S
 from currantdeal.registry import EntryRecord
 
@@ -44,6 +47,12 @@
 QUOTA_REFILL_S = 1.0
 """Interval at which the reserves of quotas are checked."""
 
+STARTUP_S = 4.0
+"""Time after the start in which a first configuration is expected."""
+
+RECENT_NOTICE_S = 1.2
+"""Silence of the source up to which a confirmation is expected soon."""
+
 EXIT_MARGIN_S = 0.4
 """Seconds between the exit of the process and its kill by the platform."""
 
@@ -65,6 +74,7 @@
         """Build the parts; ``run`` starts them and listens."""
         self._file = SettingsFile(settings=settings, path=path)
         self._started_ms = int(time.time() * 1_000)
+        self._started_s = time.monotonic()
         self._sequence = 0
         self._ready = True
         self._bounds = read_bounds(settings.bounds)
@@ -91,6 +101,13 @@
             revocation_s=self._bounds.revocation_s,
         )
         self._service = EntryService(context=self._context)
+        self._directory = CallerDirectory(
+            own_record=self._own_record,
+            silence_s=lambda: self._subscription.silence_s,
+        )
+        self._directory_server = DirectoryServer(
+            dialect=PlatformControl(), directory=self._directory
+        )
         self._subscription = Subscription(
             view=self._view,
             own_record=self._own_record,
@@ -100,6 +117,7 @@
             update_load=self._context.update_load,
             record_local_prefill=self._context.record_local_prefill,
             crash_watch=self._context.crash_watch,
+            update_entries=self._directory.merge,
             clock=time.monotonic,
         )
         self._context.announce_local_prefill = (
@@ -107,6 +125,7 @@
         )
         self._context.crash_watch.publish = self._subscription.publish_crashes
         self._context.access.look_up = self._look_up_config
+        self._context.access.may_recover = self._may_recover
         self._context.quotas.ask_owner = self._ask_credit
         self._server = HttpServer(
             handler=self._service.handle,
@@ -128,6 +147,7 @@
         await self._server.start(*split_address(settings.listen.callers))
         readiness_server = HttpServer(handler=self._answer_readiness)
         await readiness_server.start(*split_address(settings.listen.readiness))
+        await self._directory_server.start(settings.listen.directory)
         metrics_endpoint = MetricsEndpoint(
             metrics=self._metrics, refresh=self._set_gauges
         )
@@ -155,6 +175,13 @@
         await self._drain()
         _log.info("stopped", cut=self._server.active_requests)
 
+    def _may_recover(self):
+        """Return whether this entry is likely to get a usable view soon."""
+        running_s = time.monotonic() - self._started_s
+        if running_s < STARTUP_S:
+            return True
+        return self._subscription.silence_s < RECENT_NOTICE_S
+
     async def _look_up_config(self):
         return await self._subscription.control_calls.confirm(fresh=True)
 
--- a/currantdeal/control/directory.py
+++ b/currantdeal/control/directory.py
@@ -1,18 +1,6 @@
-"""Chooses the entries that a caller may connect to.
+"""Records of entries, and which of them callers may connect to."""
 
-Callers cache an answer for seconds and pick an address at random.  They get
-the nearest entries, but at least three if there are that many, so that each
-caller has another choice when one entry fails.  Otherwise a zone with a
-single entry would lose all its callers at once when that entry fails.
-"""
-
-import bisect
-
-MIN_CHOICES = 3
-"""Minimum number of addresses: one may have failed and one may be busy."""
-
-MAX_CHOICES = 64
-"""Maximum number of addresses; callers would not use more."""
+from currantdeal.registry import choose_entries
 
 SILENCE_TIMEOUT_S = 1.6
 """Silence after which an entry is not chosen: three missed heartbeats."""
@@ -86,8 +74,8 @@
                 del self._records[name]
                 del self._last_heartbeat_s[name]
 
-    def choose(self, region, data_center, *, now_s, current):
-        """Return the addresses for a caller, nearest first.
+    def candidates(self, *, now_s, current):
+        """Return the records of the entries that callers may connect to.
 
         Parameters
         ----------
@@ -97,28 +85,12 @@
             a caller one attempt and an empty answer costs it the request.
         """
         live = self.live(now_s=now_s)
-        if not current or not live:
-            live = tuple(r for r in self._records.values() if r.ready)
-        groups = ([], [], [])
-        for record in sorted(live, key=lambda r: r.instance):
-            groups[_distance(record, region, data_center)].append(record)
-        chosen = []
-        for group in groups:
-            if len(chosen) >= MIN_CHOICES:
-                break
-            chosen.extend(group)
-        return tuple(r.address for r in _limit_choices(chosen, data_center))
-
-
-def _distance(record, region, data_center):
-    if record.data_center == data_center:
-        return 0
-    return 1 if record.region == region else 2
-
-
-def _limit_choices(records, data_center):
-    if len(records) <= MAX_CHOICES:
-        return records
-    names = [record.instance for record in records]
-    start = bisect.bisect(names, data_center) % len(records)
-    return (records[start:] + records[:start])[:MAX_CHOICES]
+        if current and live:
+            return live
+        return tuple(r for r in self._records.values() if r.ready)
+
+    def choose(self, region, data_center, *, now_s, current):
+        """Return the addresses for a caller, see ``candidates``."""
+        return choose_entries(
+            self.candidates(now_s=now_s, current=current), region, data_center
+        )
--- a/currantdeal/control/operations.py
+++ b/currantdeal/control/operations.py
@@ -13,20 +13,12 @@
     LookUpEntries,
     PutConfig,
 )
+from currantdeal.node.directory_answers import answer_look_up, answer_status
 from currantdeal.node.messages import ProposeConfigCall
 from currantdeal.registry import UpstreamState
 from currantdeal.routing import InvalidConfigError, check_config
 
-DIRECTORY_TTL_S = 4.0
-"""Time for which callers may cache an answer of the directory.
-
-Each look-up may reach a control instance that does not answer, which costs
-the caller a second.  An entry that stops or fails while its address is cached
-costs one refused connection, after which its callers choose another one.
-"""
-
 _JSON = (b"content-type", b"application/json")
-_RETRY = (b"retry-after", b"0.3")
 _log = structlog.get_logger(__name__)
 
 
@@ -95,11 +87,7 @@
             now_s=self._clock(),
             current=self._has_leader(),
         )
-        if not addresses:
-            self._answer(responder, 503, "no entry is known yet")
-            return
-        body = self._dialect.directory_answer(addresses, DIRECTORY_TTL_S)
-        responder.answer(200, (_JSON,), body)
+        answer_look_up(self._dialect, responder, addresses)
 
     @_handle_operation.register
     async def _(self, operation: Announce, request, responder):
@@ -165,7 +153,4 @@
             responder.answer(200, (_JSON,), answer.raw)
 
     def _answer(self, responder, status, reason):
-        more = (_RETRY,) if status == 503 else ()
-        responder.answer(
-            status, (_JSON, *more), self._dialect.error_answer(reason)
-        )
+        answer_status(self._dialect, responder, status, reason)
--- a/currantdeal/control/quota_owner.py
+++ b/currantdeal/control/quota_owner.py
@@ -5,6 +5,8 @@
 opens one lease after its election.
 """
 
+import math
+
 from currantdeal.node.messages import CreditAnswer
 from currantdeal.organisations import CreditOwner
 
@@ -14,8 +16,11 @@
 LEASE_MARGIN_S = 0.03
 """Part of the lease that is not used, for clocks of different rates."""
 
-FORWARD_TIMEOUT_S = 0.4
-"""Time in which the leader must answer a forwarded call."""
+FORWARD_TIMEOUT_S = 0.2
+"""Time in which the leader must answer a forwarded call.
+
+A leader that is paused accepts calls; its successor may be open already.
+"""
 
 NO_OWNER = CreditAnswer()
 
@@ -51,6 +56,16 @@
         self._clock = clock
         self._organisations = ()
         self._owner = None
+        self._first_epoch = None
+
+    def observe(self):
+        """Note whether this leader precedes the first configuration.
+
+        Then no earlier owner can have granted credit.
+        """
+        replica = self._replica
+        if replica.is_leader and not replica.state.version:
+            self._first_epoch = replica.node.term
 
     def update_config(self, config):
         """Use the quotas of a committed configuration."""
@@ -94,10 +109,11 @@
     def _current_owner(self, now_s):
         node = self._replica.node
         if self._owner is None or self._owner.epoch != node.term:
+            is_first = node.term == self._first_epoch
             self._owner = CreditOwner(
                 epoch=node.term,
                 margin=self._margin,
-                opened_s=node.elected_s + LEASE_S,
+                opened_s=(-math.inf if is_first else node.elected_s + LEASE_S),
             )
             self._owner.update(self._organisations, now_s=now_s)
         return self._owner
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -10,6 +10,7 @@
 import structlog
 
 from currantdeal.adapters.generated.peers.ttypes import FrameKind
+from currantdeal.control.entry_list import EntryList
 from currantdeal.core.errors import DialectError
 from currantdeal.node.messages import (
     PROTOCOL,
@@ -88,6 +89,7 @@
         self._crashes = crashes
         self._confirmation = confirmation
         self._quotas = quotas
+        self._entry_list = EntryList(directory=exchange.directory)
         self._dialect = dialect
         self._replica = replica
         self._membership = membership
@@ -153,6 +155,7 @@
         """Remove a subscriber whose connection was lost."""
         self._exchange.subscribers.discard(connection)
         self._loads.remove_entry(connection)
+        self._entry_list.unsubscribe(connection)
 
     @property
     def held_tokens(self):
@@ -160,7 +163,7 @@
         return self._loads.total(now_s=self._clock()).held
 
     def publish_loads(self):
-        """Publish the tokens that entries hold at engines.
+        """Publish the entries and the tokens that they hold at engines.
 
         The other control instances receive the sum over the entries that
         report to this one, when it changes and with each heartbeat.  Entries
@@ -176,6 +179,7 @@
             self._last_load = local_total
             self._last_load_s = now_s
             self._exchange.notify_others(self._load_notice(local_total))
+        self._publish_entries()
         total = self._loads.total(now_s=now_s)
         self._exchange.publish(self._load_notice(total))
 
@@ -184,8 +188,14 @@
         self._exchange.publish(self._source_notice())
         self._exchange.spread_renewals(self._demand.take_reported())
         self._crashes.repeat_recent()
+        self._quotas.observe()
         self._exchange.expire()
 
+    def _publish_entries(self):
+        self._entry_list.publish_changes(
+            now_s=self._clock(), current=self.has_leader
+        )
+
     def _load_notice(self, load):
         return LoadNotice(sender=self._exchange.local_id, load=load)
 
@@ -287,6 +297,9 @@
             version=self._replica.state.version,
         )
         self._exchange.merge_entry(call.entry)
+        if call.protocol >= PROTOCOL:
+            self._publish_entries()
+            self._entry_list.subscribe(connection)
         # Sent before the upstreams and the configuration, so that the entry
         # runs no quarantined request.
         self._crashes.send_all(connection)
--- a/currantdeal/control/tests/test_directory.py
+++ b/currantdeal/control/tests/test_directory.py
@@ -1,4 +1,5 @@
-from currantdeal.control.directory import MIN_CHOICES, EntryDirectory
+from currantdeal.control.directory import EntryDirectory
+from currantdeal.registry.entry_choice import MIN_CHOICES
 from currantdeal.registry.tests.builders import an_entry
 
 
--- a/currantdeal/control/tests/test_quota_owner.py
+++ b/currantdeal/control/tests/test_quota_owner.py
@@ -29,7 +29,11 @@
             quorum_acked_s=lambda now_s: now_s - 0.1,
         )
         vars(self.node).update(node)
-        self.replica = SimpleNamespace(is_leader=True, node=self.node)
+        self.replica = SimpleNamespace(
+            is_leader=True,
+            node=self.node,
+            state=SimpleNamespace(version=7),
+        )
         self.quotas = QuotaOwner(
             replica=self.replica,
             leader_link=SimpleNamespace(address="leader", call=self._forward),
@@ -96,3 +100,17 @@
     control = _Control()
     control.quotas.update_config(SimpleNamespace(organisations=None))
     assert control.ask().grants[0].granted == (True,)
+
+
+def test_the_first_leader_opens_with_everything():
+    """Guards against refusals while a new deployment starts.
+
+    A leader that was elected before the first configuration has no
+    predecessor that granted credit.
+    """
+    control = _Control(elected_s=100.0 - LEASE_S)
+    control.replica.state.version = 0
+    control.quotas.observe()
+    control.replica.state.version = 1
+    assert control.ask().grants[0].granted == (True,)
+    assert control.ask().grants[0].pool_ttl_s > 0.0
--- a/currantdeal/entry/subscription.py
+++ b/currantdeal/entry/subscription.py
@@ -17,8 +17,10 @@
 from currantdeal.entry.control_calls import ControlCalls
 from currantdeal.node.errors import PeerUnreachableError
 from currantdeal.node.messages import (
+    PROTOCOL,
     ConfigNotice,
     CrashesNotice,
+    EntriesNotice,
     EntryNotice,
     LoadNotice,
     ReadingNotice,
@@ -74,6 +76,8 @@
         locally, and for how long.
     crash_watch : CrashWatch
         Requests that crash upstreams.
+    update_entries : callable
+        Called with each ``EntriesNotice``.
     clock : callable
         Returns monotonic seconds.
 
@@ -94,6 +98,7 @@
         update_load,
         record_local_prefill,
         crash_watch,
+        update_entries,
         clock,
     ):
         """Start without a source; ``run`` subscribes."""
@@ -105,6 +110,7 @@
         self._update_load = update_load
         self._record_local_prefill = record_local_prefill
         self._crash_watch = crash_watch
+        self._update_entries = update_entries
         self._clock = clock
         self._distances = {}
         self._avoided_until_s = {}
@@ -120,6 +126,11 @@
             view=view, connection=self._organisations_connection
         )
 
+    @property
+    def silence_s(self):
+        """Seconds since the last notice of a source."""
+        return self._clock() - self._last_notice_s
+
     def announce(self):
         """Send this entry's record and demand to the source at once."""
         if self._connection is not None and self._connection.is_open:
@@ -249,6 +260,7 @@
             entry=self._own_record(),
             config_version=self._view.version,
             provisional=provisional,
+            protocol=PROTOCOL,
         )
         try:
             answer = await connection.call(call, timeout_s=SUBSCRIBE_TIMEOUT_S)
@@ -361,6 +373,10 @@
     def _(self, message: CrashesNotice):
         self._crash_watch.merge(message.records)
 
+    @_handle_notice.register
+    def _(self, message: EntriesNotice):
+        self._update_entries(message)
+
     @_handle_notice.register
     def _(self, message: ReadingNotice):
         if message.entry != self._own_record().instance:
--- a/currantdeal/entry/tests/test_subscription.py
+++ b/currantdeal/entry/tests/test_subscription.py
@@ -50,6 +50,7 @@
         update_load=lambda sums: load.update_sums(sums, now_s=loop.time()),
         record_local_prefill=lambda upstream, for_s: None,
         crash_watch=crashes or _Crashes(),
+        update_entries=lambda notice: None,
         clock=loop.time,
     )
     task = asyncio.ensure_future(subscription.run())
--- a/currantdeal/node/messages.py
+++ b/currantdeal/node/messages.py
@@ -17,9 +17,10 @@
 PROTOCOL = 1
 """Version of the messages that this build understands.
 
-Version 1 adds the calls for organisations.  An instance of an earlier build
-aborts a connection on which it receives a message that it does not know, so
-these calls go only to instances that have stated the version.
+Version 1 adds the calls for organisations and the list of entries.  An
+instance of an earlier build aborts a connection on which it receives a
+message that it does not know, so these go only to instances that have stated
+the version.
 """
 
 
@@ -156,11 +157,14 @@
     provisional : bool
         True if the entry also accepts an instance that has lost contact with
         the leader, because it found no other.
+    protocol : int
+        ``PROTOCOL`` of the entry.
     """
 
     entry: EntryRecord
     config_version: int
     provisional: bool = False
+    protocol: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -214,6 +218,25 @@
     complete: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class EntriesNotice:
+    """Changes of the entries that callers may connect to.
+
+    Parameters
+    ----------
+    entries : tuple of EntryRecord
+        New and changed ones.
+    gone : tuple of str
+        Names of those that callers should no longer connect to.
+    complete : bool
+        True if all entries are listed.
+    """
+
+    entries: tuple[EntryRecord, ...] = ()
+    gone: tuple[str, ...] = ()
+    complete: bool = False
+
+
 @dataclass(frozen=True, kw_only=True)
 class SwitchingNotice:
     """An engine was ordered to switch to another stage.
@@ -392,5 +415,6 @@
         ConfirmAnswer,
         CreditCall,
         CreditAnswer,
+        EntriesNotice,
     )
 )
--- a/currantdeal/registry/__init__.py
+++ b/currantdeal/registry/__init__.py
@@ -1,5 +1,6 @@
 """Registers upstreams, and defines the records in heartbeats."""
 
+from currantdeal.registry.entry_choice import choose_entries
 from currantdeal.registry.records import (
     EntryRecord,
     Stage,
@@ -14,4 +15,5 @@
     "UpstreamRecord",
     "UpstreamRegistry",
     "UpstreamState",
+    "choose_entries",
 ]
