Wait for the first view and for a new owner's quota instead of refusing

Cause: after a loss of all power entries refused callers for the moment between their start and the confirmation of their view ('the keys in force cannot be confirmed', retry after 0.06 s), and an owner that had just opened answered that quotas were used up, to be met after 0.004 to 0.2 s. Callers have one more attempt, so a second refusal loses the request. New owners also granted at half the rate of the window for 8 s, below the rate of a quota.

Change: an entry that has just started, or hears from its source, holds a request for up to 0.4 of its timeout until the view can be used. A request whose quota allows it within half of its target waits. The bucket of a new owner fills at the rate of the quota; the first owner of a deployment starts full, with reserves. Credit stays open for 0.4 s, one lost packet more than a round trip.

--- a/currantdeal/consensus/tests/mutations.py
+++ b/currantdeal/consensus/tests/mutations.py
@@ -313,6 +313,13 @@
         new="        if units > self._units:",
         check=CREDIT,
     ),
+    Mutation(
+        title="credit for a request is used after its time",
+        path="entry/quotas.py",
+        old="        is_open = self._clock() < sent_s + grant.open_s",
+        new="        is_open = True",
+        check=pytest("entry/tests/test_quotas.py"),
+    ),
     Mutation(
         title="an owner grants at once after its election",
         path="organisations/credit_bucket.py",
--- a/currantdeal/entry/access.py
+++ b/currantdeal/entry/access.py
@@ -10,6 +10,8 @@
 configuration serves all that arrive before it begins.
 """
 
+import asyncio
+import contextlib
 import math
 
 from currantdeal.core import boot_time_s
@@ -45,6 +47,8 @@
     look_up : callable
         Coroutine function that asks the leader for a newer configuration;
         returns whether the view is the newest.
+    may_recover : callable
+        Returns whether a view that cannot be used will soon be replaced.
     """
 
     def __init__(self, *, view, revocation_s):
@@ -56,6 +60,7 @@
         )
         self._waiting = 0
         self.look_up = None
+        self.may_recover = lambda: False
 
     @property
     def valid_until_s(self):
@@ -64,6 +69,27 @@
             return math.inf
         return self._view.confirmed_boot_s + self._max_age_s
 
+    async def wait_for_view(self, wait_s):
+        """Wait until the view can be used, or for a limited time.
+
+        An entry that has just started, or has just found a new leader, will
+        have a usable view at once.  A caller that is refused meanwhile may
+        have no other attempt.
+        """
+        if self._is_usable or not self.may_recover():
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                while not self._is_usable:
+                    await self._view.wait_for_change()
+
+    @property
+    def _is_usable(self):
+        table = self._view.route_table
+        if table is None:
+            return False
+        return not table.needs_keys or boot_time_s() < self.valid_until_s
+
     async def authorise(self, call, find_route):
         """Return the route table, the route and the organisation of a call.
 
--- a/currantdeal/entry/quotas.py
+++ b/currantdeal/entry/quotas.py
@@ -66,7 +66,7 @@
         self._owner_reached = True
         self.ask_owner = _no_owner
 
-    async def admit(self, organisation, units, *, wait_s):
+    async def admit(self, organisation, units, *, wait_s, queue_s=0.0):
         """Obtain credit; returns its ``Admission``, None if from the reserve.
 
         Parameters
@@ -77,6 +77,9 @@
             Cost of the request.
         wait_s : float
             Longest wait for an owner.
+        queue_s : float
+            Longest time in which a quota that is used up must allow the
+            request for it to wait here instead of returning.
 
         Raises
         ------
@@ -88,6 +91,18 @@
         pool = self._pool(organisation.name)
         if pool.credit.take(units, now_s=self._clock()):
             return None
+        until_s = self._clock() + wait_s
+        while True:
+            left_s = max(0.0, until_s - self._clock())
+            try:
+                return await self._ask(organisation, units, left_s)
+            except QuotaExceededError as exc:
+                if exc.retry_after_s > min(queue_s, left_s):
+                    raise
+                queue_s -= exc.retry_after_s
+                await asyncio.sleep(exc.retry_after_s)
+
+    async def _ask(self, organisation, units, wait_s):
         need = _Need(organisation=organisation.name, units=units)
         self._waiting.append(need)
         self._wake()
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -20,6 +20,12 @@
 from currantdeal.node.fingerprint import fingerprint_prefix
 from currantdeal.policy.retry_after import RefusalReason, choose_retry_after_s
 
+QUOTA_QUEUE_TARGETS = 0.5
+"""Longest wait for a quota that is used up, as a multiple of the target.
+
+The bucket of a new owner is empty for a moment.
+"""
+
 ANSWER_MARGIN_S = 0.03
 """Time before the caller's timeout at which a request is timed out.
 
@@ -35,10 +41,16 @@
 There is capacity for these requests, but not for the caller to use now.
 """
 
+MAX_VIEW_WAIT_S = 1.5
+"""Longest wait for a configuration and its confirmation."""
+
+VIEW_WAIT_SHARE = 0.4
+"""Largest share of a caller's timeout that this wait may take."""
+
 MAX_CREDIT_WAIT_S = 2.0
 """Longest wait for the owner of the quotas; it covers its election."""
 
-CREDIT_WAIT_SHARE = 0.5
+CREDIT_WAIT_SHARE = 0.75
 """Largest share of the time left that this wait may take."""
 
 _TEXT_HEADER = (b"content-type", b"text/plain")
@@ -73,6 +85,10 @@
             version = self._context.view.version
             self._reject(responder, _UNREADABLE_CALL, 400, str(exc), version)
             return
+        timeout_s = call.caller_timeout_s or DEFAULT_CALLER_TIMEOUT_S
+        await self._context.access.wait_for_view(
+            min(MAX_VIEW_WAIT_S, VIEW_WAIT_SHARE * timeout_s)
+        )
         if self._context.view.route_table is None:
             refusal = RefusedError(
                 "no configuration yet",
@@ -179,6 +195,7 @@
             organisation,
             units,
             wait_s=min(MAX_CREDIT_WAIT_S, CREDIT_WAIT_SHARE * left_s),
+            queue_s=QUOTA_QUEUE_TARGETS * active.route.target_s,
         )
 
     async def _forward(self, active):
--- a/currantdeal/entry/tests/test_access.py
+++ b/currantdeal/entry/tests/test_access.py
@@ -295,3 +295,28 @@
     assert "request-ended" in text or "requests_total" in text
     for key in (KEY, "gu3ss"):
         assert key not in text
+
+
+@pytest.mark.parametrize(
+    ("recovers", "status"), [(True, b"200"), (False, b"503")]
+)
+def test_requests_wait_for_the_first_view_of_an_entry(recovers, status):
+    """Load pattern: thundering herd after a restart of everything.
+
+    Callers that are refused while their entry starts use up their retries.
+    """
+
+    async def run():
+        standin = StandInUpstream()
+        async with entry_world(config=b"", revocation_s=5.0) as world:
+            await standin.start()
+            world.announce(standin)
+            world.context.access.may_recover = lambda: recovers
+            task = asyncio.ensure_future(world.exchange(_order(AUTHORIZED)))
+            await asyncio.sleep(0.1)
+            world.context.view.apply_config(1, zlib.compress(CONFIG))
+            await asyncio.sleep(0.1)
+            world.context.view.confirm(1, boot_time_s())
+            return await task
+
+    assert asyncio.run(run()).split()[1] == status
--- a/currantdeal/entry/view.py
+++ b/currantdeal/entry/view.py
@@ -1,5 +1,6 @@
 """Holds an entry's view: the routes in force and the known upstreams."""
 
+import asyncio
 import zlib
 
 import structlog
@@ -56,6 +57,7 @@
         self._switching = {}
         self._replaced = []
         self._freshness = ViewFreshness()
+        self._changed = asyncio.Event()
         self.entries = 1
         self.confirmed_s = clock()
 
@@ -96,6 +98,11 @@
             confirmed_s=confirmed_boot_s,
             held_version=self.version,
         )
+        self._wake_waiters()
+
+    async def wait_for_change(self):
+        """Wait for the next configuration or confirmation."""
+        await self._changed.wait()
 
     def ready(self, service):
         """Return the upstreams of a service that accept work."""
@@ -185,6 +192,7 @@
         before = self.version
         self._route_table = RouteTable(config=config)
         self._freshness.hold(version=version)
+        self._wake_waiters()
         _log.info("config-in-force", version=version, before=before)
 
     def merge_upstreams(self, records, *, complete):
@@ -204,6 +212,10 @@
             self._remove_unlisted({r.upstream for r in records}, now_s)
         self._group_by_service()
 
+    def _wake_waiters(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _distance(self, first, second):
         if first == second:
             return 0
--- a/currantdeal/organisations/credit.py
+++ b/currantdeal/organisations/credit.py
@@ -43,7 +43,8 @@
     margin : QuotaMargin
         Margin above the quotas.
     opened_s : float
-        Time at which it is opened.
+        Time at which it is opened; minus infinity for the first owner, which
+        starts with everything.
 
     Examples
     --------
@@ -55,7 +56,7 @@
     >>> owner.update((Organisation(
     ...     name="bakery", quota=Quota(rate_per_s=1.0, burst=4.0)),),
     ...     now_s=0.0)
-    >>> ask = CreditAsk(organisation="bakery", needs=(5, 5, 5))
+    >>> ask = CreditAsk(organisation="bakery", needs=(3, 3, 3))
     >>> owner.grant("entry-1", ask, entries=1, now_s=60.0).granted
     (True, False, False)
     """
--- a/currantdeal/organisations/credit_bounds.py
+++ b/currantdeal/organisations/credit_bounds.py
@@ -5,13 +5,10 @@
 POOL_SHARE = 0.15
 """Share of the margin for the reserves of the entries."""
 
-MAX_OPEN_S = 0.25
-"""Time for which the credit of one request stays open."""
+MAX_OPEN_S = 0.4
+"""Time for which the credit of one request stays open.
 
-BASE_SHARE = 0.5
-"""Share of the allowance that a new owner may grant at once.
-
-The rest has to wait until nothing that an earlier owner granted counts.
+It covers a round trip to the owner on which one packet is lost.
 """
 
 BASE_DEPTH_S = 1.0
@@ -56,10 +53,10 @@
     Examples
     --------
     >>> from currantdeal.organisations import Quota
-    >>> margin = QuotaMargin(window_s=8.5, overshoot=0.1, slack=900.0)
-    >>> bounds = bounds_of(Quota(rate_per_s=100.0, burst=150.0), margin)
-    >>> round(bounds.base_rate_per_s), bounds.extra, bounds.pools
-    (92, 925.0, 150.0)
+    >>> margin = QuotaMargin(window_s=8.2, overshoot=0.1, slack=930.0)
+    >>> bounds = bounds_of(Quota(rate_per_s=100.0, burst=180.0), margin)
+    >>> bounds.base_rate_per_s, round(bounds.extra), bounds.pools
+    (100.0, 876, 154.5)
     """
 
     window_s: float
@@ -78,13 +75,16 @@
     window_s = margin.window_s + MAX_OPEN_S
     # Credit that is returned to the bucket may be of a grant that was made
     # before the window.
-    filled_s = window_s + MAX_OPEN_S + BASE_DEPTH_S
-    base_rate_per_s = BASE_SHARE * allowance / filled_s
+    counted_s = window_s + MAX_OPEN_S
+    # A burst must be possible at any time.
+    base_rate_per_s = min(
+        quota.rate_per_s, (allowance - quota.burst) / counted_s
+    )
     base_depth = BASE_DEPTH_S * base_rate_per_s
     return CreditBounds(
         window_s=window_s,
         base_rate_per_s=base_rate_per_s,
         base_depth=base_depth,
-        extra=(1.0 - BASE_SHARE) * allowance,
+        extra=allowance - base_rate_per_s * counted_s - base_depth,
         pools=pools,
     )
--- a/currantdeal/organisations/credit_bucket.py
+++ b/currantdeal/organisations/credit_bucket.py
@@ -12,7 +12,7 @@
     Parameters
     ----------
     opened_s : float
-        Time at which the owner was opened.
+        Time at which the owner was opened; minus infinity for the first one.
 
     Attributes
     ----------
--- a/currantdeal/organisations/tests/test_credit.py
+++ b/currantdeal/organisations/tests/test_credit.py
@@ -9,7 +9,9 @@
 
 from currantdeal.organisations import (
     CreditAsk,
+    CreditGrant,
     CreditOwner,
+    CreditPool,
     Organisation,
     Quota,
     bounds_of,
@@ -230,6 +232,16 @@
     assert level <= bounds.base_depth + bounds.extra
 
 
+def test_a_reserve_ends_with_its_time():
+    """Guards against a reserve that an entry uses after a long pause."""
+    pool = CreditPool()
+    grant = CreditGrant(organisation=NAME, pool=100, pool_ttl_s=20.0)
+    pool.fill(grant, epoch=1, sent_s=0.0)
+    assert pool.take(10, now_s=19.9)
+    assert not pool.take(10, now_s=20.0)
+    assert pool.ask(NAME, (), now_s=20.0).pool == 0
+
+
 @pytest.mark.parametrize("entries", [1, 7, 64])
 def test_reserves_together_stay_within_their_bound(entries):
     owner = _owner()
