Hand the grants of quotas on to the next leader, and keep reserves in advance

An organisation over its rate lost half of its window after each change of the leader.

Change: entries keep a reserve for each organisation of a configuration with up to 64 of them. The leader states its grants beyond the bucket with its heartbeats to the other control instances; the leader of the very next term grants again what has left the window since. The model has owners that publish and inherit at any moment.

--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -14,6 +14,7 @@
     call_periodically,
     install_signal_handlers,
 )
+from currantdeal.core import boot_time_s
 from currantdeal.entry.caller_directory import CallerDirectory
 from currantdeal.entry.context import BudgetBounds, EntryContext
 from currantdeal.entry.directory_server import DirectoryServer
@@ -162,7 +163,7 @@
                 )
             ),
             asyncio.ensure_future(
-                call_periodically(QUOTA_REFILL_S, self._context.quotas.refill)
+                call_periodically(QUOTA_REFILL_S, self._refill_quotas)
             ),
             asyncio.ensure_future(self._file.watch()),
         ]
@@ -182,6 +183,11 @@
             return True
         return self._subscription.silence_s < RECENT_NOTICE_S
 
+    def _refill_quotas(self):
+        table = self._view.route_table
+        if table is not None:
+            self._context.quotas.refill(table.organisations)
+
     async def _look_up_config(self):
         return await self._subscription.control_calls.confirm(fresh=True)
 
@@ -232,6 +238,9 @@
         view = self._view
         self._metrics.set("config_version", view.version)
         self._metrics.set("view_age_seconds", view.age_s)
+        if view.confirmed_boot_s > 0.0:
+            age_s = boot_time_s() - view.confirmed_boot_s
+            self._metrics.set("confirmation_age_seconds", age_s)
         self._metrics.set("requests_in_progress", self._server.active_requests)
         self._metrics.set("entries", view.entries)
         self._metrics.set(
--- a/currantdeal/control/exchange.py
+++ b/currantdeal/control/exchange.py
@@ -168,13 +168,15 @@
                 renewal.name, renewal.started_ms, renewal.sequence, now_s=now_s
             )
 
-    def spread_renewals(self, demand):
+    def spread_renewals(self, demand, *, grants=None):
         """Send the heartbeats received here to the other control instances.
 
         Parameters
         ----------
         demand : dict
             Demand of each service that entries reported to this instance.
+        grants : GrantLog or None
+            Credit that this instance has granted as the owner of quotas.
         """
         notice = RenewalsNotice(
             sender=self.local_id,
@@ -183,6 +185,7 @@
             upstreams=tuple(self._renewed_upstreams.values()),
             entries=tuple(self._renewed_entries.values()),
             protocol=PROTOCOL,
+            grants=grants,
         )
         self._renewed_upstreams = {}
         self._renewed_entries = {}
--- a/currantdeal/control/quota_owner.py
+++ b/currantdeal/control/quota_owner.py
@@ -7,7 +7,7 @@
 
 import math
 
-from currantdeal.node.messages import CreditAnswer
+from currantdeal.node.messages import CreditAnswer, GrantLog
 from currantdeal.organisations import CreditOwner
 
 LEASE_S = 0.3
@@ -57,6 +57,8 @@
         self._organisations = ()
         self._owner = None
         self._first_epoch = None
+        self._last_log = None
+        self._last_log_s = 0.0
 
     def observe(self):
         """Note whether this leader precedes the first configuration.
@@ -67,6 +69,20 @@
         if replica.is_leader and not replica.state.version:
             self._first_epoch = replica.node.term
 
+    def grant_log(self):
+        """Return the grants of this owner for its successor, or None."""
+        now_s = self._clock()
+        if not self._replica.is_leader or not self._is_open(now_s):
+            return None
+        owner = self._current_owner(now_s)
+        return GrantLog(epoch=owner.epoch, grants=owner.grants(now_s=now_s))
+
+    def receive_grants(self, log):
+        """Keep the grants of the current owner."""
+        if self._last_log is None or log.epoch >= self._last_log.epoch:
+            self._last_log = log
+            self._last_log_s = self._clock()
+
     def update_config(self, config):
         """Use the quotas of a committed configuration."""
         self._organisations = config.organisations or ()
@@ -114,6 +130,21 @@
                 epoch=node.term,
                 margin=self._margin,
                 opened_s=(-math.inf if is_first else node.elected_s + LEASE_S),
+                inherited=self._inherited(node.term),
             )
             self._owner.update(self._organisations, now_s=now_s)
         return self._owner
+
+    def _inherited(self, epoch):
+        """Return the grants of the owner before, if it is known to be that.
+
+        With an epoch in between, another owner may have granted the same
+        units again.
+        """
+        log = self._last_log
+        if log is None or log.epoch != epoch - 1:
+            return {}
+        return {
+            name: tuple((self._last_log_s - age_s, u) for age_s, u in grants)
+            for name, grants in log.grants.items()
+        }
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -186,7 +186,9 @@
     def send_heartbeat(self):
         """Send the periodic notices and expire silent records."""
         self._exchange.publish(self._source_notice())
-        self._exchange.spread_renewals(self._demand.take_reported())
+        self._exchange.spread_renewals(
+            self._demand.take_reported(), grants=self._quotas.grant_log()
+        )
         self._crashes.repeat_recent()
         self._quotas.observe()
         self._exchange.expire()
@@ -219,6 +221,8 @@
         self._crashes.on_heartbeat(notice.sender)
         self._demand.record(notice.demand, reported_here=False)
         self._exchange.merge_renewals(notice)
+        if notice.grants is not None:
+            self._quotas.receive_grants(notice.grants)
 
     @_handle_notice.register
     def _(self, notice: LoadNotice, connection):
--- a/currantdeal/entry/quotas.py
+++ b/currantdeal/entry/quotas.py
@@ -21,6 +21,9 @@
 IDLE_POOL_S = 60.0
 """Time without requests after which an organisation's reserve lapses."""
 
+MAX_PREPARED = 64
+"""Number of organisations up to which each has a reserve in advance."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -127,9 +130,20 @@
         )
         self._wake()
 
-    def refill(self):
-        """Have the reserves filled that are used up or expire soon."""
+    def refill(self, organisations=()):
+        """Have the reserves filled that are used up or expire soon.
+
+        Parameters
+        ----------
+        organisations : iterable of Organisation
+            All organisations.  If these are few, each gets a reserve before
+            its first request.
+        """
         now_s = self._clock()
+        limited = [o.name for o in organisations if o.quota is not None]
+        if len(limited) <= MAX_PREPARED:
+            for name in limited:
+                self._pool(name)
         for name, pool in tuple(self._pools.items()):
             if now_s - pool.last_use_s > IDLE_POOL_S:
                 del self._pools[name]
--- a/currantdeal/entry/tests/test_quotas.py
+++ b/currantdeal/entry/tests/test_quotas.py
@@ -151,6 +151,19 @@
     assert not any(isinstance(o, RefusedError) for o in outcomes)
 
 
+def test_organisations_have_a_reserve_before_their_first_request():
+    """Guards against refusals by an entry that has not served anyone yet."""
+    owner = _Owner(slack=400.0)
+
+    async def work(client):
+        client.refill((BAKERY,))
+        await asyncio.sleep(0.05)
+        owner.reached = False
+        return await _admit(client, wait_s=0.05)
+
+    assert not isinstance(_outcomes(owner, work), RefusedError)
+
+
 def test_credit_of_a_request_whose_caller_left_is_returned():
     owner = _Owner()
 
--- a/currantdeal/node/messages.py
+++ b/currantdeal/node/messages.py
@@ -114,6 +114,23 @@
     sequence: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class GrantLog:
+    """Grants of an owner of quotas, for its successor.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the owner.
+    grants : dict
+        Age in seconds and units of each grant beyond the bucket, by the name
+        of the organisation.
+    """
+
+    epoch: int
+    grants: dict[str, tuple[tuple[float, int], ...]]
+
+
 @dataclass(frozen=True, kw_only=True)
 class RenewalsNotice:
     """Heartbeats without changes that an instance has received recently.
@@ -129,6 +146,8 @@
         its last notice.
     protocol : int
         ``PROTOCOL`` of that instance.
+    grants : GrantLog or None
+        Credit that it has granted as the owner of the quotas.
     """
 
     sender: str
@@ -137,6 +156,7 @@
     upstreams: tuple[Renewal, ...] = ()
     entries: tuple[Renewal, ...] = ()
     protocol: int = 0
+    grants: GrantLog | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/currantdeal/organisations/check.py
+++ b/currantdeal/organisations/check.py
@@ -32,6 +32,10 @@
         names.add(organisation.name)
         _check_name(organisation.name)
         _check_quota(organisation)
+        if organisation.priority is not None and organisation.priority < 0:
+            raise InvalidOrganisationsError(
+                f"organisation {organisation.name!r}: its priority is negative"
+            )
         for digest in organisation.key_digests:
             holder = holders.setdefault(digest, organisation)
             if holder is not organisation:
--- a/currantdeal/organisations/credit.py
+++ b/currantdeal/organisations/credit.py
@@ -45,6 +45,9 @@
     opened_s : float
         Time at which it is opened; minus infinity for the first owner, which
         starts with everything.
+    inherited : dict
+        Times and units of grants by the owner before, see ``grants``, by the
+        name of the organisation; empty if they are not known.
 
     Examples
     --------
@@ -61,8 +64,9 @@
     (True, False, False)
     """
 
-    def __init__(self, *, epoch, margin, opened_s):
+    def __init__(self, *, epoch, margin, opened_s, inherited=None):
         """Open with empty buckets."""
+        self._inherited = inherited or {}
         self.epoch = epoch
         self.opened_s = opened_s
         self._margin = margin
@@ -121,6 +125,20 @@
             pool_ttl_s=POOL_TTL_S,
         )
 
+    def grants(self, *, now_s):
+        """Return grants beyond the buckets, by organisation, for a successor.
+
+        Each has the age of its end, in seconds, and its units.
+        """
+        return {
+            name: tuple(
+                (round(now_s - end_s, 3), int(units))
+                for end_s, units in bucket.grants()
+            )
+            for name, bucket in self._buckets.items()
+            if bucket.grants()
+        }
+
     def level(self, organisation, *, now_s):
         """Return the units that could be granted to an organisation now."""
         bucket = self._refill(organisation, now_s)
@@ -129,7 +147,10 @@
     def _refill(self, name, now_s):
         bucket = self._buckets.get(name)
         if bucket is None:
-            bucket = CreditBucket(opened_s=self.opened_s)
+            bucket = CreditBucket(
+                opened_s=self.opened_s,
+                inherited=self._inherited.get(name, ()),
+            )
             self._buckets[name] = bucket
         bucket.refill(self._bounds[name], now_s=now_s)
         return bucket
--- a/currantdeal/organisations/credit_bucket.py
+++ b/currantdeal/organisations/credit_bucket.py
@@ -13,6 +13,9 @@
     ----------
     opened_s : float
         Time at which the owner was opened; minus infinity for the first one.
+    inherited : iterable of tuple
+        End times and units of grants beyond the bucket by the owner before,
+        as far as they are known.
 
     Attributes
     ----------
@@ -34,10 +37,12 @@
     (True, False)
     """
 
-    def __init__(self, *, opened_s):
+    def __init__(self, *, opened_s, inherited=()):
         """Start empty."""
         self.pools = {}
         self._opened_s = opened_s
+        self._inherited = deque(sorted(inherited))
+        self._freed = 0.0
         self._updated_s = opened_s
         self._level = 0.0
         self._promised = 0.0
@@ -51,8 +56,15 @@
         self._level = min(bounds.base_depth, self._level + gained)
         self._promised = max(0.0, self._promised - gained)
         self._updated_s = max(self._updated_s, now_s)
-        while self._slots and self._slots[0][0] <= now_s - bounds.window_s:
+        start_s = now_s - bounds.window_s
+        while self._slots and self._slots[0][0] <= start_s:
             self._extra_used -= self._slots.popleft()[1]
+        while self._inherited and self._inherited[0][0] <= start_s:
+            end_s, units = self._inherited.popleft()
+            # What left the window before the opening may have been granted
+            # once more by the owner before.
+            if end_s + bounds.window_s > self._opened_s:
+                self._freed += units
 
     def limit_to(self, bounds):
         """Reduce the level to the capacity of other bounds."""
@@ -106,10 +118,18 @@
             if ends_s <= now_s:
                 del self.pools[entry]
 
+    def grants(self):
+        """Return end times and units of the grants beyond the bucket."""
+        return (*self._inherited, *self._slots)
+
     def _extra_left(self, bounds, now_s):
+        extra = bounds.extra
         if now_s < self._opened_s + bounds.window_s:
-            return 0.0
-        return max(0.0, bounds.extra - self._extra_used)
+            # The owner before may have granted all that it could until the
+            # opening; only what it is known to have granted earlier is free
+            # again before a whole window has passed.
+            extra = min(extra, self._freed)
+        return max(0.0, extra - self._extra_used)
 
     def _add_to_window(self, units, now_s):
         # A slot counts until its end has left the window.
--- a/currantdeal/organisations/tests/credit_model.py
+++ b/currantdeal/organisations/tests/credit_model.py
@@ -58,19 +58,33 @@
         self._pending = []
         self._epoch = 0
         self.owner = None
+        self._notice = (0, 0.0, {})
         self.elect(wait_s=0.0)
 
     def elect(self, *, wait_s):
         """Replace the owner; there is none until ``wait_s`` has passed."""
         self._epoch += 1
+        epoch, received_s, grants = self._notice
+        inherited = {
+            name: tuple((received_s - age_s, units) for age_s, units in found)
+            for name, found in grants.items()
+            if epoch == self._epoch - 1
+        }
         self.owner = CreditOwner(
             epoch=self._epoch,
             margin=self._margin,
             opened_s=self.now_s + wait_s,
+            inherited=inherited,
         )
         organisation = Organisation(name=NAME, quota=self._quota)
         self.owner.update((organisation,), now_s=self.now_s)
 
+    def publish(self):
+        """Have the owner state its grants to its possible successors."""
+        if self.owner.opened_s <= self.now_s:
+            grants = self.owner.grants(now_s=self.now_s)
+            self._notice = (self._epoch, self.now_s, grants)
+
     def advance(self, seconds):
         """Let time pass, and deliver what is due."""
         until_s = self.now_s + seconds
