Give an organisation's priority precedence, and count its requests

Cause: an organisation's priority went unused, and no metric told organisations apart.

Change: a request with an organisation carries its priority to the upstream, or that of the route if the organisation has none. Requests are counted by organisation; those beyond the first 64 count together.

--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -118,6 +118,7 @@
         active.was_sent = True
         if active.organisation is not None:
             options["organisation"] = active.organisation.name
+            options["priority"] = active.priority
             options["send_before_s"] = self.access.valid_until_s
         return ForwardingOptions(**options)
 
@@ -300,6 +301,14 @@
         """Fingerprint, equal for each retry of the same request."""
         return fingerprint_of(self.request, self.call)
 
+    @property
+    def priority(self):
+        """Priority of the organisation, or else of the route; 0 is first."""
+        organisation = self.organisation
+        if organisation is None or organisation.priority is None:
+            return self.route.priority
+        return organisation.priority
+
     @property
     def kind(self):
         """The ``CallKind`` of the request."""
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -26,6 +26,9 @@
 The bucket of a new owner is empty for a moment.
 """
 
+MAX_LABELLED_ORGANISATIONS = 64
+"""Number of organisations with metrics of their own."""
+
 ANSWER_MARGIN_S = 0.03
 """Time before the caller's timeout at which a request is timed out.
 
@@ -76,6 +79,7 @@
         self._context = context
         self.stopping = False
         self.refuse_streams = False
+        self._labelled = set()
 
     async def handle(self, request, responder):
         """Answer one request."""
@@ -281,12 +285,24 @@
                 status, (_TEXT_HEADER,), _text_body(reason)
             )
 
+    def _label(self, organisation):
+        """Return the label of an organisation in metrics."""
+        if len(self._labelled) < MAX_LABELLED_ORGANISATIONS:
+            self._labelled.add(organisation)
+        return organisation if organisation in self._labelled else "other"
+
     def _log_end(self, active, outcome):
         now_s = self._context.now_s
         took_s = now_s - active.request.arrived_s
         kind = outcome.partition(":")[0]
         metrics = self._context.metrics
         metrics.add("requests_total", route=active.route.name, outcome=kind)
+        if active.organisation is not None:
+            metrics.add(
+                "organisation_requests_total",
+                organisation=self._label(active.organisation.name),
+                outcome=kind,
+            )
         if active.first_output_s is not None:
             first_s = active.first_output_s - active.request.arrived_s
             metrics.observe("first_output_seconds", first_s)
--- a/currantdeal/entry/tests/test_access.py
+++ b/currantdeal/entry/tests/test_access.py
@@ -7,6 +7,7 @@
 import pytest
 
 from currantdeal.core import boot_time_s
+from currantdeal.entry import service
 from currantdeal.testing.entry_world import (
     GENERATION,
     config_body,
@@ -320,3 +321,26 @@
             return await task
 
     assert asyncio.run(run()).split()[1] == status
+
+
+def test_metrics_name_a_bounded_number_of_organisations(monkeypatch):
+    monkeypatch.setattr(service, "MAX_LABELLED_ORGANISATIONS", 1)
+    _, _, metrics = _ask(
+        _order(AUTHORIZED), _order("Authorization: Bearer m1ll")
+    )
+    text = metrics.decode()
+    assert 'organisation="bakery"' in text
+    assert 'organisation="other"' in text
+    assert "mill" not in text
+
+
+@pytest.mark.parametrize(
+    ("given", "sent"), [({"Priority": 3}, "3"), ({}, "1")]
+)
+def test_the_priority_of_an_organisation_precedes_that_of_the_route(
+    given, sent
+):
+    config = config_body(tenants=tenants(quota=given, bakery=[KEY]))
+    _, standin, _ = _ask(_order(AUTHORIZED), config=config)
+    (request,) = standin.requests
+    assert request.get("X-Currantdeal-Request-Priority") == sent
--- a/currantdeal/node/dialect.py
+++ b/currantdeal/node/dialect.py
@@ -67,6 +67,8 @@
         Id of the last event received, or empty.
     organisation : str
         Name of the caller's organisation, or empty.
+    priority : int or None
+        Priority at the upstream, 0 first; None for its default.
     send_before_s : float
         Time since boot from which the request must not be sent any more.
     """
@@ -78,6 +80,7 @@
     reservation: str = ""
     resume_after: str = ""
     organisation: str = ""
+    priority: int | None = None
     send_before_s: float = math.inf
 
 
--- a/currantdeal/platform/calls.py
+++ b/currantdeal/platform/calls.py
@@ -26,6 +26,7 @@
 
 _MS = 1_000.0
 _BEARER = b"bearer"
+_LOWEST_PRIORITY = 9
 _JSON = (b"content-type", b"application/json")
 
 
@@ -163,6 +164,9 @@
     ]
     if options.organisation:
         headers.append((header_names.TENANT, options.organisation.encode()))
+    if options.priority is not None:
+        lowest = min(options.priority, _LOWEST_PRIORITY)
+        headers.append((header_names.PRIORITY, _encode_number(lowest)))
     if options.prefill_only:
         headers.append((header_names.STAGE, b"prefill"))
     if options.kv_source:
