--- a/benchmarks/experiments/organisations.py
+++ b/benchmarks/experiments/organisations.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from currantdeal.node.messages import PEER_CODEC, CreditCall
+from currantdeal.node.messages import PEER_CODEC
+from currantdeal.node.organisation_messages import CreditCall
 from currantdeal.organisations import CreditPool, digest_key
 from currantdeal.platform.config import decode_config
 from currantdeal.routing import RouteTable
--- a/currantdeal/control/confirmation.py
+++ b/currantdeal/control/confirmation.py
@@ -9,7 +9,7 @@
 import asyncio
 
 from currantdeal.core import boot_time_s
-from currantdeal.node.messages import ConfirmAnswer, ConfirmCall
+from currantdeal.node.organisation_messages import ConfirmAnswer, ConfirmCall
 from currantdeal.node.single_flight import SingleFlight
 
 ASK_INTERVAL_S = 0.1
--- a/currantdeal/control/quota_owner.py
+++ b/currantdeal/control/quota_owner.py
@@ -7,7 +7,7 @@
 
 import math
 
-from currantdeal.node.messages import CreditAnswer, GrantLog
+from currantdeal.node.organisation_messages import CreditAnswer, GrantLog
 from currantdeal.organisations import CreditOwner
 
 LEASE_S = 0.3
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -15,9 +15,7 @@
 from currantdeal.node.messages import (
     PROTOCOL,
     ConfigNotice,
-    ConfirmCall,
     CrashesNotice,
-    CreditCall,
     Done,
     EntryNotice,
     JoinCall,
@@ -35,6 +33,7 @@
     SwitchingNotice,
     UpstreamsNotice,
 )
+from currantdeal.node.organisation_messages import ConfirmCall, CreditCall
 from currantdeal.node.peers import HEARTBEAT_S, pack_frame
 from currantdeal.policy.shared_load import LoadSums
 
--- a/currantdeal/control/tests/test_confirmation.py
+++ b/currantdeal/control/tests/test_confirmation.py
@@ -4,7 +4,7 @@
 from types import SimpleNamespace
 
 from currantdeal.control.confirmation import ViewConfirmation
-from currantdeal.node.messages import ConfirmAnswer, ConfirmCall
+from currantdeal.node.organisation_messages import ConfirmAnswer, ConfirmCall
 
 
 class _Leader:
--- a/currantdeal/control/tests/test_quota_owner.py
+++ b/currantdeal/control/tests/test_quota_owner.py
@@ -6,7 +6,11 @@
 import pytest
 
 from currantdeal.control.quota_owner import LEASE_S, QuotaOwner
-from currantdeal.node.messages import CreditAnswer, CreditCall, GrantLog
+from currantdeal.node.organisation_messages import (
+    CreditAnswer,
+    CreditCall,
+    GrantLog,
+)
 from currantdeal.organisations import CreditAsk, QuotaMargin
 from currantdeal.organisations.tests.builders import a_quota, an_organisation
 
--- a/currantdeal/entry/control_calls.py
+++ b/currantdeal/entry/control_calls.py
@@ -4,7 +4,7 @@
 
 from currantdeal.core import boot_time_s
 from currantdeal.node.errors import PeerUnreachableError
-from currantdeal.node.messages import ConfirmCall, CreditCall
+from currantdeal.node.organisation_messages import ConfirmCall, CreditCall
 
 CONFIRM_TIMEOUT_S = 1.0
 """Time in which an instance must answer a ``ConfirmCall``.
--- a/currantdeal/entry/subscription.py
+++ b/currantdeal/entry/subscription.py
@@ -133,7 +133,7 @@
 
     def announce(self):
         """Send this entry's record and demand to the source at once."""
-        if self._connection is not None and self._connection.is_open:
+        if self._is_connected:
             self._connection.notify(
                 EntryNotice(
                     entry=self._own_record(), demand=self._collect_demand()
@@ -146,9 +146,9 @@
         An unchanged load is sent again with each heartbeat, since a load that
         is not refreshed expires.
         """
-        connection = self._connection
-        if connection is None or not connection.is_open:
+        if not self._is_connected:
             return
+        connection = self._connection
         self._report_replaced(connection)
         now_s = self._clock()
         load = self._report_load()
@@ -162,18 +162,20 @@
 
     def announce_local_prefill(self, upstream, for_s):
         """Announce to all entries a local prefill for this entry."""
-        connection = self._connection
-        if connection is not None and connection.is_open:
+        if self._is_connected:
             entry = self._own_record().instance
-            connection.notify(
+            self._connection.notify(
                 ReadingNotice(entry=entry, upstream=upstream, for_s=for_s)
             )
 
     def publish_crashes(self, records):
         """Send records of requests that crash upstreams to all processes."""
-        connection = self._connection
-        if connection is not None and connection.is_open:
-            connection.notify(CrashesNotice(records=records))
+        if self._is_connected:
+            self._connection.notify(CrashesNotice(records=records))
+
+    @property
+    def _is_connected(self):
+        return self._connection is not None and self._connection.is_open
 
     def _report_replaced(self, connection):
         """Report upstreams at whose address another one answers.
--- a/currantdeal/entry/tests/test_quotas.py
+++ b/currantdeal/entry/tests/test_quotas.py
@@ -7,7 +7,7 @@
 from currantdeal.core import boot_time_s
 from currantdeal.entry.errors import QuotaExceededError, RefusedError
 from currantdeal.entry.quotas import QuotaClient
-from currantdeal.node.messages import CreditAnswer
+from currantdeal.node.organisation_messages import CreditAnswer
 from currantdeal.organisations import CreditOwner, QuotaMargin, QuotaUnit
 from currantdeal.organisations.credit_bounds import MAX_OPEN_S
 from currantdeal.organisations.tests.builders import a_quota, an_organisation
