Confirm and grant only from a state that has all earlier entries

Cause: found by reading. A node hands out committed entries, and counts them as applied, before the disk write that precedes their application. In that moment a new leader was ready with an older configuration: it would have confirmed that as the newest, so that a withdrawn key worked on, and after a restart of all replicas it would have taken itself for the first leader and opened all quotas with everything.

Change: Replica.is_caught_up_leader also demands that the state has the first entry of the leader's own term. Confirmations and credit use it. Proposals and reads are as before: they complete after the application.

Result: a test with a leader whose state is behind, and a mutation that is found.

--- a/currantdeal/consensus/node.py
+++ b/currantdeal/consensus/node.py
@@ -126,6 +126,11 @@
         leads = raft.role is RaftRole.LEADER
         return leads and raft.applied >= raft.first_own_index
 
+    @property
+    def first_own_index(self):
+        """Index of the first entry that this replica appended as leader."""
+        return self._raft.first_own_index
+
     @property
     def commit_index(self):
         """Index of the last entry known to be committed."""
--- a/currantdeal/consensus/tests/mutations.py
+++ b/currantdeal/consensus/tests/mutations.py
@@ -299,6 +299,13 @@
         new="        if False:",
         check=ACCESS,
     ),
+    Mutation(
+        title="a leader confirms a state that it has not applied",
+        path="control/replica.py",
+        old="node.is_ready and self.state.index >= node.first_own_index",
+        new="node.is_ready",
+        check=pytest("control/tests/test_replica.py"),
+    ),
     Mutation(
         title="unused credit is not returned",
         path="organisations/credit.py",
--- a/currantdeal/control/confirmation.py
+++ b/currantdeal/control/confirmation.py
@@ -49,7 +49,7 @@
 
     async def answer(self, call):
         """Return the ``ConfirmAnswer`` to an entry or a control instance."""
-        if self._replica.is_leader:
+        if self._replica.is_caught_up_leader:
             return self._confirm_as_leader()
         if call.fresh or self._age_s() > REUSE_S:
             asked = await self._asked.run()
--- a/currantdeal/control/quota_owner.py
+++ b/currantdeal/control/quota_owner.py
@@ -66,13 +66,13 @@
         Then no earlier owner can have granted credit.
         """
         replica = self._replica
-        if replica.is_leader and not replica.state.version:
+        if replica.is_caught_up_leader and not replica.state.version:
             self._first_epoch = replica.node.term
 
     def grant_log(self):
         """Return the grants of this owner for its successor, or None."""
         now_s = self._clock()
-        if not self._replica.is_leader or not self._is_open(now_s):
+        if not (self._replica.is_caught_up_leader and self._is_open(now_s)):
             return None
         owner = self._current_owner(now_s)
         return GrantLog(epoch=owner.epoch, grants=owner.grants(now_s=now_s))
@@ -91,7 +91,7 @@
 
     async def answer(self, call):
         """Return the ``CreditAnswer`` to an entry or a control instance."""
-        if self._replica.is_leader:
+        if self._replica.is_caught_up_leader:
             return self._answer_as_leader(call)
         leader = self._leader_link.address
         if leader is None or not self._supports(leader):
--- a/currantdeal/control/replica.py
+++ b/currantdeal/control/replica.py
@@ -92,6 +92,16 @@
         """True on a leader that has applied all earlier committed entries."""
         return self.node.is_ready
 
+    @property
+    def is_caught_up_leader(self):
+        """True on a leader whose state has all entries of earlier terms.
+
+        The node hands out committed entries before a disk write that may take
+        long, and the state has them only after it.
+        """
+        node = self.node
+        return node.is_ready and self.state.index >= node.first_own_index
+
     @property
     def has_leader(self):
         """True while this replica leads or is in contact with the leader."""
--- a/currantdeal/control/tests/test_confirmation.py
+++ b/currantdeal/control/tests/test_confirmation.py
@@ -26,7 +26,7 @@
         confirmation = ViewConfirmation(
             replica=replica
             or SimpleNamespace(
-                is_leader=False, state=SimpleNamespace(version=9)
+                is_caught_up_leader=False, state=SimpleNamespace(version=9)
             ),
             leader_link=leader,
             supports=lambda address: supports,
@@ -46,7 +46,7 @@
 def test_a_leader_states_the_age_of_its_last_quorum():
     """Guards against a leader that is partitioned and does not notice."""
     replica = SimpleNamespace(
-        is_leader=True,
+        is_caught_up_leader=True,
         state=SimpleNamespace(version=7),
         node=SimpleNamespace(quorum_acked_s=lambda now_s: now_s - 3.0),
     )
--- a/currantdeal/control/tests/test_quota_owner.py
+++ b/currantdeal/control/tests/test_quota_owner.py
@@ -34,7 +34,7 @@
         )
         vars(self.node).update(node)
         self.replica = SimpleNamespace(
-            is_leader=True,
+            is_caught_up_leader=True,
             node=self.node,
             state=SimpleNamespace(version=7),
         )
@@ -94,7 +94,7 @@
 
 def test_other_instances_forward_to_the_leader():
     control = _Control()
-    control.replica.is_leader = False
+    control.replica.is_caught_up_leader = False
     assert control.ask().epoch == 9
     assert control.forwarded == [CALL]
 
--- a/currantdeal/control/tests/test_replica.py
+++ b/currantdeal/control/tests/test_replica.py
@@ -5,6 +5,7 @@
 import pytest
 
 from currantdeal.consensus import Replica as Member
+from currantdeal.control.deployment_state import DeploymentState
 from currantdeal.control.errors import NotCertainError, NotCommittedError
 from currantdeal.control.tests.builders import a_change, run_group
 
@@ -137,3 +138,21 @@
         return await new.read()
 
     assert _run(tmp_path, work).version == 2
+
+
+def test_a_leader_without_the_entries_of_earlier_terms_is_not_caught_up(
+    tmp_path,
+):
+    """Guards against the confirmation of a configuration that was replaced.
+
+    A new leader is about to apply what was acknowledged before its election,
+    and waits for its disk first.
+    """
+
+    async def work(group):
+        leader = await group.propose(a_change(1))
+        assert leader.is_caught_up_leader
+        leader.state = DeploymentState()
+        return leader.is_leader, leader.is_caught_up_leader
+
+    assert _run(tmp_path, work) == (True, False)
