Keep credentials here once a configuration has organisations

Cause: a request that had arrived under a configuration without organisations went on with its credentials after one with organisations was in force, which passes a key on. Three places built the request for an upstream alike.

Change: EntryContext.encode builds it, and leaves credentials out while the configuration in force has organisations.

Result: a test in which organisations are added between two attempts.

--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -102,13 +102,14 @@
             active
         )
 
-    def forwarding_options(self, active, record, **more):
-        """Return the ``ForwardingOptions`` of a request for an upstream.
+    def encode(self, active, record, **more):
+        """Return the ``Outgoing`` request for an upstream.
 
         Parameters
         ----------
         more : dict
-            Further fields; ``time_left_s`` defaults to the whole time left.
+            Further fields of its ``ForwardingOptions``; ``time_left_s``
+            defaults to the whole time left.
         """
         options = {
             "upstream": record.upstream,
@@ -120,7 +121,13 @@
             options["organisation"] = active.organisation.name
             options["priority"] = active.priority
             options["send_before_s"] = self.access.valid_until_s
-        return ForwardingOptions(**options)
+        head = active.request.head
+        if self.view.route_table.needs_keys:
+            # The request may have arrived under an earlier configuration.
+            head = self.dialect.without_credentials(head)
+        return self.dialect.outgoing(
+            head, active.request.body, ForwardingOptions(**options)
+        )
 
     def begin_local_prefill(self, upstream, for_s):
         """Record a local prefill and announce it to the other entries."""
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -249,16 +249,13 @@
         context, active = self._context, self._active
         record = reservation.record
         self._events_before_run = self._relay.events
-        options = context.forwarding_options(
+        call = context.encode(
             active,
             record,
             kv_source=prefill.source if prefill else "",
             reservation=reservation.number,
             resume_after=self._relay.last_id or active.call.resume_after,
         )
-        call = context.dialect.outgoing(
-            active.request.head, active.request.body, options
-        )
         try:
             connection = await context.pool.acquire(record.address)
         except ConnectError as exc:
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -120,11 +120,7 @@
 
 async def _attempt(context, active, record):
     now_s = context.now_s
-    outgoing = context.dialect.outgoing(
-        active.request.head,
-        active.request.body,
-        context.forwarding_options(active, record),
-    )
+    outgoing = context.encode(active, record)
     context.health.request_started(record.upstream)
     try:
         head, body = await exchange(
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -240,12 +240,8 @@
         time_left_s=_time_left_s(context, active, in_time),
     )
     left_s = min(timeout_s, active.time_left_s(context.now_s))
-    call = context.dialect.outgoing(
-        active.request.head,
-        active.request.body,
-        context.forwarding_options(
-            active, record, time_left_s=left_s, prefill_only=True
-        ),
+    call = context.encode(
+        active, record, time_left_s=left_s, prefill_only=True
     )
     return await exchange(
         context.pool, record.address, call, timeout_s=left_s, retryable=True
--- a/currantdeal/entry/tests/test_access.py
+++ b/currantdeal/entry/tests/test_access.py
@@ -357,3 +357,37 @@
             return await world.exchange(_order(), timeout_s=0.4)
 
     assert asyncio.run(run()).startswith(b"HTTP/1.1 200")
+
+
+def test_credentials_stay_here_once_a_configuration_has_organisations():
+    """Guards against a key that is passed on by a request already under way.
+
+    The first organisations are added while the request is at an upstream that
+    fails it.
+    """
+
+    async def run():
+        worlds = []
+
+        async def add(standin, request, writer):
+            if len(standins[0].requests) + len(standins[1].requests) == 1:
+                worlds[0].context.view.apply_config(2, zlib.compress(added))
+                standin.send(request, writer, 500, b"broken")
+                return True
+            return False
+
+        added = config_body(version=2, tenants=tenants(bakery=[KEY]))
+        standins = [StandInUpstream(upstream=n, script=add) for n in "ab"]
+        async with entry_world(config=config_body()) as world:
+            worlds.append(world)
+            for standin in standins:
+                await standin.start()
+                world.announce(standin)
+            raw = request_bytes(
+                "/menu/1", method="GET", body=b"", more=(AUTHORIZED,)
+            )
+            await world.exchange(raw)
+        return [r for s in standins for r in s.runs]
+
+    keys = [r.get("Authorization") for r in asyncio.run(run())]
+    assert sorted(keys) == ["", f"Bearer {KEY}"]
