Choose failing engines last, and try resumable generations again

Streams that may be resumed were given up after one error, although the route allows two runs.

A resumable generation without output is tried once more at another engine, within the retry budget; the error is forwarded if that does not succeed.

--- a/currantdeal/entry/tests/test_lost_engines.py
+++ b/currantdeal/entry/tests/test_lost_engines.py
@@ -210,3 +210,60 @@
     assert event_numbers(answer) == list(range(1, EVENTS + 1))
     prefills = [r for r in engines["p1"].requests if r.method == "POST"]
     assert len(prefills) == 1
+
+
+async def _fails(standin, request, writer):
+    if request.target.startswith("/v1/") or request.is_health_check:
+        return False
+    standin.send(request, writer, 500, b"broken")
+    return True
+
+
+def test_a_failing_engine_is_chosen_last():
+    """Load pattern: gray failure.
+
+    An engine fails each request at once while its health checks pass, so it
+    always has the most free memory.
+    """
+
+    async def run():
+        engines = await _start_engines(p1=None, d1=_fails, d2=None)
+        async with entry_world() as world:
+            _announce(world, engines)
+            world.context.load.add("d2", 5_000)
+            answers = [await world.exchange(NOTE) for _ in range(5)]
+        return engines, [a.split()[1] for a in answers]
+
+    engines, statuses = asyncio.run(run())
+    assert len(engines["d1"].runs) <= 1
+    assert statuses.count(b"200") >= 4
+
+
+def test_a_resumable_generation_is_tried_again_after_an_error():
+    """Guards against an error at the caller that another engine avoids."""
+
+    async def run():
+        engines = await _start_engines(p1=None, d1=_fails, d2=None)
+        async with entry_world() as world:
+            _announce(world, engines)
+            world.context.load.add("d2", 5_000)
+            return await world.exchange(
+                request_bytes("/draft/1", more=GENERATION)
+            )
+
+    answer = asyncio.run(run())
+    assert event_numbers(answer) == list(range(1, EVENTS + 1))
+
+
+def test_the_error_of_the_last_engine_is_forwarded():
+    async def run():
+        engines = await _start_engines(p1=None, d1=_fails)
+        async with entry_world() as world:
+            _announce(world, engines)
+            return await world.exchange(
+                request_bytes("/draft/1", more=GENERATION)
+            )
+
+    answer = asyncio.run(run())
+    assert answer.startswith(b"HTTP/1.1 500")
+    assert answer.endswith(b"broken")
