--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -171,8 +171,6 @@
             *self.health.ejected(now_s=now_s),
             *self.prefill_health.ejected(now_s=now_s),
             *self.prefill_health.unresponsive(now_s=now_s),
-            *self.health.failing(now_s=now_s),
-            *self.prefill_health.failing(now_s=now_s),
         }
         return self.load.report(
             unreachable=unreachable,
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -111,7 +111,6 @@
         self._next_reservation = None
         self._unused_prefill = None
         self._events_before_run = 0
-        self._error = None
 
     @property
     def _now_s(self):
@@ -219,10 +218,7 @@
             self._unused_prefill = None
 
     def raise_failure(self):
-        """End the answer, or raise the error for its outcome."""
-        if self._error is not None and not self._relay.started:
-            self._relay.forward_error(*self._error)
-            return
+        """Raise the error for the outcome of the generation."""
         if self._relay.started:
             raise IncompleteAnswerError(self._reason)
         if self._active.runs:
@@ -327,15 +323,9 @@
     async def _forward_error(self, connection, head, record):
         body = await connection.rest()
         self._context.health.record_answer(record.upstream, error=True)
-        self._context.health.record_error(record.upstream, now_s=self._now_s)
         self._context.crash_watch.record_completion(self._active)
         self._active.add_step(StepKind.ERROR, record.upstream, head.status)
-        self._reason = f"run failed with {head.status}"
-        resumable = self._active.route.retry_safety is RetrySafety.RESUMABLE
-        if resumable and not self._relay.started:
-            self._error = (head, body)
-            self._reserver.exclude(record)
-            return False
+        self._reason = f"resumed run failed with {head.status}"
         return self._relay.forward_error(head, body)
 
     async def _wait_or_fail_over(self, work, record):
--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -243,9 +243,6 @@
             connected=lambda name: context.pool.is_connected(
                 records[name].address
             ),
-            failing=lambda name: context.health.is_failing(
-                name, now_s=self._now_s
-            ),
         )
         return [records[name] for name in ordered]
 
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -149,10 +149,7 @@
             else 0
         ),
         random=context.random,
-        is_suspect=lambda name: (
-            context.load.is_suspect(name, now_s=now_s)
-            or context.prefill_health.is_failing(name, now_s=now_s)
-        ),
+        is_suspect=lambda name: context.load.is_suspect(name, now_s=now_s),
         s_per_token=context.meter(service).s_per_token,
         unreported=context.load.unreported(
             active.call.prompt_tokens, now_s=now_s
@@ -258,10 +255,6 @@
         # It is changing its stage or leaving; a retry would be refused
         # again.
         context.eject(record, context.prefill_health)
-        if not metadata.not_run:
-            context.prefill_health.record_error(
-                record.upstream, now_s=context.now_s
-            )
         active.add_step(StepKind.REFUSED, record.upstream, head.status)
         raise PrefillFailedError(
             f"refused with {head.status}", maybe_running=not metadata.not_run
--- a/currantdeal/policy/decode_memory.py
+++ b/currantdeal/policy/decode_memory.py
@@ -138,13 +138,12 @@
         max_fill=MAX_FILL,
         prefilling=None,
         connected=None,
-        failing=None,
     ):
         """Return engines in the order in which to request memory.
 
         Engines without room by the current sums are left out.  Engines that
-        several entries could not use, that failed a request, or that refused
-        a reservation less than ``FULL_ENGINE_BACKOFF_S`` ago, come last.
+        several entries could not reach, or that refused a reservation less
+        than ``FULL_ENGINE_BACKOFF_S`` ago, come last.
 
         Parameters
         ----------
@@ -162,8 +161,6 @@
             Whether an engine prefills a prompt that this one would wait for.
         connected : callable or None
             Whether there is an open connection to an engine.
-        failing : callable or None
-            Whether an engine failed a request of this entry recently.
         """
         load = self._load
         memory_tokens = capacity or DEFAULT_CAPACITY
@@ -176,8 +173,6 @@
         def is_deferred(upstream):
             since_refusal_s = now_s - self._refused_s.get(upstream, -math.inf)
             suspect = load.is_suspect(upstream, now_s=now_s)
-            if failing is not None and failing(upstream):
-                suspect = True
             return suspect or since_refusal_s < FULL_ENGINE_BACKOFF_S
 
         costs = {}
--- a/currantdeal/policy/upstream_health.py
+++ b/currantdeal/policy/upstream_health.py
@@ -6,10 +6,6 @@
 An upstream that is unreachable or times out is ejected for a time that doubles
 with each further failure.  Errors that it answers itself only raise its load
 for the balancer, since all upstreams of a service answer some.
-
-An engine that fails requests is free again at once, so that the choice of the
-least loaded one would send it more and more.  It is chosen last for a while
-after an error, and reported to the other entries.
 """
 
 import math
@@ -31,9 +27,6 @@
 UNRESPONSIVE_S = 1.0
 """Time for which an upstream that timed out is reported to other entries."""
 
-FAILING_S = 4.0
-"""Time after an error for which an engine is chosen last."""
-
 CROSS_REGION_PENALTY = 0.15
 """Load added to an upstream in another region.
 
@@ -49,7 +42,6 @@
         self.failures = 0
         self.ejected_until_s = 0.0
         self.unresponsive_until_s = NEVER_S
-        self.failing_until_s = NEVER_S
         self.last_answer_s = NEVER_S
         self.reported = 0
         self.reported_s = NEVER_S
@@ -96,8 +88,6 @@
         state = self._state_of(upstream)
         state.last_answer_s = max(state.last_answer_s, now_s)
         state.unresponsive_until_s = NEVER_S
-        if not error:
-            state.failing_until_s = NEVER_S
         state.failures = 0
         state.ejected_until_s = 0.0
         state.error_rate += SMOOTHING * (float(error) - state.error_rate)
@@ -127,22 +117,6 @@
         state = self._state_of(upstream)
         state.unresponsive_until_s = now_s + UNRESPONSIVE_S
 
-    def record_error(self, upstream, *, now_s):
-        """Record that an engine failed a request that it had accepted."""
-        self._state_of(upstream).failing_until_s = now_s + FAILING_S
-
-    def is_failing(self, upstream, *, now_s):
-        """Return whether an engine failed a request a short time ago."""
-        return now_s < self._state_of(upstream).failing_until_s
-
-    def failing(self, *, now_s):
-        """Return the engines that failed a request a short time ago."""
-        return tuple(
-            name
-            for name, state in self._states.items()
-            if now_s < state.failing_until_s
-        )
-
     def unresponsive(self, *, now_s):
         """Return upstreams that timed out recently and did not answer since.
 
