Use the project's words in two docstrings

Cause: found on reading the change once more: a docstring said zone, another machines.

Change: they say data centre and instances.

Result: no code changed.

--- a/currantdeal/organisations/freshness.py
+++ b/currantdeal/organisations/freshness.py
@@ -5,7 +5,7 @@
 control instance that is partitioned itself.  So an entry accepts keys only
 while a quorum has confirmed its view recently.
 
-A confirmation is passed on as an age, because clocks of different machines
+A confirmation is passed on as an age, because clocks of different instances
 are not comparable.  Each hop subtracts the age in the answer from the time at
 which it *sent* its request, so that no delay of a message makes a view look
 more recent than it is.
--- a/currantdeal/registry/entry_choice.py
+++ b/currantdeal/registry/entry_choice.py
@@ -2,7 +2,7 @@
 
 Callers cache an answer for seconds and pick an address at random.  They get
 the nearest entries, but at least three if there are that many, so that each
-caller has another choice when one entry fails.  Otherwise a zone with a
+caller has another choice when one entry fails.  Otherwise a data centre with a
 single entry would lose all its callers at once when that entry fails.
 """
 
