Keep the pauses of a source with the calls that it fails, and name test data by our words

Change: ControlCalls decides when a source that does not confirm keys is left; its test needs no network. The builder is called listing, its parameter organisations.

Result: tests of entry and platform; no behaviour changed.

--- a/currantdeal/entry/control_calls.py
+++ b/currantdeal/entry/control_calls.py
@@ -19,6 +19,12 @@
 MAX_CONFIRMATION_AGE_S = 2.0
 """Age of the confirmation from which another instance is tried."""
 
+FIRST_PAUSE_S = 3.0
+"""Time until the source is left again if the next one does not confirm."""
+
+MAX_PAUSE_S = 30.0
+"""Upper limit of that time, which doubles with each attempt."""
+
 
 class ControlCalls:
     """Confirms the view of an entry, and asks for credit of quotas.
@@ -37,6 +43,8 @@
         self._view = view
         self._connection = connection
         self._confirming = None
+        self._pause_s = FIRST_PAUSE_S
+        self._leave_again_s = 0.0
 
     @property
     def is_unconfirmed(self):
@@ -51,6 +59,22 @@
         table = self._view.route_table
         return table is not None and table.needs_keys
 
+    def should_leave_source(self, now_s):
+        """Return whether to leave a source that does not confirm keys.
+
+        Load pattern: metastable failure.  Overloaded control instances
+        confirm late, and each subscription has them send all records.  So the
+        pause before the next attempt doubles.
+        """
+        if not self.is_unconfirmed:
+            self._pause_s = FIRST_PAUSE_S
+            return False
+        if now_s < self._leave_again_s:
+            return False
+        self._leave_again_s = now_s + self._pause_s
+        self._pause_s = min(MAX_PAUSE_S, 2.0 * self._pause_s)
+        return True
+
     async def confirm(self, *, fresh):
         """Confirm the view; returns whether it is the newest.
 
--- a/currantdeal/entry/subscription.py
+++ b/currantdeal/entry/subscription.py
@@ -47,9 +47,6 @@
 AVOID_S = 3.0
 """Time for which an instance that failed or refused is tried last."""
 
-MAX_UNCONFIRMED_PAUSE_S = 30.0
-"""Longest pause before another source is tried that may confirm keys."""
-
 UNKNOWN_DISTANCE = 2
 """Distance of an instance whose data centre is unknown: the longest one."""
 
@@ -125,8 +122,6 @@
         self._last_notice_s = 0.0
         self._last_current_s = 0.0
         self._protocol = 0
-        self._unconfirmed_pause_s = AVOID_S
-        self._leave_again_s = 0.0
         self.control_calls = ControlCalls(
             view=view, connection=self._organisations_connection
         )
@@ -303,7 +298,7 @@
         """
         if self._switch_task is not None and not self._switch_task.done():
             return
-        unconfirmed = self._leaves_unconfirmed(now_s)
+        unconfirmed = self.control_calls.should_leave_source(now_s)
         stale = unconfirmed or (
             now_s - self._last_current_s > STALENESS_TIMEOUT_S
         )
@@ -327,24 +322,6 @@
                 self._subscribe_to_any(better)
             )
 
-    def _leaves_unconfirmed(self, now_s):
-        """Return whether to leave a source that does not confirm keys.
-
-        Load pattern: metastable failure.  Overloaded control instances
-        confirm late, and each subscription has them send all records.  So the
-        pause before the next attempt doubles.
-        """
-        if not self.control_calls.is_unconfirmed:
-            self._unconfirmed_pause_s = AVOID_S
-            return False
-        if now_s < self._leave_again_s:
-            return False
-        self._leave_again_s = now_s + self._unconfirmed_pause_s
-        self._unconfirmed_pause_s = min(
-            MAX_UNCONFIRMED_PAUSE_S, 2.0 * self._unconfirmed_pause_s
-        )
-        return True
-
     def _organisations_connection(self):
         return self._connection if self._protocol else None
 
--- a/currantdeal/testing/entry_world.py
+++ b/currantdeal/testing/entry_world.py
@@ -36,15 +36,15 @@
     target_ms=300,
     limits=None,
     kv_handle_ttl_s=0.5,
-    tenants=None,
+    organisations=None,
     anonymous=(),
 ):
     """Return the bytes of a configuration with one route of each kind.
 
     Parameters
     ----------
-    tenants : list or None
-        Organisations, see ``tenants``.
+    organisations : list or None
+        Organisations, see ``listing``.
     anonymous : iterable of str
         Names of routes that need no key.
     """
@@ -60,7 +60,7 @@
     ]
     for route in routes:
         route["Anonymous"] = route["Name"] in anonymous
-    optional = {} if tenants is None else {"Tenants": tenants}
+    optional = {"Tenants": organisations} if organisations is not None else {}
     return msgspec.json.encode(
         {
             "Version": version,
@@ -87,7 +87,7 @@
     )
 
 
-def tenants(*, quota=None, **keys):
+def listing(*, quota=None, **keys):
     """Return organisations with their keys, as a configuration lists them.
 
     Parameters
