Give the choice of a source a module of its own

Change: entry/source_choice.py orders the control instances by distance and recent failures, without network or time. The log line of a new source states the distance 2 where the data centre is unknown, instead of none.

--- a/currantdeal/consensus/node.py
+++ b/currantdeal/consensus/node.py
@@ -191,10 +191,7 @@
         return replication.quorum_acked_s(self._raft, now_s)
 
     def silent_members(self, now_s):
-        """Return the members that are considered permanently unreachable.
-
-        Only the leader tracks them; a follower returns an empty set.
-        """
+        """Return the members that a leader considers lost for good."""
         if self._raft.role is not RaftRole.LEADER:
             return frozenset()
         return replication.silent_members(self._raft, now_s)
--- a/currantdeal/entry/subscription.py
+++ b/currantdeal/entry/subscription.py
@@ -15,6 +15,7 @@
 import structlog
 
 from currantdeal.entry.control_calls import ControlCalls
+from currantdeal.entry.source_choice import UNKNOWN_DISTANCE, SourceChoice
 from currantdeal.node.errors import PeerUnreachableError
 from currantdeal.node.messages import (
     PROTOCOL,
@@ -44,12 +45,6 @@
 SUBSCRIBE_TIMEOUT_S = 0.8
 """Time in which an instance must answer a subscription."""
 
-AVOID_S = 3.0
-"""Time for which an instance that failed or refused is tried last."""
-
-UNKNOWN_DISTANCE = 2
-"""Distance of an instance whose data centre is unknown: the longest one."""
-
 _log = structlog.get_logger(__name__)
 
 
@@ -104,7 +99,7 @@
         """Start without a source; ``run`` subscribes."""
         self._view = view
         self._own_record = own_record
-        self._seeds = seeds
+        self._choice = SourceChoice(seeds=seeds)
         self._collect_demand = collect_demand
         self._report_load = report_load
         self._update_load = update_load
@@ -112,8 +107,6 @@
         self._crash_watch = crash_watch
         self._update_entries = update_entries
         self._clock = clock
-        self._distances = {}
-        self._avoided_until_s = {}
         self._connection = None
         self._source = ""
         self._switch_task = None
@@ -196,14 +189,14 @@
 
     async def _follow_any(self):
         while True:
-            if await self._subscribe_to_any(self._candidates()):
+            candidates = self._choice.candidates(now_s=self._clock())
+            if await self._subscribe_to_any(candidates):
                 return
             # Without a leader no instance is current.  What an instance
             # receives directly from upstreams and entries is still better
             # than no view at all.
-            if await self._subscribe_to_any(
-                self._candidates(), provisional=True
-            ):
+            candidates = self._choice.candidates(now_s=self._clock())
+            if await self._subscribe_to_any(candidates, provisional=True):
                 return
             await asyncio.sleep(0.1)
 
@@ -213,22 +206,11 @@
                 return True
         return False
 
-    def _candidates(self):
-        now_s = self._clock()
-        addresses = dict.fromkeys((*self._distances, *self._seeds()))
-        return sorted(
-            addresses,
-            key=lambda a: (
-                self._avoided_until_s.get(a, 0.0) > now_s,
-                self._distances.get(a, UNKNOWN_DISTANCE),
-            ),
-        )
-
     async def _subscribe(self, address, *, provisional=False):
         """Make an instance the source; returns False if it does not accept."""
         connection = await self._connect(address, provisional)
         if connection is None:
-            self._avoided_until_s[address] = self._clock() + AVOID_S
+            self._choice.avoid(address, now_s=self._clock())
             return False
         now_s = self._clock()
         before, self._connection = self._connection, connection
@@ -246,7 +228,7 @@
         _log.info(
             "control-followed",
             source=address,
-            distance=self._distances.get(address),
+            distance=self._choice.distance(address),
             provisional=provisional,
             version=self._view.version,
         )
@@ -304,19 +286,10 @@
         )
         if unconfirmed:
             # Otherwise the entry would alternate between two of them.
-            self._avoided_until_s[self._source] = now_s + AVOID_S
-        current_distance = self._distances.get(self._source, UNKNOWN_DISTANCE)
-        better = [
-            address
-            for address in self._candidates()
-            if address != self._source
-            and self._avoided_until_s.get(address, 0.0) <= now_s
-            and (
-                stale
-                or self._distances.get(address, UNKNOWN_DISTANCE)
-                < current_distance
-            )
-        ]
+            self._choice.avoid(self._source, now_s=now_s)
+        better = self._choice.better(
+            self._source, now_s=now_s, any_other=stale
+        )
         if better:
             self._switch_task = asyncio.ensure_future(
                 self._subscribe_to_any(better)
@@ -329,7 +302,7 @@
         _log.warning(
             "control-lost", source=self._source, why=why, age=self._view.age_s
         )
-        self._avoided_until_s[self._source] = self._clock() + AVOID_S
+        self._choice.avoid(self._source, now_s=self._clock())
 
     def _disconnect(self):
         if self._switch_task is not None:
@@ -390,12 +363,14 @@
 
     def _update_source(self, notice, now_s):
         distance_to = self._view.distance_to
-        self._distances = {
-            place.address: distance_to(place.data_center)
-            if place.data_center
-            else UNKNOWN_DISTANCE
-            for place in notice.control
-        }
+        self._choice.update(
+            {
+                place.address: distance_to(place.data_center)
+                if place.data_center
+                else UNKNOWN_DISTANCE
+                for place in notice.control
+            }
+        )
         self._view.entries = notice.entries
         known, self._protocol = self._protocol, notice.protocol
         if not known:
