Find the upstreams at an address without a scan of all

Each heartbeat had the registry go through all records for another one at the same address: a profile of a control process with 600 upstreams shows 1.5 million records visited in 15 s, a third of its time. The cost grows with the square of the fleet.

Change: the registry keeps the names of the records of each address.

A property compares the index with the scan.

--- a/currantdeal/registry/tests/test_upstreams.py
+++ b/currantdeal/registry/tests/test_upstreams.py
@@ -1,3 +1,6 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
 from currantdeal.registry import UpstreamRegistry, UpstreamState
 from currantdeal.registry.tests.builders import an_upstream
 
@@ -85,3 +88,56 @@
     registry.merge(an_upstream(), now_s=0.0)
     assert registry.expire(now_s=20.0) == ()
     assert [r.upstream for r in registry.expire(now_s=40.0)] == ["u1"]
+
+
+class _ScanningRegistry(UpstreamRegistry):
+    """Finds the upstreams at an address among all records."""
+
+    def _names_at(self, address):
+        return {r.upstream for r in self.records if r.address == address}
+
+
+_OPERATIONS = st.lists(
+    st.tuples(
+        st.sampled_from(["merge", "merge", "leave", "expire"]),
+        st.sampled_from(["u1", "u2", "u3"]),
+        st.sampled_from(["10.0.0.1:80", "10.0.0.2:80"]),
+        st.integers(1, 4),
+        st.sampled_from([0.1, 5.0, 500.0]),
+    ),
+    max_size=40,
+)
+
+
+@given(operations=_OPERATIONS)
+def test_upstreams_at_an_address_are_found_without_a_scan(operations):
+    """Load pattern: heartbeats of thousands of upstreams.
+
+    A scan of all records at each heartbeat takes the whole processor of a
+    control instance.  The index must find the same upstreams.
+    """
+    registries = (_registry(), _ScanningRegistry(heartbeat_s=1.2))
+    now_s = 0.0
+    for sequence, (kind, name, address, started, wait_s) in enumerate(
+        operations
+    ):
+        now_s += wait_s
+        record = an_upstream(
+            upstream=name,
+            address=address,
+            started_ms=started,
+            sequence=sequence,
+        )
+        results = [
+            _apply(registry, kind, record, now_s) for registry in registries
+        ]
+        assert results[0] == results[1]
+        assert registries[0].records == registries[1].records
+
+
+def _apply(registry, kind, record, now_s):
+    if kind == "merge":
+        return registry.merge(record, now_s=now_s)
+    if kind == "leave":
+        return registry.leave(record.upstream, now_s=now_s)
+    return registry.expire(now_s=now_s)
--- a/currantdeal/registry/upstreams.py
+++ b/currantdeal/registry/upstreams.py
@@ -66,6 +66,7 @@
         """Start without records."""
         self._silent_after_s = MAX_MISSED_HEARTBEATS * heartbeat_s
         self._records = {}
+        self._names_by_address = {}
         self._last_heartbeat_s = {}
 
     @property
@@ -97,7 +98,7 @@
             return False
         if not self._resolve_address_conflict(record):
             return False
-        self._records[record.upstream] = record
+        self._store(record)
         self._last_heartbeat_s[record.upstream] = now_s
         renewed = replace(record, sequence=0, cold_s=0.0)
         return current is None or renewed != replace(
@@ -151,21 +152,40 @@
             if now_s - self._last_heartbeat_s[name] > _retention_s(record)
         ]
         for record in expired:
+            self._unlink(record)
             del self._records[record.upstream]
             del self._last_heartbeat_s[record.upstream]
         return tuple(r for r in expired if r.state is not UpstreamState.GONE)
 
+    def _store(self, record):
+        before = self._records.get(record.upstream)
+        if before is not None:
+            self._unlink(before)
+        self._records[record.upstream] = record
+        names = self._names_by_address.setdefault(record.address, set())
+        names.add(record.upstream)
+
+    def _unlink(self, record):
+        names = self._names_by_address[record.address]
+        names.discard(record.upstream)
+        if not names:
+            del self._names_by_address[record.address]
+
+    def _names_at(self, address):
+        """Return the names of all records with an address."""
+        return self._names_by_address.get(address, frozenset())
+
     def _resolve_address_conflict(self, record):
         others = [
-            other
-            for other in self.present
-            if other.address == record.address
-            and other.upstream != record.upstream
+            self._records[name]
+            for name in self._names_at(record.address)
+            if name != record.upstream
         ]
-        if any(o.started_ms > record.started_ms for o in others):
+        present = [o for o in others if o.state is not UpstreamState.GONE]
+        if any(o.started_ms > record.started_ms for o in present):
             return False
         if record.state is not UpstreamState.GONE:
-            for other in others:
+            for other in present:
                 self._records[other.upstream] = replace(
                     other, state=UpstreamState.GONE
                 )
