--- a/currantdeal/adapters/replication/replica.py
+++ b/currantdeal/adapters/replication/replica.py
@@ -229,12 +229,9 @@
         if not self._leads:
             return InForce(leads=False)
         applied = self._state.version >= message.version
-        now_s = self._now_s
-        return InForce(
-            leads=True,
-            in_force=applied
-            and self._lease_table().in_force(message.version, now_s),
-        )
+        table = self._lease_table()
+        in_force = table.in_force(message.version, self._now_s)
+        return InForce(leads=True, in_force=applied and in_force)
 
     @_handle.register
     def _(self, message: GetProgress):
--- a/currantdeal/entry/access.py
+++ b/currantdeal/entry/access.py
@@ -101,30 +101,32 @@
         if not call.key_digest:
             raise UnauthorisedError("the request has no well-formed key")
         await self._wait_for(self._is_confirmed, until_s)
-        table, route = find_route()
-        organisation = table.find_organisation(call.key_digest)
-        if organisation is None and _needs_key(table, route):
+        is_newest = False
+        if self._find_organisation(call) is None:
             is_newest = await self._is_newest()
-            table, route = find_route()
-            organisation = table.find_organisation(call.key_digest)
-            if organisation is None and _needs_key(table, route) and is_newest:
-                raise UnauthorisedError("the key is not known")
+        table, route = find_route()
         if not _needs_key(table, route):
             return table, route, None
+        organisation = self._find_organisation(call)
+        if organisation is None and is_newest:
+            raise UnauthorisedError("the key is not known")
         if organisation is None or not self._is_confirmed():
             raise _no_view("the keys in force cannot be confirmed")
         return table, route, organisation
 
     def may_send(self, active):
         """Return whether the key of a request is still in force."""
-        table = self._view.route_table
-        if active.organisation is None or not table.needs_keys:
+        needs_keys = self._view.route_table.needs_keys
+        if active.organisation is None or not needs_keys:
             return True
         if not self._is_confirmed():
             return False
-        found = table.find_organisation(active.call.key_digest)
+        found = self._find_organisation(active.call)
         return found is not None and found.name == active.organisation.name
 
+    def _find_organisation(self, call):
+        return self._view.route_table.find_organisation(call.key_digest)
+
     def _is_confirmed(self):
         return boot_time_s() < self.valid_until_s
 
--- a/currantdeal/organisations/check.py
+++ b/currantdeal/organisations/check.py
@@ -32,21 +32,29 @@
         names.add(organisation.name)
         _check_name(organisation.name)
         _check_quota(organisation)
-        if organisation.priority is not None and organisation.priority < 0:
-            raise InvalidOrganisationsError(
-                f"organisation {organisation.name!r}: its priority is negative"
-            )
-        for digest in organisation.key_digests:
-            holder = holders.setdefault(digest, organisation)
-            if holder is not organisation:
-                raise InvalidOrganisationsError(
-                    f"organisations {holder.name!r} and"
-                    f" {organisation.name!r} share a key"
-                )
-        if len(set(organisation.key_digests)) < len(organisation.key_digests):
+        _check_priority(organisation)
+        _check_keys(organisation, holders)
+
+
+def _check_keys(organisation, holders):
+    for digest in organisation.key_digests:
+        holder = holders.setdefault(digest, organisation)
+        if holder is not organisation:
             raise InvalidOrganisationsError(
-                f"organisation {organisation.name!r} lists a key twice"
+                f"organisations {holder.name!r} and {organisation.name!r}"
+                " share a key"
             )
+    if len(set(organisation.key_digests)) < len(organisation.key_digests):
+        raise InvalidOrganisationsError(
+            f"organisation {organisation.name!r} lists a key twice"
+        )
+
+
+def _check_priority(organisation):
+    if organisation.priority is not None and organisation.priority < 0:
+        raise InvalidOrganisationsError(
+            f"organisation {organisation.name!r}: its priority is negative"
+        )
 
 
 def _check_name(name):
