Log and count the limits that upstreams name

Cause of this change: hypotheses were that nobody reads the limit (1), that each entry keeps to it for itself (2), that the others are not told (3), or that some sends go past it (4).

Change: the adapter decodes the limit; an entry logs when a limit of an upstream is named, changed or lifted, and counts the requests that it sends to an upstream with a limit. Answers of upstreams are decoded in one place, so that no kind of answer is left out. No decision is changed.

--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -7,6 +7,7 @@
 
 from currantdeal.entry.access import Access
 from currantdeal.entry.crash_watch import CrashWatch
+from currantdeal.entry.limits import UpstreamLimits
 from currantdeal.entry.probing import Prober
 from currantdeal.entry.quotas import QuotaClient
 from currantdeal.entry.steps import Step, kind_of_failure
@@ -63,6 +64,7 @@
         self.metrics = metrics
         self.access = Access(view=view, revocation_s=revocation_s)
         self.quotas = QuotaClient()
+        self.limits = UpstreamLimits(metrics=metrics)
         self.health = UpstreamHealth()
         self.load = EntryLoad()
         self.decode_engine_order = DecodeEngineOrder(load=self.load)
@@ -78,6 +80,7 @@
             view=view,
             pool=pool,
             dialect=dialect,
+            read_response=self.read_response,
             in_background=self.in_background,
         )
         self.crash_watch = CrashWatch(
@@ -102,6 +105,17 @@
             active
         )
 
+    def read_response(self, record, head):
+        """Return the ``ResponseMetadata`` of an answer of an upstream.
+
+        What it says of the upstream itself takes effect: its limit, and
+        whether another one answers at its address.
+        """
+        metadata = self.dialect.read_response(head)
+        self.view.drop_if_replaced(record, metadata.answered_by)
+        self.limits.observe(record.upstream, metadata)
+        return metadata
+
     def encode(self, active, record, **more):
         """Return the ``Outgoing`` request for an upstream.
 
@@ -117,6 +131,7 @@
             **more,
         }
         active.was_sent = True
+        self.limits.record_request(record.upstream)
         if active.organisation is not None:
             options["organisation"] = active.organisation.name
             options["priority"] = active.priority
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -277,8 +277,7 @@
     async def _stream(self, connection, record):
         context, active = self._context, self._active
         head = await self._wait_or_fail_over(connection.head(), record)
-        metadata = context.dialect.read_response(head)
-        context.view.drop_if_replaced(record, metadata.answered_by)
+        metadata = context.read_response(record, head)
         if metadata.not_run:
             await connection.rest(limit=1 << 20)
             # It granted memory and then refused the request, for example
--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -180,8 +180,7 @@
         except ExchangeError as exc:
             self.record_unreachable(record, exc)
             return None
-        metadata = context.dialect.read_response(head)
-        context.view.drop_if_replaced(record, metadata.answered_by)
+        context.read_response(record, head)
         accepts_work = context.view.accepts_work(record.upstream)
         if head.status != 200:
             self._active.search.refused += 1
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -157,8 +157,7 @@
 
 
 def _handle_answer(context, active, record, head, body):
-    metadata = context.dialect.read_response(head)
-    context.view.drop_if_replaced(record, metadata.answered_by)
+    metadata = context.read_response(record, head)
     if metadata.load is not None:
         context.health.record_load(
             record.upstream,
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -249,8 +249,7 @@
 
 
 def _parse_answer(context, active, record, head, body):
-    metadata = context.dialect.read_response(head)
-    context.view.drop_if_replaced(record, metadata.answered_by)
+    metadata = context.read_response(record, head)
     if head.status != 200:
         # It is changing its stage or leaving; a retry would be refused
         # again.
--- a/currantdeal/entry/probing.py
+++ b/currantdeal/entry/probing.py
@@ -37,15 +37,18 @@
         Connections to upstreams.
     dialect : currantdeal.node.dialect.UpstreamDialect
         Format of health checks.
+    read_response : callable
+        Decodes an upstream's answer and applies what it says of itself.
     in_background : callable
         Runs a coroutine that outlives its request.
     """
 
-    def __init__(self, *, view, pool, dialect, in_background):
+    def __init__(self, *, view, pool, dialect, read_response, in_background):
         """Start without ejected upstreams."""
         self._view = view
         self._pool = pool
         self._dialect = dialect
+        self._read_response = read_response
         self._in_background = in_background
         self._probed = set()
 
@@ -108,6 +111,5 @@
             # The backoff grows.  The failure was logged when the upstream
             # was ejected.
             return False
-        metadata = self._dialect.read_response(head)
-        self._view.drop_if_replaced(record, metadata.answered_by)
+        self._read_response(record, head)
         return True
--- a/currantdeal/node/dialect.py
+++ b/currantdeal/node/dialect.py
@@ -109,6 +109,10 @@
         The upstream's load; None if the response does not report it.
     answered_by : str
         Name of the responding upstream; empty if not reported.
+    limit_per_s : float or None
+        Requests per second that the upstream takes from all entries
+        together; infinite if it names no limit, None if the limit is
+        malformed.
     """
 
     not_run: bool
@@ -116,6 +120,7 @@
     request_id: str
     load: UpstreamLoad | None = None
     answered_by: str = ""
+    limit_per_s: float | None = math.inf
 
 
 class UpstreamDialect(Protocol):
--- a/currantdeal/platform/calls.py
+++ b/currantdeal/platform/calls.py
@@ -107,6 +107,7 @@
             request_id=_header_text(head, header_names.REQUEST_ID),
             load=_parse_load(_header_text(head, header_names.LOAD)),
             answered_by=_header_text(head, header_names.INSTANCE),
+            limit_per_s=_parse_limit(head),
         )
 
     def response_headers(self, head):
@@ -263,6 +264,20 @@
     return _parse_tokens(parts[0]), _parse_tokens(parts[1])
 
 
+def _parse_limit(head):
+    """Return the rate that an upstream names; infinite without a limit."""
+    text = _header_text(head, header_names.RATE_LIMIT) or _header_text(
+        head, header_names.RATE_LIMIT_LONG
+    )
+    if not text:
+        return math.inf
+    try:
+        limit_per_s = float(text)
+    except ValueError:
+        return None
+    return limit_per_s if 0.0 <= limit_per_s < math.inf else None
+
+
 def _parse_load(text):
     parts = [parse_header_int(part.strip()) for part in text.split(",")]
     if len(parts) != 3 or None in parts:
--- a/currantdeal/testing/crashing_fleet.py
+++ b/currantdeal/testing/crashing_fleet.py
@@ -1,44 +1,30 @@
 """Run crashing upstreams and announce them to real control processes."""
 
-import asyncio
-import json
+from functools import partial
 
 from currantdeal.testing.crashing_upstream import CrashingUpstream
-from currantdeal.testing.platform_upstream import heartbeat
+from currantdeal.testing.upstream_fleet import UpstreamFleet
 
-HEARTBEAT_INTERVAL_S = 0.5
 
-
-class CrashingFleet:
-    """Upstreams for the services that ``entry_world.config_body`` configures.
+class CrashingFleet(UpstreamFleet):
+    """A fleet of upstreams that crash on certain requests.
 
     Parameters
     ----------
-    cluster : currantdeal.testing.node_processes.NodeCluster
-        Cluster whose control processes receive the heartbeats.
-    services, engines : int
-        Number of plain upstreams and of decode engines. There are always two
-        prefill engines.
+    cluster, services, engines
+        As for ``UpstreamFleet``.
     options : dict
         Keyword arguments for each ``CrashingUpstream``.
     """
 
     def __init__(self, *, cluster, services=6, engines=4, **options):
         """Create the upstreams; they do not listen before ``start``."""
-        self._cluster = cluster
-        self._upstreams = {}
-        for number in range(services):
-            self._upstreams[f"s{number}"] = ("shop", {})
-        for number in range(engines):
-            self._upstreams[f"d{number}"] = ("model", _stage("decode"))
-        for number in range(2):
-            self._upstreams[f"p{number}"] = ("model", _stage("prefill"))
-        self.standins = {
-            name: CrashingUpstream(upstream=name, **options)
-            for name in self._upstreams
-        }
-        self._sequence = 0
-        self._tasks = []
+        super().__init__(
+            cluster=cluster,
+            services=services,
+            engines=engines,
+            make_standin=partial(CrashingUpstream, **options),
+        )
 
     @property
     def crashes(self):
@@ -48,45 +34,3 @@
             for standin in self.standins.values()
             for crash in standin.crashes
         )
-
-    async def start(self):
-        """Start to listen and to send heartbeats."""
-        for name, standin in self.standins.items():
-            await standin.start()
-            self._tasks.append(
-                asyncio.ensure_future(self._send_heartbeats(name))
-            )
-
-    def stop(self):
-        """Stop sending heartbeats."""
-        for task in self._tasks:
-            task.cancel()
-
-    async def _send_heartbeats(self, name):
-        standin = self.standins[name]
-        while True:
-            if standin.is_up:
-                await asyncio.to_thread(self._send_heartbeat, standin)
-            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
-
-    def _send_heartbeat(self, standin):
-        service, more = self._upstreams[standin.upstream]
-        self._sequence += 1
-        message = heartbeat(
-            standin.address,
-            service,
-            sequence=self._sequence,
-            born=standin.incarnation,
-            **more,
-        )
-        body = json.dumps(message).encode()
-        for process in self._cluster.control:
-            path = f"/v1/instances/{standin.upstream}"
-            url = self._cluster.control_url(process, path)
-            if self._cluster.call("PUT", url, body)[0] == 200:
-                return
-
-
-def _stage(name):
-    models = [{"Name": "m", "Version": 1, "Adapters": []}]
-    return {"Stage": name, "Models": models}
--- a/currantdeal/testing/platform_upstream.py
+++ b/currantdeal/testing/platform_upstream.py
@@ -6,7 +6,8 @@
 
 import asyncio
 import json
-from dataclasses import dataclass
+import time
+from dataclasses import dataclass, field
 
 HEALTH_PATH = "/h"
 """Path of health checks in the configuration of the tests."""
@@ -23,6 +24,7 @@
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    received_s: float = field(default_factory=time.monotonic)
 
     def get(self, name):
         """Return the value of a header, or an empty string."""
@@ -63,12 +65,18 @@
         Coroutine function that is called with this stand-in, a
         ``ReceivedRequest`` and a ``StreamWriter``. It returns True if it sent
         the response, and False to let the stand-in send its default response.
+
+    Attributes
+    ----------
+    extra_headers : tuple of str
+        Header lines that it adds to its answers, such as a limit.
     """
 
     def __init__(self, *, upstream="u1", script=None):
         """Create a stand-in that does not listen before ``start``."""
         self.upstream = upstream
         self.script = script
+        self.extra_headers = ()
         self.requests = []
         self.open_connections = 0
         self.address = ""
@@ -123,11 +131,12 @@
     async def answer(self, request, writer):
         """Send the response of a healthy upstream."""
         if request.target == "/v1/hold-take":
-            send_json(writer, {"Hold": "hold-1"})
+            self._send_json(writer, {"Hold": "hold-1"})
         elif request.target.startswith("/v1/"):
-            send_json(writer, {})
+            self._send_json(writer, {})
         elif request.is_prefill:
-            send_json(writer, {"KvHandle": "kv-1", "Tokens": 9, "Version": 1})
+            content = {"KvHandle": "kv-1", "Tokens": 9, "Version": 1}
+            self._send_json(writer, content)
         elif request.is_generation:
             self.begin_stream(request, writer)
             last = request.get("Last-Event-Id")
@@ -145,6 +154,7 @@
             f"X-Currantdeal-Request-Id: {request.request_id}",
             f"X-Currantdeal-Response-Signature: by-{self.upstream}",
             f"Content-Length: {len(body)}",
+            *self.extra_headers,
             *more,
         ]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
@@ -157,9 +167,13 @@
             f"X-Currantdeal-Request-Id: {request.request_id}",
             f"X-Currantdeal-Response-Signature: by-{self.upstream}",
             "Transfer-Encoding: chunked",
+            *self.extra_headers,
         ]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
 
+    def _send_json(self, writer, content):
+        send_json(writer, content, more=self.extra_headers)
+
 
 def heartbeat(address, service, *, state="ready", sequence=1, born=0, **more):
     """Return the heartbeat message of an upstream.
@@ -212,14 +226,16 @@
     )
 
 
-def send_json(writer, content, status=200):
-    """Send a response with a JSON body."""
+def send_json(writer, content, status=200, *, more=()):
+    """Send a response with a JSON body and further header lines."""
     body = json.dumps(content).encode()
-    writer.write(
-        f"HTTP/1.1 {status} OK\r\nContent-Type: application/json\r\n"
-        f"Content-Length: {len(body)}\r\n\r\n".encode()
-        + body
-    )
+    lines = [
+        f"HTTP/1.1 {status} OK",
+        "Content-Type: application/json",
+        f"Content-Length: {len(body)}",
+        *more,
+    ]
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
 
 async def read_request(reader):
