Give the processes of a test cluster ports that differ

What was seen: one run of bin/test failed, no control process accepted a configuration for 30 s. By their logs all three had ended at once, 'address already in use': their peer port and their control port were the same number.

Cause: the harness drew its six ports one after the other and closed each before the next, so the system could hand out the same port twice.

Why it works: all ports are bound at the same time while they are drawn.

--- a/currantdeal/testing/node_processes.py
+++ b/currantdeal/testing/node_processes.py
@@ -4,6 +4,7 @@
 can use the same port numbers, as they do on the platform.
 """
 
+import contextlib
 import itertools
 import json
 import os
@@ -107,7 +108,7 @@
         """Assign addresses; ``with`` starts the processes."""
         self._folder = folder
         self._address_prefix = _address_prefix()
-        self._ports = [_free_port() for _ in range(6)]
+        self._ports = _free_ports(6)
         self._numbers = itertools.count(1)
         self.control = [
             self._make_control(next(self._numbers)) for _ in range(control)
@@ -244,7 +245,10 @@
     return f"127.{1 + number // 250}.{number % 250}"
 
 
-def _free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+def _free_ports(count):
+    """Return different ports; all are bound until the last is found."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in sockets]
