Soak processes beside upstreams that limit their requests

Upstreams name, change and lift limits while the random faults of the soak go on; verified is what each of them gets in any 4 s of a period in which its limit did not change, over all entries together.

Also: a request that no upstream ran is refused with the slot's retry-after if its next upstream would exceed a limit, not with that of missing upstreams; and limited upstreams are used from half of the load of the others, since a nearly full upstream slows down.

--- a/benchmarks/soak_node_faults.py
+++ b/benchmarks/soak_node_faults.py
@@ -184,7 +184,9 @@
         return "hang-up"
 
     def _disturb_upstream(self):
-        upstream = self._rng.choice(self._soak.upstreams)
+        upstream = self._rng.choice(
+            [u for u in self._soak.upstreams if u.proxy is not None]
+        )
         return self._disturb_link(upstream.proxy, "upstream")
 
     def _disturb_entry(self):
--- a/benchmarks/soak_nodes.py
+++ b/benchmarks/soak_nodes.py
@@ -60,8 +60,8 @@
         self.proxy = None
         self._is_proxied = standin is None
         self.state = "ready"
-        self._service = service
-        self._stage = stage
+        self.service = service
+        self.stage = stage
         self._sequence = 0
         self.born = 0
 
@@ -76,12 +76,12 @@
         self._sequence += 1
         target = self.proxy or self.standin
         extra = {}
-        if self._stage:
+        if self.stage:
             models = [{"Name": "m", "Version": 1, "Adapters": []}]
-            extra = {"Stage": self._stage, "Models": models}
+            extra = {"Stage": self.stage, "Models": models}
         return heartbeat(
             target.address,
-            self._service,
+            self.service,
             state=self.state,
             sequence=self._sequence,
             born=self.born + self.standin.incarnation,
@@ -196,11 +196,15 @@
         await self._drain_upstream()
         for task in callers:
             task.cancel()
+        await self._end_round()
         self.faults += names
 
     async def _prepare_round(self, number):
         """Run the steps of a subclass before the faults of a round."""
 
+    async def _end_round(self):
+        """End what a subclass started in ``_prepare_round``."""
+
     def _start_callers(self, prefix):
         entries = {n: p.address for n, p in self.entry_proxies.items()}
         return [
--- a/benchmarks/soak_runs.py
+++ b/benchmarks/soak_runs.py
@@ -10,6 +10,7 @@
 from collections import Counter
 
 from benchmarks.soak_crashes import CrashingFaultInjector, CrashingSoak
+from benchmarks.soak_limits import LimitingSoak
 from benchmarks.soak_node_faults import NodeFaultInjector
 from benchmarks.soak_nodes import NodeSoak
 from benchmarks.soak_replacements import ReplacingFaultInjector
@@ -20,6 +21,7 @@
     "replacing": (NodeSoak, ReplacingFaultInjector),
     "resetting": (NodeSoak, ResettingFaultInjector),
     "crashing": (CrashingSoak, CrashingFaultInjector),
+    "limiting": (LimitingSoak, NodeFaultInjector),
 }
 """Soak class and fault injector by the name of a fault set."""
 
--- a/benchmarks/tests/test_soak_nodes.py
+++ b/benchmarks/tests/test_soak_nodes.py
@@ -34,6 +34,10 @@
 """Run with queries of death, which crash the upstreams that run them."""
 
 
+LIMITING_SEEDS = (600,)
+"""Run with upstreams that limit their requests."""
+
+
 def _check(seed, *, faults="random"):
     report = run_seed(seed, rounds=1, faults=faults)
     assert report["violations"] == []
@@ -78,6 +82,12 @@
     _check(seed, faults="crashing")
 
 
+@pytest.mark.parametrize("seed", LIMITING_SEEDS)
+def test_promises_hold_beside_upstreams_with_limits(seed):
+    """Guards against a limit that is exceeded during or after a fault."""
+    _check(seed, faults="limiting")
+
+
 @pytest.mark.known_red
 @pytest.mark.parametrize("seed", SEEN_ONCE)
 def test_promises_hold_under_faults_that_failed_once(seed):
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -95,8 +95,7 @@
     Raises
     ------
     RefusedError
-        If the request has not been sent, and all upstreams are at their
-        limits.
+        If the request has not run, and all upstreams are at their limits.
     """
     ordered = _order(context, active, attempted)
     while ordered:
@@ -126,8 +125,7 @@
 async def _admitted(context, active, ordered):
     """Return the first upstream that takes a request now.
 
-    One in need, which limits its requests, is used if the others have no free
-    slots.
+    One in need, which limits its requests, is used if the others are busy.
     """
     unlimited, limited = context.limits.split(ordered)
     if not limited:
@@ -141,7 +139,7 @@
             limited, context.limit_patience(active)
         )
     except RefusedError:
-        if active.was_sent:
+        if active.runs:
             return None
         raise
 
--- a/currantdeal/policy/upstream_health.py
+++ b/currantdeal/policy/upstream_health.py
@@ -35,6 +35,10 @@
 """
 
 
+BUSY_LOAD = 0.5
+"""Load from which an upstream is busy; a nearly full one slows down."""
+
+
 class _UpstreamState:
     def __init__(self):
         self.outstanding = 0
@@ -168,10 +172,11 @@
         return requests / max(1, slots) + ERROR_WEIGHT * state.error_rate
 
     def has_room(self, record, *, now_s):
-        """Return whether an upstream is reachable and has a free slot."""
+        """Return whether an upstream is reachable and not busy."""
         if self.is_ejected(record.upstream, now_s=now_s):
             return False
-        return self.load(record.upstream, record.slots, now_s=now_s) < 1.0
+        load = self.load(record.upstream, record.slots, now_s=now_s)
+        return load < BUSY_LOAD
 
     def _state_of(self, upstream):
         return self._states.setdefault(upstream, _UpstreamState())
