--- a/currantdeal/control/limit_control.py
+++ b/currantdeal/control/limit_control.py
@@ -6,7 +6,7 @@
 """
 
 from currantdeal.control.owner_lease import OwnerLease
-from currantdeal.node.messages import LimitAnswer
+from currantdeal.node.limit_messages import LimitAnswer
 from currantdeal.policy.limit_owner import LimitOwner
 from currantdeal.policy.limit_records import LimitRecords
 
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -12,6 +12,7 @@
 from currantdeal.adapters.generated.peers.ttypes import FrameKind
 from currantdeal.control.entry_list import EntryList
 from currantdeal.core.errors import DialectError
+from currantdeal.node.limit_messages import LimitCall
 from currantdeal.node.messages import (
     ORGANISATIONS_PROTOCOL,
     PROTOCOL,
@@ -21,7 +22,6 @@
     EntryNotice,
     JoinCall,
     LeaveCall,
-    LimitCall,
     LoadNotice,
     ProposeConfigCall,
     RaftNotice,
--- a/currantdeal/control/tests/test_limit_control.py
+++ b/currantdeal/control/tests/test_limit_control.py
@@ -7,7 +7,7 @@
 
 from currantdeal.control.limit_control import LimitControl
 from currantdeal.control.owner_lease import LEASE_S
-from currantdeal.node.messages import LimitAnswer, LimitCall
+from currantdeal.node.limit_messages import LimitAnswer, LimitCall
 from currantdeal.policy.limit_owner import MAX_DELAY_S, LimitAsk, LimitGrant
 from currantdeal.policy.limit_records import MAX_AGE_S, LimitReport
 
--- /dev/null
+++ b/currantdeal/entry/active_request.py
@@ -0,0 +1,168 @@
+"""Holds the state of one request that is being handled."""
+
+import asyncio
+from functools import cached_property
+
+from currantdeal.core import digest_parts
+from currantdeal.entry.steps import Step, kind_of_failure
+from currantdeal.node.fingerprint import fingerprint_of
+from currantdeal.policy.reset_outcome import CallKind
+from currantdeal.routing import RetrySafety
+
+
+class MemorySearch:
+    """Counts of a request's attempts to reserve memory, for its log line.
+
+    Attributes
+    ----------
+    requested : int
+        Reservations that were requested.
+    refused : int
+        Reservations that an engine refused.
+    rounds_without_room : int
+        Rounds in which no engine was estimated to have room.
+    """
+
+    def __init__(self):
+        """Start all counts at zero."""
+        self.requested = 0
+        self.refused = 0
+        self.rounds_without_room = 0
+
+    def __str__(self):
+        """Return the counts as they are logged."""
+        return f"{self.requested}/{self.refused}/{self.rounds_without_room}"
+
+
+class ActiveRequest:
+    """One request that is being handled.
+
+    Parameters
+    ----------
+    request : currantdeal.node.http_request.Request
+        The whole request.
+    responder : currantdeal.node.http_request.Responder
+        Sends the answer.
+    call : currantdeal.node.dialect.CallerRequest
+        Fields of its head.
+    route, service : Route, Service
+        Route that matches it, and the service that handles it.
+    version : int
+        Version of the configuration of that route.
+    deadline_s : float
+        Loop time by which it must end.
+    organisation : Organisation or None
+        Organisation of its caller; None if the route needs no key.
+
+    Attributes
+    ----------
+    is_retry : bool
+        Whether its caller has waited before, on an earlier attempt.
+    runs : int
+        Number of upstreams that may have run it.
+    was_sent : bool
+        Whether it was encoded for an upstream, so that it may have been sent.
+    lost_incarnations : list
+        Incarnations of upstreams whose connections were lost while they ran
+        it.
+    """
+
+    def __init__(
+        self,
+        *,
+        request,
+        responder,
+        call,
+        route,
+        service,
+        version,
+        deadline_s,
+        organisation=None,
+    ):
+        """Start before the first attempt."""
+        self.request = request
+        self.responder = responder
+        self.call = call
+        self.route = route
+        self.service = service
+        self.version = version
+        self.deadline_s = deadline_s
+        self.organisation = organisation
+        self.is_retry = False
+        self.runs = 0
+        self.was_sent = False
+        self.lost_incarnations = []
+        self.search = MemorySearch()
+        self.steps = []
+        self.first_output_s = None
+        self.longest_pause_s = 0.0
+        self._last_output_s = None
+
+    @property
+    def is_generation(self):
+        """Whether it is served by a model engine, which streams its answer."""
+        engine = self.service.engine
+        return engine is not None and self.call.prompt_tokens > 0
+
+    @cached_property
+    def fingerprint(self):
+        """Fingerprint, equal for each retry of the same request."""
+        return fingerprint_of(self.request, self.call)
+
+    @cached_property
+    def caller_digest(self):
+        """Digest of the request and the host that sent it.
+
+        Equal for all its attempts; callers at other hosts who send the same
+        request have another one.
+        """
+        sender = self.request.sender.encode()
+        return digest_parts(self.fingerprint, sender)
+
+    @property
+    def priority(self):
+        """Priority of the organisation, or else of the route; 0 is first."""
+        organisation = self.organisation
+        if organisation is None or organisation.priority is None:
+            return self.route.priority
+        return organisation.priority
+
+    @property
+    def kind(self):
+        """The ``CallKind`` of the request."""
+        if self.route.retry_safety is RetrySafety.RESUMABLE:
+            return CallKind.RESUMABLE_STREAM
+        if self.is_generation or self.route.streaming:
+            return CallKind.STREAM
+        if self.route.retry_safety is RetrySafety.FREELY:
+            return CallKind.IDEMPOTENT
+        return CallKind.NON_IDEMPOTENT
+
+    def record_output(self, now_s):
+        """Record the time of output that is sent to the caller."""
+        if self._last_output_s is None:
+            self.first_output_s = now_s
+        else:
+            pause_s = now_s - self._last_output_s
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self._last_output_s = now_s
+
+    def add_step(self, kind, upstream="", detail=""):
+        """Add a step at the current time, for the request's log line."""
+        now_s = asyncio.get_running_loop().time()
+        self.steps.append(
+            Step(
+                after_s=now_s - self.request.arrived_s,
+                kind=kind,
+                upstream=upstream,
+                detail=str(detail),
+            )
+        )
+
+    def add_failure_step(self, upstream, exc):
+        """Add the step for a failed exchange."""
+        self.add_step(kind_of_failure(exc), upstream, exc)
+
+    def time_left_s(self, now_s):
+        """Return the seconds until the deadline of the request."""
+        return max(0.0, self.deadline_s - now_s)
--- a/currantdeal/entry/control_calls.py
+++ b/currantdeal/entry/control_calls.py
@@ -4,11 +4,8 @@
 
 from currantdeal.core import boot_time_s
 from currantdeal.node.errors import PeerUnreachableError
-from currantdeal.node.messages import (
-    LIMITS_PROTOCOL,
-    ORGANISATIONS_PROTOCOL,
-    LimitCall,
-)
+from currantdeal.node.limit_messages import LimitCall
+from currantdeal.node.messages import LIMITS_PROTOCOL, ORGANISATIONS_PROTOCOL
 from currantdeal.node.organisation_messages import ConfirmCall, CreditCall
 
 CONFIRM_TIMEOUT_S = 1.0
--- a/currantdeal/entry/limits.py
+++ b/currantdeal/entry/limits.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 from dataclasses import dataclass
 
 import structlog
@@ -146,10 +147,10 @@
         """Return the records of upstreams without and with a limit."""
         if not self._all:
             return records, []
-        unlimited = [
-            r for r in records if self.rate_per_s(r.upstream) == UNLIMITED
-        ]
-        limited = [r for r in records if r not in unlimited]
+        unlimited, limited = [], []
+        for record in records:
+            rate_per_s = self.rate_per_s(record.upstream)
+            (unlimited if rate_per_s == UNLIMITED else limited).append(record)
         return unlimited, limited
 
     async def admit_if_free(self, records):
@@ -231,7 +232,7 @@
         """
         if sent_s is None or metadata.not_run:
             return False
-        return sent_s > self._known_since_s[upstream]
+        return sent_s > self._known_since_s.get(upstream, math.inf)
 
     def _record_change(self, upstream, before, *, own):
         rate_per_s = self.rate_per_s(upstream)
--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -133,6 +133,7 @@
             return None
         unlimited, limited = self._context.limits.split(records)
         granted = await self._reserve_in_turn(hedge, unlimited)
+        limited = [r for r in limited if not hedge.is_pending(r.upstream)]
         if granted is not None or not limited:
             return granted
         admitted = await self._admitted(limited, optional=bool(unlimited))
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -5,11 +5,8 @@
 import structlog
 
 from currantdeal.core.errors import DialectError
-from currantdeal.entry.context import (
-    MAX_OWNER_WAIT_S,
-    OWNER_WAIT_SHARE,
-    ActiveRequest,
-)
+from currantdeal.entry.active_request import ActiveRequest
+from currantdeal.entry.context import MAX_OWNER_WAIT_S, OWNER_WAIT_SHARE
 from currantdeal.entry.errors import (
     FailedError,
     IncompleteAnswerError,
--- a/currantdeal/node/messages.py
+++ b/currantdeal/node/messages.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from currantdeal.core import Codec
+from currantdeal.node.limit_messages import LimitAnswer, LimitCall
 from currantdeal.node.organisation_messages import (
     ConfirmAnswer,
     ConfirmCall,
@@ -17,7 +18,6 @@
 )
 from currantdeal.policy.crash_registry import SuspectRecord
 from currantdeal.policy.demand import Demand
-from currantdeal.policy.limit_owner import LimitAsk, LimitGrant
 from currantdeal.policy.limit_records import LimitReport
 from currantdeal.policy.shared_load import PoolLoad
 from currantdeal.registry import EntryRecord, UpstreamRecord
@@ -349,29 +349,6 @@
     limits: dict[str, LimitReport] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, kw_only=True)
-class LimitCall:
-    """An entry asks for a slot at an upstream; returns a ``LimitAnswer``.
-
-    Control instances forward it to the leader.
-    """
-
-    ask: LimitAsk
-
-
-@dataclass(frozen=True, kw_only=True)
-class LimitAnswer:
-    """The slot that the owner of the limits assigns.
-
-    Parameters
-    ----------
-    grant : LimitGrant or None
-        None if no owner was reached.
-    """
-
-    grant: LimitGrant | None = None
-
-
 PEER_CODEC = Codec(
     classes=(
         RaftNotice,
--- a/currantdeal/policy/limit_owner.py
+++ b/currantdeal/policy/limit_owner.py
@@ -188,12 +188,8 @@
         self.asked_s = now_s
         self._interval_s = 1.0 / max(MIN_RATE_PER_S, rate_per_s)
         self._free_s = max(self._free_s, now_s - CATCH_UP_S)
-        oldest_s = now_s - RETURN_GRACE_S - CATCH_UP_S
-        self._booked_s = {
-            caller: slot_s
-            for caller, slot_s in self._booked_s.items()
-            if slot_s >= oldest_s
-        }
+        if self._booked_s:
+            self._drop_old_bookings(now_s)
         self._pass_booked()
 
     def next_slot_s(self, caller, now_s):
@@ -226,6 +222,14 @@
             self._not_yet_passed.append(slot_s)
             self._pass_booked()
 
+    def _drop_old_bookings(self, now_s):
+        oldest_s = now_s - RETURN_GRACE_S - CATCH_UP_S
+        for caller, slot_s in tuple(self._booked_s.items()):
+            if slot_s >= oldest_s:
+                # Bookings are in the order of their slots.
+                return
+            del self._booked_s[caller]
+
     def _usable_booking(self, caller, now_s):
         """Return holder and slot of a booking that a caller may use."""
         if caller in self._booked_s:
