End a test process before it is started again

Cause: the harness keeps one handle for each process. If a process is started while it runs, the first one is never ended, and keeps its ports. Two faults that overlap can do that: the end of a disk loss clears the mark of processes that were killed meanwhile, so that they get a second fault, and both restart them.

Test: a process that is started twice left the first one behind before this, and does not now.

--- a/currantdeal/testing/node_processes.py
+++ b/currantdeal/testing/node_processes.py
@@ -53,13 +53,19 @@
         """True while the process runs."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def process_id(self):
+        """Id of the process that was started last."""
+        return self._process.pid
+
     def write_settings(self, **changes):
         """Change some settings and write the settings file."""
         self.settings = {**self.settings, **changes}
         self._path.write_text(json.dumps(self.settings))
 
     def start(self):
-        """Start the process."""
+        """Start the process; one that still runs is ended first."""
+        self.kill()
         self.write_settings()
         environment = {**os.environ, "PYTHONPATH": str(ROOT)}
         with self._log.open("ab") as output:
--- a/currantdeal/testing/tests/test_node_processes.py
+++ b/currantdeal/testing/tests/test_node_processes.py
@@ -1,5 +1,9 @@
 """The harness of entry and control processes."""
 
+import os
+
+import pytest
+
 from currantdeal.testing.node_processes import NodeCluster
 
 CLUSTERS = 5_000
@@ -17,3 +21,14 @@
         ]
         # Both programs serve their metrics on the same port.
         assert len(set(ports)) == len(ports) - 1
+
+
+def test_process_that_is_started_twice_runs_once(tmp_path):
+    """Guards against a process that outlives its cluster."""
+    cluster = NodeCluster(folder=tmp_path, control=1, entries=0)
+    (process,) = cluster.processes
+    with cluster:
+        first = process.process_id
+        process.start()
+    with pytest.raises(ProcessLookupError):
+        os.kill(first, 0)
