Grant the preferred upstream among those whose slots are due

Cause: the owner granted the slot that had been due for longest, so a request could go to the upstream that its entry had ranked last, for example one in another region. Found on reading the change again, not seen by callers.

Change: slots that are due are equal, and the first upstream in the order of preference is granted. An entry asks for no slot of an upstream that it has ejected while another one is left, and asks once for all prefill engines with a limit instead of one after the other.

Test: the case of two due slots granted the other upstream before.

--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -130,13 +130,19 @@
     unlimited, limited = context.limits.split(ordered)
     if not limited:
         return ordered[0]
+    now_s = context.now_s
+    reachable = [
+        record
+        for record in limited
+        if not context.health.is_ejected(record.upstream, now_s=now_s)
+    ]
     if unlimited:
-        if context.health.has_room(unlimited[0], now_s=context.now_s):
+        if context.health.has_room(unlimited[0], now_s=now_s):
             return unlimited[0]
-        return await context.limits.admit_if_free(limited) or unlimited[0]
+        return await context.limits.admit_if_free(reachable) or unlimited[0]
     try:
         return await context.limits.admit(
-            limited, context.limit_patience(active)
+            reachable or limited, context.limit_patience(active)
         )
     except RefusedError:
         if active.runs:
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -166,15 +166,17 @@
 async def _admitted(context, estimates):
     """Return the first estimate whose engine takes a prompt now, or None.
 
-    Engines in need limit their requests, and may have no room in their
-    limits.
+    Engines in need limit their requests, and may have no slot.
     """
-    for estimate in estimates:
-        record = context.view.record(estimate.upstream)
-        _, limited = context.limits.split([record])
-        if not limited or await context.limits.admit_if_free(limited):
-            return estimate
-    return None
+    by_upstream = {estimate.upstream: estimate for estimate in estimates}
+    records = [context.view.record(upstream) for upstream in by_upstream]
+    unlimited, limited = context.limits.split(records)
+    if unlimited[:1] == records[:1]:
+        return estimates[0] if estimates else None
+    record = await context.limits.admit_if_free(limited)
+    if record is None and unlimited:
+        record = unlimited[0]
+    return None if record is None else by_upstream[record.upstream]
 
 
 def _prefills_locally(context, active, estimates, in_time, decode_engine=None):
--- a/currantdeal/policy/limit_owner.py
+++ b/currantdeal/policy/limit_owner.py
@@ -125,15 +125,17 @@
             (self._schedule(upstream, rate_per_s, now_s), upstream)
             for upstream, rate_per_s in ask.rates_per_s.items()
         ]
-        slots_s = [s.next_slot_s(ask.caller, now_s) for s, _ in schedules]
-        if not slots_s:
+        if not schedules:
             return LimitGrant()
-        earliest = slots_s.index(min(slots_s))
-        schedule, upstream = schedules[earliest]
-        delay_s = slots_s[earliest] - now_s
+        delays_s = [
+            max(0.0, schedule.next_slot_s(ask.caller, now_s) - now_s)
+            for schedule, _ in schedules
+        ]
+        delay_s = min(delays_s)
         if delay_s <= min(ask.wait_s, MAX_DELAY_S):
+            schedule, upstream = schedules[delays_s.index(delay_s)]
             schedule.take(ask.caller, now_s)
-            return LimitGrant(upstream=upstream, delay_s=max(0.0, delay_s))
+            return LimitGrant(upstream=upstream, delay_s=delay_s)
         if not ask.return_s:
             return LimitGrant(retry_after_s=delay_s)
         return LimitGrant(retry_after_s=_book(schedules, ask, now_s))
--- a/currantdeal/policy/tests/test_limit_owner.py
+++ b/currantdeal/policy/tests/test_limit_owner.py
@@ -148,6 +148,15 @@
     assert owner.admit(ask, now_s=9.1).upstream == "u1"
 
 
+def test_preferred_upstream_is_granted_if_several_slots_are_due():
+    """Guards against requests at an upstream that was ranked last."""
+    owner = LimitOwner(opened_s=0.0)
+    ask = _ask(rates_per_s={"u1": LIMIT, "u2": LIMIT})
+    assert owner.admit(ask, now_s=9.0).upstream == "u1"
+    # The slot of the other has been due for longer.
+    assert owner.admit(ask, now_s=9.7).upstream == "u1"
+
+
 def test_slots_of_a_new_owner_follow_those_of_the_one_before():
     """Guards against the limit of two owners at once."""
     owner = LimitOwner(opened_s=20.0)
