Show limits of upstreams in explain and account

Cause: a request that is refused since all upstreams are at their limits has no step at an upstream, so 'explain' left out the lines that tell which limits its process knew, and 'account' counted it under 'other'.

Change: limits and whether their owner is reached are listed with what concerns every request of a process; 'account' has a row for such refusals.

--- a/currantdeal/cli/loss_causes.py
+++ b/currantdeal/cli/loss_causes.py
@@ -39,6 +39,7 @@
     NO_VIEW = "no routes or upstreams known"
     RETRIED = "had been refused before"
     REFUSED_AGAIN = "refused once more"
+    LIMIT = "held back by limits of upstreams"
     ENGINE_SILENT = "asked an engine that did not answer"
     ENGINE_REFUSED = "an engine refused after the prompt was read"
     ENGINE_LOST = "the engine broke the stream off or fell silent"
@@ -147,6 +148,8 @@
         return Cause.STOPPING
     if "no configuration" in end.outcome:
         return Cause.NO_VIEW
+    if "limits" in end.outcome:
+        return Cause.LIMIT
     if retrying and end.outcome.startswith("refused"):
         return Cause.REFUSED_AGAIN
     return _generation_cause(end) if end.prompt_tokens else _call_cause(end)
--- a/currantdeal/cli/request_history.py
+++ b/currantdeal/cli/request_history.py
@@ -35,6 +35,9 @@
         "settings-reloaded",
         "settings-refused",
         "log-lines-dropped",
+        "limit-owner",
+        "upstream-limit-lifted",
+        "upstream-limit-named",
     }
 )
 """Events that concern every request of the process that logs them."""
--- a/currantdeal/cli/tests/test_account.py
+++ b/currantdeal/cli/tests/test_account.py
@@ -69,6 +69,12 @@
                 first=None,
                 steps=["0.003 memory d1", "0.2 prompt p1", "0.2 refused d1"],
             ),
+            _end_line(
+                1.9,
+                outcome="refused: all upstreams are at the limits that they"
+                " have named",
+                first=None,
+            ),
             "not a line of ours",
         ],
     )
@@ -86,6 +92,7 @@
         "pause, another prompt or a crowded engine",
         "had been refused before",
         "refused once more",
+        "held back by limits of upstreams",
         "an engine refused after the prompt was read",
     }
     assert all(row.split()[-3] == "1" for row in rows.values())
--- a/currantdeal/cli/tests/test_explain.py
+++ b/currantdeal/cli/tests/test_explain.py
@@ -36,6 +36,7 @@
         [
             _log_line(1.0, "config-in-force", version=2),
             _log_line(14.0, "config-in-force", version=3),
+            _log_line(14.5, "upstream-limit-named", upstream="i-3"),
             _log_line(
                 15.0, "upstream-changed", upstream="i-1", state="draining"
             ),
@@ -51,9 +52,10 @@
     assert result.exit_code == 0
     output_lines = result.output.splitlines()
     assert "version=3" in output_lines[0]
-    assert "upstream=i-1 state=draining" in output_lines[1]
-    assert "broken off: no memory" in output_lines[2]
-    assert output_lines[3].endswith("after 0.113 memory at i-1")
+    assert "upstream-limit-named: upstream=i-3" in output_lines[1]
+    assert "upstream=i-1 state=draining" in output_lines[2]
+    assert "broken off: no memory" in output_lines[3]
+    assert output_lines[4].endswith("after 0.113 memory at i-1")
     assert "i-2" not in result.output
     assert "control-lost" not in result.output
     assert "entry-2" not in result.output
