Drop booked slots when a limit is lowered

What callers saw: nothing; found on reading the change again. What an upstream would have got: a limit lowered from 20 to 0.3 a second while refused callers had slots booked, 40 requests in 4 s of 6.8 allowed.

Cause: slots are booked at the rate of the moment and kept for their callers, whatever the upstream says afterwards.

Change: a longer interval drops the bookings of that upstream. Their callers are refused again, with a time that the new rate allows.

Test: test_lowered_limit_holds_for_booked_callers failed with 40 before.

--- a/currantdeal/policy/limit_owner.py
+++ b/currantdeal/policy/limit_owner.py
@@ -186,9 +186,13 @@
         self._not_yet_passed = deque()
 
     def update(self, rate_per_s, now_s):
-        """Use a rate from now on, and drop bookings that are too old."""
+        """Use a rate from now on, and drop bookings that no longer hold."""
         self.asked_s = now_s
-        self._interval_s = 1.0 / max(MIN_RATE_PER_S, rate_per_s)
+        interval_s = 1.0 / max(MIN_RATE_PER_S, rate_per_s)
+        if interval_s > self._interval_s:
+            # They are closer to each other than the lower rate allows.
+            self._drop_bookings()
+        self._interval_s = interval_s
         self._free_s = max(self._free_s, now_s - CATCH_UP_S)
         if self._booked_s:
             self._drop_old_bookings(now_s)
@@ -224,6 +228,11 @@
             self._not_yet_passed.append(slot_s)
             self._pass_booked()
 
+    def _drop_bookings(self):
+        self._booked_s.clear()
+        self._not_yet_passed.clear()
+        self._last_booked_s = -math.inf
+
     def _drop_old_bookings(self, now_s):
         oldest_s = now_s - RETURN_GRACE_S - CATCH_UP_S
         for caller, slot_s in tuple(self._booked_s.items()):
--- a/currantdeal/policy/tests/test_limit_owner.py
+++ b/currantdeal/policy/tests/test_limit_owner.py
@@ -148,6 +148,22 @@
     assert owner.admit(ask, now_s=9.1).upstream == "u1"
 
 
+def test_lowered_limit_holds_for_booked_callers():
+    """Guards against slots that were booked at the rate before."""
+    owner = LimitOwner(opened_s=0.0)
+    callers = [b"%d" % number for number in range(60)]
+    for caller in callers:
+        ask = _ask(caller, return_s=5.0, rates_per_s={"u1": 20.0})
+        owner.admit(ask, now_s=9.0)
+    granted = 0
+    for step in range(40):
+        for caller in callers:
+            ask = _ask(caller, return_s=5.0, rates_per_s={"u1": 0.3})
+            grant = owner.admit(ask, now_s=9.1 + 0.1 * step)
+            granted += bool(grant.upstream)
+    assert granted <= 1.5 * WINDOW_S * 0.3 + 5
+
+
 def test_preferred_upstream_is_granted_if_several_slots_are_due():
     """Guards against requests at an upstream that was ranked last."""
     owner = LimitOwner(opened_s=0.0)
