Count an answer that ends early as none in the test harness

By its logs, control-1 was killed before 731.9 s and learned no upstream after its restart, nor did the others after theirs; the next heartbeat came from the drain check at 778.8 s. So the soak's heartbeats had ended, and entries that restarted knew no engine.

Cause, suspected: a call to a process that is killed in the middle of its answer raised an HTTPException, which ended the task that sends heartbeats.

Test: a call whose answer ended early raised before, and returns no answer now.

--- a/currantdeal/testing/node_processes.py
+++ b/currantdeal/testing/node_processes.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import http.client
 import itertools
 import json
 import os
@@ -160,7 +161,7 @@
                 return r.status, r.read()
         except urllib.error.HTTPError as exc:
             return exc.code, exc.read()
-        except OSError:
+        except (OSError, http.client.HTTPException):
             return 0, b""
 
     def put_config(self, body, *, timeout_s=START_TIMEOUT_S):
--- a/currantdeal/testing/tests/test_node_processes.py
+++ b/currantdeal/testing/tests/test_node_processes.py
@@ -1,6 +1,8 @@
 """The harness of entry and control processes."""
 
 import os
+import socket
+import threading
 
 import pytest
 
@@ -32,3 +34,21 @@
         process.start()
     with pytest.raises(ProcessLookupError):
         os.kill(first, 0)
+
+
+def test_answer_that_ends_early_counts_as_none(tmp_path):
+    """Guards against calls that raise when a process is killed meanwhile."""
+    cluster = NodeCluster(folder=tmp_path, control=1, entries=0)
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        thread = threading.Thread(target=_answer_in_part, args=(server,))
+        thread.start()
+        url = f"http://127.0.0.1:{server.getsockname()[1]}/"
+        assert cluster.call("GET", url) == (0, b"")
+        thread.join()
+
+
+def _answer_in_part(server):
+    connection, _ = server.accept()
+    with connection:
+        connection.recv(4_096)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart")
