Carry out a stop that arrives while a process starts

Cause: the handlers of SIGTERM and SIGINT are installed once the event loop runs. While the modules are imported, a third of a second and more beside load, the default action ends the process. It can't have been later: only the default action gives -15, and the test sends one signal. The other control instances acknowledge the version without the one that still starts.

Change: the module that ignores SIGHUP from the first import on records SIGTERM and SIGINT, and the process stops in order once it runs. A control instance thereby requests its removal.

The test that failed now waits until the stopped instance runs too: before the interpreter reaches the first module nothing can be recorded. The case that it met by chance has a test of its own, which sends the signal right after the imports.

--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -187,12 +187,20 @@
             held_tokens=lambda: self._service.held_tokens,
         )
 
-    async def run(self):
-        """Run until SIGTERM or SIGINT, then transfer leadership and leave."""
+    async def run(self, *, stop_requested):
+        """Run until SIGTERM or SIGINT, then transfer leadership and leave.
+
+        Parameters
+        ----------
+        stop_requested : callable
+            Returns whether a signal to stop arrived before ``run``.
+        """
         settings = self._file.current
         self._stopping = asyncio.Event()
         install_signal_handlers(
-            stop=self._stopping.set, reload=self._file.reload
+            stop=self._stopping.set,
+            reload=self._file.reload,
+            stop_requested=stop_requested,
         )
         _log.info(
             "started",
--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -139,11 +139,21 @@
             on_refused=self._record_malformed,
         )
 
-    async def run(self):
-        """Run until SIGTERM or SIGINT, then drain and return."""
+    async def run(self, *, stop_requested):
+        """Run until SIGTERM or SIGINT, then drain and return.
+
+        Parameters
+        ----------
+        stop_requested : callable
+            Returns whether a signal to stop arrived before ``run``.
+        """
         settings = self._file.current
         stopping = asyncio.Event()
-        install_signal_handlers(stop=stopping.set, reload=self._file.reload)
+        install_signal_handlers(
+            stop=stopping.set,
+            reload=self._file.reload,
+            stop_requested=stop_requested,
+        )
         _log.info(
             "started",
             role="entry",
--- a/currantdeal/cli/node.py
+++ b/currantdeal/cli/node.py
@@ -7,8 +7,8 @@
 process modules that it imports use that package.
 """
 
-# Imported first: it ignores SIGHUP while the other imports run.
-import currantdeal.cli.early_signals  # noqa: F401, I001
+# Imported first: it handles signals while the other imports run.
+from currantdeal.cli.early_signals import stop_requested  # noqa: I001
 
 import asyncio
 import os
@@ -37,7 +37,7 @@
         return EXIT_SETTINGS
     writer = configure_node_logs(instance=settings.instance)
     process = _build_process(arguments[0], settings, path)
-    asyncio.run(process.run())
+    asyncio.run(process.run(stop_requested=stop_requested))
     writer.flush()
     return 0
 
--- a/currantdeal/cli/tests/test_node_processes.py
+++ b/currantdeal/cli/tests/test_node_processes.py
@@ -193,7 +193,8 @@
         old, *rest = cluster.control
         new = rest[-1]
         cluster.put_config(config_body(version=3))
-        _wait_until(lambda: _has_version(cluster, new, version=3))
+        for process in (old, new):
+            _wait_until(lambda p=process: _has_version(cluster, p, version=3))
         old.send_signal(signal.SIGTERM)
         assert old.wait(8.0) == 0
         cluster.put_config(config_body(version=8))
@@ -209,6 +210,32 @@
             _wait_until(lambda entry=entry: _is_served(entry))
 
 
+def test_a_control_instance_stopped_while_it_starts_leaves(tmp_path):
+    """Guards against a voter that a stop during its start leaves behind.
+
+    The signal arrives while the modules are imported, when its default action
+    would end the process before it could request its removal.
+    """
+    program = (
+        "import os, signal, sys, currantdeal.cli.node as node;"
+        "os.kill(os.getpid(), signal.SIGTERM);"
+        "sys.exit(node.main(sys.argv[1:]))"
+    )
+    with NodeCluster(folder=tmp_path, control=4, entries=0) as cluster:
+        old, *_, new = cluster.control
+        cluster.put_config(config_body(version=3))
+        _wait_until(lambda: _has_version(cluster, new, version=3))
+        old.kill()
+        stopped = subprocess.run(
+            [sys.executable, "-c", program, "control", old.settings_path],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+    assert stopped.returncode == 0
+    assert '"replica-left"' in stopped.stdout
+
+
 def _has_version(cluster, control, *, version):
     status, raw = cluster.call("GET", cluster.metrics_url(control))
     return status == 200 and f"config_version {version}" in raw.decode()
--- a/currantdeal/testing/node_processes.py
+++ b/currantdeal/testing/node_processes.py
@@ -43,6 +43,11 @@
         self._log = folder / f"{settings['instance']}.log"
         self._process = None
 
+    @property
+    def settings_path(self):
+        """Path of the settings file."""
+        return self._path
+
     @property
     def lines(self):
         """Decoded log lines so far."""
