Let a started control instance fetch all records at first contact

What was seen: test_changes_outlive_the_kill_of_all_processes failed once in the last run of the script, with orders refused for 15 s ("the condition did not hold within the timeout") after all processes had been killed and started again.

Cause: a control instance starts with an empty registry and fetched the records of another one only when a renewal named an upstream or an entry that it lacked. An upstream whose heartbeat had been sent before the instance listened, and that sent no other, was missing until its next heartbeat. Entries that followed only this instance refused all requests, "no upstream took it", search 0/0/0. On a deployment this concerns upstreams that are cut off from the control instances and still serve; they are kept for 30 s for that purpose.

The logs of the failed run are gone, so that it had this cause isn't proved; this is the one way found to the same symptom. Ruled out by trials: entries that start up to 12 s after the heartbeat.

Change: the records of each control instance are fetched at its first notice, and again as before when a renewal names an unknown one. Records that another instance sends are no longer passed on as renewals if they change nothing: each fetch would have renewed the upstreams that are silent.

--- a/currantdeal/control/exchange.py
+++ b/currantdeal/control/exchange.py
@@ -72,6 +72,7 @@
         self._renewed_entries = {}
         self._protocols = {}
         self._fetching = set()
+        self._fetched = set()
         self._tasks = set()
 
     @property
@@ -105,19 +106,8 @@
 
         A heartbeat that changes nothing is kept for ``spread_renewals``.
         """
-        now_s = self._clock()
-        changed = self.registry.merge(record, now_s=now_s)
-        if changed:
-            _log.info(
-                "upstream-changed",
-                upstream=record.upstream,
-                service=record.service,
-                state=record.state.value,
-                stage=record.stage.value if record.stage else "",
-                sequence=record.sequence,
-            )
-            self._publish_upstreams((record,))
-        else:
+        changed = self._merge_upstream(record)
+        if not changed:
             self._renewed_upstreams[record.upstream] = Renewal(
                 name=record.upstream,
                 started_ms=record.started_ms,
@@ -153,9 +143,13 @@
             )
 
     def merge_spread(self, call):
-        """Merge the records of another instance's ``SpreadCall``."""
+        """Merge the records of another instance's ``SpreadCall``.
+
+        They are no heartbeats: a record that changes nothing is not renewed,
+        or each start of an instance would renew those of silent upstreams.
+        """
         for record in call.upstreams:
-            self.merge_upstream(record)
+            self._merge_upstream(record)
         for record in call.entries:
             self.directory.merge(record, now_s=self._clock())
 
@@ -164,7 +158,7 @@
         now_s = self._clock()
         self._data_centers[notice.sender] = notice.data_center
         self._protocols[notice.sender] = notice.protocol
-        self._fetch_unknown(notice)
+        self._fetch_missing(notice)
         for renewal in notice.upstreams:
             self.registry.on_heartbeat(
                 renewal.name, renewal.started_ms, renewal.sequence, now_s=now_s
@@ -258,18 +252,39 @@
     def _publish_upstreams(self, records):
         self.publish(UpstreamsNotice(upstreams=records))
 
-    def _fetch_unknown(self, notice):
-        """Fetch all records of a sender that renews a record missing here.
+    def _merge_upstream(self, record):
+        """Merge an upstream's record; returns whether it changed one."""
+        changed = self.registry.merge(record, now_s=self._clock())
+        if changed:
+            _log.info(
+                "upstream-changed",
+                upstream=record.upstream,
+                service=record.service,
+                state=record.state.value,
+                stage=record.stage.value if record.stage else "",
+                sequence=record.sequence,
+            )
+            self._publish_upstreams((record,))
+        return changed
+
+    def _fetch_missing(self, notice):
+        """Fetch all records of a sender that may have some missing here.
 
         Records are missing after a restart, and on an instance that joined
-        after they were sent.
+        after they were sent.  No renewal names those of upstreams whose
+        heartbeats do not arrive, so that each sender is asked once.
         """
-        unknown = any(
-            self.registry.get(renewal.name) is None
-            for renewal in notice.upstreams
-        ) or any(
-            not self.directory.contains(renewal.name)
-            for renewal in notice.entries
+        is_first = notice.sender not in self._fetched
+        unknown = (
+            is_first
+            or any(
+                self.registry.get(renewal.name) is None
+                for renewal in notice.upstreams
+            )
+            or any(
+                not self.directory.contains(renewal.name)
+                for renewal in notice.entries
+            )
         )
         if unknown and notice.sender not in self._fetching:
             self._fetching.add(notice.sender)
@@ -284,6 +299,7 @@
             return
         finally:
             self._fetching.discard(address)
+        self._fetched.add(address)
         self.merge_spread(found)
 
     def _in_background(self, work):
--- a/currantdeal/control/tests/test_exchange.py
+++ b/currantdeal/control/tests/test_exchange.py
@@ -4,7 +4,13 @@
 
 from currantdeal.control.exchange import RecordExchange
 from currantdeal.node.errors import PeerUnreachableError
-from currantdeal.node.messages import ControlPlace, Done, SpreadCall
+from currantdeal.node.messages import (
+    ControlPlace,
+    Done,
+    RecordsCall,
+    RenewalsNotice,
+    SpreadCall,
+)
 from currantdeal.registry import UpstreamState
 from currantdeal.registry.tests.builders import an_upstream
 
@@ -20,6 +26,33 @@
         return Done(accepted=True)
 
 
+class _RecordsLink:
+    """A link to a control instance; it answers with its records.
+
+    Parameters
+    ----------
+    records : iterable of UpstreamRecord
+        Records of that instance.
+    unreachable : int
+        Number of calls at the start that get no answer.
+    """
+
+    def __init__(self, *, records, unreachable=0):
+        self.calls = 0
+        self._answer = SpreadCall(upstreams=tuple(records), entries=())
+        self._unreachable = unreachable
+
+    async def call(self, call, *, timeout_s):
+        assert isinstance(call, RecordsCall)
+        self.calls += 1
+        if self.calls <= self._unreachable:
+            raise PeerUnreachableError("no answer")
+        return self._answer
+
+    def notify(self, notice):
+        self.notice = notice
+
+
 class _UnreachableLink:
     """A link to a control instance that does not answer."""
 
@@ -105,3 +138,50 @@
     found = asyncio.run(exchange.spread(upstreams=(record,)))
     assert found is confirmed
     assert all(len(link.calls) == 1 for link in links.values() if link.calls)
+
+
+def test_a_started_instance_learns_upstreams_that_send_no_heartbeat():
+    """Guards against a registry that lacks upstreams after a restart.
+
+    An upstream is cut off from the control instances and still serves.  A
+    control instance that starts gets no renewal of it, and entries that
+    follow this instance would refuse requests that the upstream could serve.
+    """
+    silent = an_upstream()
+    link = _RecordsLink(records=(silent,), unreachable=1)
+
+    async def run():
+        exchange = _an_exchange(links=lambda address: link)
+        for _ in range(4):
+            exchange.merge_renewals(_a_renewal_of_nothing())
+            await asyncio.sleep(0.0)
+            await asyncio.sleep(0.0)
+        return exchange
+
+    exchange = asyncio.run(run())
+    assert exchange.registry.present == (silent,)
+    assert link.calls == 2
+
+
+def test_fetched_records_do_not_renew_silent_upstreams():
+    """Guards against a start that makes a dead upstream look alive."""
+    silent = an_upstream()
+    link = _RecordsLink(records=(silent,))
+
+    async def run():
+        exchange = _an_exchange(links=lambda address: link)
+        exchange.merge_upstream(silent)
+        exchange.merge_renewals(_a_renewal_of_nothing())
+        await asyncio.sleep(0.0)
+        await asyncio.sleep(0.0)
+        exchange.spread_renewals({})
+
+    asyncio.run(run())
+    assert link.calls == 1
+    assert link.notice.upstreams == ()
+
+
+def _a_renewal_of_nothing():
+    return RenewalsNotice(
+        sender="c2", data_center="dc1", demand={}, upstreams=(), entries=()
+    )
