Raise the errors of the soak's tasks

Cause: an exception in the task that sends the heartbeats of the upstreams, in a caller or in the end of a fault was lost with the task.

Change: the soak ends with the error of a task that has ended by itself. The tasks of the faults are kept until the end of the round for that; before, one that failed early was dropped from the set that is awaited.

The test failed before: nothing was raised.

--- a/benchmarks/soak_node_faults.py
+++ b/benchmarks/soak_node_faults.py
@@ -31,7 +31,7 @@
         self._soak = soak
         self._rng = soak.rng
         self._affected = set()
-        self._pending = set()
+        self._tasks = []
         self._disk_lost_s = None
         self._kinds = (
             self._kill,
@@ -64,7 +64,7 @@
         A process exits early if a signal arrives before its handler is
         installed.  Such a process is started again, as the platform does.
         """
-        await asyncio.gather(*self._pending)
+        await asyncio.gather(*self._tasks)
         for process in self._soak.cluster.processes:
             if not process.is_running:
                 self._soak.early_exits += 1
@@ -83,9 +83,8 @@
         self._start_task(wait())
 
     def _start_task(self, work):
-        task = asyncio.ensure_future(work)
-        self._pending.add(task)
-        task.add_done_callback(self._pending.discard)
+        # Tasks that have ended are kept, so that ``heal`` raises their errors.
+        self._tasks.append(asyncio.ensure_future(work))
 
     def _pick_process(self, *, among=None):
         candidates = [
--- a/benchmarks/soak_nodes.py
+++ b/benchmarks/soak_nodes.py
@@ -163,8 +163,7 @@
                 for number in range(1, rounds + 1):
                     await self._run_round(number)
             finally:
-                for task in tasks:
-                    task.cancel()
+                end_tasks(tasks)
         self._verify()
 
     def check(self, promise, holds, detail):
@@ -194,8 +193,7 @@
         await asyncio.sleep(QUIET_S)
         await self._stop_entry()
         await self._drain_upstream()
-        for task in callers:
-            task.cancel()
+        end_tasks(callers)
         await self._end_round()
         self.faults += names
 
@@ -372,6 +370,15 @@
         self.violations += verify_attempts(self.attempts, runs)
 
 
+def end_tasks(tasks):
+    """Cancel tasks; raise the error of one that has ended by itself."""
+    for task in tasks:
+        task.cancel()
+    for task in tasks:
+        if task.done():
+            task.result()
+
+
 class _FixedChoice:
     """Replaces a random generator: draws one kind of request.
 
--- a/benchmarks/tests/test_soak_nodes.py
+++ b/benchmarks/tests/test_soak_nodes.py
@@ -1,5 +1,8 @@
+import asyncio
+
 import pytest
 
+from benchmarks.soak_nodes import end_tasks
 from benchmarks.soak_runs import run_seed
 
 SEEDS = (pytest.param(1, marks=pytest.mark.known_red), 122)
@@ -97,3 +100,18 @@
     restart may take.
     """
     _check(seed)
+
+
+def test_a_failed_task_fails_the_soak():
+    """Guards against a soak whose upstreams stop sending heartbeats."""
+
+    async def fail():
+        raise ValueError("no heartbeat")
+
+    async def run():
+        tasks = [asyncio.ensure_future(fail())]
+        await asyncio.sleep(0.0)
+        end_tasks(tasks)
+
+    with pytest.raises(ValueError, match="no heartbeat"):
+        asyncio.run(run())
