Release an unanswered reservation only after the last retry

What callers saw: two streams on memory that fits one. An entry whose reservation got no answer in time released it, with its next heartbeat, and tried again at the same home. If the release arrived after the retry, the home dropped the grant that it had just confirmed; the entry lost it with the list of its reservations half a second later, and the memory was granted again.

Change: the release is sent once the retries have ended: to all homes that did not answer if the request is given up, to the others if one granted it. A home grants a request id once, however often it is sent.

--- a/currantdeal/adapters/homes.py
+++ b/currantdeal/adapters/homes.py
@@ -132,12 +132,17 @@
         While the home is changing, the call is retried until the timeout.
         """
         end_s = self._clock.monotonic_s() + timeout_s
+        unanswered = set()
         while True:
-            answer = self._try_reserve(request, end_s)
+            answer = self._try_reserve(request, end_s, unanswered)
             if not isinstance(answer, HomeRefusal):
+                # This home grants a request once, however often it is sent.
+                unanswered.discard(answer.home)
+                self._release_at(unanswered, request)
                 return answer
             left_s = end_s - self._clock.monotonic_s()
             if not answer.moving or left_s <= MOVING_RETRY_S:
+                self._release_at(unanswered, request)
                 raise ReservationError(
                     f"{request.upstream_id}: {answer.message}",
                     retry_after_s=answer.retry_after_s,
@@ -184,7 +189,7 @@
         """Record an upstream's renewal and load and relay it to the home."""
         self._links.report(report)
 
-    def _try_reserve(self, request, end_s):
+    def _try_reserve(self, request, end_s, unanswered):
         home = self._state.view().homes.get(request.upstream_id)
         if home is None:
             return HomeRefusal(
@@ -200,7 +205,9 @@
                 home.instance, call, timeout_s=min(RESERVE_TIMEOUT_S, left_s)
             )
         except PeerError as exc:
-            self._abandon(request, home, sent=exc.sent)
+            self._reservations.remove(request.upstream_id, request.request_id)
+            if exc.sent:
+                unanswered.add(home.instance)
             return HomeRefusal(
                 message=f"the home did not answer: {exc}", moving=True
             )
@@ -214,14 +221,15 @@
         held = self._reservations.get(grant.upstream_id, grant.request_id)
         return held.grant if held and held.grant else grant
 
-    def _abandon(self, request, home, *, sent):
-        self._reservations.remove(request.upstream_id, request.request_id)
-        if sent:
-            # The home may have granted the request.  Without a release the
-            # memory would stay reserved until the digests are compared.
-            self._links.release(
-                home.instance, request.upstream_id, request.request_id
-            )
+    def _release_at(self, homes, request):
+        """Release what homes that did not answer may have granted.
+
+        Without a release the memory would stay reserved until the digests are
+        compared.  A release before the last retry could reach the home after
+        that retry, and end the grant that the entry believes to hold.
+        """
+        for home in homes:
+            self._links.release(home, request.upstream_id, request.request_id)
 
     def _keeps_movable_homes(self):
         state = self._state.view()
