Log disk writes of a replica that take over a second

By its logs control-1 took part in no election for 8.8 s and control-3 for over 13 s, while both answered calls all the time and control-2 had its first round done after 37 ms. The first round of a replica waits for one thing, the write of its first replica set to the disk, and no line says how long that took.

Change: disk-slow, with the duration. No decision changes.

The test failed before: no such line in 20 s. control/tests/test_replica.py: all passed.

--- a/currantdeal/control/replica.py
+++ b/currantdeal/control/replica.py
@@ -30,6 +30,12 @@
 TICK_S = 0.05
 """Interval at which timeouts are checked; a third of the default heartbeat."""
 
+SLOW_WRITE_S = 1.0
+"""Duration of a disk write from which a line is logged, in seconds.
+
+A replica neither votes nor leads meanwhile.
+"""
+
 DISK_RETRY_S = 0.2
 """Pause before a write to a full disk is retried."""
 
@@ -208,6 +214,7 @@
 
     async def _save(self, writes):
         loop = asyncio.get_running_loop()
+        began_s = self._clock()
         is_full = False
         while True:
             try:
@@ -226,6 +233,9 @@
                 raise
             if is_full:
                 _log.info("disk-regained")
+            took_s = self._clock() - began_s
+            if took_s > SLOW_WRITE_S:
+                _log.warning("disk-slow", took=round(took_s, 3))
             return
 
     def _apply(self, entry):
--- a/currantdeal/control/tests/test_replica.py
+++ b/currantdeal/control/tests/test_replica.py
@@ -1,8 +1,11 @@
 import asyncio
+import os
 import threading
+import time
 import zlib
 
 import pytest
+from structlog.testing import capture_logs
 
 from currantdeal.consensus import Replica as Member
 from currantdeal.control.deployment_state import DeploymentState
@@ -156,3 +159,23 @@
         return leader.is_leader, leader.is_caught_up_leader
 
     assert _run(tmp_path, work) == (True, False)
+
+
+def test_a_slow_disk_write_is_logged(tmp_path):
+    """Guards against a replica that takes no part, and no line says why."""
+
+    def sync_slowly(descriptor):
+        time.sleep(1.1)
+        os.fsync(descriptor)
+
+    async def work(group):
+        await group.stop("a")
+        group.start("a", sync=sync_slowly)
+        while not any(line["event"] == "disk-slow" for line in lines):
+            await group.propose(a_change(7))
+            await asyncio.sleep(0.05)
+
+    with capture_logs() as lines:
+        _run(tmp_path, work)
+    (slow, *_) = [line for line in lines if line["event"] == "disk-slow"]
+    assert slow["took"] > 1.0
