--- a/currantdeal/control/exchange.py
+++ b/currantdeal/control/exchange.py
@@ -274,21 +274,21 @@
         after they were sent.  No renewal names those of upstreams whose
         heartbeats do not arrive, so that each sender is asked once.
         """
-        is_first = notice.sender not in self._fetched
-        unknown = (
-            is_first
-            or any(
-                self.registry.get(renewal.name) is None
-                for renewal in notice.upstreams
-            )
-            or any(
-                not self.directory.contains(renewal.name)
-                for renewal in notice.entries
-            )
+        sender = notice.sender
+        if sender in self._fetched and not self._renews_unknown(notice):
+            return
+        if sender not in self._fetching:
+            self._fetching.add(sender)
+            self._in_background(self._fetch(sender))
+
+    def _renews_unknown(self, notice):
+        return any(
+            self.registry.get(renewal.name) is None
+            for renewal in notice.upstreams
+        ) or any(
+            not self.directory.contains(renewal.name)
+            for renewal in notice.entries
         )
-        if unknown and notice.sender not in self._fetching:
-            self._fetching.add(notice.sender)
-            self._in_background(self._fetch(notice.sender))
 
     async def _fetch(self, address):
         try:
