--- a/currantdeal/cli/tests/test_node_processes.py
+++ b/currantdeal/cli/tests/test_node_processes.py
@@ -156,7 +156,6 @@
     assert len(standin.requests) == before
 
 
-@pytest.mark.known_red
 def test_changes_outlive_the_kill_of_all_processes(tmp_path, upstreams):
     """Guards against an acknowledged change that a restart loses.
 
