End an entry that is stopped while it starts at once

The control instance still requests its removal. The test has both; with the entry as it was it failed, since "stopping" was logged.

--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -198,10 +198,10 @@
         settings = self._file.current
         self._stopping = asyncio.Event()
         install_signal_handlers(
-            stop=self._stopping.set,
-            reload=self._file.reload,
-            stop_requested=stop_requested,
+            stop=self._stopping.set, reload=self._file.reload
         )
+        if stop_requested():
+            self._stopping.set()
         _log.info(
             "started",
             role="control",
--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -149,17 +149,17 @@
         """
         settings = self._file.current
         stopping = asyncio.Event()
-        install_signal_handlers(
-            stop=stopping.set,
-            reload=self._file.reload,
-            stop_requested=stop_requested,
-        )
+        install_signal_handlers(stop=stopping.set, reload=self._file.reload)
         _log.info(
             "started",
             role="entry",
             address=settings.listen.callers,
             control=settings.control_addresses,
         )
+        if stop_requested():
+            # It has accepted no connection, so that there is nothing to drain.
+            _log.info("stopped", cut=0)
+            return
         await self._server.start(*split_address(settings.listen.callers))
         readiness_server = HttpServer(handler=self._answer_readiness)
         await readiness_server.start(*split_address(settings.listen.readiness))
--- a/currantdeal/cli/process.py
+++ b/currantdeal/cli/process.py
@@ -66,23 +66,12 @@
         return (status.st_mtime_ns, status.st_size, status.st_ino)
 
 
-def install_signal_handlers(*, stop, reload, stop_requested):
-    """Install ``stop`` for SIGTERM and SIGINT and ``reload`` for SIGHUP.
-
-    Parameters
-    ----------
-    stop, reload : callable
-        Called on the event loop, without arguments.
-    stop_requested : callable
-        Returns whether a signal to stop arrived before; ``stop`` is then
-        called at once.
-    """
+def install_signal_handlers(*, stop, reload):
+    """Install ``stop`` for SIGTERM and SIGINT and ``reload`` for SIGHUP."""
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop)
     loop.add_signal_handler(signal.SIGINT, stop)
     loop.add_signal_handler(signal.SIGHUP, reload)
-    if stop_requested():
-        stop()
 
 
 class MetricsEndpoint:
--- a/currantdeal/cli/tests/test_node_processes.py
+++ b/currantdeal/cli/tests/test_node_processes.py
@@ -209,30 +209,38 @@
             _wait_until(lambda entry=entry: _is_served(entry))
 
 
-def test_a_control_instance_stopped_while_it_starts_leaves(tmp_path):
+def test_processes_stopped_while_they_start_end_in_order(tmp_path):
     """Guards against a voter that a stop during its start leaves behind.
 
     The signal arrives while the modules are imported, when its default action
-    would end the process before it could request its removal.
+    would end the process before it could request its removal.  An entry, which
+    has served nobody, exits at once.
     """
     program = (
         "import os, signal, sys, currantdeal.cli.node as node;"
         "os.kill(os.getpid(), signal.SIGTERM);"
         "sys.exit(node.main(sys.argv[1:]))"
     )
-    with NodeCluster(folder=tmp_path, control=4, entries=0) as cluster:
+    with NodeCluster(folder=tmp_path, control=4, entries=1) as cluster:
         old, *_, new = cluster.control
         cluster.put_config(config_body(version=3))
         _wait_until(lambda: _has_version(cluster, new, version=3))
-        old.kill()
-        stopped = subprocess.run(
-            [sys.executable, "-c", program, "control", old.settings_path],
-            capture_output=True,
-            text=True,
-            check=False,
-        )
-    assert stopped.returncode == 0
-    assert '"replica-left"' in stopped.stdout
+        stopped = []
+        for process in (old, *cluster.entries):
+            process.kill()
+            arguments = (process.role, process.settings_path)
+            stopped.append(
+                subprocess.run(
+                    [sys.executable, "-c", program, *arguments],
+                    capture_output=True,
+                    text=True,
+                    check=False,
+                )
+            )
+    assert [completed.returncode for completed in stopped] == [0, 0]
+    control, entry = stopped
+    assert '"replica-left"' in control.stdout
+    assert '"stopping"' not in entry.stdout
 
 
 def _has_version(cluster, control, *, version):
