--- a/currantdeal/control/tests/test_exchange.py
+++ b/currantdeal/control/tests/test_exchange.py
@@ -27,15 +27,7 @@
 
 
 class _RecordsLink:
-    """A link to a control instance; it answers with its records.
-
-    Parameters
-    ----------
-    records : iterable of UpstreamRecord
-        Records of that instance.
-    unreachable : int
-        Number of calls at the start that get no answer.
-    """
+    """A link to an instance with records; its first calls get no answer."""
 
     def __init__(self, *, records, unreachable=0):
         self.calls = 0
