Take only decimal numbers as the limit of an upstream

Cause: float() also reads "1_0", so a header that is no decimal number named a limit of 10 a second. Its digits may have been spoilt on the way; a malformed header changes nothing.

--- a/currantdeal/entry/tests/test_limits.py
+++ b/currantdeal/entry/tests/test_limits.py
@@ -56,7 +56,7 @@
     assert b'limited_requests_total{upstream="u1"} 2' in metrics
 
 
-@pytest.mark.parametrize("text", ["many", "-1", "inf", "nan"])
+@pytest.mark.parametrize("text", ["many", "-1", "inf", "nan", "1_0"])
 def test_malformed_limit_changes_nothing(text):
     """Guards against a spoilt header that lifts a limit or sets one."""
     lines, _ = _serve("Server-Limit: 50", f"Server-Limit: {text}")
--- a/currantdeal/platform/calls.py
+++ b/currantdeal/platform/calls.py
@@ -5,6 +5,7 @@
 
 import hashlib
 import math
+import re
 
 import msgspec
 
@@ -28,6 +29,9 @@
 _BEARER = b"bearer"
 _LOWEST_PRIORITY = 9
 _JSON = (b"content-type", b"application/json")
+_DECIMAL = re.compile(
+    r"([0-9]+\.?[0-9]*|\.[0-9]+)(e[+-]?[0-9]+)?", re.IGNORECASE
+)
 
 
 class _HoldReply(msgspec.Struct):
@@ -271,11 +275,10 @@
     )
     if not text:
         return math.inf
-    try:
-        limit_per_s = float(text)
-    except ValueError:
+    if not _DECIMAL.fullmatch(text):
         return None
-    return limit_per_s if 0.0 <= limit_per_s < math.inf else None
+    limit_per_s = float(text)
+    return limit_per_s if limit_per_s < math.inf else None
 
 
 def _parse_load(text):
