Log how an upstream frames its answer, and where a stream ends

Callers got streams that were framed as complete and short. The logs could not tell whether the engine's answer had no framing of its own and ended with its connection, or was framed as complete inside an event.

The step "end" of a generation and the detail of the step "answer" now name the framing, and the first one the position in the events; two counters do the same. No decision changes.

Entry, node and policy tests pass.

--- a/currantdeal/entry/events.py
+++ b/currantdeal/entry/events.py
@@ -1,5 +1,7 @@
 """Splits a byte stream into complete events."""
 
+from currantdeal.policy.answer_end import Position
+
 MAX_EVENT_BYTES = 1_048_576
 """Longest event that is buffered; a longer one is forwarded in pieces."""
 
@@ -41,6 +43,15 @@
         """Bytes of an event that is not complete yet."""
         return self._buffer
 
+    @property
+    def position(self):
+        """The ``Position`` of the end of the bytes so far."""
+        if self._buffer:
+            return Position.WITHIN_EVENT
+        if self._count:
+            return Position.BETWEEN_EVENTS
+        return Position.BEFORE_FIRST_EVENT
+
     def feed(self, data):
         """Add received bytes; returns the bytes of the events now complete."""
         self._buffer += data
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -302,11 +302,21 @@
         await self._relay.forward_events(
             head, lambda: self._wait_or_fail_over(connection.chunk(), record)
         )
+        self._record_end(record, head)
         context.health.record_answer(record.upstream, error=False)
         context.crash_watch.record_completion(active)
         self._record_memory_use(self._now_s - began_s)
         return True
 
+    def _record_end(self, record, head):
+        framing, position = head.framing.value, self._relay.position.value
+        self._active.add_step(
+            StepKind.END, record.upstream, f"{framing}, {position}"
+        )
+        self._context.metrics.add(
+            "streams_ended_total", framing=framing, position=position
+        )
+
     def _record_memory_use(self, duration_s):
         """Record the memory that a complete stream held.
 
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -228,8 +228,9 @@
     active.add_step(
         StepKind.ERROR if error else StepKind.ANSWER,
         record.upstream,
-        head.status,
+        f"{head.status}, {head.framing.value}",
     )
+    context.metrics.add("answers_total", framing=head.framing.value)
     return _AttemptResult(
         retryable=retryable, head=head, body=body, final=not error
     )
--- a/currantdeal/entry/relay.py
+++ b/currantdeal/entry/relay.py
@@ -40,6 +40,11 @@
         """Number of complete events so far."""
         return self._splitter.count
 
+    @property
+    def position(self):
+        """The ``Position`` of the end of the events so far."""
+        return self._splitter.position
+
     async def forward_events(self, head, next_chunk):
         """Forward events until the end of a run.
 
--- a/currantdeal/entry/steps.py
+++ b/currantdeal/entry/steps.py
@@ -27,6 +27,8 @@
         The decode engine is to prefill the prompt itself.
     STREAM
         A decode engine began to send events.
+    END
+        The events of an engine ended; how, and where in them.
     ANSWER
         An upstream answered a call that is not a generation.
     UNREACHABLE
@@ -47,6 +49,7 @@
     PREFILL = "prompt"
     LOCAL_PREFILL = "own-prompt"
     STREAM = "stream"
+    END = "end"
     ANSWER = "answer"
     UNREACHABLE = "unreachable"
     SILENT = "silent"
--- a/currantdeal/node/head.py
+++ b/currantdeal/node/head.py
@@ -3,6 +3,8 @@
 import math
 from dataclasses import dataclass
 
+from currantdeal.policy.answer_end import Framing
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 HOP_BY_HOP = frozenset(
@@ -37,10 +39,17 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ResponseHead:
-    """Status and headers; header names are in lower case."""
+    """Status and headers; header names are in lower case.
+
+    Parameters
+    ----------
+    framing : Framing
+        How the end of the body is marked.
+    """
 
     status: int
     headers: Headers
+    framing: Framing = Framing.LENGTH
 
     def get(self, name, default=None):
         """Return a header's value as text."""
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -15,6 +15,7 @@
 from currantdeal.node.errors import InvalidResponseError, SendExpiredError
 from currantdeal.node.head import ResponseHead
 from currantdeal.node.sockets import prepare_socket
+from currantdeal.policy.answer_end import framing_of
 from currantdeal.policy.reset_outcome import ExchangePhase
 
 IDLE_REUSE_S = 4.0
@@ -54,6 +55,7 @@
         self.used = False
         self._loop = asyncio.get_running_loop()
         self._http = h11.Connection(h11.CLIENT)
+        self._method = ""
         self._transport = None
         self._events = deque()
         self._waiter = None
@@ -138,6 +140,7 @@
         if boot_time_s() >= outgoing.send_before_s:
             raise SendExpiredError("the view of the keys is too old")
         self.used = True
+        self._method = outgoing.method
         self._reusable = False
         self._phase = ExchangePhase.AWAITING_ANSWER
         head = h11.Request(
@@ -157,8 +160,15 @@
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 self._record_keep_alive(event)
+                headers = tuple(event.headers)
                 return ResponseHead(
-                    status=event.status_code, headers=tuple(event.headers)
+                    status=event.status_code,
+                    headers=headers,
+                    framing=framing_of(
+                        method=self._method,
+                        status=event.status_code,
+                        headers=headers,
+                    ),
                 )
 
     async def chunk(self):
