State the end of a stream only as far as it is known

Cause: the entry took the end of an engine's connection for the end of its answer, forwarded the half event that it had held back, and sent a last chunk. It asked neither how the answer was framed nor where in its events it ended. An answer with neither a length nor chunks ends in the same way whether its engine has finished or not, so a last chunk states what nobody knows. The same for an engine that ends a framed answer within an event, for the body of an error, and for a caller of HTTP/1.0, who saw a plain close for a cut as for an end.

policy/answer_end.py decides, without network or time, from framing, ending and position: whole, unknown or broken off. A stream that ends within an event, or before its first one, is broken off: a lost run like any other, for health and the crash book, and resumed where its route allows it. One that may be whole is passed on with neither length nor chunks. A resumed run whose end is unknown does not end a framed answer; it is resumed once more within the budgets, or the caller's connection is cut. An answer that is no stream of events is passed on as it arrives and never resumed, nor is a stream without ids.

Why it holds: the caller's connection is set to reset when it is closed, from the head of an open-ended answer until all its bytes have left the process, so that a cut differs from an end also if this process is killed meanwhile.

Since an engine that crashes between two events closes in order as well, an unknown end is followed by the check for a crash that lost runs get; only if the engine still runs does the request count as complete.

--- a/currantdeal/entry/crash_watch.py
+++ b/currantdeal/entry/crash_watch.py
@@ -17,6 +17,7 @@
     Crash,
     CrashRegistry,
 )
+from currantdeal.policy.reset_outcome import ExchangePhase
 
 _log = structlog.get_logger(__name__)
 
@@ -111,20 +112,31 @@
         events : int
             Events of this run that were forwarded.
         """
-        crash = Crash(
-            upstream=record.upstream,
-            started_ms=record.started_ms,
-            early=not events,
-            software=record.software,
-        )
+        crash = _crash_of(record, events)
         active.lost_incarnations.append(crash.incarnation)
-        leaves = not self._view.accepts_work(record.upstream)
         self._in_background(
-            self._record_lost_run(
-                active, record, phase, events, None if leaves else crash
+            self._check_lost_run(
+                active, record, phase, events, self._counted(crash)
             )
         )
 
+    def check_unknown_end(self, active, record, *, events):
+        """Check whether an upstream ended with an answer that it closed.
+
+        An answer with neither a length nor chunks ends in the same way if its
+        upstream crashes.  The check runs in the background; if the upstream
+        still runs, the answer counts as complete.
+
+        Parameters
+        ----------
+        active, record, events
+            See ``check_lost_run``.
+        """
+        crash = self._counted(_crash_of(record, events))
+        self._in_background(
+            self._check_unknown_end(active, record, events, crash)
+        )
+
     def record_completion(self, active):
         """Clear a request that an upstream has answered in full."""
         if self._crash_registry and self._crash_registry.is_suspect(
@@ -138,8 +150,31 @@
         """Merge ``SuspectRecord`` of other processes."""
         self._suspect_log.log_changes(self._crash_registry.merge(records))
 
-    async def _record_lost_run(self, active, record, phase, events, crash):
+    def _counted(self, crash):
+        """Return a crash; None if its upstream drains and was to end."""
+        return crash if self._view.accepts_work(crash.upstream) else None
+
+    async def _check_lost_run(self, active, record, phase, events, crash):
         crashed = await self._has_ended(record)
+        self._record_lost_run(active, record, phase, events, crashed)
+        if crashed and crash is not None:
+            self._add_crash(active, crash)
+
+    async def _check_unknown_end(self, active, record, events, crash):
+        if not await self._has_ended(record):
+            self.record_completion(active)
+            return
+        phase = ExchangePhase.BETWEEN_EVENTS
+        self._record_lost_run(active, record, phase, events, True)
+        if crash is not None:
+            self._add_crash(active, crash)
+
+    def _add_crash(self, active, crash):
+        self._log_and_publish(
+            self._crash_registry.add_crash(active.fingerprint, crash)
+        )
+
+    def _record_lost_run(self, active, record, phase, events, crashed):
         self._metrics.add("runs_lost_total", crashed=str(crashed).lower())
         _log.info(
             "run-lost",
@@ -152,10 +187,6 @@
             events=events,
             crashed=crashed,
         )
-        if crashed and crash is not None:
-            self._log_and_publish(
-                self._crash_registry.add_crash(active.fingerprint, crash)
-            )
 
     def _log_and_publish(self, changed):
         self._suspect_log.log_changes(changed)
@@ -188,3 +219,12 @@
             return False
         self._pool.release(connection)
         return False
+
+
+def _crash_of(record, events):
+    return Crash(
+        upstream=record.upstream,
+        started_ms=record.started_ms,
+        early=not events,
+        software=record.software,
+    )
--- a/currantdeal/entry/events.py
+++ b/currantdeal/entry/events.py
@@ -1,10 +1,18 @@
-"""Splits a byte stream into complete events."""
+"""Splits the body of a stream into complete events."""
 
+import re
+
+from currantdeal.node.head import EVENT_STREAM
 from currantdeal.policy.answer_end import Position
 
 MAX_EVENT_BYTES = 1_048_576
 """Longest event that is buffered; a longer one is forwarded in pieces."""
 
+_DATA_LINE = re.compile(rb"(?:\A|[\r\n])data:")
+_ID_LINE = re.compile(rb"(?:\A|[\r\n])id:([^\r\n]*)")
+_BLANK_LINES = (b"\n\n", b"\n\r\n", b"\r\r")
+_LINE_ENDS = b"\r\n"
+
 
 class EventSplitter:
     r"""Splits the bytes of an event stream into complete events.
@@ -13,18 +21,24 @@
     partial event were forwarded, the next upstream's events would be appended
     to it and the caller would parse a wrong event.
 
+    Parameters
+    ----------
+    resume_after : str
+        Id of the event after which the stream begins; empty for its start.
+
     Examples
     --------
     >>> splitter = EventSplitter()
     >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
     b'id: 1\ndata: a\n\n'
-    >>> splitter.last_id, splitter.partial_event
-    ('1', b'id: 2\nda')
+    >>> splitter.last_id, splitter.partial_event, splitter.position.value
+    ('1', b'id: 2\nda', 'within-event')
     """
 
-    def __init__(self):
+    def __init__(self, *, resume_after=""):
         """Start before the first event."""
         self._buffer = b""
+        self._resume_after = resume_after
         self._last_id = ""
         self._count = 0
 
@@ -48,10 +62,15 @@
         """The ``Position`` of the end of the bytes so far."""
         if self._buffer:
             return Position.WITHIN_EVENT
-        if self._count:
+        if self._count or self._resume_after:
             return Position.BETWEEN_EVENTS
         return Position.BEFORE_FIRST_EVENT
 
+    @property
+    def is_resumable(self):
+        """Whether another stream can go on after the complete events."""
+        return not self._count or bool(self._last_id)
+
     def feed(self, data):
         """Add received bytes; returns the bytes of the events now complete."""
         self._buffer += data
@@ -59,8 +78,13 @@
         if not end and len(self._buffer) > MAX_EVENT_BYTES:
             end = len(self._buffer)
         complete, self._buffer = self._buffer[:end], self._buffer[end:]
-        self._count += complete.count(b"\ndata:")
-        self._record_ids(complete)
+        if not self._buffer.strip(_LINE_ENDS):
+            # Blank lines between events belong to none.
+            complete, self._buffer = complete + self._buffer, b""
+        self._count += len(_DATA_LINE.findall(complete))
+        ids = _ID_LINE.findall(complete)
+        if ids:
+            self._last_id = ids[-1].strip().decode("latin-1")
         return complete
 
     def drop_partial_event(self):
@@ -70,16 +94,48 @@
         """
         self._buffer = b""
 
-    def _record_ids(self, complete):
-        at = max(complete.rfind(b"\nid:"), -1)
-        if at < 0 and not complete.startswith(b"id:"):
-            return
-        line = complete[at + 1 :].split(b"\n", 1)[0]
-        self._last_id = line[3:].strip().decode("latin-1")
+
+class OpaqueBody:
+    """A body that is not a stream of events, with the same interface."""
+
+    last_id = ""
+    partial_event = b""
+    count = 0
+    position = Position.NO_EVENTS
+
+    def __init__(self):
+        """Start before the first byte."""
+        self._received = False
+
+    @property
+    def is_resumable(self):
+        """Whether nothing was received, so that another run may replace it."""
+        return not self._received
+
+    def feed(self, data):
+        """Return the bytes as they are."""
+        self._received = True
+        return data
+
+    def drop_partial_event(self):
+        """Do nothing: there are no events."""
+
+
+def position_of(head, body):
+    """Return the ``Position`` of the end of a whole body.
+
+    Parameters
+    ----------
+    head : currantdeal.node.head.ResponseHead
+        Its head.
+    """
+    if head.media_type != EVENT_STREAM:
+        return Position.NO_EVENTS
+    splitter = EventSplitter()
+    splitter.feed(body)
+    return splitter.position
 
 
 def _end_of_events(buffer):
-    plain = buffer.rfind(b"\n\n")
-    returns = buffer.rfind(b"\r\n\r\n")
-    ends = [plain + 2 if plain >= 0 else 0, returns + 4 if returns >= 0 else 0]
-    return max(ends)
+    ends = ((buffer.rfind(line), len(line)) for line in _BLANK_LINES)
+    return max(at + size if at >= 0 else 0 for at, size in ends)
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -26,6 +26,7 @@
     ResponseTimeoutError,
 )
 from currantdeal.node.fingerprint import fingerprint_prefix
+from currantdeal.policy.answer_end import Framing
 from currantdeal.policy.reset_outcome import ExchangePhase, reset_outcome
 from currantdeal.policy.retry_after import RefusalReason
 from currantdeal.policy.retry_detection import (
@@ -116,6 +117,12 @@
     def _now_s(self):
         return self._context.now_s
 
+    @property
+    def _is_resumable(self):
+        """Whether another run may go on where the answer has come to."""
+        safety = self._active.route.retry_safety
+        return safety is RetrySafety.RESUMABLE and self._relay.is_resumable
+
     @property
     def _gap_target_s(self):
         """Longest timely pause between two events."""
@@ -189,8 +196,7 @@
             return False
         if active.time_left_s(self._now_s) < active.route.target_s / 4:
             return False
-        resumable = active.route.retry_safety is RetrySafety.RESUMABLE
-        if active.runs and not resumable:
+        if active.runs and not self._is_resumable:
             return False
         if active.runs >= active.route.max_upstreams:
             return False
@@ -299,21 +305,31 @@
             return await self._forward_error(connection, head, record)
         active.add_step(StepKind.STREAM, record.upstream)
         began_s = self._now_s
-        await self._relay.forward_events(
+        is_ended = await self._relay.forward_events(
             head, lambda: self._wait_or_fail_over(connection.chunk(), record)
         )
         self._record_end(record, head)
-        context.health.record_answer(record.upstream, error=False)
-        context.crash_watch.record_completion(active)
         self._record_memory_use(self._now_s - began_s)
-        return True
+        if not is_ended:
+            self._reason = "the end of a resumed run is unknown"
+        return is_ended
 
     def _record_end(self, record, head):
+        """Record that an engine ended a stream in order."""
+        context, active = self._context, self._active
+        context.health.record_answer(record.upstream, error=False)
+        if head.framing is Framing.CONNECTION:
+            events = self._relay.events - self._events_before_run
+            context.crash_watch.check_unknown_end(
+                active, record, events=events
+            )
+        else:
+            context.crash_watch.record_completion(active)
         framing, position = head.framing.value, self._relay.position.value
-        self._active.add_step(
+        active.add_step(
             StepKind.END, record.upstream, f"{framing}, {position}"
         )
-        self._context.metrics.add(
+        context.metrics.add(
             "streams_ended_total", framing=framing, position=position
         )
 
@@ -350,8 +366,7 @@
             If another engine is to resume the stream.
         """
         active = self._active
-        resumable = active.route.retry_safety is RetrySafety.RESUMABLE
-        if not resumable or active.runs >= active.route.max_upstreams:
+        if not self._is_resumable or active.runs >= active.route.max_upstreams:
             return await work
         task = asyncio.ensure_future(work)
         try:
--- a/currantdeal/entry/relay.py
+++ b/currantdeal/entry/relay.py
@@ -1,6 +1,16 @@
 """Forwards the events of a generation to its caller, over several runs."""
 
-from currantdeal.entry.events import EventSplitter
+from currantdeal.entry.events import EventSplitter, OpaqueBody
+from currantdeal.node.errors import InvalidResponseError
+from currantdeal.node.head import EVENT_STREAM
+from currantdeal.policy.answer_end import (
+    Completeness,
+    Framing,
+    completeness,
+    framing_of_stream,
+    may_end,
+    orderly_ending,
+)
 from currantdeal.policy.reset_outcome import ExchangePhase
 
 
@@ -8,7 +18,8 @@
     """One answer to a caller, made of the events of one or more runs.
 
     Only complete events are forwarded, so that the events of a run that
-    resumes a lost one are never appended to a partial event.
+    resumes a lost one are never appended to a partial event.  An answer that
+    is not a stream of events is forwarded as it arrives, and not resumed.
 
     Parameters
     ----------
@@ -22,31 +33,39 @@
         """Start before the first event."""
         self._context = context
         self._active = active
-        self._started = False
-        self._splitter = EventSplitter()
+        self._framing = None
+        self._body = EventSplitter(resume_after=active.call.resume_after)
 
     @property
     def started(self):
         """Whether a part of the answer was sent to the caller."""
-        return self._started
+        return self._framing is not None
+
+    @property
+    def is_resumable(self):
+        """Whether another run can go on after what was forwarded."""
+        return not self.started or self._body.is_resumable
 
     @property
     def last_id(self):
         """Id of the last event that was forwarded; empty before the first."""
-        return self._splitter.last_id
+        return self._body.last_id
 
     @property
     def events(self):
         """Number of complete events so far."""
-        return self._splitter.count
+        return self._body.count
 
     @property
     def position(self):
         """The ``Position`` of the end of the events so far."""
-        return self._splitter.position
+        return self._body.position
 
     async def forward_events(self, head, next_chunk):
-        """Forward events until the end of a run.
+        """Forward a run to its end; returns whether that ends the answer.
+
+        It does not if the answer is framed and nobody can know whether the run
+        was complete.
 
         Parameters
         ----------
@@ -54,24 +73,43 @@
             Head of the run's answer.
         next_chunk : callable
             Coroutine function that returns bytes, or None at the end.
+
+        Raises
+        ------
+        InvalidResponseError
+            If the run was broken off.
         """
+        self._check_media_type(head)
         while (data := await next_chunk()) is not None:
-            complete = self._splitter.feed(data)
+            complete = self._body.feed(data)
             if complete:
                 await self._send(head, complete)
-        if self._splitter.partial_event:
-            await self._send(head, self._splitter.partial_event)
-        if not self._started:
+        found = completeness(
+            head.framing, orderly_ending(head.framing), self.position
+        )
+        if found is Completeness.BROKEN_OFF:
+            raise InvalidResponseError(
+                f"ended {self.position.value} ({head.framing.value})",
+                phase=ExchangePhase.WITHIN_ANSWER,
+            )
+        if not self.started:
             self._begin(head)
+        if not may_end(self._framing, found):
+            return False
         self._active.responder.finish()
+        return True
 
     def forward_error(self, head, body):
         """Forward an error; returns False if the answer has started."""
-        if self._started:
+        if self.started:
             return False
+        self._framing = head.framing
+        if head.framing is not Framing.CONNECTION:
+            self._framing = Framing.LENGTH
         headers = self._context.dialect.response_headers(head)
-        self._active.responder.answer(head.status, headers, body)
-        self._started = True
+        self._active.responder.answer(
+            head.status, headers, body, framing=self._framing
+        )
         return True
 
     def phase_of(self, exc):
@@ -82,23 +120,40 @@
         exc : ExchangeError
             The failure of the run.
         """
-        if not self._started:
+        if not self.started:
             return exc.phase
-        if self._splitter.partial_event:
+        if self._body.partial_event:
             return ExchangePhase.WITHIN_EVENT
         return ExchangePhase.BETWEEN_EVENTS
 
     def drop_partial_event(self):
         """Discard an event that its run did not complete."""
-        self._splitter.drop_partial_event()
+        self._body.drop_partial_event()
+
+    def _check_media_type(self, head):
+        has_events = head.media_type in ("", EVENT_STREAM)
+        if self.started:
+            if not has_events:
+                raise InvalidResponseError(
+                    f"resumed with {head.media_type!r}",
+                    phase=ExchangePhase.WITHIN_ANSWER,
+                )
+        elif has_events:
+            self._body = EventSplitter(
+                resume_after=self._active.call.resume_after
+            )
+        else:
+            self._body = OpaqueBody()
 
     async def _send(self, head, data):
-        if not self._started:
+        if not self.started:
             self._begin(head)
         self._active.record_output(self._context.now_s)
         await self._active.responder.send(data)
 
     def _begin(self, head):
-        self._started = True
+        self._framing = framing_of_stream(head.framing)
         headers = self._context.dialect.response_headers(head)
-        self._active.responder.begin(head.status, headers)
+        self._active.responder.begin(
+            head.status, headers, framing=self._framing
+        )
--- a/currantdeal/node/head.py
+++ b/currantdeal/node/head.py
@@ -7,6 +7,9 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+EVENT_STREAM = "text/event-stream"
+"""Media type of a stream of events."""
+
 HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -51,6 +54,12 @@
     headers: Headers
     framing: Framing = Framing.LENGTH
 
+    @property
+    def media_type(self):
+        """Media type of the body in lower case; empty if it is not stated."""
+        value = self.get("content-type", "")
+        return value.partition(";")[0].strip().lower()
+
     def get(self, name, default=None):
         """Return a header's value as text."""
         return find_header(self.headers, name, default)
--- a/currantdeal/node/http_request.py
+++ b/currantdeal/node/http_request.py
@@ -5,6 +5,8 @@
 
 import re
 
+from currantdeal.policy.answer_end import Framing
+
 _DOT_SEGMENT = re.compile(r"/(?:\.|%2e){1,2}(?:[/;\\]|$)", re.IGNORECASE)
 
 
@@ -59,13 +61,18 @@
         self._connection = connection
         self.started = False
 
-    def begin(self, status, headers):
+    def begin(self, status, headers, *, framing=Framing.CHUNKS):
         """Send the head.
 
-        Without a length among the headers, the body is sent in chunks.
+        Parameters
+        ----------
+        headers : iterable of tuple
+            Include the length if that is the framing.
+        framing : Framing
+            How the end of the body is marked.
         """
         self.started = True
-        self._connection.send_head(status, headers)
+        self._connection.send_head(status, headers, framing)
 
     async def send(self, data):
         """Send a part of the body; wait while the caller reads slowly."""
@@ -73,17 +80,25 @@
         await self._connection.writable()
 
     def finish(self):
-        """End the response as complete."""
+        """End the response in order, which completes a framed one."""
         self._connection.send_end()
 
     def abort(self):
         """Abort the connection so that the response cannot look complete."""
         self._connection.abort()
 
-    def answer(self, status, headers, body):
-        """Send a whole response."""
-        length = (b"content-length", str(len(body)).encode("ascii"))
-        self.begin(status, (*headers, length))
+    def answer(self, status, headers, body, *, framing=Framing.LENGTH):
+        """Send a response whose body is known.
+
+        Parameters
+        ----------
+        framing : Framing
+            ``LENGTH``, or ``CONNECTION`` if the body may be incomplete.
+        """
+        if framing is Framing.LENGTH:
+            length = (b"content-length", str(len(body)).encode("ascii"))
+            headers = (*headers, length)
+        self.begin(status, headers, framing=framing)
         if body:
             self._connection.send_body(body)
         self.finish()
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -22,7 +22,8 @@
     check_version,
     content_length,
 )
-from currantdeal.node.sockets import prepare_socket
+from currantdeal.node.sockets import prepare_socket, set_reset_on_close
+from currantdeal.policy.answer_end import Framing, framing_of_stream
 from currantdeal.routing import CallerLimits
 
 READ_AHEAD_BYTES = 65_536
@@ -116,6 +117,8 @@
         self._task = None
         self._timer = None
         self._drain_waiter = None
+        self._open_ended = False
+        self._ended = False
         self._reading = True
         self._is_closing = False
 
@@ -282,6 +285,8 @@
         responder = Responder(connection=self)
         try:
             await self._server.handler(request, responder)
+            if self._open_ended:
+                await self._close_open_ended()
         except asyncio.CancelledError:
             self._transport.abort()
             raise
@@ -318,17 +323,56 @@
         else:
             self._start_idle_timer()
 
-    def send_head(self, status, headers):
-        more = [(key, value) for key, value in headers]
-        if self._server.closing or not self._keeps_open():
+    def send_head(self, status, headers, framing):
+        more = list(headers)
+        if framing is Framing.CHUNKS:
+            version = self._http.their_http_version
+            framing = framing_of_stream(
+                framing, reads_chunks=version is None or version >= b"1.1"
+            )
+        self._open_ended = framing is Framing.CONNECTION
+        if self._server.closing or self._open_ended or not self._keeps_open():
             more.append((b"connection", b"close"))
-        self._write(h11.Response(status_code=status, headers=more))
+        response = h11.Response(status_code=status, headers=more)
+        if self._open_ended:
+            self._begin_open_ended(response)
+        else:
+            self._write(response)
 
     def send_body(self, data):
-        self._write(h11.Data(data=data))
+        if not self._open_ended:
+            self._write(h11.Data(data=data))
+        elif not self._transport.is_closing():
+            self._transport.write(data)
 
     def send_end(self):
-        self._write(h11.EndOfMessage())
+        if self._open_ended:
+            self._ended = True
+        else:
+            self._write(h11.EndOfMessage())
+
+    def _begin_open_ended(self, response):
+        """Send the head of a response that ends with its connection.
+
+        The parser would frame it.  Its end has to differ from that of a cut,
+        also of one by the end of this process.
+        """
+        self._http.send_failed()
+        if self._transport.is_closing():
+            return
+        set_reset_on_close(self._transport, True)
+        self._transport.set_write_buffer_limits(high=0)
+        self._transport.write(_encode_head(response))
+
+    async def _close_open_ended(self):
+        if not self._ended:
+            self.abort()
+            return
+        # Bytes that are still in this process are lost if it ends.
+        await self.writable()
+        if not self._transport.is_closing():
+            set_reset_on_close(self._transport, False)
+            self._transport.close()
 
     def abort(self):
         self._transport.abort()
@@ -384,3 +428,9 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=1 << 20
         )
+
+
+def _encode_head(response):
+    lines = [f"HTTP/1.1 {response.status_code} ".encode("ascii")]
+    lines.extend(b"%s: %s" % header for header in response.headers)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
