State a plain answer whole only if its end was marked

What callers could see: a plain answer with neither a length nor chunks, cut by the end of its upstream, with a length that makes it look whole.

Cause: the answer is received to its end and then sent with the length of what was received. Without a framing of its own, that end is the close of the connection, which proves nothing.

Such an answer is now passed on with neither length nor chunks. One that is a stream of events and ends within one was broken off: it is repeated if that is allowed, else the caller gets 502. A request counts as completed in the crash book only if its answer is known to be whole.

--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -14,6 +14,7 @@
     QuarantinedError,
     RefusedError,
 )
+from currantdeal.entry.events import position_of
 from currantdeal.entry.steps import StepKind
 from currantdeal.node.connection_pool import exchange
 from currantdeal.node.errors import (
@@ -23,7 +24,13 @@
     ResponseTimeoutError,
 )
 from currantdeal.node.fingerprint import fingerprint_prefix
-from currantdeal.policy.reset_outcome import reset_outcome
+from currantdeal.policy.answer_end import (
+    Completeness,
+    completeness,
+    framing_of_buffered,
+    orderly_ending,
+)
+from currantdeal.policy.reset_outcome import ExchangePhase, reset_outcome
 from currantdeal.policy.retry_after import RefusalReason
 from currantdeal.policy.upstream_health import order_upstreams
 from currantdeal.routing import RetrySafety
@@ -79,13 +86,16 @@
 
     ``final`` is true if the answer is forwarded to the caller, ``retryable``
     if another upstream may be tried; ``head`` is None without a complete
-    answer.
+    answer, ``found`` the ``Completeness`` of it.
     """
 
-    def __init__(self, *, retryable, head=None, body=b"", final=False):
+    def __init__(
+        self, *, retryable, head=None, body=b"", found=None, final=False
+    ):
         self.retryable = retryable
         self.head = head
         self.body = body
+        self.found = found
         self.final = final
 
 
@@ -176,6 +186,7 @@
             timeout_s=_attempt_timeout_s(active, now_s),
             limit=MAX_ANSWER_BYTES,
         )
+        found = _check_end(head, body)
     except ExchangeError as exc:
         return _record_failure(context, active, record, exc)
     except asyncio.CancelledError:
@@ -184,7 +195,27 @@
     finally:
         context.health.request_ended(record.upstream)
     metadata = context.read_response(record, head, sent_s=sent_s)
-    return _handle_answer(context, active, record, (head, body, metadata))
+    return _handle_answer(
+        context, active, record, (head, body, metadata, found)
+    )
+
+
+def _check_end(head, body):
+    """Return the ``Completeness`` of an answer that was received to its end.
+
+    Raises
+    ------
+    InvalidResponseError
+        If the answer was broken off.
+    """
+    position = position_of(head, body)
+    found = completeness(head.framing, orderly_ending(head.framing), position)
+    if found is Completeness.BROKEN_OFF:
+        raise InvalidResponseError(
+            f"ended {position.value} ({head.framing.value})",
+            phase=ExchangePhase.WITHIN_ANSWER,
+        )
+    return found
 
 
 def _record_failure(context, active, record, exc):
@@ -204,7 +235,7 @@
 
 
 def _handle_answer(context, active, record, answer):
-    head, body, metadata = answer
+    head, body, metadata, found = answer
     if metadata.load is not None:
         context.health.record_load(
             record.upstream,
@@ -222,7 +253,8 @@
         context.health.record_answer(record.upstream, error=True)
         active.add_step(StepKind.ERROR, record.upstream, "not its answer")
         return _AttemptResult(retryable=retryable)
-    context.crash_watch.record_completion(active)
+    if found is Completeness.WHOLE:
+        context.crash_watch.record_completion(active)
     error = head.status >= 500
     context.health.record_answer(record.upstream, error=error)
     active.add_step(
@@ -232,14 +264,23 @@
     )
     context.metrics.add("answers_total", framing=head.framing.value)
     return _AttemptResult(
-        retryable=retryable, head=head, body=body, final=not error
+        retryable=retryable,
+        head=head,
+        body=body,
+        found=found,
+        final=not error,
     )
 
 
 def _forward(context, active, answer):
     headers = context.dialect.response_headers(answer.head)
     active.record_output(context.now_s)
-    active.responder.answer(answer.head.status, headers, answer.body)
+    active.responder.answer(
+        answer.head.status,
+        headers,
+        answer.body,
+        framing=framing_of_buffered(answer.found),
+    )
 
 
 def _end_without_answer(context, active, last):
