Pass on a service's answer of unknown end with no length

The client of services now tells, by policy/answer_end.py, whether an answer is known to be whole. One that is not goes out with neither length nor chunks, and a stored answer remembers it, so a resend states no more than the first answer did. Records of earlier versions count as whole, as they did.

--- a/currantdeal/adapters/connections.py
+++ b/currantdeal/adapters/connections.py
@@ -30,6 +30,13 @@
     UpstreamTimeoutError,
     UpstreamUnreachableError,
 )
+from currantdeal.policy.answer_end import (
+    Completeness,
+    Position,
+    completeness,
+    framing_of,
+    orderly_ending,
+)
 
 MAX_IDLE_AGE_S = 2.0
 """Idle time after which a pooled connection is not reused.
@@ -63,11 +70,19 @@
 
 @dataclass(frozen=True, kw_only=True)
 class HttpResponse:
-    """The answer of an upstream."""
+    """The answer of an upstream, received to its end.
+
+    Parameters
+    ----------
+    is_known_whole : bool
+        False if only the close of the connection ended the body, which may
+        be incomplete.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    is_known_whole: bool = True
 
 
 class _ExpiringPool(urllib3.HTTPConnectionPool):
@@ -159,10 +174,12 @@
             self.forget(request.address)
             raise connection_lost_error(request.address, exc) from exc
         response.release_conn()
+        headers = tuple(response.headers.items())
         return HttpResponse(
             status=response.status,
-            headers=tuple(response.headers.items()),
+            headers=headers,
             body=body,
+            is_known_whole=_is_known_whole(request, response.status, headers),
         )
 
     def forget(self, address):
@@ -210,6 +227,17 @@
     return False
 
 
+def _is_known_whole(request, status, headers):
+    framing = framing_of(
+        method=request.method,
+        status=status,
+        headers=((name.lower().encode(), value) for name, value in headers),
+    )
+    ending = orderly_ending(framing)
+    found = completeness(framing, ending, Position.NO_EVENTS)
+    return found is Completeness.WHOLE
+
+
 def _headers_of(request, fresh):
     headers = urllib3.HTTPHeaderDict()
     for name, value in request.headers:
--- a/currantdeal/adapters/http/app.py
+++ b/currantdeal/adapters/http/app.py
@@ -7,7 +7,7 @@
 import structlog
 
 from currantdeal.adapters.http.errors import HttpError, not_found
-from currantdeal.adapters.http.messages import Request
+from currantdeal.adapters.http.messages import OPEN_ENDED, Request
 from currantdeal.adapters.http.problems import (
     problem,
     problem_response,
@@ -121,6 +121,10 @@
         start_response(
             f"{response.status} {reason_phrase}", list(response.headers)
         )
+        if not response.is_known_whole:
+            environ[OPEN_ENDED] = True
+            # The server states a length for a list.
+            return iter((response.body,))
         if isinstance(response.body, bytes):
             return [response.body]
         return response.body
--- a/currantdeal/adapters/http/messages.py
+++ b/currantdeal/adapters/http/messages.py
@@ -10,6 +10,12 @@
 
 JSON = "application/json"
 
+OPEN_ENDED = "currantdeal.open_ended"
+"""Key of the WSGI environment whose presence leaves a body without a framing.
+
+The body then ends with its connection, and may be incomplete.
+"""
+
 
 @dataclass(frozen=True, kw_only=True)
 class Request:
@@ -75,11 +81,19 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Response:
-    """An answer; the body is bytes, or chunks sent as they are produced."""
+    """An answer; the body is bytes, or chunks sent as they are produced.
+
+    Parameters
+    ----------
+    is_known_whole : bool
+        False if the body may be incomplete; the caller then gets it with
+        neither a length nor chunks.
+    """
 
     status: int = 200
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes | Iterable[bytes] = field(default=b"")
+    is_known_whole: bool = True
 
 
 def json_response(message, *, status=200, headers=()):
--- a/currantdeal/adapters/http/server.py
+++ b/currantdeal/adapters/http/server.py
@@ -11,6 +11,8 @@
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
+from currantdeal.adapters.http.messages import OPEN_ENDED
+
 UNSENT_TIMEOUT_S = 5.0
 """Time after which a client that acknowledges no bytes counts as gone.
 
@@ -27,6 +29,8 @@
 RESERVED_FILES = 100
 SENT_POLL_S = 0.02
 
+_CHUNKED_HEADER = b"Transfer-Encoding: chunked\r\n"
+
 
 class HttpServer:
     """Listener for callers, upstreams and operators.
@@ -147,9 +151,14 @@
 def _channel_class(closing):
     class Task(WSGITask):
         def build_response_header(self):
-            if closing.is_set():
+            is_open_ended = OPEN_ENDED in self.environ
+            if closing.is_set() or is_open_ended:
                 self.set_close_on_finish()
-            return super().build_response_header()
+            head = super().build_response_header()
+            if is_open_ended and self.chunked_response:
+                self.chunked_response = False
+                head = head.replace(_CHUNKED_HEADER, b"", 1)
+            return head
 
     class Channel(HTTPChannel):
         task_class = Task
--- a/currantdeal/adapters/http/services.py
+++ b/currantdeal/adapters/http/services.py
@@ -77,6 +77,7 @@
             status=outcome.answer.status,
             headers=tuple(headers),
             body=outcome.answer.body,
+            is_known_whole=outcome.answer.is_known_whole,
         )
 
 
--- /dev/null
+++ b/currantdeal/adapters/http/tests/test_answer_ends.py
@@ -0,0 +1,100 @@
+"""Ends of answers of the product's own interface, with real sockets."""
+
+import contextlib
+import socket
+import threading
+
+import pytest
+
+from currantdeal.adapters.http.app import App, Routes
+from currantdeal.adapters.http.messages import Response
+from currantdeal.adapters.http.server import HttpServer
+from currantdeal.adapters.metrics import Metrics
+from currantdeal.adapters.services import HttpServices
+from currantdeal.ports import ServiceCall
+from currantdeal.testing.answer_shapes import Received, parse_answer
+
+HEADS = {
+    "length": b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\na menu",
+    "chunks": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"6\r\na menu\r\n0\r\n\r\n",
+    "neither": b"HTTP/1.1 200 OK\r\n\r\na menu",
+    "http-1.0": b"HTTP/1.0 200 OK\r\n\r\na menu",
+}
+
+MARKED = ("length", "chunks")
+
+
+class _Address:
+    def __init__(self, *, address):
+        self.address = address
+
+
+@contextlib.contextmanager
+def _upstream(raw):
+    """Run an upstream that sends bytes once and closes its connection."""
+
+    def serve():
+        with contextlib.suppress(OSError):
+            connection, _ = listener.accept()
+            connection.recv(65_536)
+            connection.sendall(raw)
+            connection.close()
+
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        thread = threading.Thread(target=serve)
+        thread.start()
+        host, port = listener.getsockname()
+        yield _Address(address=f"{host}:{port}")
+        thread.join()
+
+
+@contextlib.contextmanager
+def _instance(handler):
+    """Run a server whose answers to all requests a handler returns."""
+    routes = Routes()
+    routes.add("GET", "/.*", handler)
+    server = HttpServer(
+        app=App(
+            routes=routes, keys=None, metrics=Metrics(), max_body_bytes=1_000
+        ),
+        host="127.0.0.1",
+        port=0,
+        threads=2,
+        max_header_bytes=4_000,
+        max_body_bytes=1_000,
+    )
+    server.start()
+    yield server.port
+    server.stop()
+
+
+def _get(port, version):
+    """Return the ``CallerAnswer`` to a request that closes its connection."""
+    request = f"GET /x HTTP/{version}\r\nHost: a\r\nConnection: close\r\n\r\n"
+    received = b""
+    with socket.create_connection(("127.0.0.1", port), timeout=5.0) as sock:
+        sock.sendall(request.encode())
+        try:
+            while data := sock.recv(65_536):
+                received += data
+        except ConnectionResetError:
+            received += b"<reset>"
+    return parse_answer(received)
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+@pytest.mark.parametrize("shape", HEADS)
+def test_answer_of_a_service_is_stated_whole_only_if_known(shape, version):
+    """Guards against a length for an answer that may be incomplete."""
+
+    def handler(request):
+        call = ServiceCall(method="GET", path="/menu")
+        found = HttpServices().call(upstream, call, timeout_s=2.0)
+        return Response(body=found.body, is_known_whole=found.is_known_whole)
+
+    with _upstream(HEADS[shape]) as upstream, _instance(handler) as port:
+        answer = _get(port, version)
+    assert (answer.status, answer.body) == (200, b"a menu")
+    expected = Received.WHOLE if shape in MARKED else Received.OPEN
+    assert answer.received is expected
--- a/currantdeal/adapters/services.py
+++ b/currantdeal/adapters/services.py
@@ -61,4 +61,5 @@
                 if name.lower() not in HOP_BY_HOP
             ),
             body=response.body,
+            is_known_whole=response.is_known_whole,
         )
--- a/currantdeal/ports/services.py
+++ b/currantdeal/ports/services.py
@@ -33,11 +33,19 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ServiceAnswer:
-    """The complete response of a service."""
+    """The response of a service, received to its end.
+
+    Parameters
+    ----------
+    is_known_whole : bool
+        False if only the close of the connection ended the body, which may
+        be incomplete.
+    """
 
     status: int
     headers: tuple[Header, ...] = ()
     body: bytes = b""
+    is_known_whole: bool = True
 
 
 class ServicePort(Protocol):
--- a/currantdeal/serving/claims.py
+++ b/currantdeal/serving/claims.py
@@ -126,6 +126,7 @@
             status=answer.status,
             content_type=_content_type(answer),
             body=answer.body,
+            is_known_whole=answer.is_known_whole,
         )
         self._propose_end(
             FinishClaim(
@@ -290,6 +291,7 @@
         if claim.answer.content_type
         else (),
         body=claim.answer.body,
+        is_known_whole=claim.answer.is_known_whole,
     )
 
 
--- a/currantdeal/state/commands.py
+++ b/currantdeal/state/commands.py
@@ -203,11 +203,18 @@
 
 @dataclass(frozen=True, kw_only=True)
 class CallAnswer:
-    """The answer of a non-idempotent call, stored for resends."""
+    """The answer of a non-idempotent call, stored for resends.
+
+    Parameters
+    ----------
+    is_known_whole : bool
+        False if the body may be incomplete.
+    """
 
     status: int
     content_type: str
     body: bytes
+    is_known_whole: bool = True
 
 
 @dataclass(frozen=True, kw_only=True)
