Cut the stream of a completion that failed midway

What callers of the product's own interface could see: a completion whose engine was lost, which ends with an event that names the failure and then with a last chunk, as if its answer were complete.

Cause: the body's iterator returned after that event, and the server ended its chunks in order. The failure stood only in the text.

The body now marks such an end, and the server closes the connection without the last chunk; without chunks, for a caller of HTTP/1.0, it resets it.

--- a/currantdeal/adapters/http/generation.py
+++ b/currantdeal/adapters/http/generation.py
@@ -1,7 +1,12 @@
 """Endpoints of the OpenAI API."""
 
 from currantdeal.adapters.http.errors import bad_request
-from currantdeal.adapters.http.messages import JSON, Response, json_response
+from currantdeal.adapters.http.messages import (
+    BROKEN_OFF,
+    JSON,
+    Response,
+    json_response,
+)
 from currantdeal.adapters.http.openai_format import AnswerFormat, event_of
 from currantdeal.adapters.http.openai_messages import (
     DEFAULT_MAX_TOKENS,
@@ -110,7 +115,13 @@
         try:
             if body.stream:
                 return self._stream_response(
-                    generation_request, answer_format, body, end
+                    generation_request,
+                    answer_format,
+                    body,
+                    end=end,
+                    break_off=lambda: request.environ.setdefault(
+                        BROKEN_OFF, True
+                    ),
                 )
             completion = self._service.complete(generation_request)
         except BaseException:
@@ -122,7 +133,9 @@
             body=answer_format.full_answer(completion),
         )
 
-    def _stream_response(self, generation_request, answer_format, body, end):
+    def _stream_response(
+        self, generation_request, answer_format, body, *, end, break_off
+    ):
         stream = self._service.open(generation_request)
         options = body.stream_options
         return Response(
@@ -132,6 +145,7 @@
                 answer_format=answer_format,
                 with_usage=bool(options and options.include_usage),
                 end=end,
+                break_off=break_off,
             ),
         )
 
@@ -153,14 +167,17 @@
         Whether the last event contains the numbers of tokens.
     end : callable
         Called once when the body is closed.
+    break_off : callable
+        Called before the end of a body that is not complete.
     """
 
-    def __init__(self, *, stream, answer_format, with_usage, end):
+    def __init__(self, *, stream, answer_format, with_usage, end, break_off):
         """Store the stream; nothing is sent before iteration."""
         self._stream = stream
         self._answer_format = answer_format
         self._with_usage = with_usage
         self._end = end
+        self._break_off = break_off
 
     def __iter__(self):
         """Yield the events."""
@@ -177,9 +194,10 @@
             # Part of the answer has been sent, so the HTTP status cannot
             # report the failure.  This event reports it, and no end marker
             # follows.
+            self._break_off()
             yield event_of(problem_of_refusal(exc))
         except CallerDisconnectedError:
-            return
+            self._break_off()
 
     def close(self):
         """Close the stream and free the memory it holds."""
--- a/currantdeal/adapters/http/messages.py
+++ b/currantdeal/adapters/http/messages.py
@@ -16,6 +16,9 @@
 The body then ends with its connection, and may be incomplete.
 """
 
+BROKEN_OFF = "currantdeal.broken_off"
+"""Key of the WSGI environment whose presence cuts a body off at its end."""
+
 
 @dataclass(frozen=True, kw_only=True)
 class Request:
--- a/currantdeal/adapters/http/server.py
+++ b/currantdeal/adapters/http/server.py
@@ -4,6 +4,7 @@
 """
 
 import socket
+import struct
 import threading
 import time
 
@@ -11,7 +12,7 @@
 from waitress.channel import HTTPChannel
 from waitress.task import WSGITask
 
-from currantdeal.adapters.http.messages import OPEN_ENDED
+from currantdeal.adapters.http.messages import BROKEN_OFF, OPEN_ENDED
 
 UNSENT_TIMEOUT_S = 5.0
 """Time after which a client that acknowledges no bytes counts as gone.
@@ -148,6 +149,11 @@
     return listener
 
 
+def _reset_on_close(sock):
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def _channel_class(closing):
     class Task(WSGITask):
         def build_response_header(self):
@@ -160,6 +166,15 @@
                 head = head.replace(_CHUNKED_HEADER, b"", 1)
             return head
 
+        def finish(self):
+            if BROKEN_OFF not in self.environ:
+                super().finish()
+                return
+            self.set_close_on_finish()
+            if not self.chunked_response:
+                # Without chunks, only a reset differs from the end.
+                _reset_on_close(self.channel.socket)
+
     class Channel(HTTPChannel):
         task_class = Task
 
--- a/currantdeal/adapters/http/tests/test_answer_ends.py
+++ b/currantdeal/adapters/http/tests/test_answer_ends.py
@@ -7,11 +7,15 @@
 import pytest
 
 from currantdeal.adapters.http.app import App, Routes
-from currantdeal.adapters.http.messages import Response
+from currantdeal.adapters.http.generation import EventBody
+from currantdeal.adapters.http.messages import BROKEN_OFF, Response
+from currantdeal.adapters.http.openai_format import AnswerFormat
 from currantdeal.adapters.http.server import HttpServer
 from currantdeal.adapters.metrics import Metrics
 from currantdeal.adapters.services import HttpServices
-from currantdeal.ports import ServiceCall
+from currantdeal.core import Outcome, WorkKind
+from currantdeal.ports import OutputChunk, ServiceCall
+from currantdeal.serving.errors import Reason, RefusedError
 from currantdeal.testing.answer_shapes import Received, parse_answer
 
 HEADS = {
@@ -98,3 +102,47 @@
     assert (answer.status, answer.body) == (200, b"a menu")
     expected = Received.WHOLE if shape in MARKED else Received.OPEN
     assert answer.received is expected
+
+
+class _LostStream:
+    """Output of an engine that is lost after its first chunk."""
+
+    prompt_tokens = output_tokens = 1
+
+    def __iter__(self):
+        yield OutputChunk(offset=0, text="a")
+        raise RefusedError(
+            "the engine is lost",
+            reason=Reason.UPSTREAM_FAILED,
+            outcome=Outcome.FAILED,
+        )
+
+    def close(self):
+        pass
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_stream_of_a_lost_engine_is_cut(version):
+    """Guards against a broken-off stream that is framed as complete."""
+
+    def handler(request):
+        return Response(
+            body=EventBody(
+                stream=_LostStream(),
+                answer_format=AnswerFormat(
+                    answer_id="1",
+                    kind=WorkKind.COMPLETION,
+                    model="m",
+                    created=0,
+                ),
+                with_usage=False,
+                end=lambda: None,
+                break_off=lambda: request.environ.setdefault(BROKEN_OFF, True),
+            )
+        )
+
+    with _instance(handler) as port:
+        answer = _get(port, version)
+    assert answer.received is Received.CUT
+    if version == "1.1":
+        assert b"the engine is lost" in answer.body
