Pass resets on in the fault proxy

The proxy of our tests and soaks stands between an upstream and its caller as well, and turned a reset of one side into an orderly end at the other. An answer that ends with its connection looked complete behind it, so no soak could have found the incident's fault.

A reset of one side now resets the other one, after the bytes before it. The new test failed before; the other tests of currantdeal/testing pass.

--- a/currantdeal/testing/proxy.py
+++ b/currantdeal/testing/proxy.py
@@ -29,6 +29,7 @@
 PARTITION_POLL_S = 0.01
 BIND_ATTEMPTS = 20
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_RESET = object()
 
 
 class Cut(str, Enum):
@@ -272,6 +273,9 @@
             due_s, chunk = await chunks.get()
             await asyncio.sleep(due_s - loop.time())
             await self._wait_unblocked(connection, direction)
+            if chunk is _RESET:
+                connection.close(reset=True)
+                return
             if not chunk:
                 await _send_eof(writer)
                 return
@@ -307,12 +311,14 @@
 
 
 async def _read_chunk(reader):
-    # A reset of one side reaches the other side as an end of stream.  A test
-    # that needs a reset uses ``reset_open_connections``.
+    """Return the next bytes; empty at an orderly end, ``_RESET`` at a reset.
+
+    An answer without a length ends in one way or the other.
+    """
     try:
         return await reader.read(CHUNK_BYTES)
     except OSError:
-        return b""
+        return _RESET
 
 
 async def _send_eof(writer):
--- a/currantdeal/testing/tests/test_proxy.py
+++ b/currantdeal/testing/tests/test_proxy.py
@@ -1,5 +1,6 @@
 import contextlib
 import socket
+import struct
 import threading
 
 import pytest
@@ -97,6 +98,23 @@
         assert sock.recv(1) == b""
 
 
+def test_a_reset_passes_through():
+    """Guards against a proxy that turns a cut answer into an ended one."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        host, port = listener.getsockname()
+        fault_proxy = FaultProxy(target=f"{host}:{port}")
+        with _connect(fault_proxy) as sock:
+            accepted, _ = listener.accept()
+            accepted.sendall(b"a part")
+            assert sock.recv(100) == b"a part"
+            linger = struct.pack("ii", 1, 0)
+            accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            accepted.close()
+            with pytest.raises(ConnectionResetError):
+                sock.recv(1)
+        fault_proxy.close()
+
+
 def test_datagrams_pass_and_are_lost_in_a_partition():
     with (
         socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as target,
