Prove the end of an answer when its entry ends

A crash that closes an open-ended stream between two events reaches the crash book, and an engine that still runs after such an end does not.

--- a/currantdeal/entry/tests/test_answer_ends.py
+++ b/currantdeal/entry/tests/test_answer_ends.py
@@ -258,6 +258,20 @@
     assert b"runs_lost_total" in scenario.metrics
 
 
+@pytest.mark.parametrize("crashes", [True, False])
+@pytest.mark.parametrize("shape", OPEN_SHAPES)
+def test_crash_that_closes_in_order_is_seen(shape, crashes):
+    """Guards against a crash book without crashes between two events."""
+    scenario, _ = _play(
+        NOTE,
+        answer=Answer(
+            body=WHOLE, sent=TWO_EVENTS, shape=shape, crashes=crashes
+        ),
+    )
+    lost = b'runs_lost_total{crashed="true"}' in scenario.metrics
+    assert lost is crashes
+
+
 @pytest.mark.parametrize("shape", [Shape.CHUNKS, *OPEN_SHAPES])
 def test_stream_to_an_http_1_0_caller_is_cut(shape):
     """Guards against a caller without chunks that takes a cut for an end."""
--- a/currantdeal/testing/answer_shapes.py
+++ b/currantdeal/testing/answer_shapes.py
@@ -60,6 +60,10 @@
         Number of its bytes that are sent; None for all.
     content_type : str
         Value of its ``Content-Type`` header; empty for none.
+    pause_s : float
+        Pause after each of its events; 0 to send all bytes at once.
+    crashes : bool
+        Whether the upstream stops listening before it closes.
     """
 
     body: bytes
@@ -68,6 +72,18 @@
     sent: int | None = None
     status: int = 200
     content_type: str = "text/event-stream"
+    pause_s: float = 0.0
+    crashes: bool = False
+
+    @property
+    def pieces(self):
+        """The bytes that are sent, in the pieces that a pause separates."""
+        body = self.body[: self.sent]
+        if not self.pause_s:
+            return (body,) if body else ()
+        found = body.split(b"\n\n")
+        ended = tuple(piece + b"\n\n" for piece in found[:-1])
+        return (*ended, found[-1]) if found[-1] else ended
 
     def head(self, request, upstream):
         """Return the bytes of the head."""
@@ -121,17 +137,21 @@
         writer.write(answer.head(request, self.upstream))
         await self._send_body(answer, writer)
         await asyncio.sleep(READ_DELAY_S)
+        if answer.crashes:
+            self.stop()
         if answer.close is Close.RESET:
             reset(writer)
         elif answer.close is Close.FIN or answer.shape in _UNMARKED:
             writer.close()
 
     async def _send_body(self, answer, writer):
-        body = answer.body[: answer.sent]
-        if answer.shape is not Shape.CHUNKS:
-            writer.write(body)
-        elif body:
-            writer.write(b"%x\r\n%s\r\n" % (len(body), body))
+        for piece in answer.pieces:
+            if answer.shape is Shape.CHUNKS:
+                writer.write(b"%x\r\n%s\r\n" % (len(piece), piece))
+            else:
+                writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(answer.pause_s)
         if answer.shape is Shape.CHUNKS and answer.close is Close.FRAMED:
             writer.write(b"0\r\n\r\n")
         await writer.drain()
