Soak beside upstreams that end their answers in every way

A framed answer has to be whole to the byte, and one with neither has to end where an upstream closed it in order.

The check of streams compares bytes now: it read the numbers of events, which a part of an event can show too. The fault proxy keeps its tasks, which the event loop dropped while a connection was half closed.

--- a/benchmarks/soak_callers.py
+++ b/benchmarks/soak_callers.py
@@ -10,6 +10,7 @@
 
 import h11
 
+from currantdeal.testing.answer_shapes import events
 from currantdeal.testing.entry_world import GENERATION
 from currantdeal.testing.platform_upstream import EVENTS, event_numbers
 
@@ -43,6 +44,9 @@
         The part of the body that was received.
     whole : bool
         True if the answer was received to its proper end.
+    framed : bool
+        False if it has neither a length nor chunks, so that only the close of
+        its connection ended it.
     connected : bool
         False if no connection was established, so that nothing was sent.
     """
@@ -55,6 +59,7 @@
     status: int = 0
     body: bytes = b""
     whole: bool = False
+    framed: bool = True
     connected: bool = True
 
 
@@ -176,6 +181,9 @@
     )
 
 
+_FRAMING_HEADERS = {b"content-length", b"transfer-encoding"}
+
+
 async def _read(http, reader, result):
     while True:
         event = http.next_event()
@@ -183,6 +191,8 @@
             http.receive_data(await reader.read(65_536))
         elif isinstance(event, h11.Response):
             result["status"] = event.status_code
+            names = {name for name, _ in event.headers}
+            result["framed"] = bool(names & _FRAMING_HEADERS)
         elif isinstance(event, h11.Data):
             result["body"] += bytes(event.data)
         elif isinstance(event, h11.EndOfMessage):
@@ -192,7 +202,7 @@
             return
 
 
-def verify_attempts(attempts, runs):
+def verify_attempts(attempts, runs, *, closed=None):
     """Return the promises to callers that were violated.
 
     Parameters
@@ -201,6 +211,10 @@
         All requests that callers sent.
     runs : Counter
         Number of times that upstreams ran each request, by request id.
+    closed : dict or None
+        By request id, where upstreams closed an answer with neither a length
+        nor chunks in order: the last event of a stream, or the bytes of
+        another answer.  None if all upstreams frame their answers.
 
     Returns
     -------
@@ -210,7 +224,10 @@
     result = []
     for attempt in attempts:
         if attempt.status == 200 and attempt.whole:
-            result += _verify_answer(attempt)
+            if attempt.framed:
+                result += _verify_answer(attempt)
+            else:
+                result += _verify_open(attempt, closed or {})
         ran = runs[attempt.request_id]
         if attempt.kind in AT_MOST_ONCE and ran > 1:
             result.append(
@@ -239,7 +256,7 @@
                 )
             ]
         return []
-    if event_numbers(attempt.body) != list(range(1, EVENTS + 1)):
+    if attempt.body != events(1, EVENTS):
         return [
             (
                 "events whole and in order",
@@ -247,3 +264,26 @@
             )
         ]
     return []
+
+
+def _verify_open(attempt, closed):
+    """Verify an answer with neither a length nor chunks."""
+    ends = closed.get(attempt.request_id, ())
+    if attempt.kind in ("menu", "order"):
+        holds = attempt.body in ends
+    else:
+        numbers = event_numbers(attempt.body)
+        last = len(numbers)
+        holds = (
+            numbers == list(range(1, last + 1))
+            and attempt.body.endswith(b"\n\n")
+            and (last in ends or last == EVENTS)
+        )
+    if holds:
+        return []
+    return [
+        (
+            "an open-ended answer ends where its upstream closed",
+            f"{attempt.request_id}: {attempt.body[-60:]!r}, {ends}",
+        )
+    ]
--- a/benchmarks/soak_nodes.py
+++ b/benchmarks/soak_nodes.py
@@ -49,16 +49,18 @@
     name, service, stage : str
         As in its heartbeats; no stage for a plain service.
     standin : StandInUpstream or None
-        Stand-in that is reached without a proxy.  None creates a healthy
-        stand-in behind a proxy.
+        The stand-in; None creates a healthy one.
+    proxied : bool or None
+        Whether it is reached through a proxy; by default only the healthy
+        one is.
     """
 
-    def __init__(self, *, name, service, stage="", standin=None):
+    def __init__(self, *, name, service, stage="", standin=None, proxied=None):
         """Prepare the stand-in without starting it."""
         self.name = name
         self.standin = standin or StandInUpstream(upstream=name, script=_echo)
         self.proxy = None
-        self._is_proxied = standin is None
+        self._is_proxied = standin is None if proxied is None else proxied
         self.state = "ready"
         self.service = service
         self.stage = stage
@@ -329,12 +331,16 @@
             ):
                 self.check(
                     "a planned stop cuts nothing",
-                    attempt.whole,
+                    attempt.whole or self._may_be_cut(attempt),
                     f"{attempt.request_id}: {attempt.status}",
                 )
         entry.start()
         await self._check_recovery("a planned stop")
 
+    def _may_be_cut(self, attempt):
+        """Return whether an upstream broke off its answer to an attempt."""
+        return False
+
     async def _drain_upstream(self):
         upstream = self.upstreams[0]
         upstream.state = "draining"
@@ -367,7 +373,11 @@
             for request in upstream.standin.runs
         )
         self.checked["what callers received"] += len(self.attempts)
-        self.violations += verify_attempts(self.attempts, runs)
+        self.violations += self._violations(runs)
+
+    def _violations(self, runs):
+        """Return the violated promises to callers, see ``verify_attempts``."""
+        return verify_attempts(self.attempts, runs)
 
 
 def end_tasks(tasks):
--- a/benchmarks/soak_runs.py
+++ b/benchmarks/soak_runs.py
@@ -10,6 +10,7 @@
 from collections import Counter
 
 from benchmarks.soak_crashes import CrashingFaultInjector, CrashingSoak
+from benchmarks.soak_endings import EndingSoak
 from benchmarks.soak_limits import LimitingSoak
 from benchmarks.soak_node_faults import NodeFaultInjector
 from benchmarks.soak_nodes import NodeSoak
@@ -22,6 +23,7 @@
     "resetting": (NodeSoak, ResettingFaultInjector),
     "crashing": (CrashingSoak, CrashingFaultInjector),
     "limiting": (LimitingSoak, NodeFaultInjector),
+    "ending": (EndingSoak, ResettingFaultInjector),
 }
 """Soak class and fault injector by the name of a fault set."""
 
--- a/benchmarks/tests/test_soak_nodes.py
+++ b/benchmarks/tests/test_soak_nodes.py
@@ -41,6 +41,10 @@
 """Run with upstreams that limit their requests."""
 
 
+ENDING_SEEDS = (900,)
+"""Run with upstreams that leave answers unframed or break them off."""
+
+
 def _check(seed, *, faults="random"):
     report = run_seed(seed, rounds=1, faults=faults)
     assert report["violations"] == []
@@ -91,6 +95,12 @@
     _check(seed, faults="limiting")
 
 
+@pytest.mark.parametrize("seed", ENDING_SEEDS)
+def test_promises_hold_beside_upstreams_that_break_off(seed):
+    """Guards against parts of answers that look whole to their callers."""
+    _check(seed, faults="ending")
+
+
 @pytest.mark.known_red
 @pytest.mark.parametrize("seed", SEEN_ONCE)
 def test_promises_hold_under_faults_that_failed_once(seed):
--- a/currantdeal/entry/tests/test_answer_ends.py
+++ b/currantdeal/entry/tests/test_answer_ends.py
@@ -6,6 +6,7 @@
 
 from currantdeal.registry import Stage
 from currantdeal.testing.answer_shapes import (
+    OPEN_SHAPES,
     Answer,
     Close,
     Received,
@@ -26,7 +27,6 @@
 LONG_EVENT = b"id: 1\ndata: " + b"x" * 2_500_000 + b"\n\n"
 
 FRAMED_SHAPES = (Shape.LENGTH, Shape.CHUNKS)
-OPEN_SHAPES = (Shape.NEITHER, Shape.HTTP_1_0)
 
 WITHIN_AN_EVENT = {
     "first event": (WHOLE, 9),
--- a/currantdeal/testing/answer_shapes.py
+++ b/currantdeal/testing/answer_shapes.py
@@ -16,7 +16,7 @@
 
 
 class Shape(str, Enum):
-    """How an upstream marks the end of its answer; the last two do not."""
+    """How an upstream marks the end of its answer."""
 
     LENGTH = "length"
     CHUNKS = "chunks"
@@ -24,6 +24,10 @@
     HTTP_1_0 = "http-1.0"
 
 
+OPEN_SHAPES = (Shape.NEITHER, Shape.HTTP_1_0)
+"""Shapes of answers that end with their connection."""
+
+
 class Close(str, Enum):
     """What an upstream does after the last byte that it sends.
 
@@ -141,7 +145,7 @@
             self.stop()
         if answer.close is Close.RESET:
             reset(writer)
-        elif answer.close is Close.FIN or answer.shape in _UNMARKED:
+        elif answer.close is Close.FIN or answer.shape in OPEN_SHAPES:
             writer.close()
 
     async def _send_body(self, answer, writer):
@@ -157,11 +161,10 @@
         await writer.drain()
 
 
-_UNMARKED = (Shape.NEITHER, Shape.HTTP_1_0)
-
-
 def reset(writer):
     """Close a connection with a TCP reset instead of a FIN."""
+    if writer.transport.is_closing():
+        return
     raw = writer.get_extra_info("socket")
     raw.setsockopt(
         socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
--- a/currantdeal/testing/platform_upstream.py
+++ b/currantdeal/testing/platform_upstream.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import re
 import time
 from dataclasses import dataclass, field
 
@@ -201,11 +202,9 @@
 
 def event_numbers(answer):
     """Return the numbers of the events in the bytes of a stream."""
-    return [
-        int(line.split()[-1])
-        for line in answer.decode("latin-1").splitlines()
-        if line.startswith("data: piece")
-    ]
+    lines = answer.decode("latin-1").splitlines()
+    found = (re.fullmatch(r"data: piece (\d+)", line) for line in lines)
+    return [int(match[1]) for match in found if match]
 
 
 def send_event(writer, number):
--- a/currantdeal/testing/proxy.py
+++ b/currantdeal/testing/proxy.py
@@ -67,7 +67,8 @@
 class _Connection:
     """A forwarded connection: one socket on each side."""
 
-    def __init__(self):
+    def __init__(self, *, task):
+        self.task = task
         self.stalled = False
         self.writers = []
 
@@ -222,7 +223,8 @@
             connection.close(reset=reset)
 
     async def _handle_connection(self, reader, writer):
-        connection = _Connection()
+        # The event loop holds no strong reference to a task.
+        connection = _Connection(task=asyncio.current_task())
         connection.writers.append(writer)
         self._connections.add(connection)
         try:
