--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -18,6 +18,7 @@
 from currantdeal.entry.memory import MemoryReserver
 from currantdeal.entry.prefill import prefill_prompt, release_kv_cache
 from currantdeal.entry.relay import EventRelay
+from currantdeal.entry.run_end import record_end, record_memory_use
 from currantdeal.entry.steps import StepKind
 from currantdeal.node.errors import (
     ConnectError,
@@ -26,7 +27,6 @@
     ResponseTimeoutError,
 )
 from currantdeal.node.fingerprint import fingerprint_prefix
-from currantdeal.policy.answer_end import Framing
 from currantdeal.policy.reset_outcome import ExchangePhase, reset_outcome
 from currantdeal.policy.retry_after import RefusalReason
 from currantdeal.policy.retry_detection import (
@@ -308,44 +308,15 @@
         is_ended = await self._relay.forward_events(
             head, lambda: self._wait_or_fail_over(connection.chunk(), record)
         )
-        self._record_end(record, head)
-        self._record_memory_use(self._now_s - began_s)
+        events = self._relay.events - self._events_before_run
+        record_end(context, active, record, head, events, self._relay.position)
+        record_memory_use(
+            context, active, self._relay.events, self._now_s - began_s
+        )
         if not is_ended:
             self._reason = "the end of a resumed run is unknown"
         return is_ended
 
-    def _record_end(self, record, head):
-        """Record that an engine ended a stream in order."""
-        context, active = self._context, self._active
-        context.health.record_answer(record.upstream, error=False)
-        if head.framing is Framing.CONNECTION:
-            events = self._relay.events - self._events_before_run
-            context.crash_watch.check_unknown_end(
-                active, record, events=events
-            )
-        else:
-            context.crash_watch.record_completion(active)
-        framing, position = head.framing.value, self._relay.position.value
-        active.add_step(
-            StepKind.END, record.upstream, f"{framing}, {position}"
-        )
-        context.metrics.add(
-            "streams_ended_total", framing=framing, position=position
-        )
-
-    def _record_memory_use(self, duration_s):
-        """Record the memory that a complete stream held.
-
-        It grows with each event, so on average half of the output counts.
-        """
-        active = self._active
-        per_event = active.service.engine.tokens_per_event
-        output = self._relay.events * per_event
-        tokens = active.call.prompt_tokens + output / 2
-        self._context.meter(active.service.name).record_completed(
-            tokens, duration_s
-        )
-
     async def _forward_error(self, connection, head, record):
         body = await connection.rest()
         self._context.health.record_answer(record.upstream, error=True)
--- /dev/null
+++ b/currantdeal/entry/run_end.py
@@ -0,0 +1,50 @@
+"""Records the end of a run that its engine ended in order."""
+
+from currantdeal.entry.steps import StepKind
+from currantdeal.policy.answer_end import Framing
+
+
+def record_end(context, active, record, head, events, position):
+    """Record how an engine ended a stream, for health and the crash book.
+
+    Parameters
+    ----------
+    record : UpstreamRecord
+        The engine.
+    head : ResponseHead
+        Head of its answer.
+    events : int
+        Events of this run.
+    position : Position
+        Where in the events it ended.
+    """
+    context.health.record_answer(record.upstream, error=False)
+    if head.framing is Framing.CONNECTION:
+        context.crash_watch.check_unknown_end(active, record, events=events)
+    else:
+        context.crash_watch.record_completion(active)
+    active.add_step(
+        StepKind.END,
+        record.upstream,
+        f"{head.framing.value}, {position.value}",
+    )
+    context.metrics.add(
+        "streams_ended_total",
+        framing=head.framing.value,
+        position=position.value,
+    )
+
+
+def record_memory_use(context, active, events, duration_s):
+    """Record the memory that a complete stream held.
+
+    It grows with each event, so on average half of the output counts.
+
+    Parameters
+    ----------
+    events : int
+        Events of the whole answer.
+    """
+    output = events * active.service.engine.tokens_per_event
+    tokens = active.call.prompt_tokens + output / 2
+    context.meter(active.service.name).record_completed(tokens, duration_s)
--- a/currantdeal/node/http_request.py
+++ b/currantdeal/node/http_request.py
@@ -56,9 +56,9 @@
 class Responder:
     """Writes one response to a caller."""
 
-    def __init__(self, *, connection):
-        """Write to a connection."""
-        self._connection = connection
+    def __init__(self, *, writer):
+        """Write with a ``ResponseWriter``."""
+        self._writer = writer
         self.started = False
 
     def begin(self, status, headers, *, framing=Framing.CHUNKS):
@@ -72,20 +72,20 @@
             How the end of the body is marked.
         """
         self.started = True
-        self._connection.send_head(status, headers, framing)
+        self._writer.send_head(status, headers, framing)
 
     async def send(self, data):
         """Send a part of the body; wait while the caller reads slowly."""
-        self._connection.send_body(data)
-        await self._connection.writable()
+        self._writer.send_body(data)
+        await self._writer.writable()
 
     def finish(self):
         """End the response in order, which completes a framed one."""
-        self._connection.send_end()
+        self._writer.send_end()
 
     def abort(self):
         """Abort the connection so that the response cannot look complete."""
-        self._connection.abort()
+        self._writer.abort()
 
     def answer(self, status, headers, body, *, framing=Framing.LENGTH):
         """Send a response whose body is known.
@@ -100,7 +100,7 @@
             headers = (*headers, length)
         self.begin(status, headers, framing=framing)
         if body:
-            self._connection.send_body(body)
+            self._writer.send_body(body)
         self.finish()
 
 
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -22,8 +22,8 @@
     check_version,
     content_length,
 )
-from currantdeal.node.sockets import prepare_socket, set_reset_on_close
-from currantdeal.policy.answer_end import Framing, framing_of_stream
+from currantdeal.node.response_writer import ResponseWriter
+from currantdeal.node.sockets import prepare_socket
 from currantdeal.routing import CallerLimits
 
 READ_AHEAD_BYTES = 65_536
@@ -116,9 +116,7 @@
         self._body_length = 0
         self._task = None
         self._timer = None
-        self._drain_waiter = None
-        self._open_ended = False
-        self._ended = False
+        self._writer = None
         self._reading = True
         self._is_closing = False
 
@@ -130,6 +128,7 @@
         self._transport = transport
         self._sender = (transport.get_extra_info("peername") or ("",))[0]
         prepare_socket(transport)
+        self._writer = ResponseWriter(transport=transport)
         self._server.connections.add(self)
         self._reset_parser()
         self._start_idle_timer()
@@ -137,22 +136,15 @@
     def connection_lost(self, exc):
         self._server.connections.discard(self)
         self._cancel_timer()
-        if self._drain_waiter is not None and not self._drain_waiter.done():
-            self._drain_waiter.set_result(None)
+        self._writer.resume()
         if self._task is not None:
             self._task.cancel()
 
     def pause_writing(self):
-        self._drain_waiter = self._loop.create_future()
+        self._writer.pause()
 
     def resume_writing(self):
-        if self._drain_waiter is not None and not self._drain_waiter.done():
-            self._drain_waiter.set_result(None)
-        self._drain_waiter = None
-
-    async def writable(self):
-        if self._drain_waiter is not None:
-            await self._drain_waiter
+        self._writer.resume()
 
     def data_received(self, data):
         if self._is_closing:
@@ -267,7 +259,10 @@
 
     def _send_continue_if_expected(self):
         if self._http.they_are_waiting_for_100_continue:
-            self._write(h11.InformationalResponse(status_code=100, headers=[]))
+            self._writer.write(
+                self._http,
+                h11.InformationalResponse(status_code=100, headers=[]),
+            )
 
     def _dispatch(self):
         self._cancel_timer()
@@ -282,11 +277,11 @@
         self._task = self._loop.create_task(self._run(request))
 
     async def _run(self, request):
-        responder = Responder(connection=self)
+        self._writer.begin(self._http, keep_open=self._keeps_open)
+        responder = Responder(writer=self._writer)
         try:
             await self._server.handler(request, responder)
-            if self._open_ended:
-                await self._close_open_ended()
+            await self._writer.close_open_ended()
         except asyncio.CancelledError:
             self._transport.abort()
             raise
@@ -323,66 +318,9 @@
         else:
             self._start_idle_timer()
 
-    def send_head(self, status, headers, framing):
-        more = list(headers)
-        if framing is Framing.CHUNKS:
-            version = self._http.their_http_version
-            framing = framing_of_stream(
-                framing, reads_chunks=version is None or version >= b"1.1"
-            )
-        self._open_ended = framing is Framing.CONNECTION
-        if self._server.closing or self._open_ended or not self._keeps_open():
-            more.append((b"connection", b"close"))
-        response = h11.Response(status_code=status, headers=more)
-        if self._open_ended:
-            self._begin_open_ended(response)
-        else:
-            self._write(response)
-
-    def send_body(self, data):
-        if not self._open_ended:
-            self._write(h11.Data(data=data))
-        elif not self._transport.is_closing():
-            self._transport.write(data)
-
-    def send_end(self):
-        if self._open_ended:
-            self._ended = True
-        else:
-            self._write(h11.EndOfMessage())
-
-    def _begin_open_ended(self, response):
-        """Send the head of a response that ends with its connection.
-
-        The parser would frame it.  Its end has to differ from that of a cut,
-        also of one by the end of this process.
-        """
-        self._http.send_failed()
-        if self._transport.is_closing():
-            return
-        set_reset_on_close(self._transport, True)
-        self._transport.set_write_buffer_limits(high=0)
-        self._transport.write(_encode_head(response))
-
-    async def _close_open_ended(self):
-        if not self._ended:
-            self.abort()
-            return
-        # Bytes that are still in this process are lost if it ends.
-        await self.writable()
-        if not self._transport.is_closing():
-            set_reset_on_close(self._transport, False)
-            self._transport.close()
-
-    def abort(self):
-        self._transport.abort()
-
     def _keeps_open(self):
-        return self._http.their_state is not h11.MUST_CLOSE
-
-    def _write(self, event):
-        if not self._transport.is_closing():
-            self._transport.write(self._http.send(event))
+        must_close = self._http.their_state is h11.MUST_CLOSE
+        return not (self._server.closing or must_close)
 
     def _reject(self, refusal):
         self._cancel_timer()
@@ -395,11 +333,12 @@
                 (b"content-length", str(len(body)).encode("ascii")),
                 (b"connection", b"close"),
             ]
-            self._write(
-                h11.Response(status_code=refusal.status, headers=headers)
-            )
-            self._write(h11.Data(data=body))
-            self._write(h11.EndOfMessage())
+            for event in (
+                h11.Response(status_code=refusal.status, headers=headers),
+                h11.Data(data=body),
+                h11.EndOfMessage(),
+            ):
+                self._writer.write(self._http, event)
         # Closing with unread bytes would reset the connection, which could
         # discard the error response before the caller has read it.
         if self._transport.can_write_eof():
@@ -428,9 +367,3 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=1 << 20
         )
-
-
-def _encode_head(response):
-    lines = [f"HTTP/1.1 {response.status_code} ".encode("ascii")]
-    lines.extend(b"%s: %s" % header for header in response.headers)
-    return b"\r\n".join(lines) + b"\r\n\r\n"
--- /dev/null
+++ b/currantdeal/node/response_writer.py
@@ -0,0 +1,131 @@
+"""Writes responses to the connection of a caller.
+
+A response with neither a length nor chunks ends with its connection.  Its end
+has to differ from that of a cut, also if this process ends meanwhile: until
+all its bytes have left the process, closing the connection resets it.
+"""
+
+import asyncio
+
+import h11
+
+from currantdeal.node.sockets import set_reset_on_close
+from currantdeal.policy.answer_end import Framing, framing_of_stream
+
+
+class ResponseWriter:
+    """Writes one response after the other to a connection.
+
+    Parameters
+    ----------
+    transport : asyncio.Transport
+        The connection.
+    """
+
+    def __init__(self, *, transport):
+        """Start without a response."""
+        self._transport = transport
+        self._http = None
+        self._keeps_open = None
+        self._drained = None
+        self._open_ended = False
+        self._ended = False
+
+    def begin(self, http, *, keep_open):
+        """Prepare for the response to the next request.
+
+        Parameters
+        ----------
+        http : h11.Connection
+            Parser that has received the request.
+        keep_open : callable
+            Returns whether the connection stays open after the response.
+        """
+        self._http = http
+        self._keeps_open = keep_open
+
+    def send_head(self, status, headers, framing):
+        """Send the head of the response; see ``Responder.begin``."""
+        if framing is Framing.CHUNKS:
+            version = self._http.their_http_version
+            framing = framing_of_stream(
+                framing, reads_chunks=version >= b"1.1"
+            )
+        self._open_ended = framing is Framing.CONNECTION
+        headers = list(headers)
+        if self._open_ended or not self._keeps_open():
+            headers.append((b"connection", b"close"))
+        response = h11.Response(status_code=status, headers=headers)
+        if self._open_ended:
+            self._begin_open_ended(response)
+        else:
+            self.write(self._http, response)
+
+    def send_body(self, data):
+        """Send a part of the body."""
+        if not self._open_ended:
+            self.write(self._http, h11.Data(data=data))
+        elif not self._transport.is_closing():
+            self._transport.write(data)
+
+    def send_end(self):
+        """End the response in order."""
+        if self._open_ended:
+            self._ended = True
+        else:
+            self.write(self._http, h11.EndOfMessage())
+
+    def write(self, http, event):
+        """Write an event of the parser, unless the connection is closing."""
+        if not self._transport.is_closing():
+            self._transport.write(http.send(event))
+
+    def pause(self):
+        """Let writers wait: the caller reads slowly."""
+        self._drained = asyncio.get_running_loop().create_future()
+
+    def resume(self):
+        """Let writers continue."""
+        if self._drained is not None and not self._drained.done():
+            self._drained.set_result(None)
+        self._drained = None
+
+    async def writable(self):
+        """Wait while the caller reads slowly."""
+        if self._drained is not None:
+            await self._drained
+
+    def abort(self):
+        """Abort the connection, so that the response cannot look complete."""
+        self._transport.abort()
+
+    async def close_open_ended(self):
+        """Close the connection if that ends the response.
+
+        It is reset if the response was not ended in order.
+        """
+        if not self._open_ended:
+            return
+        if not self._ended:
+            self.abort()
+            return
+        # Bytes that are still in this process are lost if it ends.
+        await self.writable()
+        if not self._transport.is_closing():
+            set_reset_on_close(self._transport, False)
+            self._transport.close()
+
+    def _begin_open_ended(self, response):
+        # The parser would send chunks.
+        self._http.send_failed()
+        if self._transport.is_closing():
+            return
+        set_reset_on_close(self._transport, True)
+        self._transport.set_write_buffer_limits(high=0)
+        self._transport.write(_encode_head(response))
+
+
+def _encode_head(response):
+    lines = [f"HTTP/1.1 {response.status_code} ".encode("ascii")]
+    lines.extend(b"%s: %s" % header for header in response.headers)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
