--- a/currantdeal/entry/events.py
+++ b/currantdeal/entry/events.py
@@ -46,7 +46,7 @@
 
     @property
     def count(self):
-        """Number of events so far of which a part was returned."""
+        """Number of data lines returned so far: one for most events."""
         return self._count
 
     @property
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -15,6 +15,7 @@
     RefusedError,
 )
 from currantdeal.entry.events import position_of
+from currantdeal.entry.run_end import check_end
 from currantdeal.entry.steps import StepKind
 from currantdeal.node.connection_pool import exchange
 from currantdeal.node.errors import (
@@ -24,13 +25,8 @@
     ResponseTimeoutError,
 )
 from currantdeal.node.fingerprint import fingerprint_prefix
-from currantdeal.policy.answer_end import (
-    Completeness,
-    completeness,
-    framing_of_buffered,
-    orderly_ending,
-)
-from currantdeal.policy.reset_outcome import ExchangePhase, reset_outcome
+from currantdeal.policy.answer_end import Completeness, framing_of_buffered
+from currantdeal.policy.reset_outcome import reset_outcome
 from currantdeal.policy.retry_after import RefusalReason
 from currantdeal.policy.upstream_health import order_upstreams
 from currantdeal.routing import RetrySafety
@@ -186,7 +182,7 @@
             timeout_s=_attempt_timeout_s(active, now_s),
             limit=MAX_ANSWER_BYTES,
         )
-        found = _check_end(head, body)
+        found = check_end(head, position_of(head, body))
     except ExchangeError as exc:
         return _record_failure(context, active, record, exc)
     except asyncio.CancelledError:
@@ -200,24 +196,6 @@
     )
 
 
-def _check_end(head, body):
-    """Return the ``Completeness`` of an answer that was received to its end.
-
-    Raises
-    ------
-    InvalidResponseError
-        If the answer was broken off.
-    """
-    position = position_of(head, body)
-    found = completeness(head.framing, orderly_ending(head.framing), position)
-    if found is Completeness.BROKEN_OFF:
-        raise InvalidResponseError(
-            f"ended {position.value} ({head.framing.value})",
-            phase=ExchangePhase.WITHIN_ANSWER,
-        )
-    return found
-
-
 def _record_failure(context, active, record, exc):
     outcome = reset_outcome(active.kind, exc.phase)
     if outcome.ran is not Ran.NO:
--- a/currantdeal/entry/relay.py
+++ b/currantdeal/entry/relay.py
@@ -1,16 +1,14 @@
 """Forwards the events of a generation to its caller, over several runs."""
 
 from currantdeal.entry.events import EventSplitter, OpaqueBody
+from currantdeal.entry.run_end import check_end
 from currantdeal.node.errors import InvalidResponseError
 from currantdeal.node.head import EVENT_STREAM
 from currantdeal.policy.answer_end import (
-    Completeness,
     Framing,
     Position,
-    completeness,
     framing_of_stream,
     may_end,
-    orderly_ending,
 )
 from currantdeal.policy.reset_outcome import ExchangePhase
 
@@ -85,14 +83,7 @@
             complete = self._body.feed(data)
             if complete:
                 await self._send(head, complete)
-        found = completeness(
-            head.framing, orderly_ending(head.framing), self.position
-        )
-        if found is Completeness.BROKEN_OFF:
-            raise InvalidResponseError(
-                f"ended {self.position.value} ({head.framing.value})",
-                phase=ExchangePhase.WITHIN_ANSWER,
-            )
+        found = check_end(head, self.position)
         if not self.started:
             self._begin(head)
         if not may_end(self._framing, found):
--- a/currantdeal/entry/run_end.py
+++ b/currantdeal/entry/run_end.py
@@ -1,7 +1,38 @@
-"""Records the end of a run that its engine ended in order."""
+"""Checks and records the end of a run that its upstream ended in order."""
 
 from currantdeal.entry.steps import StepKind
-from currantdeal.policy.answer_end import Framing
+from currantdeal.node.errors import InvalidResponseError
+from currantdeal.policy.answer_end import (
+    Completeness,
+    Framing,
+    completeness,
+    orderly_ending,
+)
+from currantdeal.policy.reset_outcome import ExchangePhase
+
+
+def check_end(head, position):
+    """Return the ``Completeness`` of an answer that was received to its end.
+
+    Parameters
+    ----------
+    head : ResponseHead
+        Its head.
+    position : Position
+        Where in its events it ended.
+
+    Raises
+    ------
+    InvalidResponseError
+        If the answer was broken off.
+    """
+    found = completeness(head.framing, orderly_ending(head.framing), position)
+    if found is Completeness.BROKEN_OFF:
+        raise InvalidResponseError(
+            f"ended {position.value} ({head.framing.value})",
+            phase=ExchangePhase.WITHIN_ANSWER,
+        )
+    return found
 
 
 def record_end(context, active, record, head, events, position):
