--- a/currantdeal/entry/tests/test_answer_ends.py
+++ b/currantdeal/entry/tests/test_answer_ends.py
@@ -65,11 +65,14 @@
         Answer to the first run.
     second : Answer or None
         Answer to the next run; None for the default one.
+    prefill, hold : Answer or None
+        Answer to each prefill and to each reservation; None for the default.
     """
 
-    def __init__(self, *, answer, second=None, prefill=None):
+    def __init__(self, *, answer, second=None, prefill=None, hold=None):
         self._answers = [answer, second]
         self._prefill = prefill
+        self._hold = hold
         self.runs = []
         self.health = None
         self.metrics = None
@@ -77,6 +80,8 @@
     def _answer_to(self, request):
         if request.is_prefill:
             return self._prefill
+        if request.target == "/v1/hold-take":
+            return self._hold
         if request.target.startswith("/v1/") or request.is_health_check:
             return None
         self.runs.append(request)
@@ -360,6 +365,24 @@
     assert source.endswith("/kv-1") is (sent is None)
 
 
+@pytest.mark.parametrize("shape", Shape)
+@pytest.mark.parametrize("sent", [None, 12])
+def test_answer_to_a_reservation(shape, sent):
+    """Guards against a reservation that is read from a part of its message."""
+    grant = Answer(
+        body=b'{"Hold": "hold-1"}',
+        sent=sent,
+        shape=shape,
+        content_type="application/json",
+    )
+    scenario, answer = _play(NOTE, answer=Answer(body=WHOLE), hold=grant)
+    if sent is None:
+        assert (answer.received, answer.body) == (Received.WHOLE, WHOLE)
+        assert scenario.runs[0].get("X-Currantdeal-Kv-Hold") == "hold-1"
+    else:
+        assert (answer.status, scenario.runs) == (503, [])
+
+
 @pytest.mark.parametrize("shape", Shape)
 def test_answer_without_events_is_not_split(shape):
     """Guards against a generation's plain answer taken for a stream."""
