--- a/benchmarks/soak_callers.py
+++ b/benchmarks/soak_callers.py
@@ -159,6 +159,21 @@
         return result
 
 
+class FixedChoice:
+    """Replaces a random generator: draws one kind of request.
+
+    Of other options, such as the only entry of a probe, it draws the first.
+    """
+
+    def __init__(self, kind):
+        """Store the kind."""
+        self._kind = kind
+
+    def choice(self, options):
+        """Return the kind if it is an option, else the first option."""
+        return self._kind if self._kind in options else options[0]
+
+
 def _request(http, request_id, kind, body):
     target, extra = TARGETS[kind]
     headers = [line.split(": ") for line in extra]
@@ -224,10 +239,7 @@
     result = []
     for attempt in attempts:
         if attempt.status == 200 and attempt.whole:
-            if attempt.framed:
-                result += _verify_answer(attempt)
-            else:
-                result += _verify_open(attempt, closed or {})
+            result += _verify_answer(attempt, closed or {})
         ran = runs[attempt.request_id]
         if attempt.kind in AT_MOST_ONCE and ran > 1:
             result.append(
@@ -246,7 +258,9 @@
     return result
 
 
-def _verify_answer(attempt):
+def _verify_answer(attempt, closed):
+    if not attempt.framed:
+        return _verify_open(attempt, closed)
     if attempt.kind in ("menu", "order"):
         if attempt.body != attempt.request_id.encode():
             return [
--- a/benchmarks/soak_nodes.py
+++ b/benchmarks/soak_nodes.py
@@ -19,7 +19,12 @@
 import subprocess
 from collections import Counter
 
-from benchmarks.soak_callers import TARGETS, Caller, verify_attempts
+from benchmarks.soak_callers import (
+    TARGETS,
+    Caller,
+    FixedChoice,
+    verify_attempts,
+)
 from benchmarks.soak_node_faults import NodeFaultInjector
 from currantdeal.testing.entry_world import config_body
 from currantdeal.testing.node_processes import NodeCluster
@@ -303,7 +308,7 @@
             caller = Caller(
                 name=f"probe-{self.rng.randrange(1 << 40):x}",
                 entries={name: address},
-                rng=_FixedChoice(kind),
+                rng=FixedChoice(kind),
                 attempts=probes,
             )
             await caller.send_one()
@@ -387,16 +392,3 @@
     for task in tasks:
         if task.done():
             task.result()
-
-
-class _FixedChoice:
-    """Replaces a random generator: draws one kind of request.
-
-    Of other options, such as the only entry of a probe, it draws the first.
-    """
-
-    def __init__(self, kind):
-        self._kind = kind
-
-    def choice(self, options):
-        return self._kind if self._kind in options else options[0]
--- a/currantdeal/entry/tests/test_resets.py
+++ b/currantdeal/entry/tests/test_resets.py
@@ -1,8 +1,6 @@
 """Connection resets in each phase of a call, with real sockets."""
 
 import asyncio
-import socket
-import struct
 
 import pytest
 
@@ -14,6 +12,7 @@
     reset_outcome,
 )
 from currantdeal.registry import Stage
+from currantdeal.testing.answer_shapes import reset
 from currantdeal.testing.entry_world import (
     GENERATION,
     entry_world,
@@ -50,15 +49,6 @@
 ]
 
 
-def _reset(writer):
-    """Close a connection with a TCP reset instead of a FIN."""
-    raw = writer.get_extra_info("socket")
-    raw.setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-    )
-    writer.transport.abort()
-
-
 class _ResettingUpstream(StandInUpstream):
     """Resets the connection of the first request that it would run.
 
@@ -78,7 +68,7 @@
         self._state["reset"] = True
         if self._phase is not ExchangePhase.AWAITING_ANSWER:
             await self._answer_partly(request, writer)
-        _reset(writer)
+        reset(writer)
 
     async def _answer_partly(self, request, writer):
         if not request.get("X-Currantdeal-Token-Counts"):
@@ -118,7 +108,7 @@
                 break
             await self.answer(await _read_complete(head, reader), writer)
         self._state["reset"] = True
-        _reset(writer)
+        reset(writer)
 
 
 async def _read_complete(head, reader):
