--- a/currantdeal/consensus/tests/mutations.py
+++ b/currantdeal/consensus/tests/mutations.py
@@ -36,6 +36,7 @@
 RUNTIME = pytest("adapters/replication")
 CREDIT = pytest("organisations/tests/test_credit.py")
 ACCESS = pytest("entry/tests/test_access.py")
+ENDS = pytest("entry/tests/test_answer_ends.py", "entry/tests/test_events.py")
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -334,6 +335,76 @@
         new="        if False:",
         check=CREDIT,
     ),
+    Mutation(
+        title="a close without a framing counts as a whole answer",
+        path="policy/answer_end.py",
+        old="    return Completeness.UNKNOWN\n",
+        new="    return Completeness.WHOLE\n",
+        check=ENDS,
+    ),
+    Mutation(
+        title="a stream that ends within an event counts as whole",
+        path="policy/answer_end.py",
+        old=" or position is Position.WITHIN_EVENT:",
+        new=":",
+        check=ENDS,
+    ),
+    Mutation(
+        title="a framed answer is ended though its end is unknown",
+        path="policy/answer_end.py",
+        old="    return found is Completeness.WHOLE\n",
+        new="    return found is not Completeness.BROKEN_OFF\n",
+        check=ENDS,
+    ),
+    Mutation(
+        title="an open-ended answer is cut by an orderly close",
+        path="node/response_writer.py",
+        old="        set_reset_on_close(self._transport, True)",
+        new="        set_reset_on_close(self._transport, False)",
+        check=ENDS,
+    ),
+    Mutation(
+        title="an open-ended answer is cut in order by a kill",
+        path="node/response_writer.py",
+        old="        set_reset_on_close(self._transport, True)",
+        new="        pass",
+        check=pytest("cli/tests/test_answer_ends.py"),
+    ),
+    Mutation(
+        title="a long event counts as complete after a part",
+        path="entry/events.py",
+        old="        self._forwarded_part = True",
+        new="        self._forwarded_part = False",
+        check=ENDS,
+    ),
+    Mutation(
+        title="a run goes on within an event",
+        path="entry/events.py",
+        old="        if self._forwarded_part:\n            return False\n",
+        new="",
+        check=ENDS,
+    ),
+    Mutation(
+        title="a stream without ids is resumed",
+        path="entry/events.py",
+        old="        return not self._count or bool(self._last_id)",
+        new="        return True",
+        check=ENDS,
+    ),
+    Mutation(
+        title="a crash that closes in order is not looked for",
+        path="entry/run_end.py",
+        old="    if head.framing is Framing.CONNECTION:",
+        new="    if False:",
+        check=ENDS,
+    ),
+    Mutation(
+        title="a caller of HTTP/1.0 gets chunks that break off in order",
+        path="node/response_writer.py",
+        old='                framing, reads_chunks=version >= b"1.1"',
+        new="                framing, reads_chunks=True",
+        check=ENDS,
+    ),
 )
 
 
