--- a/currantdeal/entry/tests/test_answer_ends.py
+++ b/currantdeal/entry/tests/test_answer_ends.py
@@ -20,7 +20,7 @@
     entry_world,
     request_bytes,
 )
-from currantdeal.testing.platform_upstream import EVENTS
+from currantdeal.testing.platform_upstream import EVENTS, StandInUpstream
 
 WHOLE = events(1, EVENTS)
 TWO_EVENTS = len(events(1, 2))
@@ -277,6 +277,40 @@
     assert lost is crashes
 
 
+async def _crash_repeatedly(shape, requests):
+    """Return the statuses of one request that crashes each engine."""
+
+    def answer_to(request):
+        if request.is_generation and not request.is_prefill:
+            return Answer(body=WHOLE, sent=0, shape=shape, crashes=True)
+        return None
+
+    prefill = StandInUpstream(upstream="p1")
+    engines = [
+        ShapedUpstream(upstream=f"u{number}", answer_to=answer_to)
+        for number in range(requests)
+    ]
+    statuses = []
+    async with entry_world() as world:
+        for standin in (prefill, *engines):
+            await standin.start()
+        world.announce_engines(prefill, *engines)
+        for _ in range(requests):
+            raw = await world.exchange(
+                request_bytes("/note/1", more=GENERATION)
+            )
+            statuses.append(parse_answer(raw).status)
+            # The check for a crash runs in the background.
+            await asyncio.sleep(0.1)
+    return statuses
+
+
+@pytest.mark.parametrize("shape", OPEN_SHAPES)
+def test_crashes_that_close_in_order_lead_to_quarantine(shape):
+    """Guards against a query of death whose crashes look like answers."""
+    assert asyncio.run(_crash_repeatedly(shape, 5)) == [502] * 3 + [429] * 2
+
+
 @pytest.mark.parametrize("shape", [Shape.CHUNKS, *OPEN_SHAPES])
 def test_stream_to_an_http_1_0_caller_is_cut(shape):
     """Guards against a caller without chunks that takes a cut for an end."""
