Look for a crash also after a plain answer of unknown end

A plain call whose upstream crashes and closes in order has an answer of unknown end, which the crash book neither counted as a crash nor as a completion: a query of death of that kind would never have been quarantined.

The check that open-ended streams get follows such an answer too: a connection that the next request uses, or the proof that the upstream has ended. Five requests that crash a plain upstream each after its whole open-ended answer now crash three; before, five.

--- a/currantdeal/entry/crash_watch.py
+++ b/currantdeal/entry/crash_watch.py
@@ -17,7 +17,6 @@
     Crash,
     CrashRegistry,
 )
-from currantdeal.policy.reset_outcome import ExchangePhase
 
 _log = structlog.get_logger(__name__)
 
@@ -120,7 +119,7 @@
             )
         )
 
-    def check_unknown_end(self, active, record, *, events):
+    def check_unknown_end(self, active, record, phase, *, events=0):
         """Check whether an upstream ended with an answer that it closed.
 
         An answer with neither a length nor chunks ends in the same way if its
@@ -129,12 +128,12 @@
 
         Parameters
         ----------
-        active, record, events
+        active, record, phase, events
             See ``check_lost_run``.
         """
         crash = self._counted(_crash_of(record, events))
         self._in_background(
-            self._check_unknown_end(active, record, events, crash)
+            self._check_unknown_end(active, record, phase, events, crash)
         )
 
     def record_completion(self, active):
@@ -160,11 +159,10 @@
         if crashed and crash is not None:
             self._add_crash(active, crash)
 
-    async def _check_unknown_end(self, active, record, events, crash):
+    async def _check_unknown_end(self, active, record, phase, events, crash):
         if not await self._has_ended(record):
             self.record_completion(active)
             return
-        phase = ExchangePhase.BETWEEN_EVENTS
         self._record_lost_run(active, record, phase, events, True)
         if crash is not None:
             self._add_crash(active, crash)
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -26,7 +26,7 @@
 )
 from currantdeal.node.fingerprint import fingerprint_prefix
 from currantdeal.policy.answer_end import Completeness, framing_of_buffered
-from currantdeal.policy.reset_outcome import reset_outcome
+from currantdeal.policy.reset_outcome import ExchangePhase, reset_outcome
 from currantdeal.policy.retry_after import RefusalReason
 from currantdeal.policy.upstream_health import order_upstreams
 from currantdeal.routing import RetrySafety
@@ -233,6 +233,10 @@
         return _AttemptResult(retryable=retryable)
     if found is Completeness.WHOLE:
         context.crash_watch.record_completion(active)
+    else:
+        context.crash_watch.check_unknown_end(
+            active, record, ExchangePhase.WITHIN_ANSWER
+        )
     error = head.status >= 500
     context.health.record_answer(record.upstream, error=error)
     active.add_step(
--- a/currantdeal/entry/run_end.py
+++ b/currantdeal/entry/run_end.py
@@ -51,7 +51,9 @@
     """
     context.health.record_answer(record.upstream, error=False)
     if head.framing is Framing.CONNECTION:
-        context.crash_watch.check_unknown_end(active, record, events=events)
+        context.crash_watch.check_unknown_end(
+            active, record, ExchangePhase.BETWEEN_EVENTS, events=events
+        )
     else:
         context.crash_watch.record_completion(active)
     active.add_step(
--- a/currantdeal/entry/tests/test_answer_ends.py
+++ b/currantdeal/entry/tests/test_answer_ends.py
@@ -49,6 +49,10 @@
 DRAFT = request_bytes("/draft/1", more=GENERATION, close=False)
 MENU = request_bytes("/menu/1", close=False)
 ORDER = request_bytes("/order/1", close=False)
+CLOSING = {
+    "note": request_bytes("/note/1", more=GENERATION),
+    "order": request_bytes("/order/1"),
+}
 REQUESTS = {"note": NOTE, "draft": DRAFT, "menu": MENU, "order": ORDER}
 
 
@@ -277,13 +281,14 @@
     assert lost is crashes
 
 
-async def _crash_repeatedly(shape, requests):
-    """Return the statuses of one request that crashes each engine."""
+async def _crash_repeatedly(kind, shape, requests):
+    """Return the statuses of one request that crashes each upstream."""
+    sent = 0 if kind == "note" else None
 
     def answer_to(request):
-        if request.is_generation and not request.is_prefill:
-            return Answer(body=WHOLE, sent=0, shape=shape, crashes=True)
-        return None
+        if request in prefill.requests or request.target.startswith("/v1/"):
+            return None
+        return Answer(body=WHOLE, sent=sent, shape=shape, crashes=True)
 
     prefill = StandInUpstream(upstream="p1")
     engines = [
@@ -294,21 +299,26 @@
     async with entry_world() as world:
         for standin in (prefill, *engines):
             await standin.start()
-        world.announce_engines(prefill, *engines)
+        if kind == "note":
+            world.announce_engines(prefill, *engines)
+        else:
+            for standin in engines:
+                world.announce(standin)
         for _ in range(requests):
-            raw = await world.exchange(
-                request_bytes("/note/1", more=GENERATION)
-            )
+            raw = await world.exchange(CLOSING[kind])
             statuses.append(parse_answer(raw).status)
             # The check for a crash runs in the background.
             await asyncio.sleep(0.1)
     return statuses
 
 
+@pytest.mark.parametrize("kind", ["note", "order"])
 @pytest.mark.parametrize("shape", OPEN_SHAPES)
-def test_crashes_that_close_in_order_lead_to_quarantine(shape):
+def test_crashes_that_close_in_order_lead_to_quarantine(shape, kind):
     """Guards against a query of death whose crashes look like answers."""
-    assert asyncio.run(_crash_repeatedly(shape, 5)) == [502] * 3 + [429] * 2
+    answered = 502 if kind == "note" else 200
+    statuses = asyncio.run(_crash_repeatedly(kind, shape, 5))
+    assert statuses == [answered] * 3 + [429] * 2
 
 
 @pytest.mark.parametrize("shape", [Shape.CHUNKS, *OPEN_SHAPES])
