Reset an answer without a framing also if an instance is killed

What a caller of HTTP/1.0 of the product's own interface could see: a streamed completion whose instance was killed, closed as if it had ended. Its answer has neither a length nor chunks, and the operating system closes the connections of a process that ends in order.

As in the entry, such a connection is set to reset at its close until all of the answer is sent; so the reset of a failed stream needs no rule of its own. The classes of connections have a module; one function sets the option for both programs and the test tools.

--- /dev/null
+++ b/currantdeal/adapters/http/channel.py
@@ -0,0 +1,64 @@
+"""Connections of callers at the HTTP server, and how their answers end."""
+
+from waitress.channel import HTTPChannel
+from waitress.task import WSGITask
+
+from currantdeal.adapters.http.messages import BROKEN_OFF, OPEN_ENDED
+from currantdeal.adapters.sockets import set_reset_on_close
+
+_CHUNKED_HEADER = b"Transfer-Encoding: chunked\r\n"
+
+
+class _Task(WSGITask):
+    closing = None
+
+    def build_response_header(self):
+        may_be_short = OPEN_ENDED in self.environ
+        if self.closing.is_set() or may_be_short:
+            self.set_close_on_finish()
+        head = super().build_response_header()
+        if may_be_short and self.chunked_response:
+            self.chunked_response = False
+            head = head.replace(_CHUNKED_HEADER, b"", 1)
+        is_framed = self.chunked_response or self.content_length is not None
+        if not is_framed and self.has_body:
+            self.channel.begin_open_ended()
+        return head
+
+    def finish(self):
+        if BROKEN_OFF in self.environ:
+            self.set_close_on_finish()
+            return
+        super().finish()
+        self.channel.has_ended = True
+
+
+class _Channel(HTTPChannel):
+    is_open_ended = False
+    has_ended = False
+
+    def begin_open_ended(self):
+        """Reset the connection at its close, until the answer is sent.
+
+        Without a framing, only a reset differs from the end.
+        """
+        self.is_open_ended = True
+        set_reset_on_close(self.socket, True)
+
+    def handle_close(self):
+        is_sent = self.has_ended and not self.total_outbufs_len
+        if self.is_open_ended and is_sent:
+            set_reset_on_close(self.socket, False)
+        super().handle_close()
+
+
+def channel_class(closing):
+    """Return the class of connections for ``waitress``.
+
+    Parameters
+    ----------
+    closing : threading.Event
+        Once set, each connection closes after its next answer.
+    """
+    task = type("Task", (_Task,), {"closing": closing})
+    return type("Channel", (_Channel,), {"task_class": task})
--- a/currantdeal/adapters/http/server.py
+++ b/currantdeal/adapters/http/server.py
@@ -4,15 +4,12 @@
 """
 
 import socket
-import struct
 import threading
 import time
 
 from waitress import create_server
-from waitress.channel import HTTPChannel
-from waitress.task import WSGITask
 
-from currantdeal.adapters.http.messages import BROKEN_OFF, OPEN_ENDED
+from currantdeal.adapters.http.channel import channel_class
 
 UNSENT_TIMEOUT_S = 5.0
 """Time after which a client that acknowledges no bytes counts as gone.
@@ -30,8 +27,6 @@
 RESERVED_FILES = 100
 SENT_POLL_S = 0.02
 
-_CHUNKED_HEADER = b"Transfer-Encoding: chunked\r\n"
-
 
 class HttpServer:
     """Listener for callers, upstreams and operators.
@@ -72,7 +67,7 @@
             clear_untrusted_proxy_headers=False,
         )
         self._closing = threading.Event()
-        self._server.channel_class = _channel_class(self._closing)
+        self._server.channel_class = channel_class(self._closing)
 
     @property
     def port(self):
@@ -147,35 +142,3 @@
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 2)
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
     return listener
-
-
-def _reset_on_close(sock):
-    linger = struct.pack("ii", 1, 0)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-
-
-def _channel_class(closing):
-    class Task(WSGITask):
-        def build_response_header(self):
-            is_open_ended = OPEN_ENDED in self.environ
-            if closing.is_set() or is_open_ended:
-                self.set_close_on_finish()
-            head = super().build_response_header()
-            if is_open_ended and self.chunked_response:
-                self.chunked_response = False
-                head = head.replace(_CHUNKED_HEADER, b"", 1)
-            return head
-
-        def finish(self):
-            if BROKEN_OFF not in self.environ:
-                super().finish()
-                return
-            self.set_close_on_finish()
-            if not self.chunked_response:
-                # Without chunks, only a reset differs from the end.
-                _reset_on_close(self.channel.socket)
-
-    class Channel(HTTPChannel):
-        task_class = Task
-
-    return Channel
--- a/currantdeal/adapters/http/tests/test_answer_ends.py
+++ b/currantdeal/adapters/http/tests/test_answer_ends.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import socket
+import subprocess
+import sys
 import threading
 
 import pytest
@@ -54,7 +56,7 @@
 
 
 @contextlib.contextmanager
-def _instance(handler):
+def instance(handler):
     """Run a server whose answers to all requests a handler returns."""
     routes = Routes()
     routes.add("GET", "/.*", handler)
@@ -76,15 +78,20 @@
 def _get(port, version):
     """Return the ``CallerAnswer`` to a request that closes its connection."""
     request = f"GET /x HTTP/{version}\r\nHost: a\r\nConnection: close\r\n\r\n"
-    received = b""
     with socket.create_connection(("127.0.0.1", port), timeout=5.0) as sock:
         sock.sendall(request.encode())
-        try:
-            while data := sock.recv(65_536):
-                received += data
-        except ConnectionResetError:
-            received += b"<reset>"
-    return parse_answer(received)
+        return parse_answer(_receive(sock))
+
+
+def _receive(sock):
+    """Return the bytes up to the connection's end, and how it ended."""
+    received = b""
+    try:
+        while data := sock.recv(65_536):
+            received += data
+    except ConnectionResetError:
+        received += b"<reset>"
+    return received
 
 
 @pytest.mark.parametrize("version", ["1.1", "1.0"])
@@ -97,7 +104,7 @@
         found = HttpServices().call(upstream, call, timeout_s=2.0)
         return Response(body=found.body, is_known_whole=found.is_known_whole)
 
-    with _upstream(HEADS[shape]) as upstream, _instance(handler) as port:
+    with _upstream(HEADS[shape]) as upstream, instance(handler) as port:
         answer = _get(port, version)
     assert (answer.status, answer.body) == (200, b"a menu")
     expected = Received.WHOLE if shape in MARKED else Received.OPEN
@@ -141,8 +148,42 @@
             )
         )
 
-    with _instance(handler) as port:
+    with instance(handler) as port:
         answer = _get(port, version)
     assert answer.received is Received.CUT
     if version == "1.1":
         assert b"the engine is lost" in answer.body
+
+
+SLOW_SERVER = """
+import time
+from currantdeal.adapters.http.messages import Response
+from currantdeal.adapters.http.tests.test_answer_ends import instance
+
+def body():
+    yield b"a part"
+    time.sleep(30.0)
+    yield b"the rest"
+
+with instance(lambda request: Response(body=body())) as port:
+    print(port, flush=True)
+    time.sleep(30.0)
+"""
+
+
+@pytest.mark.parametrize("version", ["1.1", "1.0"])
+def test_stream_is_cut_when_its_process_is_killed(version):
+    """Guards against a process whose end looks like that of an answer."""
+    with subprocess.Popen(
+        [sys.executable, "-c", SLOW_SERVER], stdout=subprocess.PIPE
+    ) as process:
+        port = int(process.stdout.readline())
+        with socket.create_connection(("127.0.0.1", port)) as sock:
+            sock.settimeout(5.0)
+            sock.sendall(f"GET /x HTTP/{version}\r\nHost: a\r\n\r\n".encode())
+            received = b""
+            while b"a part" not in received:
+                received += sock.recv(65_536)
+            process.kill()
+            answer = parse_answer(received + _receive(sock))
+    assert answer.received is Received.CUT
--- a/currantdeal/consensus/tests/mutations.py
+++ b/currantdeal/consensus/tests/mutations.py
@@ -359,14 +359,14 @@
     Mutation(
         title="an open-ended answer is cut by an orderly close",
         path="node/response_writer.py",
-        old="        set_reset_on_close(self._transport, True)",
-        new="        set_reset_on_close(self._transport, False)",
+        old="        self._set_reset_on_close(True)",
+        new="        self._set_reset_on_close(False)",
         check=ENDS,
     ),
     Mutation(
         title="an open-ended answer is cut in order by a kill",
         path="node/response_writer.py",
-        old="        set_reset_on_close(self._transport, True)",
+        old="        self._set_reset_on_close(True)",
         new="        pass",
         check=pytest("cli/tests/test_answer_ends.py"),
     ),
--- a/currantdeal/node/response_writer.py
+++ b/currantdeal/node/response_writer.py
@@ -9,7 +9,7 @@
 
 import h11
 
-from currantdeal.node.sockets import set_reset_on_close
+from currantdeal.adapters.sockets import set_reset_on_close
 from currantdeal.policy.answer_end import Framing, framing_of_stream
 
 
@@ -112,15 +112,19 @@
         # Bytes that are still in this process are lost if it ends.
         await self.writable()
         if not self._transport.is_closing():
-            set_reset_on_close(self._transport, False)
+            self._set_reset_on_close(False)
             self._transport.close()
 
+    def _set_reset_on_close(self, enabled):
+        sock = self._transport.get_extra_info("socket")
+        set_reset_on_close(sock, enabled)
+
     def _begin_open_ended(self, response):
         # The parser would send chunks.
         self._http.send_failed()
         if self._transport.is_closing():
             return
-        set_reset_on_close(self._transport, True)
+        self._set_reset_on_close(True)
         self._transport.set_write_buffer_limits(high=0)
         self._transport.write(_encode_head(response))
 
--- a/currantdeal/node/sockets.py
+++ b/currantdeal/node/sockets.py
@@ -1,7 +1,6 @@
 """Sets the options of TCP sockets that carry requests and messages."""
 
 import socket
-import struct
 
 UNACKNOWLEDGED_MS = 1_500
 """Time after which unacknowledged data closes a connection.
@@ -21,15 +20,3 @@
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
     )
-
-
-def set_reset_on_close(transport, enabled):
-    """Choose whether closing a connection resets it.
-
-    The operating system does so too when the process ends, however it does.
-    """
-    sock = transport.get_extra_info("socket")
-    if sock is None:
-        return
-    linger = struct.pack("ii", int(enabled), 0)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/currantdeal/testing/answer_shapes.py
+++ b/currantdeal/testing/answer_shapes.py
@@ -4,11 +4,10 @@
 """
 
 import asyncio
-import socket
-import struct
 from dataclasses import dataclass
 from enum import Enum
 
+from currantdeal.adapters.sockets import set_reset_on_close
 from currantdeal.testing.platform_upstream import StandInUpstream
 
 READ_DELAY_S = 0.05
@@ -165,10 +164,7 @@
     """Close a connection with a TCP reset instead of a FIN."""
     if writer.transport.is_closing():
         return
-    raw = writer.get_extra_info("socket")
-    raw.setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-    )
+    set_reset_on_close(writer.get_extra_info("socket"), True)
     writer.transport.abort()
 
 
--- a/currantdeal/testing/proxy.py
+++ b/currantdeal/testing/proxy.py
@@ -16,19 +16,18 @@
 import asyncio
 import contextlib
 import socket
-import struct
 import threading
 from dataclasses import dataclass
 from enum import Enum
 from functools import lru_cache
 
+from currantdeal.adapters.sockets import set_reset_on_close
 from currantdeal.testing.errors import HarnessError
 
 CHUNK_BYTES = 65_536
 QUEUE_CHUNKS = 256
 PARTITION_POLL_S = 0.01
 BIND_ATTEMPTS = 20
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _RESET = object()
 
 
@@ -77,9 +76,7 @@
             sock = writer.get_extra_info("socket")
             if reset and sock is not None:
                 with contextlib.suppress(OSError):
-                    sock.setsockopt(
-                        socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-                    )
+                    set_reset_on_close(sock, True)
             writer.transport.abort()
 
 
