Answer a stream that is resumed after its last event in the soak

The soak's upstreams drew the place of a cut in an empty rest and raised instead of answering, so the entry saw a closed connection.

--- a/benchmarks/soak_endings.py
+++ b/benchmarks/soak_endings.py
@@ -79,7 +79,7 @@
     def _draw_cut(self, request, body):
         rng = self._answer_rng
         is_probe = request.request_id.startswith("probe-")
-        if is_probe or rng.random() > BROKEN_OFF_SHARE:
+        if is_probe or not body or rng.random() > BROKEN_OFF_SHARE:
             return {}
         self._broken_off.add(request.request_id)
         close = rng.choice((Close.FIN, Close.RESET))
