Close the proxies of a soak when it ends

A proxy that closes now ends its tasks; the soak closes its own. The test fails without it. The upstreams of a soak are a module of their own.

--- a/benchmarks/soak_crashes.py
+++ b/benchmarks/soak_crashes.py
@@ -12,7 +12,8 @@
 
 from benchmarks.soak_callers import Caller
 from benchmarks.soak_node_faults import NodeFaultInjector
-from benchmarks.soak_nodes import NodeSoak, SoakUpstream
+from benchmarks.soak_nodes import NodeSoak
+from benchmarks.soak_upstreams import SoakUpstream
 from currantdeal.testing.crashing_upstream import CrashingUpstream
 
 POISON = b"poison"
--- a/benchmarks/soak_endings.py
+++ b/benchmarks/soak_endings.py
@@ -9,7 +9,8 @@
 from collections import defaultdict
 
 from benchmarks.soak_callers import verify_attempts
-from benchmarks.soak_nodes import NodeSoak, SoakUpstream
+from benchmarks.soak_nodes import NodeSoak
+from benchmarks.soak_upstreams import SoakUpstream
 from currantdeal.testing.answer_shapes import (
     OPEN_SHAPES,
     Answer,
--- a/benchmarks/soak_limits.py
+++ b/benchmarks/soak_limits.py
@@ -9,7 +9,8 @@
 import time
 from dataclasses import dataclass
 
-from benchmarks.soak_nodes import NodeSoak, SoakUpstream, end_tasks
+from benchmarks.soak_nodes import NodeSoak, end_tasks
+from benchmarks.soak_upstreams import SoakUpstream
 from currantdeal.testing.platform_upstream import StandInUpstream
 from currantdeal.testing.rate_bound import (
     WINDOW_S,
--- a/benchmarks/soak_nodes.py
+++ b/benchmarks/soak_nodes.py
@@ -27,11 +27,11 @@
     verify_attempts,
 )
 from benchmarks.soak_node_faults import NodeFaultInjector
+from benchmarks.soak_upstreams import SoakUpstream
 from benchmarks.soak_watch import LoopWatch
 from currantdeal.entry.service import ANSWER_MARGIN_S
 from currantdeal.testing.entry_world import config_body
 from currantdeal.testing.node_processes import NodeCluster
-from currantdeal.testing.platform_upstream import StandInUpstream, heartbeat
 from currantdeal.testing.proxy import FaultProxy
 
 ROUND_S = 12.0
@@ -49,65 +49,6 @@
 """Limit of a planned stop: the grace period of 8 s and its announcement."""
 
 
-class SoakUpstream:
-    """A stand-in upstream with its heartbeats and, optionally, a proxy.
-
-    Parameters
-    ----------
-    name, service, stage : str
-        As in its heartbeats; no stage for a plain service.
-    standin : StandInUpstream or None
-        The stand-in; None creates a healthy one.
-    proxied : bool or None
-        Whether it is reached through a proxy; by default only the healthy
-        one is.
-    """
-
-    def __init__(self, *, name, service, stage="", standin=None, proxied=None):
-        """Prepare the stand-in without starting it."""
-        self.name = name
-        self.standin = standin or StandInUpstream(upstream=name, script=_echo)
-        self.proxy = None
-        self._is_proxied = standin is None if proxied is None else proxied
-        self.state = "ready"
-        self.service = service
-        self.stage = stage
-        self._sequence = 0
-        self.born = 0
-
-    async def start(self):
-        """Start the stand-in and its proxy, if it has one."""
-        await self.standin.start()
-        if self._is_proxied:
-            self.proxy = FaultProxy(target=self.standin.address)
-
-    def next_heartbeat(self):
-        """Return the next heartbeat."""
-        self._sequence += 1
-        target = self.proxy or self.standin
-        extra = {}
-        if self.stage:
-            models = [{"Name": "m", "Version": 1, "Adapters": []}]
-            extra = {"Stage": self.stage, "Models": models}
-        return heartbeat(
-            target.address,
-            self.service,
-            state=self.state,
-            sequence=self._sequence,
-            born=self.born + self.standin.incarnation,
-            **extra,
-        )
-
-
-async def _echo(standin, request, writer):
-    is_plain = not request.get("X-Currantdeal-Token-Counts")
-    if is_plain and not request.target.startswith("/v1/"):
-        standin.send(request, writer, 200, request.body)
-        await writer.drain()
-        return True
-    return False
-
-
 class NodeSoak:
     """One soak of entry and control processes.
 
@@ -175,8 +116,16 @@
                     await self._run_round(number)
             finally:
                 end_tasks(tasks)
+                for proxy in self.proxies:
+                    proxy.close()
         self._verify()
 
+    @property
+    def proxies(self):
+        """The proxies of upstreams and entries, in a fixed order."""
+        found = [u.proxy for u in self.upstreams if u.proxy is not None]
+        return [*found, *(p for _, p in sorted(self.entry_proxies.items()))]
+
     def check(self, promise, holds, detail):
         """Count a check of a promise and record a violation of it."""
         self.checked[promise] += 1
--- a/benchmarks/soak_resets.py
+++ b/benchmarks/soak_resets.py
@@ -28,12 +28,5 @@
 
     async def _reset_repeatedly(self):
         for _ in range(RESETS):
-            self._rng.choice(self._proxies()).reset_open_connections()
+            self._rng.choice(self._soak.proxies).reset_open_connections()
             await asyncio.sleep(self._rng.uniform(0.0, LONGEST_GAP_S))
-
-    def _proxies(self):
-        entries = sorted(self._soak.entry_proxies)
-        return [
-            *(upstream.proxy for upstream in self._soak.upstreams),
-            *(self._soak.entry_proxies[name] for name in entries),
-        ]
--- a/currantdeal/testing/proxy.py
+++ b/currantdeal/testing/proxy.py
@@ -210,6 +210,11 @@
         self._server.close()
         self._receiver.close()
         await self._close_all(reset=True)
+        tasks = [connection.task for connection in self._connections]
+        for task in tasks:
+            # A stalled connection would wait forever.
+            task.cancel()
+        await asyncio.gather(*tasks)
 
     async def _stall_all(self):
         for connection in self._connections:
@@ -226,7 +231,7 @@
         self._connections.add(connection)
         try:
             await self._forward(connection, reader, writer)
-        except (OSError, ExceptionGroup):
+        except (OSError, ExceptionGroup, asyncio.CancelledError):
             connection.close(reset=True)
         finally:
             self._connections.discard(connection)
@@ -326,6 +331,15 @@
             writer.write_eof()
 
 
+def open_tasks():
+    """Return the number of tasks that forward for all proxies."""
+
+    async def count():
+        return len(asyncio.all_tasks()) - 1
+
+    return _run_on_loop(count())
+
+
 @lru_cache(maxsize=1)
 def _loop():
     loop = asyncio.new_event_loop()
--- a/currantdeal/testing/tests/test_proxy.py
+++ b/currantdeal/testing/tests/test_proxy.py
@@ -5,7 +5,12 @@
 
 import pytest
 
-from currantdeal.testing.proxy import Cut, FaultProxy, LinkFaults
+from currantdeal.testing.proxy import (
+    Cut,
+    FaultProxy,
+    LinkFaults,
+    open_tasks,
+)
 from currantdeal.testing.waiting import wait_until
 
 
@@ -115,6 +120,22 @@
         fault_proxy.close()
 
 
+def test_a_closed_proxy_leaves_nothing_behind():
+    """Guards against stalled connections that slow all later proxies down."""
+    before = open_tasks()
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        host, port = listener.getsockname()
+        fault_proxy = FaultProxy(target=f"{host}:{port}")
+        with _connect(fault_proxy):
+            accepted, _ = listener.accept()
+            fault_proxy.stall_open_connections()
+            accepted.sendall(b"held back")
+            wait_until(lambda: open_tasks() > before, what="a forwarder")
+            fault_proxy.close()
+            accepted.close()
+    assert open_tasks() <= before
+
+
 def test_datagrams_pass_and_are_lost_in_a_partition():
     with (
         socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as target,
