Take an error's open end for no completed run

Found by reading the whole change: the error answer of an engine went round the module that decides. An open-ended one counted as a completed run in the crash book, so a query of death behind it was never quarantined; and the relay chose its framing by itself.

All answers of an entry now go through check_end and record_completeness. The two new cases failed before: five crashes for five requests, now three. A record of an earlier build without the new field counts as whole, and an earlier build leaves the field out, so both read each other's.

Names that a newcomer would stumble over are changed: "found" is the completeness of an answer, and the relay chooses a body.

--- a/currantdeal/consensus/tests/mutations.py
+++ b/currantdeal/consensus/tests/mutations.py
@@ -394,8 +394,8 @@
     Mutation(
         title="a crash that closes in order is not looked for",
         path="entry/run_end.py",
-        old="    if head.framing is Framing.CONNECTION:",
-        new="    if False:",
+        old="    if completeness is Completeness.WHOLE:",
+        new="    if True:",
         check=ENDS,
     ),
     Mutation(
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -15,10 +15,16 @@
     QuarantinedError,
     RefusedError,
 )
+from currantdeal.entry.events import position_of
 from currantdeal.entry.memory import MemoryReserver
 from currantdeal.entry.prefill import prefill_prompt, release_kv_cache
 from currantdeal.entry.relay import EventRelay
-from currantdeal.entry.run_end import record_end, record_memory_use
+from currantdeal.entry.run_end import (
+    check_end,
+    record_completeness,
+    record_end,
+    record_memory_use,
+)
 from currantdeal.entry.steps import StepKind
 from currantdeal.node.errors import (
     ConnectError,
@@ -319,11 +325,18 @@
 
     async def _forward_error(self, connection, head, record):
         body = await connection.rest()
+        completeness = check_end(head, position_of(head, body))
         self._context.health.record_answer(record.upstream, error=True)
-        self._context.crash_watch.record_completion(self._active)
+        record_completeness(
+            self._context,
+            self._active,
+            record,
+            completeness,
+            phase=ExchangePhase.WITHIN_ANSWER,
+        )
         self._active.add_step(StepKind.ERROR, record.upstream, head.status)
         self._reason = f"resumed run failed with {head.status}"
-        return self._relay.forward_error(head, body)
+        return self._relay.forward_error(head, body, completeness)
 
     async def _wait_or_fail_over(self, work, record):
         """Wait for an engine, or fail over to another one if it is silent.
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -15,7 +15,7 @@
     RefusedError,
 )
 from currantdeal.entry.events import position_of
-from currantdeal.entry.run_end import check_end
+from currantdeal.entry.run_end import check_end, record_completeness
 from currantdeal.entry.steps import StepKind
 from currantdeal.node.connection_pool import exchange
 from currantdeal.node.errors import (
@@ -25,7 +25,7 @@
     ResponseTimeoutError,
 )
 from currantdeal.node.fingerprint import fingerprint_prefix
-from currantdeal.policy.answer_end import Completeness, framing_of_buffered
+from currantdeal.policy.answer_end import framing_of_buffered
 from currantdeal.policy.reset_outcome import ExchangePhase, reset_outcome
 from currantdeal.policy.retry_after import RefusalReason
 from currantdeal.policy.upstream_health import order_upstreams
@@ -82,16 +82,16 @@
 
     ``final`` is true if the answer is forwarded to the caller, ``retryable``
     if another upstream may be tried; ``head`` is None without a complete
-    answer, ``found`` the ``Completeness`` of it.
+    answer, ``completeness`` the ``Completeness`` of it.
     """
 
     def __init__(
-        self, *, retryable, head=None, body=b"", found=None, final=False
+        self, *, retryable, head=None, body=b"", completeness=None, final=False
     ):
         self.retryable = retryable
         self.head = head
         self.body = body
-        self.found = found
+        self.completeness = completeness
         self.final = final
 
 
@@ -182,7 +182,7 @@
             timeout_s=_attempt_timeout_s(active, now_s),
             limit=MAX_ANSWER_BYTES,
         )
-        found = check_end(head, position_of(head, body))
+        completeness = check_end(head, position_of(head, body))
     except ExchangeError as exc:
         return _record_failure(context, active, record, exc)
     except asyncio.CancelledError:
@@ -192,7 +192,7 @@
         context.health.request_ended(record.upstream)
     metadata = context.read_response(record, head, sent_s=sent_s)
     return _handle_answer(
-        context, active, record, (head, body, metadata, found)
+        context, active, record, (head, body, metadata, completeness)
     )
 
 
@@ -213,7 +213,7 @@
 
 
 def _handle_answer(context, active, record, answer):
-    head, body, metadata, found = answer
+    head, body, metadata, completeness = answer
     if metadata.load is not None:
         context.health.record_load(
             record.upstream,
@@ -231,12 +231,13 @@
         context.health.record_answer(record.upstream, error=True)
         active.add_step(StepKind.ERROR, record.upstream, "not its answer")
         return _AttemptResult(retryable=retryable)
-    if found is Completeness.WHOLE:
-        context.crash_watch.record_completion(active)
-    else:
-        context.crash_watch.check_unknown_end(
-            active, record, ExchangePhase.WITHIN_ANSWER
-        )
+    record_completeness(
+        context,
+        active,
+        record,
+        completeness,
+        phase=ExchangePhase.WITHIN_ANSWER,
+    )
     error = head.status >= 500
     context.health.record_answer(record.upstream, error=error)
     active.add_step(
@@ -249,7 +250,7 @@
         retryable=retryable,
         head=head,
         body=body,
-        found=found,
+        completeness=completeness,
         final=not error,
     )
 
@@ -261,7 +262,7 @@
         answer.head.status,
         headers,
         answer.body,
-        framing=framing_of_buffered(answer.found),
+        framing=framing_of_buffered(answer.completeness),
     )
 
 
--- a/currantdeal/entry/relay.py
+++ b/currantdeal/entry/relay.py
@@ -5,8 +5,8 @@
 from currantdeal.node.errors import InvalidResponseError
 from currantdeal.node.head import EVENT_STREAM
 from currantdeal.policy.answer_end import (
-    Framing,
     Position,
+    framing_of_buffered,
     framing_of_stream,
     may_end,
 )
@@ -78,7 +78,7 @@
         InvalidResponseError
             If the run was broken off.
         """
-        self._check_media_type(head)
+        self._choose_body(head)
         while (data := await next_chunk()) is not None:
             complete = self._body.feed(data)
             if complete:
@@ -91,13 +91,11 @@
         self._active.responder.finish()
         return True
 
-    def forward_error(self, head, body):
+    def forward_error(self, head, body, completeness):
         """Forward an error; returns False if the answer has started."""
         if self.started:
             return False
-        self._framing = head.framing
-        if head.framing is not Framing.CONNECTION:
-            self._framing = Framing.LENGTH
+        self._framing = framing_of_buffered(completeness)
         headers = self._context.dialect.response_headers(head)
         self._active.responder.answer(
             head.status, headers, body, framing=self._framing
@@ -122,7 +120,7 @@
         """Discard an event that its run did not complete."""
         self._body.drop_partial_event()
 
-    def _check_media_type(self, head):
+    def _choose_body(self, head):
         has_events = head.media_type in ("", EVENT_STREAM)
         if self.started:
             if not has_events:
--- a/currantdeal/entry/run_end.py
+++ b/currantdeal/entry/run_end.py
@@ -4,7 +4,6 @@
 from currantdeal.node.errors import InvalidResponseError
 from currantdeal.policy.answer_end import (
     Completeness,
-    Framing,
     completeness,
     orderly_ending,
 )
@@ -35,6 +34,24 @@
     return found
 
 
+def record_completeness(
+    context, active, record, completeness, *, phase, events=0
+):
+    """Tell the crash book what is known of an answer that has ended.
+
+    Parameters
+    ----------
+    phase, events
+        See ``CrashWatch.check_lost_run``.
+    """
+    if completeness is Completeness.WHOLE:
+        context.crash_watch.record_completion(active)
+    else:
+        context.crash_watch.check_unknown_end(
+            active, record, phase, events=events
+        )
+
+
 def record_end(context, active, record, head, events, position):
     """Record how an engine ended a stream, for health and the crash book.
 
@@ -50,12 +67,14 @@
         Where in the events it ended.
     """
     context.health.record_answer(record.upstream, error=False)
-    if head.framing is Framing.CONNECTION:
-        context.crash_watch.check_unknown_end(
-            active, record, ExchangePhase.BETWEEN_EVENTS, events=events
-        )
-    else:
-        context.crash_watch.record_completion(active)
+    record_completeness(
+        context,
+        active,
+        record,
+        check_end(head, position),
+        phase=ExchangePhase.BETWEEN_EVENTS,
+        events=events,
+    )
     active.add_step(
         StepKind.END,
         record.upstream,
--- a/currantdeal/entry/tests/test_answer_ends.py
+++ b/currantdeal/entry/tests/test_answer_ends.py
@@ -281,14 +281,16 @@
     assert lost is crashes
 
 
-async def _crash_repeatedly(kind, shape, requests):
+async def _crash_repeatedly(kind, shape, requests, *, status=200):
     """Return the statuses of one request that crashes each upstream."""
-    sent = 0 if kind == "note" else None
+    sent = 0 if (kind, status) == ("note", 200) else None
 
     def answer_to(request):
         if request in prefill.requests or request.target.startswith("/v1/"):
             return None
-        return Answer(body=WHOLE, sent=sent, shape=shape, crashes=True)
+        return Answer(
+            body=WHOLE, sent=sent, shape=shape, status=status, crashes=True
+        )
 
     prefill = StandInUpstream(upstream="p1")
     engines = [
@@ -321,6 +323,13 @@
     assert statuses == [answered] * 3 + [429] * 2
 
 
+@pytest.mark.parametrize("shape", OPEN_SHAPES)
+def test_crashes_behind_open_errors_lead_to_quarantine(shape):
+    """Guards against an error's open end that counts as a completed run."""
+    statuses = asyncio.run(_crash_repeatedly("note", shape, 5, status=500))
+    assert statuses == [500] * 3 + [429] * 2
+
+
 @pytest.mark.parametrize("shape", [Shape.CHUNKS, *OPEN_SHAPES])
 def test_stream_to_an_http_1_0_caller_is_cut(shape):
     """Guards against a caller without chunks that takes a cut for an end."""
--- a/currantdeal/state/tests/test_machine.py
+++ b/currantdeal/state/tests/test_machine.py
@@ -1,3 +1,4 @@
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -7,6 +8,7 @@
     AbandonClaim,
     Applied,
     AssignHome,
+    CallAnswer,
     ClaimExists,
     ClaimGranted,
     ClaimMismatch,
@@ -331,3 +333,10 @@
 def test_invalid_snapshot_is_rejected(raw):
     with pytest.raises(SnapshotError):
         decode_state(raw)
+
+
+def test_answers_of_an_earlier_build_count_as_whole():
+    """Guards against records that another build can't read."""
+    earlier = {"status": 200, "content_type": "text/plain", "body": b"paid"}
+    raw = msgspec.msgpack.encode(earlier)
+    assert msgspec.msgpack.decode(raw, type=CallAnswer).is_known_whole
