Log and count answers that are not those of their requests

Each answer whose id is not that of the waiting request is logged as extra-answer with both ids, and counted, also on idle connections and behind an own answer. No decision has changed.

--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -181,7 +181,7 @@
             replica=self._replica,
             exchange=exchange,
             demand=demand,
-            pool=ConnectionPool(),
+            pool=ConnectionPool(metrics=self._metrics),
             dialect=PlatformCalls(),
             min_order_interval_s=bounds.min_order_interval_s,
             clock=boot_time_s,
--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -91,7 +91,7 @@
         )
         self._context = EntryContext(
             view=self._view,
-            pool=ConnectionPool(),
+            pool=ConnectionPool(metrics=self._metrics),
             dialect=PlatformCalls(),
             random=random.Random(),
             budget=BudgetBounds(
--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -16,6 +16,7 @@
     InvalidResponseError,
     ResponseTimeoutError,
 )
+from currantdeal.node.extra_answers import ExtraAnswerLog
 from currantdeal.node.http_client import UpstreamConnection
 from currantdeal.node.settings import split_address
 from currantdeal.policy.reset_outcome import ExchangePhase
@@ -34,10 +35,16 @@
     """Pool of reusable connections to upstreams.
 
     A new connection costs an upstream as much as several health checks.
+
+    Parameters
+    ----------
+    metrics : currantdeal.ports.MetricsPort or None
+        Counts extra answers, if given.
     """
 
-    def __init__(self):
+    def __init__(self, *, metrics=None):
         """Start with an empty pool."""
+        self._extra_answers = ExtraAnswerLog(metrics=metrics)
         self._idle = {}
 
     async def acquire(
@@ -85,7 +92,11 @@
         try:
             async with asyncio.timeout(min(timeout_s, CONNECT_TIMEOUT_S)):
                 _, connection = await loop.create_connection(
-                    lambda: UpstreamConnection(address=address), host, port
+                    lambda: UpstreamConnection(
+                        address=address, extra_answers=self._extra_answers
+                    ),
+                    host,
+                    port,
                 )
         except TimeoutError:
             raise ConnectError(
--- a/currantdeal/node/head.py
+++ b/currantdeal/node/head.py
@@ -74,6 +74,11 @@
     send_before_s : float
         Time since boot (``currantdeal.core.boot_time_s``) from which it must
         not be sent any more.
+    id_header : bytes
+        Name of the header with the id of the request, which its answer bears
+        too.
+    is_id_echoed : bool
+        False if upstreams may answer such a request without its id.
     """
 
     method: str
@@ -81,6 +86,14 @@
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes = b""
     send_before_s: float = math.inf
+    id_header: bytes = b""
+    is_id_echoed: bool = True
+
+    @property
+    def request_id(self):
+        """Id of the request as bytes; empty if it has none."""
+        found = find_values(self.headers, self.id_header)
+        return found[0] if found else b""
 
 
 def find_header(headers, name, default=None):
@@ -98,6 +111,17 @@
     return default
 
 
+def find_values(headers, name):
+    """Return the values of all headers with this name in lower case.
+
+    Examples
+    --------
+    >>> find_values(((b"via", b"a"), (b"host", b"b"), (b"via", b"c")), b"via")
+    (b'a', b'c')
+    """
+    return tuple(value for key, value in headers if key == name)
+
+
 def end_to_end(headers, *, without=frozenset()):
     """Return the headers that are forwarded to the next hop.
 
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -13,9 +13,15 @@
 
 from currantdeal.core import boot_time_s
 from currantdeal.node.errors import InvalidResponseError, SendExpiredError
-from currantdeal.node.head import ResponseHead
+from currantdeal.node.extra_answers import (
+    ExtraAnswer,
+    ExtraAnswerLog,
+    ExtraMoment,
+)
+from currantdeal.node.head import ResponseHead, find_values
 from currantdeal.node.sockets import prepare_socket
 from currantdeal.policy.answer_end import framing_of
+from currantdeal.policy.answer_owner import AnswerOwner, answer_owner
 from currantdeal.policy.reset_outcome import ExchangePhase
 
 IDLE_REUSE_S = 4.0
@@ -47,10 +53,21 @@
 
 
 class UpstreamConnection(asyncio.Protocol):
-    """A connection to an upstream that carries one exchange at a time."""
+    """A connection to an upstream that carries one exchange at a time.
 
-    def __init__(self, *, address):
+    Parameters
+    ----------
+    address : str
+        The upstream.
+    extra_answers : ExtraAnswerLog or None
+        Records answers that belong to no request.
+    """
+
+    def __init__(self, *, address, extra_answers=None):
         """Initialise the state; the event loop connects afterwards."""
+        self._extra_answers = extra_answers or ExtraAnswerLog()
+        self._outgoing = None
+        self._is_first = True
         self.address = address
         self.used = False
         self._loop = asyncio.get_running_loop()
@@ -87,6 +104,7 @@
     def data_received(self, data):
         """Parse received data; unsolicited data closes the connection."""
         if self._http.our_state is h11.IDLE:
+            self._record_extra(ExtraMoment.IDLE, data)
             self._fail("received bytes without a pending request")
             return
         self._phase = ExchangePhase.WITHIN_ANSWER
@@ -139,7 +157,9 @@
         """
         if boot_time_s() >= outgoing.send_before_s:
             raise SendExpiredError("the view of the keys is too old")
+        self._is_first = not self.used
         self.used = True
+        self._outgoing = outgoing
         self._method = outgoing.method
         self._reusable = False
         self._phase = ExchangePhase.AWAITING_ANSWER
@@ -161,6 +181,7 @@
             if isinstance(event, h11.Response):
                 self._record_keep_alive(event)
                 headers = tuple(event.headers)
+                self._check_owner(event)
                 return ResponseHead(
                     status=event.status_code,
                     headers=headers,
@@ -254,6 +275,8 @@
 
     def _end_exchange(self):
         extra, _ = self._http.trailing_data
+        if extra:
+            self._record_extra(ExtraMoment.AFTER_OWN, extra)
         clean = not extra and self._close_reason is None
         done = (
             self._http.our_state is h11.DONE
@@ -266,12 +289,61 @@
         else:
             self.close()
 
+    def _check_owner(self, event):
+        ids = find_values(event.headers, self._outgoing.id_header)
+        owner = answer_owner(
+            self._outgoing.request_id,
+            ids,
+            is_echoed=self._outgoing.is_id_echoed,
+            is_first=self._is_first,
+        )
+        if owner is not AnswerOwner.OWN:
+            self._record(ExtraMoment.BEFORE_OWN, owner, event)
+
+    def _record_extra(self, moment, data):
+        """Record bytes that arrived when no answer was expected."""
+        event = _response_in(data)
+        ids = ()
+        if event is not None and self._outgoing is not None:
+            ids = find_values(event.headers, self._outgoing.id_header)
+        owner = AnswerOwner.OTHER if ids else AnswerOwner.UNIDENTIFIED
+        self._record(moment, owner, event)
+
+    def _record(self, moment, owner, event):
+        outgoing = self._outgoing
+        ids = ()
+        if event is not None and outgoing is not None:
+            ids = find_values(event.headers, outgoing.id_header)
+        self._extra_answers.record(
+            ExtraAnswer(
+                address=self.address,
+                moment=moment,
+                owner=owner,
+                request_id=outgoing.request_id if outgoing else b"",
+                answer_ids=ids,
+                status=event.status_code if event is not None else 0,
+            )
+        )
+
     def _record_keep_alive(self, event):
         for key, value in event.headers:
             if key == b"keep-alive":
                 self._keep_alive_s = _keep_alive_timeout_s(value)
 
 
+def _response_in(data):
+    """Return the head of a response at the start of bytes, or None."""
+    http = h11.Connection(h11.CLIENT)
+    http.send(h11.Request(method="GET", target="/", headers=[("host", "")]))
+    http.send(h11.EndOfMessage())
+    try:
+        http.receive_data(data)
+        event = http.next_event()
+    except h11.RemoteProtocolError:
+        return None
+    return event if isinstance(event, h11.Response) else None
+
+
 def _keep_alive_timeout_s(value):
     """Return the timeout stated by a Keep-Alive header, or None."""
     for part in value.split(b","):
--- a/currantdeal/platform/calls.py
+++ b/currantdeal/platform/calls.py
@@ -99,6 +99,7 @@
             headers=(*framed, *_system_headers(options)),
             body=body,
             send_before_s=options.send_before_s,
+            id_header=header_names.REQUEST_ID,
         )
 
     def read_response(self, head):
