Skip answers of upstreams that belong to another request

What callers saw: orders that ran at two upstreams, and orders that ran though their callers were told 503, when upstreams repeat a refusal late.

Cause: the entry took a repeated refusal for the answer to the next request on its connection. not_run was looked at before the ids were compared, in plain calls and in streams, and the connection was back in the pool with the own answer still to come, so that all later answers there were one behind.

Now one place decides, below all calls: a parser that passes on nothing of an answer until its id is that of the waiting request, skips others to their end and reads on for the own one. An id is used once on a connection, so that an earlier attempt's answer cannot come in place of the next. It works since the decision precedes every use, and since the own answer is still read where it comes.

Answers to callers' requests without an id are no longer taken for theirs. Stand-ins that left it out now echo it; what the tests check stays as it was.

--- a/currantdeal/control/tests/test_orders.py
+++ b/currantdeal/control/tests/test_orders.py
@@ -74,7 +74,7 @@
         found = status
         if isinstance(status, dict):
             found = status.get(standin.upstream, 202)
-        send_json(writer, {}, status=found)
+        send_json(request, writer, {}, status=found)
         return True
 
     async def run():
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -269,7 +269,7 @@
             resume_after=self._relay.last_id or active.call.resume_after,
         )
         try:
-            connection = await context.pool.acquire(record.address)
+            connection = await context.pool.acquire(record.address, call)
         except ConnectError as exc:
             self._reason = str(exc)
             self._unused_prefill = prefill
@@ -301,9 +301,8 @@
             active.add_step(StepKind.REFUSED, record.upstream, head.status)
             return False
         active.runs += 1
-        mismatched = metadata.request_id not in ("", active.call.request_id)
-        if mismatched or not metadata.is_signed:
-            self._reason = "not an answer to this request"
+        if not metadata.is_signed:
+            self._reason = "the answer is not signed"
             active.add_step(StepKind.ERROR, record.upstream, self._reason)
             connection.close()
             return False
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -226,10 +226,9 @@
         return _AttemptResult(retryable=True)
     active.runs += 1
     retryable = active.route.retry_safety is RetrySafety.FREELY
-    mismatched = metadata.request_id not in ("", active.call.request_id)
-    if mismatched or not metadata.is_signed:
+    if not metadata.is_signed:
         context.health.record_answer(record.upstream, error=True)
-        active.add_step(StepKind.ERROR, record.upstream, "not its answer")
+        active.add_step(StepKind.ERROR, record.upstream, "not signed")
         return _AttemptResult(retryable=retryable)
     record_completeness(
         context,
--- /dev/null
+++ b/currantdeal/entry/tests/test_extra_answers.py
@@ -0,0 +1,154 @@
+"""Upstreams that answer a request more than once, with real sockets."""
+
+import asyncio
+import itertools
+import math
+from collections import Counter
+
+import pytest
+
+from currantdeal.testing.entry_world import (
+    GENERATION,
+    entry_world,
+    request_bytes,
+)
+from currantdeal.testing.platform_upstream import StandInUpstream
+from currantdeal.testing.stuttering_upstream import (
+    ALIEN,
+    ALIEN_LOAD,
+    PAUSE_S,
+    Extra,
+    Identity,
+    Moment,
+    Stutter,
+    StutteringUpstream,
+)
+
+REQUESTS = 4
+"""Requests of a case; those on a used connection meet an extra answer."""
+
+STUTTERS = [
+    Stutter(extra=extra, identity=identity, moment=moment)
+    for extra, identity, moment in itertools.product(Extra, Identity, Moment)
+    if extra is not Extra.GRANT
+]
+
+
+def _name_of(stutter):
+    return "-".join(
+        part.value
+        for part in (stutter.extra, stutter.identity, stutter.moment)
+    )
+
+
+def _request(path, number, stutter):
+    """Return a request with a body of its own; its id may be that of all."""
+    more = () if path in ("menu", "order") else GENERATION
+    raw = request_bytes(f"/{path}/1", body=f"own-{number}".encode(), more=more)
+    if stutter.identity is Identity.SAME:
+        return raw
+    return raw.replace(b"Id: r-1", f"Id: r-{number}".encode())
+
+
+async def _send_all(world, path, stutter):
+    """Send requests one after the other; returns the answers."""
+    answers = []
+    for number in range(REQUESTS):
+        answers.append(await world.exchange(_request(path, number, stutter)))
+        if stutter.moment is Moment.IDLE:
+            await asyncio.sleep(2 * PAUSE_S)
+    return answers
+
+
+async def _start(stutter, is_chosen, *names, **more):
+    standins = [
+        StutteringUpstream(
+            upstream=name, stutter=stutter, is_chosen=is_chosen, **more
+        )
+        for name in names
+    ]
+    for standin in standins:
+        await standin.start()
+    return standins
+
+
+def _is_run(request):
+    return not request.target.startswith("/v1/") and not request.is_prefill
+
+
+def _is_resumed(request):
+    return _is_run(request) and bool(request.get("Last-Event-Id"))
+
+
+def _verify(answers, standins, world, *, runs=1):
+    """Check that each request was answered with its own body and ran once."""
+    for number, answer in enumerate(answers):
+        assert answer.startswith(b"HTTP/1.1 200"), answer
+        assert f"own-{number}".encode() in answer
+        assert ALIEN.encode() not in answer
+    bodies = Counter(r.body for standin in standins for r in standin.runs)
+    assert set(bodies.values()) == {runs}
+    context = world.context
+    for standin in standins:
+        name = standin.upstream
+        assert context.view.accepts_work(name)
+        assert context.limits.rate_per_s(name) == math.inf
+        assert context.health.load(name, 8, now_s=context.now_s) < ALIEN_LOAD
+        if runs == 1:
+            assert not context.health.is_ejected(name, now_s=context.now_s)
+
+
+def _verify_recorded(standins, stutter, context):
+    """Check that extra answers were sent and counted.
+
+    A connection that carried a request is not used for one with the same id,
+    so an extra answer with the same id can only follow the own one.
+    """
+    if stutter.identity is Identity.SAME:
+        return
+    assert any(standin.sent for standin in standins)
+    _, text = context.metrics.render()
+    assert b"currantdeal_extra_answers_total" in text
+
+
+@pytest.mark.parametrize("stutter", STUTTERS, ids=_name_of)
+@pytest.mark.parametrize("path", ["menu", "order"])
+def test_a_call_is_answered_by_its_own_run(path, stutter):
+    """Guards against an extra answer that is taken for the own one."""
+
+    async def run():
+        standins = await _start(stutter, _is_run, "u1", "u2")
+        async with entry_world() as world:
+            for standin in standins:
+                world.announce(standin)
+            answers = await _send_all(world, path, stutter)
+            _verify(answers, standins, world)
+            _verify_recorded(standins, stutter, world.context)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("stutter", STUTTERS, ids=_name_of)
+@pytest.mark.parametrize("path", ["note", "draft", "resumed"])
+def test_a_stream_is_made_by_its_own_run(path, stutter):
+    """Guards against an extra answer that is taken for a stream or its end."""
+    is_resumed = path == "resumed"
+
+    async def run():
+        prefill = StandInUpstream(upstream="p1")
+        await prefill.start()
+        engines = await _start(
+            stutter,
+            _is_resumed if is_resumed else _is_run,
+            "d1",
+            "d2",
+            cuts_first_runs=is_resumed,
+        )
+        async with entry_world() as world:
+            world.announce_engines(prefill, *engines)
+            kind = "draft" if is_resumed else path
+            answers = await _send_all(world, kind, stutter)
+            _verify(answers, engines, world, runs=2 if is_resumed else 1)
+            _verify_recorded(engines, stutter, world.context)
+
+    asyncio.run(run())
--- a/currantdeal/entry/tests/test_generation.py
+++ b/currantdeal/entry/tests/test_generation.py
@@ -121,7 +121,7 @@
         return True
 
     async def full(standin, request, writer):
-        send_refusal(writer)
+        send_refusal(request, writer)
         return True
 
     async def run():
@@ -223,7 +223,7 @@
     """
 
     async def full(standin, request, writer):
-        send_refusal(writer)
+        send_refusal(request, writer)
         return True
 
     async def run():
@@ -317,7 +317,7 @@
             return False
         writer.write(
             b"HTTP/1.1 421 No\r\nX-Currantdeal-Instance-Id: d9\r\n"
-            b"Content-Length: 0\r\n\r\n"
+            b"X-Currantdeal-Request-Id: r-1\r\nContent-Length: 0\r\n\r\n"
         )
         return True
 
@@ -409,7 +409,7 @@
     async def foreign(standin, request, writer):
         if request.target.startswith("/v1/"):
             return False
-        send_json(writer, {"not": "yours"})
+        send_json(request, writer, {"not": "yours"})
         return True
 
     async def run():
--- a/currantdeal/entry/tests/test_lost_engines.py
+++ b/currantdeal/entry/tests/test_lost_engines.py
@@ -28,7 +28,7 @@
 
 
 async def _refuses(standin, request, writer):
-    send_refusal(writer)
+    send_refusal(request, writer)
     return True
 
 
--- a/currantdeal/entry/tests/test_plain.py
+++ b/currantdeal/entry/tests/test_plain.py
@@ -40,7 +40,7 @@
 
 
 async def _full(standin, request, writer):
-    send_refusal(writer)
+    send_refusal(request, writer)
     return True
 
 
--- a/currantdeal/entry/tests/test_quotas.py
+++ b/currantdeal/entry/tests/test_quotas.py
@@ -236,7 +236,7 @@
     """A request that an upstream refuses has reached it."""
 
     async def full(standin, request, writer):
-        send_refusal(writer)
+        send_refusal(request, writer)
         return True
 
     script = full if status == b"503" else None
--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -48,12 +48,19 @@
         self._idle = {}
 
     async def acquire(
-        self, address, *, timeout_s=CONNECT_TIMEOUT_S, retryable=False
+        self,
+        address,
+        outgoing,
+        *,
+        timeout_s=CONNECT_TIMEOUT_S,
+        retryable=False,
     ):
-        """Return an idle connection, or a new one if there is none.
+        """Return an idle connection, or a new one if none fits a request.
 
         Parameters
         ----------
+        outgoing : Outgoing
+            The request, whose answer must be recognisable on the connection.
         retryable : bool
             True for a retryable request, one that may be lost and sent
             again; connections that have been idle for longer are then
@@ -64,13 +71,8 @@
         ConnectError
             If no connection could be opened in time.
         """
-        idle = self._idle.get(address)
-        while idle:
-            connection = idle.pop()
-            if connection.is_usable(retryable=retryable):
-                return connection
-            connection.close()
-        return await self.open(address, timeout_s=timeout_s)
+        found = self._take_idle(address, outgoing, retryable=retryable)
+        return found or await self.open(address, timeout_s=timeout_s)
 
     def is_connected(self, address):
         """Return whether an idle connection can take a retryable request."""
@@ -121,6 +123,21 @@
         for connection in self._idle.pop(address, ()):
             connection.close()
 
+    def _take_idle(self, address, outgoing, *, retryable):
+        idle = self._idle.get(address, [])
+        unfit = []
+        found = None
+        while idle and found is None:
+            connection = idle.pop()
+            if not connection.is_usable(retryable=retryable):
+                connection.close()
+            elif connection.may_carry(outgoing):
+                found = connection
+            else:
+                unfit.append(connection)
+        idle.extend(reversed(unfit))
+        return found
+
 
 async def exchange(
     pool, address, outgoing, *, timeout_s, limit=1 << 20, retryable=False
@@ -144,7 +161,7 @@
         If no complete response is received within ``timeout_s``.
     """
     connection = await pool.acquire(
-        address, timeout_s=timeout_s, retryable=retryable
+        address, outgoing, timeout_s=timeout_s, retryable=retryable
     )
     reused = connection.used
     try:
--- a/currantdeal/node/head.py
+++ b/currantdeal/node/head.py
@@ -78,7 +78,7 @@
         Name of the header with the id of the request, which its answer bears
         too.
     is_id_echoed : bool
-        False if upstreams may answer such a request without its id.
+        True if upstreams answer such a request only with its id.
     """
 
     method: str
@@ -87,7 +87,7 @@
     body: bytes = b""
     send_before_s: float = math.inf
     id_header: bytes = b""
-    is_id_echoed: bool = True
+    is_id_echoed: bool = False
 
     @property
     def request_id(self):
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -1,9 +1,8 @@
 """HTTP/1.1 client connections to upstreams, on the event loop.
 
 A response is attributed to a request only if it is complete, well-formed and
-the only data received on its connection since that request.  Anything else
-closes the connection, so that a late or unsolicited response is never returned
-to another caller.
+bears the id of that request.  Other responses are skipped while one is
+awaited; data that arrives at any other time closes the connection.
 """
 
 import asyncio
@@ -12,16 +11,12 @@
 import h11
 
 from currantdeal.core import boot_time_s
+from currantdeal.node.answer_parser import AnswerParser
 from currantdeal.node.errors import InvalidResponseError, SendExpiredError
-from currantdeal.node.extra_answers import (
-    ExtraAnswer,
-    ExtraAnswerLog,
-    ExtraMoment,
-)
-from currantdeal.node.head import ResponseHead, find_values
+from currantdeal.node.extra_answers import ExtraAnswerLog
+from currantdeal.node.head import ResponseHead
 from currantdeal.node.sockets import prepare_socket
 from currantdeal.policy.answer_end import framing_of
-from currantdeal.policy.answer_owner import AnswerOwner, answer_owner
 from currantdeal.policy.reset_outcome import ExchangePhase
 
 IDLE_REUSE_S = 4.0
@@ -65,13 +60,12 @@
 
     def __init__(self, *, address, extra_answers=None):
         """Initialise the state; the event loop connects afterwards."""
-        self._extra_answers = extra_answers or ExtraAnswerLog()
-        self._outgoing = None
-        self._is_first = True
         self.address = address
         self.used = False
         self._loop = asyncio.get_running_loop()
-        self._http = h11.Connection(h11.CLIENT)
+        self._parser = AnswerParser(
+            address=address, extra_answers=extra_answers or ExtraAnswerLog()
+        )
         self._method = ""
         self._transport = None
         self._events = deque()
@@ -103,14 +97,12 @@
 
     def data_received(self, data):
         """Parse received data; unsolicited data closes the connection."""
-        if self._http.our_state is h11.IDLE:
-            self._record_extra(ExtraMoment.IDLE, data)
+        if self._parser.is_idle:
+            self._parser.record_unexpected(data)
             self._fail("received bytes without a pending request")
             return
-        self._phase = ExchangePhase.WITHIN_ANSWER
         try:
-            self._http.receive_data(data)
-            self._parse()
+            self._parse(data)
         except h11.RemoteProtocolError as exc:
             self._fail(f"invalid HTTP response: {exc}")
 
@@ -120,8 +112,7 @@
         It completes a response that has no length.
         """
         try:
-            self._http.receive_data(b"")
-            self._parse()
+            self._parse(b"")
         except h11.RemoteProtocolError as exc:
             self._fail(f"ended early: {exc}")
         return False
@@ -146,6 +137,10 @@
         idle_s = self._loop.time() - self._idle_since_s
         return idle_s < _reuse_limit_s(self._keep_alive_s, retryable=retryable)
 
+    def may_carry(self, outgoing):
+        """Return whether the answer to a request can be recognised here."""
+        return self._parser.may_carry(outgoing)
+
     def send(self, outgoing):
         """Write a request.
 
@@ -157,40 +152,26 @@
         """
         if boot_time_s() >= outgoing.send_before_s:
             raise SendExpiredError("the view of the keys is too old")
-        self._is_first = not self.used
         self.used = True
-        self._outgoing = outgoing
         self._method = outgoing.method
         self._reusable = False
         self._phase = ExchangePhase.AWAITING_ANSWER
-        head = h11.Request(
-            method=outgoing.method,
-            target=outgoing.target,
-            headers=list(outgoing.headers),
-        )
-        raw = self._http.send(head)
-        if outgoing.body:
-            raw += self._http.send(h11.Data(data=outgoing.body))
-        raw += self._http.send(h11.EndOfMessage())
-        self._transport.write(raw)
+        self._transport.write(self._parser.begin(outgoing))
 
     async def head(self):
         """Return the head of the response."""
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Response):
-                self._record_keep_alive(event)
-                headers = tuple(event.headers)
-                self._check_owner(event)
-                return ResponseHead(
-                    status=event.status_code,
-                    headers=headers,
-                    framing=framing_of(
-                        method=self._method,
-                        status=event.status_code,
-                        headers=headers,
-                    ),
-                )
+        event = await self._next_event()
+        self._record_keep_alive(event)
+        headers = tuple(event.headers)
+        return ResponseHead(
+            status=event.status_code,
+            headers=headers,
+            framing=framing_of(
+                method=self._method,
+                status=event.status_code,
+                headers=headers,
+            ),
+        )
 
     async def chunk(self):
         """Return the next bytes of the body; None at its end."""
@@ -232,13 +213,9 @@
             self._close_reason = "closed locally"
         self._transport.abort()
 
-    def _parse(self):
-        while True:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            if isinstance(event, h11.ConnectionClosed):
-                return
+    def _parse(self, data):
+        for event in self._parser.receive(data):
+            self._phase = ExchangePhase.WITHIN_ANSWER
             self._events.append(event)
             if isinstance(event, h11.Data):
                 self._unread += len(event.data)
@@ -246,8 +223,6 @@
                     self._paused = True
                     self._transport.pause_reading()
             self._wake()
-            if isinstance(event, h11.EndOfMessage):
-                return
 
     async def _next_event(self):
         while not self._events:
@@ -274,76 +249,18 @@
         self._wake()
 
     def _end_exchange(self):
-        extra, _ = self._http.trailing_data
-        if extra:
-            self._record_extra(ExtraMoment.AFTER_OWN, extra)
-        clean = not extra and self._close_reason is None
-        done = (
-            self._http.our_state is h11.DONE
-            and self._http.their_state is h11.DONE
-        )
-        if clean and done:
-            self._http.start_next_cycle()
+        if self._close_reason is None and self._parser.finish():
             self._idle_since_s = self._loop.time()
             self._reusable = True
         else:
             self.close()
 
-    def _check_owner(self, event):
-        ids = find_values(event.headers, self._outgoing.id_header)
-        owner = answer_owner(
-            self._outgoing.request_id,
-            ids,
-            is_echoed=self._outgoing.is_id_echoed,
-            is_first=self._is_first,
-        )
-        if owner is not AnswerOwner.OWN:
-            self._record(ExtraMoment.BEFORE_OWN, owner, event)
-
-    def _record_extra(self, moment, data):
-        """Record bytes that arrived when no answer was expected."""
-        event = _response_in(data)
-        ids = ()
-        if event is not None and self._outgoing is not None:
-            ids = find_values(event.headers, self._outgoing.id_header)
-        owner = AnswerOwner.OTHER if ids else AnswerOwner.UNIDENTIFIED
-        self._record(moment, owner, event)
-
-    def _record(self, moment, owner, event):
-        outgoing = self._outgoing
-        ids = ()
-        if event is not None and outgoing is not None:
-            ids = find_values(event.headers, outgoing.id_header)
-        self._extra_answers.record(
-            ExtraAnswer(
-                address=self.address,
-                moment=moment,
-                owner=owner,
-                request_id=outgoing.request_id if outgoing else b"",
-                answer_ids=ids,
-                status=event.status_code if event is not None else 0,
-            )
-        )
-
     def _record_keep_alive(self, event):
         for key, value in event.headers:
             if key == b"keep-alive":
                 self._keep_alive_s = _keep_alive_timeout_s(value)
 
 
-def _response_in(data):
-    """Return the head of a response at the start of bytes, or None."""
-    http = h11.Connection(h11.CLIENT)
-    http.send(h11.Request(method="GET", target="/", headers=[("host", "")]))
-    http.send(h11.EndOfMessage())
-    try:
-        http.receive_data(data)
-        event = http.next_event()
-    except h11.RemoteProtocolError:
-        return None
-    return event if isinstance(event, h11.Response) else None
-
-
 def _keep_alive_timeout_s(value):
     """Return the timeout stated by a Keep-Alive header, or None."""
     for part in value.split(b","):
--- a/currantdeal/node/tests/test_connection_pool.py
+++ b/currantdeal/node/tests/test_connection_pool.py
@@ -90,7 +90,9 @@
         await exchange(pool, standin.address, CALL, timeout_s=1.0)
         began_s = loop.time()
         loop.time = lambda: began_s + idle_s
-        connection = await pool.acquire(standin.address, retryable=retryable)
+        connection = await pool.acquire(
+            standin.address, CALL, retryable=retryable
+        )
         return connection.used
 
     return asyncio.run(run())
--- a/currantdeal/testing/entry_world.py
+++ b/currantdeal/testing/entry_world.py
@@ -231,13 +231,14 @@
     )
     if config != b"":
         view.apply_config(1, zlib.compress(config or config_body()))
+    metrics = Metrics()
     context = EntryContext(
         view=view,
-        pool=ConnectionPool(),
+        pool=ConnectionPool(metrics=metrics),
         dialect=PlatformCalls(),
         random=random.Random(1),
         budget=BudgetBounds(ratio=0.2, allowance=allowance, window_s=10.0),
-        metrics=Metrics(),
+        metrics=metrics,
         revocation_s=revocation_s,
     )
     service = EntryService(context=context)
--- a/currantdeal/testing/platform_upstream.py
+++ b/currantdeal/testing/platform_upstream.py
@@ -132,12 +132,12 @@
     async def answer(self, request, writer):
         """Send the response of a healthy upstream."""
         if request.target == "/v1/hold-take":
-            self._send_json(writer, {"Hold": "hold-1"})
+            self._send_json(request, writer, {"Hold": "hold-1"})
         elif request.target.startswith("/v1/"):
-            self._send_json(writer, {})
+            self._send_json(request, writer, {})
         elif request.is_prefill:
             content = {"KvHandle": "kv-1", "Tokens": 9, "Version": 1}
-            self._send_json(writer, content)
+            self._send_json(request, writer, content)
         elif request.is_generation:
             self.begin_stream(request, writer)
             last = request.get("Last-Event-Id")
@@ -152,7 +152,7 @@
         """Send a complete response with the stand-in's signature."""
         lines = [
             f"HTTP/1.1 {status} Answer",
-            f"X-Currantdeal-Request-Id: {request.request_id}",
+            *echo_lines(request),
             f"X-Currantdeal-Response-Signature: by-{self.upstream}",
             f"Content-Length: {len(body)}",
             *self.extra_headers,
@@ -165,15 +165,15 @@
         lines = [
             "HTTP/1.1 200 OK",
             "Content-Type: text/event-stream",
-            f"X-Currantdeal-Request-Id: {request.request_id}",
+            *echo_lines(request),
             f"X-Currantdeal-Response-Signature: by-{self.upstream}",
             "Transfer-Encoding: chunked",
             *self.extra_headers,
         ]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
 
-    def _send_json(self, writer, content):
-        send_json(writer, content, more=self.extra_headers)
+    def _send_json(self, request, writer, content):
+        send_json(request, writer, content, more=self.extra_headers)
 
 
 def heartbeat(address, service, *, state="ready", sequence=1, born=0, **more):
@@ -217,19 +217,30 @@
     writer.write(b"%x\r\n%s\r\n" % (len(data), data))
 
 
-def send_refusal(writer, status=503):
+def echo_lines(request):
+    """Return the header line that repeats a request's id, if it has one."""
+    if not request.request_id:
+        return []
+    return [f"X-Currantdeal-Request-Id: {request.request_id}"]
+
+
+def send_refusal(request, writer, status=503):
     """Send a refusal marked as not executed."""
-    writer.write(
-        f"HTTP/1.1 {status} No\r\nX-Currantdeal-Not-Executed: 1\r\n"
-        "Content-Length: 0\r\n\r\n".encode()
-    )
+    lines = [
+        f"HTTP/1.1 {status} No",
+        *echo_lines(request),
+        "X-Currantdeal-Not-Executed: 1",
+        "Content-Length: 0",
+    ]
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
 
 
-def send_json(writer, content, status=200, *, more=()):
+def send_json(request, writer, content, status=200, *, more=()):
     """Send a response with a JSON body and further header lines."""
     body = json.dumps(content).encode()
     lines = [
         f"HTTP/1.1 {status} OK",
+        *echo_lines(request),
         "Content-Type: application/json",
         f"Content-Length: {len(body)}",
         *more,
