Take the handle of a prefill only from its own answer

What callers saw: an answer that was not their own, beside upstreams that answer twice. Reproduced over real processes first: a plain call got a repeated answer without an id, and a stream was made from another caller's prompt.

Cause of the second: the answer of a prefill was never compared with its request, so a repeated one gave the handle of another prompt to the decode engine.

A prefill now names the header with its id, as the other requests do, and the parser skips every answer that bears another one or none. It works since the handle is read from what the parser passes on, and nothing else.

--- a/currantdeal/entry/tests/test_extra_answers.py
+++ b/currantdeal/entry/tests/test_extra_answers.py
@@ -12,7 +12,6 @@
     entry_world,
     request_bytes,
 )
-from currantdeal.testing.platform_upstream import StandInUpstream
 from currantdeal.testing.stuttering_upstream import (
     ALIEN,
     ALIEN_LOAD,
@@ -27,11 +26,11 @@
 REQUESTS = 4
 """Requests of a case; those on a used connection meet an extra answer."""
 
-STUTTERS = [
+ALL_STUTTERS = [
     Stutter(extra=extra, identity=identity, moment=moment)
     for extra, identity, moment in itertools.product(Extra, Identity, Moment)
-    if extra is not Extra.GRANT
 ]
+STUTTERS = [s for s in ALL_STUTTERS if s.extra is not Extra.GRANT]
 
 
 def _name_of(stutter):
@@ -76,6 +75,10 @@
     return not request.target.startswith("/v1/") and not request.is_prefill
 
 
+def _is_prefill(request):
+    return request.is_prefill
+
+
 def _is_resumed(request):
     return _is_run(request) and bool(request.get("Last-Event-Id"))
 
@@ -135,13 +138,13 @@
     is_resumed = path == "resumed"
 
     async def run():
-        prefill = StandInUpstream(upstream="p1")
-        await prefill.start()
-        engines = await _start(
+        prefill, *engines = await _start(
             stutter,
             _is_resumed if is_resumed else _is_run,
+            "p1",
             "d1",
             "d2",
+            owners={},
             cuts_first_runs=is_resumed,
         )
         async with entry_world() as world:
@@ -152,3 +155,20 @@
             _verify_recorded(engines, stutter, world.context)
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("stutter", ALL_STUTTERS, ids=_name_of)
+def test_a_stream_goes_on_from_its_own_prefill(stutter):
+    """Guards against a stream from the KV cache of another caller."""
+
+    async def run():
+        prefill, *engines = await _start(
+            stutter, _is_prefill, "p1", "d1", owners={}
+        )
+        async with entry_world() as world:
+            world.announce_engines(prefill, *engines)
+            answers = await _send_all(world, "note", stutter)
+            _verify(answers, engines, world)
+            _verify_recorded([prefill], stutter, world.context)
+
+    asyncio.run(run())
--- a/currantdeal/platform/calls.py
+++ b/currantdeal/platform/calls.py
@@ -99,8 +99,8 @@
             headers=(*framed, *_system_headers(options)),
             body=body,
             send_before_s=options.send_before_s,
-            id_header=b"" if options.prefill_only else header_names.REQUEST_ID,
-            is_id_echoed=not options.prefill_only,
+            id_header=header_names.REQUEST_ID,
+            is_id_echoed=True,
         )
 
     def read_response(self, head):
--- a/currantdeal/testing/stuttering_upstream.py
+++ b/currantdeal/testing/stuttering_upstream.py
@@ -91,7 +91,8 @@
 
     An extra answer is sent only on a connection that has carried another
     call.  A run is answered with the body of its request, as an event if it
-    is a stream.
+    is a stream; one that goes on from a KV cache, with the body of the request
+    that was prefilled.
 
     Parameters
     ----------
@@ -99,6 +100,8 @@
         The extra answers.
     is_chosen : callable
         Whether extra answers are sent around that to a ``ReceivedRequest``.
+    owners : dict or None
+        Bodies of the prefilled requests by handle, shared by the engines.
     cuts_first_runs : bool
         Whether a stream that resumes none is broken off after one event.
 
@@ -110,11 +113,20 @@
         Handles and reservations in own answers.
     """
 
-    def __init__(self, *, stutter, is_chosen, cuts_first_runs=False, **more):
+    def __init__(
+        self,
+        *,
+        stutter,
+        is_chosen,
+        owners=None,
+        cuts_first_runs=False,
+        **more,
+    ):
         """Start without connections."""
         super().__init__(**more)
         self.sent = 0
         self.granted = set()
+        self._owners = {} if owners is None else owners
         self._stutter = stutter
         self._is_chosen = is_chosen
         self._cuts_first_runs = cuts_first_runs
@@ -163,6 +175,7 @@
         if request.target == "/v1/hold-take" or request.is_prefill:
             number = f"{self.upstream}-{len(self.requests)}"
             self.granted.add(number)
+            self._owners[number] = request.body.decode()
             content = {"Hold": number, "KvHandle": number}
             self._send_json(request, writer, content)
         elif request not in self.runs or not request.is_generation:
@@ -170,7 +183,7 @@
         else:
             self.begin_stream(request, writer)
             last = request.get("Last-Event-Id")
-            text = request.body.decode()
+            text = self._text_of(request)
             event = f"id: {int(last or 0) + 1}\ndata: {text}\n\n"
             send_chunk(writer, event.encode())
             if self._cuts_first_runs and not last:
@@ -178,6 +191,12 @@
             else:
                 writer.write(b"0\r\n\r\n")
 
+    def _text_of(self, request):
+        source = request.get("X-Currantdeal-Kv-Source")
+        if not source:
+            return request.body.decode()
+        return self._owners.get(source.rpartition("/")[2], ALIEN)
+
     async def _answer_plain(self, request, writer):
         if request in self.runs:
             self.send(request, writer, 200, request.body)
