Match answers between instances to calls by their numbers

Found while looking for the cause of MIXED elsewhere, not seen by callers: the generated clients of the calls between instances ignore the sequence number of an answer, so an instance that answers twice would be heard one answer late from then on. Entry and control number their frames, and drop other answers, but did so silently.

Each call now has a number of its own, and the protocol skips answers with another one; both kinds of links log them as extra-answer. Neither link has a metric for it: their connections know of none.

--- a/currantdeal/adapters/peers.py
+++ b/currantdeal/adapters/peers.py
@@ -10,6 +10,7 @@
 """
 
 import contextlib
+import itertools
 import logging
 import socket
 import threading
@@ -17,9 +18,10 @@
 from collections import defaultdict, deque
 from dataclasses import dataclass, field
 
+import structlog
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.protocol.TMultiplexedProtocol import TMultiplexedProtocol
-from thrift.Thrift import TException
+from thrift.Thrift import TException, TType
 from thrift.TMultiplexedProcessor import TMultiplexedProcessor
 from thrift.transport.TSocket import TSocket
 from thrift.transport.TTransport import TFramedTransport, TTransportException
@@ -41,7 +43,11 @@
 # instance.  The error is also raised as PeerError and counted by the caller.
 logging.getLogger("thrift.transport.TSocket").setLevel(logging.CRITICAL)
 
+MAX_CALL_NUMBER = 2**31 - 1
+"""Largest sequence number of a call; the protocol has 32 bits for it."""
+
 _PROTOCOLS = TCompactProtocolAcceleratedFactory()
+_log = structlog.get_logger(__name__)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -129,6 +135,35 @@
             sock.close()
 
 
+class _CallProtocol(TMultiplexedProtocol):
+    """Protocol of one call, which skips the answers to other calls.
+
+    Parameters
+    ----------
+    protocol : TProtocolBase
+        The protocol of the connection.
+    service : str
+        Name of the service.
+    number : int
+        Sequence number of the call.
+    """
+
+    def __init__(self, protocol, service, number):
+        super().__init__(protocol, service)
+        self._number = number
+
+    def readMessageBegin(self):  # noqa: N802
+        while True:
+            name, kind, number = super().readMessageBegin()
+            if number == self._number:
+                return name, kind, number
+            _log.info(
+                "extra-answer", call=name, number=number, waiting=self._number
+            )
+            self.skip(TType.STRUCT)
+            self.readMessageEnd()
+
+
 class PeerPool:
     """Connection pool for short calls to other instances.
 
@@ -141,6 +176,7 @@
         """Start with no connections."""
         self._idle = defaultdict(deque)
         self._lock = threading.Lock()
+        self._numbers = itertools.count(1)
 
     def call(self, address, service, client_class, rpc, *, timeout_s):
         """Call ``rpc`` with a client for the address and return its result.
@@ -167,7 +203,10 @@
         conn = self._take(address) or self._connect(address, timeout_s)
         conn.socket.setTimeout(timeout_s * 1000.0)
         protocol = _PROTOCOLS.getProtocol(conn.transport)
-        client = client_class(TMultiplexedProtocol(protocol, service))
+        number = next(self._numbers) % MAX_CALL_NUMBER
+        client = client_class(_CallProtocol(protocol, service, number))
+        # The generated clients have no other way to set it.
+        client._seqid = number
         try:
             answer = rpc(client)
         except (TTransportException, OSError, EOFError) as exc:
--- a/currantdeal/node/peers.py
+++ b/currantdeal/node/peers.py
@@ -8,6 +8,7 @@
 import asyncio
 import struct
 
+import structlog
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
 from thrift.TSerialization import deserialize, serialize
 
@@ -34,6 +35,7 @@
 MAX_BACKLOG_BYTES = 8_388_608
 """Unsent bytes for a slow peer beyond which its connection is aborted."""
 
+_log = structlog.get_logger(__name__)
 _LENGTH = struct.Struct("!I")
 _PROTOCOL = TBinaryProtocolAcceleratedFactory()
 
@@ -163,11 +165,19 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         else:
-            future = self._pending_calls.get(frame.number)
-            if future is not None and not future.done():
-                future.set_result(message)
+            self._handle_answer(frame.number, message)
         return True
 
+    def _handle_answer(self, number, message):
+        """Pass on the answer to a pending call; drop any other one."""
+        future = self._pending_calls.get(number)
+        if future is not None and not future.done():
+            future.set_result(message)
+            return
+        _log.info(
+            "extra-answer", number=number, message=type(message).__name__
+        )
+
     async def _answer(self, number, message):
         answer = await self._on_call(self, message)
         self._write(pack_frame(FrameKind.ANSWER, number, answer))
--- a/currantdeal/node/tests/test_peers.py
+++ b/currantdeal/node/tests/test_peers.py
@@ -2,9 +2,10 @@
 
 import pytest
 
+from currantdeal.adapters.generated.peers.ttypes import FrameKind
 from currantdeal.node.errors import PeerUnreachableError
 from currantdeal.node.messages import Done, JoinCall, ReadConfigCall
-from currantdeal.node.peers import PeerConnection, PeerLink
+from currantdeal.node.peers import PeerConnection, PeerLink, pack_frame
 
 CALL = JoinCall(instance="a", address="a", blank=False)
 
@@ -102,3 +103,23 @@
 
     asyncio.run(run())
     assert notices == [CALL, CALL]
+
+
+def test_answers_to_no_pending_call_are_dropped():
+    """Guards against an answer of another call that arrives first."""
+
+    async def answer(connection, message):
+        for number in (0, 1, 2, 3, 99):
+            if number != len(calls) + 1:
+                connection.send_packed(
+                    pack_frame(FrameKind.ANSWER, number, Done(accepted=False))
+                )
+        calls.append(message)
+        return Done(accepted=True)
+
+    async def run():
+        _, link = await _server(answer)
+        return [await link.call(CALL, timeout_s=2.0) for _ in range(3)]
+
+    calls = []
+    assert [a.accepted for a in asyncio.run(run())] == [True] * 3
