Send each request of the own interface on a connection of its own

Each request now has a connection of its own, as calls that run once have had; the pool, its ages and forget() are gone. The new test failed before. The cost of the connections was not measured.

--- a/currantdeal/adapters/connections.py
+++ b/currantdeal/adapters/connections.py
@@ -1,10 +1,9 @@
-"""Sends HTTP requests to upstreams over pooled or new connections.
+"""Sends HTTP requests to upstreams, each on a connection of its own.
 
-Pooled connections are for short calls that may be repeated.  A request whose
-loss costs more than the round trip of opening a connection (a prefill, a
-call that must not run twice, a resumed stream) gets a new one: a pooled
-connection can be dead while new ones work (gray failure), which only shows
-once it is used.
+Requests to these upstreams have no id.  On a connection that has carried
+another request, an upstream that answers that one twice would be taken to
+answer the next one.  A kept connection can also be dead while new ones work
+(gray failure), which only shows once it is used.
 
 See Also
 --------
@@ -12,7 +11,6 @@
 """
 
 import socket
-import time
 from dataclasses import dataclass
 
 import urllib3
@@ -38,19 +36,9 @@
     orderly_ending,
 )
 
-MAX_IDLE_AGE_S = 2.0
-"""Idle time after which a pooled connection is not reused.
-
-Engines are called several times a second while they serve requests, so a
-connection idle for longer belongs to an upstream with little load, where one
-more round trip does not matter.
-"""
-
 CONNECT_TIMEOUT_S = 1.0
 """Connect timeout; some dozen round trips between regions."""
 
-_POOLS = 2048
-_IDLE_PER_ADDRESS = 8
 _OPTIONS = [
     *HTTPConnection.default_socket_options,
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -85,42 +73,10 @@
     is_known_whole: bool = True
 
 
-class _ExpiringPool(urllib3.HTTPConnectionPool):
-    _valid_from_s = 0.0
-
-    def invalidate_idle(self):
-        """Do not reuse any connection that is idle now."""
-        self._valid_from_s = time.monotonic()
-
-    def _get_conn(self, timeout=None):
-        conn = super()._get_conn(timeout)
-        valid_from_s = max(
-            self._valid_from_s, time.monotonic() - MAX_IDLE_AGE_S
-        )
-        if getattr(conn, "idle_since_s", valid_from_s) < valid_from_s:
-            conn.close()
-        return conn
-
-    def _put_conn(self, conn):
-        if conn is not None:
-            conn.idle_since_s = time.monotonic()
-        super()._put_conn(conn)
-
-
 class Connections:
-    """Sends each request once, on a pooled or on a new connection."""
-
-    def __init__(self):
-        """Start with no connections."""
-        self._pools = urllib3.PoolManager(
-            num_pools=_POOLS,
-            maxsize=_IDLE_PER_ADDRESS,
-            block=False,
-            socket_options=_OPTIONS,
-        )
-        self._pools.pool_classes_by_scheme = {"http": _ExpiringPool}
+    """Sends each request once, on a new connection."""
 
-    def open(self, request, *, timeout_s, fresh=False):
+    def open(self, request, *, timeout_s):
         """Send the request and return the response with its body unread.
 
         Parameters
@@ -129,8 +85,6 @@
             The request.
         timeout_s : float
             Longest time without data, before the response and within it.
-        fresh : bool
-            True to open a new connection for this request only.
 
         Raises
         ------
@@ -141,7 +95,10 @@
         UpstreamTimeoutError
             If the connection broke or timed out; the request may have run.
         """
-        pool = self._fresh(request) if fresh else self._pooled(request)
+        host, _, port = request.address.rpartition(":")
+        pool = urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=1, socket_options=_OPTIONS
+        )
         timeout = urllib3.Timeout(
             connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
         )
@@ -150,7 +107,7 @@
                 request.method,
                 request.path,
                 body=request.body or None,
-                headers=_headers_of(request, fresh),
+                headers=_headers_of(request),
                 retries=False,
                 redirect=False,
                 assert_same_host=False,
@@ -161,17 +118,15 @@
         except (NewConnectionError, ConnectTimeoutError) as exc:
             raise UpstreamUnreachableError(str(exc), ran=Ran.NO) from exc
         except (HTTPError, OSError) as exc:
-            self.forget(request.address)
             raise connection_lost_error(request.address, exc) from exc
 
-    def fetch(self, request, *, timeout_s, fresh=False):
+    def fetch(self, request, *, timeout_s):
         """Send the request and return the whole ``HttpResponse``."""
-        response = self.open(request, timeout_s=timeout_s, fresh=fresh)
+        response = self.open(request, timeout_s=timeout_s)
         try:
             body = response.read()
         except (HTTPError, OSError) as exc:
             response.close()
-            self.forget(request.address)
             raise connection_lost_error(request.address, exc) from exc
         response.release_conn()
         headers = tuple(response.headers.items())
@@ -182,25 +137,6 @@
             is_known_whole=_is_known_whole(request, response.status, headers),
         )
 
-    def forget(self, address):
-        """Stop reusing the idle connections to an address.
-
-        When one connection of a path is dead, the others most likely are
-        too, and each of them would cost another timeout.
-        """
-        host, _, port = address.rpartition(":")
-        self._pools.connection_from_host(host, int(port)).invalidate_idle()
-
-    def _pooled(self, request):
-        host, _, port = request.address.rpartition(":")
-        return self._pools.connection_from_host(host, int(port))
-
-    def _fresh(self, request):
-        host, _, port = request.address.rpartition(":")
-        return urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=1, socket_options=_OPTIONS
-        )
-
 
 def connection_lost_error(address, failure):
     """Return the error for a connection lost during a request.
@@ -238,10 +174,9 @@
     return found is Completeness.WHOLE
 
 
-def _headers_of(request, fresh):
+def _headers_of(request):
     headers = urllib3.HTTPHeaderDict()
     for name, value in request.headers:
         headers.add(name, value)
-    if fresh:
-        headers["Connection"] = "close"
+    headers["Connection"] = "close"
     return headers
--- a/currantdeal/adapters/engines.py
+++ b/currantdeal/adapters/engines.py
@@ -56,23 +56,17 @@
 
     def prefill(self, upstream, request, *, timeout_s):
         """Let the engine compute and keep the KV cache of a prompt."""
-        body = self._post(
-            upstream, "prefill", request, timeout_s=timeout_s, fresh=True
-        )
+        body = self._post(upstream, "prefill", request, timeout_s=timeout_s)
         return _decode(_PREFILLS, body)
 
     def import_kv(self, upstream, request, *, timeout_s):
         """Let the decode engine fetch a KV cache into its memory."""
-        self._post(
-            upstream, "import", request, timeout_s=timeout_s, fresh=True
-        )
+        self._post(upstream, "import", request, timeout_s=timeout_s)
 
     def decode(self, upstream, request, *, silence_s):
         """Yield the output chunks in order; the last has a finish reason."""
         response = self._connections.open(
-            _post_of(upstream, "decode", request),
-            timeout_s=silence_s,
-            fresh=True,
+            _post_of(upstream, "decode", request), timeout_s=silence_s
         )
         try:
             if response.status != 200:
@@ -110,12 +104,11 @@
             "orders",
             {"fence": fence, "order": order},
             timeout_s=CONTROL_TIMEOUT_S,
-            fresh=True,
         )
 
-    def _post(self, upstream, name, message, *, timeout_s, fresh=False):
+    def _post(self, upstream, name, message, *, timeout_s):
         response = self._connections.fetch(
-            _post_of(upstream, name, message), timeout_s=timeout_s, fresh=fresh
+            _post_of(upstream, name, message), timeout_s=timeout_s
         )
         if response.status != 200:
             raise _refusal(response.status, response.body)
--- a/currantdeal/adapters/services.py
+++ b/currantdeal/adapters/services.py
@@ -3,8 +3,6 @@
 from currantdeal.adapters.connections import Connections, HttpRequest
 from currantdeal.ports import Header, ServiceAnswer
 
-REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
-
 HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -37,10 +35,7 @@
         self._connections = connections or Connections()
 
     def call(self, upstream, call, *, timeout_s):
-        """Send the call once and return the answer.
-
-        A call that must not run twice is sent on a new connection.
-        """
+        """Send the call once and return the answer."""
         request = HttpRequest(
             address=upstream.address,
             method=call.method,
@@ -48,11 +43,7 @@
             headers=tuple((hd.name, hd.value) for hd in call.headers),
             body=call.body,
         )
-        response = self._connections.fetch(
-            request,
-            timeout_s=timeout_s,
-            fresh=call.method not in REPEATABLE_METHODS,
-        )
+        response = self._connections.fetch(request, timeout_s=timeout_s)
         return ServiceAnswer(
             status=response.status,
             headers=tuple(
--- a/currantdeal/adapters/tests/test_connections.py
+++ b/currantdeal/adapters/tests/test_connections.py
@@ -59,3 +59,32 @@
     request = HttpRequest(address=f"{host}:{port}", method="POST", path="/")
     with pytest.raises(UpstreamUnreachableError):
         Connections().fetch(request, timeout_s=2.0)
+
+
+def _answer(text):
+    return b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n" + text
+
+
+def _repeat_answers(listener):
+    """Answer each request but the first on a connection as another one."""
+    while True:
+        connection, _ = listener.accept()
+        with connection:
+            own = b"own"
+            while connection.recv(65_536):
+                connection.sendall(_answer(own))
+                own = b"not"
+
+
+def test_answer_to_an_earlier_request_is_not_used():
+    """Guards against an upstream that answers a request twice."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    threading.Thread(
+        target=_repeat_answers, args=(listener,), daemon=True
+    ).start()
+    host, port = listener.getsockname()
+    request = HttpRequest(address=f"{host}:{port}", method="GET", path="/")
+    connections = Connections()
+    for _ in range(3):
+        response = connections.fetch(request, timeout_s=2.0)
+        assert response.body == b"own"
