--- a/benchmarks/tests/test_soak_nodes.py
+++ b/benchmarks/tests/test_soak_nodes.py
@@ -47,6 +47,10 @@
 """Run with upstreams that leave answers unframed or break them off."""
 
 
+STUTTERING_SEEDS = (1000,)
+"""Run with upstreams that repeat earlier answers."""
+
+
 def _check(seed, *, faults="random"):
     report = run_seed(seed, rounds=1, faults=faults)
     assert report["violations"] == []
@@ -103,6 +107,12 @@
     _check(seed, faults="ending")
 
 
+@pytest.mark.parametrize("seed", STUTTERING_SEEDS)
+def test_promises_hold_beside_upstreams_that_answer_twice(seed):
+    """Guards against the answer to another request, late or early."""
+    _check(seed, faults="stuttering")
+
+
 @pytest.mark.known_red
 @pytest.mark.parametrize("seed", SEEN_ONCE)
 def test_promises_hold_under_faults_that_failed_once(seed):
--- a/currantdeal/testing/stuttering_upstream.py
+++ b/currantdeal/testing/stuttering_upstream.py
@@ -143,7 +143,7 @@
 
     async def answer(self, request, writer):
         """Send the own answer, with the extra one around it."""
-        own = _Buffer()
+        own = AnswerBuffer()
         self._answer_own(request, own)
         may_stutter = self._may_stutter(request, writer)
         self._carried[writer].add(request.request_id)
@@ -151,7 +151,12 @@
             writer.write(own.data)
         else:
             self.sent += 1
-            await self._send_both(self.stutter.raw(request), own.data, writer)
+            await send_around(
+                writer,
+                own.data,
+                self.stutter.raw(request),
+                self.stutter.moment,
+            )
         await writer.drain()
         if own.is_cut:
             writer.close()
@@ -163,23 +168,6 @@
         is_same = self.stutter.identity is Identity.SAME
         return not is_same or request.request_id in earlier
 
-    async def _send_both(self, extra, own, writer):
-        moment = self.stutter.moment
-        if moment is Moment.ONE_SEGMENT:
-            writer.write(extra + own)
-        elif moment is Moment.AFTER:
-            writer.write(own + extra)
-        elif moment is Moment.IDLE:
-            await _write_apart(writer, own, extra)
-        elif moment is Moment.IN_PARTS:
-            await _write_apart(writer, extra[:25], extra[25:-3], extra[-3:])
-            writer.write(own)
-        else:
-            await asyncio.sleep(PAUSE_S)
-            count = 2 if moment is Moment.TWICE else 1
-            await _write_apart(writer, *[extra] * count)
-            writer.write(own)
-
     def _answer_own(self, request, writer):
         if request not in self.runs:
             self._answer_call(request, writer)
@@ -212,16 +200,45 @@
         self._send_json(request, writer, content)
 
 
-class _Buffer:
-    """Collects the bytes of an own answer."""
+class AnswerBuffer:
+    """Collects the bytes of an own answer in place of a ``StreamWriter``.
+
+    Attributes
+    ----------
+    is_cut : bool
+        Whether the connection is closed behind them.
+    """
 
     def __init__(self):
+        """Start empty."""
         self.data = b""
         self.is_cut = False
 
     def write(self, data):
+        """Append bytes."""
         self.data += data
 
+    async def drain(self):
+        """Return at once."""
+
+
+async def send_around(writer, own, extra, moment):
+    """Send an own answer and an extra one at its ``Moment``."""
+    if moment is Moment.ONE_SEGMENT:
+        writer.write(extra + own)
+    elif moment is Moment.AFTER:
+        writer.write(own + extra)
+    elif moment is Moment.IDLE:
+        await _write_apart(writer, own, extra)
+    elif moment is Moment.IN_PARTS:
+        await _write_apart(writer, extra[:25], extra[25:-3], extra[-3:])
+        writer.write(own)
+    else:
+        await asyncio.sleep(PAUSE_S)
+        count = 2 if moment is Moment.TWICE else 1
+        await _write_apart(writer, *[extra] * count)
+        writer.write(own)
+
 
 async def _write_apart(writer, *parts):
     for part in parts:
