Close the connection of a refused call that can carry no other one

Cause: found by reading. Since reservations need connections of their own where upstreams do not repeat their ids, each refused one left an idle connection behind, up to 16 at an engine and entry.

Such a connection is now closed after a refusal, unless its upstream repeats the ids of calls, so that the next reservation can use it. The new test failed before with three open connections for three refused calls.

--- a/currantdeal/node/answer_parser.py
+++ b/currantdeal/node/answer_parser.py
@@ -34,7 +34,7 @@
         self._ids = set()
         self._count = 0
         self._carried_head = False
-        self._echoes_all = False
+        self._echoes_call_ids = False
         self._is_own = False
 
     @property
@@ -42,6 +42,14 @@
         """True while no request waits for an answer."""
         return self._http.our_state is h11.IDLE
 
+    @property
+    def recognises_calls(self):
+        """Whether the answer to a request that may lack its id is recognised.
+
+        Nothing else can be answered on an unused connection.
+        """
+        return not self._count or self._echoes_call_ids
+
     def may_carry(self, outgoing):
         """Return whether the answer to a request can be recognised here.
 
@@ -58,7 +66,7 @@
             return False
         if self._carried_head or outgoing.method == "HEAD":
             return False
-        return outgoing.is_id_echoed or self._echoes_all
+        return outgoing.is_id_echoed or self.recognises_calls
 
     def begin(self, outgoing):
         """Return the bytes of a request, whose answer is parsed next."""
@@ -137,7 +145,7 @@
         )
         if owner is AnswerOwner.OWN:
             if ids and not self._outgoing.is_id_echoed:
-                self._echoes_all = True
+                self._echoes_call_ids = True
             return True
         self._record(ExtraMoment.BEFORE_OWN, owner, head)
         return False
--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -198,5 +198,18 @@
     except BaseException:
         connection.close()
         raise
-    pool.release(connection)
+    if _is_of_no_more_use(connection, outgoing, head):
+        connection.close()
+    else:
+        pool.release(connection)
     return head, body
+
+
+def _is_of_no_more_use(connection, outgoing, head):
+    """Return whether no request is likely to follow on a connection.
+
+    A refused reservation is not followed by its run, and the next one needs
+    another connection.  Upstreams bound the number of their connections.
+    """
+    is_refused_call = head.status >= 400 and not outgoing.is_id_echoed
+    return is_refused_call and not connection.recognises_calls
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -137,6 +137,14 @@
         idle_s = self._loop.time() - self._idle_since_s
         return idle_s < _reuse_limit_s(self._keep_alive_s, retryable=retryable)
 
+    @property
+    def recognises_calls(self):
+        """Whether the answer to a request that may lack its id is recognised.
+
+        Calls of the system itself are such requests.
+        """
+        return self._parser.recognises_calls
+
     def may_carry(self, outgoing):
         """Return whether the answer to a request can be recognised here."""
         return self._parser.may_carry(outgoing)
--- a/currantdeal/node/tests/test_extra_answers.py
+++ b/currantdeal/node/tests/test_extra_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+from dataclasses import replace
 
 import pytest
 
@@ -12,7 +13,11 @@
 from currantdeal.node.errors import ResponseTimeoutError
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.registry import Stage
-from currantdeal.testing.platform_upstream import HEALTH_PATH
+from currantdeal.testing.platform_upstream import (
+    HEALTH_PATH,
+    StandInUpstream,
+    send_json,
+)
 from currantdeal.testing.stuttering_upstream import (
     Extra,
     Identity,
@@ -113,3 +118,28 @@
         return json.loads(body)["Hold"]
 
     assert asyncio.run(run()).endswith("-2")
+
+
+@pytest.mark.parametrize("echoes_calls", [True, False])
+def test_connection_of_a_refused_call_is_closed_unless_it_takes_others(
+    echoes_calls,
+):
+    """Guards against refused reservations that use up all connections."""
+
+    async def refuse(standin, request, writer):
+        if not echoes_calls:
+            request = replace(request, headers=())
+        send_json(request, writer, {}, status=503)
+        return True
+
+    async def run():
+        standin = StandInUpstream(script=refuse)
+        await standin.start()
+        pool, dialect = ConnectionPool(), PlatformCalls()
+        for _ in range(CALLS):
+            call = MAKE_CALL["reservation"](dialect, standin.address)
+            await exchange(pool, standin.address, call, timeout_s=1.0)
+        await asyncio.sleep(0.02)
+        return standin.open_connections
+
+    assert asyncio.run(run()) == int(echoes_calls)
