--- a/currantdeal/consensus/tests/mutations.py
+++ b/currantdeal/consensus/tests/mutations.py
@@ -36,6 +36,9 @@
 RUNTIME = pytest("adapters/replication")
 CREDIT = pytest("organisations/tests/test_credit.py")
 ACCESS = pytest("entry/tests/test_access.py")
+OWNERS = pytest(
+    "node/tests/test_extra_answers.py", "entry/tests/test_extra_answers.py"
+)
 ENDS = pytest("entry/tests/test_answer_ends.py", "entry/tests/test_events.py")
 
 
@@ -405,6 +408,48 @@
         new="                framing, reads_chunks=True",
         check=ENDS,
     ),
+    Mutation(
+        title="an answer with another id counts as own",
+        path="policy/answer_owner.py",
+        old="AnswerOwner.OWN if found == {request_id} else AnswerOwner.OTHER",
+        new="AnswerOwner.OWN",
+        check=OWNERS,
+    ),
+    Mutation(
+        title="an answer without an id counts as own",
+        path="policy/answer_owner.py",
+        old="    return AnswerOwner.UNIDENTIFIED",
+        new="    return AnswerOwner.OWN",
+        check=OWNERS,
+    ),
+    Mutation(
+        title="an id is sent twice on a connection",
+        path="node/answer_parser.py",
+        old="outgoing.request_id in self._ids",
+        new="False",
+        check=OWNERS,
+    ),
+    Mutation(
+        title="a call without an echo follows another one",
+        path="node/answer_parser.py",
+        old="        return outgoing.is_id_echoed or self.recognises_calls",
+        new="        return True",
+        check=OWNERS,
+    ),
+    Mutation(
+        title="nothing is read behind an extra answer",
+        path="node/answer_parser.py",
+        old="                self._await_next()",
+        new="                return",
+        check=OWNERS,
+    ),
+    Mutation(
+        title="HEAD shares a connection",
+        path="node/answer_parser.py",
+        old='self._carried_head or outgoing.method == "HEAD":',
+        new="False:",
+        check=OWNERS,
+    ),
 )
 
 
--- a/currantdeal/node/tests/test_extra_answers.py
+++ b/currantdeal/node/tests/test_extra_answers.py
@@ -8,9 +8,12 @@
 import pytest
 
 from currantdeal.adapters.metrics import Metrics
+from currantdeal.node.answer_parser import AnswerParser
 from currantdeal.node.connection_pool import ConnectionPool, exchange
 from currantdeal.node.dialect import StageOrder
 from currantdeal.node.errors import ResponseTimeoutError
+from currantdeal.node.extra_answers import ExtraAnswerLog
+from currantdeal.node.head import Outgoing
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.registry import Stage
 from currantdeal.testing.platform_upstream import (
@@ -143,3 +146,22 @@
         return standin.open_connections
 
     assert asyncio.run(run()) == int(echoes_calls)
+
+
+@pytest.mark.parametrize("methods", [("HEAD", "GET"), ("GET", "HEAD")])
+def test_a_request_for_a_head_has_a_connection_of_its_own(methods):
+    """Guards against a body of an extra answer that is taken for the next."""
+    parser = AnswerParser(address="u1", extra_answers=ExtraAnswerLog())
+    first, second = (
+        Outgoing(
+            method=method,
+            target="/",
+            headers=((b"host", b"u1"), (b"id", method.encode())),
+            id_header=b"id",
+            is_id_echoed=True,
+        )
+        for method in methods
+    )
+    assert parser.may_carry(first)
+    parser.begin(first)
+    assert not parser.may_carry(second)
