Name the stand-ins that repeat answers by what they do

Read as a newcomer: "stutter" is no term of the field, and stood for an upstream, an extra answer and a fault set of the soak.

What is checked is the same.

--- a/benchmarks/soak_stutters.py
+++ b/benchmarks/soak_repetitions.py
@@ -16,7 +16,7 @@
     send_json,
     send_refusal,
 )
-from currantdeal.testing.stuttering_upstream import (
+from currantdeal.testing.repeating_upstream import (
     AnswerBuffer,
     Moment,
     send_around,
@@ -26,7 +26,7 @@
 REFUSED_SHARE = 0.1
 
 
-class RepeatingUpstream(StandInUpstream):
+class RandomlyRepeatingUpstream(StandInUpstream):
     """An upstream that repeats earlier answers and refuses some requests.
 
     Parameters
@@ -117,7 +117,7 @@
         self._holds.discard(hold)
 
 
-class StutteringSoak(NodeSoak):
+class RepeatingSoak(NodeSoak):
     """A soak whose upstreams answer twice."""
 
     def __init__(self, *, seed, **options):
@@ -132,7 +132,7 @@
                 name=upstream.name,
                 service=upstream.service,
                 stage=upstream.stage,
-                standin=RepeatingUpstream(
+                standin=RandomlyRepeatingUpstream(
                     upstream=upstream.name,
                     rng=self._answer_rng,
                     owners=owners,
--- a/benchmarks/soak_runs.py
+++ b/benchmarks/soak_runs.py
@@ -14,9 +14,9 @@
 from benchmarks.soak_limits import LimitingSoak
 from benchmarks.soak_node_faults import NodeFaultInjector
 from benchmarks.soak_nodes import NodeSoak
+from benchmarks.soak_repetitions import RepeatingSoak
 from benchmarks.soak_replacements import ReplacingFaultInjector
 from benchmarks.soak_resets import ResettingFaultInjector
-from benchmarks.soak_stutters import StutteringSoak
 
 SOAKS = {
     "random": (NodeSoak, NodeFaultInjector),
@@ -25,7 +25,7 @@
     "crashing": (CrashingSoak, CrashingFaultInjector),
     "limiting": (LimitingSoak, NodeFaultInjector),
     "ending": (EndingSoak, ResettingFaultInjector),
-    "stuttering": (StutteringSoak, NodeFaultInjector),
+    "repeating": (RepeatingSoak, NodeFaultInjector),
 }
 """Soak class and fault injector by the name of a fault set."""
 
--- a/currantdeal/testing/stuttering_upstream.py
+++ b/currantdeal/testing/repeating_upstream.py
@@ -12,7 +12,7 @@
     send_chunk,
 )
 
-PAUSE_S = 0.02
+PAUSE_S = 0.01
 """Pause that separates an extra answer from the own one, or its parts."""
 
 ALIEN = "alien"
@@ -55,7 +55,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class Stutter:
+class Repetition:
     """An extra answer, and when it is sent."""
 
     extra: Extra
@@ -91,7 +91,7 @@
         return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-class StutteringUpstream(StandInUpstream):
+class RepeatingUpstream(StandInUpstream):
     """An upstream that sends extra answers around those to chosen calls.
 
     An extra answer is sent only on a connection that has carried another
@@ -101,7 +101,7 @@
 
     Parameters
     ----------
-    stutter : Stutter
+    repetition : Repetition
         The extra answers.
     is_chosen : callable
         Whether extra answers are sent around that to a ``ReceivedRequest``.
@@ -123,7 +123,7 @@
     def __init__(
         self,
         *,
-        stutter,
+        repetition,
         is_chosen,
         owners=None,
         echoes_calls=True,
@@ -135,7 +135,7 @@
         self.sent = 0
         self.granted = set()
         self._owners = {} if owners is None else owners
-        self.stutter = stutter
+        self.repetition = repetition
         self._is_chosen = is_chosen
         self._echoes_calls = echoes_calls
         self._cuts_first_runs = cuts_first_runs
@@ -145,27 +145,27 @@
         """Send the own answer, with the extra one around it."""
         own = AnswerBuffer()
         self._answer_own(request, own)
-        may_stutter = self._may_stutter(request, writer)
+        may_repeat = self._may_repeat(request, writer)
         self._carried[writer].add(request.request_id)
-        if not may_stutter:
+        if not may_repeat:
             writer.write(own.data)
         else:
             self.sent += 1
             await send_around(
                 writer,
                 own.data,
-                self.stutter.raw(request),
-                self.stutter.moment,
+                self.repetition.raw(request),
+                self.repetition.moment,
             )
         await writer.drain()
         if own.is_cut:
             writer.close()
 
-    def _may_stutter(self, request, writer):
+    def _may_repeat(self, request, writer):
         earlier = self._carried[writer]
         if not (earlier and self._is_chosen(request)):
             return False
-        is_same = self.stutter.identity is Identity.SAME
+        is_same = self.repetition.identity is Identity.SAME
         return not is_same or request.request_id in earlier
 
     def _answer_own(self, request, writer):
