--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -5,7 +5,8 @@
 Idle connections are therefore kept for as long as the upstream keeps them and
 reused for retryable requests.  A request that may run only once is sent only
 on a recently used connection, because an upstream may be closing an older
-one.
+one.  A request whose answer could not be told from an extra one gets a
+connection of its own.
 """
 
 import asyncio
