--- a/currantdeal/node/dialect.py
+++ b/currantdeal/node/dialect.py
@@ -103,8 +103,6 @@
         True if the upstream states that it did not run the request.
     is_signed : bool
         True if the response head carries the upstream's signature.
-    request_id : str
-        Id of the request that the response belongs to, or empty.
     load : UpstreamLoad or None
         The upstream's load; None if the response does not report it.
     answered_by : str
@@ -117,7 +115,6 @@
 
     not_run: bool
     is_signed: bool
-    request_id: str
     load: UpstreamLoad | None = None
     answered_by: str = ""
     limit_per_s: float | None = math.inf
--- a/currantdeal/platform/calls.py
+++ b/currantdeal/platform/calls.py
@@ -122,7 +122,6 @@
             or head.status == 421,
             is_signed=_has_header(head, header_names.SIGNATURE)
             and not _has_header(head, b"content-encoding"),
-            request_id=_header_text(head, header_names.REQUEST_ID),
             load=_parse_load(_header_text(head, header_names.LOAD)),
             answered_by=_header_text(head, header_names.INSTANCE),
             limit_per_s=_parse_limit(head),
