--- a/currantdeal/adapters/peers.py
+++ b/currantdeal/adapters/peers.py
@@ -153,6 +153,7 @@
         self._number = number
 
     def readMessageBegin(self):  # noqa: N802
+        """Return name, type and number of the answer to this call."""
         while True:
             name, kind, number = super().readMessageBegin()
             if number == self._number:
