Count only what callers asked for against the limits of upstreams

Cause: the check, not the product. It leaves out the calls of the system itself (reservations, releases, orders, health checks), and told them by their missing id.

Each stand-in tells the calls of the system by path now, as it did for health checks and orders; the criterion was written in four places.

test_upstream_limits.py had the same criterion; its seven cases pass.

--- a/benchmarks/soak_endings.py
+++ b/benchmarks/soak_endings.py
@@ -52,7 +52,7 @@
         ]
 
     def _draw_answer(self, request):
-        if request.target.startswith("/v1/") or request.is_health_check:
+        if request.is_system_call:
             return None
         if request.is_prefill:
             return None
--- a/benchmarks/soak_limits.py
+++ b/benchmarks/soak_limits.py
@@ -123,6 +123,6 @@
         return [
             request.received_s
             for request in standin.requests
-            if request.request_id
+            if not request.is_system_call
             and period.began_s + SPREAD_S < request.received_s < period.ended_s
         ]
--- a/currantdeal/cli/tests/test_upstream_limits.py
+++ b/currantdeal/cli/tests/test_upstream_limits.py
@@ -139,7 +139,7 @@
         return [
             request.received_s
             for request in self.fleet.standins[name].requests
-            if request.request_id
+            if not request.is_system_call
             and request.received_s > self._limited_s + SPREAD_S
         ]
 
--- a/currantdeal/entry/tests/test_answer_ends.py
+++ b/currantdeal/entry/tests/test_answer_ends.py
@@ -86,7 +86,7 @@
             return self._prefill
         if request.target == "/v1/hold-take":
             return self._hold
-        if request.target.startswith("/v1/") or request.is_health_check:
+        if request.is_system_call:
             return None
         self.runs.append(request)
         return self._answers.pop(0) if self._answers else None
--- a/currantdeal/testing/platform_upstream.py
+++ b/currantdeal/testing/platform_upstream.py
@@ -49,6 +49,11 @@
         """Whether the request is a generation, which streams events."""
         return bool(self.get("X-Currantdeal-Token-Counts"))
 
+    @property
+    def is_system_call(self):
+        """Whether the system sent it for itself, such as a reservation."""
+        return self.is_health_check or self.target.startswith("/v1/")
+
     @property
     def request_id(self):
         """Request id that the sender set."""
@@ -107,9 +112,7 @@
         return [
             request
             for request in self.requests
-            if not request.target.startswith("/v1/")
-            and not request.is_prefill
-            and not request.is_health_check
+            if not request.is_system_call and not request.is_prefill
         ]
 
     async def _serve(self, reader, writer):
