Make control and entries agree on upstreams before a leave is acknowledged

What callers saw: work lost at upstreams that had left.

Cause: control acknowledged the leave of an upstream that it did not know, once it had run for 8 s, and told nobody, while entries knew the upstream. The two differ after a restart of all control processes, after an upstream has expired at control, and after a control process has missed a leave in a partition; nothing made them equal again. Ruled out by the logs: a lost spread, and entries that ignore a leave; neither control nor entries log one.

Leaves are kept on disk, by the store of the crash records, which takes its content type now. Entries forget an upstream that control removes, instead of treating it as one that has left for good.

It works since an upstream that any entry in touch uses is known to its control process within about 2 s, and a leave wins over every other record of its incarnation wherever the two meet.

--- a/benchmarks/soak_runs.py
+++ b/benchmarks/soak_runs.py
@@ -10,6 +10,7 @@
 from collections import Counter
 
 from benchmarks.soak_crashes import CrashingFaultInjector, CrashingSoak
+from benchmarks.soak_departures import DepartingSoak
 from benchmarks.soak_endings import EndingSoak
 from benchmarks.soak_limits import LimitingSoak
 from benchmarks.soak_node_faults import NodeFaultInjector
@@ -26,6 +27,7 @@
     "limiting": (LimitingSoak, NodeFaultInjector),
     "ending": (EndingSoak, ResettingFaultInjector),
     "repeating": (RepeatingSoak, NodeFaultInjector),
+    "departing": (DepartingSoak, NodeFaultInjector),
 }
 """Soak class and fault injector by the name of a fault set."""
 
--- a/benchmarks/tests/test_soak_nodes.py
+++ b/benchmarks/tests/test_soak_nodes.py
@@ -51,6 +51,10 @@
 """Run with upstreams that repeat earlier answers."""
 
 
+DEPARTING_SEEDS = (1200,)
+"""Run with upstreams that leave without control knowing them."""
+
+
 def _check(seed, *, faults="random"):
     report = run_seed(seed, rounds=1, faults=faults)
     assert report["violations"] == []
@@ -107,6 +111,12 @@
     _check(seed, faults="ending")
 
 
+@pytest.mark.parametrize("seed", DEPARTING_SEEDS)
+def test_promises_hold_beside_upstreams_that_control_does_not_know(seed):
+    """Guards against an acknowledged leave that no entry observes."""
+    _check(seed, faults="departing")
+
+
 @pytest.mark.parametrize("seed", REPEATING_SEEDS)
 def test_promises_hold_beside_upstreams_that_answer_twice(seed):
     """Guards against the answer to another request, late or early."""
--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -22,7 +22,6 @@
 from currantdeal.control.config_access import ConfigAccess
 from currantdeal.control.confirmation import ViewConfirmation
 from currantdeal.control.crash_replicator import CrashReplicator
-from currantdeal.control.crash_store import CrashStore
 from currantdeal.control.demand_tracker import DemandTracker
 from currantdeal.control.exchange import RecordExchange
 from currantdeal.control.leader_link import LeaderLink
@@ -31,6 +30,11 @@
 from currantdeal.control.operations import ControlOperations
 from currantdeal.control.orders import StageOrders
 from currantdeal.control.quota_owner import QuotaOwner
+from currantdeal.control.record_store import (
+    RecordStore,
+    SavedCrashes,
+    SavedLeaves,
+)
 from currantdeal.control.replica import Replica
 from currantdeal.control.service import ControlService
 from currantdeal.core import boot_time_s
@@ -64,6 +68,9 @@
 CRASHES_FILE = "crashes"
 """Name of the file in the data folder that holds the crash records."""
 
+LEAVES_FILE = "leaves"
+"""Name of the file there that holds the upstreams that have left."""
+
 LEADER_TRANSFER_S = 0.6
 """Minimum time between the stop request and the exit, in seconds.
 
@@ -113,6 +120,10 @@
         )
         bounds = read_bounds(settings.bounds)
         dialect = PlatformControl()
+        self._leave_store = RecordStore(
+            file=StateFile(path=Path(settings.data_folder) / LEAVES_FILE),
+            content_type=SavedLeaves,
+        )
         exchange = RecordExchange(
             local_place=ControlPlace(
                 address=self._own_address, data_center=settings.data_center
@@ -121,11 +132,15 @@
             voters=lambda: self._membership.voter_addresses,
             links=self._link,
             heartbeat_s=settings.heartbeat_ms / 1_000.0,
+            has_leader=lambda: self._replica.has_leader,
             clock=boot_time_s,
+            save_leaves=self._leave_store.save,
         )
+        self._exchange = exchange
         demand = DemandTracker(clock=boot_time_s)
-        self._crash_store = CrashStore(
-            file=StateFile(path=Path(settings.data_folder) / CRASHES_FILE)
+        self._crash_store = RecordStore(
+            file=StateFile(path=Path(settings.data_folder) / CRASHES_FILE),
+            content_type=SavedCrashes,
         )
         self._crashes = CrashReplicator(
             exchange=exchange,
@@ -173,7 +188,6 @@
             config=config,
             exchange=exchange,
             has_leader=lambda: self._service.has_leader,
-            registry_is_complete=lambda: self._service.registry_is_complete,
             clock=boot_time_s,
         )
         self._orders = StageOrders(
@@ -216,6 +230,7 @@
         self._membership.bootstrap(first_start=bool(settings.first_start))
         self._service.on_state(self._replica.state)
         self._crashes.load(self._crash_store.load())
+        self._exchange.load_leaves(self._leave_store.load())
         await self._listen(settings)
         await run_until(
             self._stopping,
@@ -226,6 +241,7 @@
             call_periodically(LOAD_INTERVAL_S, self._service.publish_loads),
             self._step_membership(),
             self._crash_store.run(),
+            self._leave_store.run(),
             self._orders.run(),
         )
         _log.info("stopping", leads=self._replica.is_leader)
--- a/currantdeal/consensus/tests/mutations.py
+++ b/currantdeal/consensus/tests/mutations.py
@@ -22,6 +22,13 @@
 LIMIT_S = 600.0
 
 EXPLORE = ("currantdeal.consensus.tests.explore", "--seeds", "3000")
+EXPLORE_RECORDS = (
+    "currantdeal.control.tests.explore_records",
+    "--seeds",
+    "300",
+    "--seed",
+    "900",
+)
 
 
 def pytest(*paths):
@@ -450,6 +457,43 @@
         new="False:",
         check=OWNERS,
     ),
+    Mutation(
+        title="a leave is confirmed for an earlier incarnation",
+        path="control/exchange.py",
+        old="started_ms <= record.started_ms",
+        new="started_ms >= 0",
+        check=EXPLORE_RECORDS,
+    ),
+    Mutation(
+        title="a leave is acknowledged for one that has left before",
+        path="control/exchange.py",
+        old="if self.adopts_upstreams and self._has_left(upstream):",
+        new="if False:",
+        check=EXPLORE_RECORDS,
+    ),
+    Mutation(
+        title="leaves are forgotten at a restart",
+        path="control/exchange.py",
+        old="""        for record in records:
+            self.registry.merge(record, now_s=self._clock())
+""",
+        new="",
+        check=EXPLORE_RECORDS,
+    ),
+    Mutation(
+        title="entries report nothing that control lacks",
+        path="registry/convergence.py",
+        old="return difference.superseding + difference.unlisted, ()",
+        new="return (), ()",
+        check=pytest("cli/tests/test_unknown_leaves.py"),
+    ),
+    Mutation(
+        title="unknown upstreams are dropped after a restart",
+        path="registry/convergence.py",
+        old="if self._adopts and self._is_recent(now_s):",
+        new="if False:",
+        check=EXPLORE_RECORDS,
+    ),
 )
 
 
--- a/currantdeal/control/exchange.py
+++ b/currantdeal/control/exchange.py
@@ -25,7 +25,12 @@
     UpstreamsNotice,
 )
 from currantdeal.node.peers import pack_frame
-from currantdeal.registry import UpstreamRegistry
+from currantdeal.registry import (
+    AdoptionWindow,
+    DigestComparison,
+    UpstreamRegistry,
+    UpstreamState,
+)
 
 FETCH_TIMEOUT_S = 1.0
 """Timeout of fetching all records of another control instance."""
@@ -51,12 +56,26 @@
         Returns the ``PeerLink`` to an address.
     heartbeat_s : float
         Interval of the upstreams' heartbeats.
+    has_leader : callable
+        Returns whether this instance is in contact with the leader.
     clock : callable
         Returns monotonic seconds.
+    save_leaves : callable
+        Called with the records of upstreams that have left, after each
+        change.
     """
 
     def __init__(
-        self, *, local_place, control, voters, links, heartbeat_s, clock
+        self,
+        *,
+        local_place,
+        control,
+        voters,
+        links,
+        heartbeat_s,
+        has_leader,
+        clock,
+        save_leaves=lambda records: None,
     ):
         """Start with empty records."""
         self.local_id = local_place.address
@@ -64,7 +83,11 @@
         self._control = control
         self._voters = voters
         self._links = links
+        self._has_leader = has_leader
         self._clock = clock
+        self._save_leaves = save_leaves
+        self._adoption = AdoptionWindow(now_s=clock())
+        self._comparisons = {}
         self.registry = UpstreamRegistry(heartbeat_s=heartbeat_s)
         self.directory = EntryDirectory()
         self.subscribers = set()
@@ -93,6 +116,11 @@
             upstreams=self.registry.records, entries=self.directory.records
         )
 
+    @property
+    def adopts_upstreams(self):
+        """Whether this instance may lack upstreams that others know."""
+        return self._adoption.is_open(now_s=self._clock())
+
     def supports_organisations(self, address):
         """Return whether a control instance understands calls for them."""
         return self._protocols.get(address, 0) >= ORGANISATIONS_PROTOCOL
@@ -116,15 +144,30 @@
         return changed
 
     def leave(self, upstream):
-        """Mark an upstream as gone; returns its record, or None."""
-        gone = self.registry.leave(upstream, now_s=self._clock())
+        """Mark an upstream as gone; returns its record.
+
+        Returns None if it is not known which incarnation leaves.
+        """
+        now_s = self._clock()
+        if self.adopts_upstreams and self._has_left(upstream):
+            # A later incarnation may not be known here yet.
+            return None
+        if self.registry.has_just_restarted(upstream, now_s=now_s):
+            return None
+        gone = self.registry.leave(upstream, now_s=now_s)
         if gone is not None:
+            self._record_leaves()
             self._publish_upstreams((gone,))
         return gone
 
-    def report_replaced(self, records):
-        """Merge the records of upstreams that an entry found replaced."""
-        changed = tuple(r for r in records if self.merge_upstream(r))
+    def load_leaves(self, records):
+        """Restore the leaves that were known before a restart."""
+        for record in records:
+            self.registry.merge(record, now_s=self._clock())
+
+    def receive_report(self, records):
+        """Merge records that an entry has and this instance may lack."""
+        changed = self._merge_reconciled(records)
         if changed:
             self._in_background(self.spread(upstreams=changed))
 
@@ -147,11 +190,22 @@
 
         They are no heartbeats: a record that changes nothing is not renewed,
         or each start of an instance would renew those of silent upstreams.
+
+        Returns
+        -------
+        bool
+            False if a later incarnation of one of the upstreams is known
+            here, so that its record says nothing about the present one.
         """
         for record in call.upstreams:
             self._merge_upstream(record)
         for record in call.entries:
             self.directory.merge(record, now_s=self._clock())
+        return all(
+            self.registry.get(record.upstream).started_ms <= record.started_ms
+            for record in call.upstreams
+            if self.registry.get(record.upstream) is not None
+        )
 
     def merge_renewals(self, notice):
         """Merge the batch of heartbeats that another instance received."""
@@ -163,6 +217,7 @@
             self.registry.on_heartbeat(
                 renewal.name, renewal.started_ms, renewal.sequence, now_s=now_s
             )
+        self._compare(notice, now_s)
         for renewal in notice.entries:
             self.directory.on_heartbeat(
                 renewal.name, renewal.started_ms, renewal.sequence, now_s=now_s
@@ -189,6 +244,7 @@
             protocol=PROTOCOL,
             grants=grants,
             limits=limits or {},
+            upstreams_digest=self.registry.digest,
         )
         self._renewed_upstreams = {}
         self._renewed_entries = {}
@@ -245,9 +301,14 @@
     def expire(self):
         """Remove the records of silent upstreams and entries."""
         now_s = self._clock()
+        if self._has_leader():
+            self._adoption.observe_contact(now_s=now_s)
         self.directory.expire(now_s=now_s)
-        for record in self.registry.expire(now_s=now_s):
+        expired = self.registry.expire(now_s=now_s)
+        for record in expired:
             _log.info("upstream-forgotten", upstream=record.upstream)
+        if expired:
+            self.publish(UpstreamsNotice(upstreams=(), expired=expired))
 
     def _publish_upstreams(self, records):
         self.publish(UpstreamsNotice(upstreams=records))
@@ -264,9 +325,24 @@
                 stage=record.stage.value if record.stage else "",
                 sequence=record.sequence,
             )
+            if record.state is UpstreamState.GONE:
+                self._record_leaves()
             self._publish_upstreams((record,))
         return changed
 
+    def _has_left(self, upstream):
+        record = self.registry.get(upstream)
+        return record is not None and record.state is UpstreamState.GONE
+
+    def _record_leaves(self):
+        self._save_leaves(
+            tuple(
+                record
+                for record in self.registry.records
+                if record.state is UpstreamState.GONE
+            )
+        )
+
     def _fetch_missing(self, notice):
         """Fetch all records of a sender that may have some missing here.
 
@@ -292,15 +368,60 @@
 
     async def _fetch(self, address):
         try:
-            found = await self._links(address).call(
-                RecordsCall(), timeout_s=FETCH_TIMEOUT_S
-            )
-        except PeerUnreachableError:
-            return
+            found = await self._call_for_records(address)
         finally:
             self._fetching.discard(address)
-        self._fetched.add(address)
-        self.merge_spread(found)
+        if found is not None:
+            self._fetched.add(address)
+            self.merge_spread(found)
+
+    def _compare(self, notice, now_s):
+        """Fetch the records of a sender with another digest."""
+        if notice.upstreams_digest is None:
+            return
+        comparison = self._comparisons.setdefault(
+            notice.sender, DigestComparison()
+        )
+        if comparison.observe(
+            self.registry.digest, notice.upstreams_digest, now_s=now_s
+        ):
+            self._in_background(self._reconcile(notice.sender))
+
+    async def _reconcile(self, address):
+        found = await self._call_for_records(address, upstreams_only=True)
+        if found is not None:
+            changed = self._merge_reconciled(found.upstreams)
+            _log.info(
+                "upstreams-compared", other=address, changed=len(changed)
+            )
+
+    def _merge_reconciled(self, records):
+        """Merge what another process knows; returns the changed records.
+
+        An upstream that only the other knows is lost, unless this instance
+        may have missed it.
+        """
+        adopts = self.adopts_upstreams
+        return tuple(
+            record
+            for record in records
+            if (
+                adopts
+                or record.state is UpstreamState.GONE
+                or self.registry.get(record.upstream) is not None
+            )
+            and self._merge_upstream(record)
+        )
+
+    async def _call_for_records(self, address, *, upstreams_only=False):
+        """Return the records of another instance; None without an answer."""
+        call = RecordsCall(upstreams_only=upstreams_only)
+        try:
+            return await self._links(address).call(
+                call, timeout_s=FETCH_TIMEOUT_S
+            )
+        except PeerUnreachableError:
+            return None
 
     def _in_background(self, work):
         task = asyncio.ensure_future(work)
--- a/currantdeal/control/operations.py
+++ b/currantdeal/control/operations.py
@@ -35,8 +35,6 @@
         The records of upstreams and entries.
     has_leader : callable
         Returns whether this instance is in contact with the leader.
-    registry_is_complete : callable
-        Returns whether this instance has had time to learn all upstreams.
     clock : callable
         Returns monotonic seconds.
     """
@@ -48,7 +46,6 @@
         config,
         exchange,
         has_leader,
-        registry_is_complete,
         clock,
     ):
         """Store the parts that carry out the calls."""
@@ -56,7 +53,6 @@
         self._config = config
         self._exchange = exchange
         self._has_leader = has_leader
-        self._registry_is_complete = registry_is_complete
         self._clock = clock
 
     async def handle(self, request, responder):
@@ -109,14 +105,13 @@
     @_handle_operation.register
     async def _(self, operation: Leave, request, responder):
         gone = self._exchange.leave(operation.upstream)
-        if gone is None and not self._registry_is_complete():
-            # Other control instances may have a record of the upstream, and
-            # their entries would go on sending work there.  The refusal makes
-            # it retry at one of them.
-            self._answer(responder, 503, "no record of the upstream here yet")
+        if gone is None:
+            # Entries may send work to an upstream that is unknown here, and
+            # there would be no record to tell them.  The refusal makes it
+            # retry, here or at another instance.
+            self._answer(responder, 503, "no such incarnation is known here")
             return
-        known = gone is not None
-        if known and not await self._exchange.spread(upstreams=(gone,)):
+        if not await self._exchange.spread(upstreams=(gone,)):
             self._answer(responder, 503, "not confirmed by a majority")
             return
         responder.answer(200, (_JSON,), b"{}")
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -39,9 +39,6 @@
 from currantdeal.node.peers import HEARTBEAT_S, pack_frame
 from currantdeal.policy.shared_load import LoadSums
 
-REGISTRY_COMPLETE_S = 8.0
-"""Time after its start in which an instance receives all upstream records."""
-
 _log = structlog.get_logger(__name__)
 
 
@@ -102,7 +99,6 @@
         self._exchange = exchange
         self._demand = demand
         self._clock = clock
-        self._started_s = clock()
         self._published_version = 0
         self._config_frame = None
         self._loads = LoadSums()
@@ -124,11 +120,6 @@
             "subscribers": len(self._exchange.subscribers),
         }
 
-    @property
-    def registry_is_complete(self):
-        """True once all upstreams have had time to announce themselves."""
-        return self._clock() - self._started_s > REGISTRY_COMPLETE_S
-
     def on_state(self, state):
         """Publish a newly committed configuration to the subscribers."""
         if state.version == self._published_version:
@@ -256,7 +247,7 @@
 
     @_handle_notice.register
     def _(self, notice: UpstreamsNotice, connection):
-        self._exchange.report_replaced(notice.upstreams)
+        self._exchange.receive_report(notice.upstreams)
 
     @_handle_notice.register
     def _(self, notice: EntryNotice, connection):
@@ -286,11 +277,12 @@
 
     @_handle_call.register
     async def _(self, call: SpreadCall, connection):
-        self._exchange.merge_spread(call)
-        return Done(accepted=True)
+        return Done(accepted=self._exchange.merge_spread(call))
 
     @_handle_call.register
     async def _(self, call: RecordsCall, connection):
+        if call.upstreams_only:
+            return SpreadCall(upstreams=self._exchange.registry.records)
         return self._exchange.all_records
 
     @_handle_call.register
@@ -329,7 +321,9 @@
         connection.notify(
             UpstreamsNotice(
                 upstreams=self._exchange.registry.records,
-                complete=self.registry_is_complete and self.has_leader,
+                complete=(
+                    self.has_leader and not self._exchange.adopts_upstreams
+                ),
             )
         )
         connection.notify(self._source_notice())
@@ -346,4 +340,6 @@
             entries=max(1, len(live)),
             protocol=PROTOCOL,
             limits=self._limits.reports,
+            upstreams_digest=self._exchange.registry.digest,
+            adopts_upstreams=self._exchange.adopts_upstreams,
         )
--- a/currantdeal/control/tests/test_exchange.py
+++ b/currantdeal/control/tests/test_exchange.py
@@ -54,14 +54,22 @@
         raise PeerUnreachableError("no answer")
 
 
-def _an_exchange(*, local_id="c1", voters=("c1", "c2"), learners=(), links):
+def _an_exchange(
+    *,
+    local_id="c1",
+    voters=("c1", "c2"),
+    learners=(),
+    links,
+    clock=lambda: 0.0,
+):
     return RecordExchange(
         local_place=ControlPlace(address=local_id, data_center="dc1"),
         control=lambda: (*voters, *learners),
         voters=lambda: voters,
         links=links,
         heartbeat_s=1.0,
-        clock=lambda: 0.0,
+        has_leader=lambda: True,
+        clock=clock,
     )
 
 
@@ -88,8 +96,8 @@
         exchange.merge_upstream(an_upstream())
         subscriber.frames.clear()
         gone = an_upstream(state=UpstreamState.GONE)
-        exchange.report_replaced((gone,))
-        exchange.report_replaced((gone,))
+        exchange.receive_report((gone,))
+        exchange.receive_report((gone,))
         await asyncio.sleep(0.0)
         return exchange, link, subscriber
 
--- a/currantdeal/control/tests/test_operations.py
+++ b/currantdeal/control/tests/test_operations.py
@@ -29,13 +29,12 @@
         return self._confirmed
 
 
-def _leave(exchange, *, complete=False):
+def _leave(exchange):
     operations = ControlOperations(
         dialect=PlatformControl(),
         config=None,
         exchange=exchange,
         has_leader=lambda: True,
-        registry_is_complete=lambda: complete,
         clock=lambda: 0.0,
     )
     responder = _Responder()
@@ -59,11 +58,10 @@
     assert found == 503
 
 
-def test_a_restarted_instance_refuses_a_leave_of_an_unknown_upstream():
-    """A control instance has restarted and has no upstream records yet.
+def test_a_leave_of_an_unknown_upstream_is_not_acknowledged():
+    """Guards against a leave that no entry gets to know.
 
-    It would acknowledge the leave of an upstream without having sent it to
-    any other instance, and entries would send work to a closed port.
+    Entries may know an upstream that the control instance does not, and would
+    send work to a closed port.
     """
     assert _leave(_Exchange(known=False)) == 503
-    assert _leave(_Exchange(known=False), complete=True) == 200
--- a/currantdeal/control/tests/test_crash_store.py
+++ b/currantdeal/control/tests/test_record_store.py
@@ -1,8 +1,8 @@
 import asyncio
 
 from currantdeal.adapters.disk import DiskCorruptError, DiskFailedError
-from currantdeal.control import crash_store
-from currantdeal.control.crash_store import CrashStore
+from currantdeal.control import record_store
+from currantdeal.control.record_store import RecordStore, SavedCrashes
 from currantdeal.policy.crash_registry import Crash, SuspectRecord
 from currantdeal.testing.waiting import eventually
 
@@ -33,8 +33,12 @@
         raise DiskCorruptError("the checksum is wrong")
 
 
+def _store(file):
+    return RecordStore(file=file, content_type=SavedCrashes)
+
+
 async def _save(file):
-    store = CrashStore(file=file)
+    store = _store(file)
     task = asyncio.ensure_future(store.run())
     store.save((RECORD,))
     await eventually(lambda: file.content, what="the file")
@@ -44,20 +48,20 @@
 def test_records_are_read_back():
     file = _File()
     asyncio.run(_save(file))
-    assert CrashStore(file=file).load() == (RECORD,)
+    assert _store(file).load() == (RECORD,)
 
 
 def test_failed_write_is_retried(monkeypatch):
     """Guards against a full disk after which no record is saved any more."""
-    monkeypatch.setattr(crash_store, "RETRY_S", 0.01)
+    monkeypatch.setattr(record_store, "RETRY_S", 0.01)
     file = _File(failures=3)
     asyncio.run(_save(file))
-    assert CrashStore(file=file).load() == (RECORD,)
+    assert _store(file).load() == (RECORD,)
 
 
 def test_unreadable_file_does_not_prevent_a_start():
     """Guards against a damaged file that makes every start fail."""
-    assert CrashStore(file=_Damaged()).load() == ()
+    assert _store(_Damaged()).load() == ()
     file = _File()
     file.content = b"of another release"
-    assert CrashStore(file=file).load() == ()
+    assert _store(file).load() == ()
--- a/currantdeal/entry/subscription.py
+++ b/currantdeal/entry/subscription.py
@@ -25,6 +25,7 @@
     EntryNotice,
     LoadNotice,
     ReadingNotice,
+    RecordsCall,
     SourceNotice,
     SubscribeCall,
     SwitchingNotice,
@@ -45,6 +46,9 @@
 SUBSCRIBE_TIMEOUT_S = 0.8
 """Time in which an instance must answer a subscription."""
 
+RECORDS_TIMEOUT_S = 1.0
+"""Time in which an instance must list all upstreams."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -114,6 +118,7 @@
         self._connection = None
         self._source = ""
         self._switch_task = None
+        self._reconcile_task = None
         self._sent_load = None
         self._sent_load_s = 0.0
         self._last_notice_s = 0.0
@@ -343,6 +348,8 @@
         self._view.merge_upstreams(
             message.upstreams, complete=message.complete
         )
+        if message.expired:
+            self._view.remove_expired(message.expired)
 
     @_handle_notice.register
     def _(self, message: SwitchingNotice):
@@ -387,3 +394,28 @@
         if notice.current:
             self._last_current_s = now_s
             self._view.confirmed_s = now_s
+            self._compare_upstreams(notice)
+
+    def _compare_upstreams(self, notice):
+        if notice.upstreams_digest is None:
+            return
+        if self._view.lacks_upstreams(
+            notice.upstreams_digest, adopts=notice.adopts_upstreams
+        ):
+            self._reconcile_task = asyncio.ensure_future(
+                self._reconcile(self._connection)
+            )
+
+    async def _reconcile(self, connection):
+        """Make the upstreams here and at the source equal."""
+        try:
+            found = await connection.call(
+                RecordsCall(upstreams_only=True), timeout_s=RECORDS_TIMEOUT_S
+            )
+        except PeerUnreachableError:
+            return
+        if connection is not self._connection:
+            return
+        reported = self._view.reconcile_upstreams(found.upstreams)
+        if reported:
+            connection.notify(UpstreamsNotice(upstreams=reported))
--- a/currantdeal/entry/tests/test_view.py
+++ b/currantdeal/entry/tests/test_view.py
@@ -114,6 +114,29 @@
     assert view.engines("shop", Stage.DECODE) == [restarted]
 
 
+def test_an_upstream_that_expired_at_control_may_return():
+    """Guards against an upstream that stays lost after a long partition."""
+    view = _view()
+    view.merge_upstreams((an_upstream(),), complete=False)
+    view.remove_expired((an_upstream(started_ms=1),))
+    assert view.accepts_work("u1")
+    view.remove_expired((an_upstream(),))
+    assert not view.accepts_work("u1")
+    view.merge_upstreams((an_upstream(sequence=9),), complete=False)
+    assert view.accepts_work("u1")
+
+
+def test_a_restarted_engine_that_is_replaced_is_reported():
+    """Guards against a report that control cannot read."""
+    view = _view()
+    engine = an_upstream(stage=Stage.DECODE, started_ms=2_000)
+    view.merge_upstreams((an_upstream(stage=Stage.DECODE),), complete=False)
+    view.merge_upstreams((engine,), complete=False)
+    view.drop_if_replaced(engine, "u9")
+    (gone,) = view.pop_replaced()
+    assert gone.state is UpstreamState.GONE
+
+
 def test_a_replaced_engine_is_reported_once():
     """Guards against each entry wasting a prefill on a replaced engine.
 
--- a/currantdeal/entry/view.py
+++ b/currantdeal/entry/view.py
@@ -7,7 +7,11 @@
 
 from currantdeal.core.errors import DialectError
 from currantdeal.organisations import ViewFreshness
-from currantdeal.registry import UpstreamRegistry, UpstreamState
+from currantdeal.registry import (
+    RegistryFollower,
+    UpstreamRegistry,
+    UpstreamState,
+)
 from currantdeal.routing import CallerLimits, RouteTable
 
 _log = structlog.get_logger(__name__)
@@ -51,6 +55,9 @@
         self._region = region
         self._region_of = region_of
         self._registry = UpstreamRegistry(heartbeat_s=heartbeat_s)
+        self._follower = RegistryFollower(
+            registry=self._registry, now_s=clock()
+        )
         self._clock = clock
         self._route_table = None
         self._by_service = {}
@@ -195,6 +202,44 @@
         self._wake_waiters()
         _log.info("config-in-force", version=version, before=before)
 
+    def lacks_upstreams(self, digest, *, adopts):
+        """Return whether to ask the source for all records of upstreams.
+
+        Parameters
+        ----------
+        digest : int
+            Digest of the source's registry.
+        adopts : bool
+            Whether the source adopts upstreams that it does not know.
+        """
+        return self._follower.observe(
+            digest, adopts=adopts, now_s=self._clock()
+        )
+
+    def reconcile_upstreams(self, listed):
+        """Merge all records of the source; returns those that it lacks."""
+        reported, forgotten = self._follower.reconcile(
+            listed, now_s=self._clock()
+        )
+        self._group_by_service()
+        _log.info(
+            "upstreams-compared",
+            listed=len(listed),
+            reported=[r.upstream for r in reported],
+            forgotten=[r.upstream for r in forgotten],
+        )
+        return reported
+
+    def remove_expired(self, records):
+        """Remove upstreams that are lost."""
+        for record in records:
+            known = self._registry.get(record.upstream)
+            if known in self._registry.present and (
+                known.started_ms == record.started_ms
+            ):
+                self._forget(known)
+        self._group_by_service()
+
     def merge_upstreams(self, records, *, complete):
         """Merge records; if they are complete, remove all other upstreams."""
         now_s = self._clock()
@@ -209,7 +254,8 @@
                     sequence=record.sequence,
                 )
         if complete:
-            self._remove_unlisted({r.upstream for r in records}, now_s)
+            for record in self._registry.difference_from(records).unlisted:
+                self._forget(record)
         self._group_by_service()
 
     def _wake_waiters(self):
@@ -233,11 +279,9 @@
         del self._switching[record.upstream]
         return False
 
-    def _remove_unlisted(self, named, now_s):
-        for record in self._registry.present:
-            if record.upstream not in named:
-                self._registry.leave(record.upstream, now_s=now_s)
-                _log.info("upstream-dropped", upstream=record.upstream)
+    def _forget(self, record):
+        self._registry.forget(record.upstream)
+        _log.info("upstream-dropped", upstream=record.upstream)
 
     def _group_by_service(self):
         found = {}
--- a/currantdeal/node/messages.py
+++ b/currantdeal/node/messages.py
@@ -146,6 +146,8 @@
         Credit that it has granted as the owner of the quotas.
     limits : dict
         ``LimitReport`` of upstreams, from the entries that report to it.
+    upstreams_digest : int or None
+        Digest of its ``UpstreamRegistry``; None from an earlier build.
     """
 
     sender: str
@@ -156,11 +158,20 @@
     protocol: int = 0
     grants: GrantLog | None = None
     limits: dict[str, LimitReport] = field(default_factory=dict)
+    upstreams_digest: int | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
 class RecordsCall:
-    """Request all records of a control instance; returns a ``SpreadCall``."""
+    """Request all records of a control instance; returns a ``SpreadCall``.
+
+    Parameters
+    ----------
+    upstreams_only : bool
+        True to leave out the records of entries.
+    """
+
+    upstreams_only: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -227,17 +238,20 @@
 
 @dataclass(frozen=True, kw_only=True)
 class UpstreamsNotice:
-    """Records of upstreams for entries.
+    """Records of upstreams for entries, or of an entry for others.
 
     Parameters
     ----------
     complete : bool
         True if the notice lists all upstreams, so that any other one no
         longer exists.
+    expired : tuple of UpstreamRecord
+        Upstreams that are lost, since they have been silent for too long.
     """
 
     upstreams: tuple[UpstreamRecord, ...]
     complete: bool = False
+    expired: tuple[UpstreamRecord, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -340,6 +354,10 @@
         ``PROTOCOL`` of the control instance.
     limits : dict
         ``LimitReport`` of each upstream that has named a limit to any entry.
+    upstreams_digest : int or None
+        Digest of its ``UpstreamRegistry``; None from an earlier build.
+    adopts_upstreams : bool
+        Whether it adopts upstreams that it does not know.
     """
 
     current: bool
@@ -347,6 +365,8 @@
     entries: int
     protocol: int = 0
     limits: dict[str, LimitReport] = field(default_factory=dict)
+    upstreams_digest: int | None = None
+    adopts_upstreams: bool = False
 
 
 PEER_CODEC = Codec(
--- a/currantdeal/registry/tests/test_upstreams.py
+++ b/currantdeal/registry/tests/test_upstreams.py
@@ -48,6 +48,32 @@
     assert registry.present == (restarted,)
 
 
+def test_leave_just_after_a_restart_may_be_that_of_the_earlier_process():
+    """A leave is delayed while its sender restarts under its name.
+
+    Taken for that of the new process, no work would be sent there any more.
+    """
+    registry = _registry()
+    registry.merge(an_upstream(), now_s=0.0)
+    assert not registry.has_just_restarted("u1", now_s=0.0)
+    registry.merge(an_upstream(started_ms=2_000), now_s=1.0)
+    assert registry.has_just_restarted("u1", now_s=6.0)
+    assert not registry.has_just_restarted("u1", now_s=8.0)
+
+
+def test_digests_are_equal_for_equal_records_of_present_upstreams():
+    """Guards against a missed leave that no comparison notices."""
+    first, second = _registry(), _registry()
+    first.merge(an_upstream(sequence=1), now_s=0.0)
+    first.merge(an_upstream(sequence=3), now_s=1.0)
+    second.merge(an_upstream(sequence=2), now_s=0.0)
+    assert first.digest == second.digest != 0
+    first.leave("u1", now_s=2.0)
+    assert first.digest == 0 != second.digest
+    second.forget("u1")
+    assert second.digest == 0
+
+
 def test_an_address_belongs_to_the_later_incarnation():
     """A heartbeat of a crashed upstream arrives after its address is reused.
 
--- a/currantdeal/registry/upstreams.py
+++ b/currantdeal/registry/upstreams.py
@@ -13,11 +13,17 @@
 back an upstream that has left, and requests would fail at a closed port.
 Without the second one, work would be sent to an address under the name of its
 previous owner, and the new owner would refuse it.
+
+Processes compare digests of their registries to notice that one has missed a
+record, see ``currantdeal.registry.convergence``.
 """
 
-from dataclasses import replace
+import hashlib
+from dataclasses import dataclass, replace
+
+import msgspec
 
-from currantdeal.registry.records import UpstreamState
+from currantdeal.registry.records import UpstreamRecord, UpstreamState
 
 MAX_MISSED_HEARTBEATS = 5.0
 """Missed heartbeats after which an upstream counts as silent.
@@ -40,6 +46,26 @@
 """
 
 
+_DIGEST_BYTES = 7
+"""Size of a digest, which fits into a signed integer of 64 bits."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class RegistryDifference:
+    """How a registry differs from a list of another process's records.
+
+    Parameters
+    ----------
+    superseding : tuple of UpstreamRecord
+        Records that are later than the listed ones.
+    unlisted : tuple of UpstreamRecord
+        Records of present upstreams that are not listed.
+    """
+
+    superseding: tuple[UpstreamRecord, ...] = ()
+    unlisted: tuple[UpstreamRecord, ...] = ()
+
+
 class UpstreamRegistry:
     """Merged records of upstreams.
 
@@ -68,6 +94,16 @@
         self._records = {}
         self._names_by_address = {}
         self._last_heartbeat_s = {}
+        self._succeeded_s = {}
+        self._digest = 0
+
+    @property
+    def digest(self):
+        """Integer that is equal for equal records of present upstreams.
+
+        Sequences of heartbeats and remaining warm-ups are left out.
+        """
+        return self._digest
 
     @property
     def records(self):
@@ -98,12 +134,14 @@
             return False
         if not self._resolve_address_conflict(record):
             return False
+        if current is not None and current.started_ms < record.started_ms:
+            self._succeeded_s[record.upstream] = now_s
+        changed = current is None or _content(record) != _content(current)
+        if changed:
+            self._digest ^= _digest_of(current) ^ _digest_of(record)
         self._store(record)
         self._last_heartbeat_s[record.upstream] = now_s
-        renewed = replace(record, sequence=0, cold_s=0.0)
-        return current is None or renewed != replace(
-            current, sequence=0, cold_s=0.0
-        )
+        return changed
 
     def leave(self, upstream, *, now_s):
         """Record that an upstream has left.
@@ -119,10 +157,40 @@
         current = self._records.get(upstream)
         if current is None:
             return None
-        gone = replace(current, state=UpstreamState.GONE)
-        self._records[upstream] = gone
         self._last_heartbeat_s[upstream] = now_s
-        return gone
+        return self._mark_gone(current)
+
+    def has_just_restarted(self, upstream, *, now_s):
+        """Return whether a leave may have been sent by an earlier process."""
+        succeeded_s = self._succeeded_s.get(upstream)
+        if succeeded_s is None:
+            return False
+        return now_s - succeeded_s < self._silent_after_s
+
+    def forget(self, upstream):
+        """Remove the record of an upstream; any record may bring it back."""
+        record = self._records.pop(upstream)
+        self._unlink(record)
+        self._digest ^= _digest_of(record)
+        self._last_heartbeat_s.pop(upstream)
+        self._succeeded_s.pop(upstream, None)
+
+    def difference_from(self, listed):
+        """Return the ``RegistryDifference`` from another one's records."""
+        theirs = {record.upstream: record for record in listed}
+        superseding, unlisted = [], []
+        for record in self._records.values():
+            other = theirs.get(record.upstream)
+            if other is None:
+                if record.state is not UpstreamState.GONE:
+                    unlisted.append(record)
+            elif record.sort_key > other.sort_key and _content(
+                record
+            ) != _content(other):
+                superseding.append(record)
+        return RegistryDifference(
+            superseding=tuple(superseding), unlisted=tuple(unlisted)
+        )
 
     def on_heartbeat(self, upstream, started_ms, sequence, *, now_s):
         """Record a renewal that another control instance received."""
@@ -152,9 +220,7 @@
             if now_s - self._last_heartbeat_s[name] > _retention_s(record)
         ]
         for record in expired:
-            self._unlink(record)
-            del self._records[record.upstream]
-            del self._last_heartbeat_s[record.upstream]
+            self.forget(record.upstream)
         return tuple(r for r in expired if r.state is not UpstreamState.GONE)
 
     def _store(self, record):
@@ -165,6 +231,12 @@
         names = self._names_by_address.setdefault(record.address, set())
         names.add(record.upstream)
 
+    def _mark_gone(self, record):
+        gone = replace(record, state=UpstreamState.GONE)
+        self._digest ^= _digest_of(record)
+        self._records[record.upstream] = gone
+        return gone
+
     def _unlink(self, record):
         names = self._names_by_address[record.address]
         names.discard(record.upstream)
@@ -186,12 +258,24 @@
             return False
         if record.state is not UpstreamState.GONE:
             for other in present:
-                self._records[other.upstream] = replace(
-                    other, state=UpstreamState.GONE
-                )
+                self._mark_gone(other)
         return True
 
 
+def _content(record):
+    """Return a record without what each heartbeat changes."""
+    return replace(record, sequence=0, cold_s=0.0)
+
+
+def _digest_of(record):
+    """Return the share of a record, or of None, in a registry's digest."""
+    if record is None or record.state is UpstreamState.GONE:
+        return 0
+    raw = msgspec.msgpack.encode(_content(record))
+    found = hashlib.blake2b(raw, digest_size=_DIGEST_BYTES).digest()
+    return int.from_bytes(found, "big")
+
+
 def _retention_s(record):
     if record.state is UpstreamState.GONE:
         return TOMBSTONE_RETENTION_S
