Ask engines for memory as before

Reverts, a trial that did not hold: an engine that refused was left out for 1 s unless its load had dropped.

--- a/currantdeal/policy/decode_memory.py
+++ b/currantdeal/policy/decode_memory.py
@@ -26,13 +26,6 @@
 FULL_ENGINE_BACKOFF_S = 0.15
 """Time for which an engine that refused a reservation comes last."""
 
-FULL_ENGINE_MEMORY_S = 1.0
-"""Time for which it is not asked unless its load has dropped since.
-
-Requests for memory cost a connection each at engines that do not repeat their
-ids, so those that will be refused are avoided.
-"""
-
 MAX_FILL = 0.95
 """Share of an engine's memory that all its reservations may use.
 
@@ -63,9 +56,6 @@
 """Memory of an engine whose capacity is unknown, in tokens."""
 
 
-_NO_REFUSAL = (-math.inf, 0)
-
-
 @dataclass(frozen=True, kw_only=True)
 class GenerationSize:
     """Token counts of one generation.
@@ -130,12 +120,11 @@
     def __init__(self, *, load):
         """Start without refusals."""
         self._load = load
-        self._refusals = {}
+        self._refused_s = {}
 
     def record_refusal(self, upstream, *, now_s):
         """Record that an engine refused a reservation."""
-        held = self._load.tokens(upstream, now_s=now_s)
-        self._refusals[upstream] = (now_s, held)
+        self._refused_s[upstream] = now_s
 
     def order(
         self,
@@ -152,11 +141,9 @@
     ):
         """Return engines in the order in which to request memory.
 
-        Engines without room by the current sums are left out, as are those
-        that refused a reservation less than ``FULL_ENGINE_MEMORY_S`` ago at
-        the same load or a lower one.  Engines that several entries could not
-        reach, or that refused less than ``FULL_ENGINE_BACKOFF_S`` ago, come
-        last.
+        Engines without room by the current sums are left out.  Engines that
+        several entries could not reach, or that refused a reservation less
+        than ``FULL_ENGINE_BACKOFF_S`` ago, come last.
 
         Parameters
         ----------
@@ -183,21 +170,15 @@
             held = load.tokens(upstream, now_s=now_s)
             return not held or held + tokens <= max_fill * memory_tokens
 
-        def is_full(upstream):
-            refused_s, held = self._refusals.get(upstream, _NO_REFUSAL)
-            if now_s - refused_s >= FULL_ENGINE_MEMORY_S:
-                return False
-            return load.tokens(upstream, now_s=now_s) >= held
-
         def is_deferred(upstream):
-            refused_s, _ = self._refusals.get(upstream, _NO_REFUSAL)
+            since_refusal_s = now_s - self._refused_s.get(upstream, -math.inf)
             suspect = load.is_suspect(upstream, now_s=now_s)
-            return suspect or now_s - refused_s < FULL_ENGINE_BACKOFF_S
+            return suspect or since_refusal_s < FULL_ENGINE_BACKOFF_S
 
         costs = {}
         groups = {False: {}, True: {}}
         for upstream in upstreams:
-            if loads_known and (is_full(upstream) or not has_room(upstream)):
+            if loads_known and not has_room(upstream):
                 continue
             far = distance(upstream) == 2
             is_connected = connected is not None and connected(upstream)
--- a/currantdeal/policy/tests/test_decode_memory.py
+++ b/currantdeal/policy/tests/test_decode_memory.py
@@ -3,12 +3,11 @@
 
 from currantdeal.policy.decode_memory import (
     FULL_ENGINE_BACKOFF_S,
-    FULL_ENGINE_MEMORY_S,
     DecodeEngineOrder,
     GenerationSize,
     tokens_to_reserve,
 )
-from currantdeal.policy.shared_load import EntryLoad, PoolLoad
+from currantdeal.policy.shared_load import EntryLoad
 
 
 def test_burst_is_spread_evenly_over_engines():
@@ -54,23 +53,6 @@
     assert later == ["a", "b"]
 
 
-def test_engine_that_refused_is_asked_again_once_its_load_has_dropped():
-    """Guards against connections that are opened to be refused again."""
-    load = EntryLoad()
-    engine_order = DecodeEngineOrder(load=load)
-
-    def order(held, now_s):
-        sums = PoolLoad(held={"a": held, "b": 20_000}, unreachable={})
-        load.update_sums(sums, now_s=now_s)
-        return _order(load, "ab", engine_order=engine_order, now_s=now_s)
-
-    assert order(9_000, 0.0) == ["a", "b"]
-    engine_order.record_refusal("a", now_s=0.0)
-    assert order(9_000, 0.4) == ["b"]
-    assert order(8_000, 0.4) == ["a", "b"]
-    assert order(9_000, FULL_ENGINE_MEMORY_S) == ["a", "b"]
-
-
 def test_entries_without_sums_choose_different_engines_first():
     """Guards against a thundering herd on the first engine.
 
