Let other tasks run while a test waits for an instance to leave

If the stopping instance does not know of the learner yet, leave() returns without waiting for anything, the loop never yields, and the news of the learner never arrives. The timeout around it cannot fire either.

The loop yields now; what the test verifies is unchanged.

--- a/currantdeal/control/tests/test_membership.py
+++ b/currantdeal/control/tests/test_membership.py
@@ -38,6 +38,7 @@
     """Have an instance leave, with retries in case the machine is slow."""
     while name in leader.node.configuration.voter_names:
         await group.memberships[name].leave()
+        await asyncio.sleep(0.02)
 
 
 def test_a_stopping_voter_is_replaced_before_it_exits(tmp_path):
