Split the files and tell apart the parts that a newcomer met mixed

No behaviour changes but one text: a leave that is refused says that it is not known which incarnation leaves, which is true of all three reasons.

- The restart of all control processes stood twice, in a test and in a soak; it is a method of NodeCluster.
The options of bin/explore stood twice, too.
- A wait without a name in test_unknown_leaves.py has one.
- ControlProcess.__init__ and run are shorter than before the change.

--- a/benchmarks/soak_departures.py
+++ b/benchmarks/soak_departures.py
@@ -9,9 +9,6 @@
 
 from benchmarks.soak_nodes import DRAIN_S, RECOVER_S, NodeSoak
 
-DOWN_S = 0.3
-"""Time for which all control instances are down."""
-
 LONGEST_WAIT_S = 10.0
 """Longest time from the restart until the upstream leaves."""
 
@@ -32,21 +29,14 @@
         await super()._drain_upstream()
         upstream = self.upstreams[1]
         self._partitioned.add(upstream.name)
-        await self._restart_all_control()
+        await asyncio.to_thread(self.cluster.restart_all_control)
+        await self._check_recovery("a restart of all control instances")
         await asyncio.sleep(self.rng.uniform(0.0, LONGEST_WAIT_S))
         if await self._is_leave_acknowledged(upstream):
             await self._check_idle(upstream)
         upstream.born += 1
         self._partitioned.discard(upstream.name)
 
-    async def _restart_all_control(self):
-        for process in self.cluster.control:
-            process.kill()
-        await asyncio.sleep(DOWN_S)
-        for process in self.cluster.control:
-            process.start()
-        await self._check_recovery("a restart of all control instances")
-
     async def _is_leave_acknowledged(self, upstream):
         loop = asyncio.get_running_loop()
         ends_s = loop.time() + RECOVER_S
--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -120,28 +120,10 @@
         )
         bounds = read_bounds(settings.bounds)
         dialect = PlatformControl()
-        self._leave_store = RecordStore(
-            file=StateFile(path=Path(settings.data_folder) / LEAVES_FILE),
-            content_type=SavedLeaves,
-        )
-        exchange = RecordExchange(
-            local_place=ControlPlace(
-                address=self._own_address, data_center=settings.data_center
-            ),
-            control=lambda: self._membership.control_addresses,
-            voters=lambda: self._membership.voter_addresses,
-            links=self._link,
-            heartbeat_s=settings.heartbeat_ms / 1_000.0,
-            has_leader=lambda: self._replica.has_leader,
-            clock=boot_time_s,
-            save_leaves=self._leave_store.save,
-        )
-        self._exchange = exchange
+        self._leave_store = _record_store(settings, LEAVES_FILE, SavedLeaves)
+        self._exchange = exchange = self._make_exchange(settings)
         demand = DemandTracker(clock=boot_time_s)
-        self._crash_store = RecordStore(
-            file=StateFile(path=Path(settings.data_folder) / CRASHES_FILE),
-            content_type=SavedCrashes,
-        )
+        self._crash_store = _record_store(settings, CRASHES_FILE, SavedCrashes)
         self._crashes = CrashReplicator(
             exchange=exchange,
             clock=boot_time_s,
@@ -229,8 +211,7 @@
         )
         self._membership.bootstrap(first_start=bool(settings.first_start))
         self._service.on_state(self._replica.state)
-        self._crashes.load(self._crash_store.load())
-        self._exchange.load_leaves(self._leave_store.load())
+        self._load_records()
         await self._listen(settings)
         await run_until(
             self._stopping,
@@ -244,6 +225,9 @@
             self._leave_store.run(),
             self._orders.run(),
         )
+        await self._leave_replica_set()
+
+    async def _leave_replica_set(self):
         _log.info("stopping", leads=self._replica.is_leader)
         self._replica.node.transfer(boot_time_s())
         await asyncio.gather(
@@ -251,6 +235,24 @@
         )
         _log.info("stopped")
 
+    def _make_exchange(self, settings):
+        return RecordExchange(
+            local_place=ControlPlace(
+                address=self._own_address, data_center=settings.data_center
+            ),
+            control=lambda: self._membership.control_addresses,
+            voters=lambda: self._membership.voter_addresses,
+            links=self._link,
+            heartbeat_s=settings.heartbeat_ms / 1_000.0,
+            has_leader=lambda: self._replica.has_leader,
+            clock=boot_time_s,
+            save_leaves=self._leave_store.save,
+        )
+
+    def _load_records(self):
+        self._crashes.load(self._crash_store.load())
+        self._exchange.load_leaves(self._leave_store.load())
+
     async def _listen(self, settings):
         loop = asyncio.get_running_loop()
         await loop.create_server(
@@ -310,3 +312,11 @@
             link = PeerLink(address=address)
             self._links[address] = link
         return link
+
+
+def _record_store(settings, name, content_type):
+    """Return the store of records in a file of the data folder."""
+    return RecordStore(
+        file=StateFile(path=Path(settings.data_folder) / name),
+        content_type=content_type,
+    )
--- a/currantdeal/cli/tests/test_unknown_leaves.py
+++ b/currantdeal/cli/tests/test_unknown_leaves.py
@@ -18,6 +18,9 @@
 DRAIN_S = 2.5
 """Time after an acknowledged leave within which entries observe it."""
 
+RUNNING_S = 8.5
+"""Time from the restart of control until the upstream leaves."""
+
 
 async def _order(entry, number):
     """Return the status of the answer to an order; 0 without one."""
@@ -32,20 +35,12 @@
     return 0
 
 
-async def _wait_for(condition, limit_s):
-    async with asyncio.timeout(limit_s):
-        while not await condition():
+async def _wait_until_served(entry):
+    async with asyncio.timeout(START_S):
+        while await _order(entry, 0) != 200:
             await asyncio.sleep(0.1)
 
 
-async def _restart_all_control(cluster):
-    for process in cluster.control:
-        process.kill()
-    await asyncio.sleep(0.3)
-    for process in cluster.control:
-        process.start()
-
-
 async def _leave(cluster, upstream):
     """Return whether a control process acknowledges a leave in time."""
     ends_s = time.monotonic() + LEAVE_S
@@ -60,7 +55,7 @@
 
 
 async def _play(folder):
-    """Return the orders that an upstream got too late after its leave."""
+    """Return how many orders an upstream got too late after its leave."""
     cluster = NodeCluster(folder=folder, control=3, entries=2)
     standin = StandInUpstream(upstream="u1")
     await standin.start()
@@ -69,16 +64,12 @@
         message = heartbeat(standin.address, "shop")
         await asyncio.to_thread(cluster.announce, "u1", message)
         for entry in cluster.entries:
-
-            async def serves(entry=entry):
-                return await _order(entry, 0) == 200
-
-            await _wait_for(serves, START_S)
+            await _wait_until_served(entry)
         # It sends no more heartbeats, as if partitioned from control.
-        await _restart_all_control(cluster)
+        await asyncio.to_thread(cluster.restart_all_control)
         for entry in cluster.entries:
             assert await _order(entry, 0) == 200
-        await asyncio.sleep(8.5)
+        await asyncio.sleep(RUNNING_S)
         assert await _leave(cluster, "u1")
         await asyncio.sleep(DRAIN_S)
         before = len(standin.runs)
--- a/currantdeal/consensus/tests/explore.py
+++ b/currantdeal/consensus/tests/explore.py
@@ -14,10 +14,29 @@
     """A schedule broke an invariant or raised another error."""
 
 
+def schedule_options(steps):
+    """Return a decorator that adds the options of an explorer.
+
+    Parameters
+    ----------
+    steps : int
+        Steps of a schedule by default.
+    """
+
+    def add(command):
+        for option in (
+            click.option("--steps", default=steps, help="Steps of each."),
+            click.option("--seed", default=0, help="The first seed."),
+            click.option("--seeds", default=1_000, help="Schedules to run."),
+        ):
+            command = option(command)
+        return command
+
+    return add
+
+
 @click.command()
-@click.option("--seeds", default=1_000, help="Number of schedules.")
-@click.option("--seed", default=0, help="The first seed.")
-@click.option("--steps", default=STEPS, help="Steps of each schedule.")
+@schedule_options(STEPS)
 def main(seeds, seed, steps):
     """Run schedules; replay a failed one with --seed N --seeds 1."""
     explore(
--- a/currantdeal/control/exchange.py
+++ b/currantdeal/control/exchange.py
@@ -11,29 +11,23 @@
 
 from currantdeal.adapters.generated.peers.ttypes import FrameKind
 from currantdeal.control.directory import EntryDirectory
+from currantdeal.control.reconciliation import UpstreamReconciler
 from currantdeal.node.errors import PeerUnreachableError
 from currantdeal.node.messages import (
     LIMITS_PROTOCOL,
     ORGANISATIONS_PROTOCOL,
     PROTOCOL,
     ControlPlace,
-    RecordsCall,
-    Renewal,
     RenewalsNotice,
-    SpreadCall,
     SwitchingNotice,
-    UpstreamsNotice,
 )
 from currantdeal.node.peers import pack_frame
-from currantdeal.registry import (
-    AdoptionWindow,
-    DigestComparison,
-    UpstreamRegistry,
-    UpstreamState,
+from currantdeal.node.record_messages import (
+    Renewal,
+    SpreadCall,
+    UpstreamsNotice,
 )
-
-FETCH_TIMEOUT_S = 1.0
-"""Timeout of fetching all records of another control instance."""
+from currantdeal.registry import UpstreamRegistry, UpstreamState
 
 SPREAD_TIMEOUT_S = 0.4
 """Timeout of other control instances' confirmation of changed records."""
@@ -83,12 +77,16 @@
         self._control = control
         self._voters = voters
         self._links = links
-        self._has_leader = has_leader
         self._clock = clock
         self._save_leaves = save_leaves
-        self._adoption = AdoptionWindow(now_s=clock())
-        self._comparisons = {}
         self.registry = UpstreamRegistry(heartbeat_s=heartbeat_s)
+        self._reconciler = UpstreamReconciler(
+            registry=self.registry,
+            merge=self._merge_upstream,
+            links=links,
+            has_leader=has_leader,
+            clock=clock,
+        )
         self.directory = EntryDirectory()
         self.subscribers = set()
         self._renewed_upstreams = {}
@@ -119,7 +117,7 @@
     @property
     def adopts_upstreams(self):
         """Whether this instance may lack upstreams that others know."""
-        return self._adoption.is_open(now_s=self._clock())
+        return self._reconciler.adopts_upstreams
 
     def supports_organisations(self, address):
         """Return whether a control instance understands calls for them."""
@@ -167,7 +165,7 @@
 
     def receive_report(self, records):
         """Merge records that an entry has and this instance may lack."""
-        changed = self._merge_reconciled(records)
+        changed = self._reconciler.merge(records)
         if changed:
             self._in_background(self.spread(upstreams=changed))
 
@@ -217,7 +215,7 @@
             self.registry.on_heartbeat(
                 renewal.name, renewal.started_ms, renewal.sequence, now_s=now_s
             )
-        self._compare(notice, now_s)
+        self._reconciler.observe_digest(notice.sender, notice.upstreams_digest)
         for renewal in notice.entries:
             self.directory.on_heartbeat(
                 renewal.name, renewal.started_ms, renewal.sequence, now_s=now_s
@@ -301,8 +299,7 @@
     def expire(self):
         """Remove the records of silent upstreams and entries."""
         now_s = self._clock()
-        if self._has_leader():
-            self._adoption.observe_contact(now_s=now_s)
+        self._reconciler.observe_contact()
         self.directory.expire(now_s=now_s)
         expired = self.registry.expire(now_s=now_s)
         for record in expired:
@@ -368,61 +365,13 @@
 
     async def _fetch(self, address):
         try:
-            found = await self._call_for_records(address)
+            found = await self._reconciler.fetch(address)
         finally:
             self._fetching.discard(address)
         if found is not None:
             self._fetched.add(address)
             self.merge_spread(found)
 
-    def _compare(self, notice, now_s):
-        """Fetch the records of a sender with another digest."""
-        if notice.upstreams_digest is None:
-            return
-        comparison = self._comparisons.setdefault(
-            notice.sender, DigestComparison()
-        )
-        if comparison.observe(
-            self.registry.digest, notice.upstreams_digest, now_s=now_s
-        ):
-            self._in_background(self._reconcile(notice.sender))
-
-    async def _reconcile(self, address):
-        found = await self._call_for_records(address, upstreams_only=True)
-        if found is not None:
-            changed = self._merge_reconciled(found.upstreams)
-            _log.info(
-                "upstreams-compared", other=address, changed=len(changed)
-            )
-
-    def _merge_reconciled(self, records):
-        """Merge what another process knows; returns the changed records.
-
-        An upstream that only the other knows is lost, unless this instance
-        may have missed it.
-        """
-        adopts = self.adopts_upstreams
-        return tuple(
-            record
-            for record in records
-            if (
-                adopts
-                or record.state is UpstreamState.GONE
-                or self.registry.get(record.upstream) is not None
-            )
-            and self._merge_upstream(record)
-        )
-
-    async def _call_for_records(self, address, *, upstreams_only=False):
-        """Return the records of another instance; None without an answer."""
-        call = RecordsCall(upstreams_only=upstreams_only)
-        try:
-            return await self._links(address).call(
-                call, timeout_s=FETCH_TIMEOUT_S
-            )
-        except PeerUnreachableError:
-            return None
-
     def _in_background(self, work):
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
--- a/currantdeal/control/operations.py
+++ b/currantdeal/control/operations.py
@@ -109,7 +109,9 @@
             # Entries may send work to an upstream that is unknown here, and
             # there would be no record to tell them.  The refusal makes it
             # retry, here or at another instance.
-            self._answer(responder, 503, "no such incarnation is known here")
+            self._answer(
+                responder, 503, "it is not known which incarnation leaves"
+            )
             return
         if not await self._exchange.spread(upstreams=(gone,)):
             self._answer(responder, 503, "not confirmed by a majority")
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -27,16 +27,18 @@
     RaftNotice,
     ReadConfigCall,
     ReadingNotice,
-    RecordsCall,
     RenewalsNotice,
     SourceNotice,
-    SpreadCall,
     SubscribeCall,
     SwitchingNotice,
-    UpstreamsNotice,
 )
 from currantdeal.node.organisation_messages import ConfirmCall, CreditCall
 from currantdeal.node.peers import HEARTBEAT_S, pack_frame
+from currantdeal.node.record_messages import (
+    RecordsCall,
+    SpreadCall,
+    UpstreamsNotice,
+)
 from currantdeal.policy.shared_load import LoadSums
 
 _log = structlog.get_logger(__name__)
--- a/currantdeal/control/tests/explore_records.py
+++ b/currantdeal/control/tests/explore_records.py
@@ -2,7 +2,7 @@
 
 import click
 
-from currantdeal.consensus.tests.explore import explore
+from currantdeal.consensus.tests.explore import explore, schedule_options
 from currantdeal.control.tests.record_schedules import (
     STEPS,
     RecordSimulation,
@@ -10,9 +10,7 @@
 
 
 @click.command()
-@click.option("--seeds", default=1_000, help="Number of schedules.")
-@click.option("--seed", default=0, help="The first seed.")
-@click.option("--steps", default=STEPS, help="Steps of each schedule.")
+@schedule_options(STEPS)
 def main(seeds, seed, steps):
     """Run schedules; replay a failed one with --seed N --seeds 1."""
     explore(
--- a/currantdeal/control/tests/test_exchange.py
+++ b/currantdeal/control/tests/test_exchange.py
@@ -7,8 +7,10 @@
 from currantdeal.node.messages import (
     ControlPlace,
     Done,
-    RecordsCall,
     RenewalsNotice,
+)
+from currantdeal.node.record_messages import (
+    RecordsCall,
     SpreadCall,
 )
 from currantdeal.registry import UpstreamState
--- a/currantdeal/entry/subscription.py
+++ b/currantdeal/entry/subscription.py
@@ -16,6 +16,7 @@
 
 from currantdeal.entry.control_calls import ControlCalls
 from currantdeal.entry.source_choice import UNKNOWN_DISTANCE, SourceChoice
+from currantdeal.entry.upstream_comparison import UpstreamComparison
 from currantdeal.node.errors import PeerUnreachableError
 from currantdeal.node.messages import (
     PROTOCOL,
@@ -25,13 +26,12 @@
     EntryNotice,
     LoadNotice,
     ReadingNotice,
-    RecordsCall,
     SourceNotice,
     SubscribeCall,
     SwitchingNotice,
-    UpstreamsNotice,
 )
 from currantdeal.node.peers import HEARTBEAT_S, connect_peer
+from currantdeal.node.record_messages import UpstreamsNotice
 
 SILENCE_TIMEOUT_S = 1.2
 """Silence after which the entry switches to another control instance.
@@ -46,9 +46,6 @@
 SUBSCRIBE_TIMEOUT_S = 0.8
 """Time in which an instance must answer a subscription."""
 
-RECORDS_TIMEOUT_S = 1.0
-"""Time in which an instance must list all upstreams."""
-
 _log = structlog.get_logger(__name__)
 
 
@@ -118,12 +115,12 @@
         self._connection = None
         self._source = ""
         self._switch_task = None
-        self._reconcile_task = None
         self._sent_load = None
         self._sent_load_s = 0.0
         self._last_notice_s = 0.0
         self._last_current_s = 0.0
         self._protocol = 0
+        self._comparison = UpstreamComparison(view=view)
         self.control_calls = ControlCalls(
             view=view, connection=self._connection_for
         )
@@ -394,28 +391,4 @@
         if notice.current:
             self._last_current_s = now_s
             self._view.confirmed_s = now_s
-            self._compare_upstreams(notice)
-
-    def _compare_upstreams(self, notice):
-        if notice.upstreams_digest is None:
-            return
-        if self._view.lacks_upstreams(
-            notice.upstreams_digest, adopts=notice.adopts_upstreams
-        ):
-            self._reconcile_task = asyncio.ensure_future(
-                self._reconcile(self._connection)
-            )
-
-    async def _reconcile(self, connection):
-        """Make the upstreams here and at the source equal."""
-        try:
-            found = await connection.call(
-                RecordsCall(upstreams_only=True), timeout_s=RECORDS_TIMEOUT_S
-            )
-        except PeerUnreachableError:
-            return
-        if connection is not self._connection:
-            return
-        reported = self._view.reconcile_upstreams(found.upstreams)
-        if reported:
-            connection.notify(UpstreamsNotice(upstreams=reported))
+            self._comparison.observe(self._connection, notice)
--- a/currantdeal/node/messages.py
+++ b/currantdeal/node/messages.py
@@ -16,11 +16,17 @@
     CreditCall,
     GrantLog,
 )
+from currantdeal.node.record_messages import (
+    RecordsCall,
+    Renewal,
+    SpreadCall,
+    UpstreamsNotice,
+)
 from currantdeal.policy.crash_registry import SuspectRecord
 from currantdeal.policy.demand import Demand
 from currantdeal.policy.limit_records import LimitReport
 from currantdeal.policy.shared_load import PoolLoad
-from currantdeal.registry import EntryRecord, UpstreamRecord
+from currantdeal.registry import EntryRecord
 
 PROTOCOL = 2
 """Version of the messages that this build understands.
@@ -110,23 +116,6 @@
     accepted: bool
 
 
-@dataclass(frozen=True, kw_only=True)
-class SpreadCall:
-    """New records of upstreams and entries, sent between control instances."""
-
-    upstreams: tuple[UpstreamRecord, ...] = ()
-    entries: tuple[EntryRecord, ...] = ()
-
-
-@dataclass(frozen=True, kw_only=True)
-class Renewal:
-    """A heartbeat that changed nothing in its record but the sequence."""
-
-    name: str
-    started_ms: int
-    sequence: int
-
-
 @dataclass(frozen=True, kw_only=True)
 class RenewalsNotice:
     """Heartbeats without changes that an instance has received recently.
@@ -161,19 +150,6 @@
     upstreams_digest: int | None = None
 
 
-@dataclass(frozen=True, kw_only=True)
-class RecordsCall:
-    """Request all records of a control instance; returns a ``SpreadCall``.
-
-    Parameters
-    ----------
-    upstreams_only : bool
-        True to leave out the records of entries.
-    """
-
-    upstreams_only: bool = False
-
-
 @dataclass(frozen=True, kw_only=True)
 class SubscribeCall:
     """An entry subscribes to the view of a control instance.
@@ -236,24 +212,6 @@
     packed: bytes
 
 
-@dataclass(frozen=True, kw_only=True)
-class UpstreamsNotice:
-    """Records of upstreams for entries, or of an entry for others.
-
-    Parameters
-    ----------
-    complete : bool
-        True if the notice lists all upstreams, so that any other one no
-        longer exists.
-    expired : tuple of UpstreamRecord
-        Upstreams that are lost, since they have been silent for too long.
-    """
-
-    upstreams: tuple[UpstreamRecord, ...]
-    complete: bool = False
-    expired: tuple[UpstreamRecord, ...] = ()
-
-
 @dataclass(frozen=True, kw_only=True)
 class EntriesNotice:
     """Changes of the entries that callers may connect to.
--- a/currantdeal/testing/node_processes.py
+++ b/currantdeal/testing/node_processes.py
@@ -149,6 +149,14 @@
         """Return the URL of a path at a control process."""
         return f"http://{process.settings['listen']['control']}{path}"
 
+    def restart_all_control(self, *, down_s=0.3):
+        """Kill all control processes, and start them again after a pause."""
+        for process in self.control:
+            process.kill()
+        time.sleep(down_s)
+        for process in self.control:
+            process.start()
+
     def add_control(self):
         """Add a control process and return it; the test starts it."""
         self.control.append(self._make_control(next(self._numbers)))
