Use no reservation or KV cache of a process that has ended

What callers saw: nothing was reported. By reading, and by the two tests, a caller could get a stream from another one's prompt, or one that runs in another one's reservation.

Cause: an engine names a KV cache and a reservation by identifiers that hold for its process only. The entry kept them by the address of the engine. If the engine was restarted between its answer and the decode request, and the view knew it already, the identifier was still sent, to a process that may have given the same one to another caller. The name of the engine, which the upstream does check, may be the same after a restart.

Evidence: both tests failed on (a second prefill was expected, the first handle was sent; "h-2" was expected, "h-1" was sent).

Change: a decode request is sent only if the processes that granted memory and prefilled the prompt are still the registered ones, checked after the wait for a connection, and nothing is released at another process. A restart that the entry does not know yet, or that falls into the time in which the decode engine waits for its transfer, cannot be seen here.

--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -175,6 +175,23 @@
             return False
         return self._may_send()
 
+    def _are_held(self, reservation, prefill):
+        """Return whether the processes that granted them still hold them.
+
+        Another process at the same address may have given a reservation or
+        a KV cache of another caller the same identifier.
+        """
+        view = self._context.view
+        lost = [
+            step.record.upstream
+            for step in (reservation, prefill)
+            if step is not None and not view.is_current(step.record)
+        ]
+        if lost:
+            self._reason = f"{lost[0]!r} was restarted or left meanwhile"
+            self._active.add_step(StepKind.ENGINE_LOST, lost[0])
+        return not lost
+
     async def _obtain_prefill(self, record):
         """Return a ``Prefill`` for an engine; None for local prefill.
 
@@ -185,7 +202,8 @@
         if prefill is not None:
             age_s = self._now_s - prefill.completed_s
             handle_ttl_s = self._active.service.engine.kv_handle_ttl_s
-            if age_s < HANDLE_REUSE_SHARE * handle_ttl_s:
+            is_current = self._context.view.is_current(prefill.record)
+            if is_current and age_s < HANDLE_REUSE_SHARE * handle_ttl_s:
                 return prefill
             release_kv_cache(self._context, prefill)
         return await prefill_prompt(
@@ -275,6 +293,11 @@
             self._unused_prefill = prefill
             self._reserver.record_unreachable(record, exc)
             return False
+        if not self._are_held(reservation, prefill):
+            context.pool.release(connection)
+            self._unused_prefill = prefill
+            self._reserver.release(reservation)
+            return False
         context.health.request_started(record.upstream)
         sent_s = context.limits.now_s
         try:
--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -181,6 +181,8 @@
 
     def release(self, reservation):
         """Release an unused reservation."""
+        if not self._context.view.is_current(reservation.record):
+            return
         call = self._context.dialect.release_reservation(
             reservation.record.address, reservation.number
         )
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -121,6 +121,8 @@
 
 def release_kv_cache(context, prefill):
     """Release a KV cache that no decode engine will fetch."""
+    if not context.view.is_current(prefill.record):
+        return
     call = context.dialect.release_prefill(
         prefill.record.address, prefill.handle
     )
--- a/currantdeal/entry/steps.py
+++ b/currantdeal/entry/steps.py
@@ -41,6 +41,8 @@
         An upstream did not run the request.
     ERROR
         An upstream failed.
+    ENGINE_LOST
+        The process that granted memory or kept the KV cache has ended.
     NO_BUDGET
         The retry budget did not allow another attempt.
     """
@@ -56,6 +58,7 @@
     LOST = "lost"
     REFUSED = "refused"
     ERROR = "error"
+    ENGINE_LOST = "engine-lost"
     NO_BUDGET = "no-budget"
 
 
--- a/currantdeal/entry/view.py
+++ b/currantdeal/entry/view.py
@@ -175,6 +175,20 @@
         record = self._registry.get(upstream)
         return record is not None and record.state is UpstreamState.READY
 
+    def is_current(self, record):
+        """Return whether the process of a record is still the one registered.
+
+        What an upstream has granted or kept is lost when its process ends,
+        and the next process may give out the same identifiers again.
+        """
+        known = self._registry.get(record.upstream)
+        return (
+            known is not None
+            and known.state is not UpstreamState.GONE
+            and known.started_ms == record.started_ms
+            and known.address == record.address
+        )
+
     def distance(self, record):
         """Return 0 in this data centre, 1 in this region, 2 elsewhere."""
         return self.distance_to(record.data_center)
