--- a/currantdeal/entry/tests/test_generation.py
+++ b/currantdeal/entry/tests/test_generation.py
@@ -384,6 +384,8 @@
         "X-Currantdeal-Kv-Source: 10.0.0.1:80/stolen",
         "X-Currantdeal-Pin-Ms: 4000",
         "X-Currantdeal-Kv-Backup: 10.0.0.1:80",
+        "Kv-Fetch: 10.0.0.1:80",
+        "X-Currantdeal-Kv-Fetch: 10.0.0.1:80",
         "X-Currantdeal-Stage: prefill",
         "X-Currantdeal-Request-Priority: 0",
     )
@@ -400,6 +402,8 @@
         assert not any("stolen" in value for value in values)
         assert not request.get("X-Currantdeal-Pin-Ms")
         assert not request.get("X-Currantdeal-Kv-Backup")
+        assert not request.get("Kv-Fetch")
+        assert not request.get("X-Currantdeal-Kv-Fetch")
         assert not request.get("X-Currantdeal-Request-Priority")
 
 
