Let reservations share connections, and tell their grants by their names

Cause: such answers were matched by position alone, which is sure only on an unused connection.

Change: a grant names what it reserves, and nobody else holds that name. So it does not matter which request on a connection it answers: it may be used for any that asked for no more, but only once. A name seen before is a repeated answer and is skipped. A refusal without an id is taken for the own one, and costs an attempt. A connection carries a reservation only if what was asked for on it in the last second was at least as large, and no call whose answer names nothing went before it. Nothing else of an answer without an id is read: neither load, limit nor the upstream's name.

A grant that follows a taken refusal is used, not released: since it names memory held for this process, of at least the needed size, there is nothing to guess.

Tests replaced: the stand-in's extra grant named something that was never granted, which no repeated answer does; without echoed ids it now repeats the last answer on its connection, and the test asks that each grant is one that was given and is used once.

--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -216,7 +216,8 @@
         except ExchangeError as exc:
             self.record_unreachable(record, exc)
             return None
-        context.read_response(record, head)
+        if head.is_identified:
+            context.read_response(record, head)
         accepts_work = context.view.accepts_work(record.upstream)
         if head.status != 200:
             self._active.search.refused += 1
--- a/currantdeal/node/answer_parser.py
+++ b/currantdeal/node/answer_parser.py
@@ -4,15 +4,21 @@
 recorded and skipped, and nothing of them reaches the caller of this module.
 """
 
+import math
+
 import h11
 
 from currantdeal.node.extra_answers import ExtraAnswer, ExtraMoment
 from currantdeal.node.head import find_values
 from currantdeal.policy.answer_owner import AnswerOwner, answer_owner
+from currantdeal.policy.grant_channel import GrantChannel
 
 MAX_REQUESTS = 256
 """Maximum number of requests on a connection, which bounds its set of ids."""
 
+MAX_GRANT_BYTES = 65_536
+"""Maximum size of the body of a grant, which is read before it is used."""
+
 
 class AnswerParser:
     """Parses the answers to the requests that one connection carries.
@@ -23,11 +29,14 @@
         The upstream, for records of extra answers.
     extra_answers : ExtraAnswerLog
         Records answers that belong to no waiting request.
+    clock : callable
+        Returns monotonic seconds.
     """
 
-    def __init__(self, *, address, extra_answers):
+    def __init__(self, *, address, extra_answers, clock):
         """Start without requests."""
         self._address = address
+        self._clock = clock
         self._extra_answers = extra_answers
         self._http = h11.Connection(h11.CLIENT)
         self._outgoing = None
@@ -35,13 +44,22 @@
         self._count = 0
         self._carried_head = False
         self._echoes_call_ids = False
+        self._carried_anonymous_call = False
+        self._grants = GrantChannel()
+        self._unread_grant = None
         self._is_own = False
+        self._is_identified = True
 
     @property
     def is_idle(self):
         """True while no request waits for an answer."""
         return self._http.our_state is h11.IDLE
 
+    @property
+    def is_identified(self):
+        """Whether it is known which request the own answer belongs to."""
+        return self._is_identified
+
     @property
     def recognises_calls(self):
         """Whether the answer to a request that may lack its id is recognised.
@@ -66,7 +84,22 @@
             return False
         if self._carried_head or outgoing.method == "HEAD":
             return False
-        return outgoing.is_id_echoed or self.recognises_calls
+        if outgoing.is_id_echoed or self.recognises_calls:
+            return True
+        return self._names_grant(outgoing) and self._grants.may_carry(
+            outgoing.grant.size, now_s=self._clock()
+        )
+
+    def spare_size(self, outgoing):
+        """Return by how much grants here exceed a request, at least.
+
+        Infinite if a grant of any size may be asked for, and 0 for a request
+        that asks for none.
+        """
+        if outgoing.grant is None:
+            return 0
+        floor = self._grants.floor(now_s=self._clock())
+        return math.inf if floor is None else floor - outgoing.grant.size
 
     def begin(self, outgoing):
         """Return the bytes of a request, whose answer is parsed next."""
@@ -75,6 +108,10 @@
         if outgoing.request_id:
             self._ids.add(outgoing.request_id)
         self._carried_head = self._carried_head or outgoing.method == "HEAD"
+        if outgoing.grant is not None:
+            self._grants.begin(outgoing.grant.size, now_s=self._clock())
+        elif not outgoing.is_id_echoed:
+            self._carried_anonymous_call = True
         raw = self._http.send(
             h11.Request(
                 method=outgoing.method,
@@ -100,7 +137,11 @@
         while (event := self._next_event()) is not None:
             if isinstance(event, h11.Response):
                 self._is_own = self._belongs(event)
-            if self._is_own:
+                if self._is_own and self._must_name_grant(event):
+                    self._unread_grant = []
+            if self._unread_grant is not None:
+                yield from self._read_grant(event)
+            elif self._is_own:
                 yield event
             if isinstance(event, h11.EndOfMessage):
                 if self._is_own:
@@ -135,6 +176,34 @@
             return None
         return None if isinstance(event, h11.ConnectionClosed) else event
 
+    def _read_grant(self, event):
+        """Keep the events of a grant; yields all of one that is new."""
+        events = self._unread_grant
+        events.append(event)
+        if not isinstance(event, h11.EndOfMessage):
+            if _body_size(events) > MAX_GRANT_BYTES:
+                raise h11.RemoteProtocolError("the grant is too large")
+            return
+        self._unread_grant = None
+        name = self._outgoing.grant.read(_body(events))
+        if name and not self._grants.take(name):
+            self._is_own = False
+            self._record(ExtraMoment.BEFORE_OWN, AnswerOwner.OTHER, events[0])
+            return
+        yield from events
+
+    def _names_grant(self, outgoing):
+        """Return whether an answer without an id names a grant or refuses."""
+        is_known = not (self._carried_anonymous_call or self._echoes_call_ids)
+        return outgoing.grant is not None and is_known
+
+    def _must_name_grant(self, head):
+        """Return whether the grant in an own answer is to be new."""
+        is_granted = self._outgoing.grant is not None
+        return (
+            is_granted and head.status_code == 200 and not self._ids_in(head)
+        )
+
     def _belongs(self, head):
         ids = self._ids_in(head)
         owner = answer_owner(
@@ -142,8 +211,10 @@
             ids,
             is_echoed=self._outgoing.is_id_echoed,
             is_first=self._count == 1,
+            names_grant=self._names_grant(self._outgoing),
         )
         if owner is AnswerOwner.OWN:
+            self._is_identified = bool(ids) or self._count == 1
             if ids and not self._outgoing.is_id_echoed:
                 self._echoes_call_ids = True
             return True
@@ -178,6 +249,14 @@
         )
 
 
+def _body(events):
+    return b"".join(bytes(e.data) for e in events if isinstance(e, h11.Data))
+
+
+def _body_size(events):
+    return sum(len(e.data) for e in events if isinstance(e, h11.Data))
+
+
 def _waiting_parser(method):
     """Return a parser that expects the answer to a request."""
     http = h11.Connection(h11.CLIENT)
--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -125,19 +125,28 @@
             connection.close()
 
     def _take_idle(self, address, outgoing, *, retryable):
+        """Return the connection that was used last, or None.
+
+        Of those that may carry a request for a grant, the one that was asked
+        for the least is taken, so that the others can carry larger requests.
+        """
+        self._close_ended(address)
+        idle = self._idle.get(address, [])
+        fitting = [c for c in reversed(idle) if c.may_carry(outgoing)]
+        fitting.sort(key=lambda c: c.spare_size(outgoing))
+        for connection in fitting:
+            idle.remove(connection)
+            if connection.is_usable(retryable=retryable):
+                return connection
+            connection.close()
+        return None
+
+    def _close_ended(self, address):
         idle = self._idle.get(address, [])
-        unfit = []
-        found = None
-        while idle and found is None:
-            connection = idle.pop()
-            if not connection.is_usable(retryable=retryable):
+        for connection in tuple(idle):
+            if not connection.is_usable(retryable=True):
+                idle.remove(connection)
                 connection.close()
-            elif connection.may_carry(outgoing):
-                found = connection
-            else:
-                unfit.append(connection)
-        idle.extend(reversed(unfit))
-        return found
 
 
 async def exchange(
@@ -209,8 +218,9 @@
 def _is_of_no_more_use(connection, outgoing, head):
     """Return whether no request is likely to follow on a connection.
 
-    A refused reservation is not followed by its run, and the next one needs
-    another connection.  Upstreams bound the number of their connections.
+    The next call of the system needs another connection.  Upstreams bound
+    the number of their connections.
     """
-    is_refused_call = head.status >= 400 and not outgoing.is_id_echoed
-    return is_refused_call and not connection.recognises_calls
+    if outgoing.is_id_echoed or outgoing.grant is not None:
+        return False
+    return head.status >= 400 and not connection.recognises_calls
--- a/currantdeal/node/head.py
+++ b/currantdeal/node/head.py
@@ -1,6 +1,7 @@
 """Heads of HTTP messages, independent of the HTTP parser in use."""
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from currantdeal.policy.answer_end import Framing
@@ -48,11 +49,15 @@
     ----------
     framing : Framing
         How the end of the body is marked.
+    is_identified : bool
+        Whether it is known which request it answers.  A grant that tells
+        itself apart may be used without, nothing else of its answer.
     """
 
     status: int
     headers: Headers
     framing: Framing = Framing.LENGTH
+    is_identified: bool = True
 
     @property
     def media_type(self):
@@ -65,6 +70,22 @@
         return find_header(self.headers, name, default)
 
 
+@dataclass(frozen=True, kw_only=True)
+class GrantRequest:
+    """What a request for a grant asks for.
+
+    Parameters
+    ----------
+    size : int
+        How much, in tokens.
+    read : callable
+        Returns the name of what a body grants; empty if it grants nothing.
+    """
+
+    size: int
+    read: Callable[[bytes], str]
+
+
 @dataclass(frozen=True, kw_only=True)
 class Outgoing:
     """A request to be sent to an upstream.
@@ -79,6 +100,8 @@
         too.
     is_id_echoed : bool
         True if upstreams answer such a request only with its id.
+    grant : GrantRequest or None
+        What it asks for, if a successful answer names it.
     """
 
     method: str
@@ -88,6 +111,7 @@
     send_before_s: float = math.inf
     id_header: bytes = b""
     is_id_echoed: bool = False
+    grant: GrantRequest | None = None
 
     @property
     def request_id(self):
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -64,7 +64,9 @@
         self.used = False
         self._loop = asyncio.get_running_loop()
         self._parser = AnswerParser(
-            address=address, extra_answers=extra_answers or ExtraAnswerLog()
+            address=address,
+            extra_answers=extra_answers or ExtraAnswerLog(),
+            clock=self._loop.time,
         )
         self._method = ""
         self._transport = None
@@ -149,6 +151,10 @@
         """Return whether the answer to a request can be recognised here."""
         return self._parser.may_carry(outgoing)
 
+    def spare_size(self, outgoing):
+        """Return by how much grants here may exceed what a request needs."""
+        return self._parser.spare_size(outgoing)
+
     def send(self, outgoing):
         """Write a request.
 
@@ -179,6 +185,7 @@
                 status=event.status_code,
                 headers=headers,
             ),
+            is_identified=self._parser.is_identified,
         )
 
     async def chunk(self):
--- a/currantdeal/platform/calls.py
+++ b/currantdeal/platform/calls.py
@@ -8,6 +8,7 @@
 import math
 import re
 import secrets
+from dataclasses import replace
 
 import msgspec
 
@@ -18,6 +19,7 @@
     UpstreamLoad,
 )
 from currantdeal.node.head import (
+    GrantRequest,
     Outgoing,
     RequestHead,
     end_to_end,
@@ -138,7 +140,8 @@
     def reserve(self, address, *, tokens, hold_s, upstream):
         """Encode a reservation of memory."""
         body = {"Tokens": tokens, "ttl_ms": round(hold_s * _MS)}
-        return self._json_call("/v1/hold-take", address, body, upstream)
+        call = self._json_call("/v1/hold-take", address, body, upstream)
+        return replace(call, grant=GrantRequest(size=tokens, read=_read_hold))
 
     def read_reservation(self, body):
         """Decode the response to a reservation."""
@@ -200,6 +203,13 @@
         )
 
 
+def _read_hold(body):
+    try:
+        return decode_json(body, _HoldReply, "reservation").Hold
+    except DialectError:
+        return ""
+
+
 def _system_headers(options):
     left_ms = max(1, int(options.time_left_s * _MS))
     headers = [
--- a/currantdeal/policy/answer_owner.py
+++ b/currantdeal/policy/answer_owner.py
@@ -27,7 +27,9 @@
     UNIDENTIFIED = "unidentified"
 
 
-def answer_owner(request_id, answer_ids, *, is_echoed, is_first):
+def answer_owner(
+    request_id, answer_ids, *, is_echoed, is_first, names_grant=False
+):
     """Return the ``AnswerOwner`` of an answer.
 
     Parameters
@@ -42,6 +44,9 @@
         Whether the request is the first one on its connection.  Nothing else
         can have been answered there, so the answer needs no id unless
         ``is_echoed``.
+    names_grant : bool
+        Whether an answer without an id can only belong to requests whose
+        grants tell themselves apart, see ``GrantChannel``.
 
     Examples
     --------
@@ -55,6 +60,6 @@
     found = set(answer_ids)
     if found:
         return AnswerOwner.OWN if found == {request_id} else AnswerOwner.OTHER
-    if is_first and not is_echoed:
+    if (is_first or names_grant) and not is_echoed:
         return AnswerOwner.OWN
     return AnswerOwner.UNIDENTIFIED
--- a/currantdeal/testing/repeating_upstream.py
+++ b/currantdeal/testing/repeating_upstream.py
@@ -108,7 +108,9 @@
     owners : dict or None
         Bodies of the prefilled requests by handle, shared by the engines.
     echoes_calls : bool
-        Whether own answers to calls of the system bear their ids.
+        Whether own answers to calls of the system bear their ids.  If not,
+        an extra grant without an id repeats the last answer on its connection
+        instead of naming something that was never granted.
     cuts_first_runs : bool
         Whether a stream that resumes none is broken off after one event.
 
@@ -140,12 +142,16 @@
         self._echoes_calls = echoes_calls
         self._cuts_first_runs = cuts_first_runs
         self._carried = defaultdict(set)
+        self._last_grant = {}
 
     async def answer(self, request, writer):
         """Send the own answer, with the extra one around it."""
         own = AnswerBuffer()
         self._answer_own(request, own)
         may_repeat = self._may_repeat(request, writer)
+        extra = self._extra(request, writer)
+        if request.target == "/v1/hold-take":
+            self._last_grant[writer] = own.data
         self._carried[writer].add(request.request_id)
         if not may_repeat:
             writer.write(own.data)
@@ -154,7 +160,7 @@
             await send_around(
                 writer,
                 own.data,
-                self.repetition.raw(request),
+                extra,
                 self.repetition.moment,
             )
         await writer.drain()
@@ -168,6 +174,18 @@
         is_same = self.repetition.identity is Identity.SAME
         return not is_same or request.request_id in earlier
 
+    def _extra(self, request, writer):
+        """Return the bytes of the extra answer before that to a request."""
+        repetition = self.repetition
+        is_repeated = (
+            not self._echoes_calls
+            and repetition.extra is Extra.GRANT
+            and repetition.identity is Identity.NONE
+        )
+        if is_repeated and writer in self._last_grant:
+            return self._last_grant[writer]
+        return repetition.raw(request)
+
     def _answer_own(self, request, writer):
         if request not in self.runs:
             self._answer_call(request, writer)
