Refuse instance ids, handles and reservations that fit into no request

What was seen: a heartbeat under the id %ff%fe%fd ended each control process 6 to 8 times in 90 s, and closed bookings at entries without an answer.

Cause: the bytes of the id were decoded with replacement characters, and such a name can't be written into a header. The exception came up in the task that plans stages, and ended the process; so did it in the next leader. The class: names from outside were checked where they leave, not where they enter.

Change: ids, handles and reservations are checked once, where they are decoded, against what headers and paths can hold; other texts against control characters. A call with another id is answered 400, and nothing of it is kept. A periodic task that raises is logged and counted, and does not end the process.

--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -28,7 +28,7 @@
 from currantdeal.control.limit_control import LimitControl
 from currantdeal.control.membership import JOIN_INTERVAL_S, Membership
 from currantdeal.control.operations import ControlOperations
-from currantdeal.control.orders import StageOrders
+from currantdeal.control.orders import PLAN_INTERVAL_S, StageOrders
 from currantdeal.control.quota_owner import QuotaOwner
 from currantdeal.control.record_store import (
     RecordStore,
@@ -218,12 +218,12 @@
             LoopDelay(metrics=self._metrics).run(),
             self._replica.run(),
             self._file.watch(),
-            call_periodically(HEARTBEAT_S, self._service.send_heartbeat),
-            call_periodically(LOAD_INTERVAL_S, self._service.publish_loads),
+            self._repeat(HEARTBEAT_S, self._service.send_heartbeat),
+            self._repeat(LOAD_INTERVAL_S, self._service.publish_loads),
             self._step_membership(),
             self._crash_store.run(),
             self._leave_store.run(),
-            self._orders.run(),
+            self._repeat(PLAN_INTERVAL_S, self._orders.step),
         )
         await self._leave_replica_set()
 
@@ -235,6 +235,9 @@
         )
         _log.info("stopped")
 
+    def _repeat(self, interval_s, action):
+        return call_periodically(interval_s, action, metrics=self._metrics)
+
     def _make_exchange(self, settings):
         return RecordExchange(
             local_place=ControlPlace(
--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -166,13 +166,16 @@
             stopping,
             LoopDelay(metrics=self._metrics).run(),
             self._subscription.run(),
-            call_periodically(LOAD_INTERVAL_S, self._subscription.send_load),
-            call_periodically(QUOTA_REFILL_S, self._refill_quotas),
+            self._repeat(LOAD_INTERVAL_S, self._subscription.send_load),
+            self._repeat(QUOTA_REFILL_S, self._refill_quotas),
             self._file.watch(),
         )
         await self._drain()
         _log.info("stopped", cut=self._server.active_requests)
 
+    def _repeat(self, interval_s, action):
+        return call_periodically(interval_s, action, metrics=self._metrics)
+
     async def _listen(self, listen):
         await self._server.start(*split_address(listen.callers))
         readiness_server = HttpServer(handler=self._answer_readiness)
--- a/currantdeal/cli/process.py
+++ b/currantdeal/cli/process.py
@@ -1,6 +1,7 @@
 """Settings reload, signals and metrics of entry and control processes."""
 
 import asyncio
+import inspect
 import os
 import signal
 
@@ -140,8 +141,24 @@
         task.result()
 
 
-async def call_periodically(interval_s, action):
-    """Call a function at an interval, until cancelled."""
+async def call_periodically(interval_s, action, *, metrics):
+    """Call a function or coroutine function at an interval, until cancelled.
+
+    A call that raises is logged and counted.  The next one may succeed, and
+    the process does other work that does not depend on it.
+
+    Parameters
+    ----------
+    metrics : currantdeal.ports.MetricsPort
+        Counts the calls that raised.
+    """
     while True:
         await asyncio.sleep(interval_s)
-        action()
+        try:
+            result = action()
+            if inspect.isawaitable(result):
+                await result
+        except Exception as exc:
+            task = getattr(action, "__qualname__", repr(action))
+            metrics.add("task_failures_total", task=task)
+            _log.exception("task-failed", task=task, why=repr(exc))
--- a/currantdeal/control/operations.py
+++ b/currantdeal/control/operations.py
@@ -57,11 +57,11 @@
 
     async def handle(self, request, responder):
         """Answer one HTTP call of a caller, an upstream or an operator."""
-        operation = self._dialect.read_operation(request.head)
-        if operation is None:
-            self._answer(responder, 404, "no such call")
-            return
         try:
+            operation = self._dialect.read_operation(request.head)
+            if operation is None:
+                self._answer(responder, 404, "no such call")
+                return
             await self._handle_operation(operation, request, responder)
         except DialectError as exc:
             _log.info("call-refused", target=request.head.target, why=str(exc))
--- a/currantdeal/control/orders.py
+++ b/currantdeal/control/orders.py
@@ -8,7 +8,6 @@
 every few seconds.
 """
 
-import asyncio
 from dataclasses import dataclass, replace
 
 import structlog
@@ -146,13 +145,8 @@
         self._pending = {}
         self._refused_until_s = {}
 
-    async def run(self):
-        """Plan and adjust the split until cancelled."""
-        while True:
-            await asyncio.sleep(PLAN_INTERVAL_S)
-            await self._step()
-
-    async def _step(self):
+    async def step(self):
+        """Plan the split, and send the orders that adjust it."""
         now_s = self._clock()
         present = self._engines()
         self._track_engines(present, now_s)
--- a/currantdeal/control/tests/test_orders.py
+++ b/currantdeal/control/tests/test_orders.py
@@ -107,7 +107,7 @@
             now["s"] = now_s
             if changes and now_s in changes:
                 service.change(*changes[now_s])
-            await orders._step()
+            await orders.step()
         return [r for s in standins for r in s.requests], service
 
     return asyncio.run(run())
--- a/currantdeal/entry/directory_server.py
+++ b/currantdeal/entry/directory_server.py
@@ -1,5 +1,6 @@
 """Serves callers' look-ups of entries over HTTP."""
 
+from currantdeal.core.errors import DialectError
 from currantdeal.node.dialect import LookUpEntries
 from currantdeal.node.directory_answers import answer_look_up, answer_status
 from currantdeal.node.http_server import HttpServer
@@ -30,7 +31,11 @@
 
     async def handle(self, request, responder):
         """Answer one look-up."""
-        operation = self._dialect.read_operation(request.head)
+        try:
+            operation = self._dialect.read_operation(request.head)
+        except DialectError as exc:
+            answer_status(self._dialect, responder, 400, str(exc))
+            return
         if not isinstance(operation, LookUpEntries):
             answer_status(self._dialect, responder, 404, "no such call")
             return
--- a/currantdeal/node/dialect.py
+++ b/currantdeal/node/dialect.py
@@ -208,7 +208,13 @@
     """
 
     def read_operation(self, head):
-        """Return the ``Operation`` of a call; None if it is unknown."""
+        """Return the ``Operation`` of a call; None if it is unknown.
+
+        Raises
+        ------
+        DialectError
+            If it names an instance by bytes that are no name.
+        """
 
     def read_announcement(self, upstream, body):
         """Return an ``UpstreamRecord``.
--- a/currantdeal/platform/calls.py
+++ b/currantdeal/platform/calls.py
@@ -27,7 +27,11 @@
 )
 from currantdeal.organisations import digest_key
 from currantdeal.platform import headers as header_names
-from currantdeal.platform.decoding import decode_json, parse_header_int
+from currantdeal.platform.decoding import (
+    PathName,
+    decode_json,
+    parse_header_int,
+)
 
 _MS = 1_000.0
 _BEARER = b"bearer"
@@ -40,11 +44,11 @@
 
 
 class _HoldReply(msgspec.Struct):
-    Hold: str
+    Hold: PathName
 
 
 class _PrefillReply(msgspec.Struct):
-    KvHandle: str
+    KvHandle: PathName
 
 
 class PlatformCalls:
--- a/currantdeal/platform/control.py
+++ b/currantdeal/platform/control.py
@@ -18,7 +18,13 @@
     PutConfig,
 )
 from currantdeal.platform.config import decode_config
-from currantdeal.platform.decoding import Int64, decode_json
+from currantdeal.platform.decoding import (
+    Int64,
+    Label,
+    Name,
+    decode_json,
+    parse_name,
+)
 from currantdeal.registry import Stage, UpstreamRecord, UpstreamState
 
 _INSTANCES = "/v1/instances/"
@@ -27,14 +33,14 @@
 
 
 class _Heartbeat(msgspec.Struct):
-    Service: str
-    Address: str
-    Zone: str
+    Service: Label
+    Address: Name
+    Zone: Label
     Slots: Int64
     State: str
     Sequence: Int64
     born: Int64
-    Version: str | None = None
+    Version: Label | None = None
     ColdRemainingMs: float | None = 0.0
     Stage: str | None = None
 
@@ -43,7 +49,13 @@
     """Implementation of the platform's interface to control instances."""
 
     def read_operation(self, head):
-        """Decode method and path; return None for an unknown operation."""
+        """Decode method and path; return None for an unknown operation.
+
+        Raises
+        ------
+        DialectError
+            If the path names an instance by bytes that are no name.
+        """
         path, _, query = head.target.partition("?")
         operations = {
             ("PUT", _CONFIG): PutConfig(),
@@ -53,7 +65,8 @@
         if (head.method, path) in operations:
             return operations[(head.method, path)]
         if path.startswith(_INSTANCES):
-            upstream = unquote(path[len(_INSTANCES) :])
+            name = unquote(path[len(_INSTANCES) :])
+            upstream = parse_name(name, "instance")
             if head.method == "PUT":
                 return Announce(upstream=upstream)
             if head.method == "DELETE":
@@ -65,12 +78,12 @@
     def read_announcement(self, upstream, body):
         """Decode an upstream's heartbeat."""
         heartbeat = decode_json(body, _Heartbeat, "announcement")
-        if not upstream or not heartbeat.Service:
-            raise DialectError("announcement: a name is empty")
+        if not heartbeat.Service:
+            raise DialectError("announcement: the service is empty")
         if not _is_address(heartbeat.Address):
             raise DialectError(f"announcement: address {heartbeat.Address!r}")
         return UpstreamRecord(
-            upstream=upstream,
+            upstream=parse_name(upstream, "announcement"),
             service=heartbeat.Service,
             address=heartbeat.Address,
             data_center=heartbeat.Zone,
--- a/currantdeal/platform/decoding.py
+++ b/currantdeal/platform/decoding.py
@@ -12,6 +12,16 @@
 Int64 = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 """Integer in the range that messages between processes can hold."""
 
+Name = Annotated[str, msgspec.Meta(pattern=r"\A[!-~]{1,256}\Z")]
+"""Name that fits into a header: visible ASCII characters."""
+
+PathName = Annotated[str, msgspec.Meta(pattern=r'\A[!"$&-.0->@-~]{1,256}\Z')]
+"""Name that also fits into one segment of a path."""
+
+Label = Annotated[
+    str, msgspec.Meta(pattern=r"\A[^\x00-\x1f\x7f]*\Z", max_length=256)
+]
+"""Text without control characters, for logs and metrics."""
 
 MAX_HEADER_INT = 2**31 - 1
 """Upper limit for numbers read from a header.
@@ -42,6 +52,25 @@
     return min(MAX_HEADER_INT, int(digits or "0"))
 
 
+def parse_name(text, what):
+    """Return a text if it is a ``Name``.
+
+    Raises
+    ------
+    DialectError
+        If it is not.
+
+    Examples
+    --------
+    >>> parse_name("i-7f", "instance id")
+    'i-7f'
+    """
+    try:
+        return msgspec.convert(text, Name)
+    except msgspec.ValidationError:
+        raise DialectError(f"{what}: not a name: {ascii(text)}") from None
+
+
 def decode_json(body, cls, what):
     """Return the struct decoded from a JSON body.
 
