Refuse heartbeats of services that are not configured

What callers saw: reports that named a service of no configuration, with the address of a healthy upstream and a later start, took the upstream away; 30 of 30 bookings were refused with 503.

Cause: a process that started later at an address replaces the one before it, since addresses are used again. Nothing asked whether the later one is an upstream at all. The protocol says that a report with a service that isn't named "names no worker to use; the others hold".

Change: once a configuration is known, control answers 404 to a heartbeat whose service it does not name, and keeps nothing of it. What is known of an upstream whose service was removed may still be renewed or ended by the same process, so that its leave is acknowledged.

--- a/currantdeal/control/exchange.py
+++ b/currantdeal/control/exchange.py
@@ -79,6 +79,7 @@
         self._links = links
         self._clock = clock
         self._save_leaves = save_leaves
+        self._services = None
         self.registry = UpstreamRegistry(heartbeat_s=heartbeat_s)
         self._reconciler = UpstreamReconciler(
             registry=self.registry,
@@ -127,6 +128,24 @@
         """Return whether a control instance understands ``LimitCall``."""
         return self._protocols.get(address, 0) >= LIMITS_PROTOCOL
 
+    def configure(self, services):
+        """Set the names of the configured services."""
+        self._services = frozenset(services)
+
+    def is_configured(self, record):
+        """Return whether an upstream may announce itself with a record.
+
+        One of a service that the configuration does not name, or names no
+        longer, may only renew or end what is known of it.
+        """
+        if self._services is None or record.service in self._services:
+            return True
+        known = self.registry.get(record.upstream)
+        return known is not None and (
+            (known.service, known.address, known.started_ms)
+            == (record.service, record.address, record.started_ms)
+        )
+
     def merge_upstream(self, record):
         """Merge an upstream's heartbeat; returns whether it changed a record.
 
--- a/currantdeal/control/operations.py
+++ b/currantdeal/control/operations.py
@@ -90,6 +90,11 @@
         record = self._dialect.read_announcement(
             operation.upstream, request.body
         )
+        if not self._exchange.is_configured(record):
+            reason = f"service {record.service!r} is not configured"
+            _log.info("announcement-refused", name=record.upstream, why=reason)
+            self._answer(responder, 404, reason)
+            return
         changed = self._exchange.merge_upstream(record)
         leaving = record.state is not UpstreamState.READY
         if changed or leaving:
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -138,6 +138,7 @@
         except DialectError as exc:
             _log.error("config-unreadable", why=str(exc))
             return
+        self._exchange.configure(service.name for service in config.services)
         self._demand.update_config(config)
         self._quotas.update_config(config)
 
