Accept no call that can outlast the entry

What callers saw: of bookings that took 2.2 s with a timeout of 3 s, those sent 5.6 to 5.95 s after SIGTERM were closed without an answer at 7.6 s, while their upstreams worked.

Cause: an entry accepted calls until a fixed time after the signal, whatever their routes allowed them to take.

Change: after the signal, a call whose deadline is later than the end of the process is refused at once with 503 and a short Retry-After, on a connection that is then closed. It has not run, and another entry can serve it. With timeouts of 1 and 1.5 s nothing changes. Streams are refused from 2.5 s on, as before; those accepted until then may still outlast the process.

--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -226,13 +226,15 @@
     async def _drain(self):
         """Stop in stages, so that requests in progress finish before the kill.
 
-        Streams are refused first, then connections.  Requests that are still
-        in progress shortly before the kill are cut off.
+        Calls that could outlast the process are refused first, then streams,
+        then connections.  Streams that are still in progress shortly before
+        the kill are cut off.
         """
         loop = asyncio.get_running_loop()
         stop_s = loop.time()
         exit_s = stop_s + self._bounds.grace_s - EXIT_MARGIN_S
         self._ready = False
+        self._service.ends_s = exit_s
         self._server.closing = True
         self._subscription.announce()
         _log.info("stopping", requests=self._server.active_requests)
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -1,6 +1,7 @@
 """Handles the requests of callers, from receipt to the final answer."""
 
 import asyncio
+import math
 
 import structlog
 
@@ -67,12 +68,18 @@
     ----------
     context : EntryContext
         Shared by all requests.
+
+    Attributes
+    ----------
+    ends_s : float
+        Loop time at which the process ends; infinite before it is stopped.
     """
 
     def __init__(self, *, context):
         """Start to accept all requests."""
         self._context = context
         self.stopping = False
+        self.ends_s = math.inf
         self.refuse_streams = False
         self._labelled = set()
 
@@ -186,6 +193,12 @@
 
     async def _forward(self, active):
         if not active.is_generation:
+            if active.deadline_s > self.ends_s:
+                # The answer could be cut off when the process ends.
+                raise RefusedError(
+                    "this instance ends before the deadline",
+                    refusal_reason=RefusalReason.STOPPING,
+                )
             await serve_plain(self._context, active)
             return
         meter = self._context.meter(active.service.name)
