Charge each repeat of a prefill to the retry budget

Cause: a prefill that is reset on a reused connection is sent once more on a new one, by the code that also repeats calls of the system, and that does not know the budget.

Change: the request of a caller is sent once more only if whoever sends it passes a function that charges the budget. Leaving it out means no repeat, so that no path can forget it.

Evidence: test_resets.py, a budget without anything left: three prefills were sent before, two now; the stream is prefilled by its decode engine.

--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -264,7 +264,12 @@
         active, record, time_left_s=left_s, prefill_only=True
     )
     return await exchange(
-        context.pool, record.address, call, timeout_s=left_s, retryable=True
+        context.pool,
+        record.address,
+        call,
+        timeout_s=left_s,
+        retryable=True,
+        may_repeat=lambda: context.use_retry_budget(active.service.name),
     )
 
 
--- a/currantdeal/entry/tests/test_resets.py
+++ b/currantdeal/entry/tests/test_resets.py
@@ -181,3 +181,37 @@
         if kind in STREAMS:
             assert event_numbers(answer) == list(range(1, EVENTS + 1))
             assert answer.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize(("allowance", "sent"), [(0.0, 2), (100.0, 3)])
+def test_a_prefill_is_sent_once_more_only_within_the_retry_budget(
+    allowance, sent
+):
+    """Guards against repeats on new connections that nobody counts."""
+
+    async def reset_second(standin, request, writer):
+        if len(standin.requests) != 2:
+            return False
+        reset(writer)
+        return True
+
+    async def run():
+        prefill = StandInUpstream(upstream="p1", script=reset_second)
+        decode = StandInUpstream(upstream="d1")
+        await prefill.start()
+        await decode.start()
+        async with entry_world(allowance=allowance) as world:
+            world.announce_engines(prefill, decode)
+            note = request_bytes("/note/1", more=GENERATION)
+            answers = [
+                await world.exchange(
+                    note.replace(b"Id: r-1", f"Id: r-{number}".encode())
+                )
+                for number in range(2)
+            ]
+        return answers, prefill
+
+    answers, prefill = asyncio.run(run())
+    for answer in answers:
+        assert event_numbers(answer) == list(range(1, EVENTS + 1))
+    assert len(prefill.requests) == sent
--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -150,7 +150,14 @@
 
 
 async def exchange(
-    pool, address, outgoing, *, timeout_s, limit=1 << 20, retryable=False
+    pool,
+    address,
+    outgoing,
+    *,
+    timeout_s,
+    limit=1 << 20,
+    retryable=False,
+    may_repeat=None,
 ):
     """Send a small request and return the response head and the whole body.
 
@@ -164,6 +171,9 @@
         True for a retryable request, one that may be lost and sent again.
         If the upstream had already closed the reused connection on which it
         was sent, the request is sent once more on a new connection.
+    may_repeat : callable or None
+        Asked before the request of a caller is sent once more, which counts
+        against the retry budget.  Without it, only calls of the system are.
 
     Raises
     ------
@@ -181,6 +191,8 @@
     except InvalidResponseError as exc:
         if not (retryable and reused):
             raise
+        if not _may_repeat(outgoing, may_repeat):
+            raise
         first_error = exc
     try:
         connection = await pool.open(address, timeout_s=timeout_s)
@@ -193,6 +205,12 @@
     )
 
 
+def _may_repeat(outgoing, may_repeat):
+    if may_repeat is None:
+        return not outgoing.is_id_echoed
+    return may_repeat()
+
+
 async def _exchange_on(pool, connection, outgoing, *, timeout_s, limit):
     try:
         async with asyncio.timeout(timeout_s):
