Ask the present leader for the replica set in a test

The test kept asking the replica that led when it began. If another one was elected meanwhile, the old one's set was compared, and the test failed on a busy machine; the other failure in the same second, a replica set of three that did not come back, is not explained by this. Equally strict: the same sets are awaited, at whoever leads.

--- a/currantdeal/adapters/replication/tests/test_replicated_state.py
+++ b/currantdeal/adapters/replication/tests/test_replicated_state.py
@@ -184,7 +184,9 @@
         away = next(n for n in cluster.replicas[:3] if n != leader)
 
         def members():
-            return cluster.services[leader].replica.status().configuration
+            # Another replica may be elected meanwhile.
+            current = cluster.services[cluster.wait_for_leader()]
+            return current.replica.status().configuration
 
         wait_until(lambda: members().learner_names == ("i4",))
         cluster.isolate(away)
@@ -192,7 +194,7 @@
         assert away not in members().voter_names
         cluster.heal()
         wait_until(lambda: members().learner_names == (away,))
-        propose(cluster, leader, selector("after"))
+        propose(cluster, cluster.wait_for_leader(), selector("after"))
         wait_until(lambda: "after" in cluster.port(away).view().selectors)
     finally:
         cluster.close()
