--- a/currantdeal/node/answer_parser.py
+++ b/currantdeal/node/answer_parser.py
@@ -86,7 +86,7 @@
             return False
         if outgoing.is_id_echoed or self.recognises_calls:
             return True
-        return self._names_grant(outgoing) and self._grants.may_carry(
+        return self._is_told_by_grant(outgoing) and self._grants.may_carry(
             outgoing.grant.size, now_s=self._clock()
         )
 
@@ -137,7 +137,7 @@
         while (event := self._next_event()) is not None:
             if isinstance(event, h11.Response):
                 self._is_own = self._belongs(event)
-                if self._is_own and self._must_name_grant(event):
+                if self._is_own and self._is_grant_without_id(event):
                     self._unread_grant = []
             if self._unread_grant is not None:
                 yield from self._read_grant(event)
@@ -192,17 +192,18 @@
             return
         yield from events
 
-    def _names_grant(self, outgoing):
-        """Return whether an answer without an id names a grant or refuses."""
-        is_known = not (self._carried_anonymous_call or self._echoes_call_ids)
-        return outgoing.grant is not None and is_known
+    def _is_told_by_grant(self, outgoing):
+        """Return whether an answer without an id may be used for a request.
 
-    def _must_name_grant(self, head):
-        """Return whether the grant in an own answer is to be new."""
-        is_granted = self._outgoing.grant is not None
-        return (
-            is_granted and head.status_code == 200 and not self._ids_in(head)
-        )
+        It names a grant that only this process holds, or refuses one.
+        """
+        may_be_other = self._carried_anonymous_call or self._echoes_call_ids
+        return outgoing.grant is not None and not may_be_other
+
+    def _is_grant_without_id(self, head):
+        """Return whether only the grant in an answer tells if it is new."""
+        may_grant = self._outgoing.grant is not None and not self._ids_in(head)
+        return may_grant and head.status_code == 200
 
     def _belongs(self, head):
         ids = self._ids_in(head)
@@ -211,7 +212,7 @@
             ids,
             is_echoed=self._outgoing.is_id_echoed,
             is_first=self._count == 1,
-            names_grant=self._names_grant(self._outgoing),
+            names_grant=self._is_told_by_grant(self._outgoing),
         )
         if owner is AnswerOwner.OWN:
             self._is_identified = bool(ids) or self._count == 1
