Charge a prefill of a later attempt to the retry budget

What was seen: beside the repeat on a new connection, by reading: a later attempt of a generation was charged once and arrived twice, with its prefill and with its run; a prefill whose KV cache had lapsed was repeated for nothing.

Cause: whether a prefill is a repeat was told by a counter of one search for an engine, not of the request.

Change: the request counts the prefills that were sent for it, and each but the first uses the budget, whatever led to it. Without budget the decode engine prefills the prompt.

Evidence: test_resets.py with a budget for one repeat: the run was repeated and a second prefill was sent; now the decode engine prefills.

--- a/currantdeal/entry/active_request.py
+++ b/currantdeal/entry/active_request.py
@@ -60,6 +60,9 @@
         Whether its caller has waited before, on an earlier attempt.
     runs : int
         Number of upstreams that may have run it.
+    prefills : int
+        Number of prefills of its prompt that were sent; each but the first
+        uses the retry budget.
     was_sent : bool
         Whether it was encoded for an upstream, so that it may have been sent.
     lost_incarnations : list
@@ -90,6 +93,7 @@
         self.organisation = organisation
         self.is_retry = False
         self.runs = 0
+        self.prefills = 0
         self.was_sent = False
         self.lost_incarnations = []
         self.search = MemorySearch()
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -71,7 +71,7 @@
     in_time : bool
         Whether the first event can still be in time.
     """
-    for attempt in range(MAX_PREFILL_ENGINES):
+    for _ in range(MAX_PREFILL_ENGINES):
         estimates = _estimates(context, active, decode_engine)
         if _prefills_locally(
             context, active, estimates, in_time, decode_engine
@@ -80,7 +80,9 @@
         estimate = await _admitted(context, estimates)
         if estimate is None:
             break
-        if attempt and not context.use_retry_budget(active.service.name):
+        if active.prefills and not context.use_retry_budget(
+            active.service.name
+        ):
             active.add_step(StepKind.NO_BUDGET)
             break
         try:
@@ -219,6 +221,7 @@
     try:
         answer = await _request_prefill(context, active, record, best, in_time)
     except ExchangeError as exc:
+        active.prefills += exc.sent
         _handle_failed_prefill(context, record, exc, began_s)
         if isinstance(exc, InvalidResponseError):
             context.crash_watch.check_lost_run(active, record, exc.phase)
@@ -226,6 +229,7 @@
         raise PrefillFailedError(str(exc), maybe_running=exc.sent) from exc
     finally:
         context.load.remove(record.upstream, active.call.prompt_tokens)
+    active.prefills += 1
     prefill = _parse_answer(context, active, record, sent_s, answer)
     _record_prefill_time(context, active, context.now_s - began_s)
     active.add_step(StepKind.PREFILL, record.upstream)
--- a/currantdeal/entry/tests/test_resets.py
+++ b/currantdeal/entry/tests/test_resets.py
@@ -24,6 +24,7 @@
     event_numbers,
     read_request,
     send_event,
+    send_refusal,
 )
 
 LARGE_BODY = b"x" * 60_000
@@ -215,3 +216,35 @@
     for answer in answers:
         assert event_numbers(answer) == list(range(1, EVENTS + 1))
     assert len(prefill.requests) == sent
+
+
+@pytest.mark.parametrize(("allowance", "sent"), [(2.0, 1), (100.0, 2)])
+def test_a_second_prefill_of_a_later_attempt_uses_the_retry_budget(
+    allowance, sent
+):
+    """Guards against a repeated prefill that is not charged for."""
+    refused = []
+
+    async def refuse_first(standin, request, writer):
+        if request.is_system_call or refused:
+            return False
+        refused.append(request)
+        send_refusal(request, writer)
+        return True
+
+    async def run():
+        prefill = StandInUpstream(upstream="p1")
+        engines = [
+            StandInUpstream(upstream=name, script=refuse_first)
+            for name in ("d1", "d2")
+        ]
+        for standin in (prefill, *engines):
+            await standin.start()
+        async with entry_world(allowance=allowance) as world:
+            world.announce_engines(prefill, *engines)
+            note = request_bytes("/note/1", more=GENERATION)
+            return await world.exchange(note), prefill
+
+    answer, prefill = asyncio.run(run())
+    assert event_numbers(answer) == list(range(1, EVENTS + 1))
+    assert len(prefill.requests) == sent
