--- a/currantdeal/testing/node_processes.py
+++ b/currantdeal/testing/node_processes.py
@@ -167,13 +167,14 @@
         return f"http://{process.settings['listen']['metrics']}/metrics"
 
     def call(self, method, url, body=None):
-        """Send a request; return status and body, or 0 without an answer."""
+        """Send a request; return status and body, or 0 without an answer.
+
+        An answer that is broken off counts as none.
+        """
         request = urllib.request.Request(url, data=body, method=method)
         try:
-            with urllib.request.urlopen(request, timeout=CALL_TIMEOUT_S) as r:
-                return r.status, r.read()
-        except urllib.error.HTTPError as exc:
-            return exc.code, exc.read()
+            with _open(request) as answer:
+                return answer.status, answer.read()
         except (OSError, http.client.HTTPException):
             return 0, b""
 
@@ -258,6 +259,14 @@
         )
 
 
+def _open(request):
+    """Return the response to a request, also one that is an error."""
+    try:
+        return urllib.request.urlopen(request, timeout=CALL_TIMEOUT_S)
+    except urllib.error.HTTPError as exc:
+        return exc
+
+
 def _address_prefix():
     # Derived from the process id, so that clusters of tests that run in
     # parallel do not share addresses.
