Refuse a configuration whose health checks cannot be sent

What would be seen: upstreams of a service whose HealthPath has a space or no slash at its start, once ejected, never come back, since the task that checks them raises.

Cause: the path was taken as any text.

Change: it must be a path of visible ASCII; the configuration is answered 400.

Evidence: found by a new test that plays generated configurations, requests and heads of answers and encodes what is accepted; both new cases of test_control.py failed before.

--- a/currantdeal/platform/config.py
+++ b/currantdeal/platform/config.py
@@ -9,7 +9,7 @@
     QuotaUnit,
     digest_key,
 )
-from currantdeal.platform.decoding import Int64, decode_json
+from currantdeal.platform.decoding import Int64, Path, decode_json
 from currantdeal.routing import (
     CallerLimits,
     EngineTraits,
@@ -57,7 +57,7 @@
 
 class _Service(msgspec.Struct):
     Name: str
-    HealthPath: str = "/"
+    HealthPath: Path = "/"
     MaxConnections: int = 100
     Engine: _Engine | None = None
 
--- a/currantdeal/platform/decoding.py
+++ b/currantdeal/platform/decoding.py
@@ -18,6 +18,9 @@
 PathName = Annotated[str, msgspec.Meta(pattern=r'\A[!"$&-.0->@-~]{1,256}\Z')]
 """Name that also fits into one segment of a path."""
 
+Path = Annotated[str, msgspec.Meta(pattern=r"\A/[!-~]*\Z")]
+"""Path of a request, with its query."""
+
 Label = Annotated[
     str, msgspec.Meta(pattern=r"\A[^\x00-\x1f\x7f]*\Z", max_length=256)
 ]
--- a/currantdeal/platform/tests/test_control.py
+++ b/currantdeal/platform/tests/test_control.py
@@ -141,6 +141,8 @@
         config_body().replace(b'"idempotent"', b'"sometimes"'),
         config_body().replace(b'"Version":1', b'"Version":"1"'),
         config_body().replace(b'"Service":"shop",', b"", 1),
+        config_body().replace(b'"HealthPath":"/h"', b'"HealthPath":"/h h"'),
+        config_body().replace(b'"HealthPath":"/h"', b'"HealthPath":"h"'),
         b"",
     ],
 )
--- a/currantdeal/platform/tests/test_outside_bytes.py
+++ b/currantdeal/platform/tests/test_outside_bytes.py
@@ -1,21 +1,30 @@
 """What decoders of outside bytes accept can be passed on wherever it goes."""
 
 import json
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from currantdeal.control.demand_tracker import DemandTracker
 from currantdeal.core.errors import DialectError
 from currantdeal.node.answer_parser import AnswerParser
 from currantdeal.node.dialect import ForwardingOptions, StageOrder
 from currantdeal.node.extra_answers import ExtraAnswerLog
-from currantdeal.node.head import RequestHead
+from currantdeal.node.head import RequestHead, ResponseHead
 from currantdeal.node.messages import UpstreamsNotice
 from currantdeal.node.peers import FrameKind, pack_frame
+from currantdeal.platform import headers as header_names
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.platform.control import PlatformControl
+from currantdeal.policy.decode_memory import (
+    GenerationSize,
+    tokens_to_reserve,
+)
 from currantdeal.registry import Stage
+from currantdeal.routing import InvalidConfigError, RouteTable, check_config
+from currantdeal.testing.entry_world import config_body
 
 CONTROL = PlatformControl()
 BOUNDED = settings(max_examples=150, derandomize=True, deadline=None)
@@ -174,3 +183,115 @@
         _send(call)
         assert call.target.count("/") == 3
         assert not set(call.target) & set("?#%")
+
+
+ANSWER_HEADERS = (
+    header_names.INSTANCE,
+    header_names.LOAD,
+    header_names.RATE_LIMIT,
+    header_names.SIGNATURE,
+    b"content-type",
+)
+HEADER_VALUES = st.one_of(
+    st.binary(max_size=20).map(
+        lambda raw: bytes(b for b in raw if b > 31 and b != 127).strip()
+    ),
+    st.sampled_from(
+        (b"", b"-1", b"1e400", b"nan", b"9" * 40, b"3,4", b"\xb2")
+    ),
+)
+CALLER_HEADERS = st.dictionaries(
+    st.sampled_from(
+        (
+            header_names.REQUEST_ID,
+            header_names.DEADLINE,
+            header_names.TOKEN_COUNTS,
+            header_names.LENGTH_HINT,
+            header_names.LAST_EVENT_ID,
+            header_names.AUTHORIZATION,
+            header_names.KV_SOURCE,
+            b"connection",
+            b"x-other",
+        )
+    ),
+    HEADER_VALUES,
+)
+
+
+@BOUNDED
+@given(headers=CALLER_HEADERS)
+def test_an_accepted_request_can_be_sent(headers):
+    """Guards against a header of a caller that closes its own connection."""
+    calls = PlatformCalls()
+    head = RequestHead(
+        method="GET",
+        target="/",
+        headers=((b"host", b"cakes.example"), *headers.items()),
+    )
+    try:
+        call = calls.read_caller(head)
+    except DialectError:
+        return
+    options = ForwardingOptions(
+        upstream="u", time_left_s=1.0, resume_after=call.resume_after
+    )
+    _send(calls.outgoing(head, b"", options))
+
+
+@BOUNDED
+@given(headers=st.dictionaries(st.sampled_from(ANSWER_HEADERS), HEADER_VALUES))
+def test_each_head_of_an_answer_can_be_read(headers):
+    """Guards against an answer that raises where it is read."""
+    head = ResponseHead(status=200, headers=tuple(headers.items()))
+    metadata = PlatformCalls().read_response(head)
+    assert metadata.limit_per_s is None or metadata.limit_per_s >= 0.0
+
+
+CONFIG = json.loads(config_body())
+
+
+@BOUNDED
+@given(data=st.data())
+def test_an_accepted_configuration_can_be_used(data):
+    """Guards against a configuration that ends whoever applies it."""
+    config = json.loads(json.dumps(CONFIG))
+    parts = (
+        config["Limits"],
+        *config["Routes"],
+        *config["Services"],
+        config["Services"][1]["Engine"],
+        config,
+    )
+    for _ in range(data.draw(st.integers(1, 3))):
+        part = data.draw(st.sampled_from(parts))
+        part[data.draw(st.sampled_from(sorted(part)))] = data.draw(VALUES)
+    body = json.dumps(config).encode()
+    try:
+        decoded = CONTROL.read_config(body)
+        check_config(decoded)
+    except (DialectError, InvalidConfigError):
+        return
+    table = RouteTable(config=decoded)
+    table.find("cakes.example", "/menu/1")
+    calls = PlatformCalls()
+    for service in table.services:
+        _send(calls.check_health("10.0.0.1:80", service.health_path))
+        _use_engine(calls, service)
+
+
+def _use_engine(calls, service):
+    tracker = DemandTracker(clock=lambda: 0.0)
+    tracker.update_config(SimpleNamespace(services=(service,)))
+    tracker.switch_s(service.name)
+    if service.engine is not None:
+        size = GenerationSize(
+            prompt_tokens=9, max_output_tokens=9, expected_output_tokens=0
+        )
+        _send(
+            calls.reserve(
+                "10.0.0.1:80",
+                tokens=tokens_to_reserve(size, service.engine.kv_tokens),
+                hold_s=service.engine.hold_s,
+                upstream="u",
+            )
+        )
