Name what a decode request relies on, and encode a test's heartbeat properly

Found in a last reading of the diff: a variable named as a step of a request holds a reservation or a prefill; the reason why an answer of unknown owner is not read for load was missing; a test made JSON by replacing quotes. No change of behaviour.

--- a/currantdeal/cli/tests/test_unknown_services.py
+++ b/currantdeal/cli/tests/test_unknown_services.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 
 from currantdeal.testing.entry_world import (
     config_body,
@@ -34,7 +35,7 @@
     statuses = []
     for process in cluster.control:
         url = cluster.control_url(process, f"/v1/instances/{upstream}")
-        body = str(message).replace("'", '"').encode()
+        body = json.dumps(message).encode()
         status, _ = await asyncio.to_thread(cluster.call, "PUT", url, body)
         statuses.append(status)
     return statuses
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -183,9 +183,9 @@
         """
         view = self._context.view
         lost = [
-            step.record.upstream
-            for step in (reservation, prefill)
-            if step is not None and not view.is_current(step.record)
+            held.record.upstream
+            for held in (reservation, prefill)
+            if held is not None and not view.is_current(held.record)
         ]
         if lost:
             self._reason = f"{lost[0]!r} was restarted or left meanwhile"
--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -217,6 +217,7 @@
             self.record_unreachable(record, exc)
             return None
         if head.is_identified:
+            # Load and limits of a repeated answer are out of date.
             context.read_response(record, head)
         accepts_work = context.view.accepts_work(record.upstream)
         if head.status != 200:
