Take no port for a test that another process may be given

In test_replica_whose_disk_fails_acknowledges_nothing the killed instance could not bind its old address: "Address already in use" on 127.0.0.1:34349.

Cause: the instances of the test cluster listened on ports of the ephemeral range (32768 to 60999). While one was killed, the system could give its port to any connection or listener of the tests that run in parallel. The gossip test had the same gap between finding a port and binding it.

Change: both take their ports from PortReservations, which lie below that range and are locked for all test processes.

Evidence: the new test failed before ("not 32768 <= port"), and passes. The collision itself was not provoked again. The tests of both folders pass.

--- a/currantdeal/adapters/replication/tests/builders.py
+++ b/currantdeal/adapters/replication/tests/builders.py
@@ -28,6 +28,7 @@
     SetLabels,
 )
 from currantdeal.testing import waiting
+from currantdeal.testing.ports import PortReservations
 
 LIMIT_S = 30.0
 TIMING = TimingSettings(
@@ -136,13 +137,11 @@
         names = [f"i{n + 1}" for n in range(replicas + others)]
         self.replicas = names[:replicas]
         self._first_set = self.replicas[:first_set]
-        self._servers = {
-            name: PeerServer(host="127.0.0.1", port=0) for name in names
-        }
-        self.addresses = {
-            name: f"127.0.0.1:{server.port}"
-            for name, server in self._servers.items()
-        }
+        # A port of the ephemeral range could be taken by another process
+        # while its instance is killed.
+        self._ports = PortReservations()
+        self.addresses = {name: self._ports.take_address() for name in names}
+        self._servers = {name: self._make_server(name) for name in names}
         self.pools = {}
         self.services = {}
         for name in names:
@@ -182,8 +181,7 @@
 
     def start(self, name):
         """Restart a killed instance at its old address."""
-        port = int(self.addresses[name].rpartition(":")[2])
-        server = PeerServer(host="127.0.0.1", port=port)
+        server = self._make_server(name)
         self._servers[name] = server
         self._start(name, server)
 
@@ -213,6 +211,11 @@
         """Kill every instance."""
         for name in list(self.services):
             self.kill(name)
+        self._ports.close()
+
+    def _make_server(self, name):
+        host, _, port = self.addresses[name].rpartition(":")
+        return PeerServer(host=host, port=int(port))
 
     def _start(self, name, server):
         replica = name in self.replicas
--- a/currantdeal/adapters/replication/tests/test_replicated_state.py
+++ b/currantdeal/adapters/replication/tests/test_replicated_state.py
@@ -1,5 +1,6 @@
 import shutil
 import time
+from pathlib import Path
 
 import pytest
 
@@ -265,3 +266,12 @@
     assert cluster.services[leader].transfer_leadership(timeout_s=LIMIT_S)
     wait_until(lambda: cluster.leader() not in (None, leader))
     assert isinstance(propose(cluster, leader, selector("more")), Applied)
+
+
+def test_port_of_a_killed_instance_is_not_assigned_to_another_process(cluster):
+    """Guards against a restart at an address that was taken meanwhile."""
+    limits = Path("/proc/sys/net/ipv4/ip_local_port_range").read_text()
+    first_ephemeral, last_ephemeral = map(int, limits.split())
+    for address in cluster.addresses.values():
+        port = int(address.rpartition(":")[2])
+        assert not first_ephemeral <= port <= last_ephemeral
--- a/currantdeal/adapters/tests/test_gossip.py
+++ b/currantdeal/adapters/tests/test_gossip.py
@@ -1,4 +1,4 @@
-import socket
+import contextlib
 import time
 
 from currantdeal.adapters.clock import SystemClock
@@ -6,19 +6,13 @@
 from currantdeal.membership import SwimTiming
 from currantdeal.membership.tests.builders import build_member
 from currantdeal.ports import MemberStatus
+from currantdeal.testing.ports import PortReservations
 
 LIMIT_S = 30.0
 
 
-def _free_port():
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
-def _start(number, seeds=()):
+def _start(number, *, port, seeds=()):
     clock = SystemClock()
-    port = _free_port()
     gossip = Gossip(
         me=build_member(
             number,
@@ -48,8 +42,14 @@
 
 
 def test_two_instances_join_over_udp_and_one_leaves():
-    first = _start(1)
-    second = _start(2, seeds=(f"127.0.0.1:{first.port}",))
+    ports = PortReservations()
+    with contextlib.closing(ports):
+        _join_and_leave(ports.take(), ports.take())
+
+
+def _join_and_leave(first_port, second_port):
+    first = _start(1, port=first_port)
+    second = _start(2, port=second_port, seeds=(f"127.0.0.1:{first_port}",))
     try:
         _until(lambda: _status(first, "i2") is MemberStatus.ALIVE)
         second.set_draining()
