Refuse messages and files that no decoder expects, at the decoder

What could happen: bytes that are nested too deeply, a length beyond the limit of a frame, or a number of more than 64 bits raised RecursionError, OverflowError or an error of the Thrift library through layers that handle only the error of their decoder. A settings file nested too deeply ended a process at its reload.

Cause: each decoder listed the errors of its library for itself, and left out those that are no subclass of the library's error.

Change: core.DECODE_ERRORS is the one list for msgspec, used by every decoder; frames have one list beside them. Datagrams of the membership bound their numbers: a negative status was read from the end of the list, and a load near 2**64 could not be sent on.

--- a/currantdeal/adapters/engines.py
+++ b/currantdeal/adapters/engines.py
@@ -12,6 +12,7 @@
     connection_lost_error,
 )
 from currantdeal.core import (
+    DECODE_ERRORS,
     KvExpiredError,
     Ran,
     StaleFenceError,
@@ -168,7 +169,7 @@
 def _decode(decoder, raw):
     try:
         return decoder.decode(raw)
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         raise UpstreamRefusedError(
             f"invalid answer of the engine: {exc}", ran=Ran.MAYBE
         ) from exc
@@ -177,7 +178,7 @@
 def _refusal(status, body):
     try:
         refusal = msgspec.json.decode(body, type=_Refusal)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         refusal = _Refusal(message=f"status {status}")
     message = f"{refusal.error}: {refusal.message}"
     if refusal.error == "stale-fence":
--- a/currantdeal/adapters/settings.py
+++ b/currantdeal/adapters/settings.py
@@ -20,7 +20,13 @@
 import msgspec
 
 from currantdeal.adapters.errors import AdapterError
-from currantdeal.core import CallerId, DataCenterId, InstanceId, RegionId
+from currantdeal.core import (
+    DECODE_ERRORS,
+    CallerId,
+    DataCenterId,
+    InstanceId,
+    RegionId,
+)
 from currantdeal.policy import UserWeights
 
 
@@ -172,7 +178,7 @@
     """
     try:
         return msgspec.json.decode(raw, type=Settings)
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         raise SettingsError(f"settings: {exc}") from exc
 
 
--- a/currantdeal/adapters/settings_check.py
+++ b/currantdeal/adapters/settings_check.py
@@ -26,6 +26,7 @@
     SettingsError,
     parse_settings,
 )
+from currantdeal.core import DECODE_ERRORS
 
 WITHDRAWAL_S = 3.0
 """Time after which a withdrawn upstream is given no new work."""
@@ -54,7 +55,7 @@
     """Return every problem of a settings file's bytes, sorted by path."""
     try:
         value = msgspec.json.decode(raw)
-    except msgspec.DecodeError as exc:
+    except DECODE_ERRORS as exc:
         return (Problem(path="", message=f"not JSON: {exc}"),)
     if not isinstance(value, dict):
         return (Problem(path="", message="expected an object"),)
--- a/currantdeal/cli/client.py
+++ b/currantdeal/cli/client.py
@@ -13,6 +13,7 @@
 import urllib3
 
 from currantdeal.cli.errors import CommandError, ExitCode
+from currantdeal.core import DECODE_ERRORS
 
 CONNECT_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 10.0
@@ -133,7 +134,7 @@
     def _decode(self, answer, cls):
         try:
             return msgspec.json.decode(answer.data, type=cls)
-        except msgspec.MsgspecError as exc:
+        except DECODE_ERRORS as exc:
             raise CommandError(
                 f"the answer cannot be decoded: {exc}",
                 code=ExitCode.FAILED,
@@ -169,7 +170,7 @@
 def _parse_problem(answer):
     try:
         return msgspec.json.decode(answer.data, type=Problem)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return Problem(title=f"HTTP status {answer.status}")
 
 
--- a/currantdeal/cli/request_history.py
+++ b/currantdeal/cli/request_history.py
@@ -95,7 +95,13 @@
         at = float(fields.pop("at"))
         instance = str(fields.pop("instance"))
         event = str(fields.pop("event"))
-    except (ValueError, KeyError, TypeError, AttributeError):
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        RecursionError,
+    ):
         return None
     return LogLine(at=at, instance=instance, event=event, fields=fields)
 
--- a/currantdeal/cli/selector_commands.py
+++ b/currantdeal/cli/selector_commands.py
@@ -12,6 +12,7 @@
 from currantdeal.cli.options import with_session, with_wait
 from currantdeal.cli.output import join, print_table
 from currantdeal.core import (
+    DECODE_ERRORS,
     ParseError,
     Role,
     Selector,
@@ -120,7 +121,7 @@
                 upstream_regions=parts["upstream_regions"],
             )
         parse_expression(selector.expression)
-    except (ParseError, ValueError, msgspec.MsgspecError) as exc:
+    except (ParseError, ValueError, *DECODE_ERRORS) as exc:
         raise CommandError(
             f"invalid selector: {exc}",
             code=ExitCode.USAGE,
--- a/currantdeal/control/record_store.py
+++ b/currantdeal/control/record_store.py
@@ -39,7 +39,7 @@
     records: tuple[UpstreamRecord, ...]
 
 
-_CODEC = Codec(classes=(SavedCrashes, SavedLeaves))
+RECORDS_CODEC = Codec(classes=(SavedCrashes, SavedLeaves))
 
 
 class RecordStore:
@@ -65,7 +65,7 @@
         """Return the records in the file, or none if it cannot be read."""
         try:
             raw = self._file.read()
-            return _CODEC.decode(raw).records if raw else ()
+            return RECORDS_CODEC.decode(raw).records if raw else ()
         except (DiskError, CodecError) as exc:
             self._log_error("records-unreadable", exc)
             return ()
@@ -81,7 +81,9 @@
         while True:
             await self._changed.wait()
             self._changed.clear()
-            raw = _CODEC.encode(self._content_type(records=self._records))
+            raw = RECORDS_CODEC.encode(
+                self._content_type(records=self._records)
+            )
             try:
                 await loop.run_in_executor(self._thread, self._file.write, raw)
                 await asyncio.sleep(WRITE_INTERVAL_S)
--- a/currantdeal/core/__init__.py
+++ b/currantdeal/core/__init__.py
@@ -1,7 +1,7 @@
 """Value types, errors and small functions that every package uses."""
 
 from currantdeal.core.clocks import boot_time_s
-from currantdeal.core.codec import Codec
+from currantdeal.core.codec import DECODE_ERRORS, Codec
 from currantdeal.core.digests import digest_parts
 from currantdeal.core.errors import (
     CodecError,
@@ -51,6 +51,7 @@
 
 __all__ = [
     "CallerId",
+    "DECODE_ERRORS",
     "Codec",
     "CodecError",
     "CoreError",
--- a/currantdeal/membership/load_wire.py
+++ b/currantdeal/membership/load_wire.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from currantdeal.core import LoadReport
+from currantdeal.core import DECODE_ERRORS, LoadReport
 from currantdeal.membership.errors import WireError
 
 MICROSECONDS_PER_S = 1_000_000
@@ -56,7 +56,7 @@
         return ()
     try:
         return tuple(_to_report(row) for row in _DECODER.decode(raw))
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         raise WireError(f"cannot decode load reports: {exc}") from exc
 
 
--- a/currantdeal/membership/wire.py
+++ b/currantdeal/membership/wire.py
@@ -6,9 +6,11 @@
 """
 
 from functools import lru_cache
+from typing import Annotated
 
 import msgspec
 
+from currantdeal.core import DECODE_ERRORS
 from currantdeal.membership.errors import WireError
 from currantdeal.membership.messages import Ack, Exchange, Ping, PingRequest
 from currantdeal.ports import Member, MemberStatus
@@ -21,14 +23,20 @@
 
 _STATUSES = tuple(MemberStatus)
 _STATUS_CODES = {status: number for number, status in enumerate(_STATUSES)}
+_KINDS = (Ping, Ack, PingRequest, Exchange)
+
+_Natural = Annotated[int, msgspec.Meta(ge=0)]
+_Status = Annotated[int, msgspec.Meta(ge=0, lt=len(_STATUSES))]
+_Kind = Annotated[int, msgspec.Meta(ge=0, lt=len(_KINDS))]
+_Load = Annotated[int, msgspec.Meta(ge=0, lt=2**53)]  # exact as a float
 
 
 class _Record(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     instance: str
-    incarnation: int
-    status: int
+    incarnation: _Natural
+    status: _Status
     draining: bool
-    load: int
+    load: _Load
     caller_address: str
     peer_address: str
     region: str
@@ -36,15 +44,14 @@
 
 
 class _Datagram(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    kind: int
-    seq: int
+    kind: _Kind
+    seq: _Natural
     about: str
     flag: bool
     sender: _Record
     rumors: tuple[msgspec.Raw, ...]
 
 
-_KINDS = (Ping, Ack, PingRequest, Exchange)
 _ENCODER = msgspec.msgpack.Encoder()
 _DATAGRAM_DECODER = msgspec.msgpack.Decoder(_Datagram)
 _RECORD_DECODER = msgspec.msgpack.Decoder(_Record)
@@ -84,7 +91,7 @@
     try:
         datagram = _DATAGRAM_DECODER.decode(raw)
         return _to_message(datagram)
-    except (msgspec.MsgspecError, IndexError) as exc:
+    except DECODE_ERRORS as exc:
         raise WireError(f"not a membership message: {exc}") from exc
 
 
--- a/currantdeal/node/peers.py
+++ b/currantdeal/node/peers.py
@@ -10,6 +10,7 @@
 
 import structlog
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
+from thrift.Thrift import TException
 from thrift.TSerialization import deserialize, serialize
 
 from currantdeal.adapters.generated.peers.ttypes import Frame, FrameKind
@@ -35,6 +36,16 @@
 MAX_BACKLOG_BYTES = 8_388_608
 """Unsent bytes for a slow peer beyond which its connection is aborted."""
 
+_UNREADABLE = (
+    CodecError,
+    TException,
+    EOFError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
+"""Errors of bytes that are not a frame, or whose body is no message."""
+
 _log = structlog.get_logger(__name__)
 _LENGTH = struct.Struct("!I")
 _PROTOCOL = TBinaryProtocolAcceleratedFactory()
@@ -156,7 +167,7 @@
         try:
             frame = deserialize(Frame(), raw, _PROTOCOL)
             message = PEER_CODEC.decode(frame.body)
-        except (CodecError, EOFError, TypeError, ValueError):
+        except _UNREADABLE:
             return False
         if frame.kind == FrameKind.NOTICE:
             self._on_notice(self, message)
--- a/currantdeal/node/settings.py
+++ b/currantdeal/node/settings.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from currantdeal.core import DECODE_ERRORS
 from currantdeal.node.errors import SettingsFileError
 
 
@@ -97,7 +98,7 @@
         return _DECODER.decode(Path(path).read_bytes())
     except OSError as exc:
         raise SettingsFileError(f"{path}: {exc.strerror}") from exc
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         raise SettingsFileError(f"{path}: {exc}") from exc
 
 
--- a/currantdeal/node/tests/test_peers.py
+++ b/currantdeal/node/tests/test_peers.py
@@ -7,6 +7,7 @@
 from currantdeal.node.messages import Done, JoinCall, ReadConfigCall
 from currantdeal.node.peers import PeerConnection, PeerLink, pack_frame
 
+NESTED_BODY = b"\x92\xa4Done" + b"\x91" * 100_000
 CALL = JoinCall(instance="a", address="a", blank=False)
 
 
@@ -65,12 +66,35 @@
     assert asyncio.run(run()).accepted
 
 
-def test_invalid_frame_closes_the_connection():
+@pytest.mark.parametrize(
+    "frame",
+    [
+        pytest.param(b"hello", id="no frame"),
+        pytest.param(b"\x0b\x00\x03\x7f\xff\xff\xff", id="longer than said"),
+        pytest.param(b"\x0b\x00\x03\xff\xff\xff\xff", id="negative length"),
+        pytest.param(
+            b"\x0f\x00\x09" + b"\x0f\x00\x00\x00\x01" * 1_000, id="nested"
+        ),
+        pytest.param(
+            b"\x0b\x00\x03"
+            + len(NESTED_BODY).to_bytes(4, "big")
+            + NESTED_BODY
+            + b"\x00",
+            id="nested body",
+        ),
+    ],
+)
+def test_invalid_frame_closes_the_connection(frame):
+    """Guards against bytes that raise what no layer expects."""
+    unexpected = []
+
     async def run():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, found: unexpected.append(found))
         server, _ = await _server(None)
         host, port = server.sockets[0].getsockname()
         reader, writer = await asyncio.open_connection(host, port)
-        writer.write(b"\x00\x00\x00\x05hello")
+        writer.write(len(frame).to_bytes(4, "big") + frame)
         async with asyncio.timeout(2.0):
             try:
                 return await reader.read()
@@ -78,6 +102,7 @@
                 return b""
 
     assert asyncio.run(run()) == b""
+    assert not unexpected
 
 
 def test_refused_connection_raises_in_time():
--- a/currantdeal/state/snapshot.py
+++ b/currantdeal/state/snapshot.py
@@ -9,7 +9,13 @@
 import msgspec
 from immutables import Map
 
-from currantdeal.core import Codec, InstanceId, RequestId, UpstreamId
+from currantdeal.core import (
+    DECODE_ERRORS,
+    Codec,
+    InstanceId,
+    RequestId,
+    UpstreamId,
+)
 from currantdeal.state.cluster import (
     AuditRecord,
     Claim,
@@ -101,7 +107,7 @@
     """
     try:
         snap = msgspec.msgpack.decode(raw, type=_Snapshot)
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         raise SnapshotError(f"undecodable snapshot: {exc}") from exc
     return ClusterState(
         version=snap.version,
