Confine an unexpected error to the task that raised it

What could happen: an error that nobody expects in the task that follows a control instance, writes records, joins the replica set or watches the settings ended its process; one in a task that nobody waits for was only printed when the task was collected.

Cause: only the tasks that are called at an interval were protected.

Change: tasks that run for as long as their process are started again after a pause; those that only repeat a call use call_periodically; the loop reports errors that no task handles. Each is logged (task-failed) and counted. The replica still ends its process, since its disk may be lost. An entry closes the connection to its source before it follows one again.

--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -10,11 +10,14 @@
 from currantdeal.adapters.disk import DataFolder, StateFile
 from currantdeal.adapters.metrics import Metrics
 from currantdeal.cli.process import (
+    SETTINGS_INTERVAL_S,
     LoopDelay,
     MetricsEndpoint,
     SettingsFile,
     call_periodically,
     install_signal_handlers,
+    keep_running,
+    report_unhandled_errors,
     run_until,
 )
 from currantdeal.consensus import MESSAGE_CODEC
@@ -197,6 +200,7 @@
         install_signal_handlers(
             stop=self._stopping.set, reload=self._file.reload
         )
+        report_unhandled_errors(self._metrics)
         if stop_requested():
             self._stopping.set()
         _log.info(
@@ -217,12 +221,12 @@
             self._stopping,
             LoopDelay(metrics=self._metrics).run(),
             self._replica.run(),
-            self._file.watch(),
+            self._repeat(SETTINGS_INTERVAL_S, self._file.reload_if_changed),
             self._repeat(HEARTBEAT_S, self._service.send_heartbeat),
             self._repeat(LOAD_INTERVAL_S, self._service.publish_loads),
-            self._step_membership(),
-            self._crash_store.run(),
-            self._leave_store.run(),
+            self._repeat(JOIN_INTERVAL_S, self._membership.join_if_needed),
+            keep_running(self._crash_store.run, metrics=self._metrics),
+            keep_running(self._leave_store.run, metrics=self._metrics),
             self._repeat(PLAN_INTERVAL_S, self._orders.step),
         )
         await self._leave_replica_set()
@@ -294,11 +298,6 @@
         for name, value in self._service.sizes.items():
             self._metrics.set(name, value)
 
-    async def _step_membership(self):
-        while True:
-            await asyncio.sleep(JOIN_INTERVAL_S)
-            await self._membership.join_if_needed()
-
     def _on_state(self, state):
         self._service.on_state(state)
 
--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -8,11 +8,14 @@
 
 from currantdeal.adapters.metrics import Metrics
 from currantdeal.cli.process import (
+    SETTINGS_INTERVAL_S,
     LoopDelay,
     MetricsEndpoint,
     SettingsFile,
     call_periodically,
     install_signal_handlers,
+    keep_running,
+    report_unhandled_errors,
     run_until,
 )
 from currantdeal.core import boot_time_s
@@ -151,6 +154,7 @@
         settings = self._file.current
         stopping = asyncio.Event()
         install_signal_handlers(stop=stopping.set, reload=self._file.reload)
+        report_unhandled_errors(self._metrics)
         _log.info(
             "started",
             role="entry",
@@ -165,10 +169,10 @@
         await run_until(
             stopping,
             LoopDelay(metrics=self._metrics).run(),
-            self._subscription.run(),
+            keep_running(self._subscription.run, metrics=self._metrics),
             self._repeat(LOAD_INTERVAL_S, self._subscription.send_load),
             self._repeat(QUOTA_REFILL_S, self._refill_quotas),
-            self._file.watch(),
+            self._repeat(SETTINGS_INTERVAL_S, self._file.reload_if_changed),
         )
         await self._drain()
         _log.info("stopped", cut=self._server.active_requests)
--- a/currantdeal/cli/process.py
+++ b/currantdeal/cli/process.py
@@ -11,6 +11,9 @@
 from currantdeal.node.http_server import HttpServer
 from currantdeal.node.settings import read_settings, split_address
 
+RESTART_PAUSE_S = 1.0
+"""Pause before a task that raised is started again, in seconds."""
+
 SETTINGS_INTERVAL_S = 2.0
 """Interval between checks of the settings file, in seconds.
 
@@ -52,12 +55,10 @@
             "settings-reloaded", control=self._settings.control_addresses
         )
 
-    async def watch(self):
-        """Reload whenever the file changes, until cancelled."""
-        while True:
-            await asyncio.sleep(SETTINGS_INTERVAL_S)
-            if self._read_stamp() != self._last_stamp:
-                self.reload()
+    def reload_if_changed(self):
+        """Reload if the file has changed since it was read."""
+        if self._read_stamp() != self._last_stamp:
+            self.reload()
 
     def _read_stamp(self):
         try:
@@ -159,6 +160,67 @@
             if inspect.isawaitable(result):
                 await result
         except Exception as exc:
-            task = getattr(action, "__qualname__", repr(action))
-            metrics.add("task_failures_total", task=task)
-            _log.exception("task-failed", task=task, why=repr(exc))
+            _report_failure(_name_of(action), exc, metrics)
+
+
+async def keep_running(work, *, metrics):
+    """Run a coroutine function until cancelled, and again when it raises.
+
+    Parameters
+    ----------
+    work : callable
+        Coroutine function that only ends by an error.
+    metrics : currantdeal.ports.MetricsPort
+        Counts the errors.
+    """
+    while True:
+        try:
+            await work()
+        except Exception as exc:
+            _report_failure(_name_of(work), exc, metrics)
+        await asyncio.sleep(RESTART_PAUSE_S)
+
+
+def report_unhandled_errors(metrics):
+    """Log and count the errors that no task of the running loop handles.
+
+    These are errors of tasks that nobody waits for, and of callbacks such as
+    those of connections, which the loop then closes.  Neither ends the
+    process.
+
+    Parameters
+    ----------
+    metrics : currantdeal.ports.MetricsPort
+        Counts the errors.
+    """
+
+    def report(_loop, context):
+        error = context.get("exception") or context["message"]
+        _report_failure(_failed_part(context), error, metrics)
+
+    asyncio.get_running_loop().set_exception_handler(report)
+
+
+def _failed_part(context):
+    """Return a name for the source of an error that the loop reports."""
+    task = context.get("future")
+    if isinstance(task, asyncio.Task):
+        return _name_of(task.get_coro())
+    if "protocol" in context:
+        return type(context["protocol"]).__name__
+    return "callback"
+
+
+def _name_of(function):
+    return getattr(function, "__qualname__", type(function).__name__)
+
+
+def _report_failure(task, error, metrics):
+    metrics.add("task_failures_total", task=task)
+    is_raised = isinstance(error, BaseException)
+    _log.error(
+        "task-failed",
+        task=task,
+        why=repr(error),
+        exc_info=error if is_raised else None,
+    )
--- a/currantdeal/entry/subscription.py
+++ b/currantdeal/entry/subscription.py
@@ -192,8 +192,10 @@
         """Follow control instances until cancelled."""
         while True:
             await self._follow_any()
-            await self._watch_source()
-            self._disconnect()
+            try:
+                await self._watch_source()
+            finally:
+                self._disconnect()
 
     async def _follow_any(self):
         while True:
