Let no test cluster call the instances of another one

What was seen: now and then tests of the replicated state found no leader, or no replica set of three came back in 30 s, two of them once in the same second; a grant was missing after a hand-over. No logs were kept.

Hypotheses: (1) the quorum does not come back after a lost disk; (2) a slow disk; (3) instances of two tests that run in parallel call each other. The instances of all test clusters have the same names, and listened on ports of the ephemeral range. Those that remain go on calling one that was killed, whatever listens at its port by then.

--- a/currantdeal/adapters/tests/home_builders.py
+++ b/currantdeal/adapters/tests/home_builders.py
@@ -23,6 +23,7 @@
     Origin,
     apply_command,
 )
+from currantdeal.testing.ports import PortReservations
 from currantdeal.testing.waiting import wait_until
 
 LIMIT_S = 30.0
@@ -135,6 +136,9 @@
         self.members_by_name = {}
         self.homes = {}
         self.servers = {}
+        # Instances go on calling one that was killed, so its port must not
+        # be assigned to an instance of a test that runs beside this one.
+        self._ports = PortReservations()
         for number in range(1, count + 1):
             self.start(f"i{number}")
         self.announce(build_upstream())
@@ -148,8 +152,9 @@
         self.shared.propose(AnnounceUpstream(origin=origin, upstream=upstream))
 
     def start(self, name):
-        server = PeerServer(host="127.0.0.1", port=0)
-        address = f"127.0.0.1:{server.port}"
+        port = self._ports.take()
+        server = PeerServer(host="127.0.0.1", port=port)
+        address = f"127.0.0.1:{port}"
         self.members_by_name[name] = build_member(
             int(name[1:]), peer_address=address, wall_s=time.time()
         )
@@ -202,3 +207,4 @@
     def stop(self):
         for name in list(self.homes):
             self.kill(name)
+        self._ports.close()
