Wait in a test until its entry listens

Cause: its loop waits until the entry serves, but raised when the process did not listen yet. The other tests that wait so suppress that error.

--- a/currantdeal/cli/tests/test_answer_ends.py
+++ b/currantdeal/cli/tests/test_answer_ends.py
@@ -1,6 +1,7 @@
 """Ends of answers when an entry ends, with real processes."""
 
 import asyncio
+import contextlib
 import signal
 import time
 
@@ -65,10 +66,12 @@
         deadline_s = time.monotonic() + START_S
         while True:
             assert time.monotonic() < deadline_s, "the entry does not serve"
-            first, reader, writer = await _stream(entry)
-            if first.startswith(b"HTTP/1.1 200"):
-                break
-            writer.close()
+            # The process may not listen yet.
+            with contextlib.suppress(ConnectionRefusedError):
+                first, reader, writer = await _stream(entry)
+                if first.startswith(b"HTTP/1.1 200"):
+                    break
+                writer.close()
             await asyncio.sleep(0.1)
         entry.send_signal(signal_number)
         received = first + await read_to_end(reader)
