--- a/currantdeal/membership/load_wire.py
+++ b/currantdeal/membership/load_wire.py
@@ -6,6 +6,8 @@
 with times in whole microseconds, it takes about 40.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from currantdeal.core import DECODE_ERRORS, LoadReport
@@ -13,16 +15,19 @@
 
 MICROSECONDS_PER_S = 1_000_000
 
+_Number = Annotated[int, msgspec.Meta(gt=-(2**53), lt=2**53)]
+"""Integer that a float represents exactly."""
+
 
 class _Row(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     upstream_id: str
-    incarnation: int
-    running: int
-    queued: int
-    queued_tokens: int
-    pieces_free: int
-    step_us: int
-    prefill_tokens_per_s: int
+    incarnation: _Number
+    running: _Number
+    queued: _Number
+    queued_tokens: _Number
+    pieces_free: _Number
+    step_us: _Number
+    prefill_tokens_per_s: _Number
     cached_prefixes: tuple[int, ...]
 
 
--- a/currantdeal/membership/wire.py
+++ b/currantdeal/membership/wire.py
@@ -28,7 +28,8 @@
 _Natural = Annotated[int, msgspec.Meta(ge=0)]
 _Status = Annotated[int, msgspec.Meta(ge=0, lt=len(_STATUSES))]
 _Kind = Annotated[int, msgspec.Meta(ge=0, lt=len(_KINDS))]
-_Load = Annotated[int, msgspec.Meta(ge=0, lt=2**53)]  # exact as a float
+_Load = Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
+"""Load that a float represents exactly."""
 
 
 class _Record(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/currantdeal/state/snapshot.py
+++ b/currantdeal/state/snapshot.py
@@ -12,6 +12,7 @@
 from currantdeal.core import (
     DECODE_ERRORS,
     Codec,
+    CodecError,
     InstanceId,
     RequestId,
     UpstreamId,
@@ -107,7 +108,11 @@
     """
     try:
         snap = msgspec.msgpack.decode(raw, type=_Snapshot)
-    except DECODE_ERRORS as exc:
+        results = {
+            entry.request_id: _RESULT_CODEC.decode(entry.result)
+            for entry in snap.results
+        }
+    except (*DECODE_ERRORS, CodecError) as exc:
         raise SnapshotError(f"undecodable snapshot: {exc}") from exc
     return ClusterState(
         version=snap.version,
@@ -124,12 +129,7 @@
         draining=Map({name: True for name in snap.draining}),
         claims=Map({claim.key: claim for claim in snap.claims}),
         claim_order=fifo_of(snap.claim_order),
-        results=Map(
-            {
-                entry.request_id: _RESULT_CODEC.decode(entry.result)
-                for entry in snap.results
-            }
-        ),
+        results=Map(results),
         result_order=fifo_of(entry.request_id for entry in snap.results),
         audit=fifo_of(snap.audit),
     )
--- a/currantdeal/tests/test_decoders.py
+++ b/currantdeal/tests/test_decoders.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from immutables import Map
 
 from currantdeal.adapters.disk.records import RECORD_CODEC
 from currantdeal.adapters.replication.entries import (
@@ -25,8 +26,9 @@
 from currantdeal.node.errors import SettingsFileError
 from currantdeal.node.messages import PEER_CODEC
 from currantdeal.node.settings import read_settings
-from currantdeal.state import ClusterState
+from currantdeal.state import Applied, ClusterState
 from currantdeal.state.errors import SnapshotError
+from currantdeal.state.fifo import fifo_of
 from currantdeal.state.snapshot import decode_state, encode_state
 
 INT64 = st.integers(min_value=-(2**63), max_value=2**63 - 1)
@@ -58,6 +60,11 @@
 BOUNDED = settings(max_examples=12, derandomize=True, deadline=None)
 THOROUGH = settings(BOUNDED, max_examples=300)
 
+STATE = ClusterState(
+    results=Map({"request-1": Applied(version=1)}),
+    result_order=fifo_of(("request-1",)),
+)
+
 st.register_type_strategy(int, INT64)
 
 
@@ -129,9 +136,15 @@
 @THOROUGH
 @given(change=CHANGES)
 def test_an_accepted_snapshot_can_be_encoded(change):
-    raw = _changed(encode_state(ClusterState()), change)
-    errors = (SnapshotError, CodecError)
-    assert _is_kept(raw, decode_state, encode_state, errors)
+    raw = _changed(encode_state(STATE), change)
+    assert _is_kept(raw, decode_state, encode_state, SnapshotError)
+
+
+def test_a_snapshot_with_an_unknown_result_is_refused():
+    """Guards against results whose error the state does not expect."""
+    raw = encode_state(STATE).replace(b"Applied", b"Unknown")
+    with pytest.raises(SnapshotError):
+        decode_state(raw)
 
 
 def test_settings_that_are_nested_too_deeply_are_refused(tmp_path):
