Say plainly what an unidentified answer may be used for

Read as a newcomer: the use of a grant without an id, what the spare size of a connection is, and a comment that restated the length of a deployment's streams. Comments only.

--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -38,8 +38,7 @@
 REFUSE_STREAMS_AFTER_S = 2.5
 """Seconds after the stop request from which new streams are refused.
 
-A stream lasts three to four seconds, and the platform kills the process eight
-seconds after the stop request.
+Those accepted before need the rest of the grace period to end.
 """
 
 STOP_ACCEPTING_AFTER_S = 6.0
--- a/currantdeal/node/head.py
+++ b/currantdeal/node/head.py
@@ -50,8 +50,8 @@
     framing : Framing
         How the end of the body is marked.
     is_identified : bool
-        Whether it is known which request it answers.  A grant that tells
-        itself apart may be used without, nothing else of its answer.
+        Whether it is known which request it answers.  Otherwise only the
+        grant that it names may be used, not its load or limits.
     """
 
     status: int
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -152,7 +152,10 @@
         return self._parser.may_carry(outgoing)
 
     def spare_size(self, outgoing):
-        """Return by how much grants here may exceed what a request needs."""
+        """Return by how much grants here exceed a request, at least.
+
+        See ``AnswerParser.spare_size``.
+        """
         return self._parser.spare_size(outgoing)
 
     def send(self, outgoing):
