Count arrivals of each request beside its charges

Whether arrivals are charged could be told neither from logs nor from metrics: the budget counted what was charged, and nothing counted what was sent. Each request now counts what the connection writes of it (prefills, runs, calls), without the first prefill that is accepted, and what was charged for it; both stand in its log line, and in arrivals_total, prefills_accepted_total and retries_charged_total.

--- a/currantdeal/entry/active_request.py
+++ b/currantdeal/entry/active_request.py
@@ -51,6 +51,8 @@
         Version of the configuration of that route.
     deadline_s : float
         Loop time by which it must end.
+    arrivals : Arrivals
+        Counts what of it is sent to upstreams.
     organisation : Organisation or None
         Organisation of its caller; None if the route needs no key.
 
@@ -80,6 +82,7 @@
         service,
         version,
         deadline_s,
+        arrivals,
         organisation=None,
     ):
         """Start before the first attempt."""
@@ -90,6 +93,7 @@
         self.service = service
         self.version = version
         self.deadline_s = deadline_s
+        self.arrivals = arrivals
         self.organisation = organisation
         self.is_retry = False
         self.runs = 0
--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from currantdeal.entry.access import Access
 from currantdeal.entry.crash_watch import CrashWatch
@@ -141,11 +141,13 @@
             owner_s=min(MAX_OWNER_WAIT_S, OWNER_WAIT_SHARE * left_s),
         )
 
-    def encode(self, active, record, **more):
+    def encode(self, active, record, kind, **more):
         """Return the ``Outgoing`` request for an upstream.
 
         Parameters
         ----------
+        kind : ArrivalKind
+            What of the request is sent.
         more : dict
             Further fields of its ``ForwardingOptions``; ``time_left_s``
             defaults to the whole time left.
@@ -165,9 +167,12 @@
         if self.view.route_table.needs_keys:
             # The request may have arrived under an earlier configuration.
             head = self.dialect.without_credentials(head)
-        return self.dialect.outgoing(
+        outgoing = self.dialect.outgoing(
             head, active.request.body, ForwardingOptions(**options)
         )
+        return replace(
+            outgoing, on_send=lambda: active.arrivals.record(kind)
+        )
 
     def begin_local_prefill(self, upstream, for_s):
         """Record a local prefill and announce it to the other entries."""
@@ -183,11 +188,16 @@
         """Count a caller's request towards the retry budget of its service."""
         self._budget(service).record_request(now_s=self.now_s)
 
-    def use_retry_budget(self, service):
-        """Use a service's budget for a retry; returns False if it is empty."""
-        return self._budget(service).try_use(
+    def use_retry_budget(self, active):
+        """Use the budget for a retry of a request; False if it is empty."""
+        service = active.service.name
+        is_allowed = self._budget(service).try_use(
             now_s=self.now_s, entries=self.view.entries
         )
+        if is_allowed:
+            active.arrivals.charged += 1
+            self.metrics.add("retries_charged_total", service=service)
+        return is_allowed
 
     def budgets_left(self):
         """Return the retries that each service's budget allows now."""
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -9,6 +9,7 @@
 import structlog
 
 from currantdeal.core import Ran
+from currantdeal.entry.arrivals import ArrivalKind
 from currantdeal.entry.errors import (
     FailedError,
     IncompleteAnswerError,
@@ -236,7 +237,7 @@
 
     def _use_retry_budget(self):
         self._context.metrics.add("repeats_wanted_total")
-        return self._context.use_retry_budget(self._active.service.name)
+        return self._context.use_retry_budget(self._active)
 
     def release_unused(self):
         """Release a reservation and a KV cache that are no longer needed."""
@@ -282,6 +283,7 @@
         call = context.encode(
             active,
             record,
+            ArrivalKind.RUN,
             kv_source=prefill.source if prefill else "",
             reservation=reservation.number,
             resume_after=self._relay.last_id or active.call.resume_after,
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -9,6 +9,7 @@
 import structlog
 
 from currantdeal.core import Ran
+from currantdeal.entry.arrivals import ArrivalKind
 from currantdeal.entry.errors import (
     FailedError,
     QuarantinedError,
@@ -63,7 +64,7 @@
         record = await _next_upstream(context, active, attempted)
         if record is None or not context.may_send(active):
             break
-        if attempted and not context.use_retry_budget(active.service.name):
+        if attempted and not context.use_retry_budget(active):
             active.add_step(StepKind.NO_BUDGET)
             break
         attempted.add(record.upstream)
@@ -172,7 +173,7 @@
 async def _attempt(context, active, record):
     now_s = context.now_s
     sent_s = context.limits.now_s
-    outgoing = context.encode(active, record)
+    outgoing = context.encode(active, record, ArrivalKind.CALL)
     context.health.request_started(record.upstream)
     try:
         head, body = await exchange(
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from currantdeal.core.errors import DialectError
+from currantdeal.entry.arrivals import ArrivalKind
 from currantdeal.entry.errors import PrefillFailedError
 from currantdeal.entry.releases import release
 from currantdeal.entry.steps import StepKind, kind_of_failure
@@ -80,9 +81,7 @@
         estimate = await _admitted(context, estimates)
         if estimate is None:
             break
-        if active.prefills and not context.use_retry_budget(
-            active.service.name
-        ):
+        if active.prefills and not context.use_retry_budget(active):
             active.add_step(StepKind.NO_BUDGET)
             break
         try:
@@ -265,7 +264,11 @@
     )
     left_s = min(timeout_s, active.time_left_s(context.now_s))
     call = context.encode(
-        active, record, time_left_s=left_s, prefill_only=True
+        active,
+        record,
+        ArrivalKind.PREFILL,
+        time_left_s=left_s,
+        prefill_only=True,
     )
     return await exchange(
         context.pool,
@@ -273,7 +276,7 @@
         call,
         timeout_s=left_s,
         retryable=True,
-        may_repeat=lambda: context.use_retry_budget(active.service.name),
+        may_repeat=lambda: context.use_retry_budget(active),
     )
 
 
@@ -288,6 +291,7 @@
         raise PrefillFailedError(
             f"refused with {head.status}", maybe_running=not metadata.not_run
         )
+    active.arrivals.accept_prefill()
     context.prefill_health.record_answer(
         record.upstream, error=False, now_s=context.now_s
     )
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -7,6 +7,7 @@
 
 from currantdeal.core.errors import DialectError
 from currantdeal.entry.active_request import ActiveRequest
+from currantdeal.entry.arrivals import Arrivals
 from currantdeal.entry.context import MAX_OWNER_WAIT_S, OWNER_WAIT_SHARE
 from currantdeal.entry.errors import (
     FailedError,
@@ -106,15 +107,19 @@
                 request.head
             )
         caller_timeout_s = min(_caller_timeout_s(call), route.timeout_s)
+        service = table.choose_service(route, self._context.random)
         active = ActiveRequest(
             request=request,
             responder=responder,
             call=call,
             route=route,
-            service=table.choose_service(route, self._context.random),
+            service=service,
             version=table.version,
             deadline_s=request.arrived_s + caller_timeout_s - ANSWER_MARGIN_S,
             organisation=organisation,
+            arrivals=Arrivals(
+                service=service.name, metrics=self._context.metrics
+            ),
         )
         await self._run(active)
 
@@ -321,6 +326,8 @@
             returned=active.is_retry,
             prompt_tokens=active.call.prompt_tokens,
             search=str(active.search),
+            retries=active.arrivals.retries,
+            charged=active.arrivals.charged,
             steps=[str(step) for step in active.steps],
             version=active.version,
             view_age=self._context.view.age_s,
--- a/currantdeal/node/head.py
+++ b/currantdeal/node/head.py
@@ -102,6 +102,9 @@
         True if upstreams answer such a request only with its id.
     grant : GrantRequest or None
         What it asks for, if a successful answer names it.
+    on_send : callable or None
+        Called before the request of a caller is sent; raises an error if it
+        must not be.  None for calls of the system.
     """
 
     method: str
@@ -112,6 +115,7 @@
     id_header: bytes = b""
     is_id_echoed: bool = False
     grant: GrantRequest | None = None
+    on_send: Callable[[], None] | None = None
 
     @property
     def request_id(self):
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -169,6 +169,8 @@
         """
         if boot_time_s() >= outgoing.send_before_s:
             raise SendExpiredError("the view of the keys is too old")
+        if outgoing.on_send is not None:
+            outgoing.on_send()
         self.used = True
         self._method = outgoing.method
         self._reusable = False
