--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -170,9 +170,7 @@
         outgoing = self.dialect.outgoing(
             head, active.request.body, ForwardingOptions(**options)
         )
-        return replace(
-            outgoing, on_send=lambda: active.arrivals.record(kind)
-        )
+        return replace(outgoing, on_send=lambda: active.arrivals.record(kind))
 
     def begin_local_prefill(self, upstream, for_s):
         """Record a local prefill and announce it to the other entries."""
