Charge every arrival of a request where the connection sends it

Cause: the retry budget was charged in five places, each before what that place sends, and none of them counted what the others had sent. A prefill that was refused, reset, unanswered or lost is the first arrival of its request, and the run after it, in the same attempt, was charged nowhere; neither was a run with a reservation or a KV cache that was left.

Paths ask may_send before, which charges what the next arrival needs. A request whose run the budget doesn't allow is refused at once (503, not run), and may return.

--- a/currantdeal/entry/active_request.py
+++ b/currantdeal/entry/active_request.py
@@ -52,7 +52,7 @@
     deadline_s : float
         Loop time by which it must end.
     arrivals : Arrivals
-        Counts what of it is sent to upstreams.
+        Charges what of it is sent to upstreams to the retry budget.
     organisation : Organisation or None
         Organisation of its caller; None if the route needs no key.
 
@@ -62,9 +62,6 @@
         Whether its caller has waited before, on an earlier attempt.
     runs : int
         Number of upstreams that may have run it.
-    prefills : int
-        Number of prefills of its prompt that were sent; each but the first
-        uses the retry budget.
     was_sent : bool
         Whether it was encoded for an upstream, so that it may have been sent.
     lost_incarnations : list
@@ -97,7 +94,6 @@
         self.organisation = organisation
         self.is_retry = False
         self.runs = 0
-        self.prefills = 0
         self.was_sent = False
         self.lost_incarnations = []
         self.search = MemorySearch()
--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, replace
 
 from currantdeal.entry.access import Access
+from currantdeal.entry.arrivals import RetryCharge
 from currantdeal.entry.crash_watch import CrashWatch
 from currantdeal.entry.limits import LimitPatience, UpstreamLimits
 from currantdeal.entry.probing import Prober
@@ -170,7 +171,7 @@
         outgoing = self.dialect.outgoing(
             head, active.request.body, ForwardingOptions(**options)
         )
-        return replace(outgoing, on_send=lambda: active.arrivals.record(kind))
+        return replace(outgoing, on_send=lambda: active.arrivals.begin(kind))
 
     def begin_local_prefill(self, upstream, for_s):
         """Record a local prefill and announce it to the other entries."""
@@ -186,16 +187,12 @@
         """Count a caller's request towards the retry budget of its service."""
         self._budget(service).record_request(now_s=self.now_s)
 
-    def use_retry_budget(self, active):
-        """Use the budget for a retry of a request; False if it is empty."""
-        service = active.service.name
-        is_allowed = self._budget(service).try_use(
+    async def charge_retry(self, service):
+        """Return a ``RetryCharge``; None if the budget is used up."""
+        is_charged = self._budget(service).try_use(
             now_s=self.now_s, entries=self.view.entries
         )
-        if is_allowed:
-            active.arrivals.charged += 1
-            self.metrics.add("retries_charged_total", service=service)
-        return is_allowed
+        return RetryCharge(until_s=math.inf) if is_charged else None
 
     def budgets_left(self):
         """Return the retries that each service's budget allows now."""
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -98,7 +98,7 @@
     generation = _Generation(context=context, active=active)
     try:
         for attempt in range(MAX_ATTEMPTS):
-            if attempt and not generation.may_retry():
+            if attempt and not await generation.may_retry():
                 break
             if await generation.attempt():
                 return
@@ -119,6 +119,7 @@
         self._next_reservation = None
         self._unused_prefill = None
         self._events_before_run = 0
+        self._is_over_budget = False
 
     @property
     def _now_s(self):
@@ -151,7 +152,7 @@
             if not self._may_send():
                 return False
             prefill = await self._obtain_prefill(reservation.record)
-            if not self._may_decode(reservation.record):
+            if not await self._may_decode(reservation.record):
                 self._unused_prefill = prefill
                 return False
             used = True
@@ -169,13 +170,24 @@
         self._reason = "its key cannot be confirmed, or upstreams crashed"
         return False
 
-    def _may_decode(self, record):
+    async def _may_decode(self, record):
         """Return whether the decode request may be sent to an engine."""
+        if not await self._may_run():
+            return False
         if not self._context.view.accepts_work(record.upstream):
             self._reason = "the engine left meanwhile"
             return False
         return self._may_send()
 
+    async def _may_run(self):
+        """Return whether the retry budget allows the next run."""
+        if await self._active.arrivals.may_send(ArrivalKind.RUN):
+            return True
+        self._is_over_budget = True
+        self._reason = f"{self._reason}, and the retry budget is used up"
+        self._active.add_step(StepKind.NO_BUDGET)
+        return False
+
     def _are_held(self, reservation, prefill):
         """Return whether the processes that granted them still hold them.
 
@@ -214,10 +226,12 @@
             in_time=not (self._relay.started or self._active.is_retry),
         )
 
-    def may_retry(self):
+    async def may_retry(self):
         """Return whether another attempt is allowed and can still succeed."""
         active = self._active
-        if self._reason == "no memory" or not self._may_send():
+        if self._reason == "no memory" or self._is_over_budget:
+            return False
+        if not self._may_send():
             return False
         if active.time_left_s(self._now_s) < active.route.target_s / 4:
             return False
@@ -225,19 +239,7 @@
             return False
         if active.runs >= active.route.max_upstreams:
             return False
-        if (
-            self._next_reservation is not None
-            or self._unused_prefill is not None
-        ):
-            return True
-        if not self._use_retry_budget():
-            active.add_step(StepKind.NO_BUDGET)
-            return False
-        return True
-
-    def _use_retry_budget(self):
-        self._context.metrics.add("repeats_wanted_total")
-        return self._context.use_retry_budget(self._active)
+        return await self._may_run()
 
     def release_unused(self):
         """Release a reservation and a KV cache that are no longer needed."""
@@ -258,7 +260,14 @@
             raise QuarantinedError(
                 fingerprint_prefix(self._active.fingerprint)
             )
-        raise RefusedError(self._reason, refusal_reason=RefusalReason.MEMORY)
+        raise RefusedError(
+            self._reason,
+            refusal_reason=(
+                RefusalReason.UPSTREAMS
+                if self._is_over_budget
+                else RefusalReason.MEMORY
+            ),
+        )
 
     async def _reserve(self):
         active = self._active
@@ -395,7 +404,9 @@
 
     async def _reserve_elsewhere(self, record):
         reservation = await self._reserver.reserve_once(excluding=record)
-        if reservation is None or self._use_retry_budget():
+        if reservation is None or await self._active.arrivals.may_send(
+            ArrivalKind.RUN
+        ):
             return reservation
         self._reserver.release(reservation)
         return None
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -64,7 +64,7 @@
         record = await _next_upstream(context, active, attempted)
         if record is None or not context.may_send(active):
             break
-        if attempted and not context.use_retry_budget(active):
+        if not await active.arrivals.may_send(ArrivalKind.CALL):
             active.add_step(StepKind.NO_BUDGET)
             break
         attempted.add(record.upstream)
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -81,18 +81,16 @@
         estimate = await _admitted(context, estimates)
         if estimate is None:
             break
-        if active.prefills and not context.use_retry_budget(active):
-            active.add_step(StepKind.NO_BUDGET)
+        if not await active.arrivals.may_send(ArrivalKind.PREFILL):
             break
         try:
             return await _prefill_at(context, active, estimate, in_time)
         except PrefillFailedError as exc:
             if exc.maybe_running:
                 break
-    if not context.may_send(active):
-        return None
-    await _wait_for_local_prefills(context, active, decode_engine)
-    active.add_step(StepKind.LOCAL_PREFILL, decode_engine.upstream)
+    if await _may_run(context, active):
+        await _wait_for_local_prefills(context, active, decode_engine)
+        active.add_step(StepKind.LOCAL_PREFILL, decode_engine.upstream)
     return None
 
 
@@ -102,6 +100,11 @@
     return _prefills_locally(context, active, estimates, True)
 
 
+async def _may_run(context, active):
+    is_charged = await active.arrivals.may_send(ArrivalKind.RUN)
+    return is_charged and context.may_send(active)
+
+
 async def _wait_for_local_prefills(context, active, decode_engine):
     """Wait for the other local prefills of a decode engine.
 
@@ -220,7 +223,6 @@
     try:
         answer = await _request_prefill(context, active, record, best, in_time)
     except ExchangeError as exc:
-        active.prefills += exc.sent
         _handle_failed_prefill(context, record, exc, began_s)
         if isinstance(exc, InvalidResponseError):
             context.crash_watch.check_lost_run(active, record, exc.phase)
@@ -228,7 +230,6 @@
         raise PrefillFailedError(str(exc), maybe_running=exc.sent) from exc
     finally:
         context.load.remove(record.upstream, active.call.prompt_tokens)
-    active.prefills += 1
     prefill = _parse_answer(context, active, record, sent_s, answer)
     _record_prefill_time(context, active, context.now_s - began_s)
     active.add_step(StepKind.PREFILL, record.upstream)
@@ -276,7 +277,7 @@
         call,
         timeout_s=left_s,
         retryable=True,
-        may_repeat=lambda: context.use_retry_budget(active),
+        may_repeat=lambda: active.arrivals.may_send(ArrivalKind.PREFILL),
     )
 
 
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -118,7 +118,9 @@
             deadline_s=request.arrived_s + caller_timeout_s - ANSWER_MARGIN_S,
             organisation=organisation,
             arrivals=Arrivals(
-                service=service.name, metrics=self._context.metrics
+                service=service.name,
+                charge=self._context.charge_retry,
+                metrics=self._context.metrics,
             ),
         )
         await self._run(active)
--- a/currantdeal/entry/tests/test_resets.py
+++ b/currantdeal/entry/tests/test_resets.py
@@ -184,9 +184,11 @@
             assert answer.endswith(b"0\r\n\r\n")
 
 
-@pytest.mark.parametrize(("allowance", "sent"), [(0.0, 2), (100.0, 3)])
+@pytest.mark.parametrize(
+    ("allowance", "sent", "served"), [(0.0, 2, 1), (100.0, 3, 2)]
+)
 def test_a_prefill_is_sent_once_more_only_within_the_retry_budget(
-    allowance, sent
+    allowance, sent, served
 ):
     """Guards against repeats on new connections that nobody counts."""
 
@@ -210,12 +212,16 @@
                 )
                 for number in range(2)
             ]
-        return answers, prefill
+        return answers, prefill, decode
 
-    answers, prefill = asyncio.run(run())
-    for answer in answers:
+    answers, prefill, decode = asyncio.run(run())
+    for answer in answers[:served]:
         assert event_numbers(answer) == list(range(1, EVENTS + 1))
+    for answer in answers[served:]:
+        # A run would be the second arrival of this request.
+        assert answer.startswith(b"HTTP/1.1 503")
     assert len(prefill.requests) == sent
+    assert len(decode.runs) == served
 
 
 @pytest.mark.parametrize(("allowance", "sent"), [(2.0, 1), (100.0, 2)])
--- a/currantdeal/entry/tests/test_retry_budget.py
+++ b/currantdeal/entry/tests/test_retry_budget.py
@@ -3,7 +3,12 @@
 import asyncio
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
+from currantdeal.adapters.metrics import Metrics
+from currantdeal.entry.arrivals import ArrivalKind, Arrivals, RetryCharge
+from currantdeal.node.errors import UnchargedError
 from currantdeal.registry import Stage
 from currantdeal.testing.answer_shapes import reset
 from currantdeal.testing.entry_world import (
@@ -80,7 +85,6 @@
     return prefills, len(arrived) - prefills
 
 
-@pytest.mark.known_red
 @pytest.mark.parametrize("how", FAILURES)
 def test_no_run_follows_a_failed_prefill_without_retry_budget(how):
     """Guards against a run after a failed prefill that nobody charges."""
@@ -106,10 +110,7 @@
     assert _arrivals(engines) == (1, 1)
 
 
-@pytest.mark.parametrize(
-    "allowance",
-    [pytest.param(0.0, marks=pytest.mark.known_red), 1.0, 2.0, 3.0],
-)
+@pytest.mark.parametrize("allowance", [0.0, 1.0, 2.0, 3.0])
 def test_refused_arrivals_stay_within_the_retry_budget(allowance):
     """Guards against attempts that arrive more often than they are charged."""
     engines = {
@@ -119,3 +120,61 @@
     answer = asyncio.run(_serve(engines, allowance=allowance))
     assert answer.startswith(b"HTTP/1.1 503")
     assert sum(_arrivals(engines)) <= 1 + allowance
+
+
+_SENT = st.tuples(st.sampled_from(ArrivalKind), st.booleans(), st.booleans())
+"""A kind, whether it is charged before, and whether it is accepted."""
+
+
+@settings(max_examples=300, derandomize=True)
+@given(allowance=st.integers(0, 5), sent=st.lists(_SENT, max_size=12))
+def test_what_is_sent_beyond_the_first_is_charged(allowance, sent):
+    """Guards against a sequence of arrivals of which one is not charged."""
+    budget = [RetryCharge(until_s=1.0)] * allowance
+
+    async def charge(service):
+        return budget.pop() if budget else None
+
+    arrivals = Arrivals(
+        service="model", charge=charge, metrics=Metrics(), clock=lambda: 0.0
+    )
+    arrived, is_prefilled = 0, False
+    for kind, asks, is_accepted in sent:
+        if asks:
+            asyncio.run(arrivals.may_send(kind))
+        try:
+            arrivals.begin(kind)
+        except UnchargedError:
+            continue
+        if kind is ArrivalKind.PREFILL and is_accepted:
+            arrivals.accept_prefill()
+            arrived += is_prefilled
+            is_prefilled = True
+        else:
+            arrived += 1
+        assert max(0, arrived - 1) <= arrivals.charged
+    assert arrivals.charged <= allowance - len(budget)
+
+
+def test_a_charge_that_has_lapsed_sends_nothing():
+    """Guards against a charge that is used in another window."""
+    now_s = 0.0
+
+    async def charge(service):
+        return RetryCharge(until_s=2.0)
+
+    async def run():
+        nonlocal now_s
+        arrivals = Arrivals(
+            service="shop",
+            charge=charge,
+            metrics=Metrics(),
+            clock=lambda: now_s,
+        )
+        arrivals.begin(ArrivalKind.CALL)
+        assert await arrivals.may_send(ArrivalKind.CALL)
+        now_s = 2.0
+        with pytest.raises(UnchargedError):
+            arrivals.begin(ArrivalKind.CALL)
+
+    asyncio.run(run())
--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -172,8 +172,8 @@
         If the upstream had already closed the reused connection on which it
         was sent, the request is sent once more on a new connection.
     may_repeat : callable or None
-        Asked before the request of a caller is sent once more, which counts
-        against the retry budget.  Without it, only calls of the system are.
+        Coroutine function that is asked before the request of a caller is
+        sent once more.  Without it, only calls of the system are.
 
     Raises
     ------
@@ -191,7 +191,7 @@
     except InvalidResponseError as exc:
         if not (retryable and reused):
             raise
-        if not _may_repeat(outgoing, may_repeat):
+        if not await _may_repeat(outgoing, may_repeat):
             raise
         first_error = exc
     try:
@@ -205,10 +205,10 @@
     )
 
 
-def _may_repeat(outgoing, may_repeat):
+async def _may_repeat(outgoing, may_repeat):
     if may_repeat is None:
         return not outgoing.is_id_echoed
-    return may_repeat()
+    return await may_repeat()
 
 
 async def _exchange_on(pool, connection, outgoing, *, timeout_s, limit):
--- a/currantdeal/node/errors.py
+++ b/currantdeal/node/errors.py
@@ -20,6 +20,10 @@
     """A request was not sent, because its time to be sent had passed."""
 
 
+class UnchargedError(SendExpiredError):
+    """A retry was not sent, because no charge to the budget covers it."""
+
+
 class ExchangeError(NodeError):
     """An HTTP exchange with an upstream failed.
 
--- a/currantdeal/node/head.py
+++ b/currantdeal/node/head.py
@@ -103,8 +103,8 @@
     grant : GrantRequest or None
         What it asks for, if a successful answer names it.
     on_send : callable or None
-        Called before the request of a caller is sent; raises an error if it
-        must not be.  None for calls of the system.
+        Called before it is sent; raises an error if it must not be.  Without
+        one, only calls of the system are sent.
     """
 
     method: str
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -12,7 +12,11 @@
 
 from currantdeal.core import boot_time_s
 from currantdeal.node.answer_parser import AnswerParser
-from currantdeal.node.errors import InvalidResponseError, SendExpiredError
+from currantdeal.node.errors import (
+    InvalidResponseError,
+    SendExpiredError,
+    UnchargedError,
+)
 from currantdeal.node.extra_answers import ExtraAnswerLog
 from currantdeal.node.head import ResponseHead
 from currantdeal.node.sockets import prepare_socket
@@ -166,11 +170,15 @@
         SendExpiredError
             If its time to be sent has passed, also while this process was
             paused.
+        UnchargedError
+            If it is a retry that was not charged to the retry budget.
         """
         if boot_time_s() >= outgoing.send_before_s:
             raise SendExpiredError("the view of the keys is too old")
         if outgoing.on_send is not None:
             outgoing.on_send()
+        elif outgoing.is_id_echoed:
+            raise UnchargedError("nothing counts this request of a caller")
         self.used = True
         self._method = outgoing.method
         self._reusable = False
--- a/currantdeal/node/tests/test_connection_pool.py
+++ b/currantdeal/node/tests/test_connection_pool.py
@@ -1,10 +1,11 @@
 import asyncio
 import itertools
+from dataclasses import replace
 
 import pytest
 
 from currantdeal.node.connection_pool import ConnectionPool, exchange
-from currantdeal.node.errors import InvalidResponseError
+from currantdeal.node.errors import InvalidResponseError, UnchargedError
 from currantdeal.node.head import Outgoing
 from currantdeal.testing.platform_upstream import StandInUpstream
 
@@ -122,3 +123,19 @@
     assert not _is_reused(keep_alive, idle_s=7.0, retryable=False)
     assert _is_reused(keep_alive, idle_s=3.0, retryable=False)
     assert not _is_reused((), idle_s=5.0, retryable=True)
+
+
+def test_a_request_of_a_caller_is_not_sent_uncounted():
+    """Guards against a path that leaves out the charge of an arrival."""
+
+    async def run():
+        standin = StandInUpstream()
+        await standin.start()
+        request = replace(_call(), is_id_echoed=True)
+        with pytest.raises(UnchargedError):
+            await exchange(
+                ConnectionPool(), standin.address, request, timeout_s=1.0
+            )
+        return standin.requests
+
+    assert asyncio.run(run()) == []
