Grant the allowance of retries from one owner

Cause: each entry used its own part of the allowance, by the number of entries that control had last told it, and kept its counts in its process. An entry that restarts begins with an unused part; control that restarts or is cut off knows fewer entries, so that each takes a larger one. A share of 0.4 that was never used covered one restart.

Change: the fixed allowance is granted by one owner, the leader, as credit of quotas is: counted in a sliding window, each retry by itself, and lapsing after 2 s. The share of requests stays at the entry that received them, as credit that lapses with the window and is worth half of the share; no count of entries is in it. A refusal for lack of budget has a reason of its own.

--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -46,6 +46,7 @@
 from currantdeal.node.messages import ControlPlace, RaftNotice
 from currantdeal.node.peers import HEARTBEAT_S, PeerConnection, PeerLink
 from currantdeal.node.settings import split_address
+from currantdeal.organisations import LimitedService, RetryAllowance
 from currantdeal.platform.bounds import read_bounds
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.platform.control import PlatformControl
@@ -157,7 +158,19 @@
                 leader_link=leader_link,
                 supports=exchange.supports_organisations,
                 entries=lambda: self._service.sizes["entries"],
+                limited=lambda config: config.organisations or (),
                 margin=bounds.quota_margin,
+                grants_unlimited=True,
+                clock=boot_time_s,
+            ),
+            retry_budgets=QuotaOwner(
+                replica=self._replica,
+                leader_link=leader_link,
+                supports=exchange.supports_retries,
+                entries=lambda: self._service.sizes["entries"],
+                limited=lambda config: _retry_allowances(config, bounds),
+                margin=None,
+                grants_unlimited=False,
                 clock=boot_time_s,
             ),
             limits=LimitControl(
@@ -322,3 +335,14 @@
         file=StateFile(path=Path(settings.data_folder) / name),
         content_type=content_type,
     )
+
+
+def _retry_allowances(config, bounds):
+    """Return the services of a configuration with their allowances."""
+    allowance = RetryAllowance(
+        units=bounds.retry_burst, window_s=bounds.retry_window_s
+    )
+    return tuple(
+        LimitedService(name=service.name, quota=allowance)
+        for service in config.services
+    )
--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -20,8 +20,9 @@
 )
 from currantdeal.core import boot_time_s
 from currantdeal.entry.caller_directory import CallerDirectory
-from currantdeal.entry.context import BudgetBounds, EntryContext
+from currantdeal.entry.context import EntryContext
 from currantdeal.entry.directory_server import DirectoryServer
+from currantdeal.entry.retry_budgets import RetryRatio
 from currantdeal.entry.service import EntryService
 from currantdeal.entry.subscription import Subscription
 from currantdeal.entry.view import EntryView
@@ -96,9 +97,8 @@
             pool=ConnectionPool(metrics=self._metrics),
             dialect=PlatformCalls(),
             random=random.Random(),
-            budget=BudgetBounds(
+            retry_ratio=RetryRatio(
                 ratio=self._bounds.retry_ratio,
-                allowance=self._bounds.retry_burst,
                 window_s=self._bounds.retry_window_s,
             ),
             metrics=self._metrics,
@@ -132,6 +132,7 @@
         self._context.access.look_up = self._look_up_config
         self._context.access.may_recover = self._may_recover
         self._context.quotas.ask_owner = self._ask_credit
+        self._context.retry_budgets.connect(self._ask_retry_credit)
         self._context.limits.ask_owner = (
             self._subscription.control_calls.ask_limit
         )
@@ -209,6 +210,11 @@
             self._file.current.instance, asks
         )
 
+    async def _ask_retry_credit(self, asks):
+        return await self._subscription.control_calls.ask_retry_credit(
+            self._file.current.instance, asks
+        )
+
     @property
     def _is_ready(self):
         return self._ready and self._view.route_table is not None
@@ -261,7 +267,7 @@
         self._metrics.set(
             "quarantined_requests", len(self._context.crash_watch.quarantined)
         )
-        for name, left in self._context.budgets_left().items():
+        for name, left in self._context.retry_budgets.left().items():
             self._metrics.set("retry_budget_left", left, service=name)
         route_table = view.route_table
         for service in route_table.services if route_table is not None else ():
--- a/currantdeal/control/exchange.py
+++ b/currantdeal/control/exchange.py
@@ -17,6 +17,7 @@
     LIMITS_PROTOCOL,
     ORGANISATIONS_PROTOCOL,
     PROTOCOL,
+    RETRIES_PROTOCOL,
     ControlPlace,
     RenewalsNotice,
     SwitchingNotice,
@@ -128,6 +129,10 @@
         """Return whether a control instance understands ``LimitCall``."""
         return self._protocols.get(address, 0) >= LIMITS_PROTOCOL
 
+    def supports_retries(self, address):
+        """Return whether an instance understands ``RetryCreditCall``."""
+        return self._protocols.get(address, 0) >= RETRIES_PROTOCOL
+
     def configure(self, services):
         """Set the names of the configured services."""
         self._services = frozenset(services)
@@ -240,15 +245,18 @@
                 renewal.name, renewal.started_ms, renewal.sequence, now_s=now_s
             )
 
-    def spread_renewals(self, demand, *, grants=None, limits=None):
+    def spread_renewals(
+        self, demand, *, grants=None, retry_grants=None, limits=None
+    ):
         """Send the heartbeats received here to the other control instances.
 
         Parameters
         ----------
         demand : dict
             Demand of each service that entries reported to this instance.
-        grants : GrantLog or None
-            Credit that this instance has granted as the owner of quotas.
+        grants, retry_grants : GrantLog or None
+            Credit that this instance has granted as the owner of quotas and
+            of retry budgets.
         limits : dict or None
             ``LimitReport`` of upstreams that entries reported here.
         """
@@ -260,6 +268,7 @@
             entries=tuple(self._renewed_entries.values()),
             protocol=PROTOCOL,
             grants=grants,
+            retry_grants=retry_grants,
             limits=limits or {},
             upstreams_digest=self.registry.digest,
         )
--- a/currantdeal/control/quota_owner.py
+++ b/currantdeal/control/quota_owner.py
@@ -15,6 +15,8 @@
 class QuotaOwner:
     """Owner of all quotas on the leader, and the way to it elsewhere.
 
+    Another one owns the allowances of retries, which services have.
+
     Parameters
     ----------
     replica : Replica
@@ -25,14 +27,27 @@
         Returns whether an instance understands ``CreditCall``.
     entries : callable
         Returns the number of entries.
-    margin : QuotaMargin
+    limited : callable
+        Returns what a configuration limits: objects with a name and a quota.
+    margin : QuotaMargin or None
         Margin above the quotas.
+    grants_unlimited : bool
+        Whether asks of a name without a quota are granted.
     clock : callable
         Returns the seconds that the replica uses.
     """
 
     def __init__(
-        self, *, replica, leader_link, supports, entries, margin, clock
+        self,
+        *,
+        replica,
+        leader_link,
+        supports,
+        entries,
+        limited,
+        margin,
+        grants_unlimited,
+        clock,
     ):
         """Start without quotas."""
         self._replica = replica
@@ -40,9 +55,11 @@
             replica=replica, leader_link=leader_link, supports=supports
         )
         self._entries = entries
+        self._limited_by = limited
+        self._grants_unlimited = grants_unlimited
         self._margin = margin
         self._clock = clock
-        self._organisations = ()
+        self._limited = ()
         self._owner = None
         self._first_epoch = None
         self._last_log = None
@@ -73,9 +90,9 @@
 
     def update_config(self, config):
         """Use the quotas of a committed configuration."""
-        self._organisations = config.organisations or ()
+        self._limited = self._limited_by(config)
         if self._owner is not None:
-            self._owner.update(self._organisations, now_s=self._clock())
+            self._owner.update(self._limited, now_s=self._clock())
 
     async def answer(self, call):
         """Return the ``CreditAnswer`` to an entry or a control instance."""
@@ -105,8 +122,9 @@
                 margin=self._margin,
                 opened_s=-math.inf if is_first else self._lease.opened_s,
                 inherited=self._inherited(epoch),
+                grants_unlimited=self._grants_unlimited,
             )
-            self._owner.update(self._organisations, now_s=now_s)
+            self._owner.update(self._limited, now_s=now_s)
         return self._owner
 
     def _inherited(self, epoch):
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -32,7 +32,11 @@
     SubscribeCall,
     SwitchingNotice,
 )
-from currantdeal.node.organisation_messages import ConfirmCall, CreditCall
+from currantdeal.node.organisation_messages import (
+    ConfirmCall,
+    CreditCall,
+    RetryCreditCall,
+)
 from currantdeal.node.peers import HEARTBEAT_S, pack_frame
 from currantdeal.node.record_messages import (
     RecordsCall,
@@ -65,8 +69,8 @@
         Records of requests that crash upstreams.
     confirmation : ViewConfirmation
         Confirms the age of views.
-    quotas : QuotaOwner
-        Credit of quotas.
+    quotas, retry_budgets : QuotaOwner
+        Credit of quotas and of retries.
     limits : LimitControl
         Limits of upstreams.
     clock : callable
@@ -85,6 +89,7 @@
         crashes,
         confirmation,
         quotas,
+        retry_budgets,
         limits,
         clock,
     ):
@@ -92,6 +97,7 @@
         self._crashes = crashes
         self._confirmation = confirmation
         self._quotas = quotas
+        self._retry_budgets = retry_budgets
         self._limits = limits
         self._entry_list = EntryList(directory=exchange.directory)
         self._dialect = dialect
@@ -141,6 +147,7 @@
         self._exchange.configure(service.name for service in config.services)
         self._demand.update_config(config)
         self._quotas.update_config(config)
+        self._retry_budgets.update_config(config)
 
     def on_notice(self, connection, message):
         """Handle a notice of an entry or another control instance."""
@@ -191,12 +198,14 @@
         self._spread_renewals()
         self._crashes.repeat_recent()
         self._quotas.observe()
+        self._retry_budgets.observe()
         self._exchange.expire()
 
     def _spread_renewals(self):
         self._exchange.spread_renewals(
             self._demand.take_reported(),
             grants=self._quotas.grant_log(),
+            retry_grants=self._retry_budgets.grant_log(),
             limits=self._limits.local_reports,
         )
 
@@ -231,6 +240,8 @@
         self._limits.receive(notice.limits)
         if notice.grants is not None:
             self._quotas.receive_grants(notice.grants)
+        if notice.retry_grants is not None:
+            self._retry_budgets.receive_grants(notice.retry_grants)
 
     @_handle_notice.register
     def _(self, notice: LoadNotice, connection):
@@ -296,6 +307,10 @@
     async def _(self, call: CreditCall, connection):
         return await self._quotas.answer(call)
 
+    @_handle_call.register
+    async def _(self, call: RetryCreditCall, connection):
+        return await self._retry_budgets.answer(call)
+
     @_handle_call.register
     async def _(self, call: LimitCall, connection):
         return await self._limits.answer(call)
--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -2,21 +2,20 @@
 
 import asyncio
 import math
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from currantdeal.entry.access import Access
-from currantdeal.entry.arrivals import RetryCharge
 from currantdeal.entry.crash_watch import CrashWatch
 from currantdeal.entry.limits import LimitPatience, UpstreamLimits
 from currantdeal.entry.probing import Prober
 from currantdeal.entry.quotas import QuotaClient
+from currantdeal.entry.retry_budgets import RetryBudgets
 from currantdeal.node.dialect import ForwardingOptions
 from currantdeal.policy.decode_memory import DecodeEngineOrder
 from currantdeal.policy.demand import DemandMeter
 from currantdeal.policy.local_prefills import LocalPrefills
 from currantdeal.policy.retry_detection import RetryDetector
 from currantdeal.policy.shared_load import EntryLoad
-from currantdeal.policy.shared_retry_budget import SharedRetryBudget
 from currantdeal.policy.upstream_health import UpstreamHealth
 
 LIMIT_QUEUE_TARGETS = 0.5
@@ -48,8 +47,8 @@
         Formats of requests and answers.
     random : random.Random
         Source of randomness for tie-breaking and jitter.
-    budget : BudgetBounds
-        Bounds of the retry budget of each service.
+    retry_ratio : RetryRatio
+        Retries that the requests of each service allow.
     metrics : currantdeal.ports.MetricsPort
         Counters and histograms.
     revocation_s : float
@@ -63,7 +62,7 @@
         pool,
         dialect,
         random,
-        budget,
+        retry_ratio,
         metrics,
         revocation_s=math.inf,
     ):
@@ -75,6 +74,7 @@
         self.metrics = metrics
         self.access = Access(view=view, revocation_s=revocation_s)
         self.quotas = QuotaClient()
+        self.retry_budgets = RetryBudgets(bounds=retry_ratio)
         self.limits = UpstreamLimits(metrics=metrics)
         self.health = UpstreamHealth()
         self.load = EntryLoad()
@@ -83,8 +83,6 @@
         self.retry_detector = RetryDetector()
         self.local_prefills = LocalPrefills()
         self.announce_local_prefill = None
-        self._budget_bounds = budget
-        self._budgets = {}
         self._meters = {}
         self._background = set()
         self._prober = Prober(
@@ -183,24 +181,6 @@
         """Record a local prefill of another entry."""
         self.local_prefills.start(upstream, for_s, now_s=self.now_s)
 
-    def record_request(self, service):
-        """Count a caller's request towards the retry budget of its service."""
-        self._budget(service).record_request(now_s=self.now_s)
-
-    async def charge_retry(self, service):
-        """Return a ``RetryCharge``; None if the budget is used up."""
-        is_charged = self._budget(service).try_use(
-            now_s=self.now_s, entries=self.view.entries
-        )
-        return RetryCharge(until_s=math.inf) if is_charged else None
-
-    def budgets_left(self):
-        """Return the retries that each service's budget allows now."""
-        return {
-            name: budget.left(now_s=self.now_s, entries=self.view.entries)
-            for name, budget in self._budgets.items()
-        }
-
     def meter(self, service):
         """Return the ``DemandMeter`` of a service."""
         return self._meters.setdefault(service, DemandMeter())
@@ -232,23 +212,3 @@
         task = asyncio.ensure_future(work)
         self._background.add(task)
         task.add_done_callback(self._background.discard)
-
-    def _budget(self, service):
-        found = self._budgets.get(service)
-        if found is None:
-            found = SharedRetryBudget(
-                ratio=self._budget_bounds.ratio,
-                allowance=self._budget_bounds.allowance,
-                window_s=self._budget_bounds.window_s,
-            )
-            self._budgets[service] = found
-        return found
-
-
-@dataclass(frozen=True, kw_only=True)
-class BudgetBounds:
-    """Bounds of the retry budget of a service, over all entries."""
-
-    ratio: float
-    allowance: float
-    window_s: float
--- a/currantdeal/entry/control_calls.py
+++ b/currantdeal/entry/control_calls.py
@@ -5,8 +5,16 @@
 from currantdeal.core import boot_time_s
 from currantdeal.node.errors import PeerUnreachableError
 from currantdeal.node.limit_messages import LimitCall
-from currantdeal.node.messages import LIMITS_PROTOCOL, ORGANISATIONS_PROTOCOL
-from currantdeal.node.organisation_messages import ConfirmCall, CreditCall
+from currantdeal.node.messages import (
+    LIMITS_PROTOCOL,
+    ORGANISATIONS_PROTOCOL,
+    RETRIES_PROTOCOL,
+)
+from currantdeal.node.organisation_messages import (
+    ConfirmCall,
+    CreditCall,
+    RetryCreditCall,
+)
 
 CONFIRM_TIMEOUT_S = 1.0
 """Time in which an instance must answer a ``ConfirmCall``.
@@ -16,7 +24,7 @@
 """
 
 CREDIT_TIMEOUT_S = 1.0
-"""Time in which an instance must answer a ``CreditCall``, forwarded or not."""
+"""Time in which an instance must answer a call for credit."""
 
 MAX_CONFIRMATION_AGE_S = 2.0
 """Age of the confirmation from which another instance is tried."""
@@ -29,7 +37,7 @@
 
 
 class ControlCalls:
-    """Confirms the view of an entry, and asks for credit of quotas.
+    """Confirms the view of an entry, and asks for credit.
 
     Parameters
     ----------
@@ -110,6 +118,16 @@
         call = CreditCall(entry=entry, asks=asks)
         return await self._call(call, CREDIT_TIMEOUT_S)
 
+    async def ask_retry_credit(self, entry, asks):
+        """Ask the owner of the retry budgets for credit.
+
+        Returns its ``CreditAnswer``; None if no instance answers.
+        """
+        call = RetryCreditCall(entry=entry, asks=asks)
+        return await self._call(
+            call, CREDIT_TIMEOUT_S, protocol=RETRIES_PROTOCOL
+        )
+
     async def ask_limit(self, ask, timeout_s):
         """Ask the owner of the limits for a slot.
 
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -263,7 +263,7 @@
         raise RefusedError(
             self._reason,
             refusal_reason=(
-                RefusalReason.UPSTREAMS
+                RefusalReason.RETRY_BUDGET
                 if self._is_over_budget
                 else RefusalReason.MEMORY
             ),
--- a/currantdeal/entry/quotas.py
+++ b/currantdeal/entry/quotas.py
@@ -37,12 +37,15 @@
         Time of the grant, by the clock of the owner.
     epoch : int
         Epoch of that owner.
+    until_s : float
+        Time since boot until which it may be used.
     """
 
     organisation: str
     units: int
     granted_s: float
     epoch: int
+    until_s: float
 
 
 class QuotaClient:
@@ -52,6 +55,8 @@
     ----------
     clock : callable
         Returns seconds that count while the machine is suspended.
+    keeps_reserves : bool
+        Whether this entry has a reserve of each organisation.
 
     Attributes
     ----------
@@ -60,8 +65,9 @@
         ``CreditAnswer``, or None if no control instance is reached.
     """
 
-    def __init__(self, *, clock=boot_time_s):
+    def __init__(self, *, clock=boot_time_s, keeps_reserves=True):
         """Start without credit."""
+        self._keeps_reserves = keeps_reserves
         self._clock = clock
         self._pools = {}
         self._waiting = []
@@ -74,8 +80,8 @@
 
         Parameters
         ----------
-        organisation : Organisation
-            Organisation of the request, which has a quota.
+        organisation : str
+            Name of the organisation of the request, which has a quota.
         units : int
             Cost of the request.
         wait_s : float
@@ -91,7 +97,7 @@
         RefusedError
             If no owner is reached.
         """
-        pool = self._pool(organisation.name)
+        pool = self._pool(organisation)
         if pool.credit.take(units, now_s=self._clock()):
             return None
         until_s = self._clock() + wait_s
@@ -106,7 +112,7 @@
                 await asyncio.sleep(exc.retry_after_s)
 
     async def _ask(self, organisation, units, wait_s):
-        need = _Need(organisation=organisation.name, units=units)
+        need = _Need(organisation=organisation, units=units)
         self._waiting.append(need)
         self._wake()
         try:
@@ -158,6 +164,8 @@
         return pool
 
     def _due(self, now_s):
+        if not self._keeps_reserves:
+            return []
         return [
             name
             for name, pool in self._pools.items()
@@ -231,6 +239,7 @@
                         units=need.units,
                         granted_s=grant.granted_s,
                         epoch=epoch,
+                        until_s=sent_s + grant.open_s,
                     )
                 )
             elif granted:
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -119,7 +119,7 @@
             organisation=organisation,
             arrivals=Arrivals(
                 service=service.name,
-                charge=self._context.charge_retry,
+                charge=self._context.retry_budgets.charge,
                 metrics=self._context.metrics,
             ),
         )
@@ -152,7 +152,7 @@
             self._log_end(active, outcome)
 
     async def _serve(self, active):
-        self._context.record_request(active.service.name)
+        self._context.retry_budgets.record_request(active.service.name)
         try:
             async with asyncio.timeout_at(active.deadline_s):
                 await self._dispatch(active)
@@ -192,7 +192,7 @@
         )
         left_s = active.time_left_s(self._context.now_s)
         return await self._context.quotas.admit(
-            organisation,
+            organisation.name,
             units,
             wait_s=min(MAX_OWNER_WAIT_S, OWNER_WAIT_SHARE * left_s),
             queue_s=QUOTA_QUEUE_TARGETS * active.route.target_s,
--- a/currantdeal/entry/tests/test_quotas.py
+++ b/currantdeal/entry/tests/test_quotas.py
@@ -69,7 +69,7 @@
 
 async def _admit(client, *, wait_s=0.5):
     try:
-        return await client.admit(BAKERY, 1, wait_s=wait_s)
+        return await client.admit(BAKERY.name, 1, wait_s=wait_s)
     except RefusedError as exc:
         return exc
 
@@ -103,7 +103,7 @@
     owner.owner = owner.opened_at(boot_time_s())
 
     async def work(client):
-        return await client.admit(BAKERY, 1, wait_s=1.0, queue_s=0.5)
+        return await client.admit(BAKERY.name, 1, wait_s=1.0, queue_s=0.5)
 
     assert not isinstance(_outcomes(owner, work), RefusedError)
 
--- a/currantdeal/node/messages.py
+++ b/currantdeal/node/messages.py
@@ -15,6 +15,7 @@
     CreditAnswer,
     CreditCall,
     GrantLog,
+    RetryCreditCall,
 )
 from currantdeal.node.record_messages import (
     RecordsCall,
@@ -28,7 +29,7 @@
 from currantdeal.policy.shared_load import PoolLoad
 from currantdeal.registry import EntryRecord
 
-PROTOCOL = 2
+PROTOCOL = 3
 """Version of the messages that this build understands.
 
 An instance of an earlier build aborts a connection on which it receives a
@@ -39,9 +40,12 @@
 ORGANISATIONS_PROTOCOL = 1
 """Version with the calls for organisations and the list of entries."""
 
-LIMITS_PROTOCOL = 2
+LIMITS_PROTOCOL = 3
 """Version with the calls for limits of upstreams."""
 
+RETRIES_PROTOCOL = 3
+"""Version with the calls for credit of retries."""
+
 
 @dataclass(frozen=True, kw_only=True)
 class RaftNotice:
@@ -131,8 +135,9 @@
         its last notice.
     protocol : int
         ``PROTOCOL`` of that instance.
-    grants : GrantLog or None
-        Credit that it has granted as the owner of the quotas.
+    grants, retry_grants : GrantLog or None
+        Credit that it has granted as the owner of the quotas and of the retry
+        budgets.
     limits : dict
         ``LimitReport`` of upstreams, from the entries that report to it.
     upstreams_digest : int or None
@@ -146,6 +151,7 @@
     entries: tuple[Renewal, ...] = ()
     protocol: int = 0
     grants: GrantLog | None = None
+    retry_grants: GrantLog | None = None
     limits: dict[str, LimitReport] = field(default_factory=dict)
     upstreams_digest: int | None = None
 
@@ -352,6 +358,7 @@
         ConfirmAnswer,
         CreditCall,
         CreditAnswer,
+        RetryCreditCall,
         EntriesNotice,
         LimitCall,
         LimitAnswer,
--- a/currantdeal/node/organisation_messages.py
+++ b/currantdeal/node/organisation_messages.py
@@ -72,9 +72,20 @@
     asks: tuple[CreditAsk, ...]
 
 
+@dataclass(frozen=True, kw_only=True)
+class RetryCreditCall:
+    """An entry asks for credit of retries; returns a ``CreditAnswer``.
+
+    Each ask names a service in place of an organisation.
+    """
+
+    entry: str
+    asks: tuple[CreditAsk, ...]
+
+
 @dataclass(frozen=True, kw_only=True)
 class CreditAnswer:
-    """Credit that the owner of the quotas grants.
+    """Credit that the owner of the quotas or of the retry budgets grants.
 
     Parameters
     ----------
--- a/currantdeal/organisations/__init__.py
+++ b/currantdeal/organisations/__init__.py
@@ -19,7 +19,13 @@
 )
 from currantdeal.organisations.freshness import ViewFreshness
 from currantdeal.organisations.keys import KeyTable, digest_key
-from currantdeal.organisations.records import Organisation, Quota, QuotaUnit
+from currantdeal.organisations.records import (
+    LimitedService,
+    Organisation,
+    Quota,
+    QuotaUnit,
+    RetryAllowance,
+)
 
 __all__ = [
     "CreditAsk",
@@ -29,11 +35,13 @@
     "CreditPool",
     "InvalidOrganisationsError",
     "KeyTable",
+    "LimitedService",
     "Organisation",
     "OrganisationsError",
     "Quota",
     "QuotaMargin",
     "QuotaUnit",
+    "RetryAllowance",
     "ViewFreshness",
     "bounds_of",
     "check_organisations",
--- a/currantdeal/organisations/credit.py
+++ b/currantdeal/organisations/credit.py
@@ -17,19 +17,20 @@
 
 ``CreditBounds`` divides the bound into these parts.  It holds whatever dies,
 is paused or partitioned: credit for a request is lost unless it is used or
-returned within ``MAX_OPEN_S``, and reserves have an end.
+returned while it is open, and reserves have an end.
 """
 
-from currantdeal.organisations.credit_bounds import MAX_OPEN_S, bounds_of
+from currantdeal.organisations.credit_bounds import (
+    CLOCK_DRIFT,
+    MAX_OPEN_S,
+    bounds_of,
+)
 from currantdeal.organisations.credit_bucket import CreditBucket
 from currantdeal.organisations.credit_messages import CreditGrant
 
 POOL_TTL_S = 20.0
 """Time after which an unused reserve is lost."""
 
-CLOCK_DRIFT = 0.02
-"""Largest relative difference in rate between two clocks."""
-
 
 class CreditOwner:
     """Grants the credit of all organisations during one epoch.
@@ -40,14 +41,16 @@
     ----------
     epoch : int
         Distinguishes this owner from earlier and later ones.
-    margin : QuotaMargin
-        Margin above the quotas.
+    margin : QuotaMargin or None
+        Margin above the quotas; None for allowances of retries.
     opened_s : float
         Time at which it is opened; minus infinity for the first owner, which
         starts with everything.
     inherited : dict
         Times and units of grants by the owner before, see ``grants``, by the
         name of the organisation; empty if they are not known.
+    grants_unlimited : bool
+        Whether asks of a name without a quota are granted.
 
     Examples
     --------
@@ -64,8 +67,17 @@
     (True, False, False)
     """
 
-    def __init__(self, *, epoch, margin, opened_s, inherited=None):
+    def __init__(
+        self,
+        *,
+        epoch,
+        margin,
+        opened_s,
+        inherited=None,
+        grants_unlimited=True,
+    ):
         """Open with empty buckets."""
+        self._grants_unlimited = grants_unlimited
         self._inherited = inherited or {}
         self.epoch = epoch
         self.opened_s = opened_s
@@ -106,7 +118,7 @@
             # Its quota was removed; the entry learns of that as well.
             return CreditGrant(
                 organisation=ask.organisation,
-                granted=(True,) * len(ask.needs),
+                granted=(self._grants_unlimited,) * len(ask.needs),
                 open_s=MAX_OPEN_S,
             )
         bucket = self._refill(ask.organisation, now_s)
@@ -120,7 +132,7 @@
             granted=granted,
             granted_s=now_s,
             retry_after_s=bucket.promise(missing, bounds),
-            open_s=MAX_OPEN_S,
+            open_s=bounds.open_s,
             pool=self._fill_pool(bucket, bounds, entry, ask, entries, now_s),
             pool_ttl_s=POOL_TTL_S,
         )
@@ -161,7 +173,7 @@
         # Credit that was open for longer may come back in another window
         # than the one in which it was granted.
         for units, granted_s in ask.returned:
-            if now_s < granted_s + MAX_OPEN_S:
+            if now_s < granted_s + bounds.open_s:
                 bucket.give_back(units, bounds, granted_s=granted_s)
 
     def _fill_pool(self, bucket, bounds, entry, ask, entries, now_s):
--- a/currantdeal/organisations/credit_bounds.py
+++ b/currantdeal/organisations/credit_bounds.py
@@ -1,6 +1,9 @@
 """Divides a quota and its margin into the parts that credit may use."""
 
 from dataclasses import dataclass
+from functools import singledispatch
+
+from currantdeal.organisations.records import Quota, RetryAllowance
 
 POOL_SHARE = 0.15
 """Share of the margin for the reserves of the entries."""
@@ -11,6 +14,15 @@
 It covers a round trip to the owner on which one packet is lost.
 """
 
+RETRY_OPEN_S = 2.0
+"""The same for the credit of a retry, which may wait for memory before."""
+
+RETRY_BASE_SHARE = 0.3
+"""Share of an allowance of retries that a new owner grants from its start."""
+
+CLOCK_DRIFT = 0.02
+"""Largest relative difference in rate between two clocks."""
+
 BASE_DEPTH_S = 1.0
 """Capacity of the bucket, as the time in which it fills."""
 
@@ -49,6 +61,8 @@
         Units in a window that an owner grants beyond the bucket.
     pools : float
         Largest sum of the reserves of all entries.
+    open_s : float
+        Time for which the credit of one request stays open.
 
     Examples
     --------
@@ -64,10 +78,37 @@
     base_depth: float
     extra: float
     pools: float
+    open_s: float = MAX_OPEN_S
 
 
+@singledispatch
 def bounds_of(quota, margin):
-    """Return the ``CreditBounds`` of a quota."""
+    """Return the ``CreditBounds`` of a quota or an allowance.
+
+    The margin of a quota is a ``QuotaMargin``; an allowance has none.
+    """
+    raise TypeError(f"nothing that credit can limit: {quota!r}")
+
+
+@bounds_of.register
+def _(quota: RetryAllowance, margin):
+    open_s = RETRY_OPEN_S * (1.0 + CLOCK_DRIFT)
+    window_s = quota.window_s + open_s
+    counted_s = window_s + open_s
+    base_rate_per_s = RETRY_BASE_SHARE * quota.units / counted_s
+    base_depth = BASE_DEPTH_S * base_rate_per_s
+    return CreditBounds(
+        window_s=window_s,
+        base_rate_per_s=base_rate_per_s,
+        base_depth=base_depth,
+        extra=quota.units - base_rate_per_s * counted_s - base_depth,
+        pools=0.0,
+        open_s=RETRY_OPEN_S,
+    )
+
+
+@bounds_of.register
+def _(quota: Quota, margin):
     limit = quota.rate_per_s * margin.window_s + quota.burst
     spare = margin.overshoot * limit + margin.slack
     pools = POOL_SHARE * spare
--- a/currantdeal/organisations/records.py
+++ b/currantdeal/organisations/records.py
@@ -49,6 +49,30 @@
         return prompt_tokens + max_output_tokens or self.default_tokens
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RetryAllowance:
+    """Retries of a service that any window may have, over all entries.
+
+    Parameters
+    ----------
+    units : float
+        Number of retries.
+    window_s : float
+        Length of the window.
+    """
+
+    units: float
+    window_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LimitedService:
+    """A service with its allowance, as ``Organisation`` with its quota."""
+
+    name: str
+    quota: RetryAllowance
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Organisation:
     """One organisation of a configuration.
--- a/currantdeal/organisations/tests/credit_model.py
+++ b/currantdeal/organisations/tests/credit_model.py
@@ -47,8 +47,11 @@
 class CreditModel:
     """Runs asks and records when credit was used."""
 
-    def __init__(self, *, entries, margin=MARGIN, quota=QUOTA):
+    def __init__(
+        self, *, entries, margin=MARGIN, quota=QUOTA, window_s=MARGIN.window_s
+    ):
         """Open the first owner at time 0."""
+        self._window_s = window_s
         self.now_s = 0.0
         self.used = []
         self.refused = 0
@@ -95,14 +98,17 @@
             first[1]()
         self.now_s = until_s
 
-    def request(self, entry, cost, *, delay, keeps=True):
-        """Send a request; one that is not kept gives its credit back."""
+    def request(self, entry, cost, *, delay, keeps=True, held_s=0.0):
+        """Send a request; one that is not kept gives its credit back.
+
+        Credit is held for some time before it is used.
+        """
         if self.now_s < entry.paused_until_s:
             return
         if entry.pool.take(cost, now_s=self.now_s):
             self.used.append((self.now_s, cost))
             return
-        entry.waiting.append((cost, keeps))
+        entry.waiting.append((cost, keeps, held_s))
         if not entry.is_calling:
             self._call(entry, delay)
 
@@ -112,7 +118,7 @@
 
     def worst_window(self):
         """Return the largest use in any window."""
-        window_s = self._margin.window_s
+        window_s = self._window_s
         return max(
             (
                 sum(c for t, c in self.used if s <= t <= s + window_s)
@@ -125,12 +131,14 @@
         entry.calls += 1
         entry.is_calling = True
         waiting, entry.waiting = entry.waiting, []
-        ask = entry.pool.ask(NAME, [c for c, _ in waiting], now_s=self.now_s)
+        needs = [cost for cost, _, _ in waiting]
+        ask = entry.pool.ask(NAME, needs, now_s=self.now_s)
         call = _Call(
             entry=entry,
             number=entry.calls,
             ask=ask,
-            keeps=[keeps for _, keeps in waiting],
+            keeps=[keeps for _, keeps, _ in waiting],
+            held_s=[held_s for _, _, held_s in waiting],
             sent_s=self.now_s,
             delay=delay,
         )
@@ -177,11 +185,18 @@
         entry.is_calling = False
         entry.pool.fill(grant, epoch=epoch, sent_s=call.sent_s)
         is_open = self.now_s < call.sent_s + grant.open_s
-        for cost, granted, keeps in zip(
-            call.ask.needs, grant.granted, call.keeps, strict=True
+        for cost, granted, keeps, held_s in zip(
+            call.ask.needs,
+            grant.granted,
+            call.keeps,
+            call.held_s,
+            strict=True,
         ):
+            until_s = call.sent_s + grant.open_s
             if not granted:
                 self.refused += 1
+            elif is_open and keeps and held_s:
+                self._later(held_s, self._use_before(until_s, entry, cost))
             elif is_open and keeps:
                 self.used.append((self.now_s, cost))
             else:
@@ -189,6 +204,13 @@
                     cost, granted_s=grant.granted_s, epoch=epoch
                 )
 
+    def _use_before(self, until_s, entry, cost):
+        def use():
+            if entry in self.entries and self.now_s < until_s:
+                self.used.append((self.now_s, cost))
+
+        return use
+
 
 @dataclass(frozen=True, kw_only=True)
 class _Call:
@@ -198,5 +220,6 @@
     number: int
     ask: CreditAsk
     keeps: list
+    held_s: list
     sent_s: float
     delay: Delay
--- a/currantdeal/policy/retry_after.py
+++ b/currantdeal/policy/retry_after.py
@@ -4,7 +4,8 @@
 so into the same burst; callers with the same retry-after time retry together
 and cause the next burst.  So the time is drawn uniformly from a range.
 
-A lack of memory lasts until streams end; a missing upstream or configuration
+A lack of memory lasts until streams end, and a retry budget is used up while
+upstreams fail or refuse for seconds; a missing upstream or configuration
 is usually back sooner.  A quarantined request cannot be served within its
 caller's timeout, so its retry-after time is long and not limited by the time
 left.
@@ -25,6 +26,7 @@
     QUOTA_OWNER = "quota-owner"
     LIMIT = "limit"
     LIMIT_OWNER = "limit-owner"
+    RETRY_BUDGET = "retry-budget"
 
 
 _RANGES_S = {
@@ -37,6 +39,7 @@
     RefusalReason.QUOTA_OWNER: (0.2, 0.6),
     RefusalReason.LIMIT: (0.5, 1.5),
     RefusalReason.LIMIT_OWNER: (0.2, 0.6),
+    RefusalReason.RETRY_BUDGET: (0.8, 3.0),
 }
 
 QUOTA_SPREAD = 0.2
--- a/currantdeal/testing/entry_world.py
+++ b/currantdeal/testing/entry_world.py
@@ -12,11 +12,19 @@
 import msgspec
 
 from currantdeal.adapters.metrics import Metrics
-from currantdeal.entry.context import BudgetBounds, EntryContext
+from currantdeal.core import boot_time_s
+from currantdeal.entry.context import EntryContext
+from currantdeal.entry.retry_budgets import RetryRatio
 from currantdeal.entry.service import EntryService
 from currantdeal.entry.view import EntryView
 from currantdeal.node.connection_pool import ConnectionPool
 from currantdeal.node.http_server import HttpServer
+from currantdeal.node.organisation_messages import CreditAnswer
+from currantdeal.organisations import (
+    CreditOwner,
+    LimitedService,
+    RetryAllowance,
+)
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.platform.config import decode_config
 from currantdeal.registry import Stage, UpstreamRecord, UpstreamState
@@ -116,6 +124,10 @@
     }
 
 
+RETRY_WINDOW_S = 10.0
+"""Window of the retry budget."""
+
+
 class EntryWorld:
     """An entry, and calls to announce upstreams to it and to send requests.
 
@@ -217,6 +229,27 @@
 """Headers that mark a request as a generation."""
 
 
+def _retry_owner(allowance):
+    """Return what asks an owner of the retry budgets in this process."""
+    owner = CreditOwner(
+        epoch=1, margin=None, opened_s=-math.inf, grants_unlimited=False
+    )
+    quota = RetryAllowance(units=allowance, window_s=RETRY_WINDOW_S)
+    limited = [
+        LimitedService(name=name, quota=quota) for name in ("shop", "model")
+    ]
+    owner.update(limited, now_s=0.0)
+
+    async def ask(asks):
+        now_s = boot_time_s()
+        grants = tuple(
+            owner.grant("entry", a, entries=1, now_s=now_s) for a in asks
+        )
+        return CreditAnswer(epoch=1, grants=grants)
+
+    return ask
+
+
 @asynccontextmanager
 async def entry_world(*, config=None, allowance=100.0, revocation_s=math.inf):
     """Run an entry for the duration of a test."""
@@ -237,10 +270,11 @@
         pool=ConnectionPool(metrics=metrics),
         dialect=PlatformCalls(),
         random=random.Random(1),
-        budget=BudgetBounds(ratio=0.2, allowance=allowance, window_s=10.0),
+        retry_ratio=RetryRatio(ratio=0.2, window_s=RETRY_WINDOW_S),
         metrics=metrics,
         revocation_s=revocation_s,
     )
+    context.retry_budgets.connect(_retry_owner(allowance))
     service = EntryService(context=context)
     server = HttpServer(handler=service.handle, limits=lambda: view.limits)
     await server.start("127.0.0.1", 0)
