Let a new owner grant half of an allowance of retries

What callers saw: in a test of a new cluster, retries were denied seconds after the start though nothing had been used. Cause: an owner that does not know what earlier ones granted has only its token bucket for a window, which was 0.3 of the allowance. Change: half. The bound stays (the same tests); on a long-lived owner the other half is free at once.

--- a/currantdeal/control/tests/test_quota_owner.py
+++ b/currantdeal/control/tests/test_quota_owner.py
@@ -44,7 +44,7 @@
             leader_link=SimpleNamespace(address="leader", call=self._forward),
             supports=lambda address: True,
             entries=lambda: 4,
-            limited=lambda config: config.organisations,
+            limited=lambda config: config.organisations or (),
             margin=QuotaMargin(window_s=8.0, overshoot=0.1, slack=1e3),
             grants_unlimited=True,
             clock=lambda: self.now_s,
--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -11,6 +11,7 @@
 from currantdeal.entry.quotas import QuotaClient
 from currantdeal.entry.retry_budgets import RetryBudgets
 from currantdeal.node.dialect import ForwardingOptions
+from currantdeal.node.errors import MalformedResponseError
 from currantdeal.policy.decode_memory import DecodeEngineOrder
 from currantdeal.policy.demand import DemandMeter
 from currantdeal.policy.local_prefills import LocalPrefills
@@ -104,9 +105,16 @@
         """Loop time."""
         return asyncio.get_running_loop().time()
 
-    def eject(self, record, health):
-        """Eject an unreachable upstream until it answers a health check."""
-        self._prober.eject(record, health)
+    def eject(self, record, health, exc=None):
+        """Eject an upstream until it answers a health check.
+
+        Parameters
+        ----------
+        exc : ExchangeError or None
+            The failure of a request to it, if one failed.
+        """
+        is_malformed = isinstance(exc, MalformedResponseError)
+        self._prober.eject(record, health, is_malformed=is_malformed)
 
     def may_send(self, active):
         """Return whether a request may be sent to an upstream now."""
--- a/currantdeal/entry/events.py
+++ b/currantdeal/entry/events.py
@@ -8,6 +8,9 @@
 MAX_EVENT_BYTES = 1_048_576
 """Longest event that is buffered; a longer one is forwarded in pieces."""
 
+MAX_BYTES_BETWEEN_EVENTS = 8_388_608
+"""Maximum size of one event, or of comments between two events."""
+
 _DATA_LINE = re.compile(rb"(?:\A|[\r\n])data:")
 _ID_LINE = re.compile(rb"(?:\A|[\r\n])id:([^\r\n]*)")
 _BLANK_LINES = (b"\n\n", b"\n\r\n", b"\r\r")
@@ -43,6 +46,12 @@
         self._next_id = ""
         self._count = 0
         self._forwarded_part = False
+        self._bytes_since_event = 0
+
+    @property
+    def is_endless(self):
+        """Whether too many bytes came since the last event with data."""
+        return self._bytes_since_event > MAX_BYTES_BETWEEN_EVENTS
 
     @property
     def count(self):
@@ -84,8 +93,11 @@
         If one is longer than the buffer, returns its bytes as well.
         """
         self._buffer += data
+        self._bytes_since_event += len(data)
         end = _end_of_events(self._buffer)
         if end:
+            if self._forwarded_part or _DATA_LINE.search(self._buffer[:end]):
+                self._bytes_since_event = 0
             complete = self._take(end)
             self._last_id = self._next_id
             self._forwarded_part = False
@@ -126,6 +138,7 @@
     partial_event = b""
     count = 0
     position = Position.NO_EVENTS
+    is_endless = False
 
     def __init__(self):
         """Start before the first byte."""
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -72,6 +72,9 @@
 The rest is for the engine to fetch it.
 """
 
+MAX_ERROR_BYTES = 1_048_576
+"""Largest error of an engine that is forwarded."""
+
 MAX_ATTEMPTS = 3
 """Maximum number of attempts for one generation."""
 
@@ -323,10 +326,15 @@
 
     async def _stream(self, connection, record, sent_s):
         context, active = self._context, self._active
-        head = await self._wait_or_fail_over(connection.head(), record)
+        try:
+            head = await self._wait_or_fail_over(connection.head(), record)
+        except asyncio.CancelledError:
+            if active.time_left_s(self._now_s) <= 0.0:
+                context.health.record_answer(record.upstream, error=True)
+            raise
         metadata = context.read_response(record, head, sent_s=sent_s)
         if metadata.not_run:
-            await connection.rest(limit=1 << 20)
+            await connection.skip_rest()
             # It granted memory and then refused the request, for example
             # because it changes its stage.  A retry there would waste
             # another prefill.
@@ -357,7 +365,7 @@
         return is_ended
 
     async def _forward_error(self, connection, head, record):
-        body = await connection.rest()
+        body = await connection.rest(limit=MAX_ERROR_BYTES)
         completeness = check_end(head, position_of(head, body))
         self._context.health.record_answer(record.upstream, error=True)
         record_completeness(
--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -191,7 +191,7 @@
     def record_unreachable(self, record, exc):
         """Eject an engine that is unreachable or lost its connection."""
         context = self._context
-        context.eject(record, context.health)
+        context.eject(record, context.health, exc)
         context.pool.close_idle(record.address)
         self._active.add_failure_step(record.upstream, exc)
 
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -23,6 +23,7 @@
     ConnectError,
     ExchangeError,
     InvalidResponseError,
+    MalformedResponseError,
     ResponseTimeoutError,
 )
 from currantdeal.node.fingerprint import fingerprint_prefix
@@ -188,6 +189,7 @@
         return _record_failure(context, active, record, exc)
     except asyncio.CancelledError:
         active.runs += 1
+        _record_deadline(context, active, record)
         raise
     finally:
         context.health.request_ended(record.upstream)
@@ -197,13 +199,20 @@
     )
 
 
+def _record_deadline(context, active, record):
+    """Record an upstream that has not answered until the deadline."""
+    if active.time_left_s(context.now_s) <= 0.0:
+        context.health.record_answer(record.upstream, error=True)
+
+
 def _record_failure(context, active, record, exc):
     outcome = reset_outcome(active.kind, exc.phase)
     if outcome.ran is not Ran.NO:
         active.runs += 1
-    silent = isinstance(exc, (ConnectError, ResponseTimeoutError))
-    if silent:
-        context.eject(record, context.health)
+    if isinstance(
+        exc, (ConnectError, MalformedResponseError, ResponseTimeoutError)
+    ):
+        context.eject(record, context.health, exc)
         context.pool.close_idle(record.address)
     else:
         context.health.record_answer(record.upstream, error=True)
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -14,7 +14,11 @@
 from currantdeal.entry.releases import release
 from currantdeal.entry.steps import StepKind, kind_of_failure
 from currantdeal.node.connection_pool import exchange
-from currantdeal.node.errors import ExchangeError, InvalidResponseError
+from currantdeal.node.errors import (
+    ExchangeError,
+    InvalidResponseError,
+    MalformedResponseError,
+)
 from currantdeal.policy.prefill_choice import (
     estimate_prefill,
     local_prefill_s,
@@ -237,7 +241,7 @@
 
 
 def _handle_failed_prefill(context, record, exc, since_s):
-    """Eject a prefill engine if it accepts no connection.
+    """Eject a prefill engine that accepts no connection or sends no answer.
 
     One that times out may only be busy, or its answer was lost.  Ejecting it
     for that could leave all prompts to the decode engines.  If it has
@@ -247,8 +251,9 @@
     unresponsive.
     """
     kind = kind_of_failure(exc)
-    if kind is StepKind.UNREACHABLE:
-        context.eject(record, context.prefill_health)
+    is_malformed = isinstance(exc, MalformedResponseError)
+    if kind is StepKind.UNREACHABLE or is_malformed:
+        context.eject(record, context.prefill_health, exc)
     elif context.prefill_health.last_answer_s(record.upstream) <= since_s:
         context.pool.close_idle(record.address)
         context.prefill_health.record_timeout(
--- a/currantdeal/entry/probing.py
+++ b/currantdeal/entry/probing.py
@@ -52,17 +52,22 @@
         self._in_background = in_background
         self._probed = set()
 
-    def eject(self, record, health):
+    def eject(self, record, health, *, is_malformed=False):
         """Eject an upstream until it answers a health check.
 
         Parameters
         ----------
         health : UpstreamHealth
             The health records in which it is ejected.
+        is_malformed : bool
+            See ``UpstreamHealth.eject``.
         """
         now_s = asyncio.get_running_loop().time()
         pause_s = health.eject(
-            record.upstream, now_s=now_s, grace_s=PROBE_TIMEOUT_S
+            record.upstream,
+            now_s=now_s,
+            grace_s=PROBE_TIMEOUT_S,
+            is_malformed=is_malformed,
         )
         key = (record.upstream, health)
         if key not in self._probed:
--- a/currantdeal/entry/relay.py
+++ b/currantdeal/entry/relay.py
@@ -2,7 +2,10 @@
 
 from currantdeal.entry.events import EventSplitter, OpaqueBody
 from currantdeal.entry.run_end import check_end
-from currantdeal.node.errors import InvalidResponseError
+from currantdeal.node.errors import (
+    InvalidResponseError,
+    MalformedResponseError,
+)
 from currantdeal.node.head import EVENT_STREAM
 from currantdeal.policy.answer_end import (
     Position,
@@ -81,6 +84,11 @@
         self._choose_body(head)
         while (data := await next_chunk()) is not None:
             complete = self._body.feed(data)
+            if self._body.is_endless:
+                raise MalformedResponseError(
+                    "an event does not end",
+                    phase=ExchangePhase.WITHIN_ANSWER,
+                )
             if complete:
                 await self._send(head, complete)
         found = check_end(head, self.position)
--- a/currantdeal/node/answer_parser.py
+++ b/currantdeal/node/answer_parser.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from currantdeal.node.chunk_sizes import ChunkSizes
 from currantdeal.node.extra_answers import ExtraAnswer, ExtraMoment
 from currantdeal.node.head import find_values
 from currantdeal.policy.answer_owner import AnswerOwner, answer_owner
@@ -16,6 +17,12 @@
 MAX_REQUESTS = 256
 """Maximum number of requests on a connection, which bounds its set of ids."""
 
+MAX_BYTES_BEFORE_ANSWER = 65_536
+"""Maximum size of what precedes an answer, such as interim answers."""
+
+MAX_EXTRA_BYTES = 8_388_608
+"""Maximum size of the extra answers that are skipped before an answer."""
+
 MAX_GRANT_BYTES = 65_536
 """Maximum size of the body of a grant, which is read before it is used."""
 
@@ -49,6 +56,17 @@
         self._unread_grant = None
         self._is_own = False
         self._is_identified = True
+        self._is_begun = False
+        self._is_ended = False
+        self._is_skipping = False
+        self._bytes_before = 0
+        self._extra_bytes = 0
+        self._chunks = ChunkSizes()
+
+    @property
+    def has_ended(self):
+        """Whether the own answer is complete."""
+        return self._is_ended
 
     @property
     def is_idle(self):
@@ -104,6 +122,9 @@
     def begin(self, outgoing):
         """Return the bytes of a request, whose answer is parsed next."""
         self._outgoing = outgoing
+        self._is_begun = self._is_ended = self._is_skipping = False
+        self._bytes_before = self._extra_bytes = 0
+        self._chunks = ChunkSizes()
         self._count += 1
         if outgoing.request_id:
             self._ids.add(outgoing.request_id)
@@ -131,12 +152,13 @@
         Raises
         ------
         h11.RemoteProtocolError
-            If the bytes are not HTTP.
+            If the bytes are not HTTP, or too many precede the answer.
         """
+        was_skipping = self._is_skipping
         self._http.receive_data(data)
         while (event := self._next_event()) is not None:
             if isinstance(event, h11.Response):
-                self._is_own = self._belongs(event)
+                self._begin_answer(event)
                 if self._is_own and self._is_grant_without_id(event):
                     self._unread_grant = []
             if self._unread_grant is not None:
@@ -145,12 +167,21 @@
                 yield event
             if isinstance(event, h11.EndOfMessage):
                 if self._is_own:
+                    self._is_ended = True
                     return
+                self._is_skipping = False
                 self._await_next()
+        self._count_others(len(data), was_skipping or self._is_skipping)
 
-    def finish(self):
-        """End the exchange; returns whether another request may follow."""
-        extra, _ = self._http.trailing_data
+    def finish(self, unparsed=b""):
+        """End the exchange; returns whether another request may follow.
+
+        Parameters
+        ----------
+        unparsed : bytes
+            Received bytes that were not parsed.
+        """
+        extra = self._http.trailing_data[0] + unparsed
         if extra:
             self.record_unexpected(extra, ExtraMoment.AFTER_OWN)
             return False
@@ -167,6 +198,24 @@
         owner = AnswerOwner.OTHER if ids else AnswerOwner.UNIDENTIFIED
         self._record(moment, owner, head)
 
+    def _begin_answer(self, head):
+        self._is_own = self._belongs(head)
+        self._is_begun = self._is_begun or self._is_own
+        self._is_skipping = not self._is_own
+
+    def _count_others(self, size, is_extra):
+        """Bound what is received without a part of the own answer."""
+        if is_extra:
+            self._extra_bytes += size
+        elif not self._is_begun:
+            self._bytes_before += size
+        if self._chunks.are_too_small:
+            raise h11.RemoteProtocolError("the chunks are too small")
+        if self._bytes_before > MAX_BYTES_BEFORE_ANSWER:
+            raise h11.RemoteProtocolError("too many bytes before the answer")
+        if self._extra_bytes > MAX_EXTRA_BYTES:
+            raise h11.RemoteProtocolError("the extra answers are too large")
+
     def _next_event(self):
         """Return the next event of an answer; None if there is none yet."""
         event = self._http.next_event()
@@ -174,6 +223,8 @@
             event = self._http.next_event()
         if event is h11.NEED_DATA or event is h11.PAUSED:
             return None
+        if isinstance(event, h11.Data):
+            self._chunks.add(event.data)
         return None if isinstance(event, h11.ConnectionClosed) else event
 
     def _read_grant(self, event):
@@ -187,7 +238,7 @@
         self._unread_grant = None
         name = self._outgoing.grant.read(_body(events))
         if name and not self._grants.take(name):
-            self._is_own = False
+            self._is_own = self._is_begun = False
             self._record(ExtraMoment.BEFORE_OWN, AnswerOwner.OTHER, events[0])
             return
         yield from events
--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -28,6 +28,9 @@
 It is shorter than the time after which TCP retransmits a lost first packet.
 """
 
+MAX_CALL_ANSWER_BYTES = 65_536
+"""Maximum size of the answer to a call of the system."""
+
 MAX_IDLE = 16
 """Maximum number of idle connections kept for one upstream."""
 
@@ -155,7 +158,7 @@
     outgoing,
     *,
     timeout_s,
-    limit=1 << 20,
+    limit=MAX_CALL_ANSWER_BYTES,
     retryable=False,
     may_repeat=None,
 ):
--- a/currantdeal/node/errors.py
+++ b/currantdeal/node/errors.py
@@ -62,5 +62,9 @@
     """The response was truncated or is not valid HTTP."""
 
 
+class MalformedResponseError(InvalidResponseError):
+    """The upstream sent bytes that are no answer, or more than are read."""
+
+
 class ResponseTimeoutError(ExchangeError):
     """The upstream did not respond in time."""
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -13,7 +13,9 @@
 from currantdeal.core import boot_time_s
 from currantdeal.node.answer_parser import AnswerParser
 from currantdeal.node.errors import (
+    ExchangeError,
     InvalidResponseError,
+    MalformedResponseError,
     SendExpiredError,
     UnchargedError,
 )
@@ -44,6 +46,15 @@
 
 _KEEP_ALIVE_DIGITS = len(str(MAX_KEEP_ALIVE_S)) + 1
 
+PARSE_STEP_BYTES = 8_192
+"""Bytes that are parsed at once; other connections are served in between."""
+
+MAX_SKIPPED_BYTES = 65_536
+"""Maximum size of a body that is skipped to reuse its connection."""
+
+SKIP_TIMEOUT_S = 0.1
+"""Time in which the rest of such a body must arrive."""
+
 MAX_UNREAD_BYTES = 262_144
 """Unread response bytes beyond which reading from the upstream pauses.
 
@@ -77,8 +88,10 @@
         self._events = deque()
         self._waiter = None
         self._close_reason = None
+        self._failure = InvalidResponseError
         self._phase = ExchangePhase.CONNECTING
         self._unread = 0
+        self._unparsed = b""
         self._paused = False
         self._idle_since_s = 0.0
         self._keep_alive_s = None
@@ -107,10 +120,8 @@
             self._parser.record_unexpected(data)
             self._fail("received bytes without a pending request")
             return
-        try:
-            self._parse(data)
-        except h11.RemoteProtocolError as exc:
-            self._fail(f"invalid HTTP response: {exc}")
+        self._unparsed += data
+        self._parse_step()
 
     def eof_received(self):
         """Handle the end of the stream.
@@ -118,7 +129,7 @@
         It completes a response that has no length.
         """
         try:
-            self._parse(b"")
+            self._receive(b"")
         except h11.RemoteProtocolError as exc:
             self._fail(f"ended early: {exc}")
         return False
@@ -207,15 +218,25 @@
             event = await self._next_event()
             if isinstance(event, h11.Data):
                 self._unread -= len(event.data)
-                if self._paused and self._unread < MAX_UNREAD_BYTES // 2:
-                    self._paused = False
-                    self._transport.resume_reading()
+                self._update_reading()
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
                 self._end_exchange()
                 return None
 
-    async def rest(self, *, limit=1 << 26):
+    async def skip_rest(self):
+        """Skip the rest of the body, or close the connection.
+
+        It is closed if the rest is large or does not arrive soon.
+        """
+        try:
+            async with asyncio.timeout(SKIP_TIMEOUT_S):
+                await self.rest(limit=MAX_SKIPPED_BYTES)
+        except (TimeoutError, ExchangeError):
+            # The answer is known; only the connection cannot be reused.
+            self.close()
+
+    async def rest(self, *, limit):
         """Return the rest of the body.
 
         A body of more than ``limit`` bytes closes the connection.
@@ -226,7 +247,7 @@
             parts.append(data)
             size += len(data)
             if size > limit:
-                self._fail("the response is too large")
+                self._fail_malformed("the response is too large")
         return b"".join(parts)
 
     @property
@@ -241,21 +262,56 @@
             self._close_reason = "closed locally"
         self._transport.abort()
 
-    def _parse(self, data):
+    def _parse_step(self):
+        """Parse some of the received bytes, and the rest later."""
+        if self._close_reason is not None or not self._unparsed:
+            return
+        step = self._unparsed[:PARSE_STEP_BYTES]
+        self._unparsed = self._unparsed[PARSE_STEP_BYTES:]
+        try:
+            self._receive(step)
+        except h11.RemoteProtocolError as exc:
+            self._fail_malformed(f"invalid HTTP response: {exc}")
+        self._update_reading()
+        if self._unparsed and not self._parser.has_ended:
+            self._loop.call_soon(self._parse_step)
+
+    def _receive(self, data):
         for event in self._parser.receive(data):
             self._phase = ExchangePhase.WITHIN_ANSWER
-            self._events.append(event)
-            if isinstance(event, h11.Data):
-                self._unread += len(event.data)
-                if self._unread > MAX_UNREAD_BYTES and not self._paused:
-                    self._paused = True
-                    self._transport.pause_reading()
+            self._add_event(event)
             self._wake()
 
+    def _add_event(self, event):
+        """Append an event; small parts of a body become one."""
+        if not isinstance(event, h11.Data):
+            self._events.append(event)
+            return
+        self._unread += len(event.data)
+        if self._events and isinstance(self._events[-1], h11.Data):
+            self._events[-1].data.extend(event.data)
+        else:
+            self._events.append(h11.Data(data=bytearray(event.data)))
+
+    def _update_reading(self):
+        """Pause reading while there is enough to parse or to read.
+
+        What follows a complete answer is not read at all.
+        """
+        if self._close_reason is not None:
+            return
+        limit = MAX_UNREAD_BYTES // (2 if self._paused else 1)
+        pauses = bool(self._unparsed) or self._unread > limit
+        if pauses and not self._paused:
+            self._transport.pause_reading()
+        elif self._paused and not pauses:
+            self._transport.resume_reading()
+        self._paused = pauses
+
     async def _next_event(self):
         while not self._events:
             if self._close_reason is not None:
-                raise InvalidResponseError(
+                raise self._failure(
                     f"{self._close_reason} ({self._phase.value})",
                     phase=self._phase,
                 )
@@ -276,8 +332,14 @@
         self._transport.abort()
         self._wake()
 
+    def _fail_malformed(self, reason):
+        if self._close_reason is None:
+            self._failure = MalformedResponseError
+        self._fail(reason)
+
     def _end_exchange(self):
-        if self._close_reason is None and self._parser.finish():
+        is_open = self._close_reason is None
+        if is_open and self._parser.finish(self._unparsed):
             self._idle_since_s = self._loop.time()
             self._reusable = True
         else:
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -12,6 +12,7 @@
 import h11
 import structlog
 
+from currantdeal.node.chunk_sizes import ChunkSizes
 from currantdeal.node.head import RequestHead
 from currantdeal.node.http_request import (
     RefusedRequest,
@@ -35,6 +36,13 @@
 It gives the caller time to read the response.
 """
 
+MAX_DISCARDED_BYTES = 262_144
+"""Bytes that are read after an error response.
+
+A connection that is closed with unread bytes is reset, which could discard
+the response before the caller has read it.
+"""
+
 _log = structlog.get_logger(__name__)
 
 _MALFORMED = {
@@ -112,13 +120,15 @@
         self._head_parsed = False
         self._request_started_s = None
         self._request = None
-        self._body = []
-        self._body_length = 0
+        self._blank_bytes = 0
+        self._body = bytearray()
+        self._chunks = ChunkSizes()
         self._task = None
         self._timer = None
         self._writer = None
         self._reading = True
         self._is_closing = False
+        self._discarded_bytes = 0
 
     @property
     def is_busy(self):
@@ -148,6 +158,7 @@
 
     def data_received(self, data):
         if self._is_closing:
+            self._discard(data)
             return
         if self._request_started_s is None:
             self._request_started_s = self._loop.time()
@@ -162,6 +173,13 @@
         # no way to continue only reading.
         return False
 
+    def _discard(self, data):
+        """Discard what follows a refused request, or stop to read it."""
+        self._discarded_bytes += len(data)
+        if self._discarded_bytes > MAX_DISCARDED_BYTES and self._reading:
+            self._reading = False
+            self._transport.pause_reading()
+
     def close_if_idle(self):
         if not self.is_busy and self._request_started_s is None:
             self._transport.close()
@@ -212,9 +230,12 @@
                 return
 
     def _receive_head(self):
+        limit = self._server.limits().max_header_bytes
         while self._head_bytes.startswith(b"\r\n"):
             del self._head_bytes[:2]
-        limit = self._server.limits().max_header_bytes
+            self._blank_bytes += 2
+            if self._blank_bytes > limit:
+                raise RefusedRequest(431, "the head is too large")
         end = self._head_bytes.find(b"\r\n\r\n")
         if end < 0:
             if len(self._head_bytes) > limit:
@@ -248,14 +269,16 @@
             target=target,
             headers=headers,
         )
-        self._body = []
-        self._body_length = 0
+        self._body.clear()
+        self._chunks = ChunkSizes()
 
     def _append_body(self, data):
-        self._body_length += len(data)
-        if self._body_length > self._server.limits().max_body_bytes:
+        self._body += data
+        self._chunks.add(data)
+        if self._chunks.are_too_small:
+            raise RefusedRequest(400, "the chunks are too small")
+        if len(self._body) > self._server.limits().max_body_bytes:
             raise RefusedRequest(413, "the body is too large")
-        self._body.append(bytes(data))
 
     def _send_continue_if_expected(self):
         if self._http.they_are_waiting_for_100_continue:
@@ -268,11 +291,11 @@
         self._cancel_timer()
         request = Request(
             head=self._request,
-            body=b"".join(self._body),
+            body=bytes(self._body),
             arrived_s=self._request_started_s,
             sender=self._sender,
         )
-        self._body = []
+        self._body.clear()
         self._request = None
         self._task = self._loop.create_task(self._run(request))
 
@@ -339,8 +362,6 @@
                 h11.EndOfMessage(),
             ):
                 self._writer.write(self._http, event)
-        # Closing with unread bytes would reset the connection, which could
-        # discard the error response before the caller has read it.
         if self._transport.can_write_eof():
             self._transport.write_eof()
         self._loop.call_later(CLOSE_DELAY_S, self._transport.close)
@@ -364,6 +385,8 @@
             self._timer = None
 
     def _reset_parser(self):
+        self._blank_bytes = 0
         self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=1 << 20
+            h11.SERVER,
+            max_incomplete_event_size=self._server.limits().max_header_bytes,
         )
--- a/currantdeal/organisations/credit_bounds.py
+++ b/currantdeal/organisations/credit_bounds.py
@@ -17,7 +17,7 @@
 RETRY_OPEN_S = 2.0
 """The same for the credit of a retry, which may wait for memory before."""
 
-RETRY_BASE_SHARE = 0.3
+RETRY_BASE_SHARE = 0.5
 """Share of an allowance of retries that a new owner grants from its start."""
 
 CLOCK_DRIFT = 0.02
--- a/currantdeal/policy/upstream_health.py
+++ b/currantdeal/policy/upstream_health.py
@@ -4,7 +4,9 @@
 health checks pass.  Only the outcome of requests shows it.
 
 An upstream that is unreachable or times out is ejected for a time that doubles
-with each further failure.  Errors that it answers itself only raise its load
+with each further failure.  One that sends no answers, but bytes that are none,
+may pass its health checks; from its second failure in a row on, they do not
+readmit it earlier.  Errors that it answers itself only raise its load
 for the balancer, since all upstreams of a service answer some.
 """
 
@@ -45,6 +47,7 @@
         self.error_rate = 0.0
         self.failures = 0
         self.ejected_until_s = 0.0
+        self.held_until_s = 0.0
         self.unresponsive_until_s = NEVER_S
         self.last_answer_s = NEVER_S
         self.reported = 0
@@ -93,14 +96,14 @@
         state.last_answer_s = max(state.last_answer_s, now_s)
         state.unresponsive_until_s = NEVER_S
         state.failures = 0
-        state.ejected_until_s = 0.0
+        state.ejected_until_s = state.held_until_s = 0.0
         state.error_rate += SMOOTHING * (float(error) - state.error_rate)
 
     def last_answer_s(self, upstream):
         """Return the time of the last answer recorded with a time."""
         return self._state_of(upstream).last_answer_s
 
-    def eject(self, upstream, *, now_s, grace_s=0.0):
+    def eject(self, upstream, *, now_s, grace_s=0.0, is_malformed=False):
         """Eject an upstream that refused a connection or did not answer.
 
         Returns the time after which to retry it, in seconds.
@@ -109,9 +112,13 @@
         ----------
         grace_s : float
             Time beyond that for which it stays ejected unless it answers.
+        is_malformed : bool
+            Whether it sent bytes that are no answer.
         """
         state = self._state_of(upstream)
         pause_s = min(MAX_EJECTION_S, BASE_EJECTION_S * 2.0**state.failures)
+        if is_malformed and state.failures:
+            state.held_until_s = now_s + pause_s
         state.failures += 1
         state.ejected_until_s = now_s + pause_s + grace_s
         return pause_s
@@ -133,8 +140,9 @@
         )
 
     def readmit(self, upstream):
-        """Readmit an ejected upstream that answers again."""
-        self._state_of(upstream).ejected_until_s = 0.0
+        """Readmit an ejected upstream that answers health checks again."""
+        state = self._state_of(upstream)
+        state.ejected_until_s = state.held_until_s
 
     def record_load(self, upstream, requests, *, now_s):
         """Record the load that an upstream reported.
