--- a/currantdeal/organisations/credit_bounds.py
+++ b/currantdeal/organisations/credit_bounds.py
@@ -14,7 +14,7 @@
 It covers a round trip to the owner on which one packet is lost.
 """
 
-RETRY_OPEN_S = 2.0
+RETRY_OPEN_S = 1.0
 """The same for the credit of a retry, which may wait for memory before."""
 
 RETRY_BASE_SHARE = 0.5
--- a/currantdeal/policy/request_credit.py
+++ b/currantdeal/policy/request_credit.py
@@ -12,7 +12,7 @@
 import math
 from collections import deque
 
-HELD_CREDIT_S = 2.0
+HELD_CREDIT_S = 1.0
 """Time for which credit that was taken may be held before it is used."""
 
 
