Take no service before the first configuration

Cause: a control process that had applied no configuration yet took every service, and others merged what it spread. Change: without a configuration no service is known, and a heartbeat is answered 404, as for any service that is not named.

--- a/currantdeal/cli/tests/test_unknown_services.py
+++ b/currantdeal/cli/tests/test_unknown_services.py
@@ -4,8 +4,6 @@
 import contextlib
 import json
 
-import pytest
-
 from currantdeal.testing.entry_world import (
     config_body,
     read_to_end,
@@ -69,7 +67,6 @@
     return refused, served
 
 
-@pytest.mark.known_red
 def test_heartbeat_of_an_unknown_service_takes_no_upstream_away(tmp_path):
     """Guards against a report that removes a healthy upstream."""
     refused, served = asyncio.run(_play(tmp_path))
--- a/currantdeal/control/exchange.py
+++ b/currantdeal/control/exchange.py
@@ -80,7 +80,7 @@
         self._links = links
         self._clock = clock
         self._save_leaves = save_leaves
-        self._services = None
+        self._services = frozenset()
         self.registry = UpstreamRegistry(heartbeat_s=heartbeat_s)
         self._reconciler = UpstreamReconciler(
             registry=self.registry,
@@ -141,9 +141,10 @@
         """Return whether an upstream may announce itself with a record.
 
         One of a service that the configuration does not name, or names no
-        longer, may only renew or end what is known of it.
+        longer, may only renew or end what is known of it.  Before the first
+        configuration no service is known.
         """
-        if self._services is None or record.service in self._services:
+        if record.service in self._services:
             return True
         known = self.registry.get(record.upstream)
         return known is not None and (
--- a/currantdeal/control/tests/test_exchange.py
+++ b/currantdeal/control/tests/test_exchange.py
@@ -187,3 +187,12 @@
     return RenewalsNotice(
         sender="c2", data_center="dc1", demand={}, upstreams=(), entries=()
     )
+
+
+def test_no_upstream_is_taken_before_the_first_configuration():
+    """Guards against a service that nobody configured taking an address."""
+    exchange = _an_exchange()
+    record = an_upstream()
+    assert not exchange.is_configured(record)
+    exchange.configure([record.service])
+    assert exchange.is_configured(record)
