--- a/currantdeal/control/tests/test_exchange.py
+++ b/currantdeal/control/tests/test_exchange.py
@@ -191,7 +191,7 @@
 
 def test_no_upstream_is_taken_before_the_first_configuration():
     """Guards against a service that nobody configured taking an address."""
-    exchange = _an_exchange()
+    exchange = _an_exchange(links=lambda address: _Link())
     record = an_upstream()
     assert not exchange.is_configured(record)
     exchange.configure([record.service])
