--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -218,7 +218,8 @@
             event = await self._next_event()
             if isinstance(event, h11.Data):
                 self._unread -= len(event.data)
-                self._update_reading()
+                if self._paused:
+                    self._update_reading()
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
                 self._end_exchange()
@@ -266,15 +267,20 @@
         """Parse some of the received bytes, and the rest later."""
         if self._close_reason is not None or not self._unparsed:
             return
-        step = self._unparsed[:PARSE_STEP_BYTES]
-        self._unparsed = self._unparsed[PARSE_STEP_BYTES:]
+        step, self._unparsed = self._unparsed, b""
+        if len(step) > PARSE_STEP_BYTES:
+            self._unparsed = step[PARSE_STEP_BYTES:]
+            step = step[:PARSE_STEP_BYTES]
         try:
             self._receive(step)
         except h11.RemoteProtocolError as exc:
             self._fail_malformed(f"invalid HTTP response: {exc}")
-        self._update_reading()
+        if self._unparsed or self._unread > MAX_UNREAD_BYTES:
+            self._update_reading()
         if self._unparsed and not self._parser.has_ended:
             self._loop.call_soon(self._parse_step)
+        elif self._paused:
+            self._update_reading()
 
     def _receive(self, data):
         for event in self._parser.receive(data):
@@ -288,10 +294,13 @@
             self._events.append(event)
             return
         self._unread += len(event.data)
-        if self._events and isinstance(self._events[-1], h11.Data):
-            self._events[-1].data.extend(event.data)
-        else:
-            self._events.append(h11.Data(data=bytearray(event.data)))
+        if not self._events or not isinstance(self._events[-1], h11.Data):
+            self._events.append(event)
+            return
+        if not isinstance(self._events[-1].data, bytearray):
+            data = bytearray(self._events.pop().data)
+            self._events.append(h11.Data(data=data))
+        self._events[-1].data.extend(event.data)
 
     def _update_reading(self):
         """Pause reading while there is enough to parse or to read.
