Read nothing after a whole answer, and eject what is silent at a deadline

Found in reading the diff. What follows an answer that its caller reads slowly was still read into the parser, without bound, if it came in small pieces: test_bytes_after_an_answer_are_not_read fails on the commit before, and passes. An upstream that had not answered at its request's deadline was counted as one that answered with an error, which readmits an ejected upstream; it is ejected now, like one that times out earlier. The version of the messages with limits had changed by a slip.

--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -330,7 +330,7 @@
             head = await self._wait_or_fail_over(connection.head(), record)
         except asyncio.CancelledError:
             if active.time_left_s(self._now_s) <= 0.0:
-                context.health.record_answer(record.upstream, error=True)
+                context.eject(record, context.health)
             raise
         metadata = context.read_response(record, head, sent_s=sent_s)
         if metadata.not_run:
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -189,7 +189,7 @@
         return _record_failure(context, active, record, exc)
     except asyncio.CancelledError:
         active.runs += 1
-        _record_deadline(context, active, record)
+        _handle_deadline(context, active, record)
         raise
     finally:
         context.health.request_ended(record.upstream)
@@ -199,10 +199,10 @@
     )
 
 
-def _record_deadline(context, active, record):
-    """Record an upstream that has not answered until the deadline."""
+def _handle_deadline(context, active, record):
+    """Eject an upstream that has not answered until the deadline."""
     if active.time_left_s(context.now_s) <= 0.0:
-        context.health.record_answer(record.upstream, error=True)
+        context.eject(record, context.health)
 
 
 def _record_failure(context, active, record, exc):
--- a/currantdeal/node/answer_parser.py
+++ b/currantdeal/node/answer_parser.py
@@ -171,7 +171,7 @@
                     return
                 self._is_skipping = False
                 self._await_next()
-        self._count_others(len(data), was_skipping or self._is_skipping)
+        self._check_sizes(len(data), was_skipping or self._is_skipping)
 
     def finish(self, unparsed=b""):
         """End the exchange; returns whether another request may follow.
@@ -203,8 +203,14 @@
         self._is_begun = self._is_begun or self._is_own
         self._is_skipping = not self._is_own
 
-    def _count_others(self, size, is_extra):
-        """Bound what is received without a part of the own answer."""
+    def _check_sizes(self, size, is_extra):
+        """Bound tiny chunks, and what is received before the own answer.
+
+        Parameters
+        ----------
+        is_extra : bool
+            Whether the bytes are of extra answers.
+        """
         if is_extra:
             self._extra_bytes += size
         elif not self._is_begun:
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -264,23 +264,25 @@
         self._transport.abort()
 
     def _parse_step(self):
-        """Parse some of the received bytes, and the rest later."""
+        """Parse some of the received bytes, and the rest later.
+
+        What follows a complete answer is not parsed.
+        """
         if self._close_reason is not None or not self._unparsed:
             return
-        step, self._unparsed = self._unparsed, b""
-        if len(step) > PARSE_STEP_BYTES:
-            self._unparsed = step[PARSE_STEP_BYTES:]
-            step = step[:PARSE_STEP_BYTES]
-        try:
-            self._receive(step)
-        except h11.RemoteProtocolError as exc:
-            self._fail_malformed(f"invalid HTTP response: {exc}")
-        if self._unparsed or self._unread > MAX_UNREAD_BYTES:
+        if not self._parser.has_ended:
+            step, self._unparsed = self._unparsed, b""
+            if len(step) > PARSE_STEP_BYTES:
+                self._unparsed = step[PARSE_STEP_BYTES:]
+                step = step[:PARSE_STEP_BYTES]
+            try:
+                self._receive(step)
+            except h11.RemoteProtocolError as exc:
+                self._fail_malformed(f"invalid HTTP response: {exc}")
+        if self._paused or self._unparsed or self._unread > MAX_UNREAD_BYTES:
             self._update_reading()
         if self._unparsed and not self._parser.has_ended:
             self._loop.call_soon(self._parse_step)
-        elif self._paused:
-            self._update_reading()
 
     def _receive(self, data):
         for event in self._parser.receive(data):
@@ -303,10 +305,7 @@
         self._events[-1].data.extend(event.data)
 
     def _update_reading(self):
-        """Pause reading while there is enough to parse or to read.
-
-        What follows a complete answer is not read at all.
-        """
+        """Pause reading while there are bytes to parse, or many to read."""
         if self._close_reason is not None:
             return
         limit = MAX_UNREAD_BYTES // (2 if self._paused else 1)
--- a/currantdeal/node/messages.py
+++ b/currantdeal/node/messages.py
@@ -40,7 +40,7 @@
 ORGANISATIONS_PROTOCOL = 1
 """Version with the calls for organisations and the list of entries."""
 
-LIMITS_PROTOCOL = 3
+LIMITS_PROTOCOL = 2
 """Version with the calls for limits of upstreams."""
 
 RETRIES_PROTOCOL = 3
--- a/currantdeal/node/tests/test_connection_pool.py
+++ b/currantdeal/node/tests/test_connection_pool.py
@@ -7,6 +7,7 @@
 from currantdeal.node.connection_pool import ConnectionPool, exchange
 from currantdeal.node.errors import InvalidResponseError, UnchargedError
 from currantdeal.node.head import Outgoing
+from currantdeal.node.http_client import UpstreamConnection
 from currantdeal.testing.platform_upstream import StandInUpstream
 
 ID_HEADER = b"x-currantdeal-request-id"
@@ -139,3 +140,40 @@
         return standin.requests
 
     assert asyncio.run(run()) == []
+
+
+class _Transport(asyncio.Transport):
+    """Keeps whether reading is paused."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_paused = False
+
+    def set_write_buffer_limits(self, high=None, low=None):
+        pass
+
+    def write(self, data):
+        pass
+
+    def pause_reading(self):
+        self.is_paused = True
+
+    def resume_reading(self):
+        self.is_paused = False
+
+
+def test_bytes_after_an_answer_are_not_read():
+    """Guards against memory that fills with what follows a whole answer."""
+
+    async def run():
+        connection = UpstreamConnection(address="u")
+        transport = _Transport()
+        connection.connection_made(transport)
+        connection.send(_call())
+        connection.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n")
+        connection.data_received(b"\r\n{}")
+        assert not transport.is_paused
+        connection.data_received(b"x")
+        assert transport.is_paused
+
+    asyncio.run(run())
