--- a/currantdeal/node/chunk_sizes.py
+++ b/currantdeal/node/chunk_sizes.py
@@ -4,7 +4,7 @@
 could occupy a process for seconds.
 """
 
-MAX_TINY_CHUNKS = 16_384
+MAX_TINY_CHUNKS = 4_096
 """Number of chunks from which their mean size is checked."""
 
 MIN_MEAN_BYTES = 8
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -46,7 +46,7 @@
 
 _KEEP_ALIVE_DIGITS = len(str(MAX_KEEP_ALIVE_S)) + 1
 
-PARSE_STEP_BYTES = 8_192
+PARSE_STEP_BYTES = 4_096
 """Bytes that are parsed at once; other connections are served in between."""
 
 MAX_SKIPPED_BYTES = 65_536
