--- a/currantdeal/organisations/credit_bounds.py
+++ b/currantdeal/organisations/credit_bounds.py
@@ -15,7 +15,10 @@
 """
 
 RETRY_OPEN_S = 1.0
-"""The same for the credit of a retry, which may wait for memory before."""
+"""Time for which the credit of one retry stays open.
+
+It covers the opening of a connection.
+"""
 
 RETRY_BASE_SHARE = 0.5
 """Share of an allowance of retries that a new owner grants from its start."""
--- a/currantdeal/testing/endless.py
+++ b/currantdeal/testing/endless.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import time
-from dataclasses import dataclass, field
 from enum import Enum
 
 from currantdeal.testing.platform_upstream import StandInUpstream, echo_lines
@@ -95,13 +94,14 @@
 )
 
 
-@dataclass(kw_only=True)
 class Flood:
     """What was sent on one connection, and when it was closed."""
 
-    began_s: float = field(default_factory=time.monotonic)
-    sent_bytes: int = 0
-    closed_s: float | None = None
+    def __init__(self):
+        """Start now, with nothing sent."""
+        self.began_s = time.monotonic()
+        self.sent_bytes = 0
+        self.closed_s = None
 
     @property
     def lasted_s(self):
--- a/currantdeal/testing/endless_callers.py
+++ b/currantdeal/testing/endless_callers.py
@@ -4,7 +4,6 @@
 import contextlib
 import itertools
 import time
-from dataclasses import dataclass, field
 from pathlib import Path
 
 from currantdeal.testing.endless import Flood, flood
@@ -24,12 +23,13 @@
 """Time in which a request must be served at another upstream."""
 
 
-@dataclass(kw_only=True)
 class Answers:
     """Statuses and times of the answers to some requests."""
 
-    statuses: list = field(default_factory=list)
-    took_s: list = field(default_factory=list)
+    def __init__(self):
+        """Start without answers."""
+        self.statuses = []
+        self.took_s = []
 
 
 class Callers:
