--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -21,31 +21,11 @@
 )
 from currantdeal.node.extra_answers import ExtraAnswerLog
 from currantdeal.node.head import ResponseHead
+from currantdeal.node.keep_alive import keep_alive_timeout_s, reuse_limit_s
 from currantdeal.node.sockets import prepare_socket
 from currantdeal.policy.answer_end import framing_of
 from currantdeal.policy.reset_outcome import ExchangePhase
 
-IDLE_REUSE_S = 4.0
-"""Maximum idle time after which any request may be sent on a connection.
-
-An upstream may close an idle connection while a request is in transit, and
-whether that request ran is then unknown.  Most upstreams keep idle connections
-for five seconds or more.  If an upstream states its own keep-alive timeout and
-half of it is shorter, that half applies.
-"""
-
-IDLE_MARGIN_S = 1.5
-"""Margin before the stated keep-alive timeout, for retryable requests.
-
-Upstreams state whole seconds.  A reservation or a prompt that is lost is sent
-again on a new connection.
-"""
-
-MAX_KEEP_ALIVE_S = 86_400
-"""Upper limit for the keep-alive timeout that an upstream states."""
-
-_KEEP_ALIVE_DIGITS = len(str(MAX_KEEP_ALIVE_S)) + 1
-
 PARSE_STEP_BYTES = 4_096
 """Bytes that are parsed at once; other connections are served in between."""
 
@@ -152,7 +132,7 @@
         if self._close_reason is not None or self._transport.is_closing():
             return False
         idle_s = self._loop.time() - self._idle_since_s
-        return idle_s < _reuse_limit_s(self._keep_alive_s, retryable=retryable)
+        return idle_s < reuse_limit_s(self._keep_alive_s, retryable=retryable)
 
     @property
     def recognises_calls(self):
@@ -356,22 +336,4 @@
     def _record_keep_alive(self, event):
         for key, value in event.headers:
             if key == b"keep-alive":
-                self._keep_alive_s = _keep_alive_timeout_s(value)
-
-
-def _keep_alive_timeout_s(value):
-    """Return the timeout stated by a Keep-Alive header, or None."""
-    for part in value.split(b","):
-        name, _, number = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and number.isdigit():
-            return min(MAX_KEEP_ALIVE_S, int(number[:_KEEP_ALIVE_DIGITS]))
-    return None
-
-
-def _reuse_limit_s(keep_alive_s, *, retryable):
-    if keep_alive_s is None:
-        return IDLE_REUSE_S
-    conservative_s = min(IDLE_REUSE_S, keep_alive_s / 2)
-    if retryable:
-        return max(conservative_s, keep_alive_s - IDLE_MARGIN_S)
-    return conservative_s
+                self._keep_alive_s = keep_alive_timeout_s(value)
