Bound the memory of all answers that an entry receives together

What callers saw: nothing yet.

Cause: each plain answer may take 8 MiB until it is whole, and nothing bounded their sum. Three endless answers at once took 30.9 MiB on a quiet machine (growth by place: 0.5 MiB before the bodies without a length, 30.9 MiB after them), so whether the test passed hung on how far the three got in the same time. With 40 at once an entry grew by 87,011,328 bytes. It was no matter of load: the test is right, and its bound stays.

Change: the connections of a pool record what their readers keep of incomplete answers, bodies and partial events. Over 16 MiB together the largest answer is given up, so that small answers of others aren't displaced. Up to 256 KiB that were read and not parsed added 10 MiB for 40 connections; 64 KiB are read at once now, into memory that the connections of a pool share.

The new test over real processes fails before (87,011,328 bytes) for calls; for streams it passed before, since a partial event takes at most 1 MiB.

--- a/currantdeal/cli/tests/test_endless_bytes.py
+++ b/currantdeal/cli/tests/test_endless_bytes.py
@@ -41,6 +41,9 @@
 REQUESTS = 3
 """Requests that are sent at once while an upstream sends endless answers."""
 
+MANY_REQUESTS = 40
+"""Number at which a bound for each answer alone exceeds the growth."""
+
 CONFIG = config_body(timeout_ms=1_500, target_ms=600)
 
 
@@ -213,7 +216,7 @@
     await fleet.add_sound("prefill")
 
 
-async def _play_place(fleet, callers, case, place):
+async def _play_place(fleet, callers, case, place, *, requests=REQUESTS):
     """Play one place; returns the stand-in and the answers."""
     standin = EndlessUpstream(
         upstream=f"bad-{place.value}",
@@ -231,7 +234,7 @@
     async with asyncio.timeout(20.0):
         while not standin.floods:
             await asyncio.gather(
-                *(callers.send(case.target, answers) for _ in range(REQUESTS))
+                *(callers.send(case.target, answers) for _ in range(requests))
             )
     await asyncio.sleep(DEADLINE_S + CLOSE_MARGIN_S)
     await fleet.add_sound(case.stage)
@@ -270,6 +273,30 @@
     assert asyncio.run(run()) <= MAX_GROWTH_BYTES
 
 
+@pytest.mark.parametrize(
+    ("name", "place"),
+    [
+        ("call-and-health-check", Place.NO_LENGTH),
+        ("stream", Place.ONE_EVENT),
+    ],
+)
+def test_many_answers_without_end_share_one_bound(tmp_path, name, place):
+    """Guards against memory that grows with the number of answers."""
+
+    async def run():
+        async with _system(tmp_path) as (_, entry, fleet, callers):
+            before = peak_memory_bytes(entry.process_id)
+            standin, _, _ = await _play_place(
+                fleet, callers, CASES[name], place, requests=MANY_REQUESTS
+            )
+            growth = peak_memory_bytes(entry.process_id) - before
+            return len(standin.floods), growth
+
+    floods, growth = asyncio.run(run())
+    assert floods >= MANY_REQUESTS
+    assert growth <= MAX_GROWTH_BYTES
+
+
 REQUEST_PLACES = (
     Place.NO_FIRST_LINE,
     Place.BLANK_LINES,
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -353,7 +353,7 @@
         active.add_step(StepKind.STREAM, record.upstream)
         began_s = self._now_s
         is_ended = await self._relay.forward_events(
-            head, lambda: self._wait_or_fail_over(connection.chunk(), record)
+            head, lambda: self._next_chunk(connection, record)
         )
         events = self._relay.events - self._events_before_run
         record_end(context, active, record, head, events, self._relay.position)
@@ -364,6 +364,10 @@
             self._reason = "the end of a resumed run is unknown"
         return is_ended
 
+    async def _next_chunk(self, connection, record):
+        connection.record_buffered(self._relay.buffered_bytes)
+        return await self._wait_or_fail_over(connection.chunk(), record)
+
     async def _forward_error(self, connection, head, record):
         body = await connection.rest(limit=MAX_ERROR_BYTES)
         completeness = check_end(head, position_of(head, body))
--- a/currantdeal/entry/relay.py
+++ b/currantdeal/entry/relay.py
@@ -58,6 +58,11 @@
         """Number of complete events so far."""
         return self._body.count
 
+    @property
+    def buffered_bytes(self):
+        """Size of the partial event that is kept."""
+        return len(self._body.partial_event)
+
     @property
     def position(self):
         """The ``Position`` of the end of the events so far."""
--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -11,6 +11,7 @@
 
 import asyncio
 
+from currantdeal.node.buffered_answers import BufferedAnswers
 from currantdeal.node.errors import (
     ConnectError,
     ConnectRefusedError,
@@ -18,7 +19,7 @@
     ResponseTimeoutError,
 )
 from currantdeal.node.extra_answers import ExtraAnswerLog
-from currantdeal.node.http_client import UpstreamConnection
+from currantdeal.node.http_client import RECEIVE_BYTES, UpstreamConnection
 from currantdeal.node.settings import split_address
 from currantdeal.policy.reset_outcome import ExchangePhase
 
@@ -49,8 +50,15 @@
     def __init__(self, *, metrics=None):
         """Start with an empty pool."""
         self._extra_answers = ExtraAnswerLog(metrics=metrics)
+        self._buffered = BufferedAnswers()
+        self._receive_buffer = bytearray(RECEIVE_BYTES)
         self._idle = {}
 
+    @property
+    def buffered_bytes(self):
+        """Bytes of incomplete answers that are buffered."""
+        return self._buffered.total_bytes
+
     async def acquire(
         self,
         address,
@@ -99,7 +107,10 @@
             async with asyncio.timeout(min(timeout_s, CONNECT_TIMEOUT_S)):
                 _, connection = await loop.create_connection(
                     lambda: UpstreamConnection(
-                        address=address, extra_answers=self._extra_answers
+                        address=address,
+                        extra_answers=self._extra_answers,
+                        buffered=self._buffered,
+                        receive_buffer=self._receive_buffer,
                     ),
                     host,
                     port,
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -12,6 +12,7 @@
 
 from currantdeal.core import boot_time_s
 from currantdeal.node.answer_parser import AnswerParser
+from currantdeal.node.buffered_answers import BufferedAnswers
 from currantdeal.node.errors import (
     ExchangeError,
     InvalidResponseError,
@@ -26,6 +27,9 @@
 from currantdeal.policy.answer_end import framing_of
 from currantdeal.policy.reset_outcome import ExchangePhase
 
+RECEIVE_BYTES = 65_536
+"""Maximum number of bytes that are read from a connection at once."""
+
 PARSE_STEP_BYTES = 4_096
 """Bytes that are parsed at once; other connections are served in between."""
 
@@ -42,7 +46,7 @@
 """
 
 
-class UpstreamConnection(asyncio.Protocol):
+class UpstreamConnection(asyncio.BufferedProtocol):
     """A connection to an upstream that carries one exchange at a time.
 
     Parameters
@@ -51,9 +55,20 @@
         The upstream.
     extra_answers : ExtraAnswerLog or None
         Records answers that belong to no request.
+    buffered : BufferedAnswers or None
+        Bounds the memory of the answers on all connections.
+    receive_buffer : bytearray or None
+        Memory to read into; connections of one event loop may share it.
     """
 
-    def __init__(self, *, address, extra_answers=None):
+    def __init__(
+        self,
+        *,
+        address,
+        extra_answers=None,
+        buffered=None,
+        receive_buffer=None,
+    ):
         """Initialise the state; the event loop connects afterwards."""
         self.address = address
         self.used = False
@@ -63,6 +78,8 @@
             extra_answers=extra_answers or ExtraAnswerLog(),
             clock=self._loop.time,
         )
+        self._buffered = buffered or BufferedAnswers()
+        self._receive_buffer = receive_buffer or bytearray(RECEIVE_BYTES)
         self._method = ""
         self._transport = None
         self._events = deque()
@@ -94,8 +111,13 @@
         if self._phase is ExchangePhase.SENDING:
             self._phase = ExchangePhase.AWAITING_ANSWER
 
-    def data_received(self, data):
+    def get_buffer(self, sizehint):
+        """Return the memory that the next bytes are read into."""
+        return self._receive_buffer
+
+    def buffer_updated(self, nbytes):
         """Parse received data; unsolicited data closes the connection."""
+        data = bytes(memoryview(self._receive_buffer)[:nbytes])
         if self._parser.is_idle:
             self._parser.record_unexpected(data)
             self._fail("received bytes without a pending request")
@@ -118,6 +140,7 @@
         """Record the reason and wake the waiting reader."""
         if self._close_reason is None:
             self._close_reason = f"connection lost: {exc or 'closed'}"
+        self.record_buffered(0)
         self._wake()
 
     def is_usable(self, *, retryable=False):
@@ -229,8 +252,17 @@
             size += len(data)
             if size > limit:
                 self._fail_malformed("the response is too large")
+            self.record_buffered(size)
         return b"".join(parts)
 
+    def record_buffered(self, size_bytes):
+        """Record how many bytes of the answer its reader keeps."""
+        self._buffered.record(self, size_bytes)
+
+    def give_up(self):
+        """Close the connection, since too much of its answer is kept."""
+        self._fail("the answers being received take too much memory")
+
     @property
     def reusable(self):
         """True unless an exchange was incomplete or the connection closed."""
@@ -241,6 +273,7 @@
         """Abort the connection, which cancels the upstream's work for it."""
         if self._close_reason is None:
             self._close_reason = "closed locally"
+        self.record_buffered(0)
         self._transport.abort()
 
     def _parse_step(self):
@@ -326,6 +359,7 @@
         self._fail(reason)
 
     def _end_exchange(self):
+        self.record_buffered(0)
         is_open = self._close_reason is None
         if is_open and self._parser.finish(self._unparsed):
             self._idle_since_s = self._loop.time()
--- /dev/null
+++ b/currantdeal/node/tests/test_buffered_answers.py
@@ -0,0 +1,47 @@
+"""Bounds on the memory of the answers that are being received."""
+
+from dataclasses import dataclass, field
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from currantdeal.node.buffered_answers import BufferedAnswers
+
+LIMIT_BYTES = 100
+
+
+@dataclass(eq=False, kw_only=True)
+class _Connection:
+    given_up: list = field(default_factory=list)
+
+    def give_up(self):
+        self.given_up.append(self)
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 5), st.integers(0, 2 * LIMIT_BYTES)),
+        max_size=60,
+    )
+)
+def test_answers_never_exceed_the_limit_together(changes):
+    """Guards against memory that grows with the number of answers."""
+    answers = BufferedAnswers(limit_bytes=LIMIT_BYTES)
+    connections = [_Connection() for _ in range(6)]
+    for number, size_bytes in changes:
+        answers.record(connections[number], size_bytes)
+        assert 0 <= answers.total_bytes <= LIMIT_BYTES
+    for connection in connections:
+        answers.record(connection, 0)
+    assert answers.total_bytes == 0
+
+
+def test_the_largest_answer_is_given_up():
+    """Guards against endless answers that displace the small ones."""
+    answers = BufferedAnswers(limit_bytes=LIMIT_BYTES)
+    endless, small = _Connection(), _Connection()
+    answers.record(endless, 80)
+    answers.record(small, 40)
+    assert endless.given_up
+    assert not small.given_up
+    assert answers.total_bytes == 40
--- a/currantdeal/node/tests/test_connection_pool.py
+++ b/currantdeal/node/tests/test_connection_pool.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import itertools
 from dataclasses import replace
 
@@ -162,6 +163,11 @@
         self.is_paused = False
 
 
+def _receive(connection, data):
+    connection.get_buffer(-1)[: len(data)] = data
+    connection.buffer_updated(len(data))
+
+
 def test_bytes_after_an_answer_are_not_read():
     """Guards against memory that fills with what follows a whole answer."""
 
@@ -170,10 +176,33 @@
         transport = _Transport()
         connection.connection_made(transport)
         connection.send(_call())
-        connection.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n")
-        connection.data_received(b"\r\n{}")
+        _receive(connection, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n")
+        _receive(connection, b"\r\n{}")
         assert not transport.is_paused
-        connection.data_received(b"x")
+        _receive(connection, b"x")
         assert transport.is_paused
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("limit", [65_536, 1_024])
+def test_answers_that_have_ended_take_no_memory(limit):
+    """Guards against a sum that keeps answers whose exchange has ended."""
+
+    async def script(standin, request, writer):
+        standin.send(request, writer, 200, b"x" * 4_096)
+        await writer.drain()
+        return True
+
+    async def run():
+        standin = StandInUpstream(script=script)
+        await standin.start()
+        pool = ConnectionPool()
+        for _ in range(3):
+            with contextlib.suppress(InvalidResponseError):
+                await exchange(
+                    pool, standin.address, _call(), timeout_s=1.0, limit=limit
+                )
+        return pool.buffered_bytes
+
+    assert asyncio.run(run()) == 0
