Answer asks where a bucket of credit never fills

What callers saw: with a quota of rate 0, or a deployment that allows no retries, a request beyond the margin had no decision: the ask of its entry raised at the owner.

Cause: the time after which a refused need can be met was divided by the rate of the bucket, which is 0 there. The same for a quota on; an allowance without retries has been asked for since the retry budget is granted by credit.

Found in the output of passing tests of entries ("Task exception was never retrieved"). The time is the window of the grants then. Both tests failed before with ZeroDivisionError.

--- a/currantdeal/organisations/credit_bucket.py
+++ b/currantdeal/organisations/credit_bucket.py
@@ -104,12 +104,15 @@
         """Return the time after which the first missing need can be met.
 
         What was promised to others before is counted, so that callers who
-        were refused do not return together.
+        were refused do not return together.  Where the bucket never fills,
+        it is the window of what is granted beyond it.
         """
         if not missing:
             return 0.0
         short = self._promised + missing[0] - self._level
         self._promised += sum(missing)
+        if not bounds.base_rate_per_s:
+            return bounds.window_s
         return round(max(0.0, short) / bounds.base_rate_per_s, 3)
 
     def expire_pools(self, now_s):
--- a/currantdeal/organisations/tests/test_credit.py
+++ b/currantdeal/organisations/tests/test_credit.py
@@ -17,6 +17,7 @@
     Quota,
     bounds_of,
 )
+from currantdeal.organisations.tests.builders import a_quota
 from currantdeal.organisations.tests.credit_model import (
     LIMIT,
     MARGIN,
@@ -285,3 +286,15 @@
     )
     owner.update((Organisation(name=NAME, quota=QUOTA),), now_s=opened_s)
     return owner
+
+
+def test_a_quota_without_a_rate_denies_what_exceeds_its_margin():
+    """Guards against an owner that fails where nothing can be granted."""
+    owner = CreditOwner(epoch=1, margin=MARGIN, opened_s=0.0)
+    empty = a_quota(rate_per_s=0.0, burst=0.0)
+    owner.update((Organisation(name=NAME, quota=empty),), now_s=0.0)
+    too_much = math.ceil(MARGIN.slack) + 1
+    ask = CreditAsk(organisation=NAME, needs=(too_much,))
+    grant = owner.grant("entry-1", ask, entries=1, now_s=60.0)
+    assert grant.granted == (False,)
+    assert MARGIN.window_s <= grant.retry_after_s < math.inf
--- a/currantdeal/organisations/tests/test_retry_credit.py
+++ b/currantdeal/organisations/tests/test_retry_credit.py
@@ -1,5 +1,6 @@
 """The bound on retries, over schedules of failures."""
 
+import math
 import random
 
 import pytest
@@ -86,6 +87,19 @@
     assert model.worst_window() >= 0.9 * ALLOWANCE.units
 
 
+def test_an_empty_allowance_denies_each_retry():
+    """Guards against an owner that fails where nothing can be granted."""
+    owner = CreditOwner(
+        epoch=1, margin=None, opened_s=0.0, grants_unlimited=False
+    )
+    nothing = RetryAllowance(units=0.0, window_s=WINDOW_S)
+    owner.update((LimitedService(name="shop", quota=nothing),), now_s=0.0)
+    ask = CreditAsk(organisation="shop", needs=(1,))
+    grant = owner.grant("entry-1", ask, entries=1, now_s=60.0)
+    assert grant.granted == (False,)
+    assert WINDOW_S <= grant.retry_after_s < math.inf
+
+
 def test_retries_of_an_unknown_service_are_denied():
     """Guards against an allowance without bound for a name without one."""
     owner = CreditOwner(
