Search each piece of a long event once

What callers saw: beside an event that doesn't end, or one of 1 MiB, others waited or got 504.

Cause: with each piece the whole partial event was copied and searched for its end.

The new test fails before: 8 times the size takes 60 times as long, 24 allowed.

Why it works: what was there before holds no end, so the search begins two bytes before the new piece.

--- a/currantdeal/entry/events.py
+++ b/currantdeal/entry/events.py
@@ -14,6 +14,7 @@
 _DATA_LINE = re.compile(rb"(?:\A|[\r\n])data:")
 _ID_LINE = re.compile(rb"(?:\A|[\r\n])id:([^\r\n]*)")
 _BLANK_LINES = (b"\n\n", b"\n\r\n", b"\r\r")
+_MAX_BLANK_LINE_BYTES = max(map(len, _BLANK_LINES))
 _LINE_ENDS = b"\r\n"
 
 
@@ -40,7 +41,7 @@
 
     def __init__(self, *, resume_after=""):
         """Start before the first event."""
-        self._buffer = b""
+        self._buffer = bytearray()
         self._resume_after = resume_after
         self._last_id = ""
         self._next_id = ""
@@ -69,7 +70,12 @@
 
         A part of an event is returned only if it is longer than the buffer.
         """
-        return self._buffer
+        return bytes(self._buffer)
+
+    @property
+    def buffered_bytes(self):
+        """Size of the partial event."""
+        return len(self._buffer)
 
     @property
     def position(self):
@@ -92,9 +98,11 @@
 
         If one is longer than the buffer, returns its bytes as well.
         """
+        # What was there before has no end, but may have the start of one.
+        start = max(0, len(self._buffer) - _MAX_BLANK_LINE_BYTES + 1)
         self._buffer += data
         self._bytes_since_event += len(data)
-        end = _end_of_events(self._buffer)
+        end = _end_of_events(self._buffer, start)
         if end:
             if self._forwarded_part or _DATA_LINE.search(self._buffer[:end]):
                 self._bytes_since_event = 0
@@ -114,7 +122,8 @@
 
     def _take(self, size):
         """Remove bytes from the buffer, and record their lines."""
-        taken, self._buffer = self._buffer[:size], self._buffer[size:]
+        taken = bytes(self._buffer[:size])
+        del self._buffer[:size]
         # A part that follows another one does not start a line.
         lines = b"\0" + taken if self._forwarded_part else taken
         self._count += len(_DATA_LINE.findall(lines))
@@ -128,7 +137,7 @@
 
         The upstream that resumes the stream sends it again in full.
         """
-        self._buffer = b""
+        self._buffer.clear()
 
 
 class OpaqueBody:
@@ -136,6 +145,7 @@
 
     last_id = ""
     partial_event = b""
+    buffered_bytes = 0
     count = 0
     position = Position.NO_EVENTS
     is_endless = False
@@ -173,6 +183,6 @@
     return splitter.position
 
 
-def _end_of_events(buffer):
-    ends = ((buffer.rfind(line), len(line)) for line in _BLANK_LINES)
+def _end_of_events(buffer, start):
+    ends = ((buffer.rfind(line, start), len(line)) for line in _BLANK_LINES)
     return max(at + size if at >= 0 else 0 for at, size in ends)
--- a/currantdeal/entry/relay.py
+++ b/currantdeal/entry/relay.py
@@ -61,7 +61,7 @@
     @property
     def buffered_bytes(self):
         """Size of the partial event that is kept."""
-        return len(self._body.partial_event)
+        return self._body.buffered_bytes
 
     @property
     def position(self):
--- a/currantdeal/entry/tests/test_events.py
+++ b/currantdeal/entry/tests/test_events.py
@@ -1,5 +1,7 @@
 """Splitting of a stream's bytes into events."""
 
+import time
+
 import pytest
 
 from currantdeal.entry.events import MAX_EVENT_BYTES, EventSplitter
@@ -87,3 +89,23 @@
     assert EventSplitter().position is Position.BEFORE_FIRST_EVENT
     resumed = EventSplitter(resume_after="7")
     assert resumed.position is Position.BETWEEN_EVENTS
+
+
+def _time_to_split_s(size_bytes):
+    """Return the processor time that one event in small pieces takes."""
+    pieces = [b"data: ", *[b"x" * 1_024] * (size_bytes // 1_024)]
+    times_s = []
+    for _ in range(3):
+        splitter = EventSplitter()
+        began_s = time.process_time()
+        for piece in pieces:
+            assert splitter.feed(piece) == b""
+        times_s.append(time.process_time() - began_s)
+    return min(times_s)
+
+
+def test_a_long_event_takes_time_in_proportion_to_its_size():
+    """Guards against an event in many pieces that blocks other requests."""
+    ratio = _time_to_split_s(800_000) / _time_to_split_s(100_000)
+    # It is 64 if each piece is searched together with all before it.
+    assert ratio < 24.0
