--- a/currantdeal/entry/events.py
+++ b/currantdeal/entry/events.py
@@ -98,7 +98,7 @@
 
         If one is longer than the buffer, returns its bytes as well.
         """
-        # What was there before has no end, but may have the start of one.
+        # What is buffered holds no blank line, but may end in a part of one.
         start = max(0, len(self._buffer) - _MAX_BLANK_LINE_BYTES + 1)
         self._buffer += data
         self._bytes_since_event += len(data)
--- a/currantdeal/entry/tests/test_events.py
+++ b/currantdeal/entry/tests/test_events.py
@@ -107,5 +107,5 @@
 def test_a_long_event_takes_time_in_proportion_to_its_size():
     """Guards against an event in many pieces that blocks other requests."""
     ratio = _time_to_split_s(800_000) / _time_to_split_s(100_000)
-    # It is 64 if each piece is searched together with all before it.
+    # In proportion it is 8; if each piece is searched with all before it, 64.
     assert ratio < 24.0
--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -56,7 +56,7 @@
 
     @property
     def buffered_bytes(self):
-        """Bytes of incomplete answers that are buffered."""
+        """Bytes of incomplete answers that are kept, over all connections."""
         return self._buffered.total_bytes
 
     async def acquire(
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -260,7 +260,7 @@
         self._buffered.record(self, size_bytes)
 
     def give_up(self):
-        """Close the connection, since too much of its answer is kept."""
+        """Close the connection, whose answer is the largest of too many."""
         self._fail("the answers being received take too much memory")
 
     @property
