--- a/currantdeal/entry/active_request.py
+++ b/currantdeal/entry/active_request.py
@@ -5,7 +5,7 @@
 
 from currantdeal.core import digest_parts
 from currantdeal.entry.steps import Step, kind_of_failure
-from currantdeal.node.fingerprint import fingerprint_of
+from currantdeal.node.fingerprint import fingerprint_of, part_fingerprint
 from currantdeal.policy.reset_outcome import CallKind
 from currantdeal.routing import RetrySafety
 
@@ -113,6 +113,11 @@
         """Fingerprint, equal for each retry of the same request."""
         return fingerprint_of(self.request, self.call)
 
+    @cached_property
+    def part_fingerprints(self):
+        """Fingerprints of the parts of its prompt that others may share."""
+        return tuple(map(part_fingerprint, self.call.shared_parts))
+
     @cached_property
     def caller_digest(self):
         """Digest of the request and the host that sent it.
--- a/currantdeal/entry/crash_watch.py
+++ b/currantdeal/entry/crash_watch.py
@@ -178,6 +178,7 @@
             "run-lost",
             request=active.call.request_id,
             fingerprint=fingerprint_prefix(active.fingerprint),
+            parts=[fingerprint_prefix(p) for p in active.part_fingerprints],
             sender=active.request.sender,
             upstream=record.upstream,
             started=record.started_ms,
--- a/currantdeal/node/dialect.py
+++ b/currantdeal/node/dialect.py
@@ -33,6 +33,9 @@
         key.
     credentials_digest : bytes
         Digest of whatever credentials the request has, or empty.
+    shared_parts : tuple of str
+        Identifiers of the parts of the prompt that other requests may share,
+        in order.
     """
 
     request_id: str
@@ -43,6 +46,7 @@
     resume_after: str = ""
     key_digest: bytes = b""
     credentials_digest: bytes = b""
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/currantdeal/node/fingerprint.py
+++ b/currantdeal/node/fingerprint.py
@@ -37,6 +37,20 @@
     return digest[:FINGERPRINT_BYTES]
 
 
+def part_fingerprint(part, organisation=""):
+    """Return the fingerprint of a part of a prompt, the same in all requests.
+
+    Parameters
+    ----------
+    part : str
+        Identifier of the part.
+    organisation : str
+        Only requests of this organisation; empty for those of all.
+    """
+    digest = digest_parts(part.encode(), organisation.encode())
+    return digest[:FINGERPRINT_BYTES]
+
+
 def fingerprint_prefix(fingerprint):
     """Return the hexadecimal prefix of a fingerprint shown in logs."""
     return fingerprint[:SHOWN_BYTES].hex()
--- a/currantdeal/platform/calls.py
+++ b/currantdeal/platform/calls.py
@@ -37,6 +37,8 @@
 _BEARER = b"bearer"
 _LOWEST_PRIORITY = 9
 _ID_PREFIX_BYTES = 6
+_MAX_SHARED_PARTS = 16
+_PART = re.compile(r"([0-9a-f]{1,64}):[0-9]{1,18}")
 _JSON = (b"content-type", b"application/json")
 _DECIMAL = re.compile(
     r"([0-9]+\.?[0-9]*|\.[0-9]+)(e[+-]?[0-9]+)?", re.IGNORECASE
@@ -87,6 +89,9 @@
             resume_after=_header_text(head, header_names.LAST_EVENT_ID),
             key_digest=_parse_key(head),
             credentials_digest=_digest_credentials(head),
+            shared_parts=_parse_shared_parts(
+                _header_text(head, header_names.PREFIX_HASH)
+            ),
         )
 
     def without_credentials(self, head):
@@ -303,6 +308,19 @@
     return _parse_tokens(parts[0]), _parse_tokens(parts[1])
 
 
+def _parse_shared_parts(text):
+    """Return the identifiers of all parts of a prompt except the last.
+
+    The last one belongs to the request or its session.  A part that is not
+    well-formed is skipped, and those beyond ``_MAX_SHARED_PARTS`` are left
+    out.
+    """
+    fields = text.lower().split(",")[:-1]
+    parts = (_PART.fullmatch(field.strip()) for field in fields)
+    distinct = dict.fromkeys(part[1] for part in parts if part)
+    return tuple(distinct)[:_MAX_SHARED_PARTS]
+
+
 def _parse_limit(head):
     """Return the rate that an upstream names; infinite without a limit."""
     text = _header_text(head, header_names.RATE_LIMIT) or _header_text(
--- a/currantdeal/platform/tests/test_calls.py
+++ b/currantdeal/platform/tests/test_calls.py
@@ -1,6 +1,39 @@
+import pytest
+
+from currantdeal.node.head import RequestHead
 from currantdeal.platform.calls import PlatformCalls
 
 
+def _shared_parts(value):
+    head = RequestHead(
+        method="POST",
+        target="/",
+        headers=((b"x-currantdeal-prefix-hash", value),),
+    )
+    return PlatformCalls().read_caller(head).shared_parts
+
+
 def test_health_check_uses_the_configured_path():
     call = PlatformCalls().check_health("10.0.0.1:80", "/healthz")
     assert (call.method, call.target) == ("GET", "/healthz")
+
+
+@pytest.mark.parametrize(
+    ("value", "parts"),
+    [
+        (b"", ()),
+        (b"5c1e:800", ()),
+        (b"5c1e:800,91bd:410,e440:250", ("5c1e", "91bd")),
+        (b"5C1E:800, 91bd:410 ,5c1e:9,e440:250", ("5c1e", "91bd")),
+        (b"5c1e,\xff:1,:4,91bd:-1,91bd:410,e440", ("91bd",)),
+        (b",,,", ()),
+    ],
+)
+def test_shared_parts_are_the_well_formed_ones_before_the_last(value, parts):
+    assert _shared_parts(value) == parts
+
+
+def test_number_of_shared_parts_is_bounded():
+    """Guards against memory and messages that grow with a long header."""
+    value = b",".join(b"%x:1" % n for n in range(10_000))
+    assert len(_shared_parts(value)) == 16
