--- a/currantdeal/testing/crashing_upstream.py
+++ b/currantdeal/testing/crashing_upstream.py
@@ -34,6 +34,8 @@
         Called with this stand-in after it listens again.
     crashes_in_prefill : bool
         Whether the prefill call of such a request crashes as well.
+    events_before_crash : int
+        Events of a stream that are sent before the crash.
 
     Attributes
     ----------
@@ -51,6 +53,7 @@
         work_s=0.1,
         on_restart=lambda standin: None,
         crashes_in_prefill=False,
+        events_before_crash=0,
     ):
         """Create a stand-in that does not listen before ``start``."""
         super().__init__(upstream=upstream)
@@ -61,6 +64,7 @@
         self._work_s = work_s
         self._on_restart = on_restart
         self._crashes_in_prefill = crashes_in_prefill
+        self._events_before_crash = events_before_crash
         self._writers = set()
         self._tasks = set()
 
@@ -82,6 +86,10 @@
             self.begin_stream(request, writer)
             await writer.drain()
         if crashes_now:
+            if is_stream:
+                await self._send_events(
+                    request, writer, self._events_before_crash
+                )
             await asyncio.sleep(CRASH_AFTER_S)
             self._crash(request)
         elif is_stream:
@@ -99,13 +107,16 @@
             self._writers.discard(writer)
 
     async def _stream(self, request, writer):
+        await self._send_events(request, writer, EVENTS)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    async def _send_events(self, request, writer, end):
         last = int(request.get("Last-Event-Id") or 0)
-        for number in range(last + 1, EVENTS + 1):
+        for number in range(last + 1, end + 1):
             await asyncio.sleep(self._work_s / EVENTS)
             send_event(writer, number)
             await writer.drain()
-        writer.write(b"0\r\n\r\n")
-        await writer.drain()
 
     def _crash(self, request):
         if not self.is_up:
