Run a request with a quarantined part as a trial from time to time

What callers would see: a part that was quarantined by mistake, such as a popular one that had never completed when engines crashed for other reasons, stays refused until the software changes, since nothing that could clear it runs any more.

Cause: a verdict has no way back that costs less than a release.

No agreement is needed: the outcome of the first trial is known to all entries before the next is due. Whole requests are quarantined as before, without trials.

--- a/currantdeal/entry/active_request.py
+++ b/currantdeal/entry/active_request.py
@@ -68,6 +68,8 @@
     lost_incarnations : list
         Incarnations of upstreams whose connections were lost while they ran
         it.
+    trial : frozenset of bytes
+        Quarantined identities that it is to clear by its completion.
     """
 
     def __init__(
@@ -97,6 +99,7 @@
         self.runs = 0
         self.was_sent = False
         self.lost_incarnations = []
+        self.trial = frozenset()
         self.search = MemorySearch()
         self.steps = []
         self.first_output_s = None
--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -98,6 +98,7 @@
             pool=pool,
             metrics=metrics,
             in_background=self.in_background,
+            random=random,
         )
 
     @property
--- a/currantdeal/entry/crash_watch.py
+++ b/currantdeal/entry/crash_watch.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from currantdeal.entry.errors import QuarantinedError
 from currantdeal.node.errors import ConnectError, ConnectRefusedError
 from currantdeal.node.fingerprint import fingerprint_prefix
 from currantdeal.node.suspect_log import SuspectLog
@@ -16,6 +17,7 @@
 from currantdeal.policy.crash_identity import IdentityKind, kind_of
 from currantdeal.policy.crash_registry import CrashRegistry, SuspectRecord
 from currantdeal.policy.recent_completions import RecentCompletions
+from currantdeal.policy.trials import Trials
 
 MAX_REQUEST_ID = 64
 """Limit of the characters of a request's id that a crash record has."""
@@ -40,6 +42,8 @@
         Counts lost runs.
     in_background : callable
         Runs a coroutine that outlives its request.
+    random : random.Random
+        Spreads the trials of the entries.
 
     Attributes
     ----------
@@ -47,7 +51,7 @@
         Sends changed ``SuspectRecord`` to all other processes.
     """
 
-    def __init__(self, *, view, pool, metrics, in_background):
+    def __init__(self, *, view, pool, metrics, in_background, random):
         """Start without suspects."""
         self._view = view
         self._pool = pool
@@ -58,6 +62,7 @@
             log=_log, crash_registry=self._crash_registry
         )
         self._completions = RecentCompletions()
+        self._trials = Trials(random=random)
         self._checks = {}
         self.publish = lambda records: None
 
@@ -76,9 +81,34 @@
         if not self._crash_registry.has_verdicts:
             return None
         ready = self._view.ready(active.service.name)
-        return self._crash_registry.find_verdict(
+        verdict = self._crash_registry.find_verdict(
             active.crash_identities, {record.software for record in ready}
         )
+        if verdict is not None and self._is_on_trial(active, verdict):
+            return None
+        return verdict
+
+    def admit(self, active):
+        """Admit a request, unless it is quarantined.
+
+        Raises
+        ------
+        QuarantinedError
+            If it is, and it is not to be run as a trial either.
+        """
+        verdict = self.find_verdict(active)
+        if verdict is None:
+            return
+        kind = verdict.kind.name.lower()
+        if not self._begin_trial(active, verdict):
+            self._metrics.add("quarantine_refusals_total", kind=kind)
+            raise QuarantinedError(verdict)
+        self._metrics.add("quarantine_trials_total", kind=kind)
+        _log.info(
+            "quarantine-trial",
+            request=active.call.request_id,
+            members=sorted(map(fingerprint_prefix, verdict.members)),
+        )
 
     def is_quarantined(self, active):
         """Return whether a request is not to be run."""
@@ -193,6 +223,23 @@
             return
         self.record_completion(active, record, succeeded=succeeded)
 
+    def _begin_trial(self, active, verdict):
+        if verdict.kind is IdentityKind.REQUEST:
+            return False
+        is_due = self._trials.is_due(
+            verdict.members,
+            crashes=len(verdict.incarnations),
+            entries=self._view.entries,
+            now_s=asyncio.get_running_loop().time(),
+        )
+        if is_due:
+            active.trial = verdict.members
+        return is_due
+
+    def _is_on_trial(self, active, verdict):
+        """Return whether a request is run as a trial, and lost no run yet."""
+        return active.trial == verdict.members and not active.lost_incarnations
+
     def _add_crash(self, identities, crash):
         changed = self._merge_crash(identities, crash)
         self._apply(changed)
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -12,7 +12,6 @@
 from currantdeal.entry.errors import (
     FailedError,
     IncompleteAnswerError,
-    QuarantinedError,
     RefusedError,
     UnauthorisedError,
 )
@@ -171,9 +170,7 @@
         return "answered"
 
     async def _dispatch(self, active):
-        verdict = self._context.crash_watch.find_verdict(active)
-        if verdict is not None:
-            raise QuarantinedError(verdict)
+        self._context.crash_watch.admit(active)
         admission = await self._admit(active)
         try:
             await self._forward(active)
--- a/currantdeal/entry/tests/test_crashing_part.py
+++ b/currantdeal/entry/tests/test_crashing_part.py
@@ -29,10 +29,11 @@
 
     def __init__(self, *, world, **options):
         self._world = world
+        self.is_mended = False
         self.standins = [
             CrashingUpstream(
                 upstream=name,
-                crashes_on=lambda request: BAD in shared_parts(request),
+                crashes_on=self._crashes_on,
                 on_restart=self._announce,
                 down_s=0.2,
                 work_s=0.05,
@@ -54,6 +55,9 @@
     def sent(self):
         return sum(len(s.sent) for s in self.standins)
 
+    def _crashes_on(self, request):
+        return BAD in shared_parts(request) and not self.is_mended
+
     def _announce(self, standin):
         is_prefill = standin.upstream.startswith("p")
         self._world.announce(
@@ -148,6 +152,38 @@
     assert (before, after) == (ALLOWED_CRASHES, ALLOWED_CRASHES)
 
 
+def _is_due(members, **options):
+    return True
+
+
+@pytest.mark.parametrize("is_mended", [True, False])
+def test_trial_clears_a_part_that_no_longer_crashes(monkeypatch, is_mended):
+    """Guards against a part that is refused for ever by mistake."""
+
+    async def script(world, fleet):
+        sender = _sender(world)
+        await _send_each(sender, [("a0",), *[PROMPT] * 4])
+        refused = await sender.send(PROMPT)
+        fleet.is_mended = is_mended
+        with monkeypatch.context() as patch:
+            patch.setattr(world.context.crash_watch._trials, "is_due", _is_due)
+            trial = await sender.send(PROMPT)
+        await asyncio.sleep(0.3)
+        after = await sender.send(PROMPT)
+        return refused, trial, after, fleet.crashes
+
+    refused, trial, after, crashes = _play(script)
+    assert refused.status == 429
+    if is_mended:
+        assert trial.is_whole
+        assert after.is_whole
+        assert crashes == ALLOWED_CRASHES
+    else:
+        assert trial.status == 502
+        assert after.status == 429
+        assert crashes == ALLOWED_CRASHES + 1
+
+
 def test_part_that_crashes_for_one_organisation_is_run_for_another():
     """Guards against an organisation that has another's part refused."""
     config = config_body(organisations=listing(mill=["m1ll"], bakery=["b4ke"]))
