Count crashes that the entry of a request does not notice by itself

What callers saw: an engine that starts again at once, or that ends after the caller of the request has left, crashed without a trace; the next request with the same part went to the next engine.

Cause: a crash counts only if a new connection is refused right after a run was lost. An engine that is back by then accepts it, which was taken for a reset by the network; and an open-ended answer that such a crash closed between two events cleared its request. A run that was cancelled or timed out was never checked.

They count if another process reports the crash of that incarnation, or if a later one is announced in its place within 3 s; an answer whose end is unknown counts as complete only after that time.

Evidence: three cases of entry/tests/test_crashing_part.py (an engine that restarts at once, one that ends an open answer so, a caller who left) failed before and pass.

--- a/currantdeal/entry/crash_watch.py
+++ b/currantdeal/entry/crash_watch.py
@@ -10,6 +10,7 @@
 import structlog
 
 from currantdeal.entry.errors import QuarantinedError
+from currantdeal.entry.unfinished_runs import UnfinishedRun, UnfinishedRuns
 from currantdeal.node.errors import ConnectError, ConnectRefusedError
 from currantdeal.node.fingerprint import fingerprint_prefix
 from currantdeal.node.suspect_log import SuspectLog
@@ -19,6 +20,13 @@
 from currantdeal.policy.recent_completions import RecentCompletions
 from currantdeal.policy.trials import Trials
 
+RESTART_CHECKS_S = (0.5, 1.0, 1.5)
+"""Pauses before each check whether an upstream was restarted.
+
+One that restarts at once accepts a connection before its crash is noticed; its
+next incarnation is announced soon after.
+"""
+
 MAX_REQUEST_ID = 64
 """Limit of the characters of a request's id that a crash record has."""
 
@@ -30,7 +38,8 @@
 
     A connection that ends early may have been reset by the network, or closed
     by a faulty upstream.  Only a process that has ended refuses a new
-    connection, so one is opened to confirm a crash.
+    connection, so one is opened to confirm a crash.  If that does not show it,
+    a crash that another process reports or a restart of the upstream does.
 
     Parameters
     ----------
@@ -62,6 +71,7 @@
             log=_log, crash_registry=self._crash_registry
         )
         self._completions = RecentCompletions()
+        self._unfinished = UnfinishedRuns()
         self._trials = Trials(random=random)
         self._checks = {}
         self.publish = lambda records: None
@@ -150,10 +160,25 @@
         """
         crash = _crash_of(active, record, events)
         active.lost_incarnations.append(crash.incarnation)
+        counted = self._counted(crash)
         self._in_background(
-            self._check_lost_run(active, record, phase, events, crash)
+            self._check_lost_run(active, record, phase, events, counted)
         )
 
+    def record_unfinished(self, active, record, *, events=0):
+        """Record a run that ended early while its upstream seemed to run.
+
+        It counts if a crash of the upstream becomes known soon.
+
+        Parameters
+        ----------
+        active, record, events
+            See ``check_lost_run``.
+        """
+        crash = self._counted(_crash_of(active, record, events))
+        if crash is not None:
+            self._add_unfinished(active, crash)
+
     def check_unknown_end(
         self, active, record, phase, *, events=0, succeeded=True
     ):
@@ -170,8 +195,11 @@
         succeeded : bool
             See ``record_completion``.
         """
+        crash = self._counted(_crash_of(active, record, events))
         self._in_background(
-            self._check_unknown_end(active, record, phase, events, succeeded)
+            self._check_unknown_end(
+                active, record, (phase, events, crash), succeeded
+            )
         )
 
     def record_completion(self, active, record, *, succeeded=True):
@@ -199,30 +227,44 @@
                     registry.add_completion(identity, software=record.software)
                 )
 
+    def _counted(self, crash):
+        """Return a crash; None if its upstream drains and was to end."""
+        return crash if self._view.accepts_work(crash.upstream) else None
+
     def merge(self, records):
         """Merge ``SuspectRecord`` of other processes."""
         self._apply(self._crash_registry.merge(records))
 
     async def _check_lost_run(self, active, record, phase, events, crash):
-        # Read before the check, during which the upstream may be removed.
-        counts = self._view.accepts_work(record.upstream)
         crashed = await self._has_ended(record)
         self._record_lost_run(active, record, phase, events, crashed)
-        if crashed and counts:
+        if crash is None:
+            return
+        if crashed:
             self._add_crash(active.crash_identities, crash)
+            return
+        self._add_unfinished(active, crash)
+        if await self._is_restarted(record):
+            self._confirm(crash.incarnation)
 
-    async def _check_unknown_end(
-        self, active, record, phase, events, succeeded
-    ):
-        counts = self._view.accepts_work(record.upstream)
-        if await self._has_ended(record):
+    async def _check_unknown_end(self, active, record, loss, succeeded):
+        phase, events, crash = loss
+        if await self._has_ended(record) or await self._is_restarted(record):
             self._record_lost_run(active, record, phase, events, True)
-            if counts:
-                crash = _crash_of(active, record, events)
+            if crash is not None:
                 self._add_crash(active.crash_identities, crash)
             return
         self.record_completion(active, record, succeeded=succeeded)
 
+    def _add_unfinished(self, active, crash):
+        run = UnfinishedRun(
+            identities=active.crash_identities,
+            crash=crash,
+            ended_s=asyncio.get_running_loop().time(),
+        )
+        if not self._unfinished.add(run):
+            self._add_crash(run.identities, crash)
+
     def _begin_trial(self, active, verdict):
         if verdict.kind is IdentityKind.REQUEST:
             return False
@@ -263,8 +305,17 @@
     def _apply(self, changed):
         """Log what has changed, and add what this entry knows of it."""
         self._suspect_log.log_changes(changed)
+        incarnations = {c.incarnation for r in changed for c in r.crashes}
+        for incarnation in incarnations:
+            self._confirm(incarnation)
         self._vouch(changed)
 
+    def _confirm(self, incarnation):
+        """Add the crash of an incarnation for the runs that it had here."""
+        now_s = asyncio.get_running_loop().time()
+        for run in self._unfinished.record_crash(incarnation, now_s=now_s):
+            self._add_crash(run.identities, run.crash)
+
     def _vouch(self, changed):
         """Publish for which parts of changed records completions are known."""
         vouched = [
@@ -328,6 +379,14 @@
         self._pool.release(connection)
         return False
 
+    async def _is_restarted(self, record):
+        """Return whether another process is announced in its place soon."""
+        for pause_s in RESTART_CHECKS_S:
+            await asyncio.sleep(pause_s)
+            if self._view.is_restarted(record):
+                return True
+        return False
+
 
 def _crash_of(active, record, events):
     return Crash(
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -323,6 +323,9 @@
         except ExchangeError as exc:
             self._handle_lost_run(record, exc)
             return False
+        except asyncio.CancelledError:
+            self._record_unfinished(record)
+            raise
         finally:
             context.health.request_ended(record.upstream)
             context.pool.release(connection)
@@ -427,6 +430,11 @@
         self._reserver.release(reservation)
         return None
 
+    def _record_unfinished(self, record):
+        self._context.crash_watch.record_unfinished(
+            self._active, record, events=self._events_of_run
+        )
+
     def _handle_lost_run(self, record, exc):
         active = self._active
         phase = self._relay.phase_of(exc)
@@ -438,6 +446,8 @@
             self._context.crash_watch.check_lost_run(
                 active, record, phase, events=self._events_of_run
             )
+        else:
+            self._record_unfinished(record)
         self._reserver.exclude(record)
         self._reserver.record_unreachable(record, exc)
         _log.info(
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -189,6 +189,7 @@
     except asyncio.CancelledError:
         active.runs += 1
         _handle_deadline(context, active, record)
+        context.crash_watch.record_unfinished(active, record)
         raise
     finally:
         context.health.request_ended(record.upstream)
@@ -217,6 +218,8 @@
         context.health.record_answer(record.upstream, error=True)
     if isinstance(exc, InvalidResponseError):
         context.crash_watch.check_lost_run(active, record, exc.phase)
+    elif outcome.ran is not Ran.NO:
+        context.crash_watch.record_unfinished(active, record)
     active.add_failure_step(record.upstream, exc)
     return _AttemptResult(retryable=outcome.retryable_by_entry)
 
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -230,6 +230,8 @@
         _handle_failed_prefill(context, record, exc, began_s)
         if isinstance(exc, InvalidResponseError):
             context.crash_watch.check_lost_run(active, record, exc.phase)
+        elif exc.sent:
+            context.crash_watch.record_unfinished(active, record)
         active.add_failure_step(record.upstream, exc)
         raise PrefillFailedError(str(exc), maybe_running=exc.sent) from exc
     finally:
--- a/currantdeal/entry/tests/test_crashing_part.py
+++ b/currantdeal/entry/tests/test_crashing_part.py
@@ -9,6 +9,9 @@
 import pytest
 
 from currantdeal.node.fingerprint import fingerprint_prefix, part_fingerprint
+from currantdeal.policy.crash_evidence import Crash
+from currantdeal.policy.crash_identity import IdentityKind, part_identity
+from currantdeal.policy.crash_registry import SuspectRecord
 from currantdeal.registry import Stage
 from currantdeal.testing.crashing_upstream import CrashingUpstream
 from currantdeal.testing.entry_world import (
@@ -16,7 +19,11 @@
     entry_world,
     listing,
 )
-from currantdeal.testing.prompt_parts import PromptSender, shared_parts
+from currantdeal.testing.prompt_parts import (
+    PromptSender,
+    generation_bytes,
+    shared_parts,
+)
 
 ALLOWED_CRASHES = 3
 BAD = "bad"
@@ -35,9 +42,7 @@
                 upstream=name,
                 crashes_on=self._crashes_on,
                 on_restart=self._announce,
-                down_s=0.2,
-                work_s=0.05,
-                **options,
+                **{"down_s": 0.2, "work_s": 0.05, **options},
             )
             for name in ("p1", "p2", *(f"d{n}" for n in range(6)))
         ]
@@ -206,6 +211,51 @@
     assert second.status == 429
 
 
+def test_crash_of_an_engine_that_restarts_at_once_counts():
+    """Guards against a crash that is taken for a reset by the network."""
+
+    async def script(world, fleet):
+        sender = _sender(world, "/note/1")
+        await _send_each(sender, [("a0",), *[PROMPT] * 3], pause_s=0.7)
+        return await sender.send(PROMPT)
+
+    assert _play(script, down_s=0.0).status == 429
+
+
+@pytest.mark.parametrize("down_s", [0.0, 0.2])
+def test_open_ended_answer_that_a_crash_ends_clears_nothing(down_s):
+    """Guards against a crash between two events that counts as an end."""
+
+    async def script(world, fleet):
+        sender = _sender(world, "/note/1")
+        await _send_each(sender, [PROMPT] * 5, pause_s=0.7)
+        return await sender.send(PROMPT)
+
+    answer = _play(
+        script, down_s=down_s, is_framed=False, events_before_crash=3
+    )
+    assert answer.status == 429
+
+
+def test_crash_that_another_entry_reports_counts_for_a_caller_who_left():
+    """Guards against crashes under requests whose callers left before."""
+    part = part_identity(IdentityKind.PART, part_fingerprint("a0"))
+
+    async def script(world, fleet):
+        raw = generation_bytes(SOUND, request_id="1", route="/note/1")
+        _, writer = await world.send(raw)
+        while not (running := [s for s in fleet.standins if s.runs]):
+            await asyncio.sleep(0.01)
+        writer.close()
+        await asyncio.sleep(0.1)
+        crash = Crash(upstream=running[0].upstream, started_ms=1_000)
+        watch = world.context.crash_watch
+        watch.merge((SuspectRecord(fingerprint=b"other", crashes=(crash,)),))
+        return {r.fingerprint: r.crashes for r in watch.records}
+
+    assert len(_play(script, work_s=5.0)[part]) == 1
+
+
 def test_long_header_of_parts_costs_the_caller_nothing():
     """Guards against a request that is refused for its number of parts."""
 
--- a/currantdeal/entry/view.py
+++ b/currantdeal/entry/view.py
@@ -189,6 +189,20 @@
             and known.address == record.address
         )
 
+    def is_restarted(self, record):
+        """Return whether a later process runs in the place of a record's.
+
+        It has the same name, or the same address and service.
+        """
+        return any(
+            other.started_ms > record.started_ms
+            and (
+                other.upstream == record.upstream
+                or other.address == record.address
+            )
+            for other in self.ready(record.service)
+        )
+
     def distance(self, record):
         """Return 0 in this data centre, 1 in this region, 2 elsewhere."""
         return self.distance_to(record.data_center)
--- a/currantdeal/testing/crashing_upstream.py
+++ b/currantdeal/testing/crashing_upstream.py
@@ -5,6 +5,7 @@
 from currantdeal.testing.platform_upstream import (
     EVENTS,
     StandInUpstream,
+    event_bytes,
     send_event,
 )
 
@@ -36,6 +37,9 @@
         Whether the prefill call of such a request crashes as well.
     events_before_crash : int
         Events of a stream that are sent before the crash.
+    is_framed : bool
+        False if streams have neither a length nor chunks, and a crash closes
+        the connections in order.
 
     Attributes
     ----------
@@ -54,6 +58,7 @@
         on_restart=lambda standin: None,
         crashes_in_prefill=False,
         events_before_crash=0,
+        is_framed=True,
     ):
         """Create a stand-in that does not listen before ``start``."""
         super().__init__(upstream=upstream)
@@ -65,6 +70,7 @@
         self._on_restart = on_restart
         self._crashes_in_prefill = crashes_in_prefill
         self._events_before_crash = events_before_crash
+        self._is_framed = is_framed
         self._writers = set()
         self._tasks = set()
 
@@ -83,7 +89,7 @@
             await super().answer(request, writer)
             return
         if is_stream:
-            self.begin_stream(request, writer)
+            self.begin_stream(request, writer, is_framed=self._is_framed)
             await writer.drain()
         if crashes_now:
             if is_stream:
@@ -108,14 +114,20 @@
 
     async def _stream(self, request, writer):
         await self._send_events(request, writer, EVENTS)
-        writer.write(b"0\r\n\r\n")
+        if self._is_framed:
+            writer.write(b"0\r\n\r\n")
+        else:
+            writer.close()
         await writer.drain()
 
     async def _send_events(self, request, writer, end):
         last = int(request.get("Last-Event-Id") or 0)
         for number in range(last + 1, end + 1):
             await asyncio.sleep(self._work_s / EVENTS)
-            send_event(writer, number)
+            if self._is_framed:
+                send_event(writer, number)
+            else:
+                writer.write(event_bytes(number))
             await writer.drain()
 
     def _crash(self, request):
@@ -124,7 +136,10 @@
         self.crashes.append((_now_s(), request.request_id, request.body))
         self.stop()
         for writer in tuple(self._writers):
-            writer.transport.abort()
+            if self._is_framed:
+                writer.transport.abort()
+            else:
+                writer.close()
         task = asyncio.ensure_future(self._restart())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/currantdeal/testing/platform_upstream.py
+++ b/currantdeal/testing/platform_upstream.py
@@ -163,14 +163,14 @@
         ]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
-    def begin_stream(self, request, writer):
-        """Send the response head of an event stream."""
+    def begin_stream(self, request, writer, *, is_framed=True):
+        """Send the response head of an event stream, in chunks if framed."""
         lines = [
             "HTTP/1.1 200 OK",
             "Content-Type: text/event-stream",
             *echo_lines(request),
             f"X-Currantdeal-Response-Signature: by-{self.upstream}",
-            "Transfer-Encoding: chunked",
+            "Transfer-Encoding: chunked" if is_framed else "Connection: close",
             *self.extra_headers,
         ]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
@@ -212,7 +212,12 @@
 
 def send_event(writer, number):
     """Send an event as one HTTP chunk."""
-    send_chunk(writer, f"id: {number}\ndata: piece {number}\n\n".encode())
+    send_chunk(writer, event_bytes(number))
+
+
+def event_bytes(number):
+    """Return the bytes of an event."""
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
 
 
 def send_chunk(writer, data):
