Quarantine leading blocks of prompts at the product's own interface

What callers would see: different prompts with the same beginning, under which engines end, go on ending them at this interface.

A crash counts against each leading block of the prompt, among the requests of all callers and of this one; the blocks are those by which prefix caches are found, 16 at most. Records are still those of one instance.

Evidence: test_block_of_a_prompt_that_crashes_engines_is_not_sent_on, both stages, failed before (the fourth prompt was sent on) and passes: three crashes.

--- a/currantdeal/serving/crash_guard.py
+++ b/currantdeal/serving/crash_guard.py
@@ -1,4 +1,4 @@
-"""Quarantines requests that crash upstreams.
+"""Quarantines requests and leading blocks of prompts that crash upstreams.
 
 Load pattern: query of death, see ``currantdeal.policy.crash_registry``.  Each
 instance keeps its own ``CrashRegistry``.
@@ -10,6 +10,7 @@
 
 from currantdeal.policy.crash_evidence import EARLY_WEIGHT, Crash
 from currantdeal.policy.crash_registry import CrashRegistry
+from currantdeal.policy.recent_completions import RecentCompletions
 from currantdeal.serving.errors import Reason, not_run
 
 RETRY_AFTER_S = 60.0
@@ -18,6 +19,9 @@
 It is so long that callers don't retry before their deadline.
 """
 
+SOFTWARE = ""
+"""Version of the software of upstreams, which they do not announce here."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -30,6 +34,7 @@
     def __init__(self):
         """Start without recorded crashes."""
         self._crash_registry = CrashRegistry()
+        self._completions = RecentCompletions()
         self._lock = threading.Lock()
 
     def check(self, request):
@@ -41,13 +46,15 @@
             With ``Reason.QUARANTINED``; it has not run.
         """
         with self._lock:
-            refused = bool(
-                self._crash_registry
-            ) and self._crash_registry.is_quarantined(request.fingerprint)
-        if refused:
+            if not self._crash_registry.has_verdicts:
+                return
+            verdict = self._crash_registry.find_verdict(
+                request.crash_identities
+            )
+        if verdict is not None:
             raise not_run(
-                "the request is quarantined, since upstreams that ran it "
-                "crashed",
+                "the request, or a part of its prompt, is quarantined, since "
+                "upstreams that ran it crashed",
                 reason=Reason.QUARANTINED,
                 retry_after_s=RETRY_AFTER_S,
             )
@@ -64,27 +71,39 @@
             upstream=str(upstream.upstream_id),
             started_ms=upstream.incarnation,
             early=early,
+            software=SOFTWARE,
+            request_id=str(request.work.request_id),
         )
+        identities = request.crash_identities
         with self._lock:
-            self._crash_registry.add_crash(request.fingerprint, crash)
+            for identity in identities:
+                known = self._completions.has(identity, SOFTWARE)
+                self._crash_registry.add_crash(
+                    identity, crash, sound_on=(SOFTWARE,) if known else ()
+                )
             score = self._crash_registry.score(request.fingerprint)
-            quarantined = self._crash_registry.is_quarantined(
-                request.fingerprint
-            )
+            verdict = self._crash_registry.find_verdict(identities)
         _log.warning(
             "upstream-crashed",
             request=str(request.work.request_id),
             upstream=crash.upstream,
             incarnation=upstream.incarnation,
             score=score,
-            quarantined=quarantined,
+            quarantined=verdict is not None,
         )
 
     def record_completion(self, request):
         """Clear a request that an upstream has answered completely."""
+        identities = request.crash_identities
         with self._lock:
-            if self._crash_registry:
-                self._crash_registry.add_completion(request.fingerprint)
+            self._completions.add(identities[1:], SOFTWARE)
+            if not self._crash_registry:
+                return
+            self._crash_registry.add_completion(request.fingerprint)
+            for identity in identities[1:]:
+                self._crash_registry.add_completion(
+                    identity, software=SOFTWARE
+                )
 
     def may_retry(self, request):
         """Return whether a failed attempt may be retried.
@@ -95,6 +114,8 @@
         with self._lock:
             if not self._crash_registry:
                 return True
-            return (
-                self._crash_registry.score(request.fingerprint) <= EARLY_WEIGHT
+            return all(
+                self._crash_registry.score(identity) <= EARLY_WEIGHT
+                or self._crash_registry.is_sound(identity, SOFTWARE)
+                for identity in request.crash_identities
             )
--- a/currantdeal/serving/requests.py
+++ b/currantdeal/serving/requests.py
@@ -4,9 +4,15 @@
 from dataclasses import dataclass
 from functools import cached_property
 
-from currantdeal.core import Work, digest_parts
+from currantdeal.core import Work, digest_parts, prefix_keys
+from currantdeal.policy.crash_identity import IdentityKind, part_identity
 from currantdeal.ports import ServiceAnswer, ServiceCall
 
+MAX_CRASH_BLOCKS = 16
+"""Leading blocks of a prompt against which crashes count."""
+
+_DIGEST_BYTES = 16
+
 
 def never_disconnected():
     """Return False; for requests whose caller can't disconnect."""
@@ -37,6 +43,29 @@
         parts = (self.work.caller, self.work.target, self.prompt)
         return digest_parts(*(str(part).encode() for part in parts))
 
+    @cached_property
+    def crash_identities(self):
+        """Identities against which a crash under this request counts.
+
+        Returns
+        -------
+        tuple of bytes
+            Its fingerprint, and the leading blocks of its prompt among the
+            requests of all callers and of this one, see
+            ``currantdeal.policy.crash_identity``.
+        """
+        keys = prefix_keys(self.prompt)[:MAX_CRASH_BLOCKS]
+        caller = str(self.work.caller).encode()
+        parts = []
+        for key in (key.to_bytes(8, "big") for key in keys):
+            parts += [
+                part_identity(IdentityKind.PART, _digest(key)),
+                part_identity(
+                    IdentityKind.ORGANISATION_PART, _digest(key, caller)
+                ),
+            ]
+        return (self.fingerprint, *parts)
+
 
 @dataclass(frozen=True, kw_only=True)
 class Completion:
@@ -78,6 +107,11 @@
         parts = (str(name).encode() for name in names)
         return digest_parts(*parts, call.body)
 
+    @property
+    def crash_identities(self):
+        """Identities against which a crash under this request counts."""
+        return (self.fingerprint,)
+
 
 @dataclass(frozen=True, kw_only=True)
 class CallOutcome:
@@ -93,3 +127,7 @@
 
     answer: ServiceAnswer
     replayed: bool = False
+
+
+def _digest(*parts):
+    return digest_parts(b"block", *parts)[:_DIGEST_BYTES]
--- a/currantdeal/serving/tests/test_query_of_death.py
+++ b/currantdeal/serving/tests/test_query_of_death.py
@@ -9,6 +9,7 @@
 import pytest
 
 from currantdeal.core import Outcome, Ran, Role, UpstreamCrashedError
+from currantdeal.core.prefixes import BLOCK_BYTES
 from currantdeal.serving.errors import Reason, RefusedError
 from currantdeal.serving.tests.builders import (
     build_world,
@@ -92,6 +93,43 @@
     assert refusals[-1] == (Reason.QUARANTINED, Outcome.NOT_RUN)
 
 
+def _prompt(world, text, *, caller="nube"):
+    request = generation(world)
+    work = replace(request.work, caller=caller)
+    return replace(request, work=work, prompt=text)
+
+
+def _block(letter):
+    return letter * BLOCK_BYTES
+
+
+@pytest.mark.parametrize("stage", ["prefill", "decode"])
+def test_block_of_a_prompt_that_crashes_engines_is_not_sent_on(stage):
+    """Guards against different prompts that crash one engine each."""
+    world = _world(20, stage=stage)
+    bad = _block("a") + _block("b")
+
+    def send(number, prefix=bad):
+        prompt = f"{prefix} question {number}"
+        try:
+            return world.serving.generation.complete(_prompt(world, prompt))
+        finally:
+            world.wait_for_cleanup()
+
+    for number in range(3):
+        with pytest.raises(RefusedError):
+            send(number)
+    crashes = world.engines.names().count(stage)
+    with pytest.raises(RefusedError) as caught:
+        send(3)
+    assert caught.value.reason is Reason.QUARANTINED
+    assert crashes == world.engines.names().count(stage) == ALLOWED_CRASHES
+    world.engines.prefill_steps.clear()
+    world.engines.decode_scripts.clear()
+    assert send(4, _block("a")).text
+    assert send(5, _block("c")).text
+
+
 def test_call_beside_a_crash_is_tried_again_and_cleared():
     """A call must not be refused if its service crashed for other reasons."""
     world = _world(0)
