Show and lift quarantines, and count them by kind

An operator could see a quarantine in the logs alone and end it only by a release. `currantdeal quarantines list` shows each with the upstreams that ended, their software and the requests under which they did; `lift` clears its crashes at all processes. Both call a control process at its peer address.

--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -46,6 +46,7 @@
 from currantdeal.node.messages import ControlPlace, RaftNotice
 from currantdeal.node.peers import HEARTBEAT_S, PeerConnection, PeerLink
 from currantdeal.node.settings import split_address
+from currantdeal.node.suspect_log import set_crash_gauges
 from currantdeal.organisations import LimitedService, RetryAllowance
 from currantdeal.platform.bounds import read_bounds
 from currantdeal.platform.calls import PlatformCalls
@@ -305,9 +306,7 @@
         silent = node.silent_members(boot_time_s())
         self._metrics.set("silent_replicas", len(silent))
         self._metrics.set("log_index", node.commit_index)
-        self._metrics.set(
-            "quarantined_requests", len(self._crashes.quarantined)
-        )
+        set_crash_gauges(self._metrics, self._crashes.registry)
         for name, value in self._service.sizes.items():
             self._metrics.set(name, value)
 
--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -29,6 +29,7 @@
 from currantdeal.node.connection_pool import ConnectionPool
 from currantdeal.node.http_server import HttpServer
 from currantdeal.node.settings import split_address
+from currantdeal.node.suspect_log import set_crash_gauges
 from currantdeal.platform.bounds import read_bounds
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.platform.config import decode_config
@@ -264,9 +265,7 @@
             self._metrics.set("confirmation_age_seconds", age_s)
         self._metrics.set("requests_in_progress", self._server.active_requests)
         self._metrics.set("entries", view.entries)
-        self._metrics.set(
-            "quarantined_requests", len(self._context.crash_watch.quarantined)
-        )
+        set_crash_gauges(self._metrics, self._context.crash_watch.registry)
         for name, left in self._context.retry_budgets.left().items():
             self._metrics.set("retry_budget_left", left, service=name)
         route_table = view.route_table
--- a/currantdeal/cli/main.py
+++ b/currantdeal/cli/main.py
@@ -10,6 +10,7 @@
 from currantdeal.cli.account import account
 from currantdeal.cli.explain import explain
 from currantdeal.cli.node_status import nodes
+from currantdeal.cli.quarantine_commands import quarantines
 from currantdeal.cli.selector_commands import selectors
 from currantdeal.cli.serve import serve
 from currantdeal.cli.settings_commands import settings
@@ -37,6 +38,7 @@
 main.add_command(explain)
 main.add_command(nodes)
 main.add_command(orders)
+main.add_command(quarantines)
 main.add_command(selectors)
 main.add_command(serve)
 main.add_command(settings)
--- a/currantdeal/control/crash_replicator.py
+++ b/currantdeal/control/crash_replicator.py
@@ -1,4 +1,4 @@
-"""Replicates the records of crashing requests between control instances.
+"""Replicates the records of crashes between control instances.
 
 Load pattern: query of death, see ``currantdeal.policy.crash_registry``.
 Callers may retry such a request at any entry, so all entries must have its
@@ -11,6 +11,8 @@
 
 import structlog
 
+from currantdeal.node.crash_messages import Quarantine
+from currantdeal.node.fingerprint import fingerprint_prefix
 from currantdeal.node.messages import CrashesNotice
 from currantdeal.node.peers import HEARTBEAT_S
 from currantdeal.node.suspect_log import SuspectLog
@@ -55,11 +57,40 @@
         self._recent = {}
         self._last_heartbeat_s = {}
 
+    @property
+    def registry(self):
+        """The ``CrashRegistry``, for metrics."""
+        return self._crash_registry
+
     @property
     def quarantined(self):
         """Fingerprints of the requests that must not be run."""
         return self._crash_registry.quarantined
 
+    @property
+    def quarantines(self):
+        """All ``Quarantine``, for operators."""
+        return tuple(
+            Quarantine(
+                members=tuple(sorted(verdict.members)),
+                crashes=self._crash_registry.crashes(min(verdict.members)),
+            )
+            for verdict in self._crash_registry.verdicts
+        )
+
+    def lift(self, members):
+        """Clear the crashes of identities; returns whether any had some."""
+        changed = []
+        for identity in members:
+            changed += self._crash_registry.add_completion(identity)
+        _log.warning(
+            "quarantine-lifted",
+            members=[fingerprint_prefix(m) for m in members],
+            lifted=bool(changed),
+        )
+        self._publish(changed)
+        return bool(changed)
+
     def load(self, records):
         """Merge the records that were saved before a restart."""
         self._suspect_log.log_changes(self._crash_registry.merge(records))
@@ -73,14 +104,17 @@
         if notice.asked_by:
             all_records = CrashesNotice(records=self._crash_registry.records)
             self._exchange.notify_one(notice.asked_by, all_records)
-        changed = self._crash_registry.merge(notice.records)
+        self._publish(self._crash_registry.merge(notice.records))
+
+    def _publish(self, changed):
+        """Send what has changed to the subscribers and other instances."""
         if not changed:
             return
         self._suspect_log.log_changes(changed)
         now_s = self._clock()
         for record in changed:
             self._recent[record.fingerprint] = now_s
-        update = CrashesNotice(records=changed)
+        update = CrashesNotice(records=tuple(changed))
         self._exchange.publish(update)
         self._exchange.notify_others(update)
         self._on_change(self._crash_registry.records)
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -12,6 +12,11 @@
 from currantdeal.adapters.generated.peers.ttypes import FrameKind
 from currantdeal.control.entry_list import EntryList
 from currantdeal.core.errors import DialectError
+from currantdeal.node.crash_messages import (
+    LiftQuarantineCall,
+    ListQuarantinesCall,
+    QuarantinesAnswer,
+)
 from currantdeal.node.limit_messages import LimitCall
 from currantdeal.node.messages import (
     ORGANISATIONS_PROTOCOL,
@@ -315,6 +320,14 @@
     async def _(self, call: LimitCall, connection):
         return await self._limits.answer(call)
 
+    @_handle_call.register
+    async def _(self, call: ListQuarantinesCall, connection):
+        return QuarantinesAnswer(quarantines=self._crashes.quarantines)
+
+    @_handle_call.register
+    async def _(self, call: LiftQuarantineCall, connection):
+        return Done(accepted=self._crashes.lift(call.members))
+
     @_handle_call.register
     async def _(self, call: SubscribeCall, connection):
         if not (self.has_leader or call.provisional):
--- a/currantdeal/entry/crash_watch.py
+++ b/currantdeal/entry/crash_watch.py
@@ -81,6 +81,11 @@
         """All ``SuspectRecord``, to send to a new source."""
         return self._crash_registry.records
 
+    @property
+    def registry(self):
+        """The ``CrashRegistry``, for metrics."""
+        return self._crash_registry
+
     @property
     def quarantined(self):
         """Identities of the requests that are not to be run."""
--- a/currantdeal/node/messages.py
+++ b/currantdeal/node/messages.py
@@ -8,6 +8,11 @@
 from dataclasses import dataclass, field
 
 from currantdeal.core import Codec
+from currantdeal.node.crash_messages import (
+    LiftQuarantineCall,
+    ListQuarantinesCall,
+    QuarantinesAnswer,
+)
 from currantdeal.node.limit_messages import LimitAnswer, LimitCall
 from currantdeal.node.organisation_messages import (
     ConfirmAnswer,
@@ -362,5 +367,8 @@
         EntriesNotice,
         LimitCall,
         LimitAnswer,
+        ListQuarantinesCall,
+        QuarantinesAnswer,
+        LiftQuarantineCall,
     )
 )
--- a/currantdeal/node/suspect_log.py
+++ b/currantdeal/node/suspect_log.py
@@ -1,10 +1,30 @@
-"""Logs what is suspected of crashing upstreams."""
+"""Shows what is suspected of crashing upstreams, in logs and metrics."""
 
+from collections import Counter
 from enum import Enum
 
 from currantdeal.node.fingerprint import fingerprint_prefix
 from currantdeal.policy.crash_evidence import EARLY_WEIGHT
-from currantdeal.policy.crash_identity import kind_of
+from currantdeal.policy.crash_identity import IdentityKind, kind_of
+
+
+def set_crash_gauges(metrics, crash_registry):
+    """Set the numbers of suspects and quarantines, by their kind.
+
+    Parameters
+    ----------
+    metrics : currantdeal.ports.MetricsPort
+        Receives the gauges.
+    crash_registry : currantdeal.policy.crash_registry.CrashRegistry
+        The records that are counted.
+    """
+    quarantined = Counter(map(kind_of, crash_registry.quarantined))
+    suspects = Counter(map(kind_of, crash_registry.identities))
+    metrics.set("quarantined_requests", quarantined[IdentityKind.REQUEST])
+    for kind in IdentityKind:
+        name = kind.name.lower()
+        metrics.set("crash_quarantines", quarantined[kind], kind=name)
+        metrics.set("crash_suspects", suspects[kind], kind=name)
 
 
 class _Status(str, Enum):
--- a/currantdeal/policy/crash_registry.py
+++ b/currantdeal/policy/crash_registry.py
@@ -98,6 +98,16 @@
         """Whether anything is quarantined."""
         return bool(self._verdicts)
 
+    @property
+    def identities(self):
+        """All identities in the registry."""
+        return self._suspects.keys()
+
+    @property
+    def verdicts(self):
+        """Each ``Verdict`` once, in no particular order."""
+        return tuple({v.members: v for v in self._verdicts.values()}.values())
+
     @property
     def records(self):
         """All ``SuspectRecord`` of this registry."""
