--- a/currantdeal/entry/crash_watch.py
+++ b/currantdeal/entry/crash_watch.py
@@ -9,9 +9,9 @@
 
 import structlog
 
+from currantdeal.entry.crash_probe import CrashProbe
 from currantdeal.entry.errors import QuarantinedError
 from currantdeal.entry.unfinished_runs import UnfinishedRun, UnfinishedRuns
-from currantdeal.node.errors import ConnectError, ConnectRefusedError
 from currantdeal.node.fingerprint import fingerprint_prefix
 from currantdeal.node.suspect_log import SuspectLog
 from currantdeal.policy.crash_evidence import Crash
@@ -20,13 +20,6 @@
 from currantdeal.policy.recent_completions import RecentCompletions
 from currantdeal.policy.trials import Trials
 
-RESTART_CHECKS_S = (0.5, 1.0, 1.5)
-"""Pauses before each check whether an upstream was restarted.
-
-One that restarts at once accepts a connection before its crash is noticed; its
-next incarnation is announced soon after.
-"""
-
 MAX_REQUEST_ID = 64
 """Limit of the characters of a request's id that a crash record has."""
 
@@ -36,10 +29,8 @@
 class CrashWatch:
     """Detects and quarantines what crashes upstreams.
 
-    A connection that ends early may have been reset by the network, or closed
-    by a faulty upstream.  Only a process that has ended refuses a new
-    connection, so one is opened to confirm a crash.  If that does not show it,
-    a crash that another process reports or a restart of the upstream does.
+    A lost run counts if a ``CrashProbe`` confirms that its upstream has ended,
+    or if another process reports that crash.
 
     Parameters
     ----------
@@ -63,7 +54,6 @@
     def __init__(self, *, view, pool, metrics, in_background, random):
         """Start without suspects."""
         self._view = view
-        self._pool = pool
         self._metrics = metrics
         self._in_background = in_background
         self._crash_registry = CrashRegistry()
@@ -73,7 +63,7 @@
         self._completions = RecentCompletions()
         self._unfinished = UnfinishedRuns()
         self._trials = Trials(random=random)
-        self._checks = {}
+        self._probe = CrashProbe(view=view, pool=pool)
         self.publish = lambda records: None
 
     @property
@@ -241,7 +231,7 @@
         self._apply(self._crash_registry.merge(records))
 
     async def _check_lost_run(self, active, record, phase, events, crash):
-        crashed = await self._has_ended(record)
+        crashed = await self._probe.has_ended(record)
         self._record_lost_run(active, record, phase, events, crashed)
         if crash is None:
             return
@@ -249,12 +239,14 @@
             self._add_crash(active.crash_identities, crash)
             return
         self._add_unfinished(active, crash)
-        if await self._is_restarted(record):
+        if await self._probe.is_restarted(record):
             self._confirm(crash.incarnation)
 
     async def _check_unknown_end(self, active, record, loss, succeeded):
         phase, events, crash = loss
-        if await self._has_ended(record) or await self._is_restarted(record):
+        if await self._probe.has_ended(
+            record
+        ) or await self._probe.is_restarted(record):
             self._record_lost_run(active, record, phase, events, True)
             if crash is not None:
                 self._add_crash(active.crash_identities, crash)
@@ -357,41 +349,6 @@
         if changed:
             self.publish(changed)
 
-    async def _has_ended(self, record):
-        """Return whether the process of an upstream has ended.
-
-        All runs that a crash ended share one check.
-        """
-        key = (record.upstream, record.started_ms)
-        check = self._checks.get(key)
-        if check is None:
-            check = asyncio.ensure_future(
-                self._refuses_connections(record.address)
-            )
-            self._checks[key] = check
-            check.add_done_callback(lambda _: self._checks.pop(key))
-        return await asyncio.shield(check)
-
-    async def _refuses_connections(self, address):
-        try:
-            connection = await self._pool.open(address)
-        except ConnectRefusedError:
-            return True
-        except ConnectError:
-            # It may only be partitioned from here.  Failed connections are
-            # logged where a request needs one.
-            return False
-        self._pool.release(connection)
-        return False
-
-    async def _is_restarted(self, record):
-        """Return whether another process is announced in its place soon."""
-        for pause_s in RESTART_CHECKS_S:
-            await asyncio.sleep(pause_s)
-            if self._view.is_restarted(record):
-                return True
-        return False
-
 
 def _crash_of(active, record, events):
     return Crash(
