Decide at once between parts that crashed together before any completed

What callers saw: with two culprits that share a third part with sound requests, and no answer yet since the start, the third part explains more crashes than either culprit.

Cause: a verdict on a part that has never completed cannot be told from one on a part beside it, and nothing brought about the run that decides.

A verdict is contested if each crash that it explains but one at most happened under a request with another suspect part that has never completed. It costs two crashes at most, and none where parts have completed before.

--- a/benchmarks/soak_callers.py
+++ b/benchmarks/soak_callers.py
@@ -13,6 +13,7 @@
 from currantdeal.testing.answer_shapes import events
 from currantdeal.testing.entry_world import GENERATION
 from currantdeal.testing.platform_upstream import EVENTS, event_numbers
+from currantdeal.testing.prompt_parts import PREFIX_HEADER, prefix_value
 
 DEADLINE_S = 3.0
 """Deadline that callers send with each request."""
@@ -82,6 +83,9 @@
         Body of each request; None for the request's own id.
     longest_pause_s : float
         Longest pause between two requests.
+    parts : callable
+        Returns the parts of the prompt of the next generation that others may
+        share.
     """
 
     def __init__(
@@ -94,11 +98,13 @@
         kinds=tuple(TARGETS),
         body=None,
         longest_pause_s=0.08,
+        parts=tuple,
     ):
         """Prepare the caller; ``run`` starts to send."""
         self._kinds = kinds
         self._body = body
         self._longest_pause_s = longest_pause_s
+        self._parts = parts
         self._name = name
         self._entries = entries
         self._rng = rng
@@ -147,7 +153,8 @@
         try:
             async with asyncio.timeout(SOCKET_TIMEOUT_S):
                 body = self._body or request_id.encode()
-                writer.write(_request(http, request_id, kind, body))
+                parts = self._parts()
+                writer.write(_request(http, request_id, kind, body, parts))
                 await _read(http, reader, result)
         except (OSError, TimeoutError, h11.RemoteProtocolError):
             pass
@@ -174,9 +181,11 @@
         return self._kind if self._kind in options else options[0]
 
 
-def _request(http, request_id, kind, body):
+def _request(http, request_id, kind, body, parts):
     target, extra = TARGETS[kind]
     headers = [line.split(": ") for line in extra]
+    if headers and parts:
+        headers.append([PREFIX_HEADER, prefix_value(parts, body.hex() or "0")])
     return (
         http.send(
             h11.Request(
--- a/benchmarks/soak_nodes.py
+++ b/benchmarks/soak_nodes.py
@@ -172,11 +172,16 @@
                     entries=entries,
                     rng=random.Random(self.rng.randrange(1 << 30)),
                     attempts=self.attempts,
+                    **self._caller_options(number),
                 ).run()
             )
             for number in range(CALLERS)
         ]
 
+    def _caller_options(self, number):
+        """Return further options of one of the callers of a round."""
+        return {}
+
     async def _send_heartbeats(self):
         while True:
             # A process that has ended sends no heartbeats.
--- a/currantdeal/entry/crash_watch.py
+++ b/currantdeal/entry/crash_watch.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from functools import partial
 
 import structlog
 
@@ -265,15 +266,22 @@
     def _begin_trial(self, active, verdict):
         if verdict.kind is IdentityKind.REQUEST:
             return False
-        is_due = self._trials.is_due(
+        others = set(active.crash_identities) - verdict.members
+        is_due = partial(
+            self._trials.is_due,
             verdict.members,
             crashes=len(verdict.incarnations),
             entries=self._view.entries,
             now_s=asyncio.get_running_loop().time(),
         )
-        if is_due:
+        registry = self._crash_registry
+        decides = not registry.has_unsound(others) and (
+            is_due(contested=True) and registry.is_contested(verdict)
+        )
+        if decides or is_due(contested=False):
             active.trial = verdict.members
-        return is_due
+            return True
+        return False
 
     def _is_on_trial(self, active, verdict):
         """Return whether a request is run as a trial, and lost no run yet."""
--- a/currantdeal/entry/tests/test_crashing_part.py
+++ b/currantdeal/entry/tests/test_crashing_part.py
@@ -61,7 +61,8 @@
         return sum(len(s.sent) for s in self.standins)
 
     def _crashes_on(self, request):
-        return BAD in shared_parts(request) and not self.is_mended
+        bad = any(part.startswith(BAD) for part in shared_parts(request))
+        return bad and not self.is_mended
 
     def _announce(self, standin):
         is_prefill = standin.upstream.startswith("p")
@@ -157,6 +158,25 @@
     assert (before, after) == (ALLOWED_CRASHES, ALLOWED_CRASHES)
 
 
+def test_popular_part_beside_two_culprits_is_served_soon():
+    """Guards against refusing a part that had no time to complete."""
+
+    async def script(world, fleet):
+        sender = _sender(world, "/note/1")
+        for culprit in ("bad1", "bad2", "bad1"):
+            await _send_each(sender, [("a0", culprit, "c0")], pause_s=0.2)
+        refused = await sender.send(SOUND)
+        await _send_each(sender, [SOUND] * 4, pause_s=0.3)
+        served = await sender.send(SOUND)
+        again = await sender.send(("a0", "bad1", "c0"))
+        return refused, served, again
+
+    refused, served, again = _play(script)
+    assert refused.status == 429
+    assert served.is_whole
+    assert again.status in (429, 502)
+
+
 def _is_due(members, **options):
     return True
 
--- a/currantdeal/policy/crash_evidence.py
+++ b/currantdeal/policy/crash_evidence.py
@@ -80,6 +80,19 @@
             return MIXED_PART_WEIGHT if self.late else EARLY_WEIGHT
         return LATE_PART_WEIGHT
 
+    def is_under_same_request(self, crashes):
+        """Return whether one of several crashes has the same request.
+
+        Parameters
+        ----------
+        crashes : dict of tuple to Crash
+            Crashes under another identity, by incarnation.
+        """
+        other = crashes.get(self.incarnation)
+        return other is not None and (
+            bool(self.request_id) and other.request_id == self.request_id
+        )
+
     def merge(self, other):
         """Return what both records of the same crash state together."""
         early = self.early or other.early
--- a/currantdeal/policy/crash_registry.py
+++ b/currantdeal/policy/crash_registry.py
@@ -28,6 +28,7 @@
 from dataclasses import dataclass
 
 from currantdeal.policy.crash_evidence import EARLY_WEIGHT, Crash, Suspect
+from currantdeal.policy.crash_identity import IdentityKind
 from currantdeal.policy.crash_verdicts import find_verdicts
 
 MAX_QUARANTINED = 512
@@ -247,6 +248,39 @@
         self._enforce_limits()
         return tuple(change for change in changed if change is not None)
 
+    def is_contested(self, verdict):
+        """Return whether others may have caused what a verdict explains.
+
+        They may if each crash but one at most is explained by another verdict,
+        or happened under a request with another suspect part that has never
+        completed.  That is likely only before most parts have completed once.
+        """
+        member = self._suspects[min(verdict.members)]
+        rivals = [
+            suspect
+            for suspect in self._suspects.values()
+            if suspect.kind is member.kind
+            and not suspect.is_sound
+            and suspect.identity not in verdict.members
+        ]
+        decided = sum(
+            not self._is_explained(incarnation, member.identity)
+            and not any(crash.is_under_same_request(r.crashes) for r in rivals)
+            for incarnation, crash in member.crashes.items()
+        )
+        return decided <= 1
+
+    def has_unsound(self, identities):
+        """Return whether any part among identities may cause crashes."""
+        suspects = (self._suspects.get(identity) for identity in identities)
+        return any(
+            s is not None
+            and s.kind is not IdentityKind.REQUEST
+            and bool(s.crashes)
+            and not s.is_sound
+            for s in suspects
+        )
+
     def _is_explained(self, incarnation, identity):
         """Return whether a verdict on others explains a crash."""
         heavy = self._heavy_at.get(incarnation, ())
--- a/currantdeal/policy/tests/test_trials.py
+++ b/currantdeal/policy/tests/test_trials.py
@@ -44,6 +44,27 @@
         assert started[0] <= FIRST_WAIT_S + 30.0
 
 
+def test_contested_part_is_tried_at_once():
+    """Guards against minutes in which a popular part is refused."""
+    for entries in (1, 8, 191):
+        rng = random.Random(1)
+        fleet = [Trials(random=rng) for _ in range(entries)]
+        due = [
+            any(
+                trials.is_due(
+                    PART,
+                    crashes=3,
+                    entries=entries,
+                    now_s=step * STEP_S,
+                    contested=True,
+                )
+                for trials in fleet
+            )
+            for step in range(6)
+        ]
+        assert any(due)
+
+
 def test_number_of_verdicts_is_bounded(monkeypatch):
     """Guards against memory that grows with the number of culprits."""
     monkeypatch.setattr(trials_module, "MAX_VERDICTS", 4)
--- a/currantdeal/testing/prompt_parts.py
+++ b/currantdeal/testing/prompt_parts.py
@@ -121,20 +121,24 @@
 
 def generation_bytes(parts, *, request_id, route, headers=()):
     """Return a generation whose last part and body are its own."""
-    prefix = ",".join([*(f"{part}:100" for part in parts), f"{request_id}:50"])
     raw = request_bytes(
         route,
         body=request_id.encode(),
         more=(
             "X-Currantdeal-Model: m",
             f"X-Currantdeal-Token-Counts: {100 * len(parts) + 50},60",
-            f"{PREFIX_HEADER}: {prefix}",
+            f"{PREFIX_HEADER}: {prefix_value(parts, request_id)}",
             *headers,
         ),
     )
     return raw.replace(b"r-1", request_id.encode())
 
 
+def prefix_value(parts, own_part):
+    """Return the value of the header that lists the parts of a prompt."""
+    return ",".join([*(f"{part}:100" for part in parts), f"{own_part}:50"])
+
+
 def shared_parts(request):
     """Return the parts of a ``ReceivedRequest`` except the last."""
     fields = request.get(PREFIX_HEADER).split(",")[:-1]
