--- a/currantdeal/entry/crash_watch.py
+++ b/currantdeal/entry/crash_watch.py
@@ -223,14 +223,14 @@
                     registry.add_completion(identity, software=record.software)
                 )
 
-    def _counted(self, crash):
-        """Return a crash; None if its upstream drains and was to end."""
-        return crash if self._view.accepts_work(crash.upstream) else None
-
     def merge(self, records):
         """Merge ``SuspectRecord`` of other processes."""
         self._apply(self._crash_registry.merge(records))
 
+    def _counted(self, crash):
+        """Return a crash; None if its upstream drains and was to end."""
+        return crash if self._view.accepts_work(crash.upstream) else None
+
     async def _check_lost_run(self, active, record, phase, events, crash):
         crashed = await self._probe.has_ended(record)
         self._record_lost_run(active, record, phase, events, crashed)
@@ -245,9 +245,8 @@
 
     async def _check_unknown_end(self, active, record, loss, succeeded):
         phase, events, crash = loss
-        if await self._probe.has_ended(
-            record
-        ) or await self._probe.is_restarted(record):
+        crashed = await self._probe.has_ended(record)
+        if crashed or await self._probe.is_restarted(record):
             self._record_lost_run(active, record, phase, events, True)
             if crash is not None:
                 self._add_crash(active.crash_identities, crash)
--- a/currantdeal/policy/crash_identity.py
+++ b/currantdeal/policy/crash_identity.py
@@ -43,11 +43,9 @@
 
 def digest_of(identity):
     """Return the fingerprint that an identity consists of."""
-    return (
-        identity
-        if kind_of(identity) is IdentityKind.REQUEST
-        else (identity[1:])
-    )
+    if kind_of(identity) is IdentityKind.REQUEST:
+        return identity
+    return identity[1:]
 
 
 def kind_of(identity):
