--- a/currantdeal/cli/tests/test_crashing_part.py
+++ b/currantdeal/cli/tests/test_crashing_part.py
@@ -4,8 +4,10 @@
 """
 
 import asyncio
+import itertools
 import random
 import time
+from functools import partial
 
 import pytest
 
@@ -15,8 +17,6 @@
 from currantdeal.testing.prompt_parts import (
     MIXES,
     PromptSender,
-    drawn,
-    in_turn,
     shared_parts,
 )
 
@@ -45,7 +45,7 @@
 
     def __init__(self, *, folder, mix, seed, other_crashes=0.0, **options):
         self.cluster = NodeCluster(folder=folder, control=3, entries=4)
-        self._mix = mix
+        self.mix = mix
         self._rng = random.Random(seed)
         self._other_crashes = other_crashes
         self.culprit_of = {}
@@ -68,7 +68,7 @@
         )
         await self.fleet.start()
         await self._wait_until_served()
-        sound = drawn(self._mix.sound, self._rng)
+        sound = partial(self._rng.choice, self.mix.sound)
         tasks = [
             asyncio.ensure_future(s.run(sound, pauses_s=SOUND_PAUSES_S))
             for s in self.sound
@@ -77,7 +77,10 @@
         self.began_s = asyncio.get_running_loop().time()
         tasks += [
             asyncio.ensure_future(
-                s.run(in_turn(self._mix.crashing), pauses_s=POISON_PAUSES_S)
+                s.run(
+                    partial(next, itertools.cycle(self.mix.crashing)),
+                    pauses_s=POISON_PAUSES_S,
+                )
             )
             for s in self.poison
         ]
@@ -111,7 +114,7 @@
 
     def served(self):
         """Return the shares of sound requests that began, before and after."""
-        fifth = [self.crashes(c)[:CRASHES][-1] for c in self._mix.culprits]
+        fifth = [self.crashes(c)[:CRASHES][-1] for c in self.mix.culprits]
         after_s = max(fifth) + 2 * CONTACT_S
         answers = [a for s in self.sound for a in s.answers]
         before = [a for a in answers if a.began_s < self.began_s]
@@ -131,7 +134,7 @@
 
     def _crashes_on(self, request):
         parts = shared_parts(request)
-        for culprit in self._mix.culprits:
+        for culprit in self.mix.culprits:
             if culprit in parts:
                 self.culprit_of[request.request_id] = culprit
                 return True
@@ -147,7 +150,7 @@
             sender = PromptSender(
                 addresses=lambda address=address: [address], rng=self._rng
             )
-            while not (await sender.send(self._mix.sound[0])).is_whole:
+            while not (await sender.send(self.mix.sound[0])).is_whole:
                 assert time.monotonic() < deadline_s, "an entry does not serve"
                 await asyncio.sleep(0.05)
 
@@ -158,7 +161,7 @@
 
 
 def _check(run):
-    mix = run._mix
+    mix = run.mix
     for culprit in mix.culprits:
         assert len(run.late(culprit)) <= MAX_LATE
     before, after = run.served()
--- a/currantdeal/testing/prompt_parts.py
+++ b/currantdeal/testing/prompt_parts.py
@@ -1,7 +1,6 @@
 """Sends generations that share parts, one of which crashes engines."""
 
 import asyncio
-import random
 from dataclasses import dataclass
 
 from currantdeal.testing.entry_world import request_bytes
@@ -205,19 +204,3 @@
     ),
 )
 """Where the part that crashes engines stands, and what is beside it."""
-
-
-def in_turn(prompts):
-    """Return a callable that returns each prompt's parts in turn."""
-    count = [0]
-
-    def next_parts():
-        count[0] += 1
-        return prompts[count[0] % len(prompts)]
-
-    return next_parts
-
-
-def drawn(prompts, rng=random):
-    """Return a callable that draws the parts of one of several prompts."""
-    return lambda: rng.choice(prompts)
