Wait for enough answers where the share of served requests is computed

On a machine at a load of 13 to 51 one case had 14 answers in its time, where 20 are needed for a share.

--- a/currantdeal/cli/tests/test_crashing_part.py
+++ b/currantdeal/cli/tests/test_crashing_part.py
@@ -35,6 +35,9 @@
 """Least share of the sound requests that begin after the verdict, as a
 multiple of the share before the first crash."""
 
+MIN_ANSWERS = 20
+"""Answers from which a share is computed."""
+
 POISON_PAUSES_S = (0.1, 0.5)
 SOUND_PAUSES_S = (0.02, 0.15)
 OTHER_CRASHES = 0.01
@@ -74,6 +77,9 @@
             for s in self.sound
         ]
         await asyncio.sleep(CALM_S)
+        await self._wait_for_answers(
+            lambda: [a for s in self.sound for a in s.answers]
+        )
         self.began_s = asyncio.get_running_loop().time()
         tasks += [
             asyncio.ensure_future(
@@ -87,6 +93,7 @@
         if disturb:
             tasks.append(asyncio.ensure_future(disturb(self)))
         await asyncio.sleep(STORM_S)
+        await self._wait_for_answers(lambda: self.answers()[1])
         for task in tasks:
             task.cancel()
         self.fleet.stop()
@@ -114,12 +121,23 @@
 
     def served(self):
         """Return the shares of sound requests that began, before and after."""
+        before, after = self.answers()
+        return _share_begun(before), _share_begun(after)
+
+    def answers(self):
+        """Return the sound requests' answers, before and after the crashes."""
         fifth = [self.crashes(c)[:CRASHES][-1] for c in self.mix.culprits]
         after_s = max(fifth) + 2 * CONTACT_S
         answers = [a for s in self.sound for a in s.answers]
         before = [a for a in answers if a.began_s < self.began_s]
         after = [a for a in answers if a.began_s >= after_s]
-        return _share_begun(before), _share_begun(after)
+        return before, after
+
+    async def _wait_for_answers(self, answers):
+        """Wait until there are enough of them, on a busy machine too."""
+        deadline_s = time.monotonic() + START_S
+        while len(answers()) < MIN_ANSWERS and time.monotonic() < deadline_s:
+            await asyncio.sleep(0.2)
 
     def _sender(self):
         return PromptSender(
@@ -156,7 +174,7 @@
 
 
 def _share_begun(answers):
-    assert len(answers) >= 20
+    assert len(answers) >= MIN_ANSWERS
     return sum(a.has_begun for a in answers) / len(answers)
 
 
