--- a/benchmarks/experiments/upstream_limits.py
+++ b/benchmarks/experiments/upstream_limits.py
@@ -8,7 +8,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from currantdeal.policy.limit_owner import OPEN_S, LimitAsk, LimitOwner
+from currantdeal.policy.limits.limit_owner import OPEN_S, LimitAsk, LimitOwner
 from currantdeal.testing.rate_bound import WINDOW_S, most_in_window
 
 SUMMARY = "ways to observe the limit that an upstream names"
--- a/currantdeal/adapters/connections.py
+++ b/currantdeal/adapters/connections.py
@@ -28,7 +28,7 @@
     UpstreamTimeoutError,
     UpstreamUnreachableError,
 )
-from currantdeal.policy.answer_end import (
+from currantdeal.policy.answers.answer_end import (
     Completeness,
     Position,
     completeness,
--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -51,7 +51,7 @@
 from currantdeal.platform.bounds import read_bounds
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.platform.control import PlatformControl
-from currantdeal.policy.shared_load import LOAD_INTERVAL_S
+from currantdeal.policy.load.shared_load import LOAD_INTERVAL_S
 
 RAFT_HEARTBEAT_S = 0.1
 ELECTION_S = 0.4
--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -34,7 +34,7 @@
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.platform.config import decode_config
 from currantdeal.platform.control import PlatformControl
-from currantdeal.policy.shared_load import LOAD_INTERVAL_S
+from currantdeal.policy.load.shared_load import LOAD_INTERVAL_S
 from currantdeal.registry import EntryRecord
 
 REFUSE_STREAMS_AFTER_S = 2.5
--- a/currantdeal/cli/quarantine_commands.py
+++ b/currantdeal/cli/quarantine_commands.py
@@ -18,7 +18,7 @@
 from currantdeal.node.fingerprint import fingerprint_prefix
 from currantdeal.node.messages import Done
 from currantdeal.node.peers import connect_peer
-from currantdeal.policy.crash_identity import kind_of
+from currantdeal.policy.crashes.identity import kind_of
 
 TIMEOUT_S = 2.0
 EXIT_UNREACHABLE = 1
--- a/currantdeal/cli/tests/test_quarantine_commands.py
+++ b/currantdeal/cli/tests/test_quarantine_commands.py
@@ -10,9 +10,12 @@
 from currantdeal.node.fingerprint import fingerprint_prefix, part_fingerprint
 from currantdeal.node.messages import CrashesNotice
 from currantdeal.node.peers import connect_peer
-from currantdeal.policy.crash_evidence import Crash
-from currantdeal.policy.crash_identity import IdentityKind, part_identity
-from currantdeal.policy.crash_registry import SuspectRecord
+from currantdeal.policy.crashes.evidence import Crash
+from currantdeal.policy.crashes.identity import (
+    IdentityKind,
+    part_identity,
+)
+from currantdeal.policy.crashes.registry import SuspectRecord
 from currantdeal.testing.node_processes import NodeCluster
 
 PART = part_identity(IdentityKind.PART, part_fingerprint("bad"))
--- a/currantdeal/consensus/tests/mutations.py
+++ b/currantdeal/consensus/tests/mutations.py
@@ -46,7 +46,7 @@
 OWNERS = pytest(
     "node/tests/test_extra_answers.py", "entry/tests/test_extra_answers.py"
 )
-GRANTS = pytest("policy/tests/test_grant_channel.py")
+GRANTS = pytest("policy/answers/tests/test_grant_channel.py")
 OWN_PROMPT = pytest("entry/tests/test_own_prompt.py")
 ENDS = pytest("entry/tests/test_answer_ends.py", "entry/tests/test_events.py")
 
@@ -349,21 +349,21 @@
     ),
     Mutation(
         title="a close without a framing counts as a whole answer",
-        path="policy/answer_end.py",
+        path="policy/answers/answer_end.py",
         old="    return Completeness.UNKNOWN\n",
         new="    return Completeness.WHOLE\n",
         check=ENDS,
     ),
     Mutation(
         title="a stream that ends within an event counts as whole",
-        path="policy/answer_end.py",
+        path="policy/answers/answer_end.py",
         old=" or position is Position.WITHIN_EVENT:",
         new=":",
         check=ENDS,
     ),
     Mutation(
         title="a framed answer is ended though its end is unknown",
-        path="policy/answer_end.py",
+        path="policy/answers/answer_end.py",
         old="    return found is Completeness.WHOLE\n",
         new="    return found is not Completeness.BROKEN_OFF\n",
         check=ENDS,
@@ -419,14 +419,14 @@
     ),
     Mutation(
         title="an answer with another id counts as own",
-        path="policy/answer_owner.py",
+        path="policy/answers/answer_owner.py",
         old="AnswerOwner.OWN if found == {request_id} else AnswerOwner.OTHER",
         new="AnswerOwner.OWN",
         check=OWNERS,
     ),
     Mutation(
         title="an answer without an id counts as own",
-        path="policy/answer_owner.py",
+        path="policy/answers/answer_owner.py",
         old="    return AnswerOwner.UNIDENTIFIED",
         new="    return AnswerOwner.OWN",
         check=OWNERS,
@@ -447,14 +447,14 @@
     ),
     Mutation(
         title="a grant is used twice",
-        path="policy/grant_channel.py",
+        path="policy/answers/grant_channel.py",
         old="        return is_new",
         new="        return True",
         check=GRANTS,
     ),
     Mutation(
         title="a request is granted less than it asks for",
-        path="policy/grant_channel.py",
+        path="policy/answers/grant_channel.py",
         old="return floor is None or size <= floor",
         new="return True",
         check=GRANTS,
--- a/currantdeal/control/crash_replicator.py
+++ b/currantdeal/control/crash_replicator.py
@@ -1,6 +1,6 @@
 """Replicates the records of crashes between control instances.
 
-Load pattern: query of death, see ``currantdeal.policy.crash_registry``.
+Load pattern: query of death, see ``currantdeal.policy.crashes.registry``.
 Callers may retry such a request at any entry, so all entries must have its
 record within seconds, also without a leader, during network partitions between
 control instances, and after a control instance has lost its disk.  Records
@@ -16,7 +16,7 @@
 from currantdeal.node.messages import CrashesNotice
 from currantdeal.node.peers import HEARTBEAT_S
 from currantdeal.node.suspect_log import SuspectLog
-from currantdeal.policy.crash_registry import CrashRegistry
+from currantdeal.policy.crashes.registry import CrashRegistry
 
 SILENCE_TIMEOUT_S = 3 * HEARTBEAT_S
 """Silence of an instance after which it may have missed changes."""
--- a/currantdeal/control/demand_tracker.py
+++ b/currantdeal/control/demand_tracker.py
@@ -1,6 +1,6 @@
 """Aggregates the demand that all entries measure, at one control instance."""
 
-from currantdeal.policy.demand import Demand, DemandWindow, busy_engines
+from currantdeal.policy.load.demand import Demand, DemandWindow, busy_engines
 
 DEMAND_WINDOW_S = 15.0
 """Length of the sliding window over which demand is summed."""
--- a/currantdeal/control/limit_control.py
+++ b/currantdeal/control/limit_control.py
@@ -2,13 +2,13 @@
 
 Entries report the limits that upstreams name to them, and receive those of
 all entries.  The leader owns the limits: it assigns the slots in which
-requests may be sent, see ``currantdeal.policy.limit_owner``.
+requests may be sent, see ``currantdeal.policy.limits.limit_owner``.
 """
 
 from currantdeal.control.owner_lease import OwnerLease
 from currantdeal.node.limit_messages import LimitAnswer
-from currantdeal.policy.limit_owner import LimitOwner
-from currantdeal.policy.limit_records import LimitRecords
+from currantdeal.policy.limits.limit_owner import LimitOwner
+from currantdeal.policy.limits.limit_records import LimitRecords
 
 NO_OWNER = LimitAnswer()
 
--- a/currantdeal/control/orders.py
+++ b/currantdeal/control/orders.py
@@ -16,7 +16,7 @@
 from currantdeal.node.connection_pool import exchange
 from currantdeal.node.dialect import StageOrder
 from currantdeal.node.errors import ExchangeError
-from currantdeal.policy.stage_plan import (
+from currantdeal.policy.placement.stage_plan import (
     CHANGE_INTERVAL_S,
     lacks_stage,
     plan_stages,
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -48,7 +48,7 @@
     SpreadCall,
     UpstreamsNotice,
 )
-from currantdeal.policy.shared_load import LoadSums
+from currantdeal.policy.load.shared_load import LoadSums
 
 _log = structlog.get_logger(__name__)
 
--- a/currantdeal/control/tests/test_crash_replicator.py
+++ b/currantdeal/control/tests/test_crash_replicator.py
@@ -4,7 +4,7 @@
     CrashReplicator,
 )
 from currantdeal.node.messages import CrashesNotice
-from currantdeal.policy.crash_registry import Crash, SuspectRecord
+from currantdeal.policy.crashes.registry import Crash, SuspectRecord
 
 FINGERPRINT = b"poison"
 
--- a/currantdeal/control/tests/test_limit_control.py
+++ b/currantdeal/control/tests/test_limit_control.py
@@ -8,8 +8,12 @@
 from currantdeal.control.limit_control import LimitControl
 from currantdeal.control.owner_lease import LEASE_S
 from currantdeal.node.limit_messages import LimitAnswer, LimitCall
-from currantdeal.policy.limit_owner import MAX_DELAY_S, LimitAsk, LimitGrant
-from currantdeal.policy.limit_records import MAX_AGE_S, LimitReport
+from currantdeal.policy.limits.limit_owner import (
+    MAX_DELAY_S,
+    LimitAsk,
+    LimitGrant,
+)
+from currantdeal.policy.limits.limit_records import MAX_AGE_S, LimitReport
 
 CALL = LimitCall(ask=LimitAsk(rates_per_s={"u1": 2.0}))
 ELSEWHERE = LimitAnswer(grant=LimitGrant(upstream="u9"))
--- a/currantdeal/entry/access.py
+++ b/currantdeal/entry/access.py
@@ -17,7 +17,7 @@
 from currantdeal.core import boot_time_s
 from currantdeal.entry.errors import RefusedError, UnauthorisedError
 from currantdeal.node.single_flight import SingleFlight
-from currantdeal.policy.retry_after import RefusalReason
+from currantdeal.policy.retries.retry_after import RefusalReason
 
 MAX_AGE_SHARE = 0.9
 """Share of the operators' bound for which a confirmation is relied upon.
--- a/currantdeal/entry/active_request.py
+++ b/currantdeal/entry/active_request.py
@@ -6,8 +6,11 @@
 from currantdeal.core import digest_parts
 from currantdeal.entry.steps import Step, kind_of_failure
 from currantdeal.node.fingerprint import fingerprint_of, part_fingerprint
-from currantdeal.policy.crash_identity import IdentityKind, part_identity
-from currantdeal.policy.reset_outcome import CallKind
+from currantdeal.policy.answers.reset_outcome import CallKind
+from currantdeal.policy.crashes.identity import (
+    IdentityKind,
+    part_identity,
+)
 from currantdeal.routing import RetrySafety
 
 
@@ -129,7 +132,7 @@
         Returns
         -------
         tuple of bytes
-            See ``currantdeal.policy.crash_identity``.
+            See ``currantdeal.policy.crashes.identity``.
         """
         parts = [
             part_identity(IdentityKind.PART, fingerprint)
--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -12,12 +12,12 @@
 from currantdeal.entry.retry_budgets import RetryBudgets
 from currantdeal.node.dialect import ForwardingOptions
 from currantdeal.node.errors import MalformedResponseError
-from currantdeal.policy.decode_memory import DecodeEngineOrder
-from currantdeal.policy.demand import DemandMeter
-from currantdeal.policy.local_prefills import LocalPrefills
-from currantdeal.policy.retry_detection import RetryDetector
-from currantdeal.policy.shared_load import EntryLoad
-from currantdeal.policy.upstream_health import UpstreamHealth
+from currantdeal.policy.health.upstream_health import UpstreamHealth
+from currantdeal.policy.load.demand import DemandMeter
+from currantdeal.policy.load.shared_load import EntryLoad
+from currantdeal.policy.memory.decode_memory import DecodeEngineOrder
+from currantdeal.policy.placement.local_prefills import LocalPrefills
+from currantdeal.policy.retries.retry_detection import RetryDetector
 
 LIMIT_QUEUE_TARGETS = 0.5
 """Longest wait for a slot of a limited upstream, as a multiple of the target.
--- a/currantdeal/entry/crash_watch.py
+++ b/currantdeal/entry/crash_watch.py
@@ -1,6 +1,6 @@
 """Detects what crashes upstreams and keeps it from being sent again.
 
-Load pattern: query of death, see ``currantdeal.policy.crash_registry``.
+Load pattern: query of death, see ``currantdeal.policy.crashes.registry``.
 Crashes that this entry detects are published to all other processes, and the
 records of the others are merged here.
 """
@@ -15,11 +15,14 @@
 from currantdeal.entry.unfinished_runs import UnfinishedRun, UnfinishedRuns
 from currantdeal.node.fingerprint import fingerprint_prefix
 from currantdeal.node.suspect_log import SuspectLog
-from currantdeal.policy.crash_evidence import Crash
-from currantdeal.policy.crash_identity import IdentityKind, kind_of
-from currantdeal.policy.crash_registry import CrashRegistry, SuspectRecord
-from currantdeal.policy.recent_completions import RecentCompletions
-from currantdeal.policy.trials import Trials
+from currantdeal.policy.crashes.evidence import Crash
+from currantdeal.policy.crashes.identity import IdentityKind, kind_of
+from currantdeal.policy.crashes.recent_completions import RecentCompletions
+from currantdeal.policy.crashes.registry import (
+    CrashRegistry,
+    SuspectRecord,
+)
+from currantdeal.policy.crashes.trials import Trials
 
 MAX_REQUEST_ID = 64
 """Limit of the characters of a request's id that a crash record has."""
@@ -149,7 +152,7 @@
             The request.
         record : currantdeal.registry.UpstreamRecord
             The upstream that ran it.
-        phase : currantdeal.policy.reset_outcome.ExchangePhase
+        phase : currantdeal.policy.answers.reset_outcome.ExchangePhase
             How far the call had come.
         events : int
             Events of this run that were forwarded.
--- a/currantdeal/entry/errors.py
+++ b/currantdeal/entry/errors.py
@@ -2,7 +2,7 @@
 
 from currantdeal.core.errors import CurrantdealError
 from currantdeal.node.fingerprint import describe_verdict
-from currantdeal.policy.retry_after import RefusalReason
+from currantdeal.policy.retries.retry_after import RefusalReason
 
 
 class EntryError(CurrantdealError):
--- a/currantdeal/entry/events.py
+++ b/currantdeal/entry/events.py
@@ -3,7 +3,7 @@
 import re
 
 from currantdeal.node.head import EVENT_STREAM
-from currantdeal.policy.answer_end import Position
+from currantdeal.policy.answers.answer_end import Position
 
 MAX_EVENT_BYTES = 1_048_576
 """Longest event that is buffered; a longer one is forwarded in pieces."""
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -33,9 +33,12 @@
     InvalidResponseError,
     ResponseTimeoutError,
 )
-from currantdeal.policy.reset_outcome import ExchangePhase, reset_outcome
-from currantdeal.policy.retry_after import RefusalReason
-from currantdeal.policy.retry_detection import (
+from currantdeal.policy.answers.reset_outcome import (
+    ExchangePhase,
+    reset_outcome,
+)
+from currantdeal.policy.retries.retry_after import RefusalReason
+from currantdeal.policy.retries.retry_detection import (
     RETRY_MAX_FILL,
     RETRY_WAIT_TARGETS,
 )
--- a/currantdeal/entry/limits.py
+++ b/currantdeal/entry/limits.py
@@ -13,9 +13,9 @@
 
 from currantdeal.core import boot_time_s
 from currantdeal.entry.errors import LimitReachedError, RefusedError
-from currantdeal.policy.limit_owner import OPEN_S, LimitAsk
-from currantdeal.policy.limit_records import UNLIMITED, LimitRecords
-from currantdeal.policy.retry_after import RefusalReason
+from currantdeal.policy.limits.limit_owner import OPEN_S, LimitAsk
+from currantdeal.policy.limits.limit_records import UNLIMITED, LimitRecords
+from currantdeal.policy.retries.retry_after import RefusalReason
 
 MAX_LABELLED_UPSTREAMS = 64
 """Number of upstreams with metrics of their own."""
--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -1,7 +1,8 @@
 """Reserves KV cache memory at a decode engine for one generation.
 
-Engines are asked in the order of ``currantdeal.policy.decode_memory``.  One
-that does not answer soon is hedged with the next one, see ``Hedge``.
+Engines are asked in the order of
+``currantdeal.policy.memory.decode_memory``.  One that does not answer soon is
+hedged with the next one, see ``Hedge``.
 """
 
 from dataclasses import dataclass
@@ -15,7 +16,7 @@
 from currantdeal.entry.releases import release
 from currantdeal.node.connection_pool import exchange
 from currantdeal.node.errors import ExchangeError
-from currantdeal.policy.decode_memory import (
+from currantdeal.policy.memory.decode_memory import (
     MAX_FILL,
     GenerationSize,
     tokens_to_reserve,
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -26,10 +26,13 @@
     MalformedResponseError,
     ResponseTimeoutError,
 )
-from currantdeal.policy.answer_end import framing_of_buffered
-from currantdeal.policy.reset_outcome import ExchangePhase, reset_outcome
-from currantdeal.policy.retry_after import RefusalReason
-from currantdeal.policy.upstream_health import order_upstreams
+from currantdeal.policy.answers.answer_end import framing_of_buffered
+from currantdeal.policy.answers.reset_outcome import (
+    ExchangePhase,
+    reset_outcome,
+)
+from currantdeal.policy.health.upstream_health import order_upstreams
+from currantdeal.policy.retries.retry_after import RefusalReason
 from currantdeal.routing import RetrySafety
 
 FIRST_ATTEMPT_SHARE = 0.5
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -2,7 +2,7 @@
 
 Local prefill is done by the decode engine that generates the output.  It
 pauses the other streams of that engine, so it is used only where
-``currantdeal.policy.prefill_choice`` allows it.
+``currantdeal.policy.placement.prefill_choice`` allows it.
 """
 
 import asyncio
@@ -19,7 +19,7 @@
     InvalidResponseError,
     MalformedResponseError,
 )
-from currantdeal.policy.prefill_choice import (
+from currantdeal.policy.placement.prefill_choice import (
     estimate_prefill,
     local_prefill_s,
     prefers_local_prefill,
--- a/currantdeal/entry/quotas.py
+++ b/currantdeal/entry/quotas.py
@@ -13,7 +13,7 @@
 from currantdeal.core import boot_time_s
 from currantdeal.entry.errors import QuotaExceededError, RefusedError
 from currantdeal.organisations import CreditPool
-from currantdeal.policy.retry_after import RefusalReason
+from currantdeal.policy.retries.retry_after import RefusalReason
 
 RETRY_PAUSE_S = 0.05
 """Pause before the owner is asked again after it was not reached."""
--- a/currantdeal/entry/relay.py
+++ b/currantdeal/entry/relay.py
@@ -7,13 +7,13 @@
     MalformedResponseError,
 )
 from currantdeal.node.head import EVENT_STREAM
-from currantdeal.policy.answer_end import (
+from currantdeal.policy.answers.answer_end import (
     Position,
     framing_of_buffered,
     framing_of_stream,
     may_end,
 )
-from currantdeal.policy.reset_outcome import ExchangePhase
+from currantdeal.policy.answers.reset_outcome import ExchangePhase
 
 
 class EventRelay:
--- a/currantdeal/entry/retry_budgets.py
+++ b/currantdeal/entry/retry_budgets.py
@@ -11,7 +11,10 @@
 from currantdeal.entry.arrivals import RetryCharge
 from currantdeal.entry.errors import RefusedError
 from currantdeal.entry.quotas import QuotaClient
-from currantdeal.policy.request_credit import HELD_CREDIT_S, RequestCredit
+from currantdeal.policy.retries.request_credit import (
+    HELD_CREDIT_S,
+    RequestCredit,
+)
 
 OWNER_WAIT_S = 0.3
 """Longest wait for the owner.
--- a/currantdeal/entry/run_end.py
+++ b/currantdeal/entry/run_end.py
@@ -2,12 +2,12 @@
 
 from currantdeal.entry.steps import StepKind
 from currantdeal.node.errors import InvalidResponseError
-from currantdeal.policy.answer_end import (
+from currantdeal.policy.answers.answer_end import (
     Completeness,
     completeness,
     orderly_ending,
 )
-from currantdeal.policy.reset_outcome import ExchangePhase
+from currantdeal.policy.answers.reset_outcome import ExchangePhase
 
 
 def check_end(head, position):
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -19,7 +19,10 @@
 from currantdeal.entry.plain import serve_plain
 from currantdeal.node.dialect import CallerRequest
 from currantdeal.node.errors import SendExpiredError
-from currantdeal.policy.retry_after import RefusalReason, choose_retry_after_s
+from currantdeal.policy.retries.retry_after import (
+    RefusalReason,
+    choose_retry_after_s,
+)
 
 QUOTA_QUEUE_TARGETS = 0.5
 """Longest wait for a quota that is used up, as a multiple of the target.
--- a/currantdeal/entry/tests/test_crashing_part.py
+++ b/currantdeal/entry/tests/test_crashing_part.py
@@ -9,9 +9,12 @@
 import pytest
 
 from currantdeal.node.fingerprint import fingerprint_prefix, part_fingerprint
-from currantdeal.policy.crash_evidence import Crash
-from currantdeal.policy.crash_identity import IdentityKind, part_identity
-from currantdeal.policy.crash_registry import SuspectRecord
+from currantdeal.policy.crashes.evidence import Crash
+from currantdeal.policy.crashes.identity import (
+    IdentityKind,
+    part_identity,
+)
+from currantdeal.policy.crashes.registry import SuspectRecord
 from currantdeal.registry import Stage
 from currantdeal.testing.crashing_upstream import CrashingUpstream
 from currantdeal.testing.entry_world import (
--- a/currantdeal/entry/tests/test_events.py
+++ b/currantdeal/entry/tests/test_events.py
@@ -5,7 +5,7 @@
 import pytest
 
 from currantdeal.entry.events import MAX_EVENT_BYTES, EventSplitter
-from currantdeal.policy.answer_end import Position
+from currantdeal.policy.answers.answer_end import Position
 
 LINE_ENDS = {"LF": "\n", "CR LF": "\r\n", "CR": "\r"}
 
--- a/currantdeal/entry/tests/test_limits.py
+++ b/currantdeal/entry/tests/test_limits.py
@@ -6,8 +6,8 @@
 from structlog.testing import capture_logs
 
 from currantdeal.core import boot_time_s
-from currantdeal.policy.limit_owner import LimitOwner
-from currantdeal.policy.limit_records import LimitReport
+from currantdeal.policy.limits.limit_owner import LimitOwner
+from currantdeal.policy.limits.limit_records import LimitReport
 from currantdeal.registry import Stage
 from currantdeal.testing.entry_world import (
     GENERATION,
--- a/currantdeal/entry/tests/test_resets.py
+++ b/currantdeal/entry/tests/test_resets.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from currantdeal.policy.reset_outcome import (
+from currantdeal.policy.answers.reset_outcome import (
     CallKind,
     ExchangePhase,
     RetryBy,
--- a/currantdeal/entry/unfinished_runs.py
+++ b/currantdeal/entry/unfinished_runs.py
@@ -8,7 +8,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from currantdeal.policy.crash_evidence import Crash
+from currantdeal.policy.crashes.evidence import Crash
 
 KEEP_S = 5.0
 """Time for which a run is kept; a crash is known everywhere long before."""
--- a/currantdeal/node/answer_parser.py
+++ b/currantdeal/node/answer_parser.py
@@ -11,8 +11,8 @@
 from currantdeal.node.chunk_sizes import ChunkSizes
 from currantdeal.node.extra_answers import ExtraAnswer, ExtraMoment
 from currantdeal.node.head import find_values
-from currantdeal.policy.answer_owner import AnswerOwner, answer_owner
-from currantdeal.policy.grant_channel import GrantChannel
+from currantdeal.policy.answers.answer_owner import AnswerOwner, answer_owner
+from currantdeal.policy.answers.grant_channel import GrantChannel
 
 MAX_REQUESTS = 256
 """Maximum number of requests on a connection, which bounds its set of ids."""
--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -21,7 +21,7 @@
 from currantdeal.node.extra_answers import ExtraAnswerLog
 from currantdeal.node.http_client import RECEIVE_BYTES, UpstreamConnection
 from currantdeal.node.settings import split_address
-from currantdeal.policy.reset_outcome import ExchangePhase
+from currantdeal.policy.answers.reset_outcome import ExchangePhase
 
 CONNECT_TIMEOUT_S = 0.8
 """Timeout for opening a connection.
--- a/currantdeal/node/crash_messages.py
+++ b/currantdeal/node/crash_messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from currantdeal.policy.crash_evidence import Crash
+from currantdeal.policy.crashes.evidence import Crash
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/currantdeal/node/errors.py
+++ b/currantdeal/node/errors.py
@@ -1,7 +1,7 @@
 """Errors raised by this package, which runs on the event loop."""
 
 from currantdeal.core.errors import CurrantdealError
-from currantdeal.policy.reset_outcome import ExchangePhase
+from currantdeal.policy.answers.reset_outcome import ExchangePhase
 
 
 class NodeError(CurrantdealError):
--- a/currantdeal/node/extra_answers.py
+++ b/currantdeal/node/extra_answers.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from currantdeal.policy.answer_owner import AnswerOwner
+from currantdeal.policy.answers.answer_owner import AnswerOwner
 
 MAX_LOGGED_ID = 64
 """Maximum length of an id in a log line, in characters."""
--- a/currantdeal/node/fingerprint.py
+++ b/currantdeal/node/fingerprint.py
@@ -1,7 +1,7 @@
 """Fingerprints that identify repeated attempts of the same request."""
 
 from currantdeal.core import digest_parts
-from currantdeal.policy.crash_identity import IdentityKind, digest_of
+from currantdeal.policy.crashes.identity import IdentityKind, digest_of
 
 FINGERPRINT_BYTES = 16
 
@@ -59,7 +59,7 @@
     ----------
     identity : bytes
         A fingerprint, or an identity that has one, see
-        ``currantdeal.policy.crash_identity``.
+        ``currantdeal.policy.crashes.identity``.
     """
     return digest_of(identity)[:SHOWN_BYTES].hex()
 
--- a/currantdeal/node/head.py
+++ b/currantdeal/node/head.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from currantdeal.policy.answer_end import Framing
+from currantdeal.policy.answers.answer_end import Framing
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -24,8 +24,8 @@
 from currantdeal.node.head import ResponseHead
 from currantdeal.node.keep_alive import keep_alive_timeout_s, reuse_limit_s
 from currantdeal.node.sockets import prepare_socket
-from currantdeal.policy.answer_end import framing_of
-from currantdeal.policy.reset_outcome import ExchangePhase
+from currantdeal.policy.answers.answer_end import framing_of
+from currantdeal.policy.answers.reset_outcome import ExchangePhase
 
 RECEIVE_BYTES = 65_536
 """Maximum number of bytes that are read from a connection at once."""
--- a/currantdeal/node/http_request.py
+++ b/currantdeal/node/http_request.py
@@ -5,7 +5,7 @@
 
 import re
 
-from currantdeal.policy.answer_end import Framing
+from currantdeal.policy.answers.answer_end import Framing
 
 _DOT_SEGMENT = re.compile(r"/(?:\.|%2e){1,2}(?:[/;\\]|$)", re.IGNORECASE)
 
--- a/currantdeal/node/limit_messages.py
+++ b/currantdeal/node/limit_messages.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from currantdeal.policy.limit_owner import LimitAsk, LimitGrant
+from currantdeal.policy.limits.limit_owner import LimitAsk, LimitGrant
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/currantdeal/node/messages.py
+++ b/currantdeal/node/messages.py
@@ -28,10 +28,10 @@
     SpreadCall,
     UpstreamsNotice,
 )
-from currantdeal.policy.crash_registry import SuspectRecord
-from currantdeal.policy.demand import Demand
-from currantdeal.policy.limit_records import LimitReport
-from currantdeal.policy.shared_load import PoolLoad
+from currantdeal.policy.crashes.registry import SuspectRecord
+from currantdeal.policy.limits.limit_records import LimitReport
+from currantdeal.policy.load.demand import Demand
+from currantdeal.policy.load.shared_load import PoolLoad
 from currantdeal.registry import EntryRecord
 
 PROTOCOL = 3
--- a/currantdeal/node/response_writer.py
+++ b/currantdeal/node/response_writer.py
@@ -10,7 +10,7 @@
 import h11
 
 from currantdeal.adapters.sockets import set_reset_on_close
-from currantdeal.policy.answer_end import Framing, framing_of_stream
+from currantdeal.policy.answers.answer_end import Framing, framing_of_stream
 
 
 class ResponseWriter:
--- a/currantdeal/node/suspect_log.py
+++ b/currantdeal/node/suspect_log.py
@@ -4,8 +4,8 @@
 from enum import Enum
 
 from currantdeal.node.fingerprint import fingerprint_prefix
-from currantdeal.policy.crash_evidence import EARLY_WEIGHT
-from currantdeal.policy.crash_identity import IdentityKind, kind_of
+from currantdeal.policy.crashes.evidence import EARLY_WEIGHT
+from currantdeal.policy.crashes.identity import IdentityKind, kind_of
 
 
 def set_crash_gauges(metrics, crash_registry):
@@ -15,7 +15,7 @@
     ----------
     metrics : currantdeal.ports.MetricsPort
         Receives the gauges.
-    crash_registry : currantdeal.policy.crash_registry.CrashRegistry
+    crash_registry : currantdeal.policy.crashes.registry.CrashRegistry
         The records that are counted.
     """
     quarantined = Counter(map(kind_of, crash_registry.quarantined))
@@ -43,7 +43,7 @@
     ----------
     log : structlog.stdlib.BoundLogger
         Logger of the module that keeps the records.
-    crash_registry : currantdeal.policy.crash_registry.CrashRegistry
+    crash_registry : currantdeal.policy.crashes.registry.CrashRegistry
         The records from which the status is derived.
     """
 
@@ -62,7 +62,7 @@
 
         Parameters
         ----------
-        changed : iterable of currantdeal.policy.crash_registry.SuspectRecord
+        changed : iterable of currantdeal.policy.crashes.registry.SuspectRecord
             Records of what has changed.
         """
         for record in changed:
--- a/currantdeal/node/tests/test_suspect_log.py
+++ b/currantdeal/node/tests/test_suspect_log.py
@@ -2,8 +2,8 @@
 from structlog.testing import capture_logs
 
 from currantdeal.node.suspect_log import SuspectLog
-from currantdeal.policy import crash_registry
-from currantdeal.policy.crash_registry import Crash, CrashRegistry
+from currantdeal.policy.crashes import registry as crash_registry
+from currantdeal.policy.crashes.registry import Crash, CrashRegistry
 
 
 def _events(steps):
--- a/currantdeal/platform/tests/test_outside_bytes.py
+++ b/currantdeal/platform/tests/test_outside_bytes.py
@@ -18,7 +18,7 @@
 from currantdeal.platform import headers as header_names
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.platform.control import PlatformControl
-from currantdeal.policy.decode_memory import (
+from currantdeal.policy.memory.decode_memory import (
     GenerationSize,
     tokens_to_reserve,
 )
--- a/currantdeal/policy/__init__.py
+++ b/currantdeal/policy/__init__.py
@@ -7,36 +7,36 @@
 outputs.
 """
 
-from currantdeal.policy.admission import (
-    Admission,
-    Admitted,
-    Refused,
-    StartRate,
+from currantdeal.policy.health.outliers import (
+    OutlierDetector,
+    SlownessStats,
+    peer_group,
 )
-from currantdeal.policy.batch_limit import BatchLimit
-from currantdeal.policy.estimates import Estimates
-from currantdeal.policy.fair_queue import FairQueue, Queued
-from currantdeal.policy.ledger import (
+from currantdeal.policy.load.load_view import LoadEstimate, LoadView
+from currantdeal.policy.memory.batch_limit import BatchLimit
+from currantdeal.policy.memory.ledger import (
     Ledger,
     LedgerGrant,
     LedgerLimits,
     LedgerRefusal,
     LedgerRequest,
 )
-from currantdeal.policy.lengths import OutputLengths
-from currantdeal.policy.load_view import LoadEstimate, LoadView
-from currantdeal.policy.outliers import (
-    OutlierDetector,
-    SlownessStats,
-    peer_group,
+from currantdeal.policy.memory.waiters import Waiter, WaitQueue
+from currantdeal.policy.placement.placement import Choice, Placement
+from currantdeal.policy.placement.prefix_hints import BLOCK_TOKENS, PrefixHints
+from currantdeal.policy.retries.retry import RetryBudget, RetryDecision
+from currantdeal.policy.scheduling.admission import (
+    Admission,
+    Admitted,
+    Refused,
+    StartRate,
 )
-from currantdeal.policy.placement import Choice, Placement
-from currantdeal.policy.plans import GiveUp, Plan, Pools, Wait
-from currantdeal.policy.prefix_hints import BLOCK_TOKENS, PrefixHints
-from currantdeal.policy.retry import RetryBudget, RetryDecision
-from currantdeal.policy.scheduler import Scheduler
-from currantdeal.policy.waiters import Waiter, WaitQueue
-from currantdeal.policy.weights import EVEN_WEIGHTS, UserWeights
+from currantdeal.policy.scheduling.estimates import Estimates
+from currantdeal.policy.scheduling.fair_queue import FairQueue, Queued
+from currantdeal.policy.scheduling.lengths import OutputLengths
+from currantdeal.policy.scheduling.plans import GiveUp, Plan, Pools, Wait
+from currantdeal.policy.scheduling.scheduler import Scheduler
+from currantdeal.policy.scheduling.weights import EVEN_WEIGHTS, UserWeights
 
 __all__ = [
     "Admission",
--- /dev/null
+++ b/currantdeal/policy/answers/__init__.py
@@ -0,0 +1,1 @@
+"""How answers end, whose they are, and what a reset leaves unknown."""
--- a/currantdeal/policy/tests/test_answer_end.py
+++ b/currantdeal/policy/answers/tests/test_answer_end.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from currantdeal.policy.answer_end import (
+from currantdeal.policy.answers.answer_end import (
     Completeness,
     Ending,
     Framing,
--- a/currantdeal/policy/tests/test_answer_owner.py
+++ b/currantdeal/policy/answers/tests/test_answer_owner.py
@@ -1,6 +1,6 @@
 import pytest
 
-from currantdeal.policy.answer_owner import AnswerOwner, answer_owner
+from currantdeal.policy.answers.answer_owner import AnswerOwner, answer_owner
 
 OWN, OTHER, UNIDENTIFIED = AnswerOwner
 
--- a/currantdeal/policy/tests/test_grant_channel.py
+++ b/currantdeal/policy/answers/tests/test_grant_channel.py
@@ -3,7 +3,10 @@
 import random
 from dataclasses import dataclass
 
-from currantdeal.policy.grant_channel import SETTLED_AFTER_S, GrantChannel
+from currantdeal.policy.answers.grant_channel import (
+    SETTLED_AFTER_S,
+    GrantChannel,
+)
 
 SCHEDULES = 20_000
 MAX_REQUESTS = 6
--- a/currantdeal/policy/tests/test_reset_outcome.py
+++ b/currantdeal/policy/answers/tests/test_reset_outcome.py
@@ -1,7 +1,7 @@
 import pytest
 
 from currantdeal.core import Ran
-from currantdeal.policy.reset_outcome import (
+from currantdeal.policy.answers.reset_outcome import (
     CallKind,
     ExchangePhase,
     RetryBy,
--- /dev/null
+++ b/currantdeal/policy/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Attribution of upstream crashes to requests and parts of prompts."""
--- a/currantdeal/policy/crash_evidence.py
+++ b/currantdeal/policy/crashes/evidence.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from currantdeal.policy.crash_identity import IdentityKind, kind_of
+from currantdeal.policy.crashes.identity import IdentityKind, kind_of
 
 EARLY_WEIGHT = 3
 """Weight of the crash of an upstream that had sent no output for a request."""
@@ -121,7 +121,7 @@
     Parameters
     ----------
     identity : bytes
-        See ``currantdeal.policy.crash_identity``.
+        See ``currantdeal.policy.crashes.identity``.
 
     Attributes
     ----------
--- a/currantdeal/policy/crash_registry.py
+++ b/currantdeal/policy/crashes/registry.py
@@ -8,11 +8,12 @@
 different requests share.
 
 Each crash of an upstream counts against all identities of the requests that it
-had started to run, see ``currantdeal.policy.crash_identity``.  One that was
+had started to run, see ``currantdeal.policy.crashes.identity``.  One that was
 present at the crashes of three upstreams and never completed is quarantined,
-unless another one explains them, see ``currantdeal.policy.crash_verdicts``.  A
-completion clears an identity of all its earlier crashes, so that one that was
-present at many crashes only because it is frequent is not quarantined.
+unless another one explains them, see
+``currantdeal.policy.crashes.verdicts``.  A completion clears an identity of
+all its earlier crashes, so that one that was present at many crashes only
+because it is frequent is not quarantined.
 
 Another release of the upstreams may have fixed the fault.  Once all upstreams
 of a service run software that has not crashed under a quarantined identity, it
@@ -27,9 +28,13 @@
 import heapq
 from dataclasses import dataclass
 
-from currantdeal.policy.crash_evidence import EARLY_WEIGHT, Crash, Suspect
-from currantdeal.policy.crash_identity import IdentityKind
-from currantdeal.policy.crash_verdicts import find_verdicts
+from currantdeal.policy.crashes.evidence import (
+    EARLY_WEIGHT,
+    Crash,
+    Suspect,
+)
+from currantdeal.policy.crashes.identity import IdentityKind
+from currantdeal.policy.crashes.verdicts import find_verdicts
 
 MAX_QUARANTINED = 512
 """Limit of quarantined identities; the least recently changed is dropped."""
@@ -52,7 +57,7 @@
     Parameters
     ----------
     fingerprint : bytes
-        The identity, see ``currantdeal.policy.crash_identity``.
+        The identity, see ``currantdeal.policy.crashes.identity``.
     crashes : tuple of Crash
         Crashes of upstreams while they ran a request with it.
     cleared : tuple of Crash
--- a/currantdeal/policy/tests/crash_traffic.py
+++ b/currantdeal/policy/crashes/tests/crash_traffic.py
@@ -4,9 +4,15 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from currantdeal.policy.crash_evidence import Crash
-from currantdeal.policy.crash_identity import IdentityKind, part_identity
-from currantdeal.policy.crash_registry import CrashRegistry, SuspectRecord
+from currantdeal.policy.crashes.evidence import Crash
+from currantdeal.policy.crashes.identity import (
+    IdentityKind,
+    part_identity,
+)
+from currantdeal.policy.crashes.registry import (
+    CrashRegistry,
+    SuspectRecord,
+)
 
 RUN_STEPS = 40
 """Duration of a run, in steps; one request starts in each step."""
--- a/currantdeal/policy/tests/test_crash_registry.py
+++ b/currantdeal/policy/crashes/tests/test_registry.py
@@ -3,8 +3,8 @@
 
 import pytest
 
-from currantdeal.policy import crash_registry
-from currantdeal.policy.crash_registry import (
+from currantdeal.policy.crashes import registry as crash_registry
+from currantdeal.policy.crashes.registry import (
     Crash,
     CrashRegistry,
     SuspectRecord,
--- a/currantdeal/policy/tests/test_trials.py
+++ b/currantdeal/policy/crashes/tests/test_trials.py
@@ -1,7 +1,7 @@
 import random
 
-from currantdeal.policy import trials as trials_module
-from currantdeal.policy.trials import FIRST_WAIT_S, Trials
+from currantdeal.policy.crashes import trials as trials_module
+from currantdeal.policy.crashes.trials import FIRST_WAIT_S, Trials
 
 PART = frozenset({b"part"})
 STEP_S = 0.5
--- a/currantdeal/policy/tests/test_crash_verdicts.py
+++ b/currantdeal/policy/crashes/tests/test_verdicts.py
@@ -11,10 +11,20 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from currantdeal.policy.crash_evidence import Crash
-from currantdeal.policy.crash_identity import IdentityKind, part_identity
-from currantdeal.policy.crash_registry import CrashRegistry, SuspectRecord
-from currantdeal.policy.tests.crash_traffic import Traffic, TrafficPlan, part
+from currantdeal.policy.crashes.evidence import Crash
+from currantdeal.policy.crashes.identity import (
+    IdentityKind,
+    part_identity,
+)
+from currantdeal.policy.crashes.registry import (
+    CrashRegistry,
+    SuspectRecord,
+)
+from currantdeal.policy.crashes.tests.crash_traffic import (
+    Traffic,
+    TrafficPlan,
+    part,
+)
 
 STEPS = 700
 MAX_CRASHES = 5
--- a/currantdeal/policy/crash_verdicts.py
+++ b/currantdeal/policy/crashes/verdicts.py
@@ -16,7 +16,7 @@
 
 from dataclasses import dataclass
 
-from currantdeal.policy.crash_identity import kind_of
+from currantdeal.policy.crashes.identity import kind_of
 
 
 @dataclass(frozen=True, kw_only=True)
--- /dev/null
+++ b/currantdeal/policy/health/__init__.py
@@ -0,0 +1,1 @@
+"""Health of upstreams and detection of outliers."""
--- a/currantdeal/policy/tests/test_upstream_health.py
+++ b/currantdeal/policy/health/tests/test_upstream_health.py
@@ -1,6 +1,6 @@
 from random import Random
 
-from currantdeal.policy.upstream_health import (
+from currantdeal.policy.health.upstream_health import (
     MAX_EJECTION_S,
     UNRESPONSIVE_S,
     UpstreamHealth,
--- /dev/null
+++ b/currantdeal/policy/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of requests per second that upstreams name."""
--- a/currantdeal/policy/limit_records.py
+++ b/currantdeal/policy/limits/limit_records.py
@@ -14,7 +14,7 @@
 """Time after which a limit that no answer has named again is forgotten.
 
 By then an upstream that still has it has answered several requests, see
-``currantdeal.policy.limit_owner.MIN_RATE_PER_S``.
+``currantdeal.policy.limits.limit_owner.MIN_RATE_PER_S``.
 """
 
 UNLIMITED = math.inf
--- a/currantdeal/policy/tests/test_limit_owner.py
+++ b/currantdeal/policy/limits/tests/test_limit_owner.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from currantdeal.policy.limit_owner import (
+from currantdeal.policy.limits.limit_owner import (
     CATCH_UP_S,
     MAX_DELAY_S,
     MIN_RATE_PER_S,
--- /dev/null
+++ b/currantdeal/policy/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load of upstreams, and the demand that causes it."""
--- a/currantdeal/policy/tests/test_shared_load.py
+++ b/currantdeal/policy/load/tests/test_shared_load.py
@@ -1,15 +1,15 @@
 from collections import Counter
 from random import Random
 
-from currantdeal.policy.decode_memory import MAX_FILL, DecodeEngineOrder
-from currantdeal.policy.retry_detection import RETRY_MAX_FILL
-from currantdeal.policy.shared_load import (
+from currantdeal.policy.load.shared_load import (
     MAX_SUMS_AGE_S,
     SOURCE_TIMEOUT_S,
     EntryLoad,
     LoadSums,
     PoolLoad,
 )
+from currantdeal.policy.memory.decode_memory import MAX_FILL, DecodeEngineOrder
+from currantdeal.policy.retries.retry_detection import RETRY_MAX_FILL
 
 CAPACITY = 30_000
 TOKENS = 4_000
--- /dev/null
+++ b/currantdeal/policy/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Allocation of the KV cache memory of engines."""
--- a/currantdeal/policy/decode_memory.py
+++ b/currantdeal/policy/memory/decode_memory.py
@@ -15,7 +15,9 @@
 import math
 from dataclasses import dataclass
 
-from currantdeal.policy.power_of_choices import order_groups_by_choices
+from currantdeal.policy.placement.power_of_choices import (
+    order_groups_by_choices,
+)
 
 OUTPUT_SHARE = 0.5
 """Share of the expected output that is reserved."""
@@ -98,13 +100,13 @@
 
     Parameters
     ----------
-    load : currantdeal.policy.shared_load.EntryLoad
+    load : currantdeal.policy.load.shared_load.EntryLoad
         Load of each engine.
 
     Examples
     --------
     >>> from random import Random
-    >>> from currantdeal.policy.shared_load import EntryLoad
+    >>> from currantdeal.policy.load.shared_load import EntryLoad
     >>> load = EntryLoad()
     >>> engine_order = DecodeEngineOrder(load=load)
     >>> load.add("d1", 12_000)
--- a/currantdeal/policy/ledger.py
+++ b/currantdeal/policy/memory/ledger.py
@@ -29,8 +29,8 @@
 from dataclasses import dataclass, replace
 
 from currantdeal.core import CallerId, InstanceId, RequestId
-from currantdeal.policy.batch_limit import BatchLimit
-from currantdeal.policy.waiters import WaitQueue
+from currantdeal.policy.memory.batch_limit import BatchLimit
+from currantdeal.policy.memory.waiters import WaitQueue
 
 MAX_BACKLOG_S = 0.2
 MIN_RETRY_AFTER_S = 0.02
--- a/currantdeal/policy/tests/test_decode_memory.py
+++ b/currantdeal/policy/memory/tests/test_decode_memory.py
@@ -1,13 +1,13 @@
 import random
 from collections import Counter
 
-from currantdeal.policy.decode_memory import (
+from currantdeal.policy.load.shared_load import EntryLoad
+from currantdeal.policy.memory.decode_memory import (
     FULL_ENGINE_BACKOFF_S,
     DecodeEngineOrder,
     GenerationSize,
     tokens_to_reserve,
 )
-from currantdeal.policy.shared_load import EntryLoad
 
 
 def test_burst_is_spread_evenly_over_engines():
--- a/currantdeal/policy/tests/test_memory_burst.py
+++ b/currantdeal/policy/memory/tests/test_memory_burst.py
@@ -2,7 +2,10 @@
 
 from random import Random
 
-from currantdeal.policy.decode_memory import GenerationSize, tokens_to_reserve
+from currantdeal.policy.memory.decode_memory import (
+    GenerationSize,
+    tokens_to_reserve,
+)
 
 CAPACITY = 30_000
 STEP_S = 0.05
--- /dev/null
+++ b/currantdeal/policy/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of upstreams, and of the stages of engines."""
--- a/currantdeal/policy/placement.py
+++ b/currantdeal/policy/placement/placement.py
@@ -35,7 +35,7 @@
 from heapq import nlargest
 
 from currantdeal.core import Role, Upstream
-from currantdeal.policy.outliers import peer_group
+from currantdeal.policy.health.outliers import peer_group
 
 SAME_REGION_SAMPLES = 4
 OTHER_REGION_SAMPLES = 2
--- a/currantdeal/policy/prefill_choice.py
+++ b/currantdeal/policy/placement/prefill_choice.py
@@ -10,7 +10,9 @@
 
 from dataclasses import dataclass
 
-from currantdeal.policy.power_of_choices import order_groups_by_choices
+from currantdeal.policy.placement.power_of_choices import (
+    order_groups_by_choices,
+)
 
 JITTER_S = 0.03
 """Random part of an estimate, so that entries choose different engines."""
--- a/currantdeal/policy/stage_plan.py
+++ b/currantdeal/policy/placement/stage_plan.py
@@ -45,7 +45,7 @@
     ----------
     engines : int
         Engines of the service.
-    busy : currantdeal.policy.demand.BusyEngines or None
+    busy : currantdeal.policy.load.demand.BusyEngines or None
         Engines that the measured demand keeps busy; None if unknown.
     current : int or None
         Engines that prefill now; kept unless another number is better by
@@ -53,7 +53,7 @@
 
     Examples
     --------
-    >>> from currantdeal.policy.demand import BusyEngines
+    >>> from currantdeal.policy.load.demand import BusyEngines
     >>> prefill_count(9), prefill_count(6), prefill_count(1)
     (2, 2, 0)
     >>> prefill_count(9, busy=BusyEngines(prefill=0.3, decode=6.0), current=5)
@@ -102,7 +102,7 @@
     ----------
     records : iterable of UpstreamRecord
         The engines that accept work.
-    busy : currantdeal.policy.demand.BusyEngines or None
+    busy : currantdeal.policy.load.demand.BusyEngines or None
         As for ``prefill_count``.
     held : dict or None
         Tokens held at each engine, by name; None if unknown.
--- a/currantdeal/policy/tests/test_local_prefills.py
+++ b/currantdeal/policy/placement/tests/test_local_prefills.py
@@ -1,7 +1,7 @@
 from itertools import pairwise
 from random import Random
 
-from currantdeal.policy.local_prefills import LocalPrefills
+from currantdeal.policy.placement.local_prefills import LocalPrefills
 
 PREFILL_S = 0.15
 NOTICE_S = 0.03
--- a/currantdeal/policy/tests/test_power_of_choices.py
+++ b/currantdeal/policy/placement/tests/test_power_of_choices.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from currantdeal.policy.power_of_choices import order_by_choices
-from currantdeal.policy.prefill_choice import estimate_prefill
+from currantdeal.policy.placement.power_of_choices import order_by_choices
+from currantdeal.policy.placement.prefill_choice import estimate_prefill
 
 ENGINES = tuple(f"p{number}" for number in range(12))
 TOKENS = 3_000
--- a/currantdeal/policy/tests/test_prefill_choice.py
+++ b/currantdeal/policy/placement/tests/test_prefill_choice.py
@@ -1,7 +1,7 @@
 from collections import Counter
 from random import Random
 
-from currantdeal.policy.prefill_choice import (
+from currantdeal.policy.placement.prefill_choice import (
     PromptEstimate,
     estimate_prefill,
     prefers_local_prefill,
--- a/currantdeal/policy/tests/test_stage_plan.py
+++ b/currantdeal/policy/placement/tests/test_stage_plan.py
@@ -1,10 +1,10 @@
-from currantdeal.policy.demand import (
+from currantdeal.policy.load.demand import (
     BusyEngines,
     Demand,
     DemandMeter,
     busy_engines,
 )
-from currantdeal.policy.stage_plan import plan_stages, prefill_count
+from currantdeal.policy.placement.stage_plan import plan_stages, prefill_count
 from currantdeal.registry import Stage
 from currantdeal.registry.tests.builders import an_upstream
 
--- /dev/null
+++ b/currantdeal/policy/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budgets, retry detection and retry-after times."""
--- a/currantdeal/policy/tests/test_request_credit.py
+++ b/currantdeal/policy/retries/tests/test_request_credit.py
@@ -5,7 +5,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from currantdeal.policy.request_credit import HELD_CREDIT_S, RequestCredit
+from currantdeal.policy.retries.request_credit import (
+    HELD_CREDIT_S,
+    RequestCredit,
+)
 
 RATIO, WINDOW_S = 0.2, 10.0
 
--- a/currantdeal/policy/tests/test_retry_after.py
+++ b/currantdeal/policy/retries/tests/test_retry_after.py
@@ -1,6 +1,9 @@
 from random import Random
 
-from currantdeal.policy.retry_after import RefusalReason, choose_retry_after_s
+from currantdeal.policy.retries.retry_after import (
+    RefusalReason,
+    choose_retry_after_s,
+)
 
 
 def test_retries_of_a_refused_burst_are_spread():
--- a/currantdeal/policy/tests/test_retry_detection.py
+++ b/currantdeal/policy/retries/tests/test_retry_detection.py
@@ -1,8 +1,11 @@
 from random import Random
 
-from currantdeal.policy.decode_memory import MAX_FILL, DecodeEngineOrder
-from currantdeal.policy.retry_detection import RETRY_MAX_FILL, RetryDetector
-from currantdeal.policy.shared_load import EntryLoad, LoadSums, PoolLoad
+from currantdeal.policy.load.shared_load import EntryLoad, LoadSums, PoolLoad
+from currantdeal.policy.memory.decode_memory import MAX_FILL, DecodeEngineOrder
+from currantdeal.policy.retries.retry_detection import (
+    RETRY_MAX_FILL,
+    RetryDetector,
+)
 
 CAPACITY = 40_000
 TOKENS = 3_800
--- /dev/null
+++ b/currantdeal/policy/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, queueing and dispatch of the product's own interface."""
--- a/currantdeal/policy/admission.py
+++ b/currantdeal/policy/scheduling/admission.py
@@ -18,7 +18,7 @@
 
 from dataclasses import dataclass
 
-from currantdeal.policy.weights import EVEN_WEIGHTS
+from currantdeal.policy.scheduling.weights import EVEN_WEIGHTS
 
 SMOOTHING_S = 2.0
 MIN_MARGIN = 0.10
--- a/currantdeal/policy/estimates.py
+++ b/currantdeal/policy/scheduling/estimates.py
@@ -15,7 +15,7 @@
 ``scheduler``.
 """
 
-from currantdeal.policy.weights import EVEN_WEIGHTS
+from currantdeal.policy.scheduling.weights import EVEN_WEIGHTS
 
 DEFAULT_STEP_S = 0.02
 DEFAULT_PREFILL_TOKENS_PER_S = 8_000.0
--- a/currantdeal/policy/plans.py
+++ b/currantdeal/policy/scheduling/plans.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass
 
 from currantdeal.core import Upstream, Work
-from currantdeal.policy.admission import Refused
-from currantdeal.policy.ledger import LedgerRequest
-from currantdeal.policy.placement import Choice
+from currantdeal.policy.memory.ledger import LedgerRequest
+from currantdeal.policy.placement.placement import Choice
+from currantdeal.policy.scheduling.admission import Refused
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/currantdeal/policy/scheduler.py
+++ b/currantdeal/policy/scheduling/scheduler.py
@@ -32,22 +32,26 @@
 from collections import Counter
 
 from currantdeal.core import Role
-from currantdeal.policy.admission import Admission, Refused, StartRate
-from currantdeal.policy.dispatch import RETRY_INTERVAL_S, Dispatch
-from currantdeal.policy.estimates import (
+from currantdeal.policy.health.outliers import OutlierDetector, peer_group
+from currantdeal.policy.load.load_view import LoadView
+from currantdeal.policy.memory.ledger import LedgerRequest
+from currantdeal.policy.placement.placement import Placement
+from currantdeal.policy.placement.prefix_hints import PrefixHints
+from currantdeal.policy.scheduling.admission import (
+    Admission,
+    Refused,
+    StartRate,
+)
+from currantdeal.policy.scheduling.dispatch import RETRY_INTERVAL_S, Dispatch
+from currantdeal.policy.scheduling.estimates import (
     DEFAULT_STEP_S,
     Estimates,
     unloaded_prefill_s,
 )
-from currantdeal.policy.fair_queue import FairQueue, Queued
-from currantdeal.policy.ledger import LedgerRequest
-from currantdeal.policy.lengths import OutputLengths
-from currantdeal.policy.load_view import LoadView
-from currantdeal.policy.outliers import OutlierDetector, peer_group
-from currantdeal.policy.placement import Placement
-from currantdeal.policy.plans import GiveUp, Plan, Wait
-from currantdeal.policy.prefix_hints import PrefixHints
-from currantdeal.policy.weights import EVEN_WEIGHTS
+from currantdeal.policy.scheduling.fair_queue import FairQueue, Queued
+from currantdeal.policy.scheduling.lengths import OutputLengths
+from currantdeal.policy.scheduling.plans import GiveUp, Plan, Wait
+from currantdeal.policy.scheduling.weights import EVEN_WEIGHTS
 
 MAX_DISPATCHES = 16
 MAX_DISPATCHES_PER_CALLER = 4
--- a/currantdeal/policy/tests/test_small_decisions.py
+++ b/currantdeal/policy/tests/test_small_decisions.py
@@ -17,7 +17,7 @@
     StartRate,
     UserWeights,
 )
-from currantdeal.policy.outliers import EJECTION_S
+from currantdeal.policy.health.outliers import EJECTION_S
 from currantdeal.policy.tests.builders import engine, work
 
 
--- a/currantdeal/serving/crash_guard.py
+++ b/currantdeal/serving/crash_guard.py
@@ -1,16 +1,17 @@
 """Quarantines requests and leading blocks of prompts that crash upstreams.
 
-Load pattern: query of death, see ``currantdeal.policy.crash_registry``.  Each
-instance keeps its own ``CrashRegistry``.
+Load pattern: query of death, see
+``currantdeal.policy.crashes.registry``.  Each instance keeps its own
+``CrashRegistry``.
 """
 
 import threading
 
 import structlog
 
-from currantdeal.policy.crash_evidence import EARLY_WEIGHT, Crash
-from currantdeal.policy.crash_registry import CrashRegistry
-from currantdeal.policy.recent_completions import RecentCompletions
+from currantdeal.policy.crashes.evidence import EARLY_WEIGHT, Crash
+from currantdeal.policy.crashes.recent_completions import RecentCompletions
+from currantdeal.policy.crashes.registry import CrashRegistry
 from currantdeal.serving.errors import Reason, not_run
 
 RETRY_AFTER_S = 60.0
--- a/currantdeal/serving/requests.py
+++ b/currantdeal/serving/requests.py
@@ -5,7 +5,10 @@
 from functools import cached_property
 
 from currantdeal.core import Work, digest_parts, prefix_keys
-from currantdeal.policy.crash_identity import IdentityKind, part_identity
+from currantdeal.policy.crashes.identity import (
+    IdentityKind,
+    part_identity,
+)
 from currantdeal.ports import ServiceAnswer, ServiceCall
 
 MAX_CRASH_BLOCKS = 16
@@ -52,7 +55,7 @@
         tuple of bytes
             Its fingerprint, and the leading blocks of its prompt among the
             requests of all callers and of this one, see
-            ``currantdeal.policy.crash_identity``.
+            ``currantdeal.policy.crashes.identity``.
         """
         keys = prefix_keys(self.prompt)[:MAX_CRASH_BLOCKS]
         caller = str(self.work.caller).encode()
--- a/currantdeal/testing/engine_model.py
+++ b/currantdeal/testing/engine_model.py
@@ -22,7 +22,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from currantdeal.policy.prefix_hints import BLOCK_TOKENS
+from currantdeal.policy.placement.prefix_hints import BLOCK_TOKENS
 
 
 @dataclass(frozen=True, kw_only=True)
