Move the records of crashes and their merging out of the registry

Change: moves only; records.py holds SuspectRecord, its limits and merging.

Result: the tests of crashes, node logs, control and imports pass.

--- a/currantdeal/cli/tests/test_quarantine_commands.py
+++ b/currantdeal/cli/tests/test_quarantine_commands.py
@@ -15,7 +15,7 @@
     IdentityKind,
     part_identity,
 )
-from currantdeal.policy.crashes.registry import SuspectRecord
+from currantdeal.policy.crashes.records import SuspectRecord
 from currantdeal.testing.node_processes import NodeCluster
 
 PART = part_identity(IdentityKind.PART, part_fingerprint("bad"))
--- a/currantdeal/control/record_store.py
+++ b/currantdeal/control/record_store.py
@@ -13,7 +13,7 @@
 
 from currantdeal.adapters.disk import DiskError
 from currantdeal.core import Codec, CodecError
-from currantdeal.policy.crashes.registry import SuspectRecord
+from currantdeal.policy.crashes.records import SuspectRecord
 from currantdeal.registry import UpstreamRecord
 
 RETRY_S = 1.0
--- a/currantdeal/control/tests/test_crash_replicator.py
+++ b/currantdeal/control/tests/test_crash_replicator.py
@@ -4,7 +4,8 @@
     CrashReplicator,
 )
 from currantdeal.node.messages import CrashesNotice
-from currantdeal.policy.crashes.registry import Crash, SuspectRecord
+from currantdeal.policy.crashes.evidence import Crash
+from currantdeal.policy.crashes.records import SuspectRecord
 
 FINGERPRINT = b"poison"
 
--- a/currantdeal/control/tests/test_record_store.py
+++ b/currantdeal/control/tests/test_record_store.py
@@ -3,7 +3,8 @@
 from currantdeal.adapters.disk import DiskCorruptError, DiskFailedError
 from currantdeal.control import record_store
 from currantdeal.control.record_store import RecordStore, SavedCrashes
-from currantdeal.policy.crashes.registry import Crash, SuspectRecord
+from currantdeal.policy.crashes.evidence import Crash
+from currantdeal.policy.crashes.records import SuspectRecord
 from currantdeal.testing.waiting import eventually
 
 RECORD = SuspectRecord(
--- a/currantdeal/entry/crash_watch.py
+++ b/currantdeal/entry/crash_watch.py
@@ -18,10 +18,8 @@
 from currantdeal.policy.crashes.evidence import Crash
 from currantdeal.policy.crashes.identity import IdentityKind, kind_of
 from currantdeal.policy.crashes.recent_completions import RecentCompletions
-from currantdeal.policy.crashes.registry import (
-    CrashRegistry,
-    SuspectRecord,
-)
+from currantdeal.policy.crashes.records import SuspectRecord
+from currantdeal.policy.crashes.registry import CrashRegistry
 from currantdeal.policy.crashes.trials import Trials
 
 MAX_REQUEST_ID = 64
--- a/currantdeal/entry/tests/test_crashing_part.py
+++ b/currantdeal/entry/tests/test_crashing_part.py
@@ -14,7 +14,7 @@
     IdentityKind,
     part_identity,
 )
-from currantdeal.policy.crashes.registry import SuspectRecord
+from currantdeal.policy.crashes.records import SuspectRecord
 from currantdeal.registry import Stage
 from currantdeal.testing.crashing_upstream import CrashingUpstream
 from currantdeal.testing.entry_world import (
--- a/currantdeal/entry/tests/test_subscription.py
+++ b/currantdeal/entry/tests/test_subscription.py
@@ -10,7 +10,8 @@
 from currantdeal.entry.view import EntryView
 from currantdeal.node.messages import CrashesNotice, EntryNotice
 from currantdeal.platform.config import decode_config
-from currantdeal.policy.crashes.registry import Crash, SuspectRecord
+from currantdeal.policy.crashes.evidence import Crash
+from currantdeal.policy.crashes.records import SuspectRecord
 from currantdeal.policy.load.shared_load import EntryLoad
 from currantdeal.registry.tests.builders import an_entry
 from currantdeal.testing.control_standin import StandInControl
--- a/currantdeal/node/messages.py
+++ b/currantdeal/node/messages.py
@@ -28,7 +28,7 @@
     SpreadCall,
     UpstreamsNotice,
 )
-from currantdeal.policy.crashes.registry import SuspectRecord
+from currantdeal.policy.crashes.records import SuspectRecord
 from currantdeal.policy.limits.limit_records import LimitReport
 from currantdeal.policy.load.demand import Demand
 from currantdeal.policy.load.shared_load import PoolLoad
--- a/currantdeal/node/tests/test_suspect_log.py
+++ b/currantdeal/node/tests/test_suspect_log.py
@@ -3,7 +3,8 @@
 
 from currantdeal.node.suspect_log import SuspectLog
 from currantdeal.policy.crashes import registry as crash_registry
-from currantdeal.policy.crashes.registry import Crash, CrashRegistry
+from currantdeal.policy.crashes.evidence import Crash
+from currantdeal.policy.crashes.registry import CrashRegistry
 
 
 def _events(steps):
--- a/currantdeal/policy/crashes/registry.py
+++ b/currantdeal/policy/crashes/registry.py
@@ -26,14 +26,14 @@
 """
 
 import heapq
-from dataclasses import dataclass
 
-from currantdeal.policy.crashes.evidence import (
-    EARLY_WEIGHT,
-    Crash,
-    Suspect,
-)
+from currantdeal.policy.crashes.evidence import EARLY_WEIGHT, Suspect
 from currantdeal.policy.crashes.identity import IdentityKind
+from currantdeal.policy.crashes.records import (
+    SuspectRecord,
+    merge_into,
+    record_of,
+)
 from currantdeal.policy.crashes.verdicts import find_verdicts
 
 MAX_QUARANTINED = 512
@@ -43,40 +43,13 @@
 """Limit of other identities in a registry; the one with the lowest score is
 dropped."""
 
-MAX_CRASHES = 32
-"""Limit of crashes, and of cleared crashes, that are kept per identity."""
-
-MAX_VERSIONS = 4
-"""Limit of versions of software that are kept per identity."""
-
-
-@dataclass(frozen=True, kw_only=True)
-class SuspectRecord:
-    """Crash history of one identity, or a part of it.
-
-    Parameters
-    ----------
-    fingerprint : bytes
-        The identity, see ``currantdeal.policy.crashes.identity``.
-    crashes : tuple of Crash
-        Crashes of upstreams while they ran a request with it.
-    cleared : tuple of Crash
-        Crashes that were followed by a completion of such a request.
-    sound_on : tuple of str
-        Versions of software under which such a request has completed.
-    """
-
-    fingerprint: bytes
-    crashes: tuple[Crash, ...] = ()
-    cleared: tuple[Crash, ...] = ()
-    sound_on: tuple[str, ...] = ()
-
 
 class CrashRegistry:
     """Crash history of all identities, as one process has it.
 
     Examples
     --------
+    >>> from currantdeal.policy.crashes.evidence import Crash
     >>> registry = CrashRegistry()
     >>> for name in ("u1", "u2", "u3"):
     ...     crash = Crash(upstream=name, started_ms=1)
@@ -117,7 +90,7 @@
     @property
     def records(self):
         """All ``SuspectRecord`` of this registry."""
-        return tuple(map(_record_of, self._suspects.values()))
+        return tuple(map(record_of, self._suspects.values()))
 
     def __len__(self):
         """Return the number of identities in the registry."""
@@ -128,7 +101,7 @@
         suspect = self._suspects.get(identity)
         if suspect is None:
             return SuspectRecord(fingerprint=identity)
-        return _record_of(suspect)
+        return record_of(suspect)
 
     def is_quarantined(self, identity):
         """Return whether an identity is quarantined by itself."""
@@ -298,7 +271,7 @@
         if suspect is None:
             suspect = Suspect(identity=record.fingerprint)
         before = set(suspect.crashes) if suspect.is_heavy else set()
-        change = _merge_into(suspect, record)
+        change = merge_into(suspect, record)
         if change is None:
             return None
         # The dict is kept in order of the latest change.
@@ -371,50 +344,3 @@
         before = set(suspect.crashes) if suspect.is_heavy else set()
         suspect.set_crashes({})
         self._reassess(suspect, before)
-
-
-def _record_of(suspect):
-    return SuspectRecord(
-        fingerprint=suspect.identity,
-        crashes=tuple(suspect.crashes.values()),
-        cleared=tuple(suspect.cleared.values()),
-        sound_on=tuple(sorted(suspect.sound_on)),
-    )
-
-
-def _merge_into(suspect, record):
-    """Merge a record into a suspect; returns what it changed, or None."""
-    crashes_before, cleared_before = suspect.crashes, suspect.cleared
-    sound_before = suspect.sound_on
-    cleared = {c.incarnation: c for c in record.cleared}
-    suspect.cleared = _keep_latest({**cleared, **cleared_before})
-    crashes = dict(crashes_before)
-    for crash in record.crashes:
-        existing = crashes.get(crash.incarnation, crash)
-        crashes[crash.incarnation] = existing.merge(crash)
-    for incarnation in suspect.cleared:
-        crashes.pop(incarnation, None)
-    suspect.set_crashes(_keep_latest(crashes))
-    sound_on = sound_before.union(record.sound_on)
-    suspect.sound_on = frozenset(sorted(sound_on)[-MAX_VERSIONS:])
-    change = SuspectRecord(
-        fingerprint=suspect.identity,
-        crashes=_difference(suspect.crashes, crashes_before),
-        cleared=_difference(suspect.cleared, cleared_before),
-        sound_on=tuple(sorted(suspect.sound_on - sound_before)),
-    )
-    if change.crashes or change.cleared or change.sound_on:
-        return change
-    return None
-
-
-def _difference(after, before):
-    return tuple(c for key, c in after.items() if before.get(key) != c)
-
-
-def _keep_latest(crashes):
-    """Return the latest crashes, the same ones in every registry."""
-    if len(crashes) <= MAX_CRASHES:
-        return crashes
-    order = sorted(crashes, key=lambda key: (key[1], key[0]), reverse=True)
-    return {key: crashes[key] for key in order[:MAX_CRASHES]}
--- a/currantdeal/policy/crashes/tests/crash_traffic.py
+++ b/currantdeal/policy/crashes/tests/crash_traffic.py
@@ -9,10 +9,8 @@
     IdentityKind,
     part_identity,
 )
-from currantdeal.policy.crashes.registry import (
-    CrashRegistry,
-    SuspectRecord,
-)
+from currantdeal.policy.crashes.records import SuspectRecord
+from currantdeal.policy.crashes.registry import CrashRegistry
 
 RUN_STEPS = 40
 """Duration of a run, in steps; one request starts in each step."""
--- a/currantdeal/policy/crashes/tests/test_registry.py
+++ b/currantdeal/policy/crashes/tests/test_registry.py
@@ -3,12 +3,11 @@
 
 import pytest
 
+from currantdeal.policy.crashes import records as crash_records
 from currantdeal.policy.crashes import registry as crash_registry
-from currantdeal.policy.crashes.registry import (
-    Crash,
-    CrashRegistry,
-    SuspectRecord,
-)
+from currantdeal.policy.crashes.evidence import Crash
+from currantdeal.policy.crashes.records import SuspectRecord
+from currantdeal.policy.crashes.registry import CrashRegistry
 
 POISON = b"poison"
 POPULAR = b"popular"
@@ -182,7 +181,7 @@
 
     A crash that one registry has dropped must not return from the other one.
     """
-    monkeypatch.setattr(crash_registry, "MAX_CRASHES", 4)
+    monkeypatch.setattr(crash_records, "MAX_CRASHES", 4)
     one, two = CrashRegistry(), CrashRegistry()
     for number in range(12):
         registry = (one, two)[number % 2]
--- a/currantdeal/policy/crashes/tests/test_verdicts.py
+++ b/currantdeal/policy/crashes/tests/test_verdicts.py
@@ -16,10 +16,8 @@
     IdentityKind,
     part_identity,
 )
-from currantdeal.policy.crashes.registry import (
-    CrashRegistry,
-    SuspectRecord,
-)
+from currantdeal.policy.crashes.records import SuspectRecord
+from currantdeal.policy.crashes.registry import CrashRegistry
 from currantdeal.policy.crashes.tests.crash_traffic import (
     Traffic,
     TrafficPlan,
