Divide the credit of a quota by urgency

Cause: credit goes to whoever asks first, so an organisation beyond its quota spends it on its least urgent requests. The owner keeps what more urgent requests ask for in a second from the others, within one bucket, gives a quarter of the gain to those that would starve, and promises times by urgency. An entry keeps its reserve for the urgent while no owner is reached.

The schedules of failures now name urgencies as well; the bound holds, and one urgency is granted as before.

--- a/currantdeal/entry/errors.py
+++ b/currantdeal/entry/errors.py
@@ -39,12 +39,15 @@
         Name of the organisation.
     retry_after_s : float
         Time after which the quota allows the request.
+    kept_units : int
+        Units that are kept for requests of another urgency.
     """
 
-    def __init__(self, organisation, *, retry_after_s):
+    def __init__(self, organisation, *, retry_after_s, kept_units=0):
         """Compose the reason; the request has not run."""
+        kept = f" but for {kept_units} kept units" if kept_units else ""
         super().__init__(
-            f"the quota of organisation {organisation!r} is used up",
+            f"the quota of organisation {organisation!r} is used up{kept}",
             refusal_reason=RefusalReason.QUOTA,
         )
         self.retry_after_s = retry_after_s
--- a/currantdeal/entry/quotas.py
+++ b/currantdeal/entry/quotas.py
@@ -2,22 +2,27 @@
 
 All requests that wait are asked for in one call.  While the owner of the
 quotas is not reached, small requests are admitted from the reserve of this
-entry and others wait; see ``currantdeal.organisations.credit``.
+entry, the urgent ones first, and others wait; see
+``currantdeal.organisations.credit``.
 """
 
 import asyncio
+import math
 from dataclasses import dataclass
 
 import structlog
 
 from currantdeal.core import boot_time_s
 from currantdeal.entry.errors import QuotaExceededError, RefusedError
-from currantdeal.organisations import CreditPool
+from currantdeal.organisations import CreditPool, UrgencyShare
 from currantdeal.policy.retries.retry_after import RefusalReason
 
 RETRY_PAUSE_S = 0.05
 """Pause before the owner is asked again after it was not reached."""
 
+KEPT_RESERVE_S = 1.0
+"""Time for which a reserve is kept for requests as urgent as recent ones."""
+
 IDLE_POOL_S = 60.0
 """Time without requests after which an organisation's reserve lapses."""
 
@@ -75,7 +80,9 @@
         self._owner_reached = True
         self.ask_owner = _no_owner
 
-    async def admit(self, organisation, units, *, wait_s, queue_s=0.0):
+    async def admit(
+        self, organisation, units, *, wait_s, queue_s=0.0, urgency=None
+    ):
         """Obtain credit; returns its ``Admission``, None if from the reserve.
 
         Parameters
@@ -89,6 +96,8 @@
         queue_s : float
             Longest time in which a quota that is used up must allow the
             request for it to wait here instead of returning.
+        urgency : int or None
+            0 for the most urgent; None if all are served in their order.
 
         Raises
         ------
@@ -97,22 +106,36 @@
         RefusedError
             If no owner is reached.
         """
-        pool = self._pool(organisation)
-        if pool.credit.take(units, now_s=self._clock()):
+        if self._take_reserve(organisation, units, urgency):
             return None
         until_s = self._clock() + wait_s
         while True:
             left_s = max(0.0, until_s - self._clock())
             try:
-                return await self._ask(organisation, units, left_s)
+                return await self._ask(organisation, units, left_s, urgency)
             except QuotaExceededError as exc:
                 if exc.retry_after_s > min(queue_s, left_s):
                     raise
                 queue_s -= exc.retry_after_s
                 await asyncio.sleep(exc.retry_after_s)
 
-    async def _ask(self, organisation, units, wait_s):
-        need = _Need(organisation=organisation, units=units)
+    def _take_reserve(self, organisation, units, urgency):
+        pool = self._pool(organisation)
+        now_s = self._clock()
+        pool.share.record_ask(urgency, units, now_s=now_s)
+        kept = 0.0
+        if not self._owner_reached:
+            kept = pool.share.kept_from(
+                urgency,
+                units,
+                ahead_s=KEPT_RESERVE_S,
+                depth=math.inf,
+                now_s=now_s,
+            )
+        return pool.credit.take(units, now_s=now_s, kept=kept)
+
+    async def _ask(self, organisation, units, wait_s, urgency):
+        need = _Need(organisation=organisation, units=units, urgency=urgency)
         self._waiting.append(need)
         self._wake()
         try:
@@ -201,7 +224,10 @@
         }
         asks = tuple(
             self._pool_of(name).ask(
-                name, [n.units for n in needs_of[name]], now_s=sent_s
+                name,
+                [need.units for need in needs_of[name]],
+                urgencies=_urgencies(needs_of[name]),
+                now_s=sent_s,
             )
             for name in names
         )
@@ -231,7 +257,10 @@
         credit = self._pool_of(grant.organisation)
         credit.fill(grant, epoch=epoch, sent_s=sent_s)
         is_open = self._clock() < sent_s + grant.open_s
-        for need, granted in zip(needs, grant.granted, strict=True):
+        refusals = grant.refusals or ((grant.retry_after_s, 0),) * len(needs)
+        for need, granted, (after_s, kept_units) in zip(
+            needs, grant.granted, refusals, strict=True
+        ):
             if granted and is_open and not need.outcome.done():
                 need.outcome.set_result(
                     Admission(
@@ -250,7 +279,9 @@
             elif not need.outcome.done():
                 need.outcome.set_exception(
                     QuotaExceededError(
-                        grant.organisation, retry_after_s=grant.retry_after_s
+                        grant.organisation,
+                        retry_after_s=after_s,
+                        kept_units=kept_units,
                     )
                 )
 
@@ -260,17 +291,25 @@
 
     def __init__(self):
         self.credit = CreditPool()
+        self.share = UrgencyShare(window_s=KEPT_RESERVE_S)
         self.last_use_s = 0.0
 
 
 class _Need:
     """A request that waits for credit."""
 
-    def __init__(self, *, organisation, units):
+    def __init__(self, *, organisation, units, urgency):
         self.organisation = organisation
         self.units = units
+        self.urgency = urgency
         self.outcome = asyncio.get_running_loop().create_future()
 
 
+def _urgencies(needs):
+    """Return the urgencies of some needs; empty if one has none."""
+    found = tuple(need.urgency for need in needs)
+    return () if None in found else found
+
+
 async def _no_owner(asks):
     return None
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -190,13 +190,35 @@
             prompt_tokens=active.call.prompt_tokens,
             max_output_tokens=active.call.max_output_tokens,
         )
-        left_s = active.time_left_s(self._context.now_s)
-        return await self._context.quotas.admit(
-            organisation.name,
-            units,
-            wait_s=min(MAX_OWNER_WAIT_S, OWNER_WAIT_SHARE * left_s),
-            queue_s=QUOTA_QUEUE_TARGETS * active.route.target_s,
-        )
+        started_s = self._context.now_s
+        left_s = active.time_left_s(started_s)
+        outcome = "cancelled"
+        try:
+            admission = await self._context.quotas.admit(
+                organisation.name,
+                units,
+                wait_s=min(MAX_OWNER_WAIT_S, OWNER_WAIT_SHARE * left_s),
+                queue_s=QUOTA_QUEUE_TARGETS * active.route.target_s,
+                urgency=active.priority,
+            )
+            outcome = "granted"
+            return admission
+        except RefusedError as exc:
+            outcome = exc.refusal_reason.value
+            raise
+        finally:
+            self._record_credit(active, units, outcome, started_s)
+
+    def _record_credit(self, active, units, outcome, started_s):
+        labels = {
+            "organisation": self._label(active.organisation.name),
+            "priority": str(active.priority),
+        }
+        metrics = self._context.metrics
+        metrics.add("quota_requests_total", outcome=outcome, **labels)
+        metrics.add("quota_units_total", units, outcome=outcome, **labels)
+        waited_s = self._context.now_s - started_s
+        metrics.observe("quota_wait_seconds", waited_s, **labels)
 
     async def _forward(self, active):
         if not active.is_generation:
--- a/currantdeal/organisations/__init__.py
+++ b/currantdeal/organisations/__init__.py
@@ -26,6 +26,7 @@
     QuotaUnit,
     RetryAllowance,
 )
+from currantdeal.organisations.urgency_share import UrgencyShare
 
 __all__ = [
     "CreditAsk",
@@ -42,6 +43,7 @@
     "QuotaMargin",
     "QuotaUnit",
     "RetryAllowance",
+    "UrgencyShare",
     "ViewFreshness",
     "bounds_of",
     "check_organisations",
--- a/currantdeal/organisations/credit.py
+++ b/currantdeal/organisations/credit.py
@@ -28,6 +28,9 @@
 from currantdeal.organisations.credit_bucket import CreditBucket
 from currantdeal.organisations.credit_messages import CreditGrant
 
+MAX_URGENCIES = 16
+"""Number of urgencies told apart; what is less urgent counts as the last."""
+
 POOL_TTL_S = 20.0
 """Time after which an unused reserve is lost."""
 
@@ -123,15 +126,17 @@
             )
         bucket = self._refill(ask.organisation, now_s)
         self._take_back(bucket, bounds, ask, now_s)
-        granted = tuple(
-            bucket.take(need, bounds, now_s=now_s) for need in ask.needs
-        )
-        missing = [n for n, g in zip(ask.needs, granted, strict=True) if not g]
+        granted, kept = _grant_needs(bucket, bounds, ask, now_s)
+        refusals = _refusals(bucket, bounds, ask, granted, kept, now_s)
+        refused_s = [
+            s for (s, _), g in zip(refusals, granted, strict=True) if not g
+        ]
         return CreditGrant(
             organisation=ask.organisation,
             granted=granted,
             granted_s=now_s,
-            retry_after_s=bucket.promise(missing, bounds),
+            retry_after_s=max(refused_s, default=0.0),
+            refusals=refusals if refused_s and ask.urgencies else (),
             open_s=bounds.open_s,
             pool=self._fill_pool(bucket, bounds, entry, ask, entries, now_s),
             pool_ttl_s=POOL_TTL_S,
@@ -161,6 +166,7 @@
         if bucket is None:
             bucket = CreditBucket(
                 opened_s=self.opened_s,
+                window_s=self._bounds[name].window_s,
                 inherited=self._inherited.get(name, ()),
             )
             self._buckets[name] = bucket
@@ -191,7 +197,10 @@
         added = max(0, room - held)
         longest_s = POOL_TTL_S * (1.0 + CLOCK_DRIFT)
         is_new = now_s < self.opened_s + longest_s
-        if is_new or not bucket.take(added, bounds, now_s=now_s):
+        kept = bucket.kept_from(
+            bucket.share.least_urgent, added, bounds, now_s=now_s
+        )
+        if is_new or not bucket.take(added, bounds, now_s=now_s, kept=kept):
             # Reserves of earlier owners may be in use until they expire, and
             # their entries keep them, but no more is added meanwhile.
             added = 0
@@ -200,3 +209,57 @@
             size = max(known, held + added)
             bucket.pools[entry] = (size, now_s + longest_s)
         return added
+
+
+def _grant_needs(bucket, bounds, ask, now_s):
+    """Return for each need whether it is granted, and what it leaves."""
+    urgencies = _urgencies(ask)
+    granted = [False] * len(ask.needs)
+    kept = [0.0] * len(ask.needs)
+    for urgency, units in zip(urgencies, ask.needs, strict=True):
+        bucket.share.record_ask(urgency, units, now_s=now_s)
+    for position in sorted(
+        range(len(ask.needs)),
+        key=lambda position: urgencies[position] or 0,
+    ):
+        urgency, units = urgencies[position], ask.needs[position]
+        kept[position] = bucket.kept_from(urgency, units, bounds, now_s=now_s)
+        granted[position] = bucket.take(
+            units, bounds, now_s=now_s, kept=kept[position]
+        )
+        bucket.share.record_outcome(
+            urgency, units, granted=granted[position], now_s=now_s
+        )
+    return tuple(granted), tuple(kept)
+
+
+def _refusals(bucket, bounds, ask, granted, kept, now_s):
+    """Return for each need when it can be met, and what it left."""
+    urgencies = _urgencies(ask)
+    missing = {}
+    for urgency, units, is_granted in zip(
+        urgencies, ask.needs, granted, strict=True
+    ):
+        if not is_granted:
+            missing.setdefault(urgency, []).append(units)
+    after_s = {
+        urgency: bucket.promise(
+            missing[urgency], bounds, urgency=urgency, now_s=now_s
+        )
+        for urgency in sorted(missing, key=lambda urgency: urgency or 0)
+    }
+    return tuple(
+        (0.0, 0) if is_granted else (after_s[urgency], int(units))
+        for urgency, is_granted, units in zip(
+            urgencies, granted, kept, strict=True
+        )
+    )
+
+
+def _urgencies(ask):
+    """Return an urgency for each need; None for those without one."""
+    named = [
+        min(max(0, urgency), MAX_URGENCIES - 1)
+        for urgency in ask.urgencies[: len(ask.needs)]
+    ]
+    return (*named, *[None] * (len(ask.needs) - len(named)))
--- a/currantdeal/organisations/credit_bucket.py
+++ b/currantdeal/organisations/credit_bucket.py
@@ -2,6 +2,12 @@
 
 from collections import deque
 
+from currantdeal.organisations.credit_bounds import BASE_DEPTH_S
+from currantdeal.organisations.urgency_share import (
+    LESS_URGENT_SHARE,
+    UrgencyShare,
+)
+
 SLOT_S = 0.1
 """Resolution of the sliding window."""
 
@@ -13,6 +19,8 @@
     ----------
     opened_s : float
         Time at which the owner was opened; minus infinity for the first one.
+    window_s : float
+        Length of the sliding window.
     inherited : iterable of tuple
         End times and units of grants beyond the bucket by the owner before,
         as far as they are known.
@@ -21,6 +29,8 @@
     ----------
     pools : dict
         Size and end of the reserve of each entry.
+    share : UrgencyShare
+        Demand by urgency.
 
     Examples
     --------
@@ -28,7 +38,7 @@
     >>> bounds = CreditBounds(
     ...     window_s=8.0, base_rate_per_s=1.0, base_depth=2.0, extra=5.0,
     ...     pools=0.0)
-    >>> bucket = CreditBucket(opened_s=0.0)
+    >>> bucket = CreditBucket(opened_s=0.0, window_s=8.0)
     >>> bucket.refill(bounds, now_s=4.0)
     >>> bucket.available(bounds, now_s=4.0)
     2.0
@@ -37,15 +47,16 @@
     (True, False)
     """
 
-    def __init__(self, *, opened_s, inherited=()):
+    def __init__(self, *, opened_s, window_s, inherited=()):
         """Start empty."""
         self.pools = {}
+        self.share = UrgencyShare(window_s=window_s)
         self._opened_s = opened_s
         self._inherited = deque(sorted(inherited))
         self._freed = 0.0
         self._updated_s = opened_s
         self._level = 0.0
-        self._promised = 0.0
+        self._promised = {}
         self._slots = deque()
         self._extra_used = 0.0
 
@@ -54,7 +65,8 @@
         passed_s = max(0.0, now_s - self._updated_s)
         gained = bounds.base_rate_per_s * passed_s
         self._level = min(bounds.base_depth, self._level + gained)
-        self._promised = max(0.0, self._promised - gained)
+        self._fulfil_promises(gained)
+        self.share.gain(min(bounds.base_depth, gained), now_s=now_s)
         self._updated_s = max(self._updated_s, now_s)
         start_s = now_s - bounds.window_s
         while self._slots and self._slots[0][0] <= start_s:
@@ -74,16 +86,31 @@
         """Return the units that can be granted now."""
         return self._level + self._extra_left(bounds, now_s)
 
-    def take(self, units, bounds, *, now_s):
-        """Grant units; returns False if there are fewer."""
-        extra = max(0.0, units - self._level)
-        if extra > self._extra_left(bounds, now_s):
+    def take(self, units, bounds, *, now_s, kept=0.0):
+        """Grant units; returns False if fewer are left beyond those kept."""
+        extra_left = self._extra_left(bounds, now_s)
+        if units + kept > self._level + extra_left:
             return False
+        extra = max(0.0, units - self._level)
+        if extra_left <= kept:
+            # What is kept is kept in the bucket, which gains it again; the
+            # window would stay unused.
+            extra = max(extra, min(units, extra_left))
         self._level -= units - extra
         if extra:
             self._add_to_window(extra, now_s)
         return True
 
+    def kept_from(self, urgency, units, bounds, *, now_s):
+        """Return the units that a request must leave to others."""
+        return self.share.kept_from(
+            urgency,
+            units,
+            ahead_s=BASE_DEPTH_S,
+            depth=bounds.base_depth,
+            now_s=now_s,
+        )
+
     def give_back(self, units, bounds, *, granted_s):
         """Take back units of a grant that were not used.
 
@@ -100,20 +127,27 @@
                 break
         self._level = min(bounds.base_depth, self._level + units)
 
-    def promise(self, missing, bounds):
+    def promise(self, missing, bounds, *, urgency=None, now_s=0.0):
         """Return the time after which the first missing need can be met.
 
-        What was promised to others before is counted, so that callers who
-        were refused do not return together.  Where the bucket never fills,
-        it is the window of what is granted beyond it.
+        What was promised to others as urgent or more urgent before is
+        counted, so that callers who were refused do not return together, and
+        what more urgent ones ask for meanwhile.  Where the bucket never
+        fills, it is the window of what is granted beyond it.
         """
         if not missing:
             return 0.0
-        short = self._promised + missing[0] - self._level
-        self._promised += sum(missing)
-        if not bounds.base_rate_per_s:
+        rank = 0 if urgency is None else urgency
+        before = sum(u for r, u in self._promised.items() if r <= rank)
+        kept = self.kept_from(urgency, missing[0], bounds, now_s=now_s)
+        short = before + missing[0] + kept - self._level
+        self._promised[rank] = self._promised.get(rank, 0.0) + sum(missing)
+        rate = bounds.base_rate_per_s
+        if not rate:
             return bounds.window_s
-        return round(max(0.0, short) / bounds.base_rate_per_s, 3)
+        left = rate - self.share.rate_before(urgency, now_s=now_s)
+        left = max(left, LESS_URGENT_SHARE * rate)
+        return round(max(0.0, short) / left, 3)
 
     def expire_pools(self, now_s):
         """Forget the reserves that can no longer be used."""
@@ -125,6 +159,15 @@
         """Return end times and units of the grants beyond the bucket."""
         return (*self._inherited, *self._slots)
 
+    def _fulfil_promises(self, units):
+        """Deduct what the bucket gained, the most urgent promises first."""
+        for rank in sorted(self._promised):
+            fulfilled = min(units, self._promised[rank])
+            self._promised[rank] -= fulfilled
+            units -= fulfilled
+            if not self._promised[rank]:
+                del self._promised[rank]
+
     def _extra_left(self, bounds, now_s):
         extra = bounds.extra
         if now_s < self._opened_s + bounds.window_s:
--- a/currantdeal/organisations/credit_messages.py
+++ b/currantdeal/organisations/credit_messages.py
@@ -20,6 +20,8 @@
         Unused reserve of the entry.
     epoch : int
         Epoch of the owner that granted ``returned`` and ``pool``.
+    urgencies : tuple of int
+        Urgency of each of the needs, 0 first; empty if they have none.
     """
 
     organisation: str
@@ -27,6 +29,7 @@
     returned: tuple[tuple[int, float], ...] = ()
     pool: int = 0
     epoch: int = 0
+    urgencies: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -47,6 +50,10 @@
         Units added to the reserve of the entry.
     pool_ttl_s : float
         Time from the sending of the ask in which the reserve may be used.
+    refusals : tuple
+        For each need, if they have urgencies and one is not granted: the
+        seconds after which it can be met, and the units that it left to
+        others.
     """
 
     organisation: str
@@ -56,3 +63,4 @@
     open_s: float = 0.0
     pool: int = 0
     pool_ttl_s: float = 0.0
+    refusals: tuple[tuple[float, int], ...] = ()
--- a/currantdeal/organisations/credit_pool.py
+++ b/currantdeal/organisations/credit_pool.py
@@ -27,9 +27,12 @@
         self._epoch = 0
         self._returned = []
 
-    def take(self, units, *, now_s):
-        """Use the reserve for a request; returns False if it is too small."""
-        if units > self._units or now_s >= self._until_s:
+    def take(self, units, *, now_s, kept=0.0):
+        """Use the reserve for a request; returns False if it is too small.
+
+        Some units may be kept for others.
+        """
+        if units + kept > self._units or now_s >= self._until_s:
             return False
         self._units -= units
         return True
@@ -39,7 +42,7 @@
         if epoch == self._epoch:
             self._returned.append((units, granted_s))
 
-    def ask(self, organisation, needs, *, now_s):
+    def ask(self, organisation, needs, *, now_s, urgencies=()):
         """Return the ``CreditAsk`` for some requests and for the reserve."""
         if now_s >= self._until_s:
             self._units = 0
@@ -50,6 +53,7 @@
             returned=returned,
             pool=self._units,
             epoch=self._epoch,
+            urgencies=tuple(urgencies),
         )
 
     def fill(self, grant, *, epoch, sent_s):
--- a/currantdeal/organisations/tests/credit_model.py
+++ b/currantdeal/organisations/tests/credit_model.py
@@ -54,6 +54,8 @@
         self._window_s = window_s
         self.now_s = 0.0
         self.used = []
+        self.asked_by = {}
+        self.used_by = {}
         self.refused = 0
         self._margin = margin
         self._quota = quota
@@ -98,17 +100,20 @@
             first[1]()
         self.now_s = until_s
 
-    def request(self, entry, cost, *, delay, keeps=True, held_s=0.0):
+    def request(
+        self, entry, cost, *, delay, keeps=True, held_s=0.0, urgency=None
+    ):
         """Send a request; one that is not kept gives its credit back.
 
         Credit is held for some time before it is used.
         """
         if self.now_s < entry.paused_until_s:
             return
+        self.asked_by[urgency] = self.asked_by.get(urgency, 0) + cost
         if entry.pool.take(cost, now_s=self.now_s):
-            self.used.append((self.now_s, cost))
+            self._use(cost, urgency)
             return
-        entry.waiting.append((cost, keeps, held_s))
+        entry.waiting.append((cost, keeps, held_s, urgency))
         if not entry.is_calling:
             self._call(entry, delay)
 
@@ -131,14 +136,20 @@
         entry.calls += 1
         entry.is_calling = True
         waiting, entry.waiting = entry.waiting, []
-        needs = [cost for cost, _, _ in waiting]
-        ask = entry.pool.ask(NAME, needs, now_s=self.now_s)
+        needs, keeps, held_s, urgencies = zip(*waiting, strict=True)
+        ask = entry.pool.ask(
+            NAME,
+            needs,
+            urgencies=() if None in urgencies else urgencies,
+            now_s=self.now_s,
+        )
         call = _Call(
             entry=entry,
             number=entry.calls,
             ask=ask,
-            keeps=[keeps for _, keeps, _ in waiting],
-            held_s=[held_s for _, _, held_s in waiting],
+            keeps=keeps,
+            held_s=held_s,
+            urgencies=urgencies,
             sent_s=self.now_s,
             delay=delay,
         )
@@ -185,11 +196,12 @@
         entry.is_calling = False
         entry.pool.fill(grant, epoch=epoch, sent_s=call.sent_s)
         is_open = self.now_s < call.sent_s + grant.open_s
-        for cost, granted, keeps, held_s in zip(
+        for cost, granted, keeps, held_s, urgency in zip(
             call.ask.needs,
             grant.granted,
             call.keeps,
             call.held_s,
+            call.urgencies,
             strict=True,
         ):
             until_s = call.sent_s + grant.open_s
@@ -198,16 +210,20 @@
             elif is_open and keeps and held_s:
                 self._later(held_s, self._use_before(until_s, entry, cost))
             elif is_open and keeps:
-                self.used.append((self.now_s, cost))
+                self._use(cost, urgency)
             else:
                 entry.pool.give_back(
                     cost, granted_s=grant.granted_s, epoch=epoch
                 )
 
+    def _use(self, cost, urgency):
+        self.used.append((self.now_s, cost))
+        self.used_by[urgency] = self.used_by.get(urgency, 0) + cost
+
     def _use_before(self, until_s, entry, cost):
         def use():
             if entry in self.entries and self.now_s < until_s:
-                self.used.append((self.now_s, cost))
+                self._use(cost, None)
 
         return use
 
@@ -219,7 +235,8 @@
     entry: ModelEntry
     number: int
     ask: CreditAsk
-    keeps: list
-    held_s: list
+    keeps: tuple
+    held_s: tuple
+    urgencies: tuple
     sent_s: float
     delay: Delay
--- a/currantdeal/organisations/tests/test_credit.py
+++ b/currantdeal/organisations/tests/test_credit.py
@@ -49,6 +49,7 @@
             st.integers(1, 40),
             _DELAYS,
             st.booleans(),
+            st.sampled_from([None, 0, 1, 2]),
         ),
         st.tuples(st.just("pause"), st.integers(0, 4), st.floats(0.1, 9.0)),
         st.tuples(st.just("restart"), st.integers(0, 4)),
@@ -75,10 +76,14 @@
         elif kind == "pause":
             model.entries[values[0]].paused_until_s = model.now_s + values[1]
         else:
-            number, cost, times, delay, keeps = values
+            number, cost, times, delay, keeps, urgency = values
             for _ in range(times):
                 model.request(
-                    model.entries[number], cost, delay=delay, keeps=keeps
+                    model.entries[number],
+                    cost,
+                    delay=delay,
+                    keeps=keeps,
+                    urgency=urgency,
                 )
     model.advance(30.0)
     return model
@@ -106,8 +111,16 @@
         assert model.worst_window() <= LIMIT, seed
 
 
-def _play_overload(rng):
+def test_the_bound_holds_for_urgent_and_less_urgent_overload():
+    """Guards against credit kept for urgent requests that is granted twice."""
+    for seed in range(SCHEDULES):
+        model = _play_overload(random.Random(seed), urgencies=(0, 1, 2))
+        assert model.worst_window() <= LIMIT, seed
+
+
+def _play_overload(rng, urgencies=(None,)):
     model = CreditModel(entries=5)
+    urgency_rng = random.Random(0)
     model.advance(rng.choice([0.0, SETTLED_S]))
     late = rng.choice([0.0, 0.02, 0.3])
     faults = rng.choice([0.0, 0.02, 0.2, 0.6])
@@ -120,6 +133,7 @@
                 rng.choice([2, 10, 50, 120]),
                 delay=_delay(rng, late),
                 keeps=rng.random() < kept,
+                urgency=urgency_rng.choice(urgencies),
             )
         model.advance(rng.choice([0.01, 0.05, 0.3]))
         if rng.random() < 0.5:
@@ -156,9 +170,10 @@
     seed=st.integers(0, 10_000),
     entries=st.integers(1, 64),
     cost=st.sampled_from([2, 10, 50]),
+    urgencies=st.sampled_from([(None,), (0, 1, 2)]),
 )
 def test_an_organisation_within_its_quota_is_never_refused(
-    seed, entries, cost
+    seed, entries, cost, urgencies
 ):
     """Guards against refusals below the limit on a sound fleet.
 
@@ -179,6 +194,7 @@
                 cost,
                 delay=Delay(ask_s=0.01, answer_s=0.01),
                 keeps=rng.random() < 0.9,
+                urgency=rng.choice(urgencies),
             )
             model.advance(0.02)
     model.advance(1.0)
