--- a/currantdeal/entry/tests/test_quotas.py
+++ b/currantdeal/entry/tests/test_quotas.py
@@ -8,7 +8,12 @@
 from currantdeal.entry.errors import QuotaExceededError, RefusedError
 from currantdeal.entry.quotas import QuotaClient
 from currantdeal.node.organisation_messages import CreditAnswer
-from currantdeal.organisations import CreditOwner, QuotaMargin, QuotaUnit
+from currantdeal.organisations import (
+    CreditGrant,
+    CreditOwner,
+    QuotaMargin,
+    QuotaUnit,
+)
 from currantdeal.organisations.credit_bounds import MAX_OPEN_S
 from currantdeal.organisations.tests.builders import a_quota, an_organisation
 from currantdeal.testing.entry_world import (
@@ -67,9 +72,11 @@
         )
 
 
-async def _admit(client, *, wait_s=0.5):
+async def _admit(client, *, wait_s=0.5, urgency=None):
     try:
-        return await client.admit(BAKERY.name, 1, wait_s=wait_s)
+        return await client.admit(
+            BAKERY.name, 1, wait_s=wait_s, urgency=urgency
+        )
     except RefusedError as exc:
         return exc
 
@@ -153,6 +160,92 @@
     assert not any(isinstance(o, RefusedError) for o in outcomes)
 
 
+def test_the_reserve_is_kept_for_urgent_requests_without_an_owner():
+    """The owner dies, beside a burst of the least urgent requests.
+
+    Guards against a reserve that they use up before it is replaced.
+    """
+    owner = _Owner(slack=100.0)
+
+    async def work(client):
+        await _admit(client)
+        await asyncio.sleep(0.05)
+        owner.reached = False
+        with pytest.raises(RefusedError):
+            # Only an ask shows that no owner is reached.
+            await client.admit(BAKERY.name, 50, wait_s=0.02)
+        urgent = [await _admit(client, urgency=0) for _ in range(2)]
+        burst = (_admit(client, wait_s=0.02, urgency=2) for _ in range(60))
+        least = await asyncio.gather(*burst)
+        urgent += [await _admit(client, urgency=0) for _ in range(2)]
+        return urgent, least
+
+    urgent, least = _outcomes(owner, work)
+    assert urgent == [None] * 4
+    assert least.count(None) > 5
+    assert sum(isinstance(o, RefusedError) for o in least) > 40
+
+
+@pytest.mark.parametrize("frozen_s", [0.1, 0.3])
+def test_urgent_needs_come_first_when_the_owner_is_back(frozen_s):
+    """The owner freezes under a burst of all urgencies."""
+    owner = _Owner()
+
+    async def frozen(asks):
+        await asyncio.sleep(frozen_s)
+        owner.is_frozen = False
+
+    async def ask(asks):
+        return await (frozen(asks) if owner.is_frozen else owner.ask(asks))
+
+    async def work(client):
+        client.ask_owner = ask
+        return await asyncio.gather(
+            *(_admit(client, wait_s=2.0, urgency=u) for u in (2, 2, 2, 1, 0))
+        )
+
+    owner.is_frozen = True
+    outcomes = _outcomes(owner, work)
+    refused = [isinstance(o, QuotaExceededError) for o in outcomes]
+    assert refused == [False, False, True, False, False]
+
+
+def test_the_urgent_learn_an_earlier_time():
+    async def work(client):
+        await asyncio.gather(*(_admit(client) for _ in range(4)))
+        return await asyncio.gather(
+            *(_admit(client, urgency=u) for u in (2, 0))
+        )
+
+    least, urgent = _outcomes(_Owner(), work)
+    assert urgent.retry_after_s < least.retry_after_s
+
+
+def test_an_older_owner_states_one_time():
+    """Guards against builds side by side; it ignores urgencies."""
+
+    async def older(asks):
+        return CreditAnswer(
+            epoch=1,
+            grants=tuple(
+                CreditGrant(
+                    organisation=ask.organisation,
+                    granted=(False,) * len(ask.needs),
+                    retry_after_s=7.0,
+                )
+                for ask in asks
+            ),
+        )
+
+    async def work(client):
+        client.ask_owner = older
+        return await asyncio.gather(
+            *(_admit(client, urgency=u) for u in (0, 1))
+        )
+
+    assert [o.retry_after_s for o in _outcomes(_Owner(), work)] == [7.0, 7.0]
+
+
 def test_organisations_have_a_reserve_before_their_first_request():
     """Guards against refusals by an entry that has not served anyone yet."""
     owner = _Owner(slack=400.0)
--- a/currantdeal/organisations/tests/test_credit_urgency.py
+++ b/currantdeal/organisations/tests/test_credit_urgency.py
@@ -152,6 +152,8 @@
     first = _ask(owner, [COST] * 6, [2, 2, 1, 1, 0, 0], now_s=30.0)
     times = [after_s for after_s, _ in first.refusals]
     assert times[4] < times[2] < times[0]
+    kept = [units for _, units in first.refusals]
+    assert kept[4] == 0 < kept[2] <= kept[0]
     again = _ask(owner, [COST], [0], now_s=30.0)
     assert times[4] < again.refusals[0][0]
     assert again.refusals[0][0] <= 3 * COST / BOUNDS.base_rate_per_s + 1e-3
