Send entries what changed in the sums of loads

Cause: each entry received the sums of all engines every 0.15 s. A subscriber now receives whole sums first and every 1.5 s, and changes in between, each frame encoded once; an older entry still receives whole sums.

--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -11,6 +11,7 @@
 
 from currantdeal.adapters.generated.peers.ttypes import FrameKind
 from currantdeal.control.entry_list import EntryList
+from currantdeal.control.load_publisher import LoadPublisher
 from currantdeal.core.errors import DialectError
 from currantdeal.node.crash_messages import (
     LiftQuarantineCall,
@@ -19,6 +20,7 @@
 )
 from currantdeal.node.limit_messages import LimitCall
 from currantdeal.node.messages import (
+    LOAD_CHANGES_PROTOCOL,
     ORGANISATIONS_PROTOCOL,
     PROTOCOL,
     ConfigNotice,
@@ -115,6 +117,7 @@
         self._published_version = 0
         self._config_frame = None
         self._loads = LoadSums()
+        self._load_publisher = LoadPublisher(sender=exchange.local_id)
         self._last_load = None
         self._last_load_s = 0.0
 
@@ -166,6 +169,7 @@
         """Remove a subscriber whose connection was lost."""
         self._exchange.subscribers.discard(connection)
         self._loads.remove_entry(connection)
+        self._load_publisher.unsubscribe(connection)
         self._entry_list.unsubscribe(connection)
 
     @property
@@ -195,7 +199,9 @@
             self._exchange.publish(self._source_notice())
             self._spread_renewals()
         total = self._loads.total(now_s=now_s)
-        self._exchange.publish(self._load_notice(total))
+        self._load_publisher.publish(
+            total, self._exchange.subscribers, now_s=now_s
+        )
 
     def send_heartbeat(self):
         """Send the periodic notices and expire silent records."""
@@ -346,6 +352,8 @@
         if call.protocol >= ORGANISATIONS_PROTOCOL:
             self._publish_entries()
             self._entry_list.subscribe(connection)
+        if call.protocol >= LOAD_CHANGES_PROTOCOL:
+            self._load_publisher.subscribe(connection)
         # Sent before the upstreams and the configuration, so that the entry
         # runs no quarantined request.
         self._crashes.send_all(connection)
--- a/currantdeal/entry/subscription.py
+++ b/currantdeal/entry/subscription.py
@@ -24,6 +24,7 @@
     CrashesNotice,
     EntriesNotice,
     EntryNotice,
+    LoadChangesNotice,
     LoadNotice,
     ReadingNotice,
     SourceNotice,
@@ -32,6 +33,7 @@
 )
 from currantdeal.node.peers import HEARTBEAT_S, connect_peer
 from currantdeal.node.record_messages import UpstreamsNotice
+from currantdeal.policy.load.load_changes import LoadChain
 
 SILENCE_TIMEOUT_S = 1.2
 """Silence after which the entry switches to another control instance.
@@ -115,10 +117,10 @@
         self._connection = None
         self._source = ""
         self._switch_task = None
+        self._sums = LoadChain()
         self._sent_load = None
         self._sent_load_s = 0.0
-        self._last_notice_s = 0.0
-        self._last_current_s = 0.0
+        self._last_notice_s = self._last_current_s = 0.0
         self._protocol = 0
         self._comparison = UpstreamComparison(view=view)
         self.control_calls = ControlCalls(
@@ -156,8 +158,7 @@
         sent = (connection, load)
         if sent == self._sent_load and now_s - self._sent_load_s < HEARTBEAT_S:
             return
-        self._sent_load = sent
-        self._sent_load_s = now_s
+        self._sent_load, self._sent_load_s = sent, now_s
         sender = self._own_record().instance
         connection.notify(LoadNotice(sender=sender, load=load))
 
@@ -293,9 +294,8 @@
         if self._switch_task is not None and not self._switch_task.done():
             return
         unconfirmed = self.control_calls.should_leave_source(now_s)
-        stale = unconfirmed or (
-            now_s - self._last_current_s > STALENESS_TIMEOUT_S
-        )
+        age_s = now_s - self._last_current_s
+        stale = unconfirmed or age_s > STALENESS_TIMEOUT_S
         if unconfirmed:
             # Otherwise the entry would alternate between two of them.
             self._choice.avoid(self._source, now_s=now_s)
@@ -358,6 +358,11 @@
     def _(self, message: LoadNotice):
         self._update_load(message.load)
 
+    @_handle_notice.register
+    def _(self, message: LoadChangesNotice):
+        if load := self._sums.apply(message.sender, message.changes):
+            self._update_load(load)
+
     @_handle_notice.register
     def _(self, message: CrashesNotice):
         self._crash_watch.merge(message.records)
@@ -376,10 +381,9 @@
         self._update_source(message, self._clock())
 
     def _update_source(self, notice, now_s):
-        distance_to = self._view.distance_to
         self._choice.update(
             {
-                place.address: distance_to(place.data_center)
+                place.address: self._view.distance_to(place.data_center)
                 if place.data_center
                 else UNKNOWN_DISTANCE
                 for place in notice.control
--- a/currantdeal/node/messages.py
+++ b/currantdeal/node/messages.py
@@ -31,10 +31,11 @@
 from currantdeal.policy.crashes.registry import SuspectRecord
 from currantdeal.policy.limits.limit_records import LimitReport
 from currantdeal.policy.load.demand import Demand
+from currantdeal.policy.load.load_changes import LoadChanges
 from currantdeal.policy.load.shared_load import PoolLoad
 from currantdeal.registry import EntryRecord
 
-PROTOCOL = 3
+PROTOCOL = 4
 """Version of the messages that this build understands.
 
 An instance of an earlier build aborts a connection on which it receives a
@@ -51,6 +52,9 @@
 RETRIES_PROTOCOL = 3
 """Version with the calls for credit of retries."""
 
+LOAD_CHANGES_PROTOCOL = 4
+"""Version with the changes of the sums of loads."""
+
 
 @dataclass(frozen=True, kw_only=True)
 class RaftNotice:
@@ -215,6 +219,20 @@
     load: PoolLoad
 
 
+@dataclass(frozen=True, kw_only=True)
+class LoadChangesNotice:
+    """What changed in the load that is summed over all entries.
+
+    Parameters
+    ----------
+    sender : str
+        Peer address of the control instance.
+    """
+
+    sender: str
+    changes: LoadChanges
+
+
 @dataclass(frozen=True, kw_only=True)
 class ConfigNotice:
     """A committed configuration, compressed with zlib."""
@@ -370,5 +388,6 @@
         ListQuarantinesCall,
         QuarantinesAnswer,
         LiftQuarantineCall,
+        LoadChangesNotice,
     )
 )
