Send control instances what changed in the sums of loads

The same changes as for entries, on each connection of its own; an older instance, and one without an open connection, receives whole sums.

--- a/currantdeal/control/exchange.py
+++ b/currantdeal/control/exchange.py
@@ -15,6 +15,7 @@
 from currantdeal.node.errors import PeerUnreachableError
 from currantdeal.node.messages import (
     LIMITS_PROTOCOL,
+    LOAD_CHANGES_PROTOCOL,
     ORGANISATIONS_PROTOCOL,
     PROTOCOL,
     RETRIES_PROTOCOL,
@@ -133,6 +134,10 @@
         """Return whether an instance understands ``RetryCreditCall``."""
         return self._protocols.get(address, 0) >= RETRIES_PROTOCOL
 
+    def supports_load_changes(self, address):
+        """Return whether an instance understands ``LoadChangesNotice``."""
+        return self._protocols.get(address, 0) >= LOAD_CHANGES_PROTOCOL
+
     def configure(self, services):
         """Set the names of the configured services."""
         self._services = frozenset(services)
@@ -307,10 +312,15 @@
         if connection in self.subscribers:
             self.notify_others(notice)
 
+    @property
+    def other_links(self):
+        """Links to the other control instances."""
+        return [self._links(address) for address in self._other_addresses()]
+
     def notify_others(self, notice):
         """Send a notice to the other control instances."""
-        for address in self._other_addresses():
-            self._links(address).notify(notice)
+        for link in self.other_links:
+            link.notify(notice)
 
     def notify_one(self, address, notice):
         """Send a notice to one other control instance."""
--- a/currantdeal/control/load_publisher.py
+++ b/currantdeal/control/load_publisher.py
@@ -1,7 +1,7 @@
-"""Sends the sums of the loads to the entries that subscribe here.
+"""Sends sums of loads to entries and other control instances.
 
-An entry receives whole sums first and now and then, and what changed in
-between.  Each frame is encoded once for all entries.
+Each receives whole sums first and now and then, and what changed in between.
+A frame is encoded once for all receivers.
 """
 
 from currantdeal.adapters.generated.peers.ttypes import FrameKind
@@ -15,7 +15,7 @@
 
 
 class LoadPublisher:
-    """Sums for the subscribers of one control instance.
+    """Sums of one control instance for receivers of one kind.
 
     Parameters
     ----------
@@ -58,6 +58,25 @@
             connection.send_packed(frames[pack])
         self._current = self._understanding & set(subscribers)
 
+    def publish_to_links(self, load, links, *, understands, now_s):
+        """Send sums to other control instances.
+
+        Parameters
+        ----------
+        links : iterable of PeerLink
+            Links to them; each opens a connection where it has none.
+        understands : callable
+            Returns whether the instance at an address understands changes.
+        """
+        connections = set()
+        for link in links:
+            if link.connection is not None and understands(link.address):
+                connections.add(link.connection)
+            else:
+                link.notify(LoadNotice(sender=self._sender, load=load))
+        self._understanding = connections
+        self.publish(load, connections, now_s=now_s)
+
     def _packer(self, connection):
         if connection in self._current:
             return LoadPublisher._changes
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -29,6 +29,7 @@
     EntryNotice,
     JoinCall,
     LeaveCall,
+    LoadChangesNotice,
     LoadNotice,
     ProposeConfigCall,
     RaftNotice,
@@ -50,6 +51,7 @@
     SpreadCall,
     UpstreamsNotice,
 )
+from currantdeal.policy.load.load_changes import LoadChains
 from currantdeal.policy.load.shared_load import LoadSums
 
 _log = structlog.get_logger(__name__)
@@ -118,6 +120,8 @@
         self._config_frame = None
         self._loads = LoadSums()
         self._load_publisher = LoadPublisher(sender=exchange.local_id)
+        self._control_publisher = LoadPublisher(sender=exchange.local_id)
+        self._control_loads = LoadChains()
         self._last_load = None
         self._last_load_s = 0.0
 
@@ -193,7 +197,12 @@
         ):
             self._last_load = local_total
             self._last_load_s = now_s
-            self._exchange.notify_others(self._load_notice(local_total))
+            self._control_publisher.publish_to_links(
+                local_total,
+                self._exchange.other_links,
+                understands=self._exchange.supports_load_changes,
+                now_s=now_s,
+            )
         self._publish_entries()
         if self._limits.take_changed():
             self._exchange.publish(self._source_notice())
@@ -225,9 +234,6 @@
             now_s=self._clock(), current=self.has_leader
         )
 
-    def _load_notice(self, load):
-        return LoadNotice(sender=self._exchange.local_id, load=load)
-
     def _record_load(self, connection, message):
         now_s = self._clock()
         if connection in self._exchange.subscribers:
@@ -258,6 +264,15 @@
     def _(self, notice: LoadNotice, connection):
         self._record_load(connection, notice)
 
+    @_handle_notice.register
+    def _(self, notice: LoadChangesNotice, connection):
+        now_s = self._clock()
+        load = self._control_loads.apply(
+            notice.sender, notice.changes, now_s=now_s
+        )
+        if load is not None:
+            self._loads.set_control(notice.sender, load, now_s=now_s)
+
     @_handle_notice.register
     def _(self, notice: SwitchingNotice, connection):
         self._exchange.publish(notice)
--- a/currantdeal/control/tests/test_load_publisher.py
+++ b/currantdeal/control/tests/test_load_publisher.py
@@ -108,6 +108,45 @@
     assert older.load == newer.load == load
 
 
+class _Link:
+    """A link to another control instance."""
+
+    def __init__(self, address):
+        self.address = address
+        self.connection = _Entry()
+        self.notified = []
+
+    def notify(self, notice):
+        """Keep a notice that opens a connection."""
+        self.notified.append(notice)
+
+
+def test_control_instances_receive_changes_on_each_connection(monkeypatch):
+    """A connection is lost, and another instance is of an older build."""
+    publisher, _ = _publisher(monkeypatch)
+    links = newer, older = _Link("c2"), _Link("c3")
+
+    def send(held, now_s):
+        load = PoolLoad(held=held, unreachable={})
+        publisher.publish_to_links(
+            load, links, understands={"c2"}.__contains__, now_s=now_s
+        )
+        return load
+
+    send({"d1": 1}, 0.0)
+    load = send({"d1": 1, "d2": 2}, 0.1)
+    assert newer.connection.notices[1].changes.changed.held == {"d2": 2}
+    assert newer.connection.load == load
+    newer.connection = None
+    missed = send({"d1": 3}, 0.2)
+    assert newer.notified[-1].load == missed
+    newer.connection = _Entry()
+    load = send({"d1": 4}, 0.3)
+    assert newer.connection.load == load
+    assert older.notified[-1].load == load
+    assert not older.connection.notices
+
+
 def test_changes_of_many_engines_take_half_the_bytes():
     """Load pattern: fan-out of 3,000 engines to each entry."""
     rng = random.Random(1)
--- a/currantdeal/node/peers.py
+++ b/currantdeal/node/peers.py
@@ -206,14 +206,20 @@
 
     def notify(self, message):
         """Send a notice, or drop it while there is no connection."""
-        if self._connection is not None and self._connection.is_open:
-            self._connection.notify(message)
+        if self.connection is not None:
+            self.connection.notify(message)
             return
         if self._opening is None:
             self._opening = asyncio.ensure_future(
                 self._open_and_notify(message)
             )
 
+    @property
+    def connection(self):
+        """The open connection, or None."""
+        found = self._connection
+        return found if found is not None and found.is_open else None
+
     async def call(self, message, *, timeout_s):
         """Send a call and return its answer.
 
--- a/currantdeal/policy/load/load_changes.py
+++ b/currantdeal/policy/load/load_changes.py
@@ -6,7 +6,11 @@
 
 from dataclasses import dataclass, fields
 
-from currantdeal.policy.load.shared_load import MAX_SUMS_AGE_S, PoolLoad
+from currantdeal.policy.load.shared_load import (
+    MAX_SUMS_AGE_S,
+    SOURCE_TIMEOUT_S,
+    PoolLoad,
+)
 
 WHOLE_INTERVAL_S = MAX_SUMS_AGE_S
 """Interval of whole sums, which end the effect of a lost change."""
@@ -103,6 +107,23 @@
         return load
 
 
+class LoadChains:
+    """Chains of several senders, without those that fell silent."""
+
+    def __init__(self):
+        """Start without senders."""
+        self._chains = {}
+
+    def apply(self, sender, changes, *, now_s):
+        """Return the new sums; None if those before are missing."""
+        for name, (heard_s, _) in tuple(self._chains.items()):
+            if now_s - heard_s > SOURCE_TIMEOUT_S:
+                del self._chains[name]
+        _, chain = self._chains.get(sender, (now_s, LoadChain()))
+        self._chains[sender] = (now_s, chain)
+        return chain.apply(sender, changes)
+
+
 def _merge(load, changes):
     merged = {}
     for field in fields(PoolLoad):
--- a/currantdeal/policy/load/tests/test_load_changes.py
+++ b/currantdeal/policy/load/tests/test_load_changes.py
@@ -7,10 +7,11 @@
 
 from currantdeal.policy.load.load_changes import (
     LoadChain,
+    LoadChains,
     changes_between,
     whole_load,
 )
-from currantdeal.policy.load.shared_load import PoolLoad
+from currantdeal.policy.load.shared_load import SOURCE_TIMEOUT_S, PoolLoad
 
 FIELDS = [field.name for field in fields(PoolLoad)]
 
@@ -56,6 +57,17 @@
     assert chain.apply("c1", changes) == two
 
 
+def test_a_sender_that_fell_silent_is_forgotten():
+    """Guards against memory for instances that were replaced."""
+    rng = random.Random(2)
+    one, two = _a_load(rng), _a_load(rng)
+    chains = LoadChains()
+    chains.apply("c1", whole_load(one, number=1), now_s=0.0)
+    changes = changes_between(one, two, number=2)
+    late_s = SOURCE_TIMEOUT_S + 0.1
+    assert chains.apply("c1", changes, now_s=late_s) is None
+
+
 @pytest.mark.parametrize("name", FIELDS)
 def test_each_field_sends_only_what_changed(name):
     fields_before = {field: {"a": 1, "b": 2} for field in FIELDS}
