--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -11,6 +11,7 @@
 
 from currantdeal.adapters.generated.peers.ttypes import FrameKind
 from currantdeal.control.entry_list import EntryList
+from currantdeal.control.load_publisher import LoadPublisher
 from currantdeal.core.errors import DialectError
 from currantdeal.node.crash_messages import (
     LiftQuarantineCall,
@@ -19,6 +20,7 @@
 )
 from currantdeal.node.limit_messages import LimitCall
 from currantdeal.node.messages import (
+    LOAD_CHANGES_PROTOCOL,
     ORGANISATIONS_PROTOCOL,
     PROTOCOL,
     ConfigNotice,
@@ -27,6 +29,7 @@
     EntryNotice,
     JoinCall,
     LeaveCall,
+    LoadChangesNotice,
     LoadNotice,
     ProposeConfigCall,
     RaftNotice,
@@ -48,6 +51,7 @@
     SpreadCall,
     UpstreamsNotice,
 )
+from currantdeal.policy.load.load_changes import LoadChains
 from currantdeal.policy.load.shared_load import LoadSums
 
 _log = structlog.get_logger(__name__)
@@ -115,6 +119,9 @@
         self._published_version = 0
         self._config_frame = None
         self._loads = LoadSums()
+        self._load_publisher = LoadPublisher(sender=exchange.local_id)
+        self._control_publisher = LoadPublisher(sender=exchange.local_id)
+        self._control_loads = LoadChains()
         self._last_load = None
         self._last_load_s = 0.0
 
@@ -166,6 +173,7 @@
         """Remove a subscriber whose connection was lost."""
         self._exchange.subscribers.discard(connection)
         self._loads.remove_entry(connection)
+        self._load_publisher.unsubscribe(connection)
         self._entry_list.unsubscribe(connection)
 
     @property
@@ -189,13 +197,20 @@
         ):
             self._last_load = local_total
             self._last_load_s = now_s
-            self._exchange.notify_others(self._load_notice(local_total))
+            self._control_publisher.publish_to_links(
+                local_total,
+                self._exchange.other_links,
+                understands=self._exchange.supports_load_changes,
+                now_s=now_s,
+            )
         self._publish_entries()
         if self._limits.take_changed():
             self._exchange.publish(self._source_notice())
             self._spread_renewals()
         total = self._loads.total(now_s=now_s)
-        self._exchange.publish(self._load_notice(total))
+        self._load_publisher.publish(
+            total, self._exchange.subscribers, now_s=now_s
+        )
 
     def send_heartbeat(self):
         """Send the periodic notices and expire silent records."""
@@ -219,9 +234,6 @@
             now_s=self._clock(), current=self.has_leader
         )
 
-    def _load_notice(self, load):
-        return LoadNotice(sender=self._exchange.local_id, load=load)
-
     def _record_load(self, connection, message):
         now_s = self._clock()
         if connection in self._exchange.subscribers:
@@ -252,6 +264,15 @@
     def _(self, notice: LoadNotice, connection):
         self._record_load(connection, notice)
 
+    @_handle_notice.register
+    def _(self, notice: LoadChangesNotice, connection):
+        now_s = self._clock()
+        load = self._control_loads.apply(
+            notice.sender, notice.changes, now_s=now_s
+        )
+        if load is not None:
+            self._loads.set_control(notice.sender, load, now_s=now_s)
+
     @_handle_notice.register
     def _(self, notice: SwitchingNotice, connection):
         self._exchange.publish(notice)
@@ -346,6 +367,8 @@
         if call.protocol >= ORGANISATIONS_PROTOCOL:
             self._publish_entries()
             self._entry_list.subscribe(connection)
+        if call.protocol >= LOAD_CHANGES_PROTOCOL:
+            self._load_publisher.subscribe(connection)
         # Sent before the upstreams and the configuration, so that the entry
         # runs no quarantined request.
         self._crashes.send_all(connection)
