End streams of engines that are gone, and tell all of dead engines at once

Change: silence makes an entry probe the engine (shared by its streams). It is lost if a later process is announced, a connection is refused, another process answers, or, without proof, if two probes fail, two entries report it and its heartbeats have stopped. A run at a lost engine doesn't count towards the runs of its route. A refused connection is reported to all (two reports a process and second are handed on); engines with two reports come last. After the first refusal within a request two engines are asked at a time.

--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -121,14 +121,15 @@
             report_load=self._context.report_load,
             update_load=self._context.update_load,
             record_local_prefill=self._context.record_local_prefill,
+            record_unreachable=self._context.record_unreachable,
             crash_watch=self._context.crash_watch,
             limits=self._context.limits,
             update_entries=self._directory.merge,
             clock=time.monotonic,
         )
-        self._context.announce_local_prefill = (
-            self._subscription.announce_local_prefill
-        )
+        notices = self._subscription.engine_notices
+        self._context.announce_local_prefill = notices.announce_local_prefill
+        self._context.announce_unreachable = notices.report_unreachable
         self._context.crash_watch.publish = self._subscription.publish_crashes
         self._context.access.look_up = self._look_up_config
         self._context.access.may_recover = self._may_recover
--- a/currantdeal/control/exchange.py
+++ b/currantdeal/control/exchange.py
@@ -312,6 +312,12 @@
         for address in self._other_addresses():
             self._links(address).notify(notice)
 
+    def notify_understanding(self, protocol, notice):
+        """Send a notice to the other instances of a protocol version."""
+        for address in self._other_addresses():
+            if self._protocols.get(address, 0) >= protocol:
+                self._links(address).notify(notice)
+
     def notify_one(self, address, notice):
         """Send a notice to one other control instance."""
         self._links(address).notify(notice)
--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -11,6 +11,7 @@
 
 from currantdeal.adapters.generated.peers.ttypes import FrameKind
 from currantdeal.control.entry_list import EntryList
+from currantdeal.control.unreachable_relay import UnreachableRelay
 from currantdeal.core.errors import DialectError
 from currantdeal.node.crash_messages import (
     LiftQuarantineCall,
@@ -36,6 +37,7 @@
     SourceNotice,
     SubscribeCall,
     SwitchingNotice,
+    UnreachableNotice,
 )
 from currantdeal.node.organisation_messages import (
     ConfirmCall,
@@ -50,6 +52,9 @@
 )
 from currantdeal.policy.load.shared_load import LoadSums
 
+MAX_SILENT_NAMED = 64
+"""Silent upstreams that a heartbeat names; entries ask about few of them."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -105,6 +110,7 @@
         self._retry_budgets = retry_budgets
         self._limits = limits
         self._entry_list = EntryList(directory=exchange.directory)
+        self._unreachable = UnreachableRelay(exchange=exchange, clock=clock)
         self._dialect = dialect
         self._replica = replica
         self._membership = membership
@@ -167,6 +173,7 @@
         self._exchange.subscribers.discard(connection)
         self._loads.remove_entry(connection)
         self._entry_list.unsubscribe(connection)
+        self._unreachable.unsubscribe(connection)
 
     @property
     def held_tokens(self):
@@ -264,6 +271,10 @@
     def _(self, notice: ReadingNotice, connection):
         self._exchange.relay(connection, notice)
 
+    @_handle_notice.register
+    def _(self, notice: UnreachableNotice, connection):
+        self._unreachable.receive(connection, notice)
+
     @_handle_notice.register
     def _(self, notice: UpstreamsNotice, connection):
         self._exchange.receive_report(notice.upstreams)
@@ -343,6 +354,7 @@
             version=self._replica.state.version,
         )
         self._exchange.merge_entry(call.entry)
+        self._unreachable.subscribe(connection, call.protocol)
         if call.protocol >= ORGANISATIONS_PROTOCOL:
             self._publish_entries()
             self._entry_list.subscribe(connection)
@@ -364,7 +376,9 @@
         return Done(accepted=True)
 
     def _source_notice(self):
-        live = self._exchange.directory.live(now_s=self._clock())
+        now_s = self._clock()
+        live = self._exchange.directory.live(now_s=now_s)
+        silent = self._exchange.registry.silent(now_s=now_s)
         return SourceNotice(
             current=self.has_leader,
             control=self._exchange.places,
@@ -373,4 +387,5 @@
             limits=self._limits.reports,
             upstreams_digest=self._exchange.registry.digest,
             adopts_upstreams=self._exchange.adopts_upstreams,
+            silent=tuple(silent[:MAX_SILENT_NAMED]),
         )
--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -6,6 +6,7 @@
 
 from currantdeal.entry.access import Access
 from currantdeal.entry.crash_watch import CrashWatch
+from currantdeal.entry.engine_watch import EngineWatch
 from currantdeal.entry.limits import LimitPatience, UpstreamLimits
 from currantdeal.entry.probing import Prober
 from currantdeal.entry.quotas import QuotaClient
@@ -34,6 +35,8 @@
 OWNER_WAIT_SHARE = 0.75
 """Largest share of the time left that this wait may take."""
 
+_HERE = ""  # this entry as the reporter of an upstream
+
 
 class EntryContext:
     """State shared by the requests of one entry.
@@ -84,6 +87,7 @@
         self.retry_detector = RetryDetector()
         self.local_prefills = LocalPrefills()
         self.announce_local_prefill = None
+        self.announce_unreachable = None
         self._meters = {}
         self._background = set()
         self._prober = Prober(
@@ -93,6 +97,13 @@
             read_response=self.read_response,
             in_background=self.in_background,
         )
+        self.engine_watch = EngineWatch(
+            view=view,
+            pool=pool,
+            dialect=dialect,
+            read_response=self.read_response,
+            load=self.load,
+        )
         self.crash_watch = CrashWatch(
             view=view,
             pool=pool,
@@ -100,6 +111,7 @@
             in_background=self.in_background,
             random=random,
         )
+        self.crash_watch.on_ended = self._report_unreachable
 
     @property
     def now_s(self):
@@ -116,6 +128,8 @@
         """
         is_malformed = isinstance(exc, MalformedResponseError)
         self._prober.eject(record, health, is_malformed=is_malformed)
+        if exc is not None and exc.has_ended:
+            self._report_unreachable(record)
 
     def may_send(self, active):
         """Return whether a request may be sent to an upstream now."""
@@ -190,10 +204,28 @@
         """Record a local prefill of another entry."""
         self.local_prefills.start(upstream, for_s, now_s=self.now_s)
 
+    def record_unreachable(self, upstream, started_ms, entry):
+        """Record that another entry could not reach an upstream."""
+        self.load.reports.add(upstream, started_ms, entry, now_s=self.now_s)
+
+    def record_reached(self, record):
+        """Record that an upstream has answered."""
+        self.load.reports.clear(record.upstream)
+        self.health.record_contact(record.upstream, now_s=self.now_s)
+
     def meter(self, service):
         """Return the ``DemandMeter`` of a service."""
         return self._meters.setdefault(service, DemandMeter())
 
+    def _report_unreachable(self, record):
+        """Report an upstream that has ended, if others may need to know."""
+        is_needed = self.load.reports.add(
+            record.upstream, record.started_ms, _HERE, now_s=self.now_s
+        )
+        if is_needed and self.announce_unreachable is not None:
+            self.metrics.add("unreachable_reported_total")
+            self.announce_unreachable(record)
+
     def collect_demand(self):
         """Return the demand of each service since the last call."""
         return {name: m.collect() for name, m in self._meters.items()}
--- a/currantdeal/entry/crash_probe.py
+++ b/currantdeal/entry/crash_probe.py
@@ -22,10 +22,13 @@
         Upstreams as they are announced.
     pool : ConnectionPool
         Opens connections to upstreams.
+    on_ended : callable
+        Called with the record of an upstream that refuses connections.
     """
 
-    def __init__(self, *, view, pool):
+    def __init__(self, *, view, pool, on_ended=lambda record: None):
         """Start without probes."""
+        self._on_ended = on_ended
         self._view = view
         self._pool = pool
         self._checks = {}
@@ -38,9 +41,7 @@
         key = (record.upstream, record.started_ms)
         check = self._checks.get(key)
         if check is None:
-            check = asyncio.ensure_future(
-                self._refuses_connections(record.address)
-            )
+            check = asyncio.ensure_future(self._refuses_connections(record))
             self._checks[key] = check
             check.add_done_callback(lambda _: self._checks.pop(key))
         return await asyncio.shield(check)
@@ -53,10 +54,11 @@
                 return True
         return False
 
-    async def _refuses_connections(self, address):
+    async def _refuses_connections(self, record):
         try:
-            connection = await self._pool.open(address)
+            connection = await self._pool.open(record.address)
         except ConnectRefusedError:
+            self._on_ended(record)
             return True
         except ConnectError:
             # It may only be partitioned from here.  Failed connections are
--- a/currantdeal/entry/crash_watch.py
+++ b/currantdeal/entry/crash_watch.py
@@ -53,6 +53,8 @@
     ----------
     publish : callable
         Sends changed ``SuspectRecord`` to all other processes.
+    on_ended : callable
+        Called with the record of an upstream whose process has ended.
     """
 
     def __init__(self, *, view, pool, metrics, in_background, random):
@@ -67,7 +69,10 @@
         self._completions = RecentCompletions()
         self._unfinished = UnfinishedRuns()
         self._trials = Trials(random=random)
-        self._probe = CrashProbe(view=view, pool=pool)
+        self._probe = CrashProbe(
+            view=view, pool=pool, on_ended=lambda r: self.on_ended(r)
+        )
+        self.on_ended = lambda record: None
         self.publish = lambda records: None
 
     @property
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -26,12 +26,12 @@
     record_end,
     record_memory_use,
 )
+from currantdeal.entry.run_wait import RunWait, gap_target_s
 from currantdeal.entry.steps import StepKind
 from currantdeal.node.errors import (
     ConnectError,
     ExchangeError,
     InvalidResponseError,
-    ResponseTimeoutError,
 )
 from currantdeal.policy.answers.reset_outcome import (
     ExchangePhase,
@@ -50,14 +50,6 @@
 The rest is for the prefill, the KV cache transfer and the first event.
 """
 
-RESUME_SILENCE_PAUSES = 4.0
-"""Silence after which a stream is resumed at another engine, as a multiple of
-its gap target.
-
-It is resumed only once memory is reserved there: an engine that has only
-preempted the stream will continue it.
-"""
-
 RESUME_WAIT_PAUSES = 8.0
 """Longest wait for memory to resume a stream, as a multiple of its gap
 target.
@@ -65,9 +57,6 @@
 Callers time out a little later; the rest is for the prefill.
 """
 
-DEFAULT_GAP_TARGET_S = 0.3
-"""Gap target of a route without one."""
-
 HANDLE_REUSE_SHARE = 0.7
 """Share of the lifetime of a KV cache in which another engine may be sent it.
 
@@ -121,7 +110,12 @@
         self._relay = EventRelay(context=context, active=active)
         self._reason = "no engine took it"
         self._reserver = MemoryReserver(context=context, active=active)
-        self._next_reservation = None
+        self._wait = RunWait(
+            context=context,
+            active=active,
+            reserver=self._reserver,
+            may_move=lambda: self._may_resume,
+        )
         self._unused_prefill = None
         self._events_before_run = 0
         self._is_over_budget = False
@@ -136,20 +130,26 @@
         safety = self._active.route.retry_safety
         return safety is RetrySafety.RESUMABLE and self._relay.is_resumable
 
+    @property
+    def _may_resume(self):
+        """Whether another engine may take over the answer.
+
+        A run at an engine that has ended does not count towards the limit of
+        the route.
+        """
+        counted = self._active.runs - self._wait.lost_engines
+        return (
+            self._is_resumable and counted < self._active.route.max_upstreams
+        )
+
     @property
     def _events_of_run(self):
         """Events of the present run that were forwarded."""
         return self._relay.events - self._events_before_run
 
-    @property
-    def _gap_target_s(self):
-        """Longest timely pause between two events."""
-        return self._active.route.gap_target_s or DEFAULT_GAP_TARGET_S
-
     async def attempt(self):
         """Make one attempt; returns whether the answer is complete."""
-        reservation = self._next_reservation or await self._reserve()
-        self._next_reservation = None
+        reservation = self._wait.take_reservation() or await self._reserve()
         if reservation is None:
             self._reason = "no memory"
             return False
@@ -245,17 +245,15 @@
             return False
         if active.time_left_s(self._now_s) < active.route.target_s / 4:
             return False
-        if active.runs and not self._is_resumable:
-            return False
-        if active.runs >= active.route.max_upstreams:
+        if active.runs and not self._may_resume:
             return False
         return await self._may_run()
 
     def release_unused(self):
         """Release a reservation and a KV cache that are no longer needed."""
-        if self._next_reservation is not None:
-            self._reserver.release(self._next_reservation)
-            self._next_reservation = None
+        reservation = self._wait.take_reservation()
+        if reservation is not None:
+            self._reserver.release(reservation)
         if self._unused_prefill is not None:
             release_kv_cache(self._context, self._unused_prefill)
             self._unused_prefill = None
@@ -281,7 +279,7 @@
     async def _reserve(self):
         active = self._active
         if self._relay.started:
-            wait_s = RESUME_WAIT_PAUSES * self._gap_target_s
+            wait_s = RESUME_WAIT_PAUSES * gap_target_s(active)
             return await self._reserver.reserve(self._now_s + wait_s)
         arrived_s = active.request.arrived_s
         if active.is_retry:
@@ -336,7 +334,9 @@
     async def _stream(self, connection, record, sent_s):
         context, active = self._context, self._active
         try:
-            head = await self._wait_or_fail_over(connection.head(), record)
+            head = await self._wait.receive(
+                connection.head, connection, record
+            )
         except asyncio.CancelledError:
             if active.time_left_s(self._now_s) <= 0.0:
                 context.eject(record, context.health)
@@ -360,6 +360,7 @@
         if head.status != 200:
             return await self._forward_error(connection, head, record)
         active.add_step(StepKind.STREAM, record.upstream)
+        context.record_reached(record)
         began_s = self._now_s
         is_ended = await self._relay.forward_events(
             head, lambda: self._next_chunk(connection, record)
@@ -375,7 +376,7 @@
 
     async def _next_chunk(self, connection, record):
         connection.record_buffered(self._relay.buffered_bytes)
-        return await self._wait_or_fail_over(connection.chunk(), record)
+        return await self._wait.receive(connection.chunk, connection, record)
 
     async def _forward_error(self, connection, head, record):
         body = await connection.rest(limit=MAX_ERROR_BYTES)
@@ -393,46 +394,6 @@
         self._reason = f"resumed run failed with {head.status}"
         return self._relay.forward_error(head, body, completeness)
 
-    async def _wait_or_fail_over(self, work, record):
-        """Wait for an engine, or fail over to another one if it is silent.
-
-        Fails over only if the stream may be resumed, another engine has
-        reserved memory for it and the retry budget allows it.
-
-        Raises
-        ------
-        ResponseTimeoutError
-            If another engine is to resume the stream.
-        """
-        active = self._active
-        if not self._is_resumable or active.runs >= active.route.max_upstreams:
-            return await work
-        task = asyncio.ensure_future(work)
-        try:
-            while True:
-                await asyncio.wait(
-                    {task},
-                    timeout=RESUME_SILENCE_PAUSES * self._gap_target_s,
-                )
-                if task.done():
-                    return task.result()
-                self._next_reservation = await self._reserve_elsewhere(record)
-                if self._next_reservation is not None and not task.done():
-                    raise ResponseTimeoutError(
-                        "no event", phase=ExchangePhase.BETWEEN_EVENTS
-                    )
-        finally:
-            task.cancel()
-
-    async def _reserve_elsewhere(self, record):
-        reservation = await self._reserver.reserve_once(excluding=record)
-        if reservation is None or await self._active.arrivals.may_send(
-            ArrivalKind.RUN
-        ):
-            return reservation
-        self._reserver.release(reservation)
-        return None
-
     def _record_unfinished(self, record):
         self._context.crash_watch.record_unfinished(
             self._active, record, events=self._events_of_run
--- a/currantdeal/entry/hedging.py
+++ b/currantdeal/entry/hedging.py
@@ -31,6 +31,10 @@
         """Return whether a request to an upstream is pending."""
         return upstream in self._pending.values()
 
+    def start(self, upstream, work):
+        """Send a request without waiting for it; see ``request``."""
+        self._pending[asyncio.ensure_future(work)] = upstream
+
     async def request(self, upstream, work):
         """Send a request; returns the first grant of any pending one, or None.
 
--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -73,6 +73,7 @@
         self._context = context
         self._active = active
         self._excluded = set()
+        self._unreached = 0
         self._tokens = _tokens(active)
 
     @property
@@ -164,22 +165,42 @@
         return [] if record is None else [record]
 
     async def _reserve_in_turn(self, hedge, records):
-        for record in records:
-            if hedge.is_pending(record.upstream):
-                continue
+        """Request memory until an engine grants it.
+
+        Once an engine could not be reached, others may have crashed with it:
+        two are asked at a time.
+        """
+        left = [r for r in records if not hedge.is_pending(r.upstream)]
+        while left:
+            if self._unreached:
+                left.sort(key=self._is_out_of_touch)
+            count = 2 if self._unreached else 1
+            batch, left = left[:count], left[count:]
+            for record in batch[:-1]:
+                hedge.start(record.upstream, self._reserve_at(record))
             granted = await hedge.request(
-                record.upstream, self._reserve_at(record)
+                batch[-1].upstream, self._reserve_at(batch[-1])
             )
             if granted is not None:
                 return granted
-            if hedge.is_pending(record.upstream):
-                # It is slow.  For a while, other requests of this entry ask
-                # it last.
-                self._context.decode_engine_order.record_refusal(
-                    record.upstream, now_s=self._now_s
-                )
+            for record in batch:
+                if hedge.is_pending(record.upstream):
+                    # It is slow.  For a while, other requests of this entry
+                    # ask it last.
+                    self._context.decode_engine_order.record_refusal(
+                        record.upstream, now_s=self._now_s
+                    )
         return None
 
+    def _is_out_of_touch(self, record):
+        """Return whether an engine is expected to be unreachable, too."""
+        context = self._context
+        now_s = self._now_s
+        return (
+            context.load.is_suspect(record.upstream, now_s=now_s),
+            not context.health.was_reached(record.upstream, now_s=now_s),
+        )
+
     def release(self, reservation):
         """Release an unused reservation."""
         if not self._context.view.is_current(reservation.record):
@@ -192,6 +213,7 @@
     def record_unreachable(self, record, exc):
         """Eject an engine that is unreachable or lost its connection."""
         context = self._context
+        self._unreached += 1
         context.eject(record, context.health, exc)
         context.pool.close_idle(record.address)
         self._active.add_failure_step(record.upstream, exc)
@@ -217,6 +239,7 @@
         except ExchangeError as exc:
             self.record_unreachable(record, exc)
             return None
+        context.record_reached(record)
         if head.is_identified:
             # Load and limits of a repeated answer are out of date.
             context.read_response(record, head)
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -129,6 +129,9 @@
         distance=context.view.distance,
         random=context.random,
         now_s=context.now_s,
+        is_unreachable=lambda name: context.load.reports.is_unreachable(
+            name, now_s=context.now_s
+        ),
     )
 
 
@@ -196,6 +199,7 @@
         raise
     finally:
         context.health.request_ended(record.upstream)
+    context.record_reached(record)
     metadata = context.read_response(record, head, sent_s=sent_s)
     return _handle_answer(
         context, active, record, (head, body, metadata, completeness)
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -254,7 +254,7 @@
     """
     kind = kind_of_failure(exc)
     is_malformed = isinstance(exc, MalformedResponseError)
-    if kind is StepKind.UNREACHABLE or is_malformed:
+    if kind is StepKind.UNREACHABLE or is_malformed or exc.has_ended:
         context.eject(record, context.prefill_health, exc)
     elif context.prefill_health.last_answer_s(record.upstream) <= since_s:
         context.pool.close_idle(record.address)
--- a/currantdeal/entry/subscription.py
+++ b/currantdeal/entry/subscription.py
@@ -15,6 +15,7 @@
 import structlog
 
 from currantdeal.entry.control_calls import ControlCalls
+from currantdeal.entry.engine_notices import EngineNotices
 from currantdeal.entry.source_choice import UNKNOWN_DISTANCE, SourceChoice
 from currantdeal.entry.upstream_comparison import UpstreamComparison
 from currantdeal.node.errors import PeerUnreachableError
@@ -29,6 +30,7 @@
     SourceNotice,
     SubscribeCall,
     SwitchingNotice,
+    UnreachableNotice,
 )
 from currantdeal.node.peers import HEARTBEAT_S, connect_peer
 from currantdeal.node.record_messages import UpstreamsNotice
@@ -67,9 +69,8 @@
         Returns the ``PoolLoad`` of this entry.
     update_load : callable
         Called with the ``PoolLoad`` of all entries.
-    record_local_prefill : callable
-        Called with a decode engine that prefills a prompt of another entry
-        locally, and for how long.
+    record_local_prefill, record_unreachable : callable
+        See ``EngineNotices``.
     crash_watch : CrashWatch
         Requests that crash upstreams.
     limits : UpstreamLimits
@@ -83,6 +84,8 @@
     ----------
     control_calls : ControlCalls
         Calls to the source.
+    engine_notices : EngineNotices
+        Notices about engines to and from other entries.
     """
 
     def __init__(
@@ -95,6 +98,7 @@
         report_load,
         update_load,
         record_local_prefill,
+        record_unreachable,
         crash_watch,
         limits,
         update_entries,
@@ -107,7 +111,6 @@
         self._collect_demand = collect_demand
         self._report_load = report_load
         self._update_load = update_load
-        self._record_local_prefill = record_local_prefill
         self._crash_watch = crash_watch
         self._limits = limits
         self._update_entries = update_entries
@@ -124,6 +127,12 @@
         self.control_calls = ControlCalls(
             view=view, connection=self._connection_for
         )
+        self.engine_notices = EngineNotices(
+            own_record=own_record,
+            connection=self._connection_for,
+            record_local_prefill=record_local_prefill,
+            record_unreachable=record_unreachable,
+        )
 
     @property
     def silence_s(self):
@@ -161,14 +170,6 @@
         sender = self._own_record().instance
         connection.notify(LoadNotice(sender=sender, load=load))
 
-    def announce_local_prefill(self, upstream, for_s):
-        """Announce to all entries a local prefill for this entry."""
-        if self._is_connected:
-            entry = self._own_record().instance
-            self._connection.notify(
-                ReadingNotice(entry=entry, upstream=upstream, for_s=for_s)
-            )
-
     def publish_crashes(self, records):
         """Send records of requests that crash upstreams to all processes."""
         if self._is_connected:
@@ -367,9 +368,8 @@
         self._update_entries(message)
 
     @_handle_notice.register
-    def _(self, message: ReadingNotice):
-        if message.entry != self._own_record().instance:
-            self._record_local_prefill(message.upstream, message.for_s)
+    def _(self, message: ReadingNotice | UnreachableNotice):
+        self.engine_notices.receive(message)
 
     @_handle_notice.register
     def _(self, message: SourceNotice):
@@ -386,6 +386,7 @@
             }
         )
         self._view.entries = notice.entries
+        self._view.silent = frozenset(notice.silent)
         self._limits.merge(notice.limits)
         known, self._protocol = self._protocol, notice.protocol
         if not known:
--- a/currantdeal/entry/tests/test_subscription.py
+++ b/currantdeal/entry/tests/test_subscription.py
@@ -52,6 +52,7 @@
         report_load=lambda: load.report(unreachable=()),
         update_load=lambda sums: load.update_sums(sums, now_s=loop.time()),
         record_local_prefill=lambda upstream, for_s: None,
+        record_unreachable=lambda upstream, started_ms, entry: None,
         crash_watch=crashes or _Crashes(),
         limits=limits or UpstreamLimits(metrics=Metrics()),
         update_entries=lambda notice: None,
--- a/currantdeal/entry/view.py
+++ b/currantdeal/entry/view.py
@@ -37,6 +37,15 @@
         Interval of the upstreams' heartbeats.
     clock : callable
         Returns monotonic seconds.
+
+    Attributes
+    ----------
+    entries : int
+        Number of entries.
+    silent : frozenset of str
+        Upstreams whose heartbeats no control instance receives any more.
+    confirmed_s : float
+        Time of the last confirmation of this view.
     """
 
     def __init__(
@@ -66,6 +75,7 @@
         self._freshness = ViewFreshness()
         self._changed = asyncio.Event()
         self.entries = 1
+        self.silent = frozenset()
         self.confirmed_s = clock()
 
     @property
--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -213,6 +213,7 @@
     except ConnectRefusedError:
         # The upstream's process has ended, rather than just closed an idle
         # connection, and the request that was sent may have crashed it.
+        first_error.has_ended = True
         raise first_error from None
     return await _exchange_on(
         pool, connection, outgoing, timeout_s=timeout_s, limit=limit
--- a/currantdeal/node/errors.py
+++ b/currantdeal/node/errors.py
@@ -33,8 +33,15 @@
         Description of the failure.
     phase : ExchangePhase
         Phase of the exchange in which it failed.
+
+    Attributes
+    ----------
+    has_ended : bool
+        Whether the upstream's process is known to have ended.
     """
 
+    has_ended = False
+
     def __init__(self, message, *, phase):
         """Store the message and the phase."""
         super().__init__(message)
@@ -57,6 +64,8 @@
 class ConnectRefusedError(ConnectError):
     """No process listens at the address: the upstream has ended."""
 
+    has_ended = True
+
 
 class InvalidResponseError(ExchangeError):
     """The response was truncated or is not valid HTTP."""
@@ -66,5 +75,11 @@
     """The upstream sent bytes that are no answer, or more than are read."""
 
 
+class EngineLostError(ExchangeError):
+    """The upstream has ended, although its connection is open."""
+
+    has_ended = True
+
+
 class ResponseTimeoutError(ExchangeError):
     """The upstream did not respond in time."""
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -143,6 +143,16 @@
         self.record_buffered(0)
         self._wake()
 
+    @property
+    def phase(self):
+        """The ``ExchangePhase`` of the present exchange."""
+        return self._phase
+
+    @property
+    def has_received(self):
+        """Whether an answer, or its end, waits to be read."""
+        return bool(self._events) or self._close_reason is not None
+
     def is_usable(self, *, retryable=False):
         """Return whether another request may be sent on this connection.
 
--- a/currantdeal/node/messages.py
+++ b/currantdeal/node/messages.py
@@ -34,7 +34,7 @@
 from currantdeal.policy.load.shared_load import PoolLoad
 from currantdeal.registry import EntryRecord
 
-PROTOCOL = 3
+PROTOCOL = 4
 """Version of the messages that this build understands.
 
 An instance of an earlier build aborts a connection on which it receives a
@@ -51,6 +51,9 @@
 RETRIES_PROTOCOL = 3
 """Version with the calls for credit of retries."""
 
+UNREACHABLE_PROTOCOL = 4
+"""Version with the notices of upstreams that an entry cannot reach."""
+
 
 @dataclass(frozen=True, kw_only=True)
 class RaftNotice:
@@ -274,6 +277,23 @@
     for_s: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class UnreachableNotice:
+    """An entry found that nothing listens at the address of an upstream.
+
+    Parameters
+    ----------
+    entry : str
+        Name of the entry.
+    started_ms : int
+        Start of the process that was expected there.
+    """
+
+    entry: str
+    upstream: str
+    started_ms: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class CrashesNotice:
     """Records of requests that are suspected of crashing upstreams.
@@ -327,6 +347,8 @@
         Digest of its ``UpstreamRegistry``; None from an earlier build.
     adopts_upstreams : bool
         Whether it adopts upstreams that it does not know.
+    silent : tuple of str
+        Some of the upstreams whose heartbeats have stopped.
     """
 
     current: bool
@@ -336,6 +358,7 @@
     limits: dict[str, LimitReport] = field(default_factory=dict)
     upstreams_digest: int | None = None
     adopts_upstreams: bool = False
+    silent: tuple[str, ...] = ()
 
 
 PEER_CODEC = Codec(
@@ -358,6 +381,7 @@
         SwitchingNotice,
         SourceNotice,
         ReadingNotice,
+        UnreachableNotice,
         CrashesNotice,
         ConfirmCall,
         ConfirmAnswer,
--- /dev/null
+++ b/currantdeal/policy/health/lost_engines.py
@@ -0,0 +1,127 @@
+"""Tells engines that are gone from engines that are only silent.
+
+Load pattern: fail-silent nodes.  A machine that lost power closes no
+connection, so a stream waits there for as long as its caller does.  Silence
+alone shows nothing: an engine that preempted a stream is silent, too, and
+continues it.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+REPORTED_SILENCE_GAPS = 1
+"""Gap targets of silence after which an engine that other entries report as
+unreachable is probed."""
+
+SILENCE_GAPS = 4
+"""Gap targets of silence after which any engine is probed."""
+
+MIN_FAILED_PROBES = 2
+"""Failed probes in a row of an engine that is lost; one may be delayed."""
+
+MAX_KNOWN = 256
+"""Processes about which findings are kept."""
+
+
+class ProbeResult(str, Enum):
+    """What a probe of an engine found.
+
+    ``REFUSED`` means that nothing listens at its address, ``REPLACED`` that
+    another process answers there.  ``UNANSWERED`` covers that no connection
+    could be opened.
+    """
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    REPLACED = "replaced"
+    UNANSWERED = "unanswered"
+
+
+_PROOFS = frozenset({ProbeResult.REFUSED, ProbeResult.REPLACED})
+
+
+@dataclass(frozen=True, kw_only=True)
+class Corroboration:
+    """What others observe of an engine.
+
+    Parameters
+    ----------
+    is_reported : bool
+        Whether several entries report it as unreachable.
+    heartbeats_stopped : bool
+        Whether its heartbeats have stopped.
+    """
+
+    is_reported: bool
+    heartbeats_stopped: bool
+
+
+def should_probe(silent_gaps, *, is_reported):
+    """Return whether to probe the engine of a silent stream.
+
+    Examples
+    --------
+    >>> should_probe(1, is_reported=False), should_probe(1, is_reported=True)
+    (False, True)
+    """
+    if is_reported:
+        return silent_gaps >= REPORTED_SILENCE_GAPS
+    return silent_gaps >= SILENCE_GAPS
+
+
+class LostEngines:
+    """Findings of one entry about processes of engines.
+
+    A process is given by a key of the engine and its start, so that nothing
+    that is found of one applies to the next.
+
+    Examples
+    --------
+    >>> engines = LostEngines()
+    >>> engines.record_probe("d1", ProbeResult.UNANSWERED)
+    >>> engines.record_probe("d1", ProbeResult.UNANSWERED)
+    >>> engines.is_lost("d1", Corroboration(
+    ...     is_reported=True, heartbeats_stopped=False))
+    False
+    >>> engines.is_lost("d1", Corroboration(
+    ...     is_reported=True, heartbeats_stopped=True))
+    True
+    """
+
+    def __init__(self):
+        """Start without findings."""
+        self._failed_probes = {}
+        self._proved = {}
+
+    def record_probe(self, process, result):
+        """Record a ``ProbeResult``."""
+        if result in _PROOFS:
+            _keep(self._proved, process, True)
+        elif result is ProbeResult.ANSWERED:
+            self._failed_probes.pop(process, None)
+        else:
+            failed = self._failed_probes.get(process, 0) + 1
+            _keep(self._failed_probes, process, failed)
+
+    def is_proved(self, process):
+        """Return whether a probe proved that a process has ended."""
+        return process in self._proved
+
+    def is_lost(self, process, corroboration):
+        """Return whether a process has ended, by all that is known of it."""
+        if self.is_proved(process):
+            return True
+        failed = self._failed_probes.get(process, 0)
+        return (
+            failed >= MIN_FAILED_PROBES
+            and corroboration.is_reported
+            and corroboration.heartbeats_stopped
+        )
+
+
+def _keep(findings, process, value):
+    """Store a finding as the latest; drops the oldest of too many."""
+    findings.pop(process, None)
+    findings[process] = value
+    while len(findings) > MAX_KNOWN:
+        del findings[next(iter(findings))]
--- a/currantdeal/policy/health/upstream_health.py
+++ b/currantdeal/policy/health/upstream_health.py
@@ -29,6 +29,9 @@
 UNRESPONSIVE_S = 1.0
 """Time for which an upstream that timed out is reported to other entries."""
 
+RECENT_CONTACT_S = 1.0
+"""Time after an answer for which an upstream is taken to be reachable."""
+
 CROSS_REGION_PENALTY = 0.15
 """Load added to an upstream in another region.
 
@@ -50,6 +53,7 @@
         self.held_until_s = 0.0
         self.unresponsive_until_s = NEVER_S
         self.last_answer_s = NEVER_S
+        self.contact_s = NEVER_S
         self.reported = 0
         self.reported_s = NEVER_S
 
@@ -99,6 +103,14 @@
         state.ejected_until_s = state.held_until_s = 0.0
         state.error_rate += SMOOTHING * (float(error) - state.error_rate)
 
+    def record_contact(self, upstream, *, now_s):
+        """Record that an upstream has just answered any call."""
+        self._state_of(upstream).contact_s = now_s
+
+    def was_reached(self, upstream, *, now_s):
+        """Return whether an upstream answered within ``RECENT_CONTACT_S``."""
+        return now_s - self._state_of(upstream).contact_s <= RECENT_CONTACT_S
+
     def last_answer_s(self, upstream):
         """Return the time of the last answer recorded with a time."""
         return self._state_of(upstream).last_answer_s
@@ -197,6 +209,7 @@
     distance,
     random,
     now_s,
+    is_unreachable=lambda upstream: False,
 ):
     """Return upstreams in the order in which to try them.
 
@@ -212,6 +225,9 @@
     distance : callable
         0 for a record in the same data centre, 1 in the same region, 2
         elsewhere.
+    is_unreachable : callable
+        Whether other entries report an upstream, by its name.  It comes last
+        like an ejected one.
     """
 
     def key(record):
@@ -219,7 +235,7 @@
         load = health.load(name, record.slots, now_s=now_s)
         penalty = CROSS_REGION_PENALTY * (distance(record) == 2)
         return (
-            health.is_ejected(name, now_s=now_s),
+            health.is_ejected(name, now_s=now_s) or is_unreachable(name),
             load + penalty,
             distance(record),
             random.random(),
--- a/currantdeal/policy/load/shared_load.py
+++ b/currantdeal/policy/load/shared_load.py
@@ -14,6 +14,11 @@
 
 from dataclasses import dataclass, field
 
+from currantdeal.policy.health.unreachable_reports import (
+    MIN_UNREACHABLE_REPORTS,
+    UnreachableReports,
+)
+
 LOAD_INTERVAL_S = 0.15
 """Interval at which changed loads are sent, at each of three steps.
 
@@ -27,12 +32,6 @@
 SOURCE_TIMEOUT_S = 2.0
 """Silence after which the load of an entry or control instance is dropped."""
 
-MIN_UNREACHABLE_REPORTS = 2
-"""Entries that must have failed to reach an engine before others avoid it.
-
-A single one may be partitioned from the network itself.
-"""
-
 UNREPORTED_SHARE = 0.1
 """Share of the current streams that began after the sums were taken."""
 
@@ -60,6 +59,11 @@
 class EntryLoad:
     """Load of one entry at engines, and the last sums over all entries.
 
+    Attributes
+    ----------
+    reports : UnreachableReports
+        What entries reported at once, which the sums may not show yet.
+
     Examples
     --------
     >>> load = EntryLoad()
@@ -80,6 +84,7 @@
         self._others = {}
         self._suspects = frozenset()
         self._updated_s = None
+        self.reports = UnreachableReports()
 
     def add(self, upstream, tokens):
         """Add tokens that this entry holds at an engine from now on."""
@@ -157,7 +162,7 @@
         """Return whether several entries failed to reach an engine."""
         return (
             self.has_current_sums(now_s=now_s) and upstream in self._suspects
-        )
+        ) or self.reports.is_unreachable(upstream, now_s=now_s)
 
 
 class LoadSums:
--- a/currantdeal/registry/upstreams.py
+++ b/currantdeal/registry/upstreams.py
@@ -206,6 +206,14 @@
         """Return whether an upstream has missed too many heartbeats."""
         return now_s - self._last_heartbeat_s[upstream] > self._silent_after_s
 
+    def silent(self, *, now_s):
+        """Return the names of present upstreams that count as silent."""
+        return [
+            record.upstream
+            for record in self.present
+            if self.is_silent(record.upstream, now_s=now_s)
+        ]
+
     def expire(self, *, now_s):
         """Remove records that were not renewed in time.
 
