Bound what slow callers leave in memory and unread at engines

Cause: bytes that callers don't take, and bodies that they send slowly, were bounded for each connection only; bytes received for a slow caller weren't counted at all; an answer nobody took stayed after the idle timeout.

Change: unsent answers, bodies being received and bytes received but not read are each bounded in sum (the largest is given up; a body is refused with 503). A caller who takes nothing for 2 s while its engine waits unread loses its answer; an answer not taken within the idle timeout is dropped.

Not bounded in sum: bodies of requests in progress.

--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -363,7 +363,9 @@
         context.record_reached(record)
         began_s = self._now_s
         is_ended = await self._relay.forward_events(
-            head, lambda: self._next_chunk(connection, record)
+            head,
+            lambda: self._next_chunk(connection, record),
+            holds_up=lambda: connection.is_paused,
         )
         events, position = self._events_of_run, self._relay.position
         record_end(context, active, record, head, events, position)
--- a/currantdeal/entry/relay.py
+++ b/currantdeal/entry/relay.py
@@ -1,10 +1,12 @@
 """Forwards the events of a generation to its caller, over several runs."""
 
+from currantdeal.entry.errors import IncompleteAnswerError
 from currantdeal.entry.events import EventSplitter, OpaqueBody
 from currantdeal.entry.run_end import check_end
 from currantdeal.node.errors import (
     InvalidResponseError,
     MalformedResponseError,
+    SlowCallerError,
 )
 from currantdeal.node.head import EVENT_STREAM
 from currantdeal.policy.answers.answer_end import (
@@ -68,7 +70,7 @@
         """The ``Position`` of the end of the events so far."""
         return self._body.position
 
-    async def forward_events(self, head, next_chunk):
+    async def forward_events(self, head, next_chunk, *, holds_up):
         """Forward a run to its end; returns whether that ends the answer.
 
         It does not if the answer is framed and nobody can know whether the run
@@ -80,9 +82,13 @@
             Head of the run's answer.
         next_chunk : callable
             Coroutine function that returns bytes, or None at the end.
+        holds_up : callable
+            Whether the rest of the run stays unread for now.
 
         Raises
         ------
+        IncompleteAnswerError
+            If the caller takes nothing while that is so.
         InvalidResponseError
             If the run was broken off.
         """
@@ -95,7 +101,7 @@
                     phase=ExchangePhase.WITHIN_ANSWER,
                 )
             if complete:
-                await self._send(head, complete)
+                await self._send(head, complete, holds_up)
         found = check_end(head, self.position)
         if not self.started:
             self._begin(head)
@@ -148,11 +154,14 @@
         else:
             self._body = OpaqueBody()
 
-    async def _send(self, head, data):
+    async def _send(self, head, data, holds_up):
         if not self.started:
             self._begin(head)
         self._active.record_output(self._context.now_s)
-        await self._active.responder.send(data)
+        try:
+            await self._active.responder.send(data, holds_up=holds_up)
+        except SlowCallerError as exc:
+            raise IncompleteAnswerError(str(exc)) from exc
 
     def _begin(self, head):
         self._framing = framing_of_stream(head.framing)
--- a/currantdeal/node/errors.py
+++ b/currantdeal/node/errors.py
@@ -16,6 +16,10 @@
     """Another instance could not be reached or did not respond in time."""
 
 
+class SlowCallerError(NodeError):
+    """A caller does not take its answer while an upstream waits for that."""
+
+
 class SendExpiredError(NodeError):
     """A request was not sent, because its time to be sent had passed."""
 
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -88,6 +88,7 @@
         self._failure = InvalidResponseError
         self._phase = ExchangePhase.CONNECTING
         self._unread = 0
+        self._kept = 0
         self._unparsed = b""
         self._paused = False
         self._idle_since_s = 0.0
@@ -148,6 +149,11 @@
         """The ``ExchangePhase`` of the present exchange."""
         return self._phase
 
+    @property
+    def is_paused(self):
+        """Whether the rest of an answer stays unread for now."""
+        return self._paused
+
     @property
     def has_received(self):
         """Whether an answer, or its end, waits to be read."""
@@ -231,6 +237,7 @@
             event = await self._next_event()
             if isinstance(event, h11.Data):
                 self._unread -= len(event.data)
+                self._record_memory()
                 if self._paused:
                     self._update_reading()
                 return bytes(event.data)
@@ -267,7 +274,8 @@
 
     def record_buffered(self, size_bytes):
         """Record how many bytes of the answer its reader keeps."""
-        self._buffered.record(self, size_bytes)
+        self._kept = size_bytes
+        self._record_memory()
 
     def give_up(self):
         """Close the connection, whose answer is the largest of too many."""
@@ -319,6 +327,7 @@
             self._events.append(event)
             return
         self._unread += len(event.data)
+        self._record_memory()
         if not self._events or not isinstance(self._events[-1], h11.Data):
             self._events.append(event)
             return
@@ -327,6 +336,12 @@
             self._events.append(h11.Data(data=data))
         self._events[-1].data.extend(event.data)
 
+    def _record_memory(self):
+        """Record the bytes of the answer that this process holds."""
+        is_open = self._close_reason is None
+        held = self._kept + self._unread if is_open else 0
+        self._buffered.record(self, held)
+
     def _update_reading(self):
         """Pause reading while there are bytes to parse, or many to read."""
         if self._close_reason is not None:
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -12,6 +12,7 @@
 import h11
 import structlog
 
+from currantdeal.node.buffered_answers import BufferedAnswers
 from currantdeal.node.chunk_sizes import ChunkSizes
 from currantdeal.node.head import RequestHead
 from currantdeal.node.http_request import (
@@ -73,6 +74,8 @@
         self.limits = limits
         self.on_refused = on_refused or (lambda status, reason, detail: None)
         self.connections = set()
+        self.unsent = BufferedAnswers()
+        self.unread = BufferedAnswers()
         self.closing = False
         self._server = None
 
@@ -138,13 +141,16 @@
         self._transport = transport
         self._sender = (transport.get_extra_info("peername") or ("",))[0]
         prepare_socket(transport)
-        self._writer = ResponseWriter(transport=transport)
+        self._writer = ResponseWriter(
+            transport=transport, unsent=self._server.unsent
+        )
         self._server.connections.add(self)
         self._reset_parser()
         self._start_idle_timer()
 
     def connection_lost(self, exc):
         self._server.connections.discard(self)
+        self._server.unread.record(self, 0)
         self._cancel_timer()
         self._writer.resume()
         if self._task is not None:
@@ -279,6 +285,18 @@
             raise RefusedRequest(400, "the chunks are too small")
         if len(self._body) > self._server.limits().max_body_bytes:
             raise RefusedRequest(413, "the body is too large")
+        self._server.unread.record(self, len(self._body))
+
+    def give_up(self):
+        """Refuse the request, whose body is the largest of too many."""
+        self._loop.call_soon(self._refuse_body)
+
+    def _refuse_body(self):
+        if not (self.is_busy or self._is_closing):
+            self._body.clear()
+            self._reject(
+                RefusedRequest(503, "the bodies being received are too large")
+            )
 
     def _send_continue_if_expected(self):
         if self._http.they_are_waiting_for_100_continue:
@@ -289,6 +307,7 @@
 
     def _dispatch(self):
         self._cancel_timer()
+        self._server.unread.record(self, 0)
         request = Request(
             head=self._request,
             body=bytes(self._body),
@@ -304,7 +323,7 @@
         responder = Responder(writer=self._writer)
         try:
             await self._server.handler(request, responder)
-            await self._writer.close_open_ended()
+            await self._close_open_ended()
         except asyncio.CancelledError:
             self._transport.abort()
             raise
@@ -316,6 +335,15 @@
             self._task = None
             self._next_request()
 
+    async def _close_open_ended(self):
+        limit_s = self._server.limits().idle_timeout_s
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._writer.close_open_ended()
+        except TimeoutError:
+            # The caller does not take the end of the answer.
+            self._transport.abort()
+
     def _next_request(self):
         if self._transport.is_closing():
             return
@@ -373,7 +401,17 @@
 
     def _start_idle_timer(self):
         limit = self._server.limits().idle_timeout_s
-        self._set_timer(limit, self._transport.close)
+        self._set_timer(limit, self._end_idle)
+
+    def _end_idle(self):
+        """Close an idle connection, or abort it if its caller reads nothing.
+
+        Closing would wait until the caller has taken the last answer.
+        """
+        if self._writer.unsent_bytes:
+            self._transport.abort()
+        else:
+            self._transport.close()
 
     def _set_timer(self, delay_s, action):
         self._cancel_timer()
--- a/currantdeal/node/response_writer.py
+++ b/currantdeal/node/response_writer.py
@@ -10,8 +10,23 @@
 import h11
 
 from currantdeal.adapters.sockets import set_reset_on_close
+from currantdeal.node.errors import SlowCallerError
 from currantdeal.policy.answers.answer_end import Framing, framing_of_stream
 
+MAX_UNCOUNTED_BYTES = 4_096
+"""Unsent bytes from which a caller reads slowly, and they are counted.
+
+Each connection may hold as many uncounted.
+"""
+
+
+MAX_UNTAKEN_S = 2.0
+"""Time for which a caller may take nothing while its upstream waits.
+
+Upstreams cut an answer that stays unread for some seconds, and hold memory for
+it until then.
+"""
+
 
 class ResponseWriter:
     """Writes one response after the other to a connection.
@@ -20,11 +35,15 @@
     ----------
     transport : asyncio.Transport
         The connection.
+    unsent : BufferedAnswers
+        Bounds what all callers together have not taken.
     """
 
-    def __init__(self, *, transport):
+    def __init__(self, *, transport, unsent):
         """Start without a response."""
         self._transport = transport
+        self._unsent = unsent
+        transport.set_write_buffer_limits(high=MAX_UNCOUNTED_BYTES, low=0)
         self._http = None
         self._keeps_open = None
         self._drained = None
@@ -67,6 +86,7 @@
             self.write(self._http, h11.Data(data=data))
         elif not self._transport.is_closing():
             self._transport.write(data)
+            self._record_unsent()
 
     def send_end(self):
         """End the response in order."""
@@ -79,21 +99,47 @@
         """Write an event of the parser, unless the connection is closing."""
         if not self._transport.is_closing():
             self._transport.write(http.send(event))
+            self._record_unsent()
 
     def pause(self):
         """Let writers wait: the caller reads slowly."""
         self._drained = asyncio.get_running_loop().create_future()
+        self._record_unsent()
 
     def resume(self):
         """Let writers continue."""
         if self._drained is not None and not self._drained.done():
             self._drained.set_result(None)
         self._drained = None
+        self._unsent.record(self, 0)
 
-    async def writable(self):
-        """Wait while the caller reads slowly."""
-        if self._drained is not None:
-            await self._drained
+    async def writable(self, *, holds_up=lambda: False):
+        """Wait while the caller reads slowly.
+
+        Parameters
+        ----------
+        holds_up : callable
+            Whether that keeps an upstream's answer unread.
+
+        Raises
+        ------
+        SlowCallerError
+            If it does while the caller takes nothing for ``MAX_UNTAKEN_S``.
+        """
+        while (drained := self._drained) is not None:
+            unsent = self.unsent_bytes
+            done, _ = await asyncio.wait({drained}, timeout=MAX_UNTAKEN_S)
+            if not done and holds_up() and self.unsent_bytes >= unsent:
+                raise SlowCallerError("the caller takes nothing")
+
+    @property
+    def unsent_bytes(self):
+        """Bytes that the caller has not taken."""
+        return self._transport.get_write_buffer_size()
+
+    def give_up(self):
+        """Abort the connection of the caller who has left most untaken."""
+        self._transport.abort()
 
     def abort(self):
         """Abort the connection, so that the response cannot look complete."""
@@ -115,6 +161,10 @@
             self._set_reset_on_close(False)
             self._transport.close()
 
+    def _record_unsent(self):
+        if self._drained is not None and not self._transport.is_closing():
+            self._unsent.record(self, self.unsent_bytes)
+
     def _set_reset_on_close(self, enabled):
         sock = self._transport.get_extra_info("socket")
         set_reset_on_close(sock, enabled)
