Withhold repeats that mostly fail from the shared budget; read the pace

So repeats stay, but where most fail by the counts of all entries they use the credit of the entry's own requests alone.

Pace: the load header with a fourth figure was dropped whole, so the load was lost with it. Three figures are read as before. Not shared by the sums.

--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -18,6 +18,7 @@
 from currantdeal.policy.load.shared_load import EntryLoad
 from currantdeal.policy.memory.decode_memory import DecodeEngineOrder
 from currantdeal.policy.placement.local_prefills import LocalPrefills
+from currantdeal.policy.retries.repeat_outcomes import RepeatOutcomes
 from currantdeal.policy.retries.retry_detection import RetryDetector
 
 LIMIT_QUEUE_TARGETS = 0.5
@@ -85,6 +86,7 @@
         self.decode_engine_order = DecodeEngineOrder(load=self.load)
         self.prefill_health = UpstreamHealth()
         self.retry_detector = RetryDetector()
+        self.repeat_outcomes = RepeatOutcomes()
         self.local_prefills = LocalPrefills()
         self.announce_local_prefill = None
         self.announce_unreachable = None
@@ -241,12 +243,14 @@
         return self.load.report(
             unreachable=unreachable,
             longest_timeouts_s=self.retry_detector.longest_timeouts_s,
+            repeats=self.repeat_outcomes.counts(now_s=now_s),
         )
 
     def update_load(self, load):
         """Update the load of all entries at the engines."""
         self.load.update_sums(load, now_s=self.now_s)
         self.retry_detector.set_shared_timeouts(load.patience)
+        self.repeat_outcomes.update_sums(load.repeats)
 
     def in_background(self, work):
         """Run a coroutine that outlives its request."""
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -67,11 +67,17 @@
         record = await _next_upstream(context, active, attempted)
         if record is None or not context.may_send(active):
             break
-        if not await active.arrivals.may_send(ArrivalKind.CALL):
+        if not await _may_send(context, active, last):
             active.add_step(StepKind.NO_BUDGET)
             break
         attempted.add(record.upstream)
         answer = await _attempt(context, active, record)
+        if last is not None and answer.head is not None:
+            context.repeat_outcomes.record(
+                active.service.name,
+                failed=not answer.final,
+                now_s=context.now_s,
+            )
         if answer.final:
             _forward(context, active, answer)
             return
@@ -81,6 +87,27 @@
     _end_without_answer(context, active, last)
 
 
+async def _may_send(context, active, error):
+    """Return whether the retry budget allows the next attempt.
+
+    Repeats after an ``error`` that mostly fail again use the credit of the
+    requests at this entry alone.  The rest of the budget is kept for others.
+
+    Parameters
+    ----------
+    error : _AttemptResult or None
+        The last complete answer, an error.
+    """
+    service = active.service.name
+    pays = error is None or context.repeat_outcomes.pays(
+        service, now_s=context.now_s
+    )
+    if not pays and not context.retry_budgets.left().get(service):
+        context.metrics.add("repeats_withheld_total", service=service)
+        return False
+    return await active.arrivals.may_send(ArrivalKind.CALL)
+
+
 class _AttemptResult:
     """The outcome of one attempt.
 
@@ -238,6 +265,7 @@
             record.upstream,
             metadata.load.running + metadata.load.waiting,
             now_s=context.now_s,
+            pace=metadata.load.pace,
         )
     if metadata.not_run:
         context.health.record_answer(record.upstream, error=False)
--- a/currantdeal/entry/run_wait.py
+++ b/currantdeal/entry/run_wait.py
@@ -108,7 +108,7 @@
         )
         if is_lost and not connection.has_received:
             self.lost_engines += 1
-            self._context.metrics.add("streams_ended_total", why="engine-lost")
+            self._context.metrics.add("runs_of_lost_engines_total")
             raise EngineLostError(
                 f"{record.upstream!r} has ended", phase=connection.phase
             )
--- a/currantdeal/entry/tests/test_plain.py
+++ b/currantdeal/entry/tests/test_plain.py
@@ -18,7 +18,7 @@
 ORDER = request_bytes("/order/1", body=b"cake=1")
 
 
-def _ask(raw, *scripts, allowance=100.0):
+def _ask(raw, *scripts, allowance=100.0, prepare=lambda world: None):
     """Return the answer to one request, and the stand-ins of its upstreams."""
 
     async def run():
@@ -30,6 +30,7 @@
             for standin in standins:
                 await standin.start()
                 world.announce(standin)
+            prepare(world)
             return await world.exchange(raw), standins
 
     return asyncio.run(run())
@@ -207,3 +208,20 @@
     answer, standin = asyncio.run(run())
     assert answer.count(b"HTTP/1.1 200") == 2
     assert len(standin.requests) == 2
+
+
+@pytest.mark.parametrize("failures", [0, 20])
+def test_repeats_that_mostly_fail_leave_the_shared_budget(failures):
+    """Guards against a budget that is spent on calls that always fail.
+
+    Without other requests, this entry has no credit of its own.
+    """
+
+    def fail(world):
+        for _ in range(failures):
+            world.context.repeat_outcomes.record(
+                "shop", failed=True, now_s=world.context.now_s
+            )
+
+    _, standins = _ask(MENU, _server_error, _server_error, prepare=fail)
+    assert _runs(standins) == (1 if failures else 2)
--- a/currantdeal/node/dialect.py
+++ b/currantdeal/node/dialect.py
@@ -90,11 +90,19 @@
 
 @dataclass(frozen=True, kw_only=True)
 class UpstreamLoad:
-    """Number of running and queued requests at an upstream, and of slots."""
+    """Number of running and queued requests at an upstream, and of slots.
+
+    Parameters
+    ----------
+    pace : float or None
+        Time that work takes there now, as a multiple of the usual; None if
+        it isn't stated.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/currantdeal/platform/calls.py
+++ b/currantdeal/platform/calls.py
@@ -34,6 +34,7 @@
 )
 
 _MS = 1_000.0
+_USUAL_PACE = 100.0
 _BEARER = b"bearer"
 _LOWEST_PRIORITY = 9
 _ID_PREFIX_BYTES = 6
@@ -335,8 +336,22 @@
 
 
 def _parse_load(text):
-    parts = [parse_header_int(part.strip()) for part in text.split(",")]
-    if len(parts) != 3 or None in parts:
+    fields = [field.strip() for field in text.split(",")]
+    counts = [parse_header_int(field) for field in fields[:3]]
+    if len(fields) not in (3, 4) or None in counts:
         return None
-    running, waiting, slots = parts
-    return UpstreamLoad(running=running, waiting=waiting, slots=slots)
+    running, waiting, slots = counts
+    return UpstreamLoad(
+        running=running,
+        waiting=waiting,
+        slots=slots,
+        pace=_parse_pace(*fields[3:]),
+    )
+
+
+def _parse_pace(text=""):
+    """Return how long work takes, given in percent of the usual, or None."""
+    if not _DECIMAL.fullmatch(text):
+        return None
+    percent = float(text)
+    return percent / _USUAL_PACE if 0.0 < percent < math.inf else None
--- a/currantdeal/platform/tests/test_calls.py
+++ b/currantdeal/platform/tests/test_calls.py
@@ -1,6 +1,7 @@
 import pytest
 
-from currantdeal.node.head import RequestHead
+from currantdeal.node.head import RequestHead, ResponseHead
+from currantdeal.platform import headers as header_names
 from currantdeal.platform.calls import PlatformCalls
 
 
@@ -37,3 +38,25 @@
     """Guards against memory and messages that grow with a long header."""
     value = b",".join(b"%x:1" % n for n in range(10_000))
     assert len(_shared_parts(value)) == 16
+
+
+@pytest.mark.parametrize(
+    ("text", "pace"),
+    [("3,1,8", None), ("3, 1, 8, 250", 2.5), ("3,1,8,soon", None)],
+)
+def test_load_is_read_with_and_without_a_pace(text, pace):
+    """Guards against a load that is lost because of a fourth figure."""
+    head = ResponseHead(
+        status=200, headers=((header_names.LOAD, text.encode()),)
+    )
+    load = PlatformCalls().read_response(head).load
+    assert (load.running, load.waiting, load.slots) == (3, 1, 8)
+    assert load.pace == pace
+
+
+@pytest.mark.parametrize("text", ["", "3,1", "3,1,x", "3,1,8,100,5"])
+def test_malformed_load_is_ignored(text):
+    head = ResponseHead(
+        status=200, headers=((header_names.LOAD, text.encode()),)
+    )
+    assert PlatformCalls().read_response(head).load is None
--- a/currantdeal/policy/health/upstream_health.py
+++ b/currantdeal/policy/health/upstream_health.py
@@ -12,6 +12,8 @@
 
 import math
 
+from currantdeal.policy.health.pace import Pace
+
 NEVER_S = -math.inf
 
 BASE_EJECTION_S = 0.5
@@ -56,6 +58,7 @@
         self.contact_s = NEVER_S
         self.reported = 0
         self.reported_s = NEVER_S
+        self.pace = Pace()
 
 
 class UpstreamHealth:
@@ -156,17 +159,22 @@
         state = self._state_of(upstream)
         state.ejected_until_s = state.held_until_s
 
-    def record_load(self, upstream, requests, *, now_s):
+    def record_load(self, upstream, requests, *, now_s, pace=None):
         """Record the load that an upstream reported.
 
         Parameters
         ----------
         requests : int
             Its running and waiting requests.
+        pace : float or None
+            Time that work takes there now, as a multiple of the usual, if it
+            reported that, too.
         """
         state = self._state_of(upstream)
         state.reported = requests
         state.reported_s = now_s
+        if pace is not None:
+            state.pace.record(pace, now_s=now_s)
 
     def is_ejected(self, upstream, *, now_s):
         """Return whether an upstream is ejected now."""
@@ -184,12 +192,16 @@
         """Return the estimated share of busy slots plus the error penalty.
 
         The larger of this entry's open requests and a recent report counts.
+        Where work takes longer than usual, they and the next request count for
+        more in proportion.
         """
         state = self._state_of(upstream)
         requests = state.outstanding
         if now_s - state.reported_s <= MAX_REPORT_AGE_S:
             requests = max(requests, state.reported)
-        return requests / max(1, slots) + ERROR_WEIGHT * state.error_rate
+        pace = state.pace.value(now_s=now_s)
+        busy = requests + (pace - 1.0) * (requests + 1)
+        return busy / max(1, slots) + ERROR_WEIGHT * state.error_rate
 
     def has_room(self, record, *, now_s):
         """Return whether an upstream is reachable and not busy."""
--- a/currantdeal/policy/load/shared_load.py
+++ b/currantdeal/policy/load/shared_load.py
@@ -49,11 +49,15 @@
         Number of entries that recently failed to reach an engine.
     patience : dict
         Longest timeout of the callers of each route, in seconds.
+    repeats : dict
+        Number of calls that were repeated after an error, and of those that
+        failed again, by service.
     """
 
     held: dict[str, int]
     unreachable: dict[str, int]
     patience: dict[str, float] = field(default_factory=dict)
+    repeats: dict[str, tuple[int, int]] = field(default_factory=dict)
 
 
 class EntryLoad:
@@ -98,7 +102,7 @@
         else:
             self._own.pop(upstream, None)
 
-    def report(self, *, unreachable, longest_timeouts_s=None):
+    def report(self, *, unreachable, longest_timeouts_s=None, repeats=None):
         """Return the load of this entry, to be sent to the other entries.
 
         Parameters
@@ -107,12 +111,15 @@
             Engines that this entry recently failed to reach.
         longest_timeouts_s : dict or None
             Longest timeout that callers set on each route, in seconds.
+        repeats : dict or None
+            See ``PoolLoad``.
         """
         self._reported = dict(self._own)
         return PoolLoad(
             held=self._reported,
             unreachable=dict.fromkeys(unreachable, 1),
             patience=longest_timeouts_s or {},
+            repeats=repeats or {},
         )
 
     def update_sums(self, sums, *, now_s):
@@ -223,6 +230,7 @@
     held = {}
     unreachable = {}
     longest_timeouts_s = {}
+    repeats = {}
     for load in loads:
         _add_counts(held, load.held)
         _add_counts(unreachable, load.unreachable)
@@ -230,8 +238,14 @@
             longest_timeouts_s[route] = max(
                 seconds, longest_timeouts_s.get(route, 0.0)
             )
+        for service, (number, failed) in load.repeats.items():
+            before = repeats.get(service, (0, 0))
+            repeats[service] = (before[0] + number, before[1] + failed)
     return PoolLoad(
-        held=held, unreachable=unreachable, patience=longest_timeouts_s
+        held=held,
+        unreachable=unreachable,
+        patience=longest_timeouts_s,
+        repeats=repeats,
     )
 
 
--- a/currantdeal/registry/upstreams.py
+++ b/currantdeal/registry/upstreams.py
@@ -32,6 +32,9 @@
 delay observed.
 """
 
+MISSED_HEARTBEATS = 3.0
+"""Missed heartbeats that confirm what entries found of an upstream."""
+
 EXPIRE_AFTER_S = 30.0
 """Time without heartbeats after which an upstream is removed.
 
@@ -90,6 +93,7 @@
 
     def __init__(self, *, heartbeat_s):
         """Start without records."""
+        self._heartbeat_s = heartbeat_s
         self._silent_after_s = MAX_MISSED_HEARTBEATS * heartbeat_s
         self._records = {}
         self._names_by_address = {}
@@ -207,11 +211,15 @@
         return now_s - self._last_heartbeat_s[upstream] > self._silent_after_s
 
     def silent(self, *, now_s):
-        """Return the names of present upstreams that count as silent."""
+        """Return present upstreams that missed some heartbeats, by name.
+
+        ``MISSED_HEARTBEATS`` of them show little without other evidence.
+        """
+        limit_s = MISSED_HEARTBEATS * self._heartbeat_s
         return [
             record.upstream
             for record in self.present
-            if self.is_silent(record.upstream, now_s=now_s)
+            if now_s - self._last_heartbeat_s[record.upstream] > limit_s
         ]
 
     def expire(self, *, now_s):
