--- a/currantdeal/node/messages.py
+++ b/currantdeal/node/messages.py
@@ -55,6 +55,9 @@
 LOAD_CHANGES_PROTOCOL = 4
 """Version with the changes of the sums of loads."""
 
+UNREACHABLE_PROTOCOL = 4
+"""Version with the notices of upstreams that an entry cannot reach."""
+
 
 @dataclass(frozen=True, kw_only=True)
 class RaftNotice:
@@ -292,6 +295,23 @@
     for_s: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class UnreachableNotice:
+    """An entry found that nothing listens at the address of an upstream.
+
+    Parameters
+    ----------
+    entry : str
+        Name of the entry.
+    started_ms : int
+        Start of the process that was expected there.
+    """
+
+    entry: str
+    upstream: str
+    started_ms: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class CrashesNotice:
     """Records of requests that are suspected of crashing upstreams.
@@ -345,6 +365,8 @@
         Digest of its ``UpstreamRegistry``; None from an earlier build.
     adopts_upstreams : bool
         Whether it adopts upstreams that it does not know.
+    silent : tuple of str
+        Some of the upstreams whose heartbeats have stopped.
     """
 
     current: bool
@@ -354,6 +376,7 @@
     limits: dict[str, LimitReport] = field(default_factory=dict)
     upstreams_digest: int | None = None
     adopts_upstreams: bool = False
+    silent: tuple[str, ...] = ()
 
 
 PEER_CODEC = Codec(
@@ -376,6 +399,7 @@
         SwitchingNotice,
         SourceNotice,
         ReadingNotice,
+        UnreachableNotice,
         CrashesNotice,
         ConfirmCall,
         ConfirmAnswer,
--- a/currantdeal/policy/health/upstream_health.py
+++ b/currantdeal/policy/health/upstream_health.py
@@ -12,6 +12,8 @@
 
 import math
 
+from currantdeal.policy.health.pace import Pace
+
 NEVER_S = -math.inf
 
 BASE_EJECTION_S = 0.5
@@ -29,6 +31,9 @@
 UNRESPONSIVE_S = 1.0
 """Time for which an upstream that timed out is reported to other entries."""
 
+RECENT_CONTACT_S = 1.0
+"""Time after an answer for which an upstream is taken to be reachable."""
+
 CROSS_REGION_PENALTY = 0.15
 """Load added to an upstream in another region.
 
@@ -50,8 +55,10 @@
         self.held_until_s = 0.0
         self.unresponsive_until_s = NEVER_S
         self.last_answer_s = NEVER_S
+        self.contact_s = NEVER_S
         self.reported = 0
         self.reported_s = NEVER_S
+        self.pace = Pace()
 
 
 class UpstreamHealth:
@@ -99,6 +106,14 @@
         state.ejected_until_s = state.held_until_s = 0.0
         state.error_rate += SMOOTHING * (float(error) - state.error_rate)
 
+    def record_contact(self, upstream, *, now_s):
+        """Record that an upstream has just answered any call."""
+        self._state_of(upstream).contact_s = now_s
+
+    def was_reached(self, upstream, *, now_s):
+        """Return whether an upstream answered within ``RECENT_CONTACT_S``."""
+        return now_s - self._state_of(upstream).contact_s <= RECENT_CONTACT_S
+
     def last_answer_s(self, upstream):
         """Return the time of the last answer recorded with a time."""
         return self._state_of(upstream).last_answer_s
@@ -144,17 +159,22 @@
         state = self._state_of(upstream)
         state.ejected_until_s = state.held_until_s
 
-    def record_load(self, upstream, requests, *, now_s):
+    def record_load(self, upstream, requests, *, now_s, pace=None):
         """Record the load that an upstream reported.
 
         Parameters
         ----------
         requests : int
             Its running and waiting requests.
+        pace : float or None
+            Time that work takes there now, as a multiple of the usual, if it
+            reported that, too.
         """
         state = self._state_of(upstream)
         state.reported = requests
         state.reported_s = now_s
+        if pace is not None:
+            state.pace.record(pace, now_s=now_s)
 
     def is_ejected(self, upstream, *, now_s):
         """Return whether an upstream is ejected now."""
@@ -172,12 +192,16 @@
         """Return the estimated share of busy slots plus the error penalty.
 
         The larger of this entry's open requests and a recent report counts.
+        Where work takes longer than usual, they and the next request count for
+        more in proportion.
         """
         state = self._state_of(upstream)
         requests = state.outstanding
         if now_s - state.reported_s <= MAX_REPORT_AGE_S:
             requests = max(requests, state.reported)
-        return requests / max(1, slots) + ERROR_WEIGHT * state.error_rate
+        pace = state.pace.value(now_s=now_s)
+        busy = requests + (pace - 1.0) * (requests + 1)
+        return busy / max(1, slots) + ERROR_WEIGHT * state.error_rate
 
     def has_room(self, record, *, now_s):
         """Return whether an upstream is reachable and not busy."""
@@ -197,6 +221,7 @@
     distance,
     random,
     now_s,
+    is_unreachable=lambda upstream: False,
 ):
     """Return upstreams in the order in which to try them.
 
@@ -212,6 +237,9 @@
     distance : callable
         0 for a record in the same data centre, 1 in the same region, 2
         elsewhere.
+    is_unreachable : callable
+        Whether other entries report an upstream, by its name.  It comes last
+        like an ejected one.
     """
 
     def key(record):
@@ -219,7 +247,7 @@
         load = health.load(name, record.slots, now_s=now_s)
         penalty = CROSS_REGION_PENALTY * (distance(record) == 2)
         return (
-            health.is_ejected(name, now_s=now_s),
+            health.is_ejected(name, now_s=now_s) or is_unreachable(name),
             load + penalty,
             distance(record),
             random.random(),
--- a/currantdeal/policy/load/shared_load.py
+++ b/currantdeal/policy/load/shared_load.py
@@ -14,6 +14,11 @@
 
 from dataclasses import dataclass, field
 
+from currantdeal.policy.health.unreachable_reports import (
+    MIN_UNREACHABLE_REPORTS,
+    UnreachableReports,
+)
+
 LOAD_INTERVAL_S = 0.15
 """Interval at which changed loads are sent, at each of three steps.
 
@@ -27,12 +32,6 @@
 SOURCE_TIMEOUT_S = 2.0
 """Silence after which the load of an entry or control instance is dropped."""
 
-MIN_UNREACHABLE_REPORTS = 2
-"""Entries that must have failed to reach an engine before others avoid it.
-
-A single one may be partitioned from the network itself.
-"""
-
 UNREPORTED_SHARE = 0.1
 """Share of the current streams that began after the sums were taken."""
 
@@ -50,16 +49,25 @@
         Number of entries that recently failed to reach an engine.
     patience : dict
         Longest timeout of the callers of each route, in seconds.
+    repeats : dict
+        Number of calls that were repeated after an error, and of those that
+        failed again, by service.
     """
 
     held: dict[str, int]
     unreachable: dict[str, int]
     patience: dict[str, float] = field(default_factory=dict)
+    repeats: dict[str, tuple[int, int]] = field(default_factory=dict)
 
 
 class EntryLoad:
     """Load of one entry at engines, and the last sums over all entries.
 
+    Attributes
+    ----------
+    reports : UnreachableReports
+        What entries reported at once, which the sums may not show yet.
+
     Examples
     --------
     >>> load = EntryLoad()
@@ -80,6 +88,7 @@
         self._others = {}
         self._suspects = frozenset()
         self._updated_s = None
+        self.reports = UnreachableReports()
 
     def add(self, upstream, tokens):
         """Add tokens that this entry holds at an engine from now on."""
@@ -93,7 +102,7 @@
         else:
             self._own.pop(upstream, None)
 
-    def report(self, *, unreachable, longest_timeouts_s=None):
+    def report(self, *, unreachable, longest_timeouts_s=None, repeats=None):
         """Return the load of this entry, to be sent to the other entries.
 
         Parameters
@@ -102,12 +111,15 @@
             Engines that this entry recently failed to reach.
         longest_timeouts_s : dict or None
             Longest timeout that callers set on each route, in seconds.
+        repeats : dict or None
+            See ``PoolLoad``.
         """
         self._reported = dict(self._own)
         return PoolLoad(
             held=self._reported,
             unreachable=dict.fromkeys(unreachable, 1),
             patience=longest_timeouts_s or {},
+            repeats=repeats or {},
         )
 
     def update_sums(self, sums, *, now_s):
@@ -157,7 +169,7 @@
         """Return whether several entries failed to reach an engine."""
         return (
             self.has_current_sums(now_s=now_s) and upstream in self._suspects
-        )
+        ) or self.reports.is_unreachable(upstream, now_s=now_s)
 
 
 class LoadSums:
@@ -218,6 +230,7 @@
     held = {}
     unreachable = {}
     longest_timeouts_s = {}
+    repeats = {}
     for load in loads:
         _add_counts(held, load.held)
         _add_counts(unreachable, load.unreachable)
@@ -225,8 +238,14 @@
             longest_timeouts_s[route] = max(
                 seconds, longest_timeouts_s.get(route, 0.0)
             )
+        for service, (number, failed) in load.repeats.items():
+            before = repeats.get(service, (0, 0))
+            repeats[service] = (before[0] + number, before[1] + failed)
     return PoolLoad(
-        held=held, unreachable=unreachable, patience=longest_timeouts_s
+        held=held,
+        unreachable=unreachable,
+        patience=longest_timeouts_s,
+        repeats=repeats,
     )
 
 
