Measure what leaving the data centre costs, and decide how much leaves

Distance was a fixed penalty in four places, the same at rest and in need, for a target of 0.2 s and of 2 s. One module compares the round trips that an entry measures, the transfer of the KV cache and the price of bytes that an operator may name with the wait here, and lets as many requests leave as bring both to the same cost. Not measured on a deployment yet.

--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -104,6 +104,7 @@
             ),
             metrics=self._metrics,
             revocation_s=self._bounds.revocation_s,
+            distance=settings.distance,
         )
         self._service = EntryService(context=self._context)
         self._directory = CallerDirectory(
@@ -173,7 +174,7 @@
             keep_running(self._subscription.run, metrics=self._metrics),
             self._repeat(LOAD_INTERVAL_S, self._subscription.send_load),
             self._repeat(QUOTA_REFILL_S, self._refill_quotas),
-            self._repeat(SETTINGS_INTERVAL_S, self._file.reload_if_changed),
+            self._repeat(SETTINGS_INTERVAL_S, self._reload_settings),
         )
         await self._drain()
         _log.info("stopped", cut=self._server.active_requests)
@@ -198,6 +199,10 @@
             return True
         return self._subscription.silence_s < RECENT_NOTICE_S
 
+    def _reload_settings(self):
+        self._file.reload_if_changed()
+        self._context.departures.costs.settings = self._file.current.distance
+
     def _refill_quotas(self):
         table = self._view.route_table
         if table is not None:
--- a/currantdeal/cli/loss_causes.py
+++ b/currantdeal/cli/loss_causes.py
@@ -176,6 +176,8 @@
     long_wait_s = LONG_WAIT_SHARE * end.target_s
     previous_s = 0.0
     for step in end.steps:
+        if step.kind is StepKind.LEFT:
+            continue
         wait_s = step.after_s - previous_s
         previous_s = step.after_s
         if step.kind is StepKind.REFUSED:
--- a/currantdeal/entry/active_request.py
+++ b/currantdeal/entry/active_request.py
@@ -104,6 +104,7 @@
         self.lost_incarnations = []
         self.trial = frozenset()
         self.search = MemorySearch()
+        self.leaving_gains_s = {}
         self.steps = []
         self.first_output_s = None
         self.longest_pause_s = 0.0
--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -6,6 +6,7 @@
 
 from currantdeal.entry.access import Access
 from currantdeal.entry.crash_watch import CrashWatch
+from currantdeal.entry.distance import Departures
 from currantdeal.entry.limits import LimitPatience, UpstreamLimits
 from currantdeal.entry.probing import Prober
 from currantdeal.entry.quotas import QuotaClient
@@ -54,6 +55,8 @@
         Counters and histograms.
     revocation_s : float
         Time after which a withdrawn key must not work.
+    distance : DistanceSettings or None
+        What operators say about distance.
     """
 
     def __init__(
@@ -66,6 +69,7 @@
         retry_ratio,
         metrics,
         revocation_s=math.inf,
+        distance=None,
     ):
         """Start without load or failures."""
         self.view = view
@@ -83,6 +87,10 @@
         self.prefill_health = UpstreamHealth()
         self.retry_detector = RetryDetector()
         self.local_prefills = LocalPrefills()
+        self.departures = Departures(
+            view=view, settings=distance, random=random, metrics=metrics
+        )
+        pool.on_connected = self._record_connected
         self.announce_local_prefill = None
         self._meters = {}
         self._background = set()
@@ -190,6 +198,9 @@
         """Record a local prefill of another entry."""
         self.local_prefills.start(upstream, for_s, now_s=self.now_s)
 
+    def _record_connected(self, address, took_s):
+        self.departures.record_connected(address, took_s, now_s=self.now_s)
+
     def meter(self, service):
         """Return the ``DemandMeter`` of a service."""
         return self._meters.setdefault(service, DemandMeter())
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -10,6 +10,7 @@
 
 from currantdeal.core import Ran
 from currantdeal.entry.arrivals import ArrivalKind
+from currantdeal.entry.distance import Pool
 from currantdeal.entry.errors import (
     FailedError,
     IncompleteAnswerError,
@@ -155,6 +156,9 @@
             return False
         used = False
         self._active.add_step(StepKind.MEMORY, reservation.record.upstream)
+        self._context.departures.record_sent(
+            self._active, Pool.DECODE, reservation.record
+        )
         waited_s = self._now_s - self._active.request.arrived_s
         self._context.metrics.observe("memory_wait_seconds", waited_s)
         self._context.load.add(reservation.record.upstream, reservation.tokens)
--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -206,6 +206,8 @@
             hold_s=engine.hold_s,
             upstream=record.upstream,
         )
+        was_connected = context.pool.is_connected(record.address)
+        began_s = self._now_s
         try:
             head, body = await exchange(
                 context.pool,
@@ -217,6 +219,10 @@
         except ExchangeError as exc:
             self.record_unreachable(record, exc)
             return None
+        if was_connected:
+            context.departures.costs.record_round_trip(
+                record.data_center, self._now_s - began_s, now_s=self._now_s
+            )
         if head.is_identified:
             # Load and limits of a repeated answer are out of date.
             context.read_response(record, head)
@@ -273,7 +279,9 @@
             list(records),
             tokens=self._tokens,
             capacity=self._active.service.engine.kv_tokens,
-            distance=lambda name: view.distance(records[name]),
+            **context.departures.memory_options(
+                self._active, records, now_s=self._now_s
+            ),
             random=context.random,
             now_s=self._now_s,
             max_fill=max_fill,
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -10,6 +10,7 @@
 
 from currantdeal.core import Ran
 from currantdeal.entry.arrivals import ArrivalKind
+from currantdeal.entry.distance import Pool
 from currantdeal.entry.errors import (
     FailedError,
     QuarantinedError,
@@ -126,9 +127,9 @@
     return order_upstreams(
         ready,
         context.health,
-        distance=context.view.distance,
         random=context.random,
         now_s=context.now_s,
+        **context.departures.plain_options(active, ready, now_s=context.now_s),
     )
 
 
@@ -177,6 +178,7 @@
     now_s = context.now_s
     sent_s = context.limits.now_s
     outgoing = context.encode(active, record, ArrivalKind.CALL)
+    context.departures.record_sent(active, Pool.PLAIN, record)
     context.health.request_started(record.upstream)
     try:
         head, body = await exchange(
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -10,6 +10,7 @@
 
 from currantdeal.core.errors import DialectError
 from currantdeal.entry.arrivals import ArrivalKind
+from currantdeal.entry.distance import Pool
 from currantdeal.entry.errors import PrefillFailedError
 from currantdeal.entry.releases import release
 from currantdeal.entry.steps import StepKind, kind_of_failure
@@ -156,10 +157,8 @@
         records,
         tokens=active.call.prompt_tokens,
         backlog=lambda name: context.load.tokens(name, now_s=now_s),
-        distance=lambda name: (
-            context.view.distance_between(records[name], decode_engine)
-            if decode_engine
-            else 0
+        **context.departures.prefill_options(
+            active, records, decode_engine, now_s=now_s
         ),
         random=context.random,
         is_suspect=lambda name: context.load.is_suspect(name, now_s=now_s),
@@ -167,8 +166,10 @@
         unreported=context.load.unreported(
             active.call.prompt_tokens, now_s=now_s
         ),
-        connected=lambda name: context.pool.is_connected(
-            records[name].address
+        connect_s=lambda name: (
+            0.0
+            if context.pool.is_connected(records[name].address)
+            else context.departures.connect_s(records[name], now_s=now_s)
         ),
     )
 
@@ -224,6 +225,7 @@
     began_s = context.now_s
     sent_s = context.limits.now_s
     context.load.add(record.upstream, active.call.prompt_tokens)
+    context.departures.record_sent(active, Pool.PREFILL, record)
     try:
         answer = await _request_prefill(context, active, record, best, in_time)
     except ExchangeError as exc:
--- a/currantdeal/entry/steps.py
+++ b/currantdeal/entry/steps.py
@@ -45,6 +45,8 @@
         The process that granted memory or kept the KV cache has ended.
     NO_BUDGET
         The retry budget did not allow another attempt.
+    LEFT
+        It was sent to an upstream in another data centre; for what, and why.
     """
 
     MEMORY = "memory"
@@ -60,6 +62,7 @@
     ERROR = "error"
     ENGINE_LOST = "engine-lost"
     NO_BUDGET = "no-budget"
+    LEFT = "left"
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/currantdeal/entry/view.py
+++ b/currantdeal/entry/view.py
@@ -7,6 +7,7 @@
 
 from currantdeal.core.errors import DialectError
 from currantdeal.organisations import ViewFreshness
+from currantdeal.policy.placement.distance import Proximity
 from currantdeal.registry import (
     RegistryFollower,
     UpstreamRegistry,
@@ -61,6 +62,7 @@
         self._clock = clock
         self._route_table = None
         self._by_service = {}
+        self._data_centers = {}
         self._switching = {}
         self._replaced = []
         self._freshness = ViewFreshness()
@@ -68,6 +70,11 @@
         self.entries = 1
         self.confirmed_s = clock()
 
+    @property
+    def data_center(self):
+        """Data centre of this entry."""
+        return self._data_center
+
     @property
     def route_table(self):
         """The ``RouteTable`` in force; None before the first configuration."""
@@ -203,17 +210,22 @@
             for other in self.ready(record.service)
         )
 
-    def distance(self, record):
-        """Return 0 in this data centre, 1 in this region, 2 elsewhere."""
-        return self.distance_to(record.data_center)
-
     def distance_to(self, data_center):
-        """Return ``distance`` for a data centre."""
-        return self._distance(data_center, self._data_center)
+        """Return the ``Proximity`` of a data centre to this one."""
+        return self.proximity(data_center, self._data_center)
 
-    def distance_between(self, first, second):
-        """Return ``distance`` between two upstreams."""
-        return self._distance(first.data_center, second.data_center)
+    def proximity(self, first, second):
+        """Return the ``Proximity`` of two data centres."""
+        if first == second:
+            return Proximity.DATA_CENTER
+        region = self._region_of.get(second, self._region)
+        if self._region_of.get(first) == region:
+            return Proximity.REGION
+        return Proximity.ELSEWHERE
+
+    def data_center_at(self, address):
+        """Return the data centre of the upstream at an address, or None."""
+        return self._data_centers.get(address)
 
     def apply_config(self, version, packed):
         """Apply a committed configuration if it is newer."""
@@ -290,12 +302,6 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def _distance(self, first, second):
-        if first == second:
-            return 0
-        region = self._region_of.get(second, self._region)
-        return 1 if self._region_of.get(first) == region else 2
-
     def _is_switching(self, record, now_s):
         if record.upstream not in self._switching:
             return False
@@ -317,3 +323,8 @@
             if record.state is UpstreamState.READY:
                 found.setdefault(record.service, []).append(record)
         self._by_service = {name: tuple(rs) for name, rs in found.items()}
+        self._data_centers = {
+            record.address: record.data_center
+            for records in found.values()
+            for record in records
+        }
--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -45,6 +45,11 @@
     ----------
     metrics : currantdeal.ports.MetricsPort or None
         Counts extra answers, if given.
+
+    Attributes
+    ----------
+    on_connected : callable or None
+        Called with the address and the duration of each new connection.
     """
 
     def __init__(self, *, metrics=None):
@@ -53,6 +58,7 @@
         self._buffered = BufferedAnswers()
         self._receive_buffer = bytearray(RECEIVE_BYTES)
         self._idle = {}
+        self.on_connected = None
 
     @property
     def buffered_bytes(self):
@@ -103,6 +109,7 @@
         """
         loop = asyncio.get_running_loop()
         host, port = split_address(address)
+        began_s = loop.time()
         try:
             async with asyncio.timeout(min(timeout_s, CONNECT_TIMEOUT_S)):
                 _, connection = await loop.create_connection(
@@ -123,6 +130,8 @@
             raise ConnectRefusedError(f"{address}: {exc}") from exc
         except OSError as exc:
             raise ConnectError(f"{address}: {exc}") from exc
+        if self.on_connected is not None:
+            self.on_connected(address, loop.time() - began_s)
         return connection
 
     def release(self, connection):
--- a/currantdeal/node/settings.py
+++ b/currantdeal/node/settings.py
@@ -14,6 +14,7 @@
 
 from currantdeal.core import DECODE_ERRORS
 from currantdeal.node.errors import SettingsFileError
+from currantdeal.policy.placement.distance import DistanceSettings
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -52,6 +53,9 @@
         Interval of the upstreams' heartbeats.
     tolerated_losses : int
         Number of control instances that may be lost at the same time.
+    distance : DistanceSettings
+        Round trips until they are measured, and the price of bytes between
+        data centres.
     bounds : dict
         Limits agreed with the operators, keyed by their names.
     """
@@ -68,6 +72,7 @@
     data_folder: str = ""
     heartbeat_ms: int = 1_000
     tolerated_losses: int | None = 0
+    distance: DistanceSettings = DistanceSettings()
     bounds: dict[str, float | bool | str] = msgspec.field(default_factory=dict)
 
     @property
--- a/currantdeal/platform/config.py
+++ b/currantdeal/platform/config.py
@@ -46,6 +46,11 @@
     Anonymous: bool = False
 
 
+_BYTES_PER_MBIT = 125_000.0
+_TRANSFER_FACTORS = (1.0, 2.0, 10.0)
+"""Duration of transfers within a zone, between zones and between regions."""
+
+
 class _Engine(msgspec.Struct):
     Slots: int = 1
     KvCapacityTokens: int = 0
@@ -53,6 +58,8 @@
     Stride: int = 1
     SwitchS: float = 0.0
     HandleTtlS: float = 0.0
+    KvBytes: float = 0.0
+    LinkMbps: float = 0.0
 
 
 class _Service(msgspec.Struct):
@@ -161,6 +168,9 @@
         tokens_per_event=parsed.Stride,
         switch_s=parsed.SwitchS,
         kv_handle_ttl_s=parsed.HandleTtlS,
+        kv_bytes_per_token=parsed.KvBytes,
+        link_bytes_per_s=parsed.LinkMbps * _BYTES_PER_MBIT,
+        transfer_factors=_TRANSFER_FACTORS,
     )
 
 
--- a/currantdeal/policy/health/upstream_health.py
+++ b/currantdeal/policy/health/upstream_health.py
@@ -12,6 +12,8 @@
 
 import math
 
+from currantdeal.policy.placement.distance import split_by_distance
+
 NEVER_S = -math.inf
 
 BASE_EJECTION_S = 0.5
@@ -29,13 +31,8 @@
 UNRESPONSIVE_S = 1.0
 """Time for which an upstream that timed out is reported to other entries."""
 
-CROSS_REGION_PENALTY = 0.15
-"""Load added to an upstream in another region.
-
-It is the share of slots by which a nearer upstream may be busier and is still
-preferred.
-"""
-
+DEFAULT_FULL_WAIT_S = 0.2
+"""Wait that a full upstream stands for if the target is unknown."""
 
 BUSY_LOAD = 0.5
 """Load from which an upstream is busy; a nearly full one slows down."""
@@ -197,6 +194,8 @@
     distance,
     random,
     now_s,
+    full_wait_s=DEFAULT_FULL_WAIT_S,
+    may_leave=None,
 ):
     """Return upstreams in the order in which to try them.
 
@@ -210,19 +209,40 @@
     health : UpstreamHealth
         Health and load of the upstreams.
     distance : callable
-        0 for a record in the same data centre, 1 in the same region, 2
-        elsewhere.
+        Seconds that the way to the upstream of a record costs.
+    full_wait_s : float
+        Wait for a slot that a full upstream stands for; it relates load and
+        distance.
+    may_leave : callable or None
+        Whether farther upstreams may come first, see
+        ``LeaveGate.may_leave``.
     """
-
-    def key(record):
-        name = record.upstream
-        load = health.load(name, record.slots, now_s=now_s)
-        penalty = CROSS_REGION_PENALTY * (distance(record) == 2)
+    by_name = {record.upstream: record for record in records}
+    ejected = {n for n in by_name if health.is_ejected(n, now_s=now_s)}
+    distances = {n: distance(record) for n, record in by_name.items()}
+    costs_s = {
+        name: distances[name]
+        + full_wait_s * health.load(name, record.slots, now_s=now_s)
+        for name, record in by_name.items()
+    }
+    near, away = split_by_distance(
+        [name for name in by_name if name not in ejected], distances.get
+    )
+    slots = max((record.slots for record in by_name.values()), default=1)
+    stays = may_leave is not None and not may_leave(
+        [costs_s[name] for name in near],
+        [costs_s[name] for name in away],
+        unit_s=full_wait_s / max(1, slots),
+        unreported=0.0,
+    )
+
+    def key(name):
         return (
-            health.is_ejected(name, now_s=now_s),
-            load + penalty,
-            distance(record),
+            name in ejected,
+            stays and name not in near,
+            costs_s[name],
+            distances[name],
             random.random(),
         )
 
-    return sorted(records, key=key)
+    return [by_name[name] for name in sorted(by_name, key=key)]
--- a/currantdeal/policy/memory/decode_memory.py
+++ b/currantdeal/policy/memory/decode_memory.py
@@ -14,7 +14,12 @@
 
 import math
 from dataclasses import dataclass
+from functools import partial
 
+from currantdeal.policy.placement.distance import (
+    order_by_leaving,
+    split_by_distance,
+)
 from currantdeal.policy.placement.power_of_choices import (
     order_groups_by_choices,
 )
@@ -35,11 +40,8 @@
 for engines whose streams are all near their end.
 """
 
-CROSS_REGION_SHARE = 0.25
-"""Share of memory that an engine in another region must have more free.
-
-Reservation, prompt and stream each cost a round trip between regions.
-"""
+DEFAULT_FULL_WAIT_S = 0.3
+"""Wait that a full engine stands for if the target is unknown."""
 
 PREFILL_SHARE = 0.3
 """Share of memory that an engine must have more free while it prefills.
@@ -140,6 +142,8 @@
         max_fill=MAX_FILL,
         prefilling=None,
         connected=None,
+        full_wait_s=DEFAULT_FULL_WAIT_S,
+        may_leave=None,
     ):
         """Return engines in the order in which to request memory.
 
@@ -154,8 +158,7 @@
         capacity : int
             Memory of each engine; 0 if unknown.
         distance : callable
-            0 for an engine in this data centre, 1 in this region, 2
-            elsewhere.
+            Seconds that the way to an engine costs.
         max_fill : float
             Share of its memory up to which an engine has room; an idle engine
             always has.
@@ -163,6 +166,12 @@
             Whether an engine prefills a prompt that this one would wait for.
         connected : callable or None
             Whether there is an open connection to an engine.
+        full_wait_s : float
+            Wait for memory that a full engine stands for; it relates fill
+            and distance.
+        may_leave : callable or None
+            Whether farther engines may come first, see
+            ``LeaveGate.may_leave``.
         """
         load = self._load
         memory_tokens = capacity or DEFAULT_CAPACITY
@@ -178,29 +187,51 @@
             return suspect or since_refusal_s < FULL_ENGINE_BACKOFF_S
 
         costs = {}
-        groups = {False: {}, True: {}}
-        for upstream in upstreams:
-            if loads_known and not has_room(upstream):
-                continue
-            far = distance(upstream) == 2
+        groups = {}
+        near, away = split_by_distance(
+            [u for u in upstreams if not loads_known or has_room(u)], distance
+        )
+        for upstream in (*near, *away):
             is_connected = connected is not None and connected(upstream)
             busy = prefilling is not None and prefilling(upstream)
             costs[upstream] = (
                 load.tokens(upstream, now_s=now_s) / memory_tokens
-                + CROSS_REGION_SHARE * far
+                + distance(upstream) / full_wait_s
                 + PREFILL_SHARE * busy
                 - NEW_CONNECTION_SHARE * is_connected
             )
-            group = groups[is_deferred(upstream)]
-            group.setdefault((far, is_connected), []).append(upstream)
+            key = (is_deferred(upstream), len(costs) > len(near))
+            group = groups.setdefault(key, {})
+            group.setdefault(is_connected, []).append(upstream)
+
+        def groups_of(*key):
+            return list(groups.get(key, {}).values())
+
+        def waits_s(is_away):
+            first = groups_of(False, is_away)
+            return [costs[u] * full_wait_s for group in first for u in group]
+
+        unreported = load.unreported(tokens, now_s=now_s)
+        leaves = may_leave is None or may_leave(
+            waits_s(False),
+            waits_s(True),
+            unit_s=tokens / memory_tokens * full_wait_s,
+            unreported=unreported,
+        )
+        by_choices = partial(
+            order_groups_by_choices,
+            cost=costs.get,
+            random=random,
+            unreported=unreported,
+            jitter=JITTER_SHARE,
+        )
         return [
             upstream
             for deferred in (False, True)
-            for upstream in order_groups_by_choices(
-                groups[deferred].values(),
-                cost=costs.get,
-                random=random,
-                unreported=load.unreported(tokens, now_s=now_s),
-                jitter=JITTER_SHARE,
+            for upstream in order_by_leaving(
+                groups_of(deferred, False),
+                groups_of(deferred, True),
+                by_choices,
+                may_leave=leaves,
             )
         ]
--- a/currantdeal/policy/placement/prefill_choice.py
+++ b/currantdeal/policy/placement/prefill_choice.py
@@ -9,7 +9,12 @@
 """
 
 from dataclasses import dataclass
+from functools import partial
 
+from currantdeal.policy.placement.distance import (
+    order_by_leaving,
+    split_by_distance,
+)
 from currantdeal.policy.placement.power_of_choices import (
     order_groups_by_choices,
 )
@@ -17,13 +22,6 @@
 JITTER_S = 0.03
 """Random part of an estimate, so that entries choose different engines."""
 
-TRANSFER_DELAY_S = (0.0, 0.005, 0.06)
-"""Delay of the KV cache transfer from an engine in the same data centre, in
-the same region and in another region."""
-
-CONNECT_DELAY_S = (0.002, 0.005, 0.03)
-"""Delay of a new connection, by the same distances."""
-
 SUSPECT_DELAY_S = 0.3
 """Delay added to an engine that several entries could not reach."""
 
@@ -78,7 +76,8 @@
     random,
     s_per_token,
     unreported=0.0,
-    connected=None,
+    connect_s=None,
+    may_leave=None,
 ):
     """Return estimates for prefill engines in the order to try them.
 
@@ -91,8 +90,7 @@
     backlog : callable
         Prompt tokens that an engine has yet to prefill.
     distance : callable
-        0 for an engine in the data centre of the decode engine, 1 in its
-        region, 2 elsewhere.
+        Seconds that the way to an engine and the KV cache transfer cost.
     is_suspect : callable
         Whether several entries could not reach an engine.
     random : random.Random
@@ -101,8 +99,11 @@
         Measured time to prefill a token.
     unreported : float
         Prompts of other entries that are not in the backlogs yet.
-    connected : callable or None
-        Whether there is an open connection to an engine.
+    connect_s : callable or None
+        Seconds until there is a connection to an engine.
+    may_leave : callable or None
+        Whether the prompt may be sent to farther engines, see
+        ``LeaveGate.may_leave``.
 
     Examples
     --------
@@ -119,28 +120,33 @@
     def expected_s(upstream):
         prefill_s = (backlog(upstream) + tokens) * token_s
         suspect_s = SUSPECT_DELAY_S if is_suspect(upstream) else 0.0
-        network_s = TRANSFER_DELAY_S[distance(upstream)]
-        if connected is not None and not connected(upstream):
-            network_s += CONNECT_DELAY_S[distance(upstream)]
+        network_s = distance(upstream)
+        if connect_s is not None:
+            network_s += connect_s(upstream)
         return prefill_s + network_s + suspect_s
 
     found = {
         name: PromptEstimate(upstream=name, expected_s=expected_s(name))
         for name in upstreams
     }
-    far = [name for name in found if distance(name) == 2]
-    near = [name for name in found if distance(name) != 2]
-
-    order = order_groups_by_choices(
-        (near, far),
+    near, away = split_by_distance(found, distance)
+    order = partial(
+        order_groups_by_choices,
         cost=lambda name: found[name].expected_s,
         random=random,
         unreported=unreported,
         jitter=JITTER_S,
         # With near and far engines, each group of choices is one of each.
-        min_group_size=1 if near and far else 2,
+        min_group_size=1 if near and away else 2,
+    )
+    leaves = may_leave is None or may_leave(
+        [found[name].expected_s for name in near],
+        [found[name].expected_s for name in away],
+        unit_s=tokens * token_s,
+        unreported=unreported,
     )
-    return [found[name] for name in order]
+    names = order_by_leaving([near], [away], order, may_leave=leaves)
+    return [found[name] for name in names]
 
 
 def local_prefill_s(tokens, s_per_token):
--- a/currantdeal/routing/config.py
+++ b/currantdeal/routing/config.py
@@ -90,6 +90,13 @@
     kv_handle_ttl_s : float
         Time for which a prefill engine keeps the KV cache of a prompt that
         another engine will fetch.
+    kv_bytes_per_token : float
+        Size of the KV cache of a token; 0 if unknown.
+    link_bytes_per_s : float
+        Rate of an engine's transfers; 0 if unknown.
+    transfer_factors : tuple of float
+        Factors by which a transfer takes longer within a data centre, between
+        two of a region, and between regions.
     """
 
     slots: int
@@ -98,6 +105,9 @@
     tokens_per_event: int
     switch_s: float
     kv_handle_ttl_s: float = 0.0
+    kv_bytes_per_token: float = 0.0
+    link_bytes_per_s: float = 0.0
+    transfer_factors: tuple[float, float, float] = (1.0, 1.0, 1.0)
 
 
 @dataclass(frozen=True, kw_only=True)
