Test leaving the data centre, and even the load before the sums tell

Queues of both sides meet at one cost; a gain below one placement starts nothing, since lagged sums differ by that.

--- a/currantdeal/policy/placement/distance.py
+++ b/currantdeal/policy/placement/distance.py
@@ -32,6 +32,7 @@
 """Round trips of a generation: reservation, prefill and run."""
 
 MIN_UNIT_S = 1e-9
+LEVEL_STEPS = 12
 GIGABYTE = 1e9
 
 
@@ -223,8 +224,9 @@
         Parameters
         ----------
         pool : hashable
-            What the upstreams serve; a pool that has begun to send requests
-            away goes on until there is no gain.
+            What the upstreams serve.  It begins to send requests away for a
+            gain above the error and one placement, and goes on until there
+            is no gain.
         here_s, away_s : sequence of float
             Costs of the near upstreams, and of the others with their
             distance.
@@ -241,7 +243,8 @@
         >>> gate = LeaveGate(random=Random(1))
         >>> gate.share("p", [0.1], [0.2], unit_s=0.1, unreported=0.0)
         0.0
-        >>> gate.share("p", [0.75], [0.25], unit_s=0.125, unreported=8.0)
+        >>> share = gate.share("p", [0.6], [0.2], unit_s=0.1, unreported=8.0)
+        >>> round(share, 2)
         0.5
         """
         share = share_to_leave(
@@ -249,7 +252,7 @@
             away_s,
             unit_s=unit_s,
             unreported=unreported,
-            error_s=0.0 if pool in self._leaving else error_s,
+            error_s=0.0 if pool in self._leaving else error_s + unit_s,
         )
         if share > 0.0:
             self._leaving.add(pool)
@@ -268,14 +271,31 @@
         return 0.0
     if not here_s:
         return 1.0
-    cheapest_s = min(away_s)
-    if min(here_s) - cheapest_s <= error_s:
+    if min(here_s) - min(away_s) <= error_s:
         return 0.0
-    excess_s = sum(max(0.0, cost_s - cheapest_s) for cost_s in here_s)
-    count = len(here_s) + len(away_s)
-    # What leaves raises the cost there, so both meet in between.
-    to_move = excess_s / max(unit_s, MIN_UNIT_S) * len(away_s) / count
-    return min(1.0, to_move / max(1.0, unreported * len(here_s) / count))
+    to_move = _excess_s(here_s, away_s) / max(unit_s, MIN_UNIT_S)
+    here_share = len(here_s) / (len(here_s) + len(away_s))
+    return min(1.0, to_move / max(1.0, unreported * here_share))
+
+
+def _excess_s(here_s, away_s):
+    """Return the cost to move away for both sides to meet at one level.
+
+    Examples
+    --------
+    >>> round(_excess_s([0.5, 0.7], [0.1, 0.9]), 2)
+    0.33
+    """
+    low_s, high_s = min(away_s), max(here_s)
+    for _ in range(LEVEL_STEPS):
+        level_s = (low_s + high_s) / 2
+        above_s = sum(cost - level_s for cost in here_s if cost > level_s)
+        below_s = sum(level_s - cost for cost in away_s if cost < level_s)
+        if above_s > below_s:
+            low_s = level_s
+        else:
+            high_s = level_s
+    return min(above_s, below_s)
 
 
 def order_by_leaving(near, away, order, *, may_leave):
