Add explain-route, which says where a request would go without sending it

Operators could explain a request only after it had ended, from logs. The command asks the metrics address of an entry, which reads what it knows. Unknown data centres no longer seem to be in the region of the entry, in whichever order a pair is named.

--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -4,6 +4,7 @@
 import random
 import time
 
+import msgspec
 import structlog
 
 from currantdeal.adapters.metrics import Metrics
@@ -188,10 +189,19 @@
         await readiness_server.start(*split_address(listen.readiness))
         await self._directory_server.start(listen.directory)
         metrics_endpoint = MetricsEndpoint(
-            metrics=self._metrics, refresh=self._set_gauges
+            metrics=self._metrics,
+            refresh=self._set_gauges,
+            pages={"/explain-route": self._explain},
         )
         await metrics_endpoint.start(listen.metrics)
 
+    def _explain(self, body):
+        # Imported when it is asked, as memory is paid for.
+        from currantdeal.entry.explanation import Question, explain
+
+        question = msgspec.json.decode(body, type=Question)
+        return msgspec.json.encode(explain(self._context, question))
+
     def _may_recover(self):
         """Return whether this entry is likely to get a usable view soon."""
         running_s = time.monotonic() - self._started_s
--- a/currantdeal/cli/main.py
+++ b/currantdeal/cli/main.py
@@ -9,6 +9,7 @@
 import currantdeal
 from currantdeal.cli.account import account
 from currantdeal.cli.explain import explain
+from currantdeal.cli.explain_route import explain_route
 from currantdeal.cli.node_status import nodes
 from currantdeal.cli.quarantine_commands import quarantines
 from currantdeal.cli.selector_commands import selectors
@@ -36,6 +37,7 @@
 main.add_command(drain)
 main.add_command(entries)
 main.add_command(explain)
+main.add_command(explain_route)
 main.add_command(nodes)
 main.add_command(orders)
 main.add_command(quarantines)
--- a/currantdeal/cli/process.py
+++ b/currantdeal/cli/process.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from currantdeal.core import DECODE_ERRORS
 from currantdeal.node.errors import SettingsFileError
 from currantdeal.node.http_server import HttpServer
 from currantdeal.node.settings import read_settings, split_address
@@ -86,12 +87,16 @@
     refresh : callable
         Sets the gauges; called once per scrape, so that gauges cost nothing
         between scrapes.
+    pages : dict or None
+        Other pages by their path: functions that answer the body of a request
+        with JSON bytes, or raise one of ``DECODE_ERRORS``.
     """
 
-    def __init__(self, *, metrics, refresh):
+    def __init__(self, *, metrics, refresh, pages=None):
         """Listen only after ``start``."""
         self._metrics = metrics
         self._refresh = refresh
+        self._pages = pages or {}
 
     async def start(self, address):
         """Listen at an address; do nothing if it is empty."""
@@ -100,12 +105,24 @@
             await server.start(*split_address(address))
 
     async def _handle(self, request, responder):
+        page = self._pages.get(request.head.target)
+        if page is not None:
+            _answer_page(page, request, responder)
+            return
         self._refresh()
         content_type, text = self._metrics.render()
         headers = ((b"content-type", content_type.encode()),)
         responder.answer(200, headers, text)
 
 
+def _answer_page(page, request, responder):
+    headers = ((b"content-type", b"application/json"),)
+    try:
+        responder.answer(200, headers, page(request.body))
+    except DECODE_ERRORS as exc:
+        responder.answer(400, (), f"{exc}\n".encode())
+
+
 class LoopDelay:
     """Measures the delay of the event loop.
 
--- a/currantdeal/entry/distance.py
+++ b/currantdeal/entry/distance.py
@@ -4,6 +4,7 @@
 upstreams their costs, and counts what left the data centre and why.
 """
 
+from copy import copy
 from enum import Enum
 from functools import cache, partial
 
@@ -56,6 +57,12 @@
         self._view = view
         self._metrics = metrics
 
+    def copy(self, *, random):
+        """Return a copy that changes nothing here when it is asked."""
+        copied = copy(self)
+        copied.gate = self.gate.copy(random=random)
+        return copied
+
     def record_connected(self, address, took_s, *, now_s):
         """Record how long it took to open a connection."""
         data_center = self._view.data_center_at(address)
--- a/currantdeal/entry/tests/test_view.py
+++ b/currantdeal/entry/tests/test_view.py
@@ -152,3 +152,10 @@
     (gone,) = view.pop_replaced()
     assert (gone.upstream, gone.state) == ("u1", UpstreamState.GONE)
     assert view.pop_replaced() == ()
+
+
+def test_proximity_does_not_depend_on_the_direction():
+    """Guards against unknown data centres that seem to be in this region."""
+    view = _view()
+    for other in ("dc1", "dc2", "dc3", "elsewhere"):
+        assert view.proximity("dc1", other) == view.distance_to(other)
--- a/currantdeal/entry/view.py
+++ b/currantdeal/entry/view.py
@@ -218,8 +218,9 @@
         """Return the ``Proximity`` of two data centres."""
         if first == second:
             return Proximity.DATA_CENTER
-        region = self._region_of.get(second, self._region)
-        if self._region_of.get(first) == region:
+        regions = {self._data_center: self._region, **self._region_of}
+        region = regions.get(first)
+        if region is not None and region == regions.get(second):
             return Proximity.REGION
         return Proximity.ELSEWHERE
 
--- a/currantdeal/policy/placement/distance.py
+++ b/currantdeal/policy/placement/distance.py
@@ -213,6 +213,12 @@
         self._random = random
         self._leaving = set()
 
+    def copy(self, *, random):
+        """Return a gate in the same state, which may be asked in its place."""
+        gate = LeaveGate(random=random)
+        gate._leaving = set(self._leaving)
+        return gate
+
     def may_leave(self, pool, here_s, away_s, **more):
         """Return whether a request may leave; parameters as of ``share``."""
         share = self.share(pool, here_s, away_s, **more)
