--- a/currantdeal/entry/distance.py
+++ b/currantdeal/entry/distance.py
@@ -132,7 +132,7 @@
         """Return the expected time to open a connection to an upstream."""
         return self.costs.round_trip(record.data_center, now_s=now_s).seconds
 
-    def record_sent(self, active, pool, record):
+    def record_sent(self, active, pool, record, *, now_s):
         """Count a request that was sent to an upstream, and why it left."""
         home = self._view.data_center
         self._metrics.add(
@@ -144,9 +144,8 @@
         if record.data_center == home:
             return
         gain_s = active.leaving_gains_s.get(pool)
-        why = "only-there" if gain_s is None else "refused-here"
-        if gain_s is not None and gain_s > 0.0:
-            why = "cheaper"
+        why = self._reason(record, gain_s, now_s)
+        if why == "cheaper":
             self._metrics.observe(
                 "leaving_saved_seconds", gain_s, pool=pool.value
             )
@@ -158,6 +157,17 @@
             f"{pool.value} in {record.data_center}, {why}{saved}",
         )
 
+    def _reason(self, record, gain_s, now_s):
+        home = self._view.data_center
+        way_s = self.costs.seconds(
+            home, record.data_center, trips=1, now_s=now_s
+        )
+        if way_s <= NEAR_S:
+            return "near"
+        if gain_s is None:
+            return "only-there"
+        return "cheaper" if gain_s > 0.0 else "refused-here"
+
     def _way(self, active, now_s, *, trips):
         """Return a function for the seconds from the entry to elsewhere."""
         return cache(
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -157,7 +157,10 @@
         used = False
         self._active.add_step(StepKind.MEMORY, reservation.record.upstream)
         self._context.departures.record_sent(
-            self._active, Pool.DECODE, reservation.record
+            self._active,
+            Pool.DECODE,
+            reservation.record,
+            now_s=self._now_s,
         )
         waited_s = self._now_s - self._active.request.arrived_s
         self._context.metrics.observe("memory_wait_seconds", waited_s)
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -178,7 +178,7 @@
     now_s = context.now_s
     sent_s = context.limits.now_s
     outgoing = context.encode(active, record, ArrivalKind.CALL)
-    context.departures.record_sent(active, Pool.PLAIN, record)
+    context.departures.record_sent(active, Pool.PLAIN, record, now_s=now_s)
     context.health.request_started(record.upstream)
     try:
         head, body = await exchange(
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -225,7 +225,7 @@
     began_s = context.now_s
     sent_s = context.limits.now_s
     context.load.add(record.upstream, active.call.prompt_tokens)
-    context.departures.record_sent(active, Pool.PREFILL, record)
+    context.departures.record_sent(active, Pool.PREFILL, record, now_s=began_s)
     try:
         answer = await _request_prefill(context, active, record, best, in_time)
     except ExchangeError as exc:
