--- a/currantdeal/entry/tests/test_explanation.py
+++ b/currantdeal/entry/tests/test_explanation.py
@@ -107,7 +107,7 @@
     _in_world(check)
 
 
-def test_explanation_names_organisation_quarantine_and_missing_route():
+def test_explanation_names_unknown_organisation_and_missing_route():
     config = config_body(organisations=listing(bakery=["secret-key"]))
 
     async def check(world, *_standins):
--- a/currantdeal/platform/tests/test_settings_template.py
+++ b/currantdeal/platform/tests/test_settings_template.py
@@ -105,3 +105,15 @@
     )
     with pytest.raises(SettingsFileError, match=r"address"):
         read_settings(path)
+
+
+def test_price_of_bytes_is_none_unless_an_operator_names_it():
+    assert _settings(PLATFORM_VALUES).distance.wait_s_per_gb == (0.0, 0.0)
+    text = _render(TEMPLATE.read_text(), PLATFORM_VALUES)
+    named = {
+        **json.loads(text),
+        "distance": {"wait_s_per_gb": [0.5, 4.0]},
+    }
+    settings = msgspec.json.decode(json.dumps(named), type=NodeSettings)
+    assert settings.distance.wait_s_per_gb == (0.5, 4.0)
+    assert settings.distance.round_trip_ms == (1.0, 2.0, 25.0)
