--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -4,6 +4,7 @@
 import random
 import time
 
+import msgspec
 import structlog
 
 from currantdeal.adapters.metrics import Metrics
@@ -104,6 +105,7 @@
             ),
             metrics=self._metrics,
             revocation_s=self._bounds.revocation_s,
+            distance=settings.distance,
         )
         self._service = EntryService(context=self._context)
         self._directory = CallerDirectory(
@@ -174,7 +176,7 @@
             keep_running(self._subscription.run, metrics=self._metrics),
             self._repeat(LOAD_INTERVAL_S, self._subscription.send_load),
             self._repeat(QUOTA_REFILL_S, self._refill_quotas),
-            self._repeat(SETTINGS_INTERVAL_S, self._file.reload_if_changed),
+            self._repeat(SETTINGS_INTERVAL_S, self._reload_settings),
         )
         await self._drain()
         _log.info("stopped", cut=self._server.active_requests)
@@ -188,10 +190,19 @@
         await readiness_server.start(*split_address(listen.readiness))
         await self._directory_server.start(listen.directory)
         metrics_endpoint = MetricsEndpoint(
-            metrics=self._metrics, refresh=self._set_gauges
+            metrics=self._metrics,
+            refresh=self._set_gauges,
+            pages={"/explain-route": self._explain},
         )
         await metrics_endpoint.start(listen.metrics)
 
+    def _explain(self, body):
+        # Imported when it is asked, as memory is paid for.
+        from currantdeal.entry.explanation import Question, explain
+
+        question = msgspec.json.decode(body, type=Question)
+        return msgspec.json.encode(explain(self._context, question))
+
     def _may_recover(self):
         """Return whether this entry is likely to get a usable view soon."""
         running_s = time.monotonic() - self._started_s
@@ -199,6 +210,10 @@
             return True
         return self._subscription.silence_s < RECENT_NOTICE_S
 
+    def _reload_settings(self):
+        self._file.reload_if_changed()
+        self._context.departures.costs.settings = self._file.current.distance
+
     def _refill_quotas(self):
         table = self._view.route_table
         if table is not None:
--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -6,6 +6,7 @@
 
 from currantdeal.entry.access import Access
 from currantdeal.entry.crash_watch import CrashWatch
+from currantdeal.entry.distance import Departures
 from currantdeal.entry.engine_watch import EngineWatch
 from currantdeal.entry.limits import LimitPatience, UpstreamLimits
 from currantdeal.entry.probing import Prober
@@ -58,6 +59,8 @@
         Counters and histograms.
     revocation_s : float
         Time after which a withdrawn key must not work.
+    distance : DistanceSettings or None
+        What operators say about distance.
     """
 
     def __init__(
@@ -70,6 +73,7 @@
         retry_ratio,
         metrics,
         revocation_s=math.inf,
+        distance=None,
     ):
         """Start without load or failures."""
         self.view = view
@@ -88,6 +92,10 @@
         self.retry_detector = RetryDetector()
         self.repeat_outcomes = RepeatOutcomes()
         self.local_prefills = LocalPrefills()
+        self.departures = Departures(
+            view=view, settings=distance, random=random, metrics=metrics
+        )
+        pool.on_connected = self._record_connected
         self.announce_local_prefill = None
         self.announce_unreachable = None
         self._meters = {}
@@ -215,6 +223,9 @@
         self.load.reports.clear(record.upstream)
         self.health.record_contact(record.upstream, now_s=self.now_s)
 
+    def _record_connected(self, address, took_s):
+        self.departures.record_connected(address, took_s, now_s=self.now_s)
+
     def meter(self, service):
         """Return the ``DemandMeter`` of a service."""
         return self._meters.setdefault(service, DemandMeter())
