Choose engines by the speed that entries measure

Engines of a pool differ in speed, and every time was computed from one figure for all. Entries now measure each engine against a nominal time, add their measurements up over the exchange of loads, and use them beyond their error: prefill choice, local prefill, prefill timeout, order of decode engines.

--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -5,6 +5,7 @@
 """
 
 import zlib
+from dataclasses import replace
 from functools import singledispatchmethod
 
 import structlog
@@ -49,6 +50,7 @@
     UpstreamsNotice,
 )
 from currantdeal.policy.load.shared_load import LoadSums
+from currantdeal.policy.speed.paces import PACE_INTERVAL_S, unusual_paces
 
 _log = structlog.get_logger(__name__)
 
@@ -117,6 +119,7 @@
         self._loads = LoadSums()
         self._last_load = None
         self._last_load_s = 0.0
+        self._paces_due_s = 0.0
 
     @property
     def has_leader(self):
@@ -173,6 +176,11 @@
         """Tokens that entries hold at each engine, by its name."""
         return self._loads.total(now_s=self._clock()).held
 
+    @property
+    def paces(self):
+        """Paces of upstreams, summed over all entries."""
+        return self._loads.total_paces(now_s=self._clock())
+
     def publish_loads(self):
         """Publish the entries and the tokens that they hold at engines.
 
@@ -183,6 +191,12 @@
         """
         now_s = self._clock()
         local_total = self._loads.local_total(now_s=now_s)
+        total_paces = {}
+        if now_s >= self._paces_due_s:
+            self._paces_due_s = now_s + PACE_INTERVAL_S
+            local_paces = self._loads.local_paces(now_s=now_s)
+            local_total = replace(local_total, paces=local_paces)
+            total_paces = unusual_paces(self.paces)
         if (
             local_total != self._last_load
             or now_s - self._last_load_s > HEARTBEAT_S
@@ -195,7 +209,9 @@
             self._exchange.publish(self._source_notice())
             self._spread_renewals()
         total = self._loads.total(now_s=now_s)
-        self._exchange.publish(self._load_notice(total))
+        self._exchange.publish(
+            self._load_notice(replace(total, paces=total_paces))
+        )
 
     def send_heartbeat(self):
         """Send the periodic notices and expire silent records."""
--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -18,6 +18,8 @@
 from currantdeal.policy.memory.decode_memory import DecodeEngineOrder
 from currantdeal.policy.placement.local_prefills import LocalPrefills
 from currantdeal.policy.retries.retry_detection import RetryDetector
+from currantdeal.policy.speed.paces import PACE_INTERVAL_S
+from currantdeal.policy.speed.upstream_speeds import UpstreamSpeeds
 
 LIMIT_QUEUE_TARGETS = 0.5
 """Longest wait for a slot of a limited upstream, as a multiple of the target.
@@ -79,6 +81,8 @@
         self.limits = UpstreamLimits(metrics=metrics)
         self.health = UpstreamHealth()
         self.load = EntryLoad()
+        self.speeds = UpstreamSpeeds()
+        self._paces_due_s = 0.0
         self.decode_engine_order = DecodeEngineOrder(load=self.load)
         self.prefill_health = UpstreamHealth()
         self.retry_detector = RetryDetector()
@@ -206,15 +210,21 @@
             *self.prefill_health.ejected(now_s=now_s),
             *self.prefill_health.unresponsive(now_s=now_s),
         }
-        return self.load.report(
+        load = self.load.report(
             unreachable=unreachable,
             longest_timeouts_s=self.retry_detector.longest_timeouts_s,
         )
+        if now_s < self._paces_due_s:
+            return load
+        self._paces_due_s = now_s + PACE_INTERVAL_S
+        return replace(load, paces=self.speeds.report(now_s=now_s))
 
     def update_load(self, load):
         """Update the load of all entries at the engines."""
         self.load.update_sums(load, now_s=self.now_s)
         self.retry_detector.set_shared_timeouts(load.patience)
+        if load.paces:
+            self.speeds.update(load.paces, now_s=self.now_s)
 
     def in_background(self, work):
         """Run a coroutine that outlives its request."""
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -26,6 +26,12 @@
     record_end,
     record_memory_use,
 )
+from currantdeal.entry.speeds import (
+    EventTimer,
+    describe,
+    record_decode,
+    speed_of,
+)
 from currantdeal.entry.steps import StepKind
 from currantdeal.node.errors import (
     ConnectError,
@@ -42,6 +48,7 @@
     RETRY_MAX_FILL,
     RETRY_WAIT_TARGETS,
 )
+from currantdeal.policy.speed.paces import Work
 from currantdeal.routing import RetrySafety
 
 RESERVE_WAIT_TARGETS = 2 / 3
@@ -154,7 +161,10 @@
             self._reason = "no memory"
             return False
         used = False
-        self._active.add_step(StepKind.MEMORY, reservation.record.upstream)
+        estimate = speed_of(self._context, reservation.record, Work.DECODE)
+        self._active.add_step(
+            StepKind.MEMORY, reservation.record.upstream, describe(estimate)
+        )
         waited_s = self._now_s - self._active.request.arrived_s
         self._context.metrics.observe("memory_wait_seconds", waited_s)
         self._context.load.add(reservation.record.upstream, reservation.tokens)
@@ -361,11 +371,13 @@
             return await self._forward_error(connection, head, record)
         active.add_step(StepKind.STREAM, record.upstream)
         began_s = self._now_s
+        timer = EventTimer()
         is_ended = await self._relay.forward_events(
-            head, lambda: self._next_chunk(connection, record)
+            head, lambda: self._next_chunk(connection, record, timer)
         )
         events, position = self._events_of_run, self._relay.position
         record_end(context, active, record, head, events, position)
+        record_decode(context, record, events, timer.waited_s)
         record_memory_use(
             context, active, self._relay.events, self._now_s - began_s
         )
@@ -373,9 +385,12 @@
             self._reason = "the end of a resumed run is unknown"
         return is_ended
 
-    async def _next_chunk(self, connection, record):
+    async def _next_chunk(self, connection, record, timer):
         connection.record_buffered(self._relay.buffered_bytes)
-        return await self._wait_or_fail_over(connection.chunk(), record)
+        began_s = self._now_s
+        chunk = await self._wait_or_fail_over(connection.chunk(), record)
+        timer.add(self._now_s - began_s)
+        return chunk
 
     async def _forward_error(self, connection, head, record):
         body = await connection.rest(limit=MAX_ERROR_BYTES)
--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -14,6 +14,7 @@
 from currantdeal.entry.hedging import Hedge
 from currantdeal.entry.prefill import expects_local_prefill
 from currantdeal.entry.releases import release
+from currantdeal.entry.speeds import is_too_slow, speed_of
 from currantdeal.node.connection_pool import exchange
 from currantdeal.node.errors import ExchangeError
 from currantdeal.policy.memory.decode_memory import (
@@ -21,6 +22,7 @@
     GenerationSize,
     tokens_to_reserve,
 )
+from currantdeal.policy.speed.paces import Work
 from currantdeal.registry import Stage, UpstreamRecord
 
 RESERVE_PAUSE_S = 0.05
@@ -281,6 +283,12 @@
             connected=lambda name: context.pool.is_connected(
                 records[name].address
             ),
+            slowdown=lambda name: (
+                speed_of(context, records[name], Work.DECODE).factor
+            ),
+            is_too_slow=lambda name: is_too_slow(
+                context, records[name], self._active.route.gap_target_s
+            ),
         )
         return [records[name] for name in ordered]
 
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -12,6 +12,14 @@
 from currantdeal.entry.arrivals import ArrivalKind
 from currantdeal.entry.errors import PrefillFailedError
 from currantdeal.entry.releases import release
+from currantdeal.entry.speeds import (
+    PrefillWork,
+    describe,
+    record_prefill,
+    record_prefill_timeout,
+    s_per_token,
+    speed_of,
+)
 from currantdeal.entry.steps import StepKind, kind_of_failure
 from currantdeal.node.connection_pool import exchange
 from currantdeal.node.errors import (
@@ -25,6 +33,7 @@
     prefers_local_prefill,
     prefill_timeout_s,
 )
+from currantdeal.policy.speed.paces import Work
 from currantdeal.registry import Stage, UpstreamRecord
 
 MAX_PREFILL_ENGINES = 2
@@ -88,7 +97,9 @@
         if not await active.arrivals.may_send(ArrivalKind.PREFILL):
             break
         try:
-            return await _prefill_at(context, active, estimate, in_time)
+            return await _prefill_at(
+                context, active, estimate, decode_engine, in_time
+            )
         except PrefillFailedError as exc:
             if exc.maybe_running:
                 break
@@ -119,10 +130,13 @@
     wait_s = context.local_prefills.free_in_s(
         decode_engine.upstream, now_s=context.now_s
     )
-    meter = context.meter(active.service.name)
     context.begin_local_prefill(
         decode_engine.upstream,
-        local_prefill_s(active.call.prompt_tokens, meter.s_per_token),
+        local_prefill_s(
+            active.call.prompt_tokens,
+            s_per_token(context, active.service.name),
+            slowdown=_local_slowdown(context, decode_engine),
+        ),
     )
     await asyncio.sleep(min(wait_s, LOCAL_PREFILL_MAX_WAIT_S))
 
@@ -163,7 +177,10 @@
         ),
         random=context.random,
         is_suspect=lambda name: context.load.is_suspect(name, now_s=now_s),
-        s_per_token=context.meter(service).s_per_token,
+        s_per_token=s_per_token(context, service),
+        slowdown=lambda name: (
+            speed_of(context, records[name], Work.PREFILL).factor
+        ),
         unreported=context.load.unreported(
             active.call.prompt_tokens, now_s=now_s
         ),
@@ -204,12 +221,19 @@
     return prefers_local_prefill(
         best,
         tokens=active.call.prompt_tokens,
-        s_per_token=context.meter(active.service.name).s_per_token,
+        s_per_token=s_per_token(context, active.service.name),
         time_left_s=_time_left_s(context, active, in_time) - local_wait_s,
         gap_target_s=active.route.gap_target_s,
+        slowdown=_local_slowdown(context, decode_engine),
     )
 
 
+def _local_slowdown(context, decode_engine):
+    if decode_engine is None:
+        return 1.0
+    return speed_of(context, decode_engine, Work.DECODE).factor
+
+
 def _time_left_s(context, active, in_time):
     """Return the time left to prefill a prompt for a timely first event."""
     if not in_time:
@@ -218,16 +242,25 @@
     return active.route.target_s - waited_s - FIRST_EVENT_DELAY_S
 
 
-async def _prefill_at(context, active, best, in_time):
+async def _prefill_at(context, active, best, decode_engine, in_time):
     """Prefill the prompt at a prefill engine; returns its ``Prefill``."""
     record = context.view.record(best.upstream)
     began_s = context.now_s
     sent_s = context.limits.now_s
+    work = PrefillWork(
+        record=record,
+        tokens=active.call.prompt_tokens,
+        backlog=context.load.tokens(record.upstream, now_s=began_s),
+    )
+    detail = describe(speed_of(context, record, Work.PREFILL))
+    timeout_s = _timeout_s(context, active, best, decode_engine, in_time)
     context.load.add(record.upstream, active.call.prompt_tokens)
     try:
-        answer = await _request_prefill(context, active, record, best, in_time)
+        answer = await _request_prefill(context, active, record, timeout_s)
     except ExchangeError as exc:
         _handle_failed_prefill(context, record, exc, began_s)
+        if kind_of_failure(exc) is StepKind.SILENT:
+            record_prefill_timeout(context, work, context.now_s - began_s)
         if isinstance(exc, InvalidResponseError):
             context.crash_watch.check_lost_run(active, record, exc.phase)
         elif exc.sent:
@@ -237,8 +270,10 @@
     finally:
         context.load.remove(record.upstream, active.call.prompt_tokens)
     prefill = _parse_answer(context, active, record, sent_s, answer)
-    _record_prefill_time(context, active, context.now_s - began_s)
-    active.add_step(StepKind.PREFILL, record.upstream)
+    took_s = context.now_s - began_s
+    record_prefill(context, work, took_s)
+    _record_prefill_time(context, active, took_s)
+    active.add_step(StepKind.PREFILL, record.upstream, detail)
     return prefill
 
 
@@ -263,13 +298,17 @@
         )
 
 
-async def _request_prefill(context, active, record, best, in_time):
-    timeout_s = prefill_timeout_s(
+def _timeout_s(context, active, best, decode_engine, in_time):
+    return prefill_timeout_s(
         best,
         tokens=active.call.prompt_tokens,
-        s_per_token=context.meter(active.service.name).s_per_token,
+        s_per_token=s_per_token(context, active.service.name),
         time_left_s=_time_left_s(context, active, in_time),
+        slowdown=_local_slowdown(context, decode_engine),
     )
+
+
+async def _request_prefill(context, active, record, timeout_s):
     left_s = min(timeout_s, active.time_left_s(context.now_s))
     call = context.encode(
         active,
--- a/currantdeal/policy/load/shared_load.py
+++ b/currantdeal/policy/load/shared_load.py
@@ -14,6 +14,9 @@
 
 from dataclasses import dataclass, field
 
+from currantdeal.policy.speed.paces import add_paces
+from currantdeal.policy.speed.upstream_speeds import PaceSums
+
 LOAD_INTERVAL_S = 0.15
 """Interval at which changed loads are sent, at each of three steps.
 
@@ -50,11 +53,17 @@
         Number of entries that recently failed to reach an engine.
     patience : dict
         Longest timeout of the callers of each route, in seconds.
+    paces : dict
+        See ``currantdeal.policy.speed.paces``; empty in most reports, which
+        leave the last ones as they are.
     """
 
     held: dict[str, int]
     unreachable: dict[str, int]
     patience: dict[str, float] = field(default_factory=dict)
+    paces: dict[str, dict[str, tuple[int, int, int]]] = field(
+        default_factory=dict
+    )
 
 
 class EntryLoad:
@@ -179,18 +188,33 @@
         """Start empty."""
         self._entries = {}
         self._controls = {}
+        self._entry_paces = PaceSums(timeout_s=SOURCE_TIMEOUT_S)
+        self._control_paces = PaceSums(timeout_s=SOURCE_TIMEOUT_S)
 
     def set_entry(self, entry, load, *, now_s):
         """Store the load of an entry that reports here."""
         self._entries[entry] = (now_s, load)
+        self._entry_paces.set(entry, load.paces, now_s=now_s)
 
     def remove_entry(self, entry):
         """Remove an entry that no longer reports here."""
         self._entries.pop(entry, None)
+        self._entry_paces.remove(entry)
 
     def set_control(self, sender, load, *, now_s):
         """Store the summed load of the entries of another instance."""
         self._controls[sender] = (now_s, load)
+        self._control_paces.set(sender, load.paces, now_s=now_s)
+
+    def local_paces(self, *, now_s):
+        """Return the summed paces of the entries that report here."""
+        return self._entry_paces.total(now_s=now_s)
+
+    def total_paces(self, *, now_s):
+        """Return the summed paces of all entries."""
+        total = self._entry_paces.total(now_s=now_s)
+        add_paces(total, self._control_paces.total(now_s=now_s))
+        return total
 
     def local_total(self, *, now_s):
         """Return the summed load of the entries that report here."""
--- a/currantdeal/policy/memory/decode_memory.py
+++ b/currantdeal/policy/memory/decode_memory.py
@@ -54,6 +54,9 @@
 JITTER_SHARE = 0.1
 """Random share of memory, so that entries choose different engines."""
 
+MAX_GAP_SHARE = 0.75
+"""Share of the gap target that the mean gap of an engine may take."""
+
 DEFAULT_CAPACITY = 30_000
 """Memory of an engine whose capacity is unknown, in tokens."""
 
@@ -95,6 +98,22 @@
     return min(needed, kv_tokens) if kv_tokens else needed
 
 
+def keeps_gap_target(gap_s, gap_target_s):
+    """Return whether an engine with a mean gap keeps the gap target.
+
+    Parameters
+    ----------
+    gap_target_s : float
+        Longest pause that is in time; 0 if there is no target.
+
+    Examples
+    --------
+    >>> keeps_gap_target(0.25, 0.3), keeps_gap_target(0.25, 0.0)
+    (False, True)
+    """
+    return not gap_target_s or gap_s <= MAX_GAP_SHARE * gap_target_s
+
+
 class DecodeEngineOrder:
     """Orders decode engines for the reservations of one entry.
 
@@ -140,12 +159,14 @@
         max_fill=MAX_FILL,
         prefilling=None,
         connected=None,
+        slowdown=None,
+        is_too_slow=None,
     ):
         """Return engines in the order in which to request memory.
 
         Engines without room by the current sums are left out.  Engines that
-        several entries could not reach, or that refused a reservation less
-        than ``FULL_ENGINE_BACKOFF_S`` ago, come last.
+        several entries could not reach, that refused a reservation less than
+        ``FULL_ENGINE_BACKOFF_S`` ago, or that are too slow come last.
 
         Parameters
         ----------
@@ -163,6 +184,11 @@
             Whether an engine prefills a prompt that this one would wait for.
         connected : callable or None
             Whether there is an open connection to an engine.
+        slowdown : callable or None
+            Time that work takes at an engine, as a multiple of the pool's;
+            a stream holds memory of a slow engine for longer.
+        is_too_slow : callable or None
+            Whether an engine can't keep the gap target of the stream.
         """
         load = self._load
         memory_tokens = capacity or DEFAULT_CAPACITY
@@ -175,7 +201,9 @@
         def is_deferred(upstream):
             since_refusal_s = now_s - self._refused_s.get(upstream, -math.inf)
             suspect = load.is_suspect(upstream, now_s=now_s)
-            return suspect or since_refusal_s < FULL_ENGINE_BACKOFF_S
+            too_slow = is_too_slow is not None and is_too_slow(upstream)
+            refused = since_refusal_s < FULL_ENGINE_BACKOFF_S
+            return suspect or too_slow or refused
 
         costs = {}
         groups = {False: {}, True: {}}
@@ -185,8 +213,11 @@
             far = distance(upstream) == 2
             is_connected = connected is not None and connected(upstream)
             busy = prefilling is not None and prefilling(upstream)
+            held = load.tokens(upstream, now_s=now_s)
+            excess = slowdown(upstream) - 1.0 if slowdown is not None else 0.0
             costs[upstream] = (
-                load.tokens(upstream, now_s=now_s) / memory_tokens
+                held / memory_tokens
+                + (held + tokens) / memory_tokens * excess
                 + CROSS_REGION_SHARE * far
                 + PREFILL_SHARE * busy
                 - NEW_CONNECTION_SHARE * is_connected
--- a/currantdeal/policy/placement/prefill_choice.py
+++ b/currantdeal/policy/placement/prefill_choice.py
@@ -79,6 +79,7 @@
     s_per_token,
     unreported=0.0,
     connected=None,
+    slowdown=None,
 ):
     """Return estimates for prefill engines in the order to try them.
 
@@ -103,6 +104,8 @@
         Prompts of other entries that are not in the backlogs yet.
     connected : callable or None
         Whether there is an open connection to an engine.
+    slowdown : callable or None
+        Time that work takes at an engine, as a multiple of the pool's.
 
     Examples
     --------
@@ -118,6 +121,8 @@
 
     def expected_s(upstream):
         prefill_s = (backlog(upstream) + tokens) * token_s
+        if slowdown is not None:
+            prefill_s *= slowdown(upstream)
         suspect_s = SUSPECT_DELAY_S if is_suspect(upstream) else 0.0
         network_s = TRANSFER_DELAY_S[distance(upstream)]
         if connected is not None and not connected(upstream):
@@ -143,19 +148,25 @@
     return [found[name] for name in order]
 
 
-def local_prefill_s(tokens, s_per_token):
+def local_prefill_s(tokens, s_per_token, *, slowdown=1.0):
     """Return the seconds in which a decode engine prefills a prompt.
 
+    Parameters
+    ----------
+    slowdown : float
+        Time that work takes at that engine, as a multiple of its pool's.
+
     Examples
     --------
     >>> local_prefill_s(3000, 3e-5)
     0.18
     """
-    return LOCAL_SLOWDOWN * tokens * (s_per_token or DEFAULT_S_PER_TOKEN)
+    token_s = s_per_token or DEFAULT_S_PER_TOKEN
+    return LOCAL_SLOWDOWN * tokens * token_s * slowdown
 
 
 def prefers_local_prefill(
-    best, *, tokens, s_per_token, time_left_s, gap_target_s
+    best, *, tokens, s_per_token, time_left_s, gap_target_s, slowdown=1.0
 ):
     """Return whether the decode engine should prefill a prompt itself.
 
@@ -177,6 +188,8 @@
     gap_target_s : float
         Longest pause of the engine's other streams that is in time; 0 if
         there is no target.
+    slowdown : float
+        As for ``local_prefill_s``.
 
     Examples
     --------
@@ -190,16 +203,16 @@
     """
     if best is None:
         return True
-    local_s = local_prefill_s(tokens, s_per_token)
+    local_s = local_prefill_s(tokens, s_per_token, slowdown=slowdown)
     if local_s > time_left_s + SAVED_TRANSFER_S:
         return False
     if gap_target_s and local_s > MAX_PAUSE_SHARE * gap_target_s:
         return False
-    queue_s = best.expected_s - local_s / LOCAL_SLOWDOWN
+    queue_s = best.expected_s - local_s / LOCAL_SLOWDOWN / slowdown
     return queue_s > MAX_QUEUE_SHARE * time_left_s
 
 
-def prefill_timeout_s(best, *, tokens, s_per_token, time_left_s):
+def prefill_timeout_s(best, *, tokens, s_per_token, time_left_s, slowdown=1.0):
     """Return the timeout of a prefill at a prefill engine, in seconds.
 
     An unresponsive engine keeps its connections open and sends nothing.
@@ -219,9 +232,8 @@
     1.6
     """
     timeout_s = TIMEOUT_FACTOR * best.expected_s + TIMEOUT_MARGIN_S
-    latest_s = (
-        time_left_s + SAVED_TRANSFER_S - local_prefill_s(tokens, s_per_token)
-    )
+    local_s = local_prefill_s(tokens, s_per_token, slowdown=slowdown)
+    latest_s = time_left_s + SAVED_TRANSFER_S - local_s
     if timeout_s > latest_s:
         return MAX_TIMEOUT_S
     return timeout_s
--- /dev/null
+++ b/currantdeal/policy/speed/__init__.py
@@ -0,0 +1,1 @@
+"""How fast each upstream is now, measured by the work that it did."""
