Plan stages by the speed of engines, and widen errors in even pools

A slow prefill engine counts as a part of a usual one, the slowest are taken from prefill first and the fastest from decode, and demand on prefill is in the seconds of a usual engine. Control instances show each engine's slowdown, error and share of the work, and the leader logs changes.

Among many engines some exceed their error by chance, so errors count 2.5 times unless the whole pool differs by more than they explain.

--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -26,6 +26,7 @@
 from currantdeal.control.confirmation import ViewConfirmation
 from currantdeal.control.crash_replicator import CrashReplicator
 from currantdeal.control.demand_tracker import DemandTracker
+from currantdeal.control.engine_speeds import EngineSpeeds
 from currantdeal.control.exchange import RecordExchange
 from currantdeal.control.leader_link import LeaderLink
 from currantdeal.control.limit_control import LimitControl
@@ -52,6 +53,7 @@
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.platform.control import PlatformControl
 from currantdeal.policy.load.shared_load import LOAD_INTERVAL_S
+from currantdeal.policy.speed.paces import PACE_INTERVAL_S
 
 RAFT_HEARTBEAT_S = 0.1
 ELECTION_S = 0.4
@@ -127,7 +129,13 @@
         dialect = PlatformControl()
         self._leave_store = _record_store(settings, LEAVES_FILE, SavedLeaves)
         self._exchange = exchange = self._make_exchange(settings)
-        demand = DemandTracker(clock=boot_time_s)
+        self._speeds = EngineSpeeds(
+            paces=lambda: self._service.paces,
+            logs=lambda: self._replica.is_leader,
+        )
+        demand = DemandTracker(
+            clock=boot_time_s, s_per_token=self._speeds.s_per_token
+        )
         self._crash_store = _record_store(settings, CRASHES_FILE, SavedCrashes)
         self._crashes = CrashReplicator(
             exchange=exchange,
@@ -199,6 +207,7 @@
             min_order_interval_s=bounds.min_order_interval_s,
             clock=boot_time_s,
             held_tokens=lambda: self._service.held_tokens,
+            slowdowns=self._speeds.slowdowns,
         )
 
     async def run(self, *, stop_requested):
@@ -238,6 +247,7 @@
             self._repeat(SETTINGS_INTERVAL_S, self._file.reload_if_changed),
             self._repeat(HEARTBEAT_S, self._service.send_heartbeat),
             self._repeat(LOAD_INTERVAL_S, self._service.publish_loads),
+            self._repeat(PACE_INTERVAL_S, self._speeds.observe),
             self._repeat(JOIN_INTERVAL_S, self._membership.join_if_needed),
             keep_running(self._crash_store.run, metrics=self._metrics),
             keep_running(self._leave_store.run, metrics=self._metrics),
@@ -307,6 +317,7 @@
         self._metrics.set("silent_replicas", len(silent))
         self._metrics.set("log_index", node.commit_index)
         set_crash_gauges(self._metrics, self._crashes.registry)
+        self._speeds.set_gauges(self._metrics)
         for name, value in self._service.sizes.items():
             self._metrics.set(name, value)
 
--- a/currantdeal/control/demand_tracker.py
+++ b/currantdeal/control/demand_tracker.py
@@ -13,11 +13,15 @@
     ----------
     clock : callable
         Returns monotonic seconds.
+    s_per_token : callable
+        Returns the time in which a usual engine of a service prefills a
+        token, or None.
     """
 
-    def __init__(self, *, clock):
+    def __init__(self, *, clock, s_per_token=lambda service: None):
         """Start without any demand."""
         self._clock = clock
+        self._s_per_token = s_per_token
         self._reported = {}
         self._windows = {}
         self._engine_traits = {}
@@ -47,6 +51,7 @@
             window.total(now_s=now_s),
             window_s=DEMAND_WINDOW_S,
             kv_tokens=traits.kv_tokens,
+            s_per_token=self._s_per_token(service),
         )
 
     def switch_s(self, service):
--- a/currantdeal/control/orders.py
+++ b/currantdeal/control/orders.py
@@ -113,6 +113,8 @@
         Returns monotonic seconds.
     held_tokens : callable
         Returns the tokens that entries hold at each engine, by its name.
+    slowdowns : callable
+        Returns the slowdown of each of some engines, by its name.
     """
 
     def __init__(
@@ -127,6 +129,7 @@
         min_order_interval_s,
         clock,
         held_tokens=dict,
+        slowdowns=lambda records: {},
     ):
         """Send no order before ``run``."""
         self._local_id = local_id
@@ -138,6 +141,7 @@
         self._pause_s = min_order_interval_s + HANDOVER_MARGIN_S
         self._clock = clock
         self._held_tokens = held_tokens
+        self._slowdowns = slowdowns
         self._fenced_term = 0
         self._known_processes = set()
         self._quiet_until_s = clock() + QUIET_PERIOD_S
@@ -173,11 +177,13 @@
 
     async def _adjust_split(self, service, engines):
         busy = self._demand.busy(service)
+        slowdowns = self._slowdowns(engines)
         plan = plan_stages(
             engines,
             busy=busy,
             held=self._held_tokens(),
             avoided=self._refused_until_s,
+            slowdowns=slowdowns,
         )
         excluded = self._pending.keys() | self._refused_until_s.keys()
         changes = [c for c in plan if c.upstream not in excluded]
@@ -197,7 +203,11 @@
                 # An engine has an order with a later fencing number, so the
                 # others may have one, too.
                 return
-            await self._send_order(records[change.upstream], change.stage)
+            await self._send_order(
+                records[change.upstream],
+                change.stage,
+                slowdowns.get(change.upstream, 1.0),
+            )
 
     def _with_pending_order(self, record):
         """Return the record that an engine will have after its order."""
@@ -258,7 +268,7 @@
         record = self._exchange.registry.get(upstream)
         return record is None or record.state is UpstreamState.GONE
 
-    async def _send_order(self, record, stage):
+    async def _send_order(self, record, stage, slowdown):
         try:
             await self._replica.read()
         except NotCertainError:
@@ -297,4 +307,5 @@
             fencing_number=term,
             accepted=status in ACCEPTED,
             answer=status,
+            slowdown=round(slowdown, 2),
         )
--- a/currantdeal/policy/load/demand.py
+++ b/currantdeal/policy/load/demand.py
@@ -177,7 +177,7 @@
     decode: float
 
 
-def busy_engines(demand, *, window_s, kv_tokens):
+def busy_engines(demand, *, window_s, kv_tokens, s_per_token=None):
     """Return how many engines a demand keeps busy, or None if unknown.
 
     It is unknown before ``MIN_ENDED_STREAMS`` have ended, or without the
@@ -189,6 +189,9 @@
         Of one service, over ``window_s``.
     kv_tokens : int
         Memory of one engine.
+    s_per_token : float or None
+        Time in which a usual prefill engine prefills a token; the shortest
+        time that was measured if None.
 
     Examples
     --------
@@ -201,7 +204,8 @@
         return None
     scale = min(MAX_REFUSED_SCALE, max(1.0, demand.offered / demand.ended))
     memory = demand.memory_token_s * scale
+    token_s = s_per_token or demand.s_per_token
     return BusyEngines(
-        prefill=demand.prompt_tokens * demand.s_per_token / window_s,
+        prefill=demand.prompt_tokens * token_s / window_s,
         decode=memory / window_s / kv_tokens,
     )
--- a/currantdeal/policy/placement/stage_plan.py
+++ b/currantdeal/policy/placement/stage_plan.py
@@ -6,10 +6,13 @@
 
 Until demand is measured, ``DEFAULT_PREFILL_SHARE`` of the engines prefill,
 rounded to whole engines.  Then the best split is the one that minimises the
-load of its more loaded stage.
+load of its more loaded stage.  Where engines differ in speed, fast ones
+prefill and a slow prefill engine counts as a part of a usual one; memory,
+which limits decoding, is the same at both.
 """
 
 from dataclasses import dataclass
+from itertools import accumulate
 
 from currantdeal.registry import Stage
 
@@ -38,7 +41,7 @@
     stage: Stage
 
 
-def prefill_count(engines, *, busy=None, current=None):
+def prefill_count(engines, *, busy=None, current=None, slowdowns=()):
     """Return the number of engines that should prefill.
 
     Parameters
@@ -50,6 +53,9 @@
     current : int or None
         Engines that prefill now; kept unless another number is better by
         ``MIN_GAIN`` or ``MIN_GAIN_TO_PREFILL``.
+    slowdowns : sequence of float
+        Slowdown of each engine in the order in which they are to prefill;
+        all are alike if empty.
 
     Examples
     --------
@@ -65,9 +71,11 @@
         return 0
     if busy is None:
         return max(1, round(DEFAULT_PREFILL_SHARE * engines))
+    slowdowns = slowdowns or (1.0,) * engines
+    speeds = list(accumulate(1.0 / slowdown for slowdown in slowdowns))
     loads = {
         number: max(
-            busy.prefill / (number * MAX_PREFILL_UTILISATION),
+            busy.prefill / (speeds[number - 1] * MAX_PREFILL_UTILISATION),
             busy.decode / ((engines - number) * MAX_DECODE_UTILISATION),
         )
         for number in range(1, engines)
@@ -91,12 +99,14 @@
     return len(records) > 1 and len(stages) < len(Stage)
 
 
-def plan_stages(records, *, busy=None, held=None, avoided=()):
+def plan_stages(records, *, busy=None, held=None, avoided=(), slowdowns=None):
     """Return the changes that bring a service's engines to the desired split.
 
-    Engines with the least load are chosen, since an engine changes its stage
-    only after its streams have ended.  This also selects the engine that a
-    former leader has chosen, since that one receives no new work.
+    The slowest engines are taken from prefill and the fastest from decode.
+    Of engines alike, those with the least load are chosen, since an engine
+    changes its stage only after its streams have ended.  This also selects
+    the engine that a former leader has chosen, since that one receives no new
+    work.
 
     Parameters
     ----------
@@ -108,17 +118,34 @@
         Tokens held at each engine, by name; None if unknown.
     avoided : collection of str
         Engines that are chosen last.
+    slowdowns : dict or None
+        Slowdown of each engine at the work of its stage beyond its error, by
+        name; 1 if unknown.
     """
     held = held or {}
+    slowdowns = slowdowns or {}
     by_name = sorted(records, key=lambda r: r.upstream, reverse=True)
-    by_load = sorted(
-        by_name,
-        key=lambda r: (r.upstream in avoided, held.get(r.upstream, 0)),
-    )
-    prefill = [r.upstream for r in by_load if r.stage is Stage.PREFILL]
-    decode = [r.upstream for r in by_load if r.stage is Stage.DECODE]
+
+    def slowdown(name):
+        return slowdowns.get(name, 1.0)
+
+    def ordered(stage, sign):
+        return sorted(
+            (r.upstream for r in by_name if r.stage is stage),
+            key=lambda name: (
+                name in avoided,
+                sign * slowdown(name),
+                held.get(name, 0),
+            ),
+        )
+
+    prefill = ordered(Stage.PREFILL, -1)
+    decode = ordered(Stage.DECODE, 1)
     desired = prefill_count(
-        len(prefill) + len(decode), busy=busy, current=len(prefill)
+        len(prefill) + len(decode),
+        busy=busy,
+        current=len(prefill),
+        slowdowns=tuple(slowdown(n) for n in [*reversed(prefill), *decode]),
     )
     surplus = prefill[: max(0, len(prefill) - desired)]
     if surplus:
--- a/currantdeal/policy/placement/tests/test_stage_plan.py
+++ b/currantdeal/policy/placement/tests/test_stage_plan.py
@@ -154,3 +154,34 @@
     engines = _engines(0, 4)
     (change,) = plan_stages(engines, held=held)
     assert change.upstream == "e2"
+
+
+def test_fast_engines_are_added_to_a_short_prefill_stage():
+    """Guards against a slow engine that is to relieve a burst of prompts."""
+    slowdowns = {"e5": 0.6, "e7": 0.5, "e9": 1.9}
+    busy = BusyEngines(prefill=4.0, decode=2.0)
+    held = {f"e{n}": n for n in range(12)}
+    changes = plan_stages(
+        _engines(2, 10), busy=busy, held=held, slowdowns=slowdowns
+    )
+    chosen = [change.upstream for change in changes]
+    assert chosen[:2] == ["e7", "e5"]
+    assert "e9" not in chosen
+
+
+def test_slow_prefill_engines_are_the_first_to_decode():
+    busy = BusyEngines(prefill=0.4, decode=6.0)
+    slowdowns = {"e2": 2.5, "e0": 0.8}
+    changes = plan_stages(_engines(4, 4), busy=busy, slowdowns=slowdowns)
+    assert changes[0].upstream == "e2"
+    assert "e0" not in {change.upstream for change in changes}
+
+
+def test_slow_prefill_engines_count_as_parts_of_usual_ones():
+    """Guards against a stage that is short though it has enough engines."""
+    busy = BusyEngines(prefill=2.0, decode=6.0)
+    even = _engines(3, 9)
+    slow = dict.fromkeys(("e0", "e1", "e2"), 3.0)
+    assert plan_stages(even, busy=busy) == ()
+    changes = plan_stages(even, busy=busy, slowdowns=slow)
+    assert {change.stage for change in changes} == {Stage.PREFILL}
--- a/currantdeal/policy/speed/paces.py
+++ b/currantdeal/policy/speed/paces.py
@@ -21,9 +21,18 @@
 SINGLE_ERROR = 0.6
 """Relative error of one measurement; queues are known only roughly."""
 
-MIN_ERROR = 0.1
+MIN_ERROR = 0.05
 """Relative error that remains however much was measured."""
 
+EVEN_POOL_ERRORS = 2.5
+"""Factor of the errors in a pool that is as even as they allow.
+
+Among many upstreams, some exceed their error by chance.
+"""
+
+MIN_UNUSUAL = 2
+"""Upstreams beyond their error that make a pool uneven; one is an outlier."""
+
 MAX_SLOWDOWN = 10.0
 
 PROCESS_MASK = 0xFFFF  # bits of the start that tell two processes apart
@@ -95,11 +104,9 @@
 
     @property
     def is_uneven(self):
-        """Whether an upstream differs from the pool beyond its error."""
-        return any(
-            abs(slowdown - 1.0) > error
-            for slowdown, error in self.slowdowns.values()
-        )
+        """Whether several upstreams differ from the pool."""
+        found = self.slowdowns.values()
+        return sum(_is_unusual(*of_one) for of_one in found) >= MIN_UNUSUAL
 
 
 def pool_key(work, pool):
@@ -153,14 +160,17 @@
     """
     nominal, taken, _ = _total(upstreams)
     pace = taken / nominal if nominal and taken else 1.0
-    return PoolSpeeds(
-        pace=pace,
-        slowdowns={
-            name: (_slowdown(of_one, pace), _error(of_one[2]))
-            for name, of_one in upstreams.items()
-            if name != ALL and of_one[0] and of_one[2]
-        },
-    )
+    slowdowns = {
+        name: (_slowdown(of_one, pace), _error(of_one[2]))
+        for name, of_one in upstreams.items()
+        if name != ALL and of_one[0] and of_one[2]
+    }
+    if ALL not in upstreams and _is_even(slowdowns.values()):
+        slowdowns = {
+            name: (slowdown, EVEN_POOL_ERRORS * error)
+            for name, (slowdown, error) in slowdowns.items()
+        }
+    return PoolSpeeds(pace=pace, slowdowns=slowdowns)
 
 
 def unusual_paces(paces):
@@ -177,7 +187,7 @@
             **{
                 name: upstreams[name]
                 for name, found in pool_speeds(upstreams).slowdowns.items()
-                if abs(found[0] - 1.0) > found[1]
+                if _is_unusual(*found)
             },
             ALL: _total(upstreams),
         }
@@ -185,14 +195,21 @@
     }
 
 
+def _is_unusual(slowdown, error):
+    return abs(slowdown - 1.0) > error
+
+
+def _is_even(slowdowns):
+    """Return whether upstreams differ by no more than their errors."""
+    ratios = [(slowdown - 1.0) / error for slowdown, error in slowdowns]
+    return sum(ratio * ratio for ratio in ratios) <= len(ratios)
+
+
 def _total(upstreams):
     if ALL in upstreams:
         return tuple(upstreams[ALL])
-    return tuple(sum(column) for column in zip(*upstreams.values())) or (
-        0,
-        0,
-        0,
-    )
+    paces = zip(*upstreams.values(), strict=True)
+    return tuple(sum(column) for column in paces) or (0, 0, 0)
 
 
 def _slowdown(pace, pool_pace):
--- a/currantdeal/policy/speed/upstream_speeds.py
+++ b/currantdeal/policy/speed/upstream_speeds.py
@@ -48,8 +48,8 @@
     ...     for name, took_s in (("e1", 0.1), ("e2", 0.1), ("e3", 0.4)):
     ...         speeds.record(name, Work.PREFILL, expected_s=0.1,
     ...                       took_s=took_s, now_s=1.0)
-    >>> speeds.estimate("e3", Work.PREFILL, now_s=1.0)
-    SpeedEstimate(slowdown=2.0, error=0.2, age_s=0.0)
+    >>> speeds.estimate("e3", Work.PREFILL, now_s=1.0)  # doctest: +ELLIPSIS
+    SpeedEstimate(slowdown=2.0, error=0.15..., age_s=0.0)
     >>> speeds.estimate("e3", Work.PREFILL, now_s=20.0).slowdown
     1.0
     """
