--- a/currantdeal/control/service.py
+++ b/currantdeal/control/service.py
@@ -5,6 +5,7 @@
 """
 
 import zlib
+from dataclasses import replace
 from functools import singledispatchmethod
 
 import structlog
@@ -55,6 +56,7 @@
 )
 from currantdeal.policy.load.load_changes import LoadChains
 from currantdeal.policy.load.shared_load import LoadSums
+from currantdeal.policy.speed.paces import PACE_INTERVAL_S, unusual_paces
 
 MAX_SILENT_NAMED = 64
 """Silent upstreams that a heartbeat names; entries ask about few of them."""
@@ -130,6 +132,7 @@
         self._control_loads = LoadChains()
         self._last_load = None
         self._last_load_s = 0.0
+        self._paces_due_s = 0.0
 
     @property
     def has_leader(self):
@@ -188,6 +191,11 @@
         """Tokens that entries hold at each engine, by its name."""
         return self._loads.total(now_s=self._clock()).held
 
+    @property
+    def paces(self):
+        """Paces of upstreams, summed over all entries."""
+        return self._loads.total_paces(now_s=self._clock())
+
     def publish_loads(self):
         """Publish the entries and the tokens that they hold at engines.
 
@@ -198,6 +206,12 @@
         """
         now_s = self._clock()
         local_total = self._loads.local_total(now_s=now_s)
+        total_paces = {}
+        if now_s >= self._paces_due_s:
+            self._paces_due_s = now_s + PACE_INTERVAL_S
+            local_paces = self._loads.local_paces(now_s=now_s)
+            local_total = replace(local_total, paces=local_paces)
+            total_paces = unusual_paces(self.paces)
         if (
             local_total != self._last_load
             or now_s - self._last_load_s > HEARTBEAT_S
@@ -216,7 +230,9 @@
             self._spread_renewals()
         total = self._loads.total(now_s=now_s)
         self._load_publisher.publish(
-            total, self._exchange.subscribers, now_s=now_s
+            replace(total, paces=total_paces),
+            self._exchange.subscribers,
+            now_s=now_s,
         )
 
     def send_heartbeat(self):
