Give memory by urgency over all entries

Change: requests wait by rank (urgency and standing). PoolLoad carries what each rank waits for, brings and was granted, and what organisations want; an entry asks the engines only for what is free beyond that of more urgent ranks and the expected shortfall of their arrivals (policy/memory/urgency.py, ranks.py).

--- a/currantdeal/entry/active_request.py
+++ b/currantdeal/entry/active_request.py
@@ -24,7 +24,10 @@
     refused : int
         Reservations that an engine refused.
     rounds_without_room : int
-        Rounds in which no engine was estimated to have room.
+        Rounds in which no engine was asked: none was estimated to have room
+        for this request besides more urgent ones.
+    outcome : str
+        How the last wait for memory ended; empty if there was none.
     """
 
     def __init__(self):
@@ -32,6 +35,7 @@
         self.requested = 0
         self.refused = 0
         self.rounds_without_room = 0
+        self.outcome = ""
 
     def __str__(self):
         """Return the counts as they are logged."""
@@ -167,6 +171,11 @@
             return self.route.priority
         return organisation.priority
 
+    @property
+    def organisation_name(self):
+        """Name of its organisation; empty if it needs no key."""
+        return "" if self.organisation is None else self.organisation.name
+
     @property
     def kind(self):
         """The ``CallKind`` of the request."""
--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -16,6 +16,7 @@
 from currantdeal.policy.load.demand import DemandMeter
 from currantdeal.policy.load.shared_load import EntryLoad
 from currantdeal.policy.memory.decode_memory import DecodeEngineOrder
+from currantdeal.policy.memory.urgency import MemoryTurns
 from currantdeal.policy.placement.local_prefills import LocalPrefills
 from currantdeal.policy.retries.retry_detection import RetryDetector
 
@@ -80,6 +81,7 @@
         self.health = UpstreamHealth()
         self.load = EntryLoad()
         self.decode_engine_order = DecodeEngineOrder(load=self.load)
+        self.memory_turns = MemoryTurns()
         self.prefill_health = UpstreamHealth()
         self.retry_detector = RetryDetector()
         self.local_prefills = LocalPrefills()
@@ -209,11 +211,16 @@
         return self.load.report(
             unreachable=unreachable,
             longest_timeouts_s=self.retry_detector.longest_timeouts_s,
+            waiting=self.memory_turns.report(now_s=now_s),
+            wanted=self.memory_turns.report_wanted(),
         )
 
     def update_load(self, load):
         """Update the load of all entries at the engines."""
         self.load.update_sums(load, now_s=self.now_s)
+        self.memory_turns.update_sums(
+            load.waiting, load.wanted, now_s=self.now_s
+        )
         self.retry_detector.set_shared_timeouts(load.patience)
 
     def in_background(self, work):
--- a/currantdeal/entry/errors.py
+++ b/currantdeal/entry/errors.py
@@ -68,6 +68,21 @@
         self.retry_after_s = retry_after_s
 
 
+class MemoryShortError(RefusedError):
+    """No engine has memory for the request in its time.
+
+    Parameters
+    ----------
+    retry_after_s : float or None
+        Predicted time after which its turn comes; None if unknown.
+    """
+
+    def __init__(self, reason, *, retry_after_s):
+        """Store the prediction; the request has not run."""
+        super().__init__(reason, refusal_reason=RefusalReason.MEMORY)
+        self.retry_after_s = retry_after_s
+
+
 class QuarantinedError(RefusedError):
     """The request, or a part of its prompt, crashes upstreams.
 
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -13,6 +13,7 @@
 from currantdeal.entry.errors import (
     FailedError,
     IncompleteAnswerError,
+    MemoryShortError,
     QuarantinedError,
     RefusedError,
 )
@@ -158,6 +159,9 @@
         waited_s = self._now_s - self._active.request.arrived_s
         self._context.metrics.observe("memory_wait_seconds", waited_s)
         self._context.load.add(reservation.record.upstream, reservation.tokens)
+        self._context.memory_turns.hold(
+            self._active.organisation_name, reservation.tokens
+        )
         try:
             if not self._may_send():
                 return False
@@ -171,6 +175,9 @@
             self._context.load.remove(
                 reservation.record.upstream, reservation.tokens
             )
+            self._context.memory_turns.free(
+                self._active.organisation_name, reservation.tokens
+            )
             if not used:
                 self._reserver.release(reservation)
 
@@ -269,20 +276,21 @@
         verdict = self._context.crash_watch.find_verdict(self._active)
         if verdict is not None:
             raise QuarantinedError(verdict)
-        raise RefusedError(
-            self._reason,
-            refusal_reason=(
-                RefusalReason.RETRY_BUDGET
-                if self._is_over_budget
-                else RefusalReason.MEMORY
-            ),
+        if self._is_over_budget:
+            raise RefusedError(
+                self._reason, refusal_reason=RefusalReason.RETRY_BUDGET
+            )
+        raise MemoryShortError(
+            self._reason, retry_after_s=self._reserver.return_after_s
         )
 
     async def _reserve(self):
         active = self._active
         if self._relay.started:
             wait_s = RESUME_WAIT_PAUSES * self._gap_target_s
-            return await self._reserver.reserve(self._now_s + wait_s)
+            return await self._reserver.reserve(
+                self._now_s + wait_s, in_turn=False
+            )
         arrived_s = active.request.arrived_s
         if active.is_retry:
             wait_s = RETRY_WAIT_TARGETS * active.route.target_s
--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -5,6 +5,7 @@
 hedged with the next one, see ``Hedge``.
 """
 
+import math
 from dataclasses import dataclass
 
 import structlog
@@ -12,6 +13,7 @@
 from currantdeal.core.errors import DialectError
 from currantdeal.entry.errors import RefusedError
 from currantdeal.entry.hedging import Hedge
+from currantdeal.entry.memory_turn import MemoryTurn
 from currantdeal.entry.prefill import expects_local_prefill
 from currantdeal.entry.releases import release
 from currantdeal.node.connection_pool import exchange
@@ -73,17 +75,23 @@
         self._context = context
         self._active = active
         self._excluded = set()
+        self._turn = None
         self._tokens = _tokens(active)
 
     @property
     def _now_s(self):
         return self._context.now_s
 
+    @property
+    def return_after_s(self):
+        """Time after which a refused request finds memory; None if unknown."""
+        return self._turn and self._turn.return_after_s
+
     def exclude(self, record):
         """Exclude an engine whose connection to this generation was lost."""
         self._excluded.add(record.upstream)
 
-    async def reserve(self, until_s, *, max_fill=MAX_FILL):
+    async def reserve(self, until_s, *, max_fill=MAX_FILL, in_turn=True):
         """Reserve memory; returns None if none is free until a time.
 
         Parameters
@@ -93,6 +101,9 @@
         max_fill : float
             Share of an engine's memory that may be claimed in all; lower
             for retrying callers.
+        in_turn : bool
+            Whether it comes after more urgent requests, and is refused once
+            its turn is predicted to come too late.
         """
         pause_s = (
             RESERVE_PAUSE_S
@@ -100,18 +111,26 @@
             else RETRYING_CALLER_PAUSE_S
         )
         hedge = Hedge(delay_s=HEDGE_S, release_grant=self.release)
+        turn = MemoryTurn(
+            context=self._context,
+            active=self._active,
+            tokens=self._tokens,
+            until_s=until_s if in_turn else math.inf,
+        )
+        self._turn, granted = turn, None
         try:
-            while True:
+            while granted is None:
                 granted = await self._reserve_at_any(
-                    hedge, self._engines(max_fill)
+                    hedge, self._engines_in_turn(turn, max_fill)
                 )
-                if granted is None and self._now_s + pause_s <= until_s:
+                if granted is None:
+                    turn.record_wait()
+                    if turn.is_too_late or self._now_s + pause_s > until_s:
+                        break
                     granted = await hedge.wait(pause_s)
-                elif granted is None:
-                    return None
-                if granted is not None:
-                    return granted
+            return granted
         finally:
+            turn.end(granted=granted is not None)
             self._context.in_background(hedge.drain())
 
     async def reserve_once(self, *, excluding):
@@ -259,6 +278,18 @@
             return prefilling
         return frozenset()
 
+    def _engines_in_turn(self, turn, max_fill):
+        """Return the engines to ask now; none if others come first."""
+        records = self._engines(max_fill)
+        free = self._context.decode_engine_order.free_tokens(
+            [record.upstream for record in records],
+            tokens=self._tokens,
+            capacity=self._active.service.engine.kv_tokens,
+            now_s=self._now_s,
+            max_fill=max_fill,
+        )
+        return records if turn.may_ask(free) else []
+
     def _engines(self, max_fill=MAX_FILL):
         view, context = self._context.view, self._context
         records = {
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -305,6 +305,13 @@
                 organisation=self._label(active.organisation.name),
                 outcome=kind,
             )
+        if active.search.outcome:
+            metrics.add(
+                "memory_waits_total",
+                route=active.route.name,
+                organisation=self._label(active.organisation_name),
+                outcome=active.search.outcome,
+            )
         if active.first_output_s is not None:
             first_s = active.first_output_s - active.request.arrived_s
             metrics.observe("first_output_seconds", first_s)
--- a/currantdeal/policy/load/shared_load.py
+++ b/currantdeal/policy/load/shared_load.py
@@ -13,6 +13,7 @@
 """
 
 from dataclasses import dataclass, field
+from operator import add
 
 LOAD_INTERVAL_S = 0.15
 """Interval at which changed loads are sent, at each of three steps.
@@ -50,11 +51,19 @@
         Number of entries that recently failed to reach an engine.
     patience : dict
         Longest timeout of the callers of each route, in seconds.
+    waiting : dict
+        Tokens that requests wait for, that arrive in a second and that are
+        granted in a second, by ``Rank.key`` of
+        ``currantdeal.policy.memory.ranks``.  Empty while none waits.
+    wanted : dict
+        Tokens that organisations hold and wait for.  Empty while none waits.
     """
 
     held: dict[str, int]
     unreachable: dict[str, int]
     patience: dict[str, float] = field(default_factory=dict)
+    waiting: dict[str, tuple[int, int, int]] = field(default_factory=dict)
+    wanted: dict[str, int] = field(default_factory=dict)
 
 
 class EntryLoad:
@@ -93,7 +102,14 @@
         else:
             self._own.pop(upstream, None)
 
-    def report(self, *, unreachable, longest_timeouts_s=None):
+    def report(
+        self,
+        *,
+        unreachable,
+        longest_timeouts_s=None,
+        waiting=None,
+        wanted=None,
+    ):
         """Return the load of this entry, to be sent to the other entries.
 
         Parameters
@@ -102,12 +118,16 @@
             Engines that this entry recently failed to reach.
         longest_timeouts_s : dict or None
             Longest timeout that callers set on each route, in seconds.
+        waiting, wanted : dict or None
+            See ``PoolLoad``.
         """
         self._reported = dict(self._own)
         return PoolLoad(
             held=self._reported,
             unreachable=dict.fromkeys(unreachable, 1),
             patience=longest_timeouts_s or {},
+            waiting=waiting or {},
+            wanted=wanted or {},
         )
 
     def update_sums(self, sums, *, now_s):
@@ -218,15 +238,25 @@
     held = {}
     unreachable = {}
     longest_timeouts_s = {}
+    waiting = {}
+    wanted = {}
     for load in loads:
         _add_counts(held, load.held)
         _add_counts(unreachable, load.unreachable)
+        _add_counts(wanted, load.wanted)
+        for rank, demand in load.waiting.items():
+            sums = waiting.get(rank, (0, 0, 0))
+            waiting[rank] = tuple(map(add, sums, demand))
         for route, seconds in load.patience.items():
             longest_timeouts_s[route] = max(
                 seconds, longest_timeouts_s.get(route, 0.0)
             )
     return PoolLoad(
-        held=held, unreachable=unreachable, patience=longest_timeouts_s
+        held=held,
+        unreachable=unreachable,
+        patience=longest_timeouts_s,
+        waiting=waiting,
+        wanted=wanted,
     )
 
 
--- a/currantdeal/policy/memory/decode_memory.py
+++ b/currantdeal/policy/memory/decode_memory.py
@@ -173,9 +173,7 @@
             return not held or held + tokens <= max_fill * memory_tokens
 
         def is_deferred(upstream):
-            since_refusal_s = now_s - self._refused_s.get(upstream, -math.inf)
-            suspect = load.is_suspect(upstream, now_s=now_s)
-            return suspect or since_refusal_s < FULL_ENGINE_BACKOFF_S
+            return self._is_deferred(upstream, now_s)
 
         costs = {}
         groups = {False: {}, True: {}}
@@ -204,3 +202,24 @@
                 jitter=JITTER_SHARE,
             )
         ]
+
+    def free_tokens(self, upstreams, *, tokens, capacity, now_s, max_fill):
+        """Return the memory that requests of one size find free.
+
+        Engines that come last by ``order`` are not counted.  None if the
+        loads or the capacity are unknown.
+        """
+        if not capacity or not self._load.has_current_sums(now_s=now_s):
+            return None
+        free = 0
+        for upstream in upstreams:
+            if not self._is_deferred(upstream, now_s):
+                held = self._load.tokens(upstream, now_s=now_s)
+                left = max(0.0, max_fill * capacity - held)
+                free += tokens * max(int(left // tokens), not held)
+        return free
+
+    def _is_deferred(self, upstream, now_s):
+        since_refusal_s = now_s - self._refused_s.get(upstream, -math.inf)
+        suspect = self._load.is_suspect(upstream, now_s=now_s)
+        return suspect or since_refusal_s < FULL_ENGINE_BACKOFF_S
--- a/currantdeal/policy/retries/retry_after.py
+++ b/currantdeal/policy/retries/retry_after.py
@@ -42,6 +42,12 @@
     RefusalReason.RETRY_BUDGET: (0.8, 3.0),
 }
 
+MEMORY_SPREAD = 1.0
+"""Share by which a predicted time for memory is extended at most, at random.
+
+The prediction is uncertain, and the callers of a burst have about the same.
+"""
+
 QUOTA_SPREAD = 0.2
 """Share by which the time of a quota is extended at most, at random."""
 
@@ -64,7 +70,7 @@
         Source of the spread.
     allowed_after_s : float or None
         Seconds after which a quota or a limit allows the request, if it was
-        refused for that.
+        refused for that; or after which memory is predicted to be free.
 
     Examples
     --------
@@ -82,16 +88,26 @@
     >>> 5.0 <= after_s <= 6.0
     True
 
+    The predicted time for memory is spread over twice its length:
+
+    >>> after_s = choose_retry_after_s(
+    ...     memory, 14.0, Random(1), allowed_after_s=2.0)
+    >>> 2.0 <= after_s <= 4.0
+    True
+
     A limit allows each request at a time of its own:
 
     >>> choose_retry_after_s(
     ...     RefusalReason.LIMIT, 0.3, Random(1), allowed_after_s=5.0)
     5.0
     """
-    if allowed_after_s is not None:
+    low_s, high_s = _RANGES_S[refusal_reason]
+    if refusal_reason is RefusalReason.MEMORY and allowed_after_s is not None:
+        low_s = min(high_s, max(low_s, allowed_after_s))
+        high_s = low_s * (1.0 + MEMORY_SPREAD)
+    elif allowed_after_s is not None:
         spread = QUOTA_SPREAD * (refusal_reason is RefusalReason.QUOTA)
         return round(allowed_after_s * random.uniform(1.0, 1.0 + spread), 3)
-    low_s, high_s = _RANGES_S[refusal_reason]
     wanted_s = random.uniform(low_s, high_s)
     if refusal_reason is RefusalReason.QUARANTINE:
         return round(wanted_s, 3)
