Order routes within the priority of their organisation

Change: a rank compares the priority of the organisation, or else of the route, and then that of the route.

--- a/currantdeal/entry/memory_turn.py
+++ b/currantdeal/entry/memory_turn.py
@@ -34,6 +34,7 @@
         self._number = context.memory_turns.enter(
             service=active.service.name,
             priority=active.priority,
+            route_priority=active.route.priority,
             organisation=active.organisation_name,
             is_retry=active.is_retry,
             tokens=tokens,
--- a/currantdeal/entry/tests/test_memory_turn.py
+++ b/currantdeal/entry/tests/test_memory_turn.py
@@ -34,25 +34,25 @@
 
 def test_request_whose_turn_comes_too_late_is_refused_before_its_prefill():
     """Guards against prompts that are read for requests refused later."""
-    answer, prefill, decode = _exchange_beside({"model/0/0": (99_000, 0, 0)})
+    answer, prefill, decode = _exchange_beside({"model/0/1/0": (99_000, 0, 0)})
     assert answer.startswith(b"HTTP/1.1 503")
     assert b"retry-after" in answer.lower()
     assert prefill.requests == decode.requests == []
 
 
 def test_free_memory_is_used_beside_a_small_demand():
-    answer, _, _ = _exchange_beside({"model/0/0": (9_000, 0, 0)})
+    answer, _, _ = _exchange_beside({"model/0/1/0": (9_000, 0, 0)})
     assert numbers_of(answer) == list(range(1, EVENTS + 1))
 
 
 def test_less_urgent_demand_holds_nobody_back():
-    answer, _, _ = _exchange_beside({"model/2/0": (99_000, 0, 0)})
+    answer, _, _ = _exchange_beside({"model/1/2/0": (99_000, 0, 0)})
     assert numbers_of(answer) == list(range(1, EVENTS + 1))
 
 
 def test_old_sums_hold_nobody_back():
     """Guards against refusals by demand that may be over."""
     answer, _, _ = _exchange_beside(
-        {"model/0/0": (99_000, 0, 0)}, age_s=MAX_SUMS_AGE_S + 0.1
+        {"model/0/1/0": (99_000, 0, 0)}, age_s=MAX_SUMS_AGE_S + 0.1
     )
     assert numbers_of(answer) == list(range(1, EVENTS + 1))
--- a/currantdeal/policy/memory/ranks.py
+++ b/currantdeal/policy/memory/ranks.py
@@ -34,34 +34,44 @@
     service : str
         Name of the service whose engines it waits for.
     priority : int
-        Its urgency; 0 is the highest.
+        Priority of its organisation, or else of its route; 0 is the highest.
+    route_priority : int
+        Priority of its route, among requests of one priority.
     standing : Standing
         Standing of its caller.
 
     Examples
     --------
     >>> rank = Rank(service="m", priority=1, standing=Standing.RETRYING)
-    >>> rank.key, Rank.from_key("m/1/2") == rank
-    ('m/1/2', True)
+    >>> rank.key, Rank.from_key("m/1/0/2") == rank
+    ('m/1/0/2', True)
     """
 
     service: str
     priority: int
+    route_priority: int = 0
     standing: Standing = Standing.FIRST_TIME
 
     @property
     def key(self):
         """Key of the rank in ``PoolLoad.waiting``."""
-        return f"{self.service}/{self.priority}/{self.standing:d}"
+        urgency = f"{self.priority}/{self.route_priority}"
+        return f"{self.service}/{urgency}/{self.standing:d}"
+
+    @property
+    def urgency(self):
+        """Order of the rank, without the standing."""
+        return self.priority, self.route_priority
 
     @classmethod
     def from_key(cls, key):
         """Return the rank with a key; None if there is none."""
         try:
-            service, priority, standing = key.rsplit("/", 2)
+            service, priority, route_priority, standing = key.rsplit("/", 3)
             return cls(
                 service=service,
                 priority=int(priority),
+                route_priority=int(route_priority),
                 standing=Standing(int(standing)),
             )
         except ValueError:
@@ -70,7 +80,7 @@
     def comes_before(self, other):
         """Return whether it is more urgent than a rank of its service."""
         return self.service == other.service and (
-            (self.priority, self.standing) < (other.priority, other.standing)
+            (*self.urgency, self.standing) < (*other.urgency, other.standing)
         )
 
 
--- a/currantdeal/policy/memory/tests/test_urgency.py
+++ b/currantdeal/policy/memory/tests/test_urgency.py
@@ -192,7 +192,7 @@
 def test_nothing_is_held_back_once_the_sums_stop():
     """Guards against callers that wait for memory nobody will take."""
     turns = MemoryTurns()
-    turns.update_sums({"m/0/0": (9_000, 9_000, 0)}, {}, now_s=0.0)
+    turns.update_sums({"m/0/0/0": (9_000, 9_000, 0)}, {}, now_s=0.0)
     number = turns.enter(service="m", priority=2, tokens=TOKENS, now_s=0.0)
     held_back = turns.turn(number, free=5_000, now_s=MAX_SUMS_AGE_S)
     assert held_back.is_too_late(1.0)
@@ -206,8 +206,27 @@
     before = _Pool(places=32, ordered=False).play(arrivals, until_s=20)
     assert (pool.served, pool.idle_s) == (before.served, before.idle_s)
     turns = MemoryTurns()
-    turns.update_sums({"m/1/0": (99_000, 0, 0)}, {}, now_s=0.0)
+    turns.update_sums({"m/1/0/0": (99_000, 0, 0)}, {}, now_s=0.0)
     number = turns.enter(
         service="m", priority=1, tokens=TOKENS, now_s=0.0, is_retry=True
     )
     assert turns.turn(number, free=TOKENS, now_s=0.1).may_ask
+
+
+def test_routes_keep_their_order_within_the_priority_of_organisations():
+    """Guards against an organisation's priority that hides all routes'."""
+    turns = MemoryTurns()
+    turns.update_sums({"m/1/0/0": (9_000, 0, 0)}, {}, now_s=0.0)
+    urgent, least = (
+        turns.enter(
+            service="m",
+            priority=1,
+            route_priority=route_priority,
+            organisation="a",
+            tokens=TOKENS,
+            now_s=0.0,
+        )
+        for route_priority in (0, 2)
+    )
+    assert turns.turn(urgent, free=TOKENS, now_s=0.1).may_ask
+    assert not turns.turn(least, free=TOKENS, now_s=0.1).may_ask
--- a/currantdeal/policy/memory/urgency.py
+++ b/currantdeal/policy/memory/urgency.py
@@ -69,7 +69,7 @@
     Examples
     --------
     >>> turns = MemoryTurns()
-    >>> turns.update_sums({"m/0/0": (4000, 0, 0)}, {}, now_s=0.0)
+    >>> turns.update_sums({"m/0/0/0": (4000, 0, 0)}, {}, now_s=0.0)
     >>> least = turns.enter(service="m", priority=2, tokens=3000, now_s=0.0)
     >>> turns.turn(least, free=6000, now_s=0.1).may_ask
     False
@@ -99,6 +99,7 @@
         priority,
         tokens,
         now_s,
+        route_priority=0,
         organisation="",
         is_retry=False,
     ):
@@ -110,7 +111,12 @@
         else:
             standing = Standing.FIRST_TIME
         waiter = _Waiter(
-            rank=Rank(service=service, priority=priority, standing=standing),
+            rank=Rank(
+                service=service,
+                priority=priority,
+                route_priority=route_priority,
+                standing=standing,
+            ),
             organisation=organisation,
             tokens=tokens,
         )
@@ -315,7 +321,7 @@
 
 
 def _has_urgencies(loads):
-    return len({rank.priority for rank in loads}) > 1
+    return len({rank.urgency for rank in loads}) > 1
 
 
 def _duration_s(tokens, per_s):
