--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -18,6 +18,7 @@
 from currantdeal.policy.load.demand import DemandMeter
 from currantdeal.policy.load.shared_load import EntryLoad
 from currantdeal.policy.memory.decode_memory import DecodeEngineOrder
+from currantdeal.policy.memory.urgency import MemoryTurns
 from currantdeal.policy.placement.local_prefills import LocalPrefills
 from currantdeal.policy.retries.repeat_outcomes import RepeatOutcomes
 from currantdeal.policy.retries.retry_detection import RetryDetector
@@ -92,6 +93,7 @@
         self.speeds = UpstreamSpeeds()
         self._paces_due_s = 0.0
         self.decode_engine_order = DecodeEngineOrder(load=self.load)
+        self.memory_turns = MemoryTurns()
         self.prefill_health = UpstreamHealth()
         self.retry_detector = RetryDetector()
         self.repeat_outcomes = RepeatOutcomes()
@@ -259,6 +261,8 @@
             unreachable=unreachable,
             longest_timeouts_s=self.retry_detector.longest_timeouts_s,
             repeats=self.repeat_outcomes.counts(now_s=now_s),
+            waiting=self.memory_turns.report(now_s=now_s),
+            wanted=self.memory_turns.report_wanted(),
         )
         if now_s < self._paces_due_s:
             return load
@@ -268,6 +272,9 @@
     def update_load(self, load):
         """Update the load of all entries at the engines."""
         self.load.update_sums(load, now_s=self.now_s)
+        self.memory_turns.update_sums(
+            load.waiting, load.wanted, now_s=self.now_s
+        )
         self.retry_detector.set_shared_timeouts(load.patience)
         self.repeat_outcomes.update_sums(load.repeats)
         if load.paces:
--- a/currantdeal/policy/load/shared_load.py
+++ b/currantdeal/policy/load/shared_load.py
@@ -13,6 +13,7 @@
 """
 
 from dataclasses import dataclass, field
+from operator import add
 
 from currantdeal.policy.health.unreachable_reports import (
     MIN_UNREACHABLE_REPORTS,
@@ -57,6 +58,12 @@
     paces : dict
         See ``currantdeal.policy.speed.paces``; empty in most reports, which
         leave the last ones as they are.
+    waiting : dict
+        Tokens that requests wait for, that arrive in a second and that are
+        granted in a second, by ``Rank.key`` of
+        ``currantdeal.policy.memory.ranks``.  Empty while none waits.
+    wanted : dict
+        Tokens that organisations hold and wait for.  Empty while none waits.
     """
 
     held: dict[str, int]
@@ -66,6 +73,8 @@
     paces: dict[str, dict[str, tuple[int, int, int]]] = field(
         default_factory=dict
     )
+    waiting: dict[str, tuple[int, int, int]] = field(default_factory=dict)
+    wanted: dict[str, int] = field(default_factory=dict)
 
 
 class EntryLoad:
@@ -110,7 +119,15 @@
         else:
             self._own.pop(upstream, None)
 
-    def report(self, *, unreachable, longest_timeouts_s=None, repeats=None):
+    def report(
+        self,
+        *,
+        unreachable,
+        longest_timeouts_s=None,
+        repeats=None,
+        waiting=None,
+        wanted=None,
+    ):
         """Return the load of this entry, to be sent to the other entries.
 
         Parameters
@@ -119,7 +136,7 @@
             Engines that this entry recently failed to reach.
         longest_timeouts_s : dict or None
             Longest timeout that callers set on each route, in seconds.
-        repeats : dict or None
+        repeats, waiting, wanted : dict or None
             See ``PoolLoad``.
         """
         self._reported = dict(self._own)
@@ -128,6 +145,8 @@
             unreachable=dict.fromkeys(unreachable, 1),
             patience=longest_timeouts_s or {},
             repeats=repeats or {},
+            waiting=waiting or {},
+            wanted=wanted or {},
         )
 
     def update_sums(self, sums, *, now_s):
@@ -254,9 +273,15 @@
     unreachable = {}
     longest_timeouts_s = {}
     repeats = {}
+    waiting = {}
+    wanted = {}
     for load in loads:
         _add_counts(held, load.held)
         _add_counts(unreachable, load.unreachable)
+        _add_counts(wanted, load.wanted)
+        for rank, demand in load.waiting.items():
+            sums = waiting.get(rank, (0, 0, 0))
+            waiting[rank] = tuple(map(add, sums, demand))
         for route, seconds in load.patience.items():
             longest_timeouts_s[route] = max(
                 seconds, longest_timeouts_s.get(route, 0.0)
@@ -269,6 +294,8 @@
         unreachable=unreachable,
         patience=longest_timeouts_s,
         repeats=repeats,
+        waiting=waiting,
+        wanted=wanted,
     )
 
 
