Put retrying callers behind the first-time callers of all urgencies

Cause: the review of memory by urgency: retries of the most urgent route were ranked before first-time callers of others, though they may only use memory up to RETRY_MAX_FILL. Room was kept for them that they could not take, and their answers are late in any case.

Change: a retrying caller comes after all first-time callers.

--- a/currantdeal/policy/memory/ranks.py
+++ b/currantdeal/policy/memory/ranks.py
@@ -18,7 +18,7 @@
 
 
 class Standing(IntEnum):
-    """Order of callers of one urgency."""
+    """Order of callers of one urgency; retrying ones follow all others."""
 
     FIRST_TIME = 0
     ABOVE_SHARE = 1
@@ -79,9 +79,13 @@
 
     def comes_before(self, other):
         """Return whether it is more urgent than a rank of its service."""
-        return self.service == other.service and (
-            (*self.urgency, self.standing) < (*other.urgency, other.standing)
-        )
+        return self.service == other.service and self._order < other._order
+
+    @property
+    def _order(self):
+        # An answer to a retry is late in any case, and retries may not use
+        # all memory: what they leave is for first-time callers of any urgency.
+        return self.standing is Standing.RETRYING, *self.urgency, self.standing
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/currantdeal/policy/memory/tests/test_urgency.py
+++ b/currantdeal/policy/memory/tests/test_urgency.py
@@ -230,3 +230,19 @@
     )
     assert turns.turn(urgent, free=TOKENS, now_s=0.1).may_ask
     assert not turns.turn(least, free=TOKENS, now_s=0.1).may_ask
+
+
+def test_retries_of_urgent_routes_hold_no_first_time_caller_back():
+    """Guards against memory that is kept for retries and that they can't use.
+
+    Load pattern: retry storm of the most urgent, beside a burst of others.
+    """
+    turns = MemoryTurns()
+    waiting = {"m/0/0/2": (10 * TOKENS, TOKENS, 0), "m/2/0/0": (TOKENS, 0, 0)}
+    turns.update_sums(waiting, {}, now_s=0.0)
+    least = turns.enter(service="m", priority=2, tokens=TOKENS, now_s=0.0)
+    retry = turns.enter(
+        service="m", priority=0, tokens=TOKENS, now_s=0.0, is_retry=True
+    )
+    assert turns.turn(least, free=2 * TOKENS, now_s=0.1).may_ask
+    assert not turns.turn(retry, free=TOKENS, now_s=0.1).may_ask
