Take the urgency of a quota's credit from the route

A quota is never shared with other organisations, so what ranks its requests is the priority of the route.

--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -199,7 +199,9 @@
                 units,
                 wait_s=min(MAX_OWNER_WAIT_S, OWNER_WAIT_SHARE * left_s),
                 queue_s=QUOTA_QUEUE_TARGETS * active.route.target_s,
-                urgency=active.priority,
+                # That of the organisation ranks it among others, and is the
+                # same for all that share its credit.
+                urgency=active.route.priority,
             )
             outcome = "granted"
             return admission
@@ -212,7 +214,7 @@
     def _record_credit(self, active, units, outcome, started_s):
         labels = {
             "organisation": self._label(active.organisation.name),
-            "priority": str(active.priority),
+            "priority": str(active.route.priority),
         }
         metrics = self._context.metrics
         metrics.add("quota_requests_total", outcome=outcome, **labels)
--- a/currantdeal/entry/tests/test_quotas.py
+++ b/currantdeal/entry/tests/test_quotas.py
@@ -295,13 +295,13 @@
     assert [ask.needs for ask in owner.asks[:2]] == [(1,), (1,)]
 
 
-def _serve(*raws, script=None, allowance=100.0):
+def _serve(*raws, script=None, allowance=100.0, config=CONFIG, owner=None):
     """Return the answers of an entry to requests, and its owner's level."""
+    owner = owner or _Owner()
 
     async def run():
-        owner = _Owner()
         standin = StandInUpstream(script=script)
-        async with entry_world(config=CONFIG, allowance=allowance) as world:
+        async with entry_world(config=config, allowance=allowance) as world:
             await standin.start()
             world.announce(standin)
             world.context.view.confirm(1, boot_time_s())
@@ -324,6 +324,15 @@
     assert b"retry-after" in answers[-1].lower()
 
 
+def test_routes_of_an_organisation_with_a_priority_keep_theirs():
+    """Guards against one urgency for all that share the credit."""
+    quota = {"RatePerS": 0.5, "Burst": 4, "Priority": 0}
+    owner = _Owner()
+    config = config_body(organisations=listing(quota=quota, bakery=["secret"]))
+    _serve(ORDER, config=config, owner=owner)
+    assert [ask.urgencies for ask in owner.asks if ask.needs] == [(1,)]
+
+
 @pytest.mark.parametrize("status", [b"503", b"200"])
 def test_credit_of_requests_that_were_sent_is_used(status):
     """A request that an upstream refuses has reached it."""
