Withhold repeats that mostly fail only while the budget is short

A repeat is now withheld only if any retry of the service was denied within 30 s (the sums tell all entries).

--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -87,6 +87,7 @@
         self.prefill_health = UpstreamHealth()
         self.retry_detector = RetryDetector()
         self.repeat_outcomes = RepeatOutcomes()
+        self.retry_budgets.on_denied = self._record_denied
         self.local_prefills = LocalPrefills()
         self.announce_local_prefill = None
         self.announce_unreachable = None
@@ -219,6 +220,9 @@
         """Return the ``DemandMeter`` of a service."""
         return self._meters.setdefault(service, DemandMeter())
 
+    def _record_denied(self, service):
+        self.repeat_outcomes.record_denied(service, now_s=self.now_s)
+
     def _report_unreachable(self, record):
         """Report an upstream that has ended, if others may need to know."""
         is_needed = self.load.reports.add(
--- a/currantdeal/entry/retry_budgets.py
+++ b/currantdeal/entry/retry_budgets.py
@@ -40,6 +40,11 @@
         What the requests of a service allow.
     clock : callable
         Returns the time since boot in seconds.
+
+    Attributes
+    ----------
+    on_denied : callable
+        Called with a service whose budget is used up.
     """
 
     def __init__(self, *, bounds, clock=boot_time_s):
@@ -47,6 +52,7 @@
         self._bounds = bounds
         self._clock = clock
         self._own = {}
+        self.on_denied = lambda service: None
         self._owner = QuotaClient(clock=clock, keeps_reserves=False)
 
     def connect(self, ask_owner):
@@ -68,6 +74,7 @@
             )
         except RefusedError:
             # Counted as denied; the request's log line has a step for it.
+            self.on_denied(service)
             return None
         return RetryCharge(until_s=admission.until_s)
 
--- a/currantdeal/entry/tests/test_plain.py
+++ b/currantdeal/entry/tests/test_plain.py
@@ -218,6 +218,7 @@
     """
 
     def fail(world):
+        world.context.retry_budgets.on_denied("shop")
         for _ in range(failures):
             world.context.repeat_outcomes.record(
                 "shop", failed=True, now_s=world.context.now_s
--- a/currantdeal/policy/load/shared_load.py
+++ b/currantdeal/policy/load/shared_load.py
@@ -50,14 +50,14 @@
     patience : dict
         Longest timeout of the callers of each route, in seconds.
     repeats : dict
-        Number of calls that were repeated after an error, and of those that
-        failed again, by service.
+        Number of calls that were repeated after an error, of those that
+        failed again, and of retries that the budget denied, by service.
     """
 
     held: dict[str, int]
     unreachable: dict[str, int]
     patience: dict[str, float] = field(default_factory=dict)
-    repeats: dict[str, tuple[int, int]] = field(default_factory=dict)
+    repeats: dict[str, tuple[int, int, int]] = field(default_factory=dict)
 
 
 class EntryLoad:
@@ -238,9 +238,11 @@
             longest_timeouts_s[route] = max(
                 seconds, longest_timeouts_s.get(route, 0.0)
             )
-        for service, (number, failed) in load.repeats.items():
-            before = repeats.get(service, (0, 0))
-            repeats[service] = (before[0] + number, before[1] + failed)
+        for service, counts in load.repeats.items():
+            before = repeats.get(service, (0, 0, 0))
+            repeats[service] = tuple(
+                map(sum, zip(before, counts, strict=True))
+            )
     return PoolLoad(
         held=held,
         unreachable=unreachable,
--- a/currantdeal/policy/retries/repeat_outcomes.py
+++ b/currantdeal/policy/retries/repeat_outcomes.py
@@ -2,7 +2,8 @@
 
 Load pattern: retry storm.  Some calls fail wherever they run, because of what
 they ask for.  A repeat of one costs as much of the retry budget as one that
-would help, which is then missing for calls whose connection was lost.
+would help, which is then missing for calls whose connection was lost.  While
+the budget suffices for all, nothing is withheld.
 
 A single entry repeats too few calls to learn this, so entries add up what they
 count with the sums of loads.
@@ -19,6 +20,8 @@
 MAX_FAILED_SHARE = 0.5
 """Share of repeats that fail above which they do not pay."""
 
+_NOTHING = (0, 0, 0)
+
 
 class RepeatOutcomes:
     """Outcomes of repeats after an error, and the sums over all entries.
@@ -28,6 +31,9 @@
     >>> outcomes = RepeatOutcomes()
     >>> for _ in range(10):
     ...     outcomes.record("shop", failed=True, now_s=1.0)
+    >>> outcomes.pays("shop", now_s=2.0)
+    True
+    >>> outcomes.record_denied("shop", now_s=2.0)
     >>> outcomes.pays("shop", now_s=2.0), outcomes.pays("bank", now_s=2.0)
     (False, True)
     >>> outcomes.pays("shop", now_s=40.0)
@@ -44,24 +50,36 @@
         self._outcomes.append((now_s, service, failed))
         self._drop_old(now_s)
 
+    def record_denied(self, service, *, now_s):
+        """Record that the budget of a service did not allow a retry."""
+        self._outcomes.append((now_s, service, None))
+        self._drop_old(now_s)
+
     def counts(self, *, now_s):
-        """Return the number of repeats, and of failed ones, by service."""
+        """Return repeats, failed ones and denied retries, by service."""
         self._drop_old(now_s)
         found = {}
         for _, service, failed in self._outcomes:
-            repeats, failures = found.get(service, (0, 0))
-            found[service] = (repeats + 1, failures + failed)
-        return found
+            counts = found.setdefault(service, [0, 0, 0])
+            counts[0] += failed is not None
+            counts[1] += failed is True
+            counts[2] += failed is None
+        return {service: tuple(counts) for service, counts in found.items()}
 
     def update_sums(self, shared):
         """Replace the counts of all entries, which include this one."""
         self._shared = shared
 
     def pays(self, service, *, now_s):
-        """Return whether a repeat after an error is likely to succeed."""
-        own = self.counts(now_s=now_s).get(service, (0, 0))
-        repeats, failures = max(own, self._shared.get(service, (0, 0)))
-        return repeats < MIN_REPEATS or failures <= MAX_FAILED_SHARE * repeats
+        """Return whether to spend the budget on a repeat after an error.
+
+        It pays if it is likely to succeed, or if the budget lasts anyway.
+        """
+        own = self.counts(now_s=now_s).get(service, _NOTHING)
+        shared = self._shared.get(service, _NOTHING)
+        repeats, failures, denied = map(max, own, shared)
+        mostly_fail = failures > MAX_FAILED_SHARE * repeats
+        return not (denied and repeats >= MIN_REPEATS and mostly_fail)
 
     def _drop_old(self, now_s):
         while self._outcomes and now_s - self._outcomes[0][0] > WINDOW_S:
