Weigh busy slots by pace alone

Change: pace weighs the requests there; among equally full and near upstreams the faster comes first.

--- a/currantdeal/policy/health/upstream_health.py
+++ b/currantdeal/policy/health/upstream_health.py
@@ -192,17 +192,20 @@
         """Return the estimated share of busy slots plus the error penalty.
 
         The larger of this entry's open requests and a recent report counts.
-        Where work takes longer than usual, they and the next request count for
-        more in proportion.
+        Where work takes longer than usual, they count for more in proportion.
         """
         state = self._state_of(upstream)
         requests = state.outstanding
         if now_s - state.reported_s <= MAX_REPORT_AGE_S:
             requests = max(requests, state.reported)
         pace = state.pace.value(now_s=now_s)
-        busy = requests + (pace - 1.0) * (requests + 1)
+        busy = requests * pace
         return busy / max(1, slots) + ERROR_WEIGHT * state.error_rate
 
+    def pace(self, upstream, *, now_s):
+        """Return how long work takes at an upstream; 1 as usual."""
+        return self._state_of(upstream).pace.value(now_s=now_s)
+
     def has_room(self, record, *, now_s):
         """Return whether an upstream is reachable and not busy."""
         if self.is_ejected(record.upstream, now_s=now_s):
@@ -250,6 +253,7 @@
             health.is_ejected(name, now_s=now_s) or is_unreachable(name),
             load + penalty,
             distance(record),
+            health.pace(name, now_s=now_s),
             random.random(),
         )
 
