--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -14,7 +14,7 @@
 from currantdeal.entry.hedging import Hedge
 from currantdeal.entry.prefill import expects_local_prefill
 from currantdeal.entry.releases import release
-from currantdeal.entry.speeds import is_too_slow, speed_of
+from currantdeal.entry.speeds import is_too_slow, slowdowns
 from currantdeal.node.connection_pool import exchange
 from currantdeal.node.errors import ExchangeError
 from currantdeal.policy.memory.decode_memory import (
@@ -271,6 +271,8 @@
                 record.upstream, now_s=self._now_s
             )
         }
+        service = self._active.service.name
+        slowdown = slowdowns(context, service, Work.DECODE, records)
         ordered = context.decode_engine_order.order(
             list(records),
             tokens=self._tokens,
@@ -283,11 +285,9 @@
             connected=lambda name: context.pool.is_connected(
                 records[name].address
             ),
-            slowdown=lambda name: (
-                speed_of(context, records[name], Work.DECODE).factor
-            ),
-            is_too_slow=lambda name: is_too_slow(
-                context, records[name], self._active.route.gap_target_s
+            slowdown=slowdown,
+            is_too_slow=is_too_slow(
+                context, service, self._active.route.gap_target_s, slowdown
             ),
         )
         return [records[name] for name in ordered]
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -18,6 +18,7 @@
     record_prefill,
     record_prefill_timeout,
     s_per_token,
+    slowdowns,
     speed_of,
 )
 from currantdeal.entry.steps import StepKind, kind_of_failure
@@ -178,9 +179,7 @@
         random=context.random,
         is_suspect=lambda name: context.load.is_suspect(name, now_s=now_s),
         s_per_token=s_per_token(context, service),
-        slowdown=lambda name: (
-            speed_of(context, records[name], Work.PREFILL).factor
-        ),
+        slowdown=slowdowns(context, service, Work.PREFILL, records),
         unreported=context.load.unreported(
             active.call.prompt_tokens, now_s=now_s
         ),
--- a/currantdeal/entry/speeds.py
+++ b/currantdeal/entry/speeds.py
@@ -70,6 +70,20 @@
     )
 
 
+def slowdowns(context, service, work, records):
+    """Return a function from engines' names to factors; None in an even pool.
+
+    Parameters
+    ----------
+    records : dict
+        Records of the engines by name.
+    """
+    factors = context.speeds.factors(work, pool=service, now_s=context.now_s)
+    if not factors:
+        return None
+    return lambda name: factors.get(process_key(records[name]), 1.0)
+
+
 def s_per_token(context, service):
     """Return the time in which the pool prefills a token; None if unknown.
 
@@ -82,16 +96,28 @@
     return pace * DEFAULT_S_PER_TOKEN
 
 
-def is_too_slow(context, record, gap_target_s):
-    """Return whether an engine can't keep the gap target of a stream."""
-    pace = context.speeds.pace(
-        Work.DECODE, pool=record.service, now_s=context.now_s
-    )
-    if pace is None:
-        return False
-    factor = speed_of(context, record, Work.DECODE).factor
-    gap_s = NOMINAL_GAP_S * pace * factor
-    return factor > 1.0 and not keeps_gap_target(gap_s, gap_target_s)
+def is_too_slow(context, service, gap_target_s, slowdown):
+    """Return a function that tells which engines miss the gap target.
+
+    None if no engine of the pool is too slow.
+
+    Parameters
+    ----------
+    slowdown : callable or None
+        See ``slowdowns``.
+    """
+    pace = context.speeds.pace(Work.DECODE, pool=service, now_s=context.now_s)
+    if pace is None or slowdown is None or not gap_target_s:
+        return None
+    gap_s = NOMINAL_GAP_S * pace
+
+    def misses(name):
+        factor = slowdown(name)
+        return factor > 1.0 and not keeps_gap_target(
+            gap_s * factor, gap_target_s
+        )
+
+    return misses
 
 
 def record_prefill(context, work, took_s):
--- a/currantdeal/policy/speed/tests/test_upstream_speeds.py
+++ b/currantdeal/policy/speed/tests/test_upstream_speeds.py
@@ -178,3 +178,16 @@
         found = speeds.estimate("p0", work, pool=pool, now_s=4.0)
         assert found == UNKNOWN_SPEED
     assert FORGET_S > 4.0
+
+
+def test_factors_are_those_of_the_unusual_upstreams():
+    """Guards against factors of a pool that differ from its estimates."""
+    speeds = UpstreamSpeeds()
+    even = {f"p{n}": 1.0 for n in range(9)}
+    _do_work(speeds, {**even, "p0": 3.0, "p1": 3.0}, from_s=0, to_s=4)
+    factors = speeds.factors(Work.PREFILL, now_s=4.0)
+    assert factors.items() >= {
+        (name, _factor(speeds, name, 4.0)) for name in ("p0", "p1")
+    }
+    assert speeds.factors(Work.DECODE, now_s=4.0) == {}
+    assert speeds.factors(Work.PREFILL, now_s=4.0 + 2 * FORGET_S) == {}
--- a/currantdeal/policy/speed/upstream_speeds.py
+++ b/currantdeal/policy/speed/upstream_speeds.py
@@ -25,6 +25,9 @@
 
 MAX_SUMS_AGE_S = FORGET_S
 
+FACTORS_AGE_S = 0.3
+"""Age up to which the factors of a pool are not computed again."""
+
 
 @dataclass(frozen=True, kw_only=True)
 class _Sums:
@@ -61,6 +64,7 @@
         self._sums = None
         self._sums_s = 0.0
         self._paces = {}
+        self._factors = {}
 
     def record(self, upstream, work, *, pool="", expected_s, took_s, now_s):
         """Record work that an upstream has done.
@@ -111,6 +115,7 @@
         self._sums = _Sums(speeds=_speeds(paces), last_work_s=last_work_s)
         self._sums_s = now_s
         self._paces = paces
+        self._factors = {}
 
     def estimate(self, upstream, work, *, pool="", now_s):
         """Return the ``SpeedEstimate`` of an upstream at a kind of work."""
@@ -130,6 +135,21 @@
             age_s=age_s,
         )
 
+    def factors(self, work, *, pool="", now_s):
+        """Return the factors of a pool's upstreams other than 1."""
+        key = pool_key(work, pool)
+        computed_s, factors = self._factors.get(key, (-FORGET_S, None))
+        if now_s - computed_s <= FACTORS_AGE_S:
+            return factors
+        speeds = self._current(now_s).speeds.get(key)
+        factors = {}
+        for upstream in speeds.slowdowns if speeds else ():
+            found = self.estimate(upstream, work, pool=pool, now_s=now_s)
+            if found.factor != 1.0:
+                factors[upstream] = found.factor
+        self._factors[key] = (now_s, factors)
+        return factors
+
     def pace(self, work, *, pool="", now_s):
         """Return the pool's time per nominal time; None unless uneven.
 
