--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -16,7 +16,7 @@
 from currantdeal.entry.memory_turn import MemoryTurn
 from currantdeal.entry.prefill import expects_local_prefill
 from currantdeal.entry.releases import release
-from currantdeal.entry.speeds import is_too_slow, speed_of
+from currantdeal.entry.speeds import is_too_slow, slowdowns
 from currantdeal.node.connection_pool import exchange
 from currantdeal.node.errors import ExchangeError
 from currantdeal.policy.memory.decode_memory import (
@@ -331,6 +331,8 @@
                 record.upstream, now_s=self._now_s
             )
         }
+        service = self._active.service.name
+        slowdown = slowdowns(context, service, Work.DECODE, records)
         ordered = context.decode_engine_order.order(
             list(records),
             tokens=self._tokens,
@@ -345,11 +347,9 @@
             connected=lambda name: context.pool.is_connected(
                 records[name].address
             ),
-            slowdown=lambda name: (
-                speed_of(context, records[name], Work.DECODE).factor
-            ),
-            is_too_slow=lambda name: is_too_slow(
-                context, records[name], self._active.route.gap_target_s
+            slowdown=slowdown,
+            is_too_slow=is_too_slow(
+                context, service, self._active.route.gap_target_s, slowdown
             ),
         )
         return [records[name] for name in ordered]
