Explain a route by the joined code, and check what is asked

Cause: the review of explain-route: it left out the speeds of engines and the reports of unreachable upstreams that the choice uses, its numbers and lists had no bounds (a negative size reset the connection), and it searched a list for each engine.

Change: the same speeds, the slowdown of each candidate in a column, bounds on the question. Not mended: it does not tell whose turn it is for memory, and its random draw is always the same.

--- a/currantdeal/cli/explain_route.py
+++ b/currantdeal/cli/explain_route.py
@@ -70,7 +70,7 @@
 
 def _row(candidate):
     load, limit = candidate.load, candidate.limit_per_s
-    queued = candidate.queued_tokens
+    queued, slowdown = candidate.queued_tokens, candidate.slowdown
     return (
         candidate.upstream,
         candidate.data_center,
@@ -78,6 +78,7 @@
         f"{candidate.distance_s:.3f}",
         "-" if load is None else f"{load:.2f}",
         "-" if queued is None else str(queued),
+        "-" if slowdown is None else f"{slowdown:.2f}",
         "-" if limit is None else f"{limit:.1f}/s",
         ", ".join(candidate.notes) or "-",
     )
--- a/currantdeal/entry/explanation.py
+++ b/currantdeal/entry/explanation.py
@@ -6,11 +6,13 @@
 
 import heapq
 from random import Random
+from typing import Annotated
 
 import msgspec
 
 from currantdeal.entry.active_request import ActiveRequest
 from currantdeal.entry.distance import Pool
+from currantdeal.entry.speeds import is_too_slow, s_per_token, slowdowns
 from currantdeal.node.dialect import CallerRequest
 from currantdeal.node.fingerprint import part_fingerprint
 from currantdeal.node.http_request import Request
@@ -24,11 +26,22 @@
     estimate_prefill,
     prefers_local_prefill,
 )
+from currantdeal.policy.speed.paces import Work
 from currantdeal.registry import Stage
 
 MAX_CANDIDATES = 40
 """Candidates of a pool that are listed, the best first."""
 
+MAX_NAMED = 64
+"""Parts of a prompt that a question may name."""
+
+MAX_BODY_BYTES = 1_000_000
+"""Largest body of a question."""
+
+_Tokens = Annotated[int, msgspec.Meta(ge=0, le=2**31)]
+_Bytes = Annotated[int, msgspec.Meta(ge=0, le=MAX_BODY_BYTES)]
+_Parts = Annotated[list[str], msgspec.Meta(max_length=MAX_NAMED)]
+
 
 class Question(msgspec.Struct, kw_only=True):
     """A request that is not sent.
@@ -39,17 +52,18 @@
     host: str
     path: str
     organisation: str = ""
-    prompt_tokens: int = 0
-    max_output_tokens: int = 0
-    body_bytes: int = 0
-    parts: list[str] = []
+    prompt_tokens: _Tokens = 0
+    max_output_tokens: _Tokens = 0
+    body_bytes: _Bytes = 0
+    parts: _Parts = []
 
 
 class Candidate(msgspec.Struct, kw_only=True):
     """An upstream of a pool, in the order of the choice.
 
     ``cost_s`` is the estimated wait with the distance, ``load`` the share of
-    memory or slots in use, None where it is not known.
+    memory or slots in use, None where it is not known, ``slowdown`` the time
+    that work takes there as a multiple of the pool's.
     """
 
     upstream: str
@@ -59,6 +73,7 @@
     load: float | None = None
     queued_tokens: int | None = None
     limit_per_s: float | None = None
+    slowdown: float | None = None
     notes: list[str] = []
 
 
@@ -150,7 +165,7 @@
         self._active = ActiveRequest(
             request=Request(
                 head=None,
-                body=bytes(min(question.body_bytes, 1_000_000)),
+                body=bytes(question.body_bytes),
                 arrived_s=self._now_s,
             ),
             responder=None,
@@ -176,7 +191,14 @@
             self._active, records, now_s=now_s
         )
         ordered = order_upstreams(
-            records, health, random=self._random, now_s=now_s, **options
+            records,
+            health,
+            random=self._random,
+            now_s=now_s,
+            is_unreachable=lambda name: (
+                self._context.load.reports.is_unreachable(name, now_s=now_s)
+            ),
+            **options,
         )
         found = []
         for record in ordered:
@@ -208,16 +230,23 @@
             ),
             capacity,
         )
+        service = self._service.name
+        slowdown = slowdowns(context, service, Work.DECODE, records)
         ordered = context.decode_engine_order.order(
             list(records),
             tokens=tokens,
             capacity=capacity,
             random=self._random,
             now_s=now_s,
+            slowdown=slowdown,
+            is_too_slow=is_too_slow(
+                context, service, self._active.route.gap_target_s, slowdown
+            ),
             **options,
         )
         found = []
-        for name in [*ordered, *(n for n in records if n not in set(ordered))]:
+        with_room = set(ordered)
+        for name in [*ordered, *(n for n in records if n not in with_room)]:
             held = context.load.tokens(name, now_s=now_s)
             load = held / capacity if capacity else None
             way_s = options["distance"](name)
@@ -228,9 +257,10 @@
                     cost_s=way_s + (load or 0.0) * options["full_wait_s"],
                     distance_s=way_s,
                     load=load,
+                    slowdown=slowdown and round(slowdown(name), 2),
                 )
             )
-            if name not in ordered:
+            if name not in with_room:
                 found[-1].notes.append(f"no room for {tokens} tokens")
         first = records[ordered[0]] if ordered else None
         return self._answer(Pool.DECODE, found, is_free=bool(ordered)), first
@@ -241,7 +271,9 @@
         options = self._departures.prefill_options(
             self._active, records, decode_engine, now_s=now_s
         )
-        s_per_token = context.meter(self._service.name).s_per_token
+        service = self._service.name
+        token_s = s_per_token(context, service)
+        slowdown = slowdowns(context, service, Work.PREFILL, records)
         tokens = self._question.prompt_tokens
         estimates = estimate_prefill(
             records,
@@ -249,7 +281,8 @@
             backlog=lambda name: context.load.tokens(name, now_s=now_s),
             is_suspect=lambda name: context.load.is_suspect(name, now_s=now_s),
             random=self._random,
-            s_per_token=s_per_token,
+            s_per_token=token_s,
+            slowdown=slowdown,
             **options,
         )
         found = [
@@ -259,6 +292,7 @@
                 cost_s=e.expected_s,
                 distance_s=options["distance"](e.upstream),
                 queued_tokens=context.load.tokens(e.upstream, now_s=now_s),
+                slowdown=slowdown and round(slowdown(e.upstream), 2),
             )
             for e in estimates
         ]
@@ -267,7 +301,7 @@
         if prefers_local_prefill(
             min(estimates, key=lambda e: e.expected_s, default=None),
             tokens=tokens,
-            s_per_token=s_per_token,
+            s_per_token=token_s,
             time_left_s=route.target_s,
             gap_target_s=route.gap_target_s,
         ):
