--- a/currantdeal/cli/explain_route.py
+++ b/currantdeal/cli/explain_route.py
@@ -16,7 +16,7 @@
 
 _HEADINGS = (
     "UPSTREAM", "DATA CENTRE", "COST S", "DISTANCE S", "LOAD", "QUEUED",
-    "LIMIT", "NOTES",
+    "SLOWDOWN", "LIMIT", "NOTES",
 )  # fmt: skip
 
 
