Make the demand of an urgency a plain class

Cause: read-through; data classes of the project are frozen, and this one is updated in place.

Result: the tests of organisations pass.

--- a/currantdeal/organisations/urgency_share.py
+++ b/currantdeal/organisations/urgency_share.py
@@ -7,21 +7,22 @@
 """
 
 import math
-from dataclasses import dataclass
 
 LESS_URGENT_SHARE = 0.25
 """Share of a bucket's gain for urgencies that others would starve."""
 
 
-@dataclass(kw_only=True)
 class _Demand:
     """What requests of one urgency ask for."""
 
-    units: float = 0.0
-    need: float = 0.0
-    asked_s: float = -math.inf
-    refused_s: float = -math.inf
-    owed: float = 0.0
+    __slots__ = ("asked_s", "need", "owed", "refused_s", "units")
+
+    def __init__(self):
+        self.units = 0.0
+        self.need = 0.0
+        self.asked_s = -math.inf
+        self.refused_s = -math.inf
+        self.owed = 0.0
 
 
 class UrgencyShare:
@@ -49,7 +50,6 @@
         """Start without demand."""
         self._window_s = window_s
         self._demands = {}
-        self._updated_s = None
 
     def record_ask(self, urgency, units, *, now_s):
         """Record that a request asks for credit."""
