--- a/currantdeal/entry/tests/test_dark_engines.py
+++ b/currantdeal/entry/tests/test_dark_engines.py
@@ -139,7 +139,7 @@
 
 @pytest.mark.parametrize("heartbeats_stopped", [True, False])
 def test_dark_engine_is_lost_once_nobody_hears_of_it(heartbeats_stopped):
-    """Guards against waiting for a machine that lost power.
+    """Guards against waiting for a host that lost power.
 
     Nothing refuses a connection there.  While its heartbeats arrive, it is
     only unreachable from some entries, and its stream may continue.
--- a/currantdeal/policy/health/lost_engines.py
+++ b/currantdeal/policy/health/lost_engines.py
@@ -1,6 +1,6 @@
 """Tells engines that are gone from engines that are only silent.
 
-Load pattern: fail-silent nodes.  A machine that lost power closes no
+Load pattern: fail-silent nodes.  A host that lost power closes no
 connection, so a stream waits there for as long as its caller does.  Silence
 alone shows nothing: an engine that preempted a stream is silent, too, and
 continues it.
--- a/currantdeal/policy/health/pace.py
+++ b/currantdeal/policy/health/pace.py
@@ -1,6 +1,6 @@
 """How long work takes at an upstream, by its own word.
 
-Load pattern: noisy neighbour.  An upstream shares its machine, so its work
+Load pattern: noisy neighbour.  An upstream shares its host, so its work
 takes longer at one moment than at the next, while its load looks the same.
 It states a figure with each answer, which is out of date soon.
 """
--- a/currantdeal/policy/health/tests/test_pace.py
+++ b/currantdeal/policy/health/tests/test_pace.py
@@ -1,4 +1,4 @@
-"""Load pattern: upstreams that share machines, so their pace changes."""
+"""Load pattern: upstreams that share hosts, so their pace changes."""
 
 from random import Random
 
@@ -43,7 +43,7 @@
 
 
 def test_figure_that_changes_ten_times_a_second_is_followed():
-    """Guards against a choice no better than chance on shared machines."""
+    """Guards against a choice no better than chance on shared hosts."""
     random, health = Random(5), UpstreamHealth()
     chosen_s, even_s = 0.0, 0.0
     for step in range(400):
