--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -45,6 +45,7 @@
     ExchangePhase,
     reset_outcome,
 )
+from currantdeal.policy.placement.distance import MEMORY_WAIT_TARGETS
 from currantdeal.policy.retries.retry_after import RefusalReason
 from currantdeal.policy.retries.retry_detection import (
     RETRY_MAX_FILL,
@@ -53,12 +54,6 @@
 from currantdeal.policy.speed.paces import Work
 from currantdeal.routing import RetrySafety
 
-RESERVE_WAIT_TARGETS = 2 / 3
-"""Longest wait for memory, as a multiple of the latency target of the route.
-
-The rest is for the prefill, the KV cache transfer and the first event.
-"""
-
 RESUME_WAIT_PAUSES = 8.0
 """Longest wait for memory to resume a stream, as a multiple of its gap
 target.
@@ -313,7 +308,7 @@
             return await self._reserver.reserve(
                 until_s, max_fill=RETRY_MAX_FILL
             )
-        wait_s = RESERVE_WAIT_TARGETS * active.route.target_s
+        wait_s = MEMORY_WAIT_TARGETS * active.route.target_s
         until_s = min(arrived_s + wait_s, active.deadline_s)
         return await self._reserver.reserve(until_s)
 
--- a/currantdeal/policy/health/lost_engines.py
+++ b/currantdeal/policy/health/lost_engines.py
@@ -14,7 +14,8 @@
 unreachable is probed."""
 
 SILENCE_GAPS = 4
-"""Gap targets of silence after which any engine is probed."""
+"""Gap targets of silence after which any engine is probed, and again each time
+that as many have passed."""
 
 MIN_FAILED_PROBES = 2
 """Failed probes in a row of an engine that is lost; one may be delayed."""
--- a/currantdeal/policy/placement/distance.py
+++ b/currantdeal/policy/placement/distance.py
@@ -25,7 +25,10 @@
 """Cost beyond the nearest candidate up to which an upstream is near."""
 
 MEMORY_WAIT_TARGETS = 2 / 3
-"""Longest wait for memory, as a multiple of the target."""
+"""Longest wait for memory, as a multiple of the latency target of the route.
+
+The rest is for the prefill, the KV cache transfer and the first event.
+"""
 
 SLOT_WAIT_TARGETS = 0.5
 """Longest wait for a slot of an upstream, as a multiple of the target."""
--- a/currantdeal/policy/speed/tests/test_upstream_speeds.py
+++ b/currantdeal/policy/speed/tests/test_upstream_speeds.py
@@ -14,7 +14,6 @@
 )
 from currantdeal.policy.speed.upstream_speeds import (
     FORGET_S,
-    MAX_SUMS_AGE_S,
     UpstreamSpeeds,
 )
 from currantdeal.registry.tests.builders import an_upstream
@@ -109,7 +108,7 @@
     sums = {"prefill/": {"p0": (900, 2_700, 9), "": (9_000, 9_000, 90)}}
     speeds.update(sums, now_s=0.0)
     assert _factor(speeds, "p0", 1.0) > 2.0
-    later_s = MAX_SUMS_AGE_S + 1.0
+    later_s = FORGET_S + 1.0
     _do_work(speeds, {"p0": 1.0, "p1": 3.0}, from_s=later_s - 3, to_s=later_s)
     assert _factor(speeds, "p0", later_s) < 1.0
     assert _factor(speeds, "p1", later_s) > 1.0
--- a/currantdeal/policy/speed/upstream_speeds.py
+++ b/currantdeal/policy/speed/upstream_speeds.py
@@ -23,8 +23,6 @@
 FORGET_S = 2 * HALF_WINDOW_S
 """Age from which an estimate is not used."""
 
-MAX_SUMS_AGE_S = FORGET_S
-
 FACTORS_AGE_S = 0.3
 """Age up to which the factors of a pool are not computed again."""
 
@@ -160,7 +158,7 @@
 
     def _current(self, now_s):
         """Return the sums of all entries, or of this one if those are old."""
-        if self._sums is not None and now_s - self._sums_s < MAX_SUMS_AGE_S:
+        if self._sums is not None and now_s - self._sums_s < FORGET_S:
             return self._sums
         own_s = self._window.half_start_s(now_s)
         if self._own is None or self._own[0] != own_s:
