--- a/review/tools_2/deployment.py
+++ b/review/tools_2/deployment.py
@@ -96,6 +96,13 @@
                 stderr=log,
             )
 
+    def start_again(self):
+        """Start the process once more, not as the first start."""
+        self.kill()
+        self.settings = {**self.settings, "first_start": False}
+        self.write()
+        self.start()
+
     def signal(self, number):
         """Send the process a signal."""
         if self.is_running:
