--- a/review/tools_2/deployment.py
+++ b/review/tools_2/deployment.py
@@ -284,6 +284,7 @@
         Coroutine function of a ``Record``; returns whether the rule broke.
     """
     record = Record(folder)
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         broken = asyncio.run(asyncio.wait_for(play(record), limit_s))
         record.add("verdict", broken=bool(broken), trouble=is_trouble())
