Review: record whole answers of case 4 as whole

The record of case 4 named each run "answer lost", though the worker had answered in full; the verdict did not depend on it.

--- a/review/tools_2/workers.py
+++ b/review/tools_2/workers.py
@@ -36,7 +36,8 @@
         Number of requests that it runs at a time.
     script : callable or None
         Coroutine function of this worker, a request and a writer, called in
-        place of a run; returns False to have it run as usual.
+        place of a run; returns how the run ended, for the record, or an
+        empty string to have it run as usual.
     """
 
     def __init__(
@@ -164,9 +165,11 @@
         self._record.add("run began", request=name, worker=self.name)
         ended = "cut"
         try:
-            if self.script and await self.script(self, request, writer):
-                ended = "answer lost"
-                return
+            if self.script:
+                how = await self.script(self, request, writer)
+                if how:
+                    ended = how
+                    return
             if self.stage:
                 await self._stream(request, writer)
             else:
