--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -144,7 +144,17 @@
             The failure of a request to it, if one failed.
         """
         is_malformed = isinstance(exc, MalformedResponseError)
-        self._prober.eject(record, health, is_malformed=is_malformed)
+        now_s = self.now_s
+        self._prober.eject(
+            record,
+            health,
+            is_malformed=is_malformed,
+            why="no answer" if exc is None else str(exc),
+            contact_age=self.health.contact_age_s(
+                record.upstream, now_s=now_s
+            ),
+            reported=self.load.is_suspect(record.upstream, now_s=now_s),
+        )
         if exc is not None and exc.has_ended:
             self._report_unreachable(record)
 
--- a/currantdeal/entry/probing.py
+++ b/currantdeal/entry/probing.py
@@ -52,7 +52,7 @@
         self._in_background = in_background
         self._probed = set()
 
-    def eject(self, record, health, *, is_malformed=False):
+    def eject(self, record, health, *, is_malformed=False, **evidence):
         """Eject an upstream until it answers a health check.
 
         Parameters
@@ -61,6 +61,8 @@
             The health records in which it is ejected.
         is_malformed : bool
             See ``UpstreamHealth.eject``.
+        evidence : dict
+            What decided it, for the log.
         """
         now_s = asyncio.get_running_loop().time()
         pause_s = health.eject(
@@ -72,7 +74,12 @@
         key = (record.upstream, health)
         if key not in self._probed:
             self._probed.add(key)
-            _log.info("upstream-out", upstream=record.upstream, pause=pause_s)
+            _log.info(
+                "upstream-out",
+                upstream=record.upstream,
+                pause=pause_s,
+                **evidence,
+            )
             self._in_background(self._probe(record, health))
 
     async def _probe(self, record, health):
--- a/currantdeal/policy/health/upstream_health.py
+++ b/currantdeal/policy/health/upstream_health.py
@@ -110,6 +110,11 @@
         """Return whether an upstream answered within ``RECENT_CONTACT_S``."""
         return now_s - self._state_of(upstream).contact_s <= RECENT_CONTACT_S
 
+    def contact_age_s(self, upstream, *, now_s):
+        """Return the seconds since its last answer; None before the first."""
+        contact_s = self._state_of(upstream).contact_s
+        return None if contact_s == NEVER_S else round(now_s - contact_s, 3)
+
     def last_answer_s(self, upstream):
         """Return the time of the last answer recorded with a time."""
         return self._state_of(upstream).last_answer_s
