--- /dev/null
+++ b/currantdeal/testing/cut_upstream.py
@@ -0,0 +1,133 @@
+"""Provide a stand-in upstream that some processes cannot reach."""
+
+import asyncio
+import contextlib
+from enum import Enum
+
+import psutil
+
+from currantdeal.testing.platform_upstream import StandInUpstream
+
+CHUNK_BYTES = 65_536
+POLL_S = 0.02
+
+
+class LinkCut(str, Enum):
+    """What happens to the connections of a process that is cut.
+
+    With ``HANG``, bytes on open and new connections are held back until the
+    cut ends.  With ``RESET``, open and new ones are reset, and with
+    ``RESET_NEW`` only new ones.
+    """
+
+    HANG = "hang"
+    RESET = "reset"
+    RESET_NEW = "reset-new"
+
+
+class CutUpstream(StandInUpstream):
+    """An upstream behind links that can be cut for single processes.
+
+    Parameters
+    ----------
+    upstream : str
+        Name of the upstream.
+    process_ids : callable
+        Returns the ids of the processes that may be cut.
+    """
+
+    def __init__(self, *, upstream, process_ids):
+        """Create a stand-in that does not listen before ``start``."""
+        super().__init__(upstream=upstream)
+        self._process_ids = process_ids
+        self._links = set()
+        self._cuts = {}
+        self._front = None
+
+    async def start(self, host="127.0.0.1", port=0):
+        """Listen behind the links."""
+        await super().start()
+        self._behind = self.address
+        self._front = await asyncio.start_server(self._link, host, port)
+        bound = self._front.sockets[0].getsockname()
+        self.address = f"{bound[0]}:{bound[1]}"
+
+    def stop(self):
+        """Stop listening."""
+        self._front.close()
+        super().stop()
+
+    def cut(self, process_ids, how):
+        """Cut the links of processes, open ones as well."""
+        self._cuts.update(dict.fromkeys(process_ids, how))
+        if how is LinkCut.RESET:
+            for link in tuple(self._links):
+                if link.process_id in self._cuts:
+                    link.reset()
+
+    def heal(self, process_ids):
+        """Restore the links of processes."""
+        for process_id in process_ids:
+            self._cuts.pop(process_id, None)
+
+    def cut_of(self, process_id):
+        """Return the ``LinkCut`` of a process, or None."""
+        return self._cuts.get(process_id)
+
+    async def _link(self, reader, writer):
+        port = writer.get_extra_info("peername")[1]
+        link = _Link(
+            process_id=_find_owner(port, self._process_ids()), writer=writer
+        )
+        if self.cut_of(link.process_id) in (LinkCut.RESET, LinkCut.RESET_NEW):
+            link.reset()
+            return
+        self._links.add(link)
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            await self._forward(link, reader, writer)
+        self._links.discard(link)
+        link.reset()
+
+    async def _forward(self, link, reader, writer):
+        host, _, port = self._behind.rpartition(":")
+        far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        link.writers.append(far_writer)
+        await asyncio.gather(
+            self._copy(link, reader, far_writer),
+            self._copy(link, far_reader, writer),
+        )
+
+    async def _copy(self, link, reader, writer):
+        while data := await reader.read(CHUNK_BYTES):
+            while self._is_held(link):
+                await asyncio.sleep(POLL_S)
+            writer.write(data)
+            await writer.drain()
+        while self._is_held(link):
+            await asyncio.sleep(POLL_S)
+        writer.close()
+
+    def _is_held(self, link):
+        return self.cut_of(link.process_id) is LinkCut.HANG
+
+
+class _Link:
+    """A connection to a stand-in, and the process that opened it."""
+
+    def __init__(self, *, process_id, writer):
+        self.process_id = process_id
+        self.writers = [writer]
+
+    def reset(self):
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+def _find_owner(port, process_ids):
+    """Return which of some processes has a connection from a port."""
+    for process_id in process_ids:
+        with contextlib.suppress(psutil.Error):
+            for found in psutil.Process(process_id).net_connections("tcp4"):
+                if found.laddr.port == port:
+                    return process_id
+    return None
