--- a/currantdeal/testing/cut_upstream.py
+++ b/currantdeal/testing/cut_upstream.py
@@ -2,15 +2,27 @@
 
 import asyncio
 import contextlib
+import os
+import socket
+import struct
 from enum import Enum
-
-import psutil
+from pathlib import Path
 
 from currantdeal.testing.platform_upstream import StandInUpstream
 
 CHUNK_BYTES = 65_536
 POLL_S = 0.02
 
+_SOCK_DIAG = 4
+_DIAG_BY_FAMILY = 20
+_REQUEST = 1
+_ANY_STATE = 0xFFFFFFFF
+_NO_COOKIE = 0xFFFFFFFF
+_NETLINK_HEADER = struct.Struct("=IHHII")
+_DIAG_REQUEST = struct.Struct("=BBxxI")
+_DIAG_ADDRESS_BYTES = 16
+_INODE_OFFSET = 84
+
 
 class LinkCut(str, Enum):
     """What happens to the connections of a process that is cut.
@@ -75,9 +87,9 @@
         return self._cuts.get(process_id)
 
     async def _link(self, reader, writer):
-        port = writer.get_extra_info("peername")[1]
+        ends = [writer.get_extra_info(n) for n in ("peername", "sockname")]
         link = _Link(
-            process_id=_find_owner(port, self._process_ids()), writer=writer
+            process_id=_find_owner(*ends, self._process_ids()), writer=writer
         )
         if self.cut_of(link.process_id) in (LinkCut.RESET, LinkCut.RESET_NEW):
             link.reset()
@@ -123,11 +135,35 @@
             writer.transport.abort()
 
 
-def _find_owner(port, process_ids):
-    """Return which of some processes has a connection from a port."""
+def _find_owner(source, target, process_ids):
+    """Return which of some processes has a connection between addresses."""
+    wanted = f"socket:[{_inode_of(source, target)}]"
     for process_id in process_ids:
-        with contextlib.suppress(psutil.Error):
-            for found in psutil.Process(process_id).net_connections("tcp4"):
-                if found.laddr.port == port:
-                    return process_id
+        folder = Path(f"/proc/{process_id}/fd")
+        with contextlib.suppress(OSError):
+            for name in os.listdir(folder):
+                with contextlib.suppress(OSError):
+                    if os.readlink(folder / name) == wanted:
+                        return process_id
     return None
+
+
+def _inode_of(source, target):
+    """Return the inode of the socket that connects two addresses.
+
+    The kernel is asked by the ``sock_diag`` interface of Linux.
+    """
+    body = _DIAG_REQUEST.pack(socket.AF_INET, socket.IPPROTO_TCP, _ANY_STATE)
+    body += struct.pack("!HH", source[1], target[1])
+    for host in (source[0], target[0]):
+        body += socket.inet_aton(host).ljust(_DIAG_ADDRESS_BYTES, b"\0")
+    body += struct.pack("=III", 0, _NO_COOKIE, _NO_COOKIE)
+    header = _NETLINK_HEADER.pack(
+        _NETLINK_HEADER.size + len(body), _DIAG_BY_FAMILY, _REQUEST, 1, 0
+    )
+    with socket.socket(socket.AF_NETLINK, socket.SOCK_RAW, _SOCK_DIAG) as link:
+        link.send(header + body)
+        answer = link.recv(CHUNK_BYTES)
+    if _NETLINK_HEADER.unpack_from(answer)[1] != _DIAG_BY_FAMILY:
+        return None
+    return struct.unpack_from("=I", answer, _INODE_OFFSET)[0]
