--- a/currantdeal/cli/tests/test_poison_records.py
+++ b/currantdeal/cli/tests/test_poison_records.py
@@ -28,6 +28,11 @@
     "started": _encode_heartbeat(born=HUGE_NUMBER),
     "places": _encode_heartbeat(Slots=HUGE_NUMBER),
     "nested": b'{"more":' + NESTED + b"," + _encode_heartbeat()[1:],
+    "nested-field": _encode_heartbeat(Models=None).replace(b"null", NESTED),
+    "port-above-range": _encode_heartbeat(Address="127.0.0.1:65536"),
+    "port-huge": _encode_heartbeat(Address="127.0.0.1:" + "9" * 30),
+    "port-zero": _encode_heartbeat(Address="127.0.0.1:0"),
+    "port-negative": _encode_heartbeat(Address="127.0.0.1:-1"),
 }
 
 
