--- a/benchmarks/soak_runs.py
+++ b/benchmarks/soak_runs.py
@@ -13,6 +13,7 @@
 from benchmarks.soak_departures import DepartingSoak
 from benchmarks.soak_endings import EndingSoak
 from benchmarks.soak_limits import LimitingSoak
+from benchmarks.soak_links import UnlinkingFaultInjector, UnlinkingSoak
 from benchmarks.soak_node_faults import NodeFaultInjector
 from benchmarks.soak_nodes import NodeSoak
 from benchmarks.soak_repetitions import RepeatingSoak
@@ -28,6 +29,7 @@
     "ending": (EndingSoak, ResettingFaultInjector),
     "repeating": (RepeatingSoak, NodeFaultInjector),
     "departing": (DepartingSoak, NodeFaultInjector),
+    "unlinking": (UnlinkingSoak, UnlinkingFaultInjector),
 }
 """Soak class and fault injector by the name of a fault set."""
 
--- a/benchmarks/soak_upstreams.py
+++ b/benchmarks/soak_upstreams.py
@@ -21,7 +21,7 @@
     def __init__(self, *, name, service, stage="", standin=None, proxied=None):
         """Prepare the stand-in without starting it."""
         self.name = name
-        self.standin = standin or StandInUpstream(upstream=name, script=_echo)
+        self.standin = standin or StandInUpstream(upstream=name, script=echo)
         self.proxy = None
         self._is_proxied = standin is None if proxied is None else proxied
         self.state = "ready"
@@ -54,7 +54,8 @@
         )
 
 
-async def _echo(standin, request, writer):
+async def echo(standin, request, writer):
+    """Answer calls that are not generations with their own bodies."""
     is_plain = not request.get("X-Currantdeal-Token-Counts")
     if is_plain and not request.target.startswith("/v1/"):
         standin.send(request, writer, 200, request.body)
--- a/benchmarks/tests/test_soak_nodes.py
+++ b/benchmarks/tests/test_soak_nodes.py
@@ -55,6 +55,10 @@
 """Run with upstreams that leave without control knowing them."""
 
 
+UNLINKING_SEEDS = (1800,)
+"""Run with entries that are cut from some or all upstreams."""
+
+
 def _check(seed, *, faults="random"):
     report = run_seed(seed, rounds=1, faults=faults)
     assert report["violations"] == []
@@ -117,6 +121,12 @@
     _check(seed, faults="departing")
 
 
+@pytest.mark.parametrize("seed", UNLINKING_SEEDS)
+def test_promises_hold_while_entries_lose_their_links(seed):
+    """Guards against entries that refuse all once they lost their links."""
+    _check(seed, faults="unlinking")
+
+
 @pytest.mark.parametrize("seed", REPEATING_SEEDS)
 def test_promises_hold_beside_upstreams_that_answer_twice(seed):
     """Guards against the answer to another request, late or early."""
--- a/currantdeal/entry/link_watch.py
+++ b/currantdeal/entry/link_watch.py
@@ -239,12 +239,14 @@
             self._apply(address, before, state, result)
 
     async def _compare(self, address, before, may_reuse):
+        """Return what a check finds, directly and through others."""
         if may_reuse and await self._answers_when_open(address):
             return CheckResult(direct=True)
         direct = asyncio.ensure_future(self._answers_directly(address))
-        if before is LinkState.CUT:
+        if not self._links.wants_comparison(address, now_s=_now_s()):
             return CheckResult(direct=await direct)
-        await asyncio.wait({direct}, timeout=COMPARE_AFTER_S)
+        if before is not LinkState.CUT:
+            await asyncio.wait({direct}, timeout=COMPARE_AFTER_S)
         if direct.done() and direct.result():
             return CheckResult(direct=True)
         others = await self._reach_through_others(address)
--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -23,6 +23,7 @@
 from currantdeal.node.http_client import RECEIVE_BYTES, UpstreamConnection
 from currantdeal.node.link_traffic import LinkTraffic
 from currantdeal.node.settings import split_address
+from currantdeal.node.sockets import UNREACHABLE_ERRORS
 from currantdeal.policy.answers.reset_outcome import ExchangePhase
 from currantdeal.policy.health.links import Links, LinkState
 
@@ -144,9 +145,9 @@
             See ``open``.
         """
         loop = asyncio.get_running_loop()
-        host, port = split_address(address)
         began_s = loop.time()
         try:
+            host, port = split_address(address)
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
                     lambda: self._make_connection(address), host, port
@@ -157,7 +158,7 @@
             ) from None
         except ConnectionRefusedError as exc:
             raise ConnectRefusedError(f"{address}: {exc}") from exc
-        except OSError as exc:
+        except UNREACHABLE_ERRORS as exc:
             raise ConnectError(f"{address}: {exc}") from exc
         if self.on_connected is not None:
             self.on_connected(address, loop.time() - began_s)
--- a/currantdeal/node/link_server.py
+++ b/currantdeal/node/link_server.py
@@ -18,7 +18,7 @@
     pack_frame,
 )
 from currantdeal.node.settings import split_address
-from currantdeal.node.sockets import prepare_socket
+from currantdeal.node.sockets import UNREACHABLE_ERRORS, prepare_socket
 
 MAX_LINKS = 256
 """Maximum number of links at a time; each takes two file descriptors."""
@@ -253,8 +253,8 @@
 async def _open_far_end(near, call):
     """Return outcome, reason and transport of a connection to an upstream."""
     loop = asyncio.get_running_loop()
-    host, port = split_address(call.address)
     try:
+        host, port = split_address(call.address)
         async with asyncio.timeout(min(call.timeout_s, MAX_CONNECT_S)):
             transport, _ = await loop.create_connection(
                 lambda: _FarEnd(near=near), host, port
@@ -263,7 +263,7 @@
         return LinkOutcome.UNANSWERED, "it accepts no connections", None
     except ConnectionRefusedError as exc:
         return LinkOutcome.REFUSED, str(exc), None
-    except OSError as exc:
+    except UNREACHABLE_ERRORS as exc:
         return LinkOutcome.UNANSWERED, str(exc), None
     return LinkOutcome.CONNECTED, "", transport
 
--- a/currantdeal/node/sockets.py
+++ b/currantdeal/node/sockets.py
@@ -11,6 +11,10 @@
 """
 
 
+UNREACHABLE_ERRORS = (OSError, OverflowError, ValueError)
+"""Errors of opening a connection, also to what is no address or port."""
+
+
 def prepare_socket(transport):
     """Send small writes at once, and time out on an unreachable peer."""
     sock = transport.get_extra_info("socket")
--- a/currantdeal/policy/health/links.py
+++ b/currantdeal/policy/health/links.py
@@ -26,6 +26,12 @@
 CALM_S = 30.0
 """Time without a loss after which the hold time is the shortest again."""
 
+COMPARE_S = 2.0
+"""Interval of the comparisons of a link that is cut.
+
+Its upstream may have ended meanwhile.
+"""
+
 RECENT_CONTACT_S = 0.5
 """Time after bytes of an upstream for which its open connections are taken to
 be alive."""
@@ -83,6 +89,7 @@
         self.state = LinkState.SOUND
         self.contact_s = NEVER_S
         self.checked_s = NEVER_S
+        self.compared_s = NEVER_S
         self.due_s = NEVER_S
         self.answered_s = None
         self.lost_s = NEVER_S
@@ -191,6 +198,12 @@
         pause_s = RECHECK_S * 2.0 ** min(link.unknown, _MAX_DOUBLINGS)
         link.due_s = now_s + min(MAX_RECHECK_S, pause_s)
 
+    def wants_comparison(self, address, *, now_s):
+        """Return whether a check should ask other entries as well."""
+        link = self._link(address)
+        is_cut = link.state is LinkState.CUT
+        return not is_cut or now_s - link.compared_s >= COMPARE_S
+
     def record_check(self, address, result, *, now_s):
         """Apply a ``CheckResult``; returns the ``LinkState``."""
         link = self._link(address)
@@ -200,6 +213,8 @@
             link.unknown += 1
             return link.state
         link.unknown = 0
+        if result.others is not Reach.UNKNOWN:
+            link.compared_s = now_s
         if result.direct:
             self._record_answer(address, link, now_s)
         elif result.others is Reach.REACHED:
--- a/currantdeal/testing/cut_upstream.py
+++ b/currantdeal/testing/cut_upstream.py
@@ -81,11 +81,13 @@
         Name of the upstream.
     owners : SocketOwners
         Tells which process has opened a connection.
+    script : callable or None
+        See ``StandInUpstream``.
     """
 
-    def __init__(self, *, upstream, owners):
+    def __init__(self, *, upstream, owners, script=None):
         """Create a stand-in that does not listen before ``start``."""
-        super().__init__(upstream=upstream)
+        super().__init__(upstream=upstream, script=script)
         self._owners = owners
         self._links = set()
         self._cuts = {}
