Test the links through other entries, and compare them sooner

The tests of this module run one at a time: two at a time beside two other loads (17 on 5 cores), four of seven failed, entries and callers alike being starved.

--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -161,7 +161,7 @@
             own_instance=settings.instance,
             peer_port=settings.peer_port,
             distance_to=self._view.distance_to,
-            on_gone=pool.close_idle_by,
+            on_gone=self._drop_helpers,
         )
         pool.link_client = LinkClient(
             choice=HelperChoice(random=context.random),
@@ -176,6 +176,10 @@
         )
         context.link_watch.on_cut = self._link_server.abort
 
+    def _drop_helpers(self, helpers):
+        self._context.pool.close_idle_by(helpers)
+        self._context.pool.traffic.forget_helpers(helpers)
+
     def _update_entries(self, notice):
         self._directory.merge(notice)
         self._helpers.update(self._directory.records)
--- a/currantdeal/cli/tests/test_lost_links.py
+++ b/currantdeal/cli/tests/test_lost_links.py
@@ -1,6 +1,11 @@
 """Tests of entries that lose their links to upstreams, with real processes."""
 
 import asyncio
+import fcntl
+import random
+import signal
+import tempfile
+from pathlib import Path
 
 import pytest
 
@@ -12,6 +17,8 @@
 CUT_S = 13.0
 CALM_S = 2.0
 
+FLAP_S = (0.3, 2.0)
+
 MIN_SERVED = 0.9
 """Least share that cut entries serve, as a multiple of the others' share."""
 
@@ -22,6 +29,18 @@
 ]
 
 
+@pytest.fixture(autouse=True)
+def _one_at_a_time():
+    """Run beside tests of other modules, but not beside each other.
+
+    Each has a dozen processes and measures how well they serve.
+    """
+    path = Path(tempfile.gettempdir()) / "currantdeal-lost-links.lock"
+    with path.open("w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        yield
+
+
 class _CutAndHeal:
     """Cuts entries in turn and keeps the times between which to compare."""
 
@@ -64,6 +83,107 @@
     _check(links, *scenario.compared[0])
 
 
+async def _kill_helper(links):
+    """Kill a sound entry, and start it again."""
+    entry = links.cluster.entries[-1]
+    links.without_callers(5)
+    await asyncio.to_thread(entry.kill)
+    await asyncio.sleep(CALM_S)
+    await asyncio.to_thread(entry.start)
+
+
+async def _stop_helper(links):
+    links.without_callers(5)
+    links.cluster.entries[-1].send_signal(signal.SIGTERM)
+
+
+async def _cut_helper(links):
+    links.without_callers(5)
+    links.cut([5], LinkCut.HANG)
+
+
+async def _pause_helper(links):
+    links.without_callers(5)
+    links.cluster.entries[-1].send_signal(signal.SIGSTOP)
+
+
+async def _restart_control(links):
+    for process in links.cluster.control:
+        await asyncio.to_thread(process.kill)
+        await asyncio.to_thread(process.start)
+        await asyncio.sleep(CALM_S)
+
+
+DISTURBANCES = [
+    _kill_helper,
+    _stop_helper,
+    _cut_helper,
+    _pause_helper,
+    _restart_control,
+]
+
+
+@pytest.mark.parametrize("disturb", DISTURBANCES)
+def test_cut_entries_serve_while_a_helper_is_lost(tmp_path, disturb):
+    """Guards against cut entries that fail with the entry that helps them."""
+    links = LostLinks(folder=tmp_path)
+    numbers = range(4)
+
+    async def scenario(links):
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(CALM_S)
+        links.cut(numbers, LinkCut.HANG)
+        scenario.began_s = loop.time() + CONTACT_S
+        await asyncio.sleep(CONTACT_S + CALM_S)
+        await disturb(links)
+        await asyncio.sleep(CUT_S - CONTACT_S)
+        scenario.ended_s = loop.time()
+        await asyncio.sleep(CALM_S)
+
+    links.play(scenario)
+    _check(links, numbers, scenario.began_s, scenario.ended_s)
+
+
+def test_entries_cut_from_a_part_of_the_upstreams_serve(tmp_path):
+    """Guards against an entry that compares only the loss of all links."""
+    links = LostLinks(folder=tmp_path)
+    numbers = range(3)
+
+    async def scenario(links):
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(CALM_S)
+        links.cut(numbers, LinkCut.HANG, {"s0", "s1", "s2", "s3", "d0", "p0"})
+        scenario.began_s = loop.time() + CONTACT_S
+        await asyncio.sleep(CUT_S)
+        scenario.ended_s = loop.time()
+        await asyncio.sleep(CALM_S)
+
+    links.play(scenario)
+    _check(links, numbers, scenario.began_s, scenario.ended_s)
+
+
+def test_entries_with_flapping_links_serve(tmp_path):
+    """Guards against requests lost anew each time that links come and go."""
+    links = LostLinks(folder=tmp_path)
+    numbers = range(3)
+    rng = random.Random(2)
+
+    async def scenario(links):
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(CALM_S)
+        scenario.began_s = loop.time() + CONTACT_S
+        while loop.time() < scenario.began_s + CUT_S:
+            links.cut(numbers, LinkCut.HANG)
+            await asyncio.sleep(rng.uniform(*FLAP_S))
+            links.heal(numbers)
+            await asyncio.sleep(rng.uniform(*FLAP_S))
+        scenario.ended_s = loop.time()
+        await asyncio.sleep(CALM_S)
+
+    links.play(scenario)
+    _check(links, numbers, scenario.began_s, scenario.ended_s)
+
+
 def test_entries_cut_in_turn_serve(tmp_path):
     """Guards against a second cut that finds the first one's helpers cut."""
     links = LostLinks(folder=tmp_path)
--- a/currantdeal/entry/link_watch.py
+++ b/currantdeal/entry/link_watch.py
@@ -20,9 +20,12 @@
 CHECK_TIMEOUT_S = 0.5
 """Time to answer a health check, including a new connection."""
 
-IDLE_CHECK_TIMEOUT_S = 0.25
+OPEN_CHECK_TIMEOUT_S = 0.15
 """Time to answer one on a connection that is open."""
 
+GRACE_S = 0.3
+"""Time for the direct answer once another entry has had one."""
+
 COMPARE_AFTER_S = 0.1
 """Time without a direct answer after which another entry is asked as well."""
 
@@ -42,7 +45,7 @@
 MAX_CHECKS = 16
 """Maximum number of checks at a time."""
 
-HELPER_SILENCE_S = 1.5
+HELPER_SILENCE_S = 0.6
 """Silence on links through an entry after which it is asked last."""
 
 _log = structlog.get_logger(__name__)
@@ -240,25 +243,30 @@
 
     async def _compare(self, address, before, may_reuse):
         """Return what a check finds, directly and through others."""
-        if may_reuse and await self._answers_when_open(address):
-            return CheckResult(direct=True)
-        direct = asyncio.ensure_future(self._answers_directly(address))
-        if not self._links.wants_comparison(address, now_s=_now_s()):
-            return CheckResult(direct=await direct)
-        if before is not LinkState.CUT:
-            await asyncio.wait({direct}, timeout=COMPARE_AFTER_S)
-        if direct.done() and direct.result():
-            return CheckResult(direct=True)
-        others = await self._reach_through_others(address)
-        return CheckResult(direct=await direct, others=others)
-
-    async def _answers_when_open(self, address):
-        connection = self._pool.take_direct(address)
-        if connection is None:
-            return False
-        return await self._answers(connection, IDLE_CHECK_TIMEOUT_S)
+        direct = asyncio.ensure_future(self._answers_here(address, may_reuse))
+        try:
+            if not self._links.wants_comparison(address, now_s=_now_s()):
+                return CheckResult(direct=await direct)
+            if before is not LinkState.CUT:
+                await asyncio.wait({direct}, timeout=COMPARE_AFTER_S)
+            if direct.done() and direct.result():
+                return CheckResult(direct=True)
+            others = await self._reach_through_others(address)
+            wait_s = GRACE_S if others is Reach.REACHED else CHECK_TIMEOUT_S
+            await asyncio.wait({direct}, timeout=wait_s)
+            return CheckResult(
+                direct=direct.done() and direct.result(), others=others
+            )
+        finally:
+            direct.cancel()
 
-    async def _answers_directly(self, address):
+    async def _answers_here(self, address, may_reuse):
+        """Return whether an upstream answers on a direct connection."""
+        connection = self._pool.take_direct(address) if may_reuse else None
+        if connection is not None and await self._answers(
+            connection, OPEN_CHECK_TIMEOUT_S
+        ):
+            return True
         try:
             async with asyncio.timeout(CHECK_TIMEOUT_S):
                 connection = await self._pool.open_direct(
--- a/currantdeal/node/link_traffic.py
+++ b/currantdeal/node/link_traffic.py
@@ -32,6 +32,7 @@
         self.on_doubt = lambda address, why: None
         self.on_helper_lost = lambda helper: None
         self._awaiting = {}
+        self._helper_contact_s = {}
 
     def begin(self, connection):
         """Record that a request was sent on a connection."""
@@ -46,8 +47,9 @@
         if not connection.helper:
             now_s = asyncio.get_running_loop().time()
             self.links.record_contact(connection.address, now_s=now_s)
-        elif connection in self._awaiting:
-            self._awaiting[connection] = asyncio.get_running_loop().time()
+        else:
+            now_s = asyncio.get_running_loop().time()
+            self._helper_contact_s[connection.helper] = now_s
 
     def record_lost(self, connection, exc):
         """Record that a connection ended without having been closed here."""
@@ -81,10 +83,20 @@
         }
 
     def silent_helpers(self, *, for_s):
-        """Return the entries on whose connections no bytes come for a time."""
+        """Return the entries through which no bytes come for a time."""
         before_s = asyncio.get_running_loop().time() - for_s
-        return {
+        waiting = {
             connection.helper
-            for connection, active_s in self._awaiting.items()
-            if connection.helper and active_s < before_s
+            for connection, sent_s in self._awaiting.items()
+            if connection.helper and sent_s < before_s
         }
+        return {
+            helper
+            for helper in waiting
+            if self._helper_contact_s.get(helper, before_s) <= before_s
+        }
+
+    def forget_helpers(self, helpers):
+        """Forget entries that have left."""
+        for helper in helpers:
+            self._helper_contact_s.pop(helper, None)
--- /dev/null
+++ b/currantdeal/node/tests/test_links.py
@@ -0,0 +1,276 @@
+"""Both ends of links through other entries, with real sockets."""
+
+import asyncio
+import random
+from contextlib import asynccontextmanager, suppress
+
+import pytest
+
+from currantdeal.adapters.generated.peers.ttypes import FrameKind
+from currantdeal.adapters.metrics import Metrics
+from currantdeal.adapters.sockets import set_reset_on_close
+from currantdeal.node.connection_pool import ConnectionPool, exchange
+from currantdeal.node.errors import (
+    ConnectError,
+    ConnectRefusedError,
+    InvalidResponseError,
+    LinkError,
+)
+from currantdeal.node.http_server import HttpServer
+from currantdeal.node.link_client import LinkClient
+from currantdeal.node.link_messages import LinkCall
+from currantdeal.node.link_server import LinkServer
+from currantdeal.node.peers import pack_frame
+from currantdeal.platform.calls import PlatformCalls
+from currantdeal.policy.health.links import CheckResult, Links, Reach
+from currantdeal.policy.placement.helper_choice import HelperChoice
+from currantdeal.testing.platform_upstream import HEALTH_PATH, StandInUpstream
+
+TIMEOUT_S = 1.0
+CUT = CheckResult(direct=False, others=Reach.REACHED)
+
+
+class _World:
+    """An asking pool, helpers and an upstream."""
+
+    def __init__(self, *, standin, helpers):
+        self.standin = standin
+        self.helpers = helpers
+        self.pool = ConnectionPool()
+        self.pool.link_client = LinkClient(
+            choice=HelperChoice(random=random.Random(1)),
+            groups=lambda: (tuple(_address(h) for h in helpers),),
+            metrics=Metrics(),
+        )
+
+    def cut(self, links=None):
+        """Cut the asking end, or another one, from the upstream."""
+        links = links or self.pool.links
+        links.doubt(self.standin.address, now_s=0.0)
+        links.record_check(self.standin.address, CUT, now_s=0.0)
+
+    async def ask(self, *, timeout_s=TIMEOUT_S):
+        """Send a health check on a new connection."""
+        call = PlatformCalls().check_health(self.standin.address, HEALTH_PATH)
+        return await exchange(
+            self.pool, self.standin.address, call, timeout_s=timeout_s
+        )
+
+
+def _address(server):
+    return "{}:{}".format(*server.address)
+
+
+@asynccontextmanager
+async def _world(*, helpers=2, script=None):
+    standin = StandInUpstream(script=script)
+    await standin.start()
+    servers = []
+    for _ in range(helpers):
+        server = LinkServer(
+            links=Links(),
+            is_upstream=lambda address: address == standin.address,
+            on_doubt=lambda address, why: None,
+            metrics=Metrics(),
+        )
+        await server.start("127.0.0.1", 0)
+        servers.append(server)
+    yield _World(standin=standin, helpers=servers)
+
+
+def _run(test, **options):
+    async def run():
+        async with _world(**options) as world:
+            return await test(world)
+
+    return asyncio.run(run())
+
+
+def test_cut_link_leads_through_another_entry():
+    """Guards against an entry that has no way to an upstream others reach."""
+
+    async def test(world):
+        world.cut()
+        head, _ = await world.ask()
+        assert head.status == 200
+        assert sum(server.open_links for server in world.helpers) == 1
+
+    _run(test)
+
+
+def test_refusal_of_a_sound_helper_proves_the_end_of_a_process():
+    """Guards against a crash that is not recognised any more."""
+
+    async def test(world):
+        world.standin.stop()
+        with pytest.raises(ConnectRefusedError):
+            await world.ask()
+
+    _run(test)
+
+
+def test_refusal_without_a_sound_helper_proves_nothing():
+    """Guards against sound upstreams that cut entries declare crashed."""
+
+    async def test(world):
+        world.standin.stop()
+        for server in world.helpers:
+            server.links.doubt("another", now_s=0.0)
+        with pytest.raises(ConnectError) as found:
+            await world.ask()
+        assert not found.value.has_ended
+
+    _run(test)
+
+
+@pytest.mark.parametrize("obstacle", ["stopping", "cut", "unknown"])
+def test_helper_that_cannot_help_is_passed_over(obstacle):
+    """Guards against a request lost to a helper that stops or is cut, too."""
+
+    async def test(world):
+        world.cut()
+        first, second = world.helpers
+        if obstacle == "stopping":
+            first.stop()
+        elif obstacle == "cut":
+            world.cut(first.links)
+        else:
+            first._is_upstream = lambda address: False
+        for _ in range(4):
+            head, _ = await world.ask()
+            assert head.status == 200
+            world.pool.close_idle(world.standin.address)
+        assert second.open_links or not first.open_links
+
+    _run(test)
+
+
+def test_connection_is_never_forwarded_twice():
+    """Guards against loops of entries that are all cut."""
+
+    async def test(world):
+        world.cut()
+        for server in world.helpers:
+            world.cut(server.links)
+        with pytest.raises(LinkError):
+            await world.ask()
+        assert world.standin.requests == []
+
+    _run(test)
+
+
+async def _answer_without_length(standin, request, writer, *, resets):
+    writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart")
+    await writer.drain()
+    set_reset_on_close(writer.get_extra_info("socket"), resets)
+    writer.close()
+    return True
+
+
+@pytest.mark.parametrize("resets", [False, True])
+def test_reset_of_an_answer_without_length_stays_a_reset(resets):
+    """Guards against a broken answer that ends as complete on a link."""
+
+    async def script(standin, request, writer):
+        return await _answer_without_length(
+            standin, request, writer, resets=resets
+        )
+
+    async def test(world):
+        world.cut()
+        if not resets:
+            _, body = await world.ask()
+            assert body == b"part"
+            return
+        with pytest.raises(InvalidResponseError):
+            await world.ask()
+
+    _run(test, script=script)
+
+
+async def _begin_answer(standin, request, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart")
+    await writer.drain()
+    await asyncio.sleep(10.0)
+    return True
+
+
+def test_lost_helper_does_not_end_an_answer():
+    """Guards against a part taken for whole when the helper is killed."""
+
+    async def test(world):
+        world.cut()
+        asked = asyncio.ensure_future(world.ask(timeout_s=5.0))
+        while not any(server.open_links for server in world.helpers):
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        for server in world.helpers:
+            server.abort()
+        with pytest.raises(InvalidResponseError):
+            await asked
+
+    _run(test, script=_begin_answer)
+
+
+def test_hang_up_reaches_the_upstream():
+    """Guards against work for a caller who has left, behind a helper."""
+
+    async def test(world):
+        world.cut()
+        asked = asyncio.ensure_future(world.ask(timeout_s=5.0))
+        while not world.standin.requests:
+            await asyncio.sleep(0.01)
+        asked.cancel()
+        async with asyncio.timeout(0.5):
+            while any(server.open_links for server in world.helpers):
+                await asyncio.sleep(0.01)
+
+    _run(test, script=_begin_answer)
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"\x00\x00\x00\x04abcd",
+        b"\xff\xff\xff\xff",
+        pack_frame(
+            FrameKind.CALL, 1, LinkCall(address="127.0.0.1:22", timeout_s=1.0)
+        )
+        + b"more",
+    ],
+    ids=["http", "no frame", "endless", "frame and more"],
+)
+def test_helper_closes_what_is_no_call(raw):
+    """Guards against bytes that make a helper hang, fail or connect."""
+
+    async def test(world):
+        reader, writer = await asyncio.open_connection(
+            *world.helpers[0].address
+        )
+        writer.write(raw)
+        async with asyncio.timeout(2.0):
+            with suppress(ConnectionError):
+                assert await reader.read() == b""
+        assert world.standin.requests == []
+
+    _run(test)
+
+
+def test_caller_cannot_ask_for_a_link():
+    """Guards against a caller's bytes that pass for another entry's call."""
+
+    async def handle(request, responder):
+        responder.answer(200, (), b"")
+
+    async def test(world):
+        server = HttpServer(handler=handle)
+        await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*server.address)
+        call = LinkCall(address=world.standin.address, timeout_s=1.0)
+        writer.write(pack_frame(FrameKind.CALL, 1, call))
+        writer.write_eof()
+        assert not (await reader.read()).startswith(b"HTTP/1.1 2")
+        assert world.standin.requests == []
+
+    _run(test)
--- a/currantdeal/policy/health/links.py
+++ b/currantdeal/policy/health/links.py
@@ -18,7 +18,7 @@
 DOUBT_PAUSE_S = 1.0
 """Time after a check in which a link is not doubted again."""
 
-BASE_HOLD_S = 0.5
+BASE_HOLD_S = 1.0
 """Time between the first and the last of the answers that restore a link."""
 
 MAX_HOLD_S = 8.0
@@ -111,7 +111,7 @@
     >>> back = CheckResult(direct=True)
     >>> links.record_check("10.0.0.1:80", back, now_s=9.0).value
     'cut'
-    >>> links.record_check("10.0.0.1:80", back, now_s=9.5).value
+    >>> links.record_check("10.0.0.1:80", back, now_s=10.0).value
     'sound'
     """
 
