Let a stop wait for answers that callers are still taking

Cause: a planned stop waited for requests in progress. One is over once its answer is handed to the transport; what a slow caller has not taken was lost when the process ended.

Change: the stop also waits while any connection has unsent bytes, up to its end as before.

--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -316,7 +316,12 @@
 
     @property
     def _is_in_use(self):
-        return self._server.active_requests or self._link_server.open_links
+        server = self._server
+        return (
+            server.active_requests
+            or server.untaken_answers
+            or self._link_server.open_links
+        )
 
     def _set_gauges(self):
         view = self._view
--- a/currantdeal/cli/tests/test_entry_stop.py
+++ b/currantdeal/cli/tests/test_entry_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import socket
 import time
 
 from currantdeal.testing.entry_world import (
@@ -79,3 +80,63 @@
     for answer, ran in answers:
         assert ran == answer.startswith(b"HTTP/1.1 200")
         assert b"connection: close" in answer.lower()
+
+
+ANSWER_BYTES = 8_000_000
+"""More than the system keeps for a caller that takes nothing."""
+
+SHORT_TIMEOUT_MS = 1_500
+LATE_S = 5.5
+STALL_S = 0.9
+
+
+async def _answer_at_length(standin, request, writer):
+    if request.is_system_call:
+        return False
+    standin.send(request, writer, 200, b"x" * ANSWER_BYTES)
+    await writer.drain()
+    return True
+
+
+async def _take_late(entry):
+    """Return the answer to an order, of which nothing is taken at first."""
+    host, _, port = entry.settings["listen"]["callers"].rpartition(":")
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+    reader, writer = await asyncio.open_connection(sock=sock, limit=1)
+    writer.write(request_bytes("/order/1"))
+    await asyncio.sleep(STALL_S)
+    answer = await read_to_end(reader)
+    writer.close()
+    return answer
+
+
+async def _stop_beside_late_taker(folder):
+    cluster = NodeCluster(folder=folder, control=3, entries=1)
+    standin = StandInUpstream(upstream="u1", script=_answer_at_length)
+    await standin.start()
+    (entry,) = cluster.entries
+    with cluster:
+        config = config_body(timeout_ms=SHORT_TIMEOUT_MS)
+        await asyncio.to_thread(cluster.put_config, config)
+        message = heartbeat(standin.address, "shop")
+        await asyncio.to_thread(cluster.announce, "u1", message)
+        async with asyncio.timeout(START_S):
+            while not (await _order(entry, 0) or b"").startswith(
+                b"HTTP/1.1 200"
+            ):
+                await asyncio.sleep(0.1)
+        entry.send_signal(signal.SIGTERM)
+        await asyncio.sleep(LATE_S)
+        answer = await _take_late(entry)
+        return answer, await asyncio.to_thread(entry.wait, GRACE_S)
+
+
+def test_answer_that_is_being_taken_outlives_a_planned_stop(tmp_path):
+    """Guards against a stop that cuts what a slow caller has not taken."""
+    answer, status = asyncio.run(_stop_beside_late_taker(tmp_path))
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert len(answer.partition(b"\r\n\r\n")[2]) == ANSWER_BYTES
+    assert status == 0
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -113,6 +113,11 @@
         """Number of requests in progress."""
         return sum(1 for c in self.connections if c.is_busy)
 
+    @property
+    def untaken_answers(self):
+        """Number of answers of which the callers have not taken all yet."""
+        return sum(1 for c in self.connections if c.unsent_bytes)
+
 
 class _Connection(asyncio.Protocol):
     def __init__(self, *, server):
@@ -139,6 +144,10 @@
     def is_busy(self):
         return self._task is not None
 
+    @property
+    def unsent_bytes(self):
+        return self._writer.unsent_bytes
+
     def connection_made(self, transport):
         self._transport = transport
         self._sender = (transport.get_extra_info("peername") or ("",))[0]
