Count each run of a generation that may have begun

Cause: a run that was lost before the head of its answer counted only if it was the first.

Change: each run that may have begun counts once, at its head or at its loss; one whose engine is proved to have ended is taken off again, as before.

--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -123,6 +123,7 @@
         self._unused_prefill = None
         self._events_before_run = 0
         self._is_over_budget = False
+        self._is_run_counted = False
 
     @property
     def _now_s(self):
@@ -316,6 +317,7 @@
         context, active = self._context, self._active
         record = reservation.record
         self._events_before_run = self._relay.events
+        self._is_run_counted = False
         call = context.encode(
             active,
             record,
@@ -371,7 +373,7 @@
             self._reason = f"refused with {head.status}"
             active.add_step(StepKind.REFUSED, record.upstream, head.status)
             return False
-        active.runs += 1
+        self._count_run()
         if not metadata.is_signed:
             self._reason = "the answer is not signed"
             active.add_step(StepKind.ERROR, record.upstream, self._reason)
@@ -398,6 +400,12 @@
             self._reason = "the end of a resumed run is unknown"
         return is_ended
 
+    def _count_run(self):
+        """Count the present run, which may have begun, once."""
+        if not self._is_run_counted:
+            self._is_run_counted = True
+            self._active.runs += 1
+
     async def _next_chunk(self, connection, record, timer):
         connection.record_buffered(self._relay.buffered_bytes)
         began_s = self._now_s
@@ -430,7 +438,7 @@
         active = self._active
         phase = self._relay.phase_of(exc)
         if reset_outcome(active.kind, phase).ran is not Ran.NO:
-            active.runs = max(active.runs, 1)
+            self._count_run()
         self._relay.drop_partial_event()
         self._reason = str(exc)
         if isinstance(exc, InvalidResponseError):
--- a/currantdeal/entry/run_wait.py
+++ b/currantdeal/entry/run_wait.py
@@ -44,8 +44,7 @@
     Attributes
     ----------
     lost_engines : int
-        Engines that ended during a run of this generation which had begun to
-        answer.
+        Engines that ended during a run of this generation.
     """
 
     def __init__(self, *, context, active, reserver, may_move):
@@ -55,7 +54,6 @@
         self._reserver = reserver
         self._may_move = may_move
         self._reservation = None
-        self._runs_before = 0
         self.lost_engines = 0
 
     def take_reservation(self):
@@ -119,9 +117,7 @@
             record, silent_gaps=silent_gaps
         )
         if is_lost and not connection.has_received:
-            # A run without a head was not counted as one of the route's runs.
-            self.lost_engines += self._active.runs > self._runs_before
-            self._runs_before = self._active.runs
+            self.lost_engines += 1
             self._context.metrics.add("runs_of_lost_engines_total")
             raise EngineLostError(
                 f"{record.upstream!r} has ended", phase=connection.phase
--- a/currantdeal/entry/tests/test_resets.py
+++ b/currantdeal/entry/tests/test_resets.py
@@ -254,3 +254,36 @@
     answer, prefill = asyncio.run(run())
     assert event_numbers(answer) == list(range(1, EVENTS + 1))
     assert len(prefill.requests) == sent
+
+
+async def _lose_answers(lost):
+    """Send a resumable stream whose first runs lose their answers."""
+    left = [lost]
+
+    async def script(standin, request, writer):
+        if request.is_system_call or request.is_prefill or not left[0]:
+            return False
+        left[0] -= 1
+        await asyncio.sleep(0.05)
+        reset(writer)
+        return True
+
+    async with entry_world() as world:
+        engines = [
+            StandInUpstream(upstream=name, script=script)
+            for name in ("p", "d1", "d2", "d3")
+        ]
+        for standin in engines:
+            await standin.start()
+        world.announce_engines(*engines)
+        raw = request_bytes("/draft/1", more=GENERATION)
+        answer = await world.exchange(raw)
+    return answer, sum(len(standin.runs) for standin in engines)
+
+
+@pytest.mark.parametrize(("lost", "runs"), [(0, 1), (1, 2), (2, 2), (3, 2)])
+def test_lost_answers_count_as_runs_of_a_resumable_stream(lost, runs):
+    """Guards against a stream sent to more upstreams than its route allows."""
+    answer, seen = asyncio.run(_lose_answers(lost))
+    assert seen == runs
+    assert answer.startswith(b"HTTP/1.1 200") is (lost < runs)
