--- a/currantdeal/node/link_server.py
+++ b/currantdeal/node/link_server.py
@@ -202,8 +202,10 @@
         if outcome is None:
             outcome, why, far = await _open_far_end(self._transport, call)
         self._server.record(call, outcome, why)
+        now_s = asyncio.get_running_loop().time()
         answer = LinkAnswer(
-            outcome=outcome, is_sound=self._server.links.are_sound
+            outcome=outcome,
+            is_sound=self._server.links.can_judge(call.address, now_s=now_s),
         )
         self._transport.write(pack_frame(FrameKind.ANSWER, 1, answer))
         if far is None:
--- a/currantdeal/policy/health/links.py
+++ b/currantdeal/policy/health/links.py
@@ -132,10 +132,19 @@
             a for a in self._unsound if self._links[a].state is LinkState.CUT
         )
 
-    @property
-    def are_sound(self):
-        """Whether no link is doubted or cut."""
-        return not self._unsound
+    def can_judge(self, address, *, now_s):
+        """Return whether a failure to reach an upstream is evidence about it.
+
+        It is while no link is cut, and another upstream was just heard of or
+        no other link is doubted.
+        """
+        if self.cut:
+            return False
+        return self._unsound <= {address} or any(
+            self.was_contacted(other, now_s=now_s)
+            for other in self._links
+            if other != address
+        )
 
     def state(self, address):
         """Return the ``LinkState`` of a link."""
