Doubt a link whose new connections end without any bytes

Cause: the end of a connection within 0.2 s of bytes of its upstream was taken for the upstream's own, whichever connection the bytes came on, so that open connections hid that new ones fail. A connection that never received bytes now raises a doubt in any case.

--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -78,6 +78,7 @@
         """Initialise the state; the event loop connects afterwards."""
         self.address = address
         self.helper = helper
+        self.has_received_bytes = False
         self._traffic = traffic
         self.used = False
         self._loop = asyncio.get_running_loop()
--- a/currantdeal/node/link_traffic.py
+++ b/currantdeal/node/link_traffic.py
@@ -44,6 +44,7 @@
 
     def record_bytes(self, connection):
         """Record bytes from an upstream."""
+        connection.has_received_bytes = True
         if not connection.helper:
             now_s = asyncio.get_running_loop().time()
             self.links.record_contact(connection.address, now_s=now_s)
@@ -62,7 +63,8 @@
             return
         now_s = asyncio.get_running_loop().time()
         age_s = now_s - self.links.contact_s(connection.address)
-        if age_s > ORDERLY_AGE_S:
+        # Others to the same upstream may live on while new ones are reset.
+        if not connection.has_received_bytes or age_s > ORDERLY_AGE_S:
             self.on_doubt(connection.address, f"connection lost: {exc}")
 
     def silent(self, *, for_s):
