Forget the links of upstreams that have left

Found by reading the change. Links of upstreams that are not announced any more are now dropped once they outnumber the others, and at once if one of them is doubted or cut. The time of the last contact with any upstream is kept apart, as looking at all of them five times a second costs with their number.

--- a/currantdeal/entry/link_watch.py
+++ b/currantdeal/entry/link_watch.py
@@ -45,6 +45,9 @@
 MAX_CHECKS = 16
 """Maximum number of checks at a time."""
 
+SPARE_LINKS = 16
+"""Links of upstreams that have left which are kept without harm."""
+
 HELPER_SILENCE_S = 0.6
 """Silence on links through an entry after which it is asked last."""
 
@@ -186,7 +189,7 @@
                 self.doubt(address, "data centre silent", may_reuse=True)
 
     def _doubt_idle(self):
-        if self._silence_s(self._view.addresses) <= IDLE_SILENCE_S:
+        if _now_s() - self._links.last_contact_s <= IDLE_SILENCE_S:
             return
         idle = [
             address
@@ -218,10 +221,13 @@
         ]
 
     def _forget_departed(self):
-        for address in self._links.unsound:
-            if address not in self._view.addresses:
-                self._links.forget(address)
-                self._why.pop(address, None)
+        addresses = self._view.addresses
+        has_left = not self._links.unsound <= addresses
+        if has_left or self._links.known > 2 * len(addresses) + SPARE_LINKS:
+            self._links.keep_only(addresses)
+            self._why = {
+                a: why for a, why in self._why.items() if a in addresses
+            }
 
     def _start_check(self, address, *, may_reuse=False):
         if address in self._checking or len(self._checking) >= MAX_CHECKS:
--- a/currantdeal/policy/health/links.py
+++ b/currantdeal/policy/health/links.py
@@ -119,6 +119,12 @@
         """Start with sound links."""
         self._links = {}
         self._unsound = set()
+        self._last_contact_s = NEVER_S
+
+    @property
+    def last_contact_s(self):
+        """Time of the last bytes from any upstream; ``NEVER_S`` if none."""
+        return self._last_contact_s
 
     @property
     def unsound(self):
@@ -160,6 +166,7 @@
     def record_contact(self, address, *, now_s):
         """Record bytes from an upstream on a connection of this entry."""
         self._link(address).contact_s = now_s
+        self._last_contact_s = now_s
 
     def contact_s(self, address):
         """Return the time of the last direct contact; ``NEVER_S`` if none."""
@@ -246,10 +253,17 @@
             if address in self._unsound:
                 self._links[address].due_s = now_s
 
-    def forget(self, address):
-        """Forget an upstream that has left."""
-        self._links.pop(address, None)
-        self._unsound.discard(address)
+    def keep_only(self, addresses):
+        """Forget all links but those to some addresses."""
+        for address in tuple(self._links):
+            if address not in addresses:
+                del self._links[address]
+                self._unsound.discard(address)
+
+    @property
+    def known(self):
+        """Number of links about which anything is known."""
+        return len(self._links)
 
     def _record_answer(self, address, link, now_s):
         link.contact_s = now_s
