Withdraw the upstreams of a test before their ports are free

Cause: the first test stops five stand-ins after each of 19 answers, and its entry kept them as ready. A port that was free again became that of a stand-in of another test, to which the entry then sent its request: three foreign runs there, three successes here.

Change: the test announces its upstreams as gone before they stop. The assertions are as they were.

--- a/currantdeal/entry/tests/test_answer_heads.py
+++ b/currantdeal/entry/tests/test_answer_heads.py
@@ -5,6 +5,7 @@
 import pytest
 
 from currantdeal.adapters.sockets import set_reset_on_close
+from currantdeal.registry import UpstreamState
 from currantdeal.testing.entry_world import (
     GENERATION,
     entry_world,
@@ -68,7 +69,9 @@
             for standin in engines[3:]:
                 world.announce(standin)
             found.append(await world.exchange(REQUESTS[kind]))
+            # A port that is free again may soon be that of another test.
             for standin in engines:
+                world.announce(standin, state=UpstreamState.GONE)
                 standin.stop()
     return found
 
