Let go of ejections that the fault of a link has caused

Cause: ejection did not follow what the checks of links find. (1) An upstream that answers the check of its doubted link stayed ejected until its own probe, up to 4 s later. (2) A probe that hung on the cut link while the upstream was readmitted through another entry ejected it anew when it timed out. (3) Failures on a cut link counted on, so that the first failure of the next cut ejected for 4 s rather than 0.5 s.

Change: an answered check readmits; a probe does not eject an upstream that was readmitted meanwhile; a cut clears the count of failures.

Measured: the three tests in test_link_watch.py failed before and pass.

--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -142,7 +142,8 @@
             random=random,
             metrics=metrics,
         )
-        self.link_watch.on_reached = self._readmit
+        self.link_watch.on_answer = self._readmit
+        self.link_watch.on_reached = self._absolve
 
     @property
     def now_s(self):
@@ -175,11 +176,17 @@
             self.link_watch.record_timeout(record.address)
 
     def _readmit(self, record):
-        """Readmit an upstream that is reached again, on another way."""
+        """Readmit an upstream that has answered a health check."""
         self.record_reached(record)
         for health in (self.health, self.prefill_health):
             health.readmit(record.upstream)
 
+    def _absolve(self, record):
+        """Readmit an upstream that is reached again, on another way."""
+        self.record_reached(record)
+        for health in (self.health, self.prefill_health):
+            health.absolve(record.upstream)
+
     def may_send(self, active):
         """Return whether a request may be sent to an upstream now."""
         return self.access.may_send(active) and self.crash_watch.may_send(
--- a/currantdeal/entry/link_watch.py
+++ b/currantdeal/entry/link_watch.py
@@ -78,6 +78,8 @@
     ----------
     on_cut : callable
         Called with the address of an upstream whose link was found cut.
+    on_answer : callable
+        Called with the record of an upstream that answered a direct check.
     on_reached : callable
         Called with the record of an upstream that answers again, on another
         way than before.
@@ -106,6 +108,7 @@
         self._checking = set()
         self._why = {}
         self.on_cut = lambda address: None
+        self.on_answer = lambda record: None
         self.on_reached = lambda record: None
         pool.traffic.on_doubt = self.doubt
         pool.traffic.on_helper_lost = self._avoid_helper
@@ -252,6 +255,8 @@
         )
         if state is not before:
             self._apply(address, before, state, result)
+        if result.direct:
+            self.on_answer(self._view.upstream_at(address))
 
     async def _compare(self, address, before, may_reuse):
         """Return what a check finds, directly and through others."""
--- a/currantdeal/entry/probing.py
+++ b/currantdeal/entry/probing.py
@@ -93,10 +93,14 @@
                     return
                 if not health.is_ejected(name, now_s=now_s):
                     return
+                before_s = health.ejected_until_s(name)
                 if await self._answers_health_check(record):
                     health.readmit(name)
                     _log.info("upstream-back", upstream=name)
                     return
+                if health.ejected_until_s(name) < before_s:
+                    # It was reached on another way meanwhile.
+                    return
                 pause_s = health.eject(
                     name,
                     now_s=asyncio.get_running_loop().time(),
--- a/currantdeal/entry/tests/test_link_watch.py
+++ b/currantdeal/entry/tests/test_link_watch.py
@@ -1,9 +1,12 @@
 """Checks of the links of an entry, with real sockets."""
 
 import asyncio
+from contextlib import asynccontextmanager
 
+from currantdeal.entry.probing import FIRST_PROBE_S, PROBE_TIMEOUT_S
 from currantdeal.node.link_client import LinkClient
 from currantdeal.policy.health.links import LinkState
+from currantdeal.policy.health.upstream_health import BASE_EJECTION_S
 from currantdeal.policy.placement.helper_choice import HelperChoice
 from currantdeal.registry import UpstreamState
 from currantdeal.testing.entry_world import entry_world, request_bytes
@@ -71,3 +74,66 @@
             assert not links.unsound
 
     asyncio.run(run())
+
+
+async def _answers_no_checks(standin, request, writer):
+    return request.is_health_check
+
+
+@asynccontextmanager
+async def _ejected_upstream(*, script=None):
+    """Provide a world and the record of an upstream that failed often."""
+    async with entry_world() as world:
+        _without_helpers(world)
+        standin = StandInUpstream(script=script)
+        await standin.start()
+        world.announce(standin)
+        context = world.context
+        for _ in range(4):
+            context.health.eject(standin.upstream, now_s=context.now_s)
+        yield context, context.view.record(standin.upstream)
+
+
+def test_upstream_that_answers_a_check_of_its_link_is_readmitted():
+    """Guards against engines that stay ejected after a cut has healed."""
+
+    async def run():
+        async with _ejected_upstream() as (context, record):
+            context.link_watch.doubt(record.address, "timed out")
+            await asyncio.sleep(SETTLE_S / 4)
+            assert not context.health.is_ejected(
+                record.upstream, now_s=context.now_s
+            )
+
+    asyncio.run(run())
+
+
+def test_probe_that_a_cut_holds_up_does_not_undo_a_readmission():
+    """Guards against an engine ejected anew that is reached on another way."""
+
+    async def run():
+        script = _answers_no_checks
+        async with _ejected_upstream(script=script) as (context, record):
+            context.eject(record, context.health)
+            await asyncio.sleep(2 * FIRST_PROBE_S)
+            context.link_watch.on_reached(record)
+            await asyncio.sleep(2 * PROBE_TIMEOUT_S)
+            assert not context.health.is_ejected(
+                record.upstream, now_s=context.now_s
+            )
+
+    asyncio.run(run())
+
+
+def test_failures_on_a_link_that_was_cut_are_forgotten():
+    """Guards against long ejections for what was the fault of a link."""
+
+    async def run():
+        async with _ejected_upstream() as (context, record):
+            context.link_watch.on_reached(record)
+            pause_s = context.health.eject(
+                record.upstream, now_s=context.now_s
+            )
+            assert pause_s == BASE_EJECTION_S
+
+    asyncio.run(run())
--- a/currantdeal/policy/health/upstream_health.py
+++ b/currantdeal/policy/health/upstream_health.py
@@ -160,6 +160,11 @@
         state = self._state_of(upstream)
         state.ejected_until_s = state.held_until_s
 
+    def absolve(self, upstream):
+        """Readmit an upstream whose failures were those of its link."""
+        self._state_of(upstream).failures = 0
+        self.readmit(upstream)
+
     def record_load(self, upstream, requests, *, now_s, pace=None):
         """Record the load that an upstream reported.
 
@@ -181,6 +186,10 @@
         """Return whether an upstream is ejected now."""
         return now_s < self._state_of(upstream).ejected_until_s
 
+    def ejected_until_s(self, upstream):
+        """Return the time until which an upstream is ejected."""
+        return self._state_of(upstream).ejected_until_s
+
     def ejected(self, *, now_s):
         """Return the names of the upstreams that are ejected now."""
         return tuple(
