Restore a link only once it has stayed up longer than one that flaps

With a first hold time of 1 s a link that comes and goes every 0.3 to 2 s was taken back after the first loss and lost again with its requests. The hold time is now 2.5 s, doubled with each further loss up to 10 s.

The first hold is the time that traffic goes through another entry after a heal, 1.5 s longer than before.

--- a/currantdeal/policy/health/links.py
+++ b/currantdeal/policy/health/links.py
@@ -18,10 +18,13 @@
 DOUBT_PAUSE_S = 1.0
 """Time after a check in which a link is not doubted again."""
 
-BASE_HOLD_S = 1.0
-"""Time between the first and the last of the answers that restore a link."""
+BASE_HOLD_S = 2.5
+"""Time between the first and the last of the answers that restore a link.
 
-MAX_HOLD_S = 8.0
+It is longer than the time for which a link that flaps stays up.
+"""
+
+MAX_HOLD_S = 10.0
 
 CALM_S = 30.0
 """Time without a loss after which the hold time is the shortest again."""
@@ -111,7 +114,7 @@
     >>> back = CheckResult(direct=True)
     >>> links.record_check("10.0.0.1:80", back, now_s=9.0).value
     'cut'
-    >>> links.record_check("10.0.0.1:80", back, now_s=10.0).value
+    >>> links.record_check("10.0.0.1:80", back, now_s=12.0).value
     'sound'
     """
 
