Run the tests that measure service after all others

Cause: with 12 busy processes and a second case on 5 cores, event loops stand still for up to 0.8 s; the upstreams live in the test's process, so each entry truly has upstreams that are silent beyond its targets, and no entry serves 0.95 (cut 0.58, others 0.62 in such a run). With 5 busy processes every case passed. That this was so in the run that failed is not shown; its log has one answer of 503 after 0.88 s and no more.

Change: bin/test runs these tests last, two at a time, and goes on to them when an earlier one failed. The lock that ran them one at a time beside all others is not needed then. Bounds and seeds are as they were.

--- a/currantdeal/cli/tests/test_lost_links.py
+++ b/currantdeal/cli/tests/test_lost_links.py
@@ -1,11 +1,8 @@
 """Tests of entries that lose their links to upstreams, with real processes."""
 
 import asyncio
-import fcntl
 import random
 import signal
-import tempfile
-from pathlib import Path
 
 import pytest
 
@@ -13,6 +10,8 @@
 from currantdeal.testing.first_tries import KINDS, share_served
 from currantdeal.testing.lost_links import LostLinks
 
+pytestmark = pytest.mark.measures_service
+
 CONTACT_S = 4.0
 CUT_S = 13.0
 CALM_S = 2.0
@@ -29,18 +28,6 @@
 ]
 
 
-@pytest.fixture(autouse=True)
-def _one_at_a_time():
-    """Run beside tests of other modules, but not beside each other.
-
-    Each has a dozen processes and measures how well they serve.
-    """
-    path = Path(tempfile.gettempdir()) / "currantdeal-lost-links.lock"
-    with path.open("w") as lock:
-        fcntl.flock(lock, fcntl.LOCK_EX)
-        yield
-
-
 class _CutAndHeal:
     """Cuts entries in turn and keeps the times between which to compare."""
 
@@ -117,11 +104,11 @@
 
 
 DISTURBANCES = [
-    pytest.param(_kill_helper, marks=pytest.mark.known_red),
-    pytest.param(_stop_helper, marks=pytest.mark.known_red),
-    pytest.param(_cut_helper, marks=pytest.mark.known_red),
+    _kill_helper,
+    _stop_helper,
+    _cut_helper,
     _pause_helper,
-    pytest.param(_restart_control, marks=pytest.mark.known_red),
+    _restart_control,
 ]
 
 
@@ -164,7 +151,6 @@
     _check(links, numbers, scenario.began_s, scenario.ended_s)
 
 
-@pytest.mark.known_red
 def test_entries_with_flapping_links_serve(tmp_path):
     """Guards against requests lost anew each time that links come and go."""
     links = LostLinks(folder=tmp_path)
