Wait for all control processes before a heartbeat goes to each

Cause: the test waits until one control process takes the heartbeat and the entry serves. By the logs of the failed run control-3 wrote "started" 0.12 s after the entry had served the first order, so that nothing listened there when the test sent it the heartbeat.

Change: the test waits until all control processes take the known heartbeat. Its assertions are as they were.

--- a/currantdeal/cli/tests/test_unknown_services.py
+++ b/currantdeal/cli/tests/test_unknown_services.py
@@ -50,8 +50,9 @@
     with cluster:
         await asyncio.to_thread(cluster.put_config, config_body())
         message = heartbeat(standin.address, "shop")
-        await asyncio.to_thread(cluster.announce, "u1", message)
         async with asyncio.timeout(START_S):
+            while await _announce_to_all(cluster, "u1", message) != [200] * 3:
+                await asyncio.sleep(0.1)
             while await _order(entry, 0) != 200:
                 await asyncio.sleep(0.1)
         other = heartbeat(standin.address, "unheard-of", born=9)
