--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -163,13 +163,13 @@
             distance_to=self._view.distance_to,
             on_gone=self._drop_helpers,
         )
-        pool.link_client = LinkClient(
+        pool.connector.link_client = LinkClient(
             choice=HelperChoice(random=context.random),
             groups=lambda: self._helpers.groups,
             metrics=self._metrics,
         )
         self._link_server = LinkServer(
-            links=pool.links,
+            links=pool.connector.links,
             is_upstream=lambda address: address in self._view.addresses,
             on_doubt=context.link_watch.doubt,
             metrics=self._metrics,
@@ -178,7 +178,7 @@
 
     def _drop_helpers(self, helpers):
         self._context.pool.close_idle_by(helpers)
-        self._context.pool.traffic.forget_helpers(helpers)
+        self._context.pool.connector.traffic.forget_helpers(helpers)
 
     def _update_entries(self, notice):
         self._directory.merge(notice)
@@ -332,7 +332,7 @@
             self._metrics.set("confirmation_age_seconds", age_s)
         self._metrics.set("requests_in_progress", self._server.active_requests)
         self._metrics.set("entries", view.entries)
-        links = self._context.pool.links
+        links = self._context.pool.connector.links
         self._metrics.set("links_cut", len(links.cut))
         self._metrics.set("links_unsound", len(links.unsound))
         self._metrics.set("links_carried", self._link_server.open_links)
--- a/currantdeal/control/orders.py
+++ b/currantdeal/control/orders.py
@@ -13,9 +13,9 @@
 import structlog
 
 from currantdeal.control.errors import NotCertainError
-from currantdeal.node.connection_pool import exchange
 from currantdeal.node.dialect import StageOrder
 from currantdeal.node.errors import ExchangeError
+from currantdeal.node.exchange import exchange
 from currantdeal.policy.placement.stage_plan import (
     CHANGE_INTERVAL_S,
     lacks_stage,
--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -106,7 +106,7 @@
         self.departures = Departures(
             view=view, settings=distance, random=random, metrics=metrics
         )
-        pool.on_connected = self._record_connected
+        pool.connector.on_connected = self._record_connected
         self.announce_local_prefill = None
         self.announce_unreachable = None
         self._meters = {}
--- a/currantdeal/entry/engine_watch.py
+++ b/currantdeal/entry/engine_watch.py
@@ -4,8 +4,8 @@
 
 import structlog
 
-from currantdeal.node.connection_pool import exchange
 from currantdeal.node.errors import ExchangeError
+from currantdeal.node.exchange import exchange
 from currantdeal.policy.health.lost_engines import (
     Corroboration,
     LostEngines,
--- a/currantdeal/entry/link_watch.py
+++ b/currantdeal/entry/link_watch.py
@@ -10,8 +10,8 @@
 
 import structlog
 
-from currantdeal.node.connection_pool import exchange_on
 from currantdeal.node.errors import ConnectError, ExchangeError, LinkError
+from currantdeal.node.exchange import exchange_on
 from currantdeal.policy.health.links import CheckResult, LinkState, Reach
 
 TICK_S = 0.2
@@ -99,7 +99,8 @@
         """Start without doubts."""
         self._view = view
         self._pool = pool
-        self._links = pool.links
+        self._connector = pool.connector
+        self._links = pool.connector.links
         self._dialect = dialect
         self._read_response = read_response
         self._in_background = in_background
@@ -110,8 +111,8 @@
         self.on_cut = lambda address: None
         self.on_answer = lambda record: None
         self.on_reached = lambda record: None
-        pool.traffic.on_doubt = self.doubt
-        pool.traffic.on_helper_lost = self._avoid_helper
+        self._connector.traffic.on_doubt = self.doubt
+        self._connector.traffic.on_helper_lost = self._avoid_helper
 
     def doubt(self, address, why, *, may_reuse=False):
         """Check the link to an upstream with which contact was lost.
@@ -124,7 +125,7 @@
             Whether an answer on an open connection removes the doubt.
         """
         if (
-            self._pool.link_client is None
+            self._connector.link_client is None
             or address not in self._view.addresses
         ):
             return
@@ -161,13 +162,13 @@
 
     def tick(self):
         """Look for silence, and start the checks that are due."""
-        if self._pool.link_client is None:
+        if self._connector.link_client is None:
             return
         self._forget_departed()
         self._doubt_silent()
         self._doubt_idle()
         self._suspect_beside_cut()
-        for helper in self._pool.traffic.silent_helpers(
+        for helper in self._connector.traffic.silent_helpers(
             for_s=HELPER_SILENCE_S
         ):
             self._avoid_helper(helper)
@@ -177,7 +178,7 @@
             self._start_check(address)
 
     def _doubt_silent(self):
-        traffic = self._pool.traffic
+        traffic = self._connector.traffic
         for address in traffic.silent(for_s=UPSTREAM_SILENCE_S):
             self.doubt(address, "silent", may_reuse=True)
         by_center = {}
@@ -286,7 +287,7 @@
             return True
         try:
             async with asyncio.timeout(CHECK_TIMEOUT_S):
-                connection = await self._pool.open_direct(
+                connection = await self._connector.open_direct(
                     address, timeout_s=CHECK_TIMEOUT_S
                 )
                 return await self._answers(connection, CHECK_TIMEOUT_S)
@@ -294,10 +295,10 @@
             return False
 
     async def _reach_through_others(self, address):
-        if not self._pool.link_client.has_helpers:
+        if not self._connector.link_client.has_helpers:
             return Reach.NOT_REACHED
         try:
-            await self._pool.open_linked(
+            await self._connector.open_linked(
                 address,
                 timeout_s=CHECK_TIMEOUT_S,
                 # The connection is idle in the pool afterwards.
@@ -359,7 +360,7 @@
         )
 
     def _avoid_helper(self, helper):
-        self._pool.link_client.avoid(helper)
+        self._connector.link_client.avoid(helper)
         self._pool.close_idle_by({helper})
 
 
--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -17,8 +17,8 @@
 from currantdeal.entry.prefill import expects_local_prefill
 from currantdeal.entry.releases import release
 from currantdeal.entry.speeds import is_too_slow, slowdowns
-from currantdeal.node.connection_pool import exchange
 from currantdeal.node.errors import ExchangeError
+from currantdeal.node.exchange import exchange
 from currantdeal.policy.memory.decode_memory import (
     MAX_FILL,
     GenerationSize,
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -19,7 +19,6 @@
 from currantdeal.entry.events import position_of
 from currantdeal.entry.run_end import check_end, record_completeness
 from currantdeal.entry.steps import StepKind
-from currantdeal.node.connection_pool import exchange
 from currantdeal.node.errors import (
     ConnectError,
     ExchangeError,
@@ -27,6 +26,7 @@
     MalformedResponseError,
     ResponseTimeoutError,
 )
+from currantdeal.node.exchange import exchange
 from currantdeal.policy.answers.answer_end import framing_of_buffered
 from currantdeal.policy.answers.reset_outcome import (
     ExchangePhase,
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -23,12 +23,12 @@
     speed_of,
 )
 from currantdeal.entry.steps import StepKind, kind_of_failure
-from currantdeal.node.connection_pool import exchange
 from currantdeal.node.errors import (
     ExchangeError,
     InvalidResponseError,
     MalformedResponseError,
 )
+from currantdeal.node.exchange import exchange
 from currantdeal.policy.placement.prefill_choice import (
     estimate_prefill,
     local_prefill_s,
--- a/currantdeal/entry/probing.py
+++ b/currantdeal/entry/probing.py
@@ -10,8 +10,8 @@
 
 import structlog
 
-from currantdeal.node.connection_pool import exchange
 from currantdeal.node.errors import ExchangeError
+from currantdeal.node.exchange import exchange
 
 PROBE_TIMEOUT_S = 0.3
 """Time to answer a health check, including a new connection."""
--- a/currantdeal/entry/releases.py
+++ b/currantdeal/entry/releases.py
@@ -2,8 +2,8 @@
 
 import structlog
 
-from currantdeal.node.connection_pool import exchange
 from currantdeal.node.errors import ExchangeError
+from currantdeal.node.exchange import exchange
 
 RELEASE_TIMEOUT_S = 0.5
 """Time in which an upstream must answer a release."""
--- a/currantdeal/entry/tests/test_link_watch.py
+++ b/currantdeal/entry/tests/test_link_watch.py
@@ -17,7 +17,7 @@
 
 def _without_helpers(world):
     """Connect a watch that knows no other entry."""
-    world.context.pool.link_client = LinkClient(
+    world.context.pool.connector.link_client = LinkClient(
         choice=HelperChoice(random=world.context.random),
         groups=lambda: (),
         metrics=world.context.metrics,
@@ -45,7 +45,7 @@
             while not asked.done():
                 world.context.link_watch.tick()
                 await asyncio.sleep(0.1)
-            links = world.context.pool.links
+            links = world.context.pool.connector.links
             assert (await asked).startswith(b"HTTP/1.1 200")
             assert links.state(standin.address) is LinkState.SOUND
             assert len(standin.runs) == 1
@@ -62,7 +62,7 @@
             standin = StandInUpstream()
             await standin.start()
             world.announce(standin)
-            links = world.context.pool.links
+            links = world.context.pool.connector.links
             for number in range(100):
                 links.record_contact(f"10.0.0.1:{number}", now_s=0.0)
             links.doubt("10.0.0.1:7", now_s=0.0)
--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -1,4 +1,4 @@
-"""Pool of connections to upstreams, and small exchanges over them.
+"""Pool of connections to upstreams.
 
 The load pattern is connection churn: many entries each call many engines now
 and then, and a new connection costs a round trip and work on the engine.
@@ -9,35 +9,13 @@
 connection of its own.
 """
 
-import asyncio
+from functools import partial
 
 from currantdeal.node.buffered_answers import BufferedAnswers
-from currantdeal.node.errors import (
-    ConnectError,
-    ConnectRefusedError,
-    InvalidResponseError,
-    LinkError,
-    ResponseTimeoutError,
-)
+from currantdeal.node.connector import CONNECT_TIMEOUT_S, Connector
 from currantdeal.node.extra_answers import ExtraAnswerLog
 from currantdeal.node.http_client import RECEIVE_BYTES, UpstreamConnection
-from currantdeal.node.link_traffic import LinkTraffic
-from currantdeal.node.settings import split_address
-from currantdeal.node.sockets import UNREACHABLE_ERRORS
-from currantdeal.policy.answers.reset_outcome import ExchangePhase
-from currantdeal.policy.health.links import Links, LinkState
-
-CONNECT_TIMEOUT_S = 0.8
-"""Timeout for opening a connection.
-
-It is shorter than the time after which TCP retransmits a lost first packet.
-"""
-
-LINK_HEDGE_S = 0.3
-"""Delay after which a slow connection is also opened through another entry."""
-
-MAX_CALL_ANSWER_BYTES = 65_536
-"""Maximum size of the answer to a call of the system."""
+from currantdeal.policy.health.links import LinkState
 
 MAX_IDLE = 16
 """Maximum number of idle connections kept for one upstream."""
@@ -55,27 +33,22 @@
 
     Attributes
     ----------
-    on_connected : callable or None
-        Called with the address and the duration of each new connection that
-        is direct.
-    links : currantdeal.policy.health.links.Links
-        Links of this process to the upstreams.
-    traffic : LinkTraffic
-        Observes all connections.
-    link_client : LinkClient or None
-        Opens connections through other entries, where there are any.
+    connector : Connector
+        Opens the connections.
     """
 
     def __init__(self, *, metrics=None):
         """Start with an empty pool."""
-        self._extra_answers = ExtraAnswerLog(metrics=metrics)
         self._buffered = BufferedAnswers()
-        self._receive_buffer = bytearray(RECEIVE_BYTES)
         self._idle = {}
-        self.on_connected = None
-        self.links = Links()
-        self.traffic = LinkTraffic(links=self.links)
-        self.link_client = None
+        self.connector = Connector(
+            make_connection=partial(
+                UpstreamConnection,
+                extra_answers=ExtraAnswerLog(metrics=metrics),
+                buffered=self._buffered,
+                receive_buffer=bytearray(RECEIVE_BYTES),
+            )
+        )
 
     @property
     def buffered_bytes(self):
@@ -109,121 +82,15 @@
         found = self._take_idle(address, outgoing, retryable=retryable)
         return found or await self.open(address, timeout_s=timeout_s)
 
+    async def open(self, address, *, timeout_s=CONNECT_TIMEOUT_S):
+        """Open and return a new connection, see ``Connector.open``."""
+        return await self.connector.open(address, timeout_s=timeout_s)
+
     def is_connected(self, address):
         """Return whether an idle connection can take a retryable request."""
         idle = self._idle.get(address, ())
         return any(c.is_usable(retryable=True) for c in idle)
 
-    async def open(self, address, *, timeout_s=CONNECT_TIMEOUT_S):
-        """Open and return a new connection, directly or by another entry.
-
-        Raises
-        ------
-        ConnectRefusedError
-            If no process listens at the address.
-        ConnectError
-            If the connection could not be opened in time.
-        """
-        timeout_s = min(timeout_s, CONNECT_TIMEOUT_S)
-        if self.link_client is None or not self.link_client.has_helpers:
-            return await self.open_direct(address, timeout_s=timeout_s)
-        if not self.links.is_cut(address):
-            return await self._open_either(address, timeout_s)
-        try:
-            return await self.open_linked(address, timeout_s=timeout_s)
-        except LinkError as exc:
-            if exc.is_refused:
-                raise ConnectRefusedError(str(exc)) from exc
-            raise
-
-    async def open_direct(self, address, *, timeout_s):
-        """Open a connection from this process to an upstream.
-
-        Raises
-        ------
-        ConnectError
-            See ``open``.
-        """
-        loop = asyncio.get_running_loop()
-        began_s = loop.time()
-        try:
-            host, port = split_address(address)
-            async with asyncio.timeout(timeout_s):
-                _, connection = await loop.create_connection(
-                    lambda: self._make_connection(address), host, port
-                )
-        except TimeoutError:
-            raise ConnectError(
-                f"{address} does not accept connections"
-            ) from None
-        except ConnectionRefusedError as exc:
-            raise ConnectRefusedError(f"{address}: {exc}") from exc
-        except UNREACHABLE_ERRORS as exc:
-            raise ConnectError(f"{address}: {exc}") from exc
-        if self.on_connected is not None:
-            self.on_connected(address, loop.time() - began_s)
-        return connection
-
-    async def open_linked(self, address, *, timeout_s, verify=None):
-        """Open a connection through another entry.
-
-        Parameters
-        ----------
-        verify : callable or None
-            See ``LinkClient.open``.
-
-        Raises
-        ------
-        LinkError
-            If none could be opened in time.
-        """
-        return await self.link_client.open(
-            address,
-            lambda helper: self._make_connection(address, helper),
-            timeout_s=timeout_s,
-            verify=verify,
-        )
-
-    async def _open_either(self, address, timeout_s):
-        """Open a direct connection, or one by another entry if it fails."""
-        loop = asyncio.get_running_loop()
-        end_s = loop.time() + timeout_s
-        direct = asyncio.ensure_future(
-            self.open_direct(address, timeout_s=timeout_s)
-        )
-        linked = chosen = None
-        try:
-            await asyncio.wait({direct}, timeout=min(LINK_HEDGE_S, timeout_s))
-            if _has_opened(direct):
-                chosen = direct.result()
-                return chosen
-            self.traffic.on_doubt(address, _failure_of(direct))
-            linked = asyncio.ensure_future(
-                self.open_linked(address, timeout_s=end_s - loop.time())
-            )
-            pending = {linked} if direct.done() else {direct, linked}
-            while pending:
-                done, pending = await asyncio.wait(
-                    pending, return_when=asyncio.FIRST_COMPLETED
-                )
-                for task in done:
-                    if _has_opened(task):
-                        chosen = task.result()
-                        return chosen
-            raise _connect_error(direct.exception(), linked.exception())
-        finally:
-            _discard((direct, linked), chosen)
-
-    def _make_connection(self, address, helper=""):
-        return UpstreamConnection(
-            address=address,
-            extra_answers=self._extra_answers,
-            buffered=self._buffered,
-            receive_buffer=self._receive_buffer,
-            traffic=self.traffic,
-            helper=helper,
-        )
-
     def release(self, connection):
         """Return a connection to the pool after an exchange, or close it."""
         idle = self._idle.setdefault(connection.address, [])
@@ -290,147 +157,11 @@
 
     def _close_ended(self, address):
         idle = self._idle.get(address, [])
-        is_sound = self.links.state(address) is LinkState.SOUND
+        links = self.connector.links
+        is_sound = links.state(address) is LinkState.SOUND
         for connection in tuple(idle):
             if not connection.is_usable(retryable=True) or (
                 is_sound and connection.helper
             ):
                 idle.remove(connection)
                 connection.close()
-
-
-async def exchange(
-    pool,
-    address,
-    outgoing,
-    *,
-    timeout_s,
-    limit=MAX_CALL_ANSWER_BYTES,
-    retryable=False,
-    may_repeat=None,
-):
-    """Send a small request and return the response head and the whole body.
-
-    Parameters
-    ----------
-    timeout_s : float
-        Time within which the whole response must be received.
-    limit : int
-        Maximum size of the response body, in bytes.
-    retryable : bool
-        True for a retryable request, one that may be lost and sent again.
-        If the upstream had already closed the reused connection on which it
-        was sent, the request is sent once more on a new connection.
-    may_repeat : callable or None
-        Coroutine function that is asked before the request of a caller is
-        sent once more.  Without it, only calls of the system are.
-
-    Raises
-    ------
-    ExchangeError
-        If no complete response is received within ``timeout_s``.
-    """
-    connection = await pool.acquire(
-        address, outgoing, timeout_s=timeout_s, retryable=retryable
-    )
-    reused = connection.used
-    try:
-        return await exchange_on(
-            pool, connection, outgoing, timeout_s=timeout_s, limit=limit
-        )
-    except InvalidResponseError as exc:
-        if not (retryable and reused):
-            raise
-        if not await _may_repeat(outgoing, may_repeat):
-            raise
-        first_error = exc
-    try:
-        connection = await pool.open(address, timeout_s=timeout_s)
-    except ConnectRefusedError:
-        # The upstream's process has ended, rather than just closed an idle
-        # connection, and the request that was sent may have crashed it.
-        first_error.has_ended = True
-        raise first_error from None
-    return await exchange_on(
-        pool, connection, outgoing, timeout_s=timeout_s, limit=limit
-    )
-
-
-async def _may_repeat(outgoing, may_repeat):
-    if may_repeat is None:
-        return not outgoing.is_id_echoed
-    return await may_repeat()
-
-
-async def exchange_on(
-    pool, connection, outgoing, *, timeout_s, limit=MAX_CALL_ANSWER_BYTES
-):
-    """Send a request on a connection, see ``exchange``.
-
-    The connection is returned to the pool afterwards, or closed.
-    """
-    try:
-        async with asyncio.timeout(timeout_s):
-            connection.send(outgoing)
-            head = await connection.head()
-            body = await connection.rest(limit=limit)
-    except TimeoutError:
-        connection.close()
-        raise ResponseTimeoutError(
-            f"no answer from {connection.address} in {timeout_s:.2f} s",
-            phase=ExchangePhase.AWAITING_ANSWER,
-        ) from None
-    except BaseException:
-        connection.close()
-        raise
-    if _is_of_no_more_use(connection, outgoing, head):
-        connection.close()
-    else:
-        pool.release(connection)
-    return head, body
-
-
-def _is_of_no_more_use(connection, outgoing, head):
-    """Return whether no request is likely to follow on a connection.
-
-    The next call of the system needs another connection.  Upstreams bound
-    the number of their connections.
-    """
-    if outgoing.is_id_echoed or outgoing.grant is not None:
-        return False
-    return head.status >= 400 and not connection.recognises_calls
-
-
-def _has_opened(task):
-    return task.done() and not task.cancelled() and task.exception() is None
-
-
-def _failure_of(direct):
-    """Return why there is no direct connection yet."""
-    if direct.done():
-        return str(direct.exception())
-    return f"no connection in {LINK_HEDGE_S:.1f} s"
-
-
-def _connect_error(direct, linked):
-    """Return the error after failures, directly and through other entries.
-
-    That no process listens is only known if an entry with sound links has
-    found the same: a partition may refuse connections as well.
-    """
-    if isinstance(direct, ConnectRefusedError) and not linked.is_refused:
-        return ConnectError(f"{direct}, not confirmed by another entry")
-    return direct
-
-
-def _discard(tasks, chosen):
-    """Cancel tasks that open connections, and close what is not chosen."""
-
-    def close_other(task):
-        if _has_opened(task) and task.result() is not chosen:
-            task.result().close()
-
-    for task in tasks:
-        if task is not None:
-            task.cancel()
-            task.add_done_callback(close_other)
--- /dev/null
+++ b/currantdeal/node/exchange.py
@@ -0,0 +1,115 @@
+"""Exchanges of small requests and answers with upstreams."""
+
+import asyncio
+
+from currantdeal.node.errors import (
+    ConnectRefusedError,
+    InvalidResponseError,
+    ResponseTimeoutError,
+)
+from currantdeal.policy.answers.reset_outcome import ExchangePhase
+
+MAX_CALL_ANSWER_BYTES = 65_536
+"""Maximum size of the answer to a call of the system."""
+
+
+async def exchange(
+    pool,
+    address,
+    outgoing,
+    *,
+    timeout_s,
+    limit=MAX_CALL_ANSWER_BYTES,
+    retryable=False,
+    may_repeat=None,
+):
+    """Send a small request and return the response head and the whole body.
+
+    Parameters
+    ----------
+    timeout_s : float
+        Time within which the whole response must be received.
+    limit : int
+        Maximum size of the response body, in bytes.
+    retryable : bool
+        True for a retryable request, one that may be lost and sent again.
+        If the upstream had already closed the reused connection on which it
+        was sent, the request is sent once more on a new connection.
+    may_repeat : callable or None
+        Coroutine function that is asked before the request of a caller is
+        sent once more.  Without it, only calls of the system are.
+
+    Raises
+    ------
+    ExchangeError
+        If no complete response is received within ``timeout_s``.
+    """
+    connection = await pool.acquire(
+        address, outgoing, timeout_s=timeout_s, retryable=retryable
+    )
+    reused = connection.used
+    try:
+        return await exchange_on(
+            pool, connection, outgoing, timeout_s=timeout_s, limit=limit
+        )
+    except InvalidResponseError as exc:
+        if not (retryable and reused):
+            raise
+        if not await _may_repeat(outgoing, may_repeat):
+            raise
+        first_error = exc
+    try:
+        connection = await pool.open(address, timeout_s=timeout_s)
+    except ConnectRefusedError:
+        # The upstream's process has ended, rather than just closed an idle
+        # connection, and the request that was sent may have crashed it.
+        first_error.has_ended = True
+        raise first_error from None
+    return await exchange_on(
+        pool, connection, outgoing, timeout_s=timeout_s, limit=limit
+    )
+
+
+async def _may_repeat(outgoing, may_repeat):
+    if may_repeat is None:
+        return not outgoing.is_id_echoed
+    return await may_repeat()
+
+
+async def exchange_on(
+    pool, connection, outgoing, *, timeout_s, limit=MAX_CALL_ANSWER_BYTES
+):
+    """Send a request on a connection, see ``exchange``.
+
+    The connection is returned to the pool afterwards, or closed.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            connection.send(outgoing)
+            head = await connection.head()
+            body = await connection.rest(limit=limit)
+    except TimeoutError:
+        connection.close()
+        raise ResponseTimeoutError(
+            f"no answer from {connection.address} in {timeout_s:.2f} s",
+            phase=ExchangePhase.AWAITING_ANSWER,
+        ) from None
+    except BaseException:
+        connection.close()
+        raise
+    if _is_of_no_more_use(connection, outgoing, head):
+        connection.close()
+    else:
+        pool.release(connection)
+    return head, body
+
+
+def _is_of_no_more_use(connection, outgoing, head):
+    """Return whether no request is likely to follow on a connection.
+
+    The next call of the system needs another connection.  Upstreams bound
+    the number of their connections.
+    """
+    if outgoing.is_id_echoed or outgoing.grant is not None:
+        return False
+    return head.status >= 400 and not connection.recognises_calls
--- a/currantdeal/node/tests/test_connection_pool.py
+++ b/currantdeal/node/tests/test_connection_pool.py
@@ -5,8 +5,9 @@
 
 import pytest
 
-from currantdeal.node.connection_pool import ConnectionPool, exchange
+from currantdeal.node.connection_pool import ConnectionPool
 from currantdeal.node.errors import InvalidResponseError, UnchargedError
+from currantdeal.node.exchange import exchange
 from currantdeal.node.head import Outgoing
 from currantdeal.node.http_client import UpstreamConnection
 from currantdeal.testing.platform_upstream import StandInUpstream
--- a/currantdeal/node/tests/test_extra_answers.py
+++ b/currantdeal/node/tests/test_extra_answers.py
@@ -9,9 +9,10 @@
 
 from currantdeal.adapters.metrics import Metrics
 from currantdeal.node.answer_parser import AnswerParser
-from currantdeal.node.connection_pool import ConnectionPool, exchange
+from currantdeal.node.connection_pool import ConnectionPool
 from currantdeal.node.dialect import StageOrder
 from currantdeal.node.errors import ResponseTimeoutError
+from currantdeal.node.exchange import exchange
 from currantdeal.node.extra_answers import ExtraAnswerLog
 from currantdeal.node.head import Outgoing
 from currantdeal.platform.calls import PlatformCalls
--- a/currantdeal/node/tests/test_links.py
+++ b/currantdeal/node/tests/test_links.py
@@ -9,13 +9,14 @@
 from currantdeal.adapters.generated.peers.ttypes import FrameKind
 from currantdeal.adapters.metrics import Metrics
 from currantdeal.adapters.sockets import set_reset_on_close
-from currantdeal.node.connection_pool import ConnectionPool, exchange
+from currantdeal.node.connection_pool import ConnectionPool
 from currantdeal.node.errors import (
     ConnectError,
     ConnectRefusedError,
     InvalidResponseError,
     LinkError,
 )
+from currantdeal.node.exchange import exchange
 from currantdeal.node.http_server import HttpServer
 from currantdeal.node.link_client import LinkClient
 from currantdeal.node.link_messages import LinkCall
@@ -37,7 +38,7 @@
         self.standin = standin
         self.helpers = helpers
         self.pool = ConnectionPool()
-        self.pool.link_client = LinkClient(
+        self.pool.connector.link_client = LinkClient(
             choice=HelperChoice(random=random.Random(1)),
             groups=lambda: (tuple(_address(h) for h in helpers),),
             metrics=Metrics(),
@@ -45,7 +46,7 @@
 
     def cut(self, links=None):
         """Cut the asking end, or another one, from the upstream."""
-        links = links or self.pool.links
+        links = links or self.pool.connector.links
         links.doubt(self.standin.address, now_s=0.0)
         links.record_check(self.standin.address, CUT, now_s=0.0)
 
