Test that links lead to no upstream that drains

Entries that are cut send requests through others; the order to drain takes effect at the entry that decides. The test drains three upstreams during a cut and finds no request there 2.5 s after the heartbeat that says so.

--- a/currantdeal/cli/tests/test_lost_links.py
+++ b/currantdeal/cli/tests/test_lost_links.py
@@ -9,6 +9,7 @@
 from currantdeal.testing.cut_upstream import LinkCut
 from currantdeal.testing.first_tries import KINDS, share_served
 from currantdeal.testing.lost_links import LostLinks
+from currantdeal.testing.upstream_fleet import HEARTBEAT_INTERVAL_S
 
 pytestmark = pytest.mark.measures_service
 
@@ -16,6 +17,9 @@
 CUT_S = 13.0
 CALM_S = 2.0
 
+DRAIN_S = 2.5
+"""Time after which no request reaches an upstream that drains."""
+
 FLAP_S = (0.3, 2.0)
 
 MIN_SERVED = 0.9
@@ -151,6 +155,35 @@
     _check(links, numbers, scenario.began_s, scenario.ended_s)
 
 
+def test_links_lead_to_no_upstream_that_drains(tmp_path):
+    """Guards against links that outlast the order to drain an upstream."""
+    links = LostLinks(folder=tmp_path)
+    numbers, drained = range(3), ("s0", "d0", "p0")
+
+    async def scenario(links):
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(CALM_S)
+        links.cut(numbers, LinkCut.RESET)
+        scenario.began_s = loop.time() + CONTACT_S
+        await asyncio.sleep(CONTACT_S)
+        links.fleet.drain(drained)
+        scenario.drained_s = loop.time() + HEARTBEAT_INTERVAL_S
+        await asyncio.sleep(CUT_S - CONTACT_S)
+        scenario.ended_s = loop.time()
+        await asyncio.sleep(CALM_S)
+
+    links.play(scenario)
+    _check(links, numbers, scenario.began_s, scenario.ended_s)
+    for name in drained:
+        standin = links.fleet.standins[name]
+        assert [
+            request
+            for request in standin.requests
+            if request.received_s > scenario.drained_s + DRAIN_S
+            and not request.is_health_check
+        ] == []
+
+
 def test_entries_with_flapping_links_serve(tmp_path):
     """Guards against requests lost anew each time that links come and go."""
     links = LostLinks(folder=tmp_path)
--- a/currantdeal/testing/upstream_fleet.py
+++ b/currantdeal/testing/upstream_fleet.py
@@ -37,6 +37,7 @@
         self.standins = {
             name: make_standin(upstream=name) for name in self._upstreams
         }
+        self._draining = set()
         self._sequence = 0
         self._tasks = []
 
@@ -48,6 +49,10 @@
                 asyncio.ensure_future(self._send_heartbeats(name))
             )
 
+    def drain(self, names):
+        """Announce from the next heartbeats on that upstreams drain."""
+        self._draining.update(names)
+
     def stop(self):
         """Stop sending heartbeats."""
         for task in self._tasks:
@@ -62,12 +67,14 @@
 
     def _send_heartbeat(self, standin):
         service, more = self._upstreams[standin.upstream]
+        is_draining = standin.upstream in self._draining
         self._sequence += 1
         message = heartbeat(
             standin.address,
             service,
             sequence=self._sequence,
             born=standin.incarnation,
+            state="draining" if is_draining else "ready",
             **more,
         )
         body = json.dumps(message).encode()
