Reset a stream only once a part of it has reached the caller

Cause: the test sends 1.5 MB of an event and resets 50 ms later. A reset discards what the receiver has not read, so an entry that is late has forwarded nothing of the event and may resume the stream, which is right.

Change: in this case the upstream waits until the caller has received a part of the answer, which is the premise that the test states. The assertions are as they were.

--- a/currantdeal/entry/tests/test_answer_ends.py
+++ b/currantdeal/entry/tests/test_answer_ends.py
@@ -78,6 +78,7 @@
         self._prefill = prefill
         self._hold = hold
         self.runs = []
+        self._forwarded = answer.forwarded
         self.health = None
         self.metrics = None
 
@@ -126,6 +127,8 @@
             async with asyncio.timeout(5.0):
                 while data := await reader.read(1 << 20):
                     raw += data
+                    if self._forwarded and raw.partition(b"\r\n\r\n")[2]:
+                        self._forwarded.set()
                     if _is_framed_end(raw):
                         break
         except ConnectionError:
@@ -217,10 +220,19 @@
 def test_broken_off_stream_is_resumed_once_and_exactly(case, shape, close):
     """Guards against resumable streams that are given up or joined wrongly."""
     body, sent = WITHIN_AN_EVENT[case]
+    is_long = case == "longer than the buffer"
     scenario, answer = _play(
-        DRAFT, answer=Answer(body=body, sent=sent, shape=shape, close=close)
+        DRAFT,
+        answer=Answer(
+            body=body,
+            sent=sent,
+            shape=shape,
+            close=close,
+            # A reset discards what the entry has not read.
+            forwarded=asyncio.Event() if is_long else None,
+        ),
     )
-    if case == "longer than the buffer":
+    if is_long:
         # A part of the event has been forwarded, and no other run goes on
         # within an event.
         assert (answer.received, len(scenario.runs)) == (Received.CUT, 1)
--- a/currantdeal/testing/answer_shapes.py
+++ b/currantdeal/testing/answer_shapes.py
@@ -67,6 +67,9 @@
         Pause after each of its events; 0 to send all bytes at once.
     crashes : bool
         Whether the upstream stops listening before it closes.
+    forwarded : asyncio.Event or None
+        What it waits for before it closes, such as the arrival of a part of
+        the answer at the caller.
     """
 
     body: bytes
@@ -77,6 +80,7 @@
     content_type: str = "text/event-stream"
     pause_s: float = 0.0
     crashes: bool = False
+    forwarded: asyncio.Event | None = None
 
     @property
     def pieces(self):
@@ -140,6 +144,8 @@
         writer.write(answer.head(request, self.upstream))
         await self._send_body(answer, writer)
         await asyncio.sleep(READ_DELAY_S)
+        if answer.forwarded is not None:
+            await answer.forwarded.wait()
         if answer.crashes:
             self.stop()
         if answer.close is Close.RESET:
