Do not readmit an upstream that nobody reaches any more

An entry would have sent requests to an upstream that ended while its link was cut, once each time that the comparison said so. Found by reading; no caller was seen to lose by it.

Cause: a cut link becomes sound again both when the upstream answers and when no other entry reaches it either, and both readmitted the upstream.

Change: only a check that reached it does. The test failed before.

--- a/currantdeal/entry/link_watch.py
+++ b/currantdeal/entry/link_watch.py
@@ -344,7 +344,8 @@
             self._links.expedite(self._addresses_in(center), now_s=_now_s())
         if state is LinkState.SOUND:
             self._why.pop(address, None)
-        if LinkState.CUT in (before, state):
+        is_reached = result.direct or result.others is Reach.REACHED
+        if is_reached and LinkState.CUT in (before, state):
             self.on_reached(self._view.upstream_at(address))
 
     def _log_change(self, event, address, **more):
--- a/currantdeal/entry/tests/test_link_watch.py
+++ b/currantdeal/entry/tests/test_link_watch.py
@@ -5,7 +5,7 @@
 
 from currantdeal.entry.probing import FIRST_PROBE_S, PROBE_TIMEOUT_S
 from currantdeal.node.link_client import LinkClient
-from currantdeal.policy.health.links import LinkState
+from currantdeal.policy.health.links import CheckResult, LinkState, Reach
 from currantdeal.policy.health.upstream_health import BASE_EJECTION_S
 from currantdeal.policy.placement.helper_choice import HelperChoice
 from currantdeal.registry import UpstreamState
@@ -76,6 +76,11 @@
     asyncio.run(run())
 
 
+async def _closes(standin, request, writer):
+    writer.transport.abort()
+    return True
+
+
 async def _answers_no_checks(standin, request, writer):
     return request.is_health_check
 
@@ -108,6 +113,25 @@
     asyncio.run(run())
 
 
+def test_upstream_that_nobody_reaches_is_not_readmitted():
+    """Guards against requests for an upstream that ended during a cut."""
+
+    async def run():
+        async with _ejected_upstream(script=_closes) as (context, record):
+            links = context.pool.connector.links
+            links.doubt(record.address, now_s=0.0)
+            cut = CheckResult(direct=False, others=Reach.REACHED)
+            links.record_check(record.address, cut, now_s=0.0)
+            context.link_watch.tick()
+            await asyncio.sleep(SETTLE_S / 4)
+            assert links.state(record.address) is LinkState.SOUND
+            assert context.health.is_ejected(
+                record.upstream, now_s=context.now_s
+            )
+
+    asyncio.run(run())
+
+
 def test_probe_that_a_cut_holds_up_does_not_undo_a_readmission():
     """Guards against an engine ejected anew that is reached on another way."""
 
