Play again where the upstreams of a test stood still themselves

The premise of the test is that upstreams are sound for those who reach them. A play in which they all stood still for more than 0.4 s, the time that an engine has for a request for memory, shows nothing, whatever its outcome: it is discarded, also if it would pass, and played again. After three such plays the test fails and says so. Requests that run too often fail in any play. Bounds are as they were.

--- a/currantdeal/cli/tests/test_lost_links.py
+++ b/currantdeal/cli/tests/test_lost_links.py
@@ -25,6 +25,11 @@
 MIN_SERVED = 0.9
 """Least share that cut entries serve, as a multiple of the others' share."""
 
+MAX_STALL_S = 0.4
+"""Time that an engine has to answer a request for memory."""
+
+MAX_PLAYS = 3
+
 CUTS = [
     pytest.param(count, how, id=f"{count}-{how.value}")
     for count in (1, 3, 5)
@@ -41,6 +46,7 @@
 
     async def __call__(self, links):
         loop = asyncio.get_running_loop()
+        self.compared = []
         await asyncio.sleep(CALM_S)
         for numbers, how in self._turns:
             links.cut(numbers, how)
@@ -53,6 +59,26 @@
         await asyncio.sleep(CALM_S)
 
 
+def _play(folder, scenario):
+    """Return the first play in which the upstreams were sound.
+
+    They run in this process.  Where it stands still, entries that are not cut
+    lose them as well, so that such a play shows nothing, whatever its outcome.
+    """
+    for number in range(MAX_PLAYS):
+        own = folder / f"play-{number}"
+        own.mkdir()
+        links = LostLinks(folder=own)
+        links.play(scenario)
+        assert links.excess_runs() == {}
+        if links.longest_stall_s <= MAX_STALL_S:
+            return links
+    return pytest.fail(
+        f"all upstreams stood still for {links.longest_stall_s} s "
+        f"in each of {MAX_PLAYS} plays"
+    )
+
+
 def _check(links, numbers, began_s, ended_s):
     cut = links.instances(numbers)
     others = links.instances(range(len(links.cluster.entries))) - cut
@@ -71,9 +97,8 @@
 @pytest.mark.parametrize(("count", "how"), CUTS)
 def test_entries_cut_from_all_upstreams_serve(tmp_path, count, how):
     """Guards against an entry that refuses all once it lost its own links."""
-    links = LostLinks(folder=tmp_path)
     scenario = _CutAndHeal((range(count), how))
-    links.play(scenario)
+    links = _play(tmp_path, scenario)
     _check(links, *scenario.compared[0])
 
 
@@ -120,7 +145,6 @@
 @pytest.mark.parametrize("disturb", DISTURBANCES)
 def test_cut_entries_serve_while_a_helper_is_lost(tmp_path, disturb):
     """Guards against cut entries that fail with the entry that helps them."""
-    links = LostLinks(folder=tmp_path)
     numbers = range(4)
 
     async def scenario(links):
@@ -134,13 +158,12 @@
         scenario.ended_s = loop.time()
         await asyncio.sleep(CALM_S)
 
-    links.play(scenario)
+    links = _play(tmp_path, scenario)
     _check(links, numbers, scenario.began_s, scenario.ended_s)
 
 
 def test_entries_cut_from_a_part_of_the_upstreams_serve(tmp_path):
     """Guards against an entry that compares only the loss of all links."""
-    links = LostLinks(folder=tmp_path)
     numbers = range(3)
 
     async def scenario(links):
@@ -152,13 +175,12 @@
         scenario.ended_s = loop.time()
         await asyncio.sleep(CALM_S)
 
-    links.play(scenario)
+    links = _play(tmp_path, scenario)
     _check(links, numbers, scenario.began_s, scenario.ended_s)
 
 
 def test_links_lead_to_no_upstream_that_drains(tmp_path):
     """Guards against links that outlast the order to drain an upstream."""
-    links = LostLinks(folder=tmp_path)
     numbers, drained = range(3), ("s0", "d0", "p0")
 
     async def scenario(links):
@@ -173,7 +195,7 @@
         scenario.ended_s = loop.time()
         await asyncio.sleep(CALM_S)
 
-    links.play(scenario)
+    links = _play(tmp_path, scenario)
     _check(links, numbers, scenario.began_s, scenario.ended_s)
     for name in drained:
         standin = links.fleet.standins[name]
@@ -187,7 +209,6 @@
 
 def test_entries_with_flapping_links_serve(tmp_path):
     """Guards against requests lost anew each time that links come and go."""
-    links = LostLinks(folder=tmp_path)
     numbers = range(3)
     rng = random.Random(2)
 
@@ -203,16 +224,15 @@
         scenario.ended_s = loop.time()
         await asyncio.sleep(CALM_S)
 
-    links.play(scenario)
+    links = _play(tmp_path, scenario)
     _check(links, numbers, scenario.began_s, scenario.ended_s)
 
 
 def test_entries_cut_in_turn_serve(tmp_path):
     """Guards against a second cut that finds the first one's helpers cut."""
-    links = LostLinks(folder=tmp_path)
     scenario = _CutAndHeal(
         (range(3), LinkCut.HANG), (range(3, 6), LinkCut.HANG)
     )
-    links.play(scenario)
+    links = _play(tmp_path, scenario)
     for compared in scenario.compared:
         _check(links, *compared)
