Say when an ejected upstream is used again, and read the change once more

Operators saw upstream-out without upstream-back where a check of the link had readmitted the upstream, and link-restored where a comparison had shown that the upstream itself failed. Now the end of each ejection is logged, and link-restored says whether the link itself answered (direct).

No decision changes; tests of health, links, ejections and three cases of lost links pass.

--- a/currantdeal/entry/link_watch.py
+++ b/currantdeal/entry/link_watch.py
@@ -338,7 +338,7 @@
             self.on_cut(address)
         elif before is LinkState.CUT:
             self._metrics.add("links_restored_total")
-            self._log_change("link-restored", address)
+            self._log_change("link-restored", address, direct=result.direct)
             self._pool.close_idle_linked(address)
             center = self._view.data_center_at(address)
             self._links.expedite(self._addresses_in(center), now_s=_now_s())
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -324,7 +324,11 @@
         raise QuarantinedError(verdict)
     if active.runs == 0:
         cut = context.link_watch.count_cut(active.service.name)
-        note = f", the links of this instance to {cut} are cut" if cut else ""
+        note = (
+            f", the links of this instance to {cut} of them are cut"
+            if cut
+            else ""
+        )
         raise RefusedError(
             f"no upstream took it{note}",
             refusal_reason=RefusalReason.UPSTREAMS,
--- a/currantdeal/entry/probing.py
+++ b/currantdeal/entry/probing.py
@@ -92,20 +92,21 @@
                 if not self._view.accepts_work(name):
                     return
                 if not health.is_ejected(name, now_s=now_s):
-                    return
+                    # A request was answered, or the check of its link.
+                    break
                 before_s = health.ejected_until_s(name)
                 if await self._answers_health_check(record):
                     health.readmit(name)
-                    _log.info("upstream-back", upstream=name)
-                    return
+                    break
                 if health.ejected_until_s(name) < before_s:
                     # It was reached on another way meanwhile.
-                    return
+                    break
                 pause_s = health.eject(
                     name,
                     now_s=asyncio.get_running_loop().time(),
                     grace_s=PROBE_TIMEOUT_S,
                 )
+            _log.info("upstream-back", upstream=name)
         finally:
             self._probed.discard((name, health))
 
--- a/currantdeal/node/link_client.py
+++ b/currantdeal/node/link_client.py
@@ -93,12 +93,10 @@
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 attempts = [task.result() for task in done]
-                opened = [a.connection for a in attempts if a.connection]
-                if opened:
-                    for spare in opened[1:]:
-                        spare.close()
+                connection = _take_one(attempts)
+                if connection is not None:
                     self._metrics.add("links_opened_total", outcome="opened")
-                    return opened[0]
+                    return connection
                 failed += attempts
                 if any(attempt.is_conclusive for attempt in attempts):
                     break
@@ -209,6 +207,14 @@
     return attempt
 
 
+def _take_one(attempts):
+    """Return one connection that was opened, and close the others."""
+    opened = [a.connection for a in attempts if a.connection]
+    for spare in opened[1:]:
+        spare.close()
+    return opened[0] if opened else None
+
+
 def _discard(pending):
     """Cancel attempts, and close what they may just have opened."""
     for task in pending:
--- a/currantdeal/node/link_traffic.py
+++ b/currantdeal/node/link_traffic.py
@@ -45,12 +45,11 @@
     def record_bytes(self, connection):
         """Record bytes from an upstream."""
         connection.has_received_bytes = True
-        if not connection.helper:
-            now_s = asyncio.get_running_loop().time()
-            self.links.record_contact(connection.address, now_s=now_s)
-        else:
-            now_s = asyncio.get_running_loop().time()
+        now_s = asyncio.get_running_loop().time()
+        if connection.helper:
             self._helper_contact_s[connection.helper] = now_s
+        else:
+            self.links.record_contact(connection.address, now_s=now_s)
 
     def record_lost(self, connection, exc):
         """Record that a connection ended without having been closed here."""
--- a/currantdeal/policy/health/links.py
+++ b/currantdeal/policy/health/links.py
@@ -124,6 +124,11 @@
         self._unsound = set()
         self._last_contact_s = NEVER_S
 
+    @property
+    def known(self):
+        """Number of links about which anything is known."""
+        return len(self._links)
+
     @property
     def last_contact_s(self):
         """Time of the last bytes from any upstream; ``NEVER_S`` if none."""
@@ -263,11 +268,6 @@
                 del self._links[address]
                 self._unsound.discard(address)
 
-    @property
-    def known(self):
-        """Number of links about which anything is known."""
-        return len(self._links)
-
     def _record_answer(self, address, link, now_s):
         link.contact_s = now_s
         if link.state is not LinkState.CUT:
