Test callers and upstreams that stop to read, failing on this code

Callers with a receive buffer of 4 KiB take 300 bytes of an answer, stop for 2 to 13 s, and take the rest: reset after about 1.5 s, 6,151 of 4,194,304 bytes received. Upstreams that read a body 2 or 4 s late: 502 for orders and menus. 13 cases fail and are listed; stalls of 0.5 and 1 s pass, and so do two tests of peers whose packets are dropped, noticed within 2 s.

--- /dev/null
+++ b/currantdeal/node/tests/test_stalled_peers.py
@@ -0,0 +1,125 @@
+"""Load pattern: peers that stop to read for a while, beside some that left.
+
+Both let bytes pile up; only the acknowledgements of their kernels differ.
+"""
+
+import asyncio
+import time
+
+import pytest
+
+from currantdeal.node.http_server import HttpServer
+from currantdeal.routing import CallerLimits
+from currantdeal.testing.entry_world import (
+    config_body,
+    entry_world,
+    request_bytes,
+)
+from currantdeal.testing.platform_upstream import StandInUpstream
+from currantdeal.testing.stalled_peers import (
+    LateReader,
+    drop_packets,
+    exchange_with_stall,
+    small_socket,
+)
+
+GONE_S = 2.0
+"""Time in which a peer that acknowledges nothing is noticed."""
+
+TIMEOUT_S = 14.0
+SIZES = (10_000, 180_000, 4_194_304)
+GET = b"GET /large HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+BODY = b"x" * 60_000
+
+
+def red(stall_s):
+    """Return a case that fails for a fault that is listed."""
+    return pytest.param(stall_s, marks=pytest.mark.known_red)
+
+
+async def _server(size):
+    async def answer(request, responder):
+        responder.answer(200, (), b"x" * size)
+
+    server = HttpServer(handler=answer, limits=CallerLimits)
+    await server.start("127.0.0.1", 0)
+    return server
+
+
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("stall_s", [0.5, red(2.0), red(4.0), red(13.0)])
+def test_caller_who_stops_to_read_gets_the_whole_answer(stall_s, size):
+    """Guards against a closed window that is taken for a lost peer."""
+
+    async def run():
+        server = await _server(size)
+        return await exchange_with_stall(server.address, GET, stall_s=stall_s)
+
+    body = asyncio.run(run()).partition(b"\r\n\r\n")[2]
+    assert len(body) == size
+    assert set(body) == {ord("x")}
+
+
+async def _orders_at(upstream, target):
+    await upstream.start()
+    config = config_body(
+        timeout_ms=int(TIMEOUT_S * 1e3),
+        limits={
+            "MaxHeaderBytes": 4_096,
+            "MaxBodyBytes": 1_048_576,
+            "HeaderTimeoutMs": 3_000,
+            "IdleTimeoutMs": 15_000,
+        },
+    )
+    raw = request_bytes(target, body=BODY)
+    raw = raw.replace(b"Deadline-Ms: 3000", b"Deadline-Ms: 14000")
+    async with entry_world(config=config) as world:
+        world.announce(upstream)
+        began_s = time.monotonic()
+        answer = await world.exchange(raw, timeout_s=TIMEOUT_S)
+        return answer, time.monotonic() - began_s
+
+
+@pytest.mark.parametrize("target", ["/order/1", "/menu/1"])
+@pytest.mark.parametrize("stall_s", [1.0, red(2.0), red(4.0)])
+def test_upstream_that_reads_a_body_late_answers(stall_s, target):
+    """Guards against a busy upstream that is taken for one that left."""
+    upstream = LateReader(upstream="u1", stall_s=stall_s)
+    answer, _ = asyncio.run(_orders_at(upstream, target))
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert [r.body for r in upstream.runs] == [BODY]
+
+
+def test_caller_who_acknowledges_nothing_is_dropped():
+    """Guards against an answer that is kept for a host without power."""
+
+    async def run():
+        server = await _server(SIZES[-1])
+        loop = asyncio.get_running_loop()
+        sock = small_socket()
+        await loop.sock_connect(sock, server.address)
+        drop_packets(sock)
+        began_s = loop.time()
+        await loop.sock_sendall(sock, GET)
+        await asyncio.sleep(0.1)
+        while server.connections:
+            await asyncio.sleep(0.02)
+        return loop.time() - began_s
+
+    assert asyncio.run(run()) < GONE_S
+
+
+class _Vanishing(StandInUpstream):
+    """An upstream whose host loses power once it has accepted."""
+
+    async def _serve(self, reader, writer):
+        drop_packets(writer.get_extra_info("socket"))
+        await super()._serve(reader, writer)
+
+
+def test_upstream_that_acknowledges_nothing_is_noticed():
+    """Guards against an order that waits for a host without power."""
+    upstream = _Vanishing(upstream="u1")
+    answer, took_s = asyncio.run(_orders_at(upstream, "/order/1"))
+    assert answer.startswith(b"HTTP/1.1 502")
+    assert took_s < GONE_S
--- /dev/null
+++ b/currantdeal/testing/stalled_peers.py
@@ -0,0 +1,82 @@
+"""Peers that stop to read for a while, or vanish without a reset."""
+
+import asyncio
+import ctypes
+import socket
+import struct
+
+from currantdeal.testing.platform_upstream import StandInUpstream
+
+SMALL_BUFFER_BYTES = 4_096
+"""Receive buffer of a peer whose window closes after a few bytes."""
+
+_SO_ATTACH_FILTER = 26
+_DROP_ALL = struct.pack("HBBI", 6, 0, 0, 0)
+"""A socket filter of one instruction: return 0 bytes of each packet."""
+
+
+def small_socket():
+    """Return an unconnected socket with a small receive buffer."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    sock.setblocking(False)
+    return sock
+
+
+def drop_packets(sock):
+    """Drop all that arrives at a socket, as if its host had lost power."""
+    program = ctypes.create_string_buffer(_DROP_ALL)
+    packed = struct.pack("HP", 1, ctypes.addressof(program))
+    sock.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, packed)
+
+
+async def exchange_with_stall(address, raw, *, stall_s, first_bytes=300):
+    """Send a request, take a little, stop to read, then take all the rest.
+
+    Returns
+    -------
+    bytes
+        All that was received; it ends with ``<reset>`` after a reset.
+    """
+    loop = asyncio.get_running_loop()
+    received = bytearray()
+    with small_socket() as sock:
+        try:
+            await loop.sock_connect(sock, address)
+            await loop.sock_sendall(sock, raw)
+            received += await loop.sock_recv(sock, first_bytes)
+            await asyncio.sleep(stall_s)
+            while data := await loop.sock_recv(sock, 65_536):
+                received += data
+        except ConnectionError:
+            received += b"<reset>"
+    return bytes(received)
+
+
+class LateReader(StandInUpstream):
+    """An upstream that reads nothing of a new connection for a while.
+
+    Parameters
+    ----------
+    stall_s : float
+        Seconds before it begins to read.
+    """
+
+    def __init__(self, *, stall_s, **options):
+        """Create a stand-in that does not listen before ``start``."""
+        super().__init__(**options)
+        self._stall_s = stall_s
+
+    async def start(self, host="127.0.0.1", port=0):
+        """Listen with a small receive buffer."""
+        sock = small_socket()
+        sock.bind((host, port))
+        self._server = await asyncio.start_server(
+            self._serve_late, sock=sock, limit=SMALL_BUFFER_BYTES
+        )
+        self.address = "{}:{}".format(*sock.getsockname())
+        self.is_up = True
+
+    async def _serve_late(self, reader, writer):
+        await asyncio.sleep(self._stall_s)
+        await self._serve(reader, writer)
