Leave bytes that wait to the kernel with its usual options, and until the deadline

Cause: a link that ends, an open-ended answer and a refusal were closed with a closed window while the options of the watch were still set, with which the kernel drops them soon. An idle timeout shorter than the caller's deadline dropped an answer that its caller was still waiting for.

Change: both options are lifted before a close; open-ended answers and refusals linger as others do; what is not taken is kept at least until the request's deadline.

--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -108,6 +108,7 @@
                 request.head
             )
         caller_timeout_s = min(_caller_timeout_s(call), route.timeout_s)
+        responder.await_until(request.arrived_s + caller_timeout_s)
         service = table.choose_service(route, self._context.random)
         active = ActiveRequest(
             request=request,
--- a/currantdeal/node/http_request.py
+++ b/currantdeal/node/http_request.py
@@ -61,6 +61,10 @@
         self._writer = writer
         self.started = False
 
+    def await_until(self, deadline_s):
+        """Keep what the caller has not taken at least until a loop time."""
+        self._writer.awaited_until_s = deadline_s
+
     def begin(self, status, headers, *, framing=Framing.CHUNKS):
         """Send the head.
 
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -154,7 +154,7 @@
     def connection_made(self, transport):
         self._transport = transport
         self._sender = (transport.get_extra_info("peername") or ("",))[0]
-        self._peer = prepare_socket(transport, on_gone=self._end_gone)
+        self._peer = prepare_socket(transport)
         self._writer = ResponseWriter(
             transport=transport, peer=self._peer, unsent=self._server.unsent
         )
@@ -162,10 +162,6 @@
         self._reset_parser()
         self._start_idle_timer()
 
-    def _end_gone(self, exc):
-        self.connection_lost(exc)
-        self._transport.abort()
-
     def connection_lost(self, exc):
         self._server.connections.discard(self)
         self._server.unread.record(self, 0)
@@ -362,7 +358,7 @@
         responder = Responder(writer=self._writer)
         try:
             await self._server.handler(request, responder)
-            await self._close_open_ended()
+            await self._end_open_ended()
         except asyncio.CancelledError:
             self._transport.abort()
             raise
@@ -374,11 +370,11 @@
             self._task = None
             self._next_request()
 
-    async def _close_open_ended(self):
+    async def _end_open_ended(self):
         limit_s = self._server.limits().idle_timeout_s
         try:
             async with asyncio.timeout(limit_s):
-                await self._writer.close_open_ended()
+                await self._writer.end_open_ended()
         except TimeoutError:
             # The caller does not take the end of the answer.
             self._transport.abort()
@@ -431,7 +427,7 @@
                 self._writer.write(self._http, event)
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        self._loop.call_later(CLOSE_DELAY_S, self._transport.close)
+        self._loop.call_later(CLOSE_DELAY_S, self._close)
 
     def _request_timed_out(self):
         self._reject(
@@ -451,11 +447,16 @@
         untaken = self.untaken_bytes
         if not untaken:
             self._transport.close()
-        elif untaken < self._untaken_before:
+        elif untaken < self._untaken_before or self._is_timely:
             self._start_idle_timer()
         else:
             self._transport.abort()
 
+    @property
+    def _is_timely(self):
+        """Whether the caller may still wait for the last answer."""
+        return self._loop.time() < self._writer.awaited_until_s
+
     def _set_timer(self, delay_s, action):
         self._cancel_timer()
         self._timer = self._loop.call_later(delay_s, action)
--- a/currantdeal/node/link_server.py
+++ b/currantdeal/node/link_server.py
@@ -201,6 +201,7 @@
         sock = self._transport.get_extra_info("socket")
         if sock is not None:
             set_reset_on_close(sock, False)
+        self._peer.leave_to_kernel()
         self._transport.close()
 
     async def _connect(self, call):
--- a/currantdeal/node/peer_watch.py
+++ b/currantdeal/node/peer_watch.py
@@ -129,6 +129,11 @@
             int(GONE_S * 1e3) if enabled else 0,
         )
 
+    def leave_to_kernel(self):
+        """Let the kernel deliver what waits once the connection is closed."""
+        self.set_probing(False)
+        self.set_kernel_timeout(False)
+
     def set_probing(self, enabled):
         """Let a closed window be probed often, so that a loss shows soon.
 
@@ -211,8 +216,7 @@
     def release(self):
         """Leave all connections to the kernel, as the process ends."""
         for peer in self._waiting:
-            peer.set_probing(False)
-            peer.set_kernel_timeout(False)
+            peer.leave_to_kernel()
         self._waiting.clear()
 
     def _look(self):
@@ -243,7 +247,8 @@
             self._suspect(peer, now_s)
             return
         peer.suspected_s = None
-        peer.set_probing(peer.state is PeerState.STALLED)
+        is_stalled = peer.state is PeerState.STALLED
+        peer.set_probing(is_stalled and not peer.transport.is_closing())
         has_ended = not facts.is_outstanding
         if has_ended and not peer.transport.get_write_buffer_size():
             self._end(peer)
--- a/currantdeal/node/response_writer.py
+++ b/currantdeal/node/response_writer.py
@@ -39,6 +39,11 @@
         The caller.
     unsent : BufferedAnswers
         Bounds what all callers together have not taken.
+
+    Attributes
+    ----------
+    awaited_until_s : float
+        Loop time until which the caller waits for the present response.
     """
 
     def __init__(self, *, transport, peer, unsent):
@@ -52,6 +57,7 @@
         self._drained = None
         self._open_ended = False
         self._ended = False
+        self.awaited_until_s = 0.0
 
     def begin(self, http, *, keep_open):
         """Prepare for the response to the next request.
@@ -146,10 +152,10 @@
         """Abort the connection, so that the response cannot look complete."""
         self._transport.abort()
 
-    async def close_open_ended(self):
-        """Close the connection if that ends the response.
+    async def end_open_ended(self):
+        """Let the close of the connection end a response in order.
 
-        It is reset if the response was not ended in order.
+        One that has no other end, and was not ended in order, is reset.
         """
         if not self._open_ended:
             return
@@ -160,7 +166,6 @@
         await self.writable()
         if not self._transport.is_closing():
             self._set_reset_on_close(False)
-            self._transport.close()
 
     def _write(self, data):
         self._transport.write(data)
--- a/currantdeal/node/tests/test_stalled_peers.py
+++ b/currantdeal/node/tests/test_stalled_peers.py
@@ -118,3 +118,32 @@
     answer, took_s = asyncio.run(_orders_at(upstream, "/order/1"))
     assert answer.startswith(b"HTTP/1.1 502")
     assert took_s < GONE_S
+
+
+def test_caller_is_waited_for_until_its_deadline():
+    """Guards against an idle timeout shorter than a caller's patience."""
+    upstream = StandInUpstream(upstream="u1")
+
+    async def run():
+        await upstream.start()
+        limits = {
+            "MaxHeaderBytes": 4_096,
+            "MaxBodyBytes": 65_536,
+            "HeaderTimeoutMs": 400,
+            "IdleTimeoutMs": 500,
+        }
+        config = config_body(timeout_ms=3_000, limits=limits)
+        upstream.script = _answer_at_length
+        async with entry_world(config=config) as world:
+            world.announce(upstream)
+            raw = request_bytes("/order/1", close=False)
+            return await exchange_with_stall(world.address, raw, stall_s=2.5)
+
+    answer = asyncio.run(run())
+    assert len(answer.partition(b"\r\n\r\n")[2]) == SIZES[-1]
+
+
+async def _answer_at_length(standin, request, writer):
+    if not request.is_system_call:
+        standin.send(request, writer, 200, b"x" * SIZES[-1])
+    return not request.is_system_call
