Give the logger of the processes each method of a standard logger

What was seen: task-failed lines that name an AttributeError of the logger in place of the error that a handler raised; what followed the report was skipped.

Cause: the line logger has methods for six levels only, and structlog's generic wrapper passes any name on to it. http_server calls 'exception'. The other places that do so (cli/daemon, cli/drain, adapters/http, adapters/gossip, adapters/homes_*) run under the standard wrapper.

Change: the processes use the wrapper that adapters/logs.py uses. Texts in a line are cut to 4,096 characters, since errors and tracebacks may quote what a peer has sent.

Measured: on the code before, test_exceptions_are_logged_with_their_traceback fails with AttributeError: '_LineLogger' object has no attribute 'exception', and test_texts_in_a_line_are_bounded with a line longer than a pipe holds.

--- a/currantdeal/node/logs.py
+++ b/currantdeal/node/logs.py
@@ -8,6 +8,7 @@
 """
 
 import fcntl
+import logging
 import os
 import time
 from collections import deque
@@ -28,6 +29,14 @@
 BURST_LINES = 2_000
 """Capacity of the token bucket that limits the rate of log lines."""
 
+MAX_TEXT_CHARS = 4_096
+"""Maximum length of a text in a log line, such as a traceback.
+
+Errors may quote what a peer has sent.
+"""
+
+_CUT = " ... "
+
 
 class LineWriter:
     """Writes lines to a file descriptor without waiting for its reader.
@@ -97,13 +106,15 @@
 
 
 class _LineLogger:
+    """Writes lines of any level; structlog calls the method of the level."""
+
     def __init__(self, *, writer):
         self._writer = writer
 
     def msg(self, line):
         self._writer.write(line)
 
-    info = warning = error = debug = critical = msg
+    debug = info = warning = error = critical = msg
 
 
 def configure_node_logs(*, instance, writer=None):
@@ -121,7 +132,8 @@
             structlog.processors.format_exc_info,
             lambda _, __, event: _render(instance, event),
         ],
-        wrapper_class=structlog.BoundLogger,
+        # Unlike the generic logger, it has each method of a standard logger.
+        wrapper_class=structlog.make_filtering_bound_logger(logging.NOTSET),
         logger_factory=lambda *_: _LineLogger(writer=writer),
         cache_logger_on_first_use=True,
     )
@@ -129,5 +141,14 @@
 
 
 def _render(instance, event):
-    line = {"at": round(time.time(), 3), "instance": instance, **event}
+    line = {"at": round(time.time(), 3), "instance": instance}
+    line.update((key, _shorten(value)) for key, value in event.items())
     return msgspec.json.encode(line, enc_hook=str) + b"\n"
+
+
+def _shorten(value):
+    """Return a long text without its middle, anything else unchanged."""
+    if not isinstance(value, str) or len(value) <= MAX_TEXT_CHARS:
+        return value
+    kept = (MAX_TEXT_CHARS - len(_CUT)) // 2
+    return value[:kept] + _CUT + value[-kept:]
--- a/currantdeal/node/tests/test_logs.py
+++ b/currantdeal/node/tests/test_logs.py
@@ -1,7 +1,13 @@
 import json
 import os
 
-from currantdeal.node.logs import MAX_WAITING_LINES, LineWriter
+from currantdeal.node import peers as logs_user
+from currantdeal.node.logs import (
+    MAX_TEXT_CHARS,
+    MAX_WAITING_LINES,
+    LineWriter,
+)
+from currantdeal.testing.node_logs import node_log_lines
 
 
 class _Clock:
@@ -66,3 +72,26 @@
     os.close(reading)
     writer.write(b"nobody reads\n")
     writer.write(b"nobody reads\n")
+
+
+def test_exceptions_are_logged_with_their_traceback():
+    """Guards against a report of an error that fails itself."""
+    with node_log_lines(logs_user) as read_lines:
+        try:
+            raise KeyError("missing")
+        except KeyError:
+            logs_user._log.exception("failed", part="a")
+        (line,) = read_lines()
+    assert (line["event"], line["level"]) == ("failed", "error")
+    assert line["part"] == "a"
+    assert line["exception"].endswith("KeyError: 'missing'")
+    assert "Traceback" in line["exception"]
+
+
+def test_texts_in_a_line_are_bounded():
+    """Guards against log lines as long as what a peer has sent."""
+    with node_log_lines(logs_user) as read_lines:
+        logs_user._log.warning("refused", why="x" * 1_000_000, count=3)
+        (line,) = read_lines()
+    assert 0 < len(line["why"]) <= MAX_TEXT_CHARS
+    assert line["count"] == 3
