Answer a request whose handler fails before any byte of a response

What callers saw: a closed connection without a byte of an answer; the log had a task-failed line without the request's id.

Cause: a handler that raised had its connection aborted, or, while reporting the error failed as well, closed in order.

Change: 500 where nothing of a response was sent, which promises nothing about whether the request ran; a reset where a part of one was; a whole response stays. The line 'handler-failed' names the request and the error, and the line 'request-ended' the error in place of 'cancelled'. An answer to HEAD no longer fails because it would have a body.

--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -92,6 +92,7 @@
         except DialectError as exc:
             self._reject(responder, _UNREADABLE_CALL, 400, str(exc))
             return
+        request.request_id = call.request_id
         found = await self._authorise(request, responder, call)
         if found is None:
             return
@@ -149,6 +150,9 @@
         outcome = "cancelled"
         try:
             outcome = await self._serve(active)
+        except Exception as exc:
+            outcome = f"failed: {exc!r}"
+            raise
         finally:
             self._log_end(active, outcome)
 
--- a/currantdeal/node/http_request.py
+++ b/currantdeal/node/http_request.py
@@ -43,10 +43,16 @@
         Event-loop time at which its first bytes were received.
     sender : str
         Network address of the sender, or empty.
+
+    Attributes
+    ----------
+    request_id : str
+        Id for the log; empty until the handler has set it.
     """
 
     def __init__(self, *, head, body, arrived_s, sender=""):
         """Store the parts."""
+        self.request_id = ""
         self.head = head
         self.body = body
         self.arrived_s = arrived_s
@@ -54,11 +60,20 @@
 
 
 class Responder:
-    """Writes one response to a caller."""
+    """Writes one response to a caller.
+
+    Parameters
+    ----------
+    writer : ResponseWriter
+        Writes to the connection.
+    has_body : bool
+        False if the response ends with its head, whatever body it describes.
+    """
 
-    def __init__(self, *, writer):
-        """Write with a ``ResponseWriter``."""
+    def __init__(self, *, writer, has_body=True):
+        """Start without a response."""
         self._writer = writer
+        self._has_body = has_body
         self.started = False
 
     def begin(self, status, headers, *, framing=Framing.CHUNKS):
@@ -102,7 +117,7 @@
             length = (b"content-length", str(len(body)).encode("ascii"))
             headers = (*headers, length)
         self.begin(status, headers, framing=framing)
-        if body:
+        if body and self._has_body:
             self._writer.send_body(body)
         self.finish()
 
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -46,6 +46,7 @@
 
 _log = structlog.get_logger(__name__)
 
+_INTERNAL_ERROR = b"internal error; the request may have run\n"
 _MALFORMED = {
     400: "the request is malformed",
     431: "the head is too large",
@@ -359,7 +360,7 @@
 
     async def _run(self, request):
         self._writer.begin(self._http, keep_open=self._keeps_open)
-        responder = Responder(writer=self._writer)
+        responder = self._responder(request)
         try:
             await self._server.handler(request, responder)
             await self._close_open_ended()
@@ -367,13 +368,29 @@
             self._transport.abort()
             raise
         except Exception as exc:
-            # The caller has received no response or only a part of one.
-            _log.exception("handler-failed", why=repr(exc))
-            self._transport.abort()
+            _log.exception(
+                "handler-failed", request=request.request_id, why=repr(exc)
+            )
+            self._end_failed(request)
         finally:
             self._task = None
             self._next_request()
 
+    def _responder(self, request):
+        has_body = request.head.method != "HEAD"
+        return Responder(writer=self._writer, has_body=has_body)
+
+    def _end_failed(self, request):
+        """Answer a request whose handler failed, unless an answer has begun.
+
+        An answer of which only a part was sent must not look complete.
+        """
+        if self._http.our_state is h11.SEND_RESPONSE:
+            headers = ((b"content-type", b"text/plain"),)
+            self._responder(request).answer(500, headers, _INTERNAL_ERROR)
+        elif self._http.our_state not in (h11.DONE, h11.MUST_CLOSE):
+            self._transport.abort()
+
     async def _close_open_ended(self):
         limit_s = self._server.limits().idle_timeout_s
         try:
