Refuse HEAD requests without a body, and CONNECT requests at all

What callers saw: a HEAD request that was refused while it was received (413, 408) had no answer after its status, or its connection stayed open without a timer; a CONNECT request led to an answer that left HTTP (502).

Cause: h11 raises LocalProtocolError for the body of an answer to HEAD, from a timer or from data_received; after CONNECT it parses no answer.

Change: _reject sends no body to HEAD; CONNECT is answered 501.

Measured: 5 of the 8 cases of test_bodyless_answers failed before (the error reached the loop twice, one request had no end in 5 s, CONNECT gave 503, 502).

--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -130,6 +130,7 @@
         self._head_bytes = bytearray()
         self._head_parsed = False
         self._request_started_s = None
+        self._method = b""
         self._request = None
         self._blank_bytes = 0
         self._body = bytearray()
@@ -297,6 +298,9 @@
         return True
 
     def _start_request(self, event):
+        self._method = event.method
+        if event.method == b"CONNECT":
+            raise RefusedRequest(501, "this is no proxy")
         headers = tuple(event.headers)
         names = [key for key, _ in headers]
         if b"content-length" in names and b"transfer-encoding" in names:
@@ -440,12 +444,13 @@
                 (b"content-length", str(len(body)).encode("ascii")),
                 (b"connection", b"close"),
             ]
-            for event in (
-                h11.Response(status_code=refusal.status, headers=headers),
-                h11.Data(data=body),
-                h11.EndOfMessage(),
-            ):
-                self._writer.write(self._http, event)
+            response = h11.Response(
+                status_code=refusal.status, headers=headers
+            )
+            self._writer.write(self._http, response)
+            if self._method != b"HEAD":
+                self._writer.write(self._http, h11.Data(data=body))
+            self._writer.write(self._http, h11.EndOfMessage())
         if self._transport.can_write_eof():
             self._transport.write_eof()
         self._loop.call_later(CLOSE_DELAY_S, self._transport.close)
@@ -483,6 +488,7 @@
             self._timer = None
 
     def _reset_parser(self):
+        self._method = b""
         self._blank_bytes = 0
         self._http = h11.Connection(
             h11.SERVER,
