Move the facts of connections where the product's listener can use them

The class that follows one socket needs no event loop. It moves from node/peer_watch.py to adapters/watched_socket.py, the reader of facts beside it, and the time that means a lost peer becomes a parameter of judge_peer.

--- a/currantdeal/node/peer_watch.py
+++ b/currantdeal/node/peer_watch.py
@@ -6,18 +6,12 @@
 """
 
 import asyncio
-import contextlib
 import errno
 import os
-import socket
 from weakref import WeakKeyDictionary
 
-from currantdeal.node.connection_facts import read_facts
-from currantdeal.policy.health.peer_liveness import (
-    GONE_S,
-    PeerState,
-    judge_peer,
-)
+from currantdeal.adapters.watched_socket import WatchedSocket
+from currantdeal.policy.health.peer_liveness import PeerState
 
 LOOK_INTERVAL_S = 0.25
 """Interval of the looks at a connection while bytes wait on it."""
@@ -31,11 +25,6 @@
 MAX_BLANK_LOOKS = 8
 """Looks without any facts after which the system reports none."""
 
-_TCP_RTO_MAX_MS = 44
-_PROBE_INTERVAL_MS = 1_000
-"""Longest interval of the probes of a closed window: the least that Linux
-accepts, since 6.15."""
-
 _watches = WeakKeyDictionary()
 
 
@@ -47,7 +36,7 @@
     return _watches[loop]
 
 
-class WatchedPeer:
+class WatchedPeer(WatchedSocket):
     """The peer of one connection.
 
     Parameters
@@ -67,95 +56,24 @@
 
     def __init__(self, *, watch, transport, on_gone):
         """Start with nothing that waits."""
+        super().__init__(sock=transport.get_extra_info("socket"))
         self.transport = transport
         self.on_gone = on_gone
         self.on_taken = lambda: None
-        self.state = PeerState.IDLE
         self.suspected_s = None
-        self._silent_since_s = 0.0
-        self._looked_s = 0.0
-        self._acknowledgements = None
-        self._kernel_bytes = 0
         self._watch = watch
-        self._socket = transport.get_extra_info("socket")
-        self._has_timeout = False
-        self._usual_interval_ms = None
 
     @property
     def untaken_bytes(self):
         """Bytes that were not acknowledged at the last look, about."""
         if not self._watch.is_waiting(self):
             return 0
-        return self.transport.get_write_buffer_size() + self._kernel_bytes
-
-    @property
-    def is_open(self):
-        """Whether the connection has a socket that is not closed."""
-        return self._socket is not None and self._socket.fileno() >= 0
+        return self.transport.get_write_buffer_size() + self.kernel_bytes
 
     def record_write(self):
         """Look at the connection until what was written is acknowledged."""
         self._watch.begin(self)
 
-    def begin(self, now_s):
-        """Start to measure how long acknowledgements are awaited."""
-        self._silent_since_s = self._looked_s = now_s
-        self._acknowledgements = None
-        self._kernel_bytes = 1
-
-    def look(self, now_s):
-        """Update the state; returns the ``ConnectionFacts``, or None."""
-        facts = read_facts(self._socket)
-        if facts is None:
-            return None
-        if facts.acknowledgements != self._acknowledgements:
-            self._acknowledgements = facts.acknowledgements
-            self._silent_since_s = max(
-                self._looked_s, now_s - facts.acknowledged_s
-            )
-        self._looked_s = now_s
-        self._kernel_bytes = facts.unsent_bytes + facts.unacknowledged
-        self.state = judge_peer(facts, silent_s=now_s - self._silent_since_s)
-        return facts
-
-    def set_kernel_timeout(self, enabled):
-        """Let the kernel end the connection after bytes that wait, or not."""
-        if enabled == self._has_timeout or not self.is_open:
-            return
-        self._has_timeout = enabled
-        self._socket.setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            int(GONE_S * 1e3) if enabled else 0,
-        )
-
-    def set_probing(self, enabled):
-        """Let a closed window be probed often, so that a loss shows soon.
-
-        The kernel drops what a process leaves behind sooner with that, so
-        that it ends before a connection is closed.
-        """
-        if enabled == (self._usual_interval_ms is not None):
-            return
-        if not self.is_open:
-            return
-        with contextlib.suppress(OSError):
-            # Older systems probe ever more rarely, and notice a loss later.
-            if enabled:
-                usual_ms = self._socket.getsockopt(
-                    socket.IPPROTO_TCP, _TCP_RTO_MAX_MS
-                )
-                self._set_interval(_PROBE_INTERVAL_MS)
-                self._usual_interval_ms = usual_ms
-            else:
-                self._set_interval(self._usual_interval_ms)
-                self._usual_interval_ms = None
-
-    def _set_interval(self, interval_ms):
-        self._socket.setsockopt(
-            socket.IPPROTO_TCP, _TCP_RTO_MAX_MS, interval_ms
-        )
-
 
 class PeerWatch:
     """Looks at the connections of an event loop on which bytes wait.
--- a/currantdeal/policy/health/peer_liveness.py
+++ b/currantdeal/policy/health/peer_liveness.py
@@ -97,7 +97,7 @@
         return self.window_bytes == 0 or not self.unacknowledged
 
 
-def judge_peer(facts, *, silent_s):
+def judge_peer(facts, *, silent_s, gone_s=GONE_S):
     """Return the ``PeerState`` of a connection.
 
     A peer that is judged to be gone may have answered a moment later; the
@@ -109,6 +109,8 @@
         What the kernel knows now.
     silent_s : float
         Seconds without an acknowledgement while bytes have waited.
+    gone_s : float
+        Seconds of them that mean a lost peer.
 
     Examples
     --------
@@ -127,13 +129,13 @@
         return PeerState.GONE
     if not facts.is_outstanding:
         return PeerState.CLOSING if facts.has_ended else PeerState.IDLE
-    if _is_overdue(facts, silent_s):
+    if _is_overdue(facts, silent_s, gone_s):
         return PeerState.GONE
     return PeerState.STALLED if facts.is_window_closed else PeerState.TAKING
 
 
-def _is_overdue(facts, silent_s):
-    if silent_s < GONE_S:
+def _is_overdue(facts, silent_s, gone_s):
+    if silent_s < gone_s:
         return False
     if not facts.is_window_closed:
         return facts.retransmissions > 0
