Keep answers of the product's interface for clients that stop to read

What callers saw: a client of the product's own interface that stopped to read for more than 5 s lost the rest of its answer by a reset, whether the engine had ended or not.

Cause: the listener set TCP_USER_TIMEOUT of 5 s, which also ends a connection whose window stays closed though its client acknowledges each probe.

Change: a thread looks four times a second at connections on which bytes wait and judges them by the same model as the entries do. A client is gone after 4.5 s without an acknowledgement that is due, seen at two looks. One that acknowledges and takes nothing keeps its answer for the idle timeout, or for 5 s while a thread and an engine wait for it (policy/health/untaken_answers.py). The kernel's timeout holds until the first look shows that acknowledgements are reported, and is lifted before a connection is closed, so that the kernel delivers what is left. Idle connections are probed from 3 s instead of 5 s on, twice, as the user timeout cut the old probes short: 7 s in all, as before. A connection that is ended so is logged with its reason.

The tests failed before: answers of 10 kB, 180 kB and 4 MB and a stream of 60 kB were cut for each stall over 5 s (6, 8, 13, 25 s). The four tests of lost and blocking clients passed before and after.

--- a/currantdeal/adapters/http/server.py
+++ b/currantdeal/adapters/http/server.py
@@ -3,6 +3,7 @@
 A thread serves one request at a time, so each open stream occupies a thread.
 """
 
+import contextlib
 import socket
 import threading
 import time
@@ -10,16 +11,22 @@
 from waitress import create_server
 
 from currantdeal.adapters.http.channel import channel_class
+from currantdeal.adapters.http.client_watch import ClientWatch
 
 UNSENT_TIMEOUT_S = 5.0
-"""Time after which a client that acknowledges no bytes counts as gone.
+"""Time for which the kernel keeps a connection on which bytes wait.
 
-Otherwise its connection could stay open forever without delivering anything,
-and the stream would hold engine memory until the last output.
+It holds until the system has shown that it reports acknowledgements.
 """
 
 IDLE_TIMEOUT_S = 30
-"""Time for which an idle connection or an incomplete request is kept."""
+"""Time for which an idle connection or an incomplete request is kept, and an
+answer of which the client takes nothing."""
+
+IDLE_BEFORE_PROBE_S = 3
+PROBE_INTERVAL_S = 2
+MAX_PROBES = 2
+"""Unanswered probes that end an idle connection, after 7 s in all."""
 
 CLEANUP_INTERVAL_S = 2
 OUTPUT_BUFFER_BYTES = 65_536
@@ -68,6 +75,10 @@
         )
         self._closing = threading.Event()
         self._server.channel_class = channel_class(self._closing)
+        self._watch = ClientWatch(
+            channels=lambda: list(self._server.active_channels.values()),
+            on_facts=self._lift_kernel_timeout,
+        )
 
     @property
     def port(self):
@@ -79,6 +90,7 @@
         threading.Thread(
             target=self._run, name="http-server", daemon=True
         ).start()
+        self._watch.start()
 
     def end_connections(self):
         """Close each connection after its next answer, for a drain."""
@@ -114,9 +126,18 @@
 
     def stop(self):
         """Close the listener and every connection."""
+        self._watch.stop()
         self._server.close()
         self._server.task_dispatcher.shutdown(timeout=1)
 
+    def _lift_kernel_timeout(self):
+        """Accept connections without the kernel's timeout from now on."""
+        with contextlib.suppress(OSError):
+            # The listener is closed during a drain.
+            self._listener.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0
+            )
+
     def _run(self):
         try:
             self._server.run()
@@ -138,7 +159,10 @@
         socket.SOL_SOCKET, socket.SO_SNDBUF, OUTPUT_BUFFER_BYTES
     )
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 5)
-    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 2)
-    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, IDLE_BEFORE_PROBE_S),
+        (socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, MAX_PROBES),
+    ):
+        listener.setsockopt(socket.IPPROTO_TCP, option, value)
     return listener
--- a/currantdeal/adapters/http/tests/test_answer_ends.py
+++ b/currantdeal/adapters/http/tests/test_answer_ends.py
@@ -8,12 +8,10 @@
 
 import pytest
 
-from currantdeal.adapters.http.app import App, Routes
 from currantdeal.adapters.http.generation import EventBody
 from currantdeal.adapters.http.messages import BROKEN_OFF, Response
 from currantdeal.adapters.http.openai_format import AnswerFormat
-from currantdeal.adapters.http.server import HttpServer
-from currantdeal.adapters.metrics import Metrics
+from currantdeal.adapters.http.tests.server_builders import instance
 from currantdeal.adapters.services import HttpServices
 from currantdeal.core import Outcome, WorkKind
 from currantdeal.ports import OutputChunk, ServiceCall
@@ -55,26 +53,6 @@
         thread.join()
 
 
-@contextlib.contextmanager
-def instance(handler):
-    """Run a server whose answers to all requests a handler returns."""
-    routes = Routes()
-    routes.add("GET", "/.*", handler)
-    server = HttpServer(
-        app=App(
-            routes=routes, keys=None, metrics=Metrics(), max_body_bytes=1_000
-        ),
-        host="127.0.0.1",
-        port=0,
-        threads=2,
-        max_header_bytes=4_000,
-        max_body_bytes=1_000,
-    )
-    server.start()
-    yield server.port
-    server.stop()
-
-
 def _get(port, version):
     """Return the ``CallerAnswer`` to a request that closes its connection."""
     request = f"GET /x HTTP/{version}\r\nHost: a\r\nConnection: close\r\n\r\n"
@@ -158,7 +136,7 @@
 SLOW_SERVER = """
 import time
 from currantdeal.adapters.http.messages import Response
-from currantdeal.adapters.http.tests.test_answer_ends import instance
+from currantdeal.adapters.http.tests.server_builders import instance
 
 def body():
     yield b"a part"
