Say in logs how a caller's connection ended, and what a stop found in progress

An outcome "cancelled" covered a caller who closed or reset its connection, one that the kernel gave up, and all that this process cut. An answer that was written whole and then not taken left no line, and the lines of a stop gave one number.

Cause: connection_lost(exc), eof_received and the callers of abort know the reason, and none of them recorded it.

Change: ConnectionEnd, recorded once by the ResponseWriter, stands in the outcome ("cancelled: the caller reset its connection"), in the new line answer-untaken and in two counters. Requests in progress are cut by the server at the end of a stop, so that each has a line before "stopped", which counts them by what they waited for.

--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -151,6 +151,7 @@
             handler=self._service.handle,
             limits=lambda: self._view.limits,
             on_refused=self._record_malformed,
+            on_untaken=self._service.record_untaken,
         )
 
     def _connect_links(self, settings):
@@ -217,7 +218,6 @@
             self._repeat(SETTINGS_INTERVAL_S, self._reload_settings),
         )
         await self._drain()
-        _log.info("stopped", cut=self._server.active_requests)
 
     def _repeat(self, interval_s, action):
         return call_periodically(interval_s, action, metrics=self._metrics)
@@ -301,11 +301,15 @@
         stop_s = loop.time()
         exit_s = stop_s + self._bounds.grace_s - EXIT_MARGIN_S
         self._ready = False
-        self._service.ends_s = exit_s
+        self._service.requests.ends_s = exit_s
         self._server.closing = True
         self._link_server.stop()
         self._subscription.announce()
-        _log.info("stopping", requests=self._server.active_requests)
+        _log.info(
+            "stopping",
+            requests=self._server.active_requests,
+            **self._counts_in_progress,
+        )
         await asyncio.sleep(REFUSE_STREAMS_AFTER_S)
         self._service.refuse_streams = True
         await asyncio.sleep(STOP_ACCEPTING_AFTER_S - REFUSE_STREAMS_AFTER_S)
@@ -313,6 +317,27 @@
         self._server.close_idle()
         while self._is_in_use and loop.time() < exit_s:
             await asyncio.sleep(0.05)
+        await self._cut_all()
+
+    async def _cut_all(self):
+        """Cut what is still in progress, each with a line of its own."""
+        counts = self._counts_in_progress
+        cut = self._server.active_requests
+        await self._server.cut_all()
+        _log.info(
+            "stopped", cut=cut, ended=self._service.requests.ended, **counts
+        )
+
+    @property
+    def _counts_in_progress(self):
+        """Numbers of requests and answers by what they wait for."""
+        server = self._server
+        return {
+            "in_progress": self._service.requests.counts,
+            "receiving": server.receiving,
+            "untaken": server.untaken_answers,
+            "links": self._link_server.open_links,
+        }
 
     @property
     def _is_in_use(self):
--- a/currantdeal/cli/loss_causes.py
+++ b/currantdeal/cli/loss_causes.py
@@ -9,6 +9,7 @@
 from enum import Enum
 
 from currantdeal.entry.steps import StepKind, parse_step
+from currantdeal.node.connection_end import ConnectionEnd
 
 LONG_WAIT_SHARE = 0.3
 """Share of the target from which on the wait for one step is a cause."""
@@ -35,6 +36,7 @@
 
     NONE = "in time"
     LEFT = "the caller left"
+    UNTAKEN = "the caller did not take the answer"
     STOPPING = "this instance stopped"
     NO_VIEW = "no routes or upstreams known"
     RETRIED = "had been refused before"
@@ -62,6 +64,18 @@
 """Cause of a long wait, by the kind of the step that ended it."""
 
 
+_CAUSE_OF_END = {
+    f"cancelled: {end.description}": cause
+    for end, cause in (
+        (ConnectionEnd.SLOW, Cause.UNTAKEN),
+        (ConnectionEnd.IDLE, Cause.UNTAKEN),
+        (ConnectionEnd.STOPPED, Cause.STOPPING),
+        (ConnectionEnd.LOCAL, Cause.OTHER),
+    )
+}
+"""Cause of a cancelled request, unless its caller left."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class RequestEnd:
     """The end of a request, parsed from its log line.
@@ -138,8 +152,8 @@
     retrying = (
         end.caller_timeout_s < RETRY_TIMEOUT_SHARE * longest_caller_timeout_s
     )
-    if end.outcome == "cancelled":
-        return Cause.LEFT
+    if end.outcome.startswith("cancelled"):
+        return _CAUSE_OF_END.get(end.outcome, Cause.LEFT)
     if end.is_answered and retrying:
         return Cause.RETRIED
     if end.is_answered and not end.is_late:
--- a/currantdeal/entry/active_request.py
+++ b/currantdeal/entry/active_request.py
@@ -4,6 +4,7 @@
 from functools import cached_property
 
 from currantdeal.core import digest_parts
+from currantdeal.entry.progress import RequestState
 from currantdeal.entry.steps import Step, kind_of_failure
 from currantdeal.node.fingerprint import fingerprint_of, part_fingerprint
 from currantdeal.policy.answers.reset_outcome import CallKind
@@ -68,6 +69,8 @@
     ----------
     is_retry : bool
         Whether its caller has waited before, on an earlier attempt.
+    state : RequestState
+        What it waits for.
     runs : int
         Number of upstreams that may have run it.
     was_sent : bool
@@ -103,6 +106,7 @@
         self.arrivals = arrivals
         self.organisation = organisation
         self.is_retry = False
+        self.state = RequestState.UPSTREAM
         self.runs = 0
         self.was_sent = False
         self.lost_incarnations = []
@@ -188,6 +192,10 @@
             return CallKind.IDEMPOTENT
         return CallKind.NON_IDEMPOTENT
 
+    def enter(self, state):
+        """Record what it waits for from now on, as a ``RequestState``."""
+        self.state = state
+
     def record_output(self, now_s):
         """Record the time of output that is sent to the caller."""
         if self._last_output_s is None:
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -21,6 +21,7 @@
 from currantdeal.entry.events import position_of
 from currantdeal.entry.memory import MemoryReserver
 from currantdeal.entry.prefill import prefill_prompt, release_kv_cache
+from currantdeal.entry.progress import RequestState
 from currantdeal.entry.relay import EventRelay
 from currantdeal.entry.run_end import (
     check_end,
@@ -154,6 +155,7 @@
 
     async def attempt(self):
         """Make one attempt; returns whether the answer is complete."""
+        self._active.enter(RequestState.MEMORY)
         reservation = self._wait.take_reservation() or await self._reserve()
         if reservation is None:
             self._reason = "no memory"
@@ -178,6 +180,7 @@
         try:
             if not self._may_send():
                 return False
+            self._active.enter(RequestState.PREFILL)
             prefill = await self._obtain_prefill(reservation.record)
             if not await self._may_decode(reservation.record):
                 self._unused_prefill = prefill
@@ -340,6 +343,7 @@
             return False
         context.health.request_started(record.upstream)
         sent_s = context.limits.now_s
+        active.enter(RequestState.RUNNING)
         try:
             connection.send(call)
             return await self._stream(connection, record, sent_s)
@@ -350,6 +354,7 @@
             self._record_unfinished(record)
             raise
         finally:
+            active.enter(RequestState.UPSTREAM)
             context.health.request_ended(record.upstream)
             context.pool.release(connection)
 
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -17,6 +17,7 @@
     RefusedError,
 )
 from currantdeal.entry.events import position_of
+from currantdeal.entry.progress import RequestState
 from currantdeal.entry.run_end import check_end, record_completeness
 from currantdeal.entry.steps import StepKind
 from currantdeal.node.errors import (
@@ -210,6 +211,7 @@
     outgoing = context.encode(active, record, ArrivalKind.CALL)
     context.departures.record_sent(active, Pool.PLAIN, record, now_s=now_s)
     context.health.request_started(record.upstream)
+    active.enter(RequestState.RUNNING)
     try:
         head, body = await exchange(
             context.pool,
@@ -227,6 +229,7 @@
         context.crash_watch.record_unfinished(active, record)
         raise
     finally:
+        active.enter(RequestState.UPSTREAM)
         context.health.request_ended(record.upstream)
     context.record_reached(record)
     metadata = context.read_response(record, head, sent_s=sent_s)
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -1,7 +1,6 @@
 """Handles the requests of callers, from receipt to the final answer."""
 
 import asyncio
-import math
 
 import structlog
 
@@ -17,6 +16,8 @@
 )
 from currantdeal.entry.generation import serve_generation
 from currantdeal.entry.plain import serve_plain
+from currantdeal.entry.progress import RequestsInProgress, RequestState
+from currantdeal.node.connection_end import ConnectionEnd
 from currantdeal.node.dialect import CallerRequest
 from currantdeal.node.errors import SendExpiredError
 from currantdeal.policy.retries.retry_after import (
@@ -73,15 +74,14 @@
 
     Attributes
     ----------
-    ends_s : float
-        Loop time at which the process ends; infinite before it is stopped.
+    requests : RequestsInProgress
+        The requests that it handles, with the time of the process's end.
     """
 
     def __init__(self, *, context):
         """Start to accept all requests."""
         self._context = context
-        self.stopping = False
-        self.ends_s = math.inf
+        self.requests = RequestsInProgress()
         self.refuse_streams = False
         self._labelled = set()
 
@@ -103,6 +103,7 @@
         if not call.request_id:
             self._reject(responder, call, 400, "no request id")
             return
+        responder.request_id = call.request_id
         if table.needs_keys:
             request.head = self._context.dialect.without_credentials(
                 request.head
@@ -147,11 +148,39 @@
 
     async def _run(self, active):
         outcome = "cancelled"
+        self.requests.add(active)
         try:
             outcome = await self._serve(active)
+        except asyncio.CancelledError:
+            outcome = self._describe_cancelled(active.responder)
+            raise
         finally:
+            self.requests.remove(active, _kind_of(outcome))
             self._log_end(active, outcome)
 
+    def _describe_cancelled(self, responder):
+        end = responder.connection_end or ConnectionEnd.LOCAL
+        self._context.metrics.add("requests_cancelled_total", why=end.value)
+        return f"cancelled: {end.description}"
+
+    def record_untaken(self, request_id, size_bytes, end):
+        """Log an answer that was written, but not taken as a whole.
+
+        Parameters
+        ----------
+        size_bytes : int
+            Bytes that the caller has not acknowledged, about.
+        end : ConnectionEnd
+            Why its connection ended.
+        """
+        self._context.metrics.add("answers_untaken_total", why=end.value)
+        _log.info(
+            "answer-untaken",
+            request=request_id,
+            untaken_bytes=size_bytes,
+            why=end.description,
+        )
+
     async def _serve(self, active):
         self._context.retry_budgets.record_request(active.service.name)
         try:
@@ -186,6 +215,7 @@
         organisation = active.organisation
         if organisation is None or organisation.quota is None:
             return None
+        active.enter(RequestState.QUOTA)
         units = organisation.quota.cost(
             prompt_tokens=active.call.prompt_tokens,
             max_output_tokens=active.call.max_output_tokens,
@@ -204,6 +234,7 @@
                 urgency=active.route.priority,
             )
             outcome = "granted"
+            active.enter(RequestState.UPSTREAM)
             return admission
         except RefusedError as exc:
             outcome = exc.refusal_reason.value
@@ -224,7 +255,7 @@
 
     async def _forward(self, active):
         if not active.is_generation:
-            if active.deadline_s > self.ends_s:
+            if active.deadline_s > self.requests.ends_s:
                 # The answer could be cut off when the process ends.
                 raise RefusedError(
                     "this instance ends before the deadline",
@@ -320,7 +351,7 @@
     def _log_end(self, active, outcome):
         now_s = self._context.now_s
         took_s = now_s - active.request.arrived_s
-        kind = outcome.partition(":")[0]
+        kind = _kind_of(outcome)
         metrics = self._context.metrics
         metrics.add("requests_total", route=active.route.name, outcome=kind)
         if active.organisation is not None:
@@ -371,5 +402,9 @@
     return call.caller_timeout_s or DEFAULT_CALLER_TIMEOUT_S
 
 
+def _kind_of(outcome):
+    return outcome.partition(":")[0]
+
+
 def _text_body(text):
     return (text + "\n").encode()
--- a/currantdeal/node/http_request.py
+++ b/currantdeal/node/http_request.py
@@ -54,12 +54,27 @@
 
 
 class Responder:
-    """Writes one response to a caller."""
+    """Writes one response to a caller.
+
+    Attributes
+    ----------
+    started, finished : bool
+        Whether the response was begun, and ended in order.
+    request_id : str
+        Names the request in log lines about its connection.
+    """
 
     def __init__(self, *, writer):
         """Write with a ``ResponseWriter``."""
         self._writer = writer
         self.started = False
+        self.finished = False
+        self.request_id = ""
+
+    @property
+    def connection_end(self):
+        """The ``ConnectionEnd`` of the caller's connection, or None."""
+        return self._writer.end
 
     def begin(self, status, headers, *, framing=Framing.CHUNKS):
         """Send the head.
@@ -84,6 +99,7 @@
 
     def finish(self):
         """End the response in order, which completes a framed one."""
+        self.finished = True
         self._writer.send_end()
 
     def abort(self):
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -14,6 +14,7 @@
 
 from currantdeal.node.buffered_answers import BufferedAnswers
 from currantdeal.node.chunk_sizes import ChunkSizes
+from currantdeal.node.connection_end import ConnectionEnd, end_of
 from currantdeal.node.head import RequestHead
 from currantdeal.node.http_request import (
     RefusedRequest,
@@ -44,6 +45,9 @@
 the response before the caller has read it.
 """
 
+CUT_TIMEOUT_S = 0.1
+"""Longest wait for the ends of requests that were cut."""
+
 _log = structlog.get_logger(__name__)
 
 _MALFORMED = {
@@ -66,13 +70,24 @@
     on_refused : callable
         Called with the status, the reason and the parser's detail of a
         malformed request.
+    on_untaken : callable
+        Called with the id of a request whose whole answer was written, the
+        bytes that its caller has not taken, and the ``ConnectionEnd``.
     """
 
-    def __init__(self, *, handler, limits=CallerLimits, on_refused=None):
+    def __init__(
+        self,
+        *,
+        handler,
+        limits=CallerLimits,
+        on_refused=None,
+        on_untaken=None,
+    ):
         """Store the parameters; ``start`` begins listening."""
         self.handler = handler
         self.limits = limits
         self.on_refused = on_refused or (lambda status, reason, detail: None)
+        self.on_untaken = on_untaken or (lambda request_id, size, end: None)
         self.connections = set()
         self.unsent = BufferedAnswers(
             measure=lambda writer: writer.unsent_bytes
@@ -113,6 +128,18 @@
         """Number of requests in progress."""
         return sum(1 for c in self.connections if c.is_busy)
 
+    async def cut_all(self):
+        """Cut the requests in progress, as the process ends."""
+        busy = [c for c in self.connections if c.is_busy]
+        tasks = [connection.cut() for connection in busy]
+        if tasks:
+            await asyncio.wait(tasks, timeout=CUT_TIMEOUT_S)
+
+    @property
+    def receiving(self):
+        """Number of requests of which a part was received."""
+        return sum(1 for c in self.connections if c.is_receiving)
+
     @property
     def untaken_answers(self):
         """Number of answers of which the callers have not taken all yet."""
@@ -137,6 +164,7 @@
         self._timer = None
         self._peer = None
         self._writer = None
+        self._responder = None
         self._reading = True
         self._is_closing = False
         self._is_lingering = False
@@ -147,6 +175,10 @@
     def is_busy(self):
         return self._task is not None
 
+    @property
+    def is_receiving(self):
+        return self._request_started_s is not None and not self.is_busy
+
     @property
     def untaken_bytes(self):
         return self._writer.unsent_bytes or self._peer.untaken_bytes
@@ -163,10 +195,14 @@
         self._start_idle_timer()
 
     def _end_gone(self, exc):
+        self._writer.record_end(ConnectionEnd.GONE)
         self.connection_lost(exc)
         self._transport.abort()
 
     def connection_lost(self, exc):
+        self._writer.record_end(end_of(exc))
+        if self in self._server.connections:
+            self._report_untaken()
         self._server.connections.discard(self)
         self._server.unread.record(self, 0)
         self._cancel_timer()
@@ -174,6 +210,13 @@
         if self._task is not None:
             self._task.cancel()
 
+    def _report_untaken(self):
+        responder, untaken = self._responder, self._writer.untaken_at_end
+        if responder is not None and responder.finished and untaken:
+            self._server.on_untaken(
+                responder.request_id, untaken, self._writer.end
+            )
+
     def pause_writing(self):
         self._writer.pause()
 
@@ -196,7 +239,10 @@
         # A caller that closes its side abandons its request: HTTP/1.1 defines
         # no way to continue only reading.  It may still read an answer that
         # has ended.
-        return self._is_lingering and self._peer.untaken_bytes > 0
+        if self._is_lingering and self._peer.untaken_bytes > 0:
+            return True
+        self._writer.record_end(ConnectionEnd.CLOSED)
+        return False
 
     def _discard(self, data):
         """Discard what follows a refused request, or stop to read it."""
@@ -209,6 +255,13 @@
         if not self.is_busy and self._request_started_s is None:
             self._close()
 
+    def cut(self):
+        """Cut the request in progress; returns its task, which ends soon."""
+        task = self._task
+        self._writer.abort(ConnectionEnd.STOPPED)
+        self.connection_lost(None)
+        return task
+
     def _close(self):
         """Close in order, once the caller has taken all.
 
@@ -359,7 +412,7 @@
 
     async def _run(self, request):
         self._writer.begin(self._http, keep_open=self._keeps_open)
-        responder = Responder(writer=self._writer)
+        responder = self._responder = Responder(writer=self._writer)
         try:
             await self._server.handler(request, responder)
             await self._close_open_ended()
@@ -381,7 +434,7 @@
                 await self._writer.close_open_ended()
         except TimeoutError:
             # The caller does not take the end of the answer.
-            self._transport.abort()
+            self._writer.abort(ConnectionEnd.IDLE)
 
     def _next_request(self):
         if self._transport.is_closing():
@@ -454,7 +507,7 @@
         elif untaken < self._untaken_before:
             self._start_idle_timer()
         else:
-            self._transport.abort()
+            self._writer.abort(ConnectionEnd.IDLE)
 
     def _set_timer(self, delay_s, action):
         self._cancel_timer()
--- a/currantdeal/node/peer_watch.py
+++ b/currantdeal/node/peer_watch.py
@@ -76,6 +76,7 @@
         self._looked_s = 0.0
         self._acknowledgements = None
         self._kernel_bytes = 0
+        self._buffered_bytes = 0
         self._watch = watch
         self._socket = transport.get_extra_info("socket")
         self._has_timeout = False
@@ -88,6 +89,13 @@
             return 0
         return self.transport.get_write_buffer_size() + self._kernel_bytes
 
+    @property
+    def last_untaken_bytes(self):
+        """The same at the last look, also after the connection was lost."""
+        if not self._watch.is_waiting(self):
+            return 0
+        return self._buffered_bytes + self._kernel_bytes
+
     @property
     def is_open(self):
         """Whether the connection has a socket that is not closed."""
@@ -101,6 +109,7 @@
         """Start to measure how long acknowledgements are awaited."""
         self._silent_since_s = self._looked_s = now_s
         self._acknowledgements = None
+        self._buffered_bytes = 0
         self._kernel_bytes = 1
 
     def look(self, now_s):
@@ -114,6 +123,7 @@
                 self._looked_s, now_s - facts.acknowledged_s
             )
         self._looked_s = now_s
+        self._buffered_bytes = self.transport.get_write_buffer_size()
         self._kernel_bytes = facts.unsent_bytes + facts.unacknowledged
         self.state = judge_peer(facts, silent_s=now_s - self._silent_since_s)
         return facts
@@ -256,8 +266,8 @@
         if peer.suspected_s is None:
             peer.suspected_s = now_s
         elif now_s - peer.suspected_s >= CONFIRM_DELAY_S / 2:
-            del self._waiting[peer]
             peer.on_gone(_gone_error())
+            self._waiting.pop(peer, None)
 
     def _record_blank(self):
         """Record a look without facts, which may also come right after one."""
--- a/currantdeal/node/response_writer.py
+++ b/currantdeal/node/response_writer.py
@@ -10,6 +10,7 @@
 import h11
 
 from currantdeal.adapters.sockets import set_reset_on_close
+from currantdeal.node.connection_end import ConnectionEnd
 from currantdeal.node.errors import SlowCallerError
 from currantdeal.policy.answers.answer_end import Framing, framing_of_stream
 
@@ -39,6 +40,13 @@
         The caller.
     unsent : BufferedAnswers
         Bounds what all callers together have not taken.
+
+    Attributes
+    ----------
+    end : ConnectionEnd or None
+        Why the connection ended, None before that.
+    untaken_at_end : int
+        Bytes that the caller had not acknowledged then, about.
     """
 
     def __init__(self, *, transport, peer, unsent):
@@ -50,6 +58,9 @@
         self._http = None
         self._keeps_open = None
         self._drained = None
+        self._counted_bytes = 0
+        self.end = None
+        self.untaken_at_end = 0
         self._open_ended = False
         self._ended = False
 
@@ -112,6 +123,7 @@
         if self._drained is not None and not self._drained.done():
             self._drained.set_result(None)
         self._drained = None
+        self._counted_bytes = 0
         self._unsent.record(self, 0)
 
     async def writable(self, *, holds_up=lambda: False):
@@ -140,12 +152,21 @@
 
     def give_up(self):
         """Abort the connection of the caller who has left most untaken."""
-        self._transport.abort()
+        self.abort(ConnectionEnd.SLOW)
 
-    def abort(self):
+    def abort(self, end=ConnectionEnd.CUT):
         """Abort the connection, so that the response cannot look complete."""
+        self.record_end(end)
         self._transport.abort()
 
+    def record_end(self, end):
+        """Record why the connection ends; the first reason counts."""
+        if self.end is None:
+            self.end = end
+            self.untaken_at_end = max(
+                self._counted_bytes, self._peer.last_untaken_bytes
+            )
+
     async def close_open_ended(self):
         """Close the connection if that ends the response.
 
@@ -169,7 +190,8 @@
 
     def _record_unsent(self):
         if self._drained is not None and not self._transport.is_closing():
-            self._unsent.record(self, self.unsent_bytes)
+            self._counted_bytes = self.unsent_bytes
+            self._unsent.record(self, self._counted_bytes)
 
     def _set_reset_on_close(self, enabled):
         sock = self._transport.get_extra_info("socket")
--- a/currantdeal/testing/entry_world.py
+++ b/currantdeal/testing/entry_world.py
@@ -276,7 +276,11 @@
     )
     context.retry_budgets.connect(_retry_owner(allowance))
     service = EntryService(context=context)
-    server = HttpServer(handler=service.handle, limits=lambda: view.limits)
+    server = HttpServer(
+        handler=service.handle,
+        limits=lambda: view.limits,
+        on_untaken=service.record_untaken,
+    )
     await server.start("127.0.0.1", 0)
     address = server.address
     try:
