--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -195,9 +195,7 @@
         self._start_idle_timer()
 
     def _end_gone(self, exc):
-        self._writer.record_end(ConnectionEnd.GONE)
-        self.connection_lost(exc)
-        self._transport.abort()
+        self._writer.abort(ConnectionEnd.GONE)
 
     def connection_lost(self, exc):
         self._writer.record_end(end_of(exc))
@@ -415,7 +413,7 @@
         responder = self._responder = Responder(writer=self._writer)
         try:
             await self._server.handler(request, responder)
-            await self._close_open_ended()
+            await self._end_open_ended()
         except asyncio.CancelledError:
             self._transport.abort()
             raise
@@ -427,11 +425,11 @@
             self._task = None
             self._next_request()
 
-    async def _close_open_ended(self):
+    async def _end_open_ended(self):
         limit_s = self._server.limits().idle_timeout_s
         try:
             async with asyncio.timeout(limit_s):
-                await self._writer.close_open_ended()
+                await self._writer.end_open_ended()
         except TimeoutError:
             # The caller does not take the end of the answer.
             self._writer.abort(ConnectionEnd.IDLE)
@@ -484,7 +482,7 @@
                 self._writer.write(self._http, event)
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        self._loop.call_later(CLOSE_DELAY_S, self._transport.close)
+        self._loop.call_later(CLOSE_DELAY_S, self._close)
 
     def _request_timed_out(self):
         self._reject(
@@ -504,11 +502,16 @@
         untaken = self.untaken_bytes
         if not untaken:
             self._transport.close()
-        elif untaken < self._untaken_before:
+        elif untaken < self._untaken_before or self._is_timely:
             self._start_idle_timer()
         else:
             self._writer.abort(ConnectionEnd.IDLE)
 
+    @property
+    def _is_timely(self):
+        """Whether the caller may still wait for the last answer."""
+        return self._loop.time() < self._writer.awaited_until_s
+
     def _set_timer(self, delay_s, action):
         self._cancel_timer()
         self._timer = self._loop.call_later(delay_s, action)
--- a/currantdeal/node/response_writer.py
+++ b/currantdeal/node/response_writer.py
@@ -47,6 +47,8 @@
         Why the connection ended, None before that.
     untaken_at_end : int
         Bytes that the caller had not acknowledged then, about.
+    awaited_until_s : float
+        Loop time until which the caller waits for the present response.
     """
 
     def __init__(self, *, transport, peer, unsent):
@@ -63,6 +65,7 @@
         self.untaken_at_end = 0
         self._open_ended = False
         self._ended = False
+        self.awaited_until_s = 0.0
 
     def begin(self, http, *, keep_open):
         """Prepare for the response to the next request.
@@ -167,10 +170,10 @@
                 self._counted_bytes, self._peer.last_untaken_bytes
             )
 
-    async def close_open_ended(self):
-        """Close the connection if that ends the response.
+    async def end_open_ended(self):
+        """Let the close of the connection end a response in order.
 
-        It is reset if the response was not ended in order.
+        One that has no other end, and was not ended in order, is reset.
         """
         if not self._open_ended:
             return
@@ -181,7 +184,6 @@
         await self.writable()
         if not self._transport.is_closing():
             self._set_reset_on_close(False)
-            self._transport.close()
 
     def _write(self, data):
         self._transport.write(data)
