Refuse what waits before an entry ends, and answer what may have run

What callers saw: streams that an entry took in the first 2.5 s after SIGTERM and that still waited for memory at its end were closed without an answer, as were a run that had sent nothing and a stream whose run was lost. No worker was at work on the first kind.

Cause: waits were bounded by the request's deadline and target only, and the process ended beside them.

Change: a request says what it waits for, and its time limit follows. What has not run is refused 0.5 s before the end, or, while it waits for memory, once no recent run of its route was short enough to end in time. What may have run gets 502 if no byte of its answer was sent. Streams that run are cut last. A run that is cancelled counts as one, which also makes the text of a 504 true. The drain has a module of its own.

This refuses none that finds memory at once.

--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -8,6 +8,7 @@
 import structlog
 
 from currantdeal.adapters.metrics import Metrics
+from currantdeal.cli.entry_drain import EntryDrain
 from currantdeal.cli.process import (
     SETTINGS_INTERVAL_S,
     LoopDelay,
@@ -43,19 +44,6 @@
 from currantdeal.policy.placement.helper_choice import HelperChoice
 from currantdeal.registry import EntryRecord
 
-REFUSE_STREAMS_AFTER_S = 2.5
-"""Seconds after the stop request from which new streams are refused.
-
-Those accepted before need the rest of the grace period to end.
-"""
-
-STOP_ACCEPTING_AFTER_S = 6.0
-"""Seconds after the stop request from which no connection is accepted.
-
-Most callers cache the answer of the directory for four seconds, a few for
-longer.
-"""
-
 QUOTA_REFILL_S = 1.0
 """Interval at which the reserves of quotas are checked."""
 
@@ -65,9 +53,6 @@
 RECENT_NOTICE_S = 1.2
 """Silence of the source up to which a confirmation is expected soon."""
 
-EXIT_MARGIN_S = 0.4
-"""Seconds between the exit of the process and its kill by the platform."""
-
 _log = structlog.get_logger(__name__)
 
 
@@ -291,62 +276,15 @@
         )
 
     async def _drain(self):
-        """Stop in stages, so that requests in progress finish before the kill.
-
-        Calls that could outlast the process are refused first, then streams,
-        then connections.  Streams that are still in progress shortly before
-        the kill are cut off.
-        """
-        loop = asyncio.get_running_loop()
-        stop_s = loop.time()
-        exit_s = stop_s + self._bounds.grace_s - EXIT_MARGIN_S
         self._ready = False
-        self._service.requests.ends_s = exit_s
-        self._server.closing = True
-        self._link_server.stop()
         self._subscription.announce()
-        _log.info(
-            "stopping",
-            requests=self._server.active_requests,
-            **self._counts_in_progress,
-        )
-        await asyncio.sleep(REFUSE_STREAMS_AFTER_S)
-        self._service.refuse_streams = True
-        await asyncio.sleep(STOP_ACCEPTING_AFTER_S - REFUSE_STREAMS_AFTER_S)
-        self._server.stop_listening()
-        self._server.close_idle()
-        while self._is_in_use and loop.time() < exit_s:
-            await asyncio.sleep(0.05)
-        await self._cut_all()
-
-    async def _cut_all(self):
-        """Cut what is still in progress, each with a line of its own."""
-        counts = self._counts_in_progress
-        cut = self._server.active_requests
-        await self._server.cut_all()
-        _log.info(
-            "stopped", cut=cut, ended=self._service.requests.ended, **counts
-        )
-
-    @property
-    def _counts_in_progress(self):
-        """Numbers of requests and answers by what they wait for."""
-        server = self._server
-        return {
-            "in_progress": self._service.requests.counts,
-            "receiving": server.receiving,
-            "untaken": server.untaken_answers,
-            "links": self._link_server.open_links,
-        }
-
-    @property
-    def _is_in_use(self):
-        server = self._server
-        return (
-            server.active_requests
-            or server.untaken_answers
-            or self._link_server.open_links
+        drain = EntryDrain(
+            server=self._server,
+            service=self._service,
+            link_server=self._link_server,
+            grace_s=self._bounds.grace_s,
         )
+        await drain.run()
 
     def _set_gauges(self):
         view = self._view
--- a/currantdeal/entry/active_request.py
+++ b/currantdeal/entry/active_request.py
@@ -1,6 +1,7 @@
 """Holds the state of one request that is being handled."""
 
 import asyncio
+import math
 from functools import cached_property
 
 from currantdeal.core import digest_parts
@@ -71,6 +72,8 @@
         Whether its caller has waited before, on an earlier attempt.
     state : RequestState
         What it waits for.
+    is_ended_by_stop : bool
+        Whether it ends early, because the process does.
     runs : int
         Number of upstreams that may have run it.
     was_sent : bool
@@ -114,8 +117,11 @@
         self.search = MemorySearch()
         self.leaving_gains_s = {}
         self.steps = []
+        self.is_ended_by_stop = False
         self.first_output_s = None
         self.longest_pause_s = 0.0
+        self._wait_until_s = lambda: math.inf
+        self._time_limit = None
         self._last_output_s = None
 
     @property
@@ -192,9 +198,42 @@
             return CallKind.IDEMPOTENT
         return CallKind.NON_IDEMPOTENT
 
+    def bind(self, time_limit, wait_until_s):
+        """Set what ends it early if the process stops.
+
+        Parameters
+        ----------
+        time_limit : asyncio.Timeout
+            Ends it at its deadline.
+        wait_until_s : callable
+            See ``RequestsInProgress.wait_until_s``.
+        """
+        self._time_limit = time_limit
+        self._wait_until_s = lambda: wait_until_s(self)
+        self.limit_wait()
+
     def enter(self, state):
         """Record what it waits for from now on, as a ``RequestState``."""
         self.state = state
+        self.limit_wait()
+
+    def limit_wait(self):
+        """End it when the process would end its wait."""
+        self._end_at(min(self.deadline_s, self._wait_until_s()))
+
+    def end_by_stop(self):
+        """End it now, as the process ends."""
+        self._end_at(-math.inf)
+
+    def _end_at(self, time_s):
+        if self._time_limit is None or self._time_limit.expired():
+            return
+        self.is_ended_by_stop = time_s < self.deadline_s
+        self._time_limit.reschedule(
+            max(time_s, asyncio.get_running_loop().time())
+            if self.is_ended_by_stop
+            else self.deadline_s
+        )
 
     def record_output(self, now_s):
         """Record the time of output that is sent to the caller."""
--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -20,6 +20,7 @@
 )
 from currantdeal.policy.health.upstream_health import UpstreamHealth
 from currantdeal.policy.load.demand import DemandMeter
+from currantdeal.policy.load.run_lengths import RunLengths
 from currantdeal.policy.load.shared_load import EntryLoad
 from currantdeal.policy.memory.decode_memory import DecodeEngineOrder
 from currantdeal.policy.memory.urgency import MemoryTurns
@@ -95,6 +96,7 @@
         self.health = UpstreamHealth()
         self.load = EntryLoad()
         self.speeds = UpstreamSpeeds()
+        self.run_lengths = RunLengths()
         self._paces_due_s = 0.0
         self.decode_engine_order = DecodeEngineOrder(load=self.load)
         self.memory_turns = MemoryTurns()
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -155,7 +155,6 @@
 
     async def attempt(self):
         """Make one attempt; returns whether the answer is complete."""
-        self._active.enter(RequestState.MEMORY)
         reservation = self._wait.take_reservation() or await self._reserve()
         if reservation is None:
             self._reason = "no memory"
@@ -351,6 +350,7 @@
             self._handle_lost_run(record, exc)
             return False
         except asyncio.CancelledError:
+            self._count_run()
             self._record_unfinished(record)
             raise
         finally:
@@ -398,9 +398,10 @@
         events, position = self._events_of_run, self._relay.position
         record_end(context, active, record, head, events, position)
         record_decode(context, record, events, timer.waited_s)
-        record_memory_use(
-            context, active, self._relay.events, self._now_s - began_s
-        )
+        took_s = self._now_s - began_s
+        record_memory_use(context, active, self._relay.events, took_s)
+        if not active.call.resume_after and active.runs == 1:
+            context.run_lengths.record(active.route.name, took_s)
         if not is_ended:
             self._reason = "the end of a resumed run is unknown"
         return is_ended
--- a/currantdeal/entry/memory_turn.py
+++ b/currantdeal/entry/memory_turn.py
@@ -4,6 +4,8 @@
 
 import structlog
 
+from currantdeal.entry.progress import RequestState
+
 _log = structlog.get_logger(__name__)
 
 
@@ -76,6 +78,7 @@
     def record_wait(self):
         """Record that a round brought no memory."""
         self._waited = True
+        self._active.enter(RequestState.MEMORY)
         self._context.memory_turns.record_wait(self._number)
 
     def end(self, *, granted):
@@ -87,6 +90,7 @@
         )
         if not self._waited:
             return
+        self._active.enter(RequestState.UPSTREAM)
         outcome = "refused" if is_too_late else "expired"
         if granted:
             outcome = "granted"
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -60,6 +60,7 @@
 _OUTCOME_UNKNOWN = (
     "outcome unknown, the request may have run; check before sending it again"
 )
+_STOPS = "this instance stops"
 _UNREADABLE_CALL = CallerRequest(request_id="", caller_timeout_s=None)
 _log = structlog.get_logger(__name__)
 
@@ -81,7 +82,7 @@
     def __init__(self, *, context):
         """Start to accept all requests."""
         self._context = context
-        self.requests = RequestsInProgress()
+        self.requests = RequestsInProgress(run_lengths=context.run_lengths)
         self.refuse_streams = False
         self._labelled = set()
 
@@ -134,9 +135,12 @@
             MAX_VIEW_WAIT_S, VIEW_WAIT_SHARE * _caller_timeout_s(call)
         )
         try:
-            return await self._context.access.authorise(
-                call, lambda: self._find_route(request.head), wait_s=wait_s
-            )
+            async with self.requests.until_stop():
+                return await self._context.access.authorise(
+                    call, lambda: self._find_route(request.head), wait_s=wait_s
+                )
+        except TimeoutError:
+            self._refuse(request, responder, call, _stopping_refusal())
         except UnauthorisedError as exc:
             self._reject(responder, call, 401, str(exc), more=(_CHALLENGE,))
         except RefusedError as exc:
@@ -185,7 +189,8 @@
     async def _serve(self, active):
         self._context.retry_budgets.record_request(active.service.name)
         try:
-            async with asyncio.timeout_at(active.deadline_s):
+            async with asyncio.timeout_at(active.deadline_s) as time_limit:
+                active.bind(time_limit, self.requests.wait_until_s)
                 await self._dispatch(active)
         except RefusedError as exc:
             self._refuse(active.request, active.responder, active.call, exc)
@@ -259,7 +264,7 @@
             if active.deadline_s > self.requests.ends_s:
                 # The answer could be cut off when the process ends.
                 raise RefusedError(
-                    "this instance ends before the deadline",
+                    "this instance stops before the deadline",
                     refusal_reason=RefusalReason.STOPPING,
                 )
             await serve_plain(self._context, active)
@@ -267,9 +272,7 @@
         meter = self._context.meter(active.service.name)
         meter.record_offered()
         if self.refuse_streams:
-            raise RefusedError(
-                "this instance stops", refusal_reason=RefusalReason.STOPPING
-            )
+            raise _stopping_refusal()
         await serve_generation(self._context, active)
 
     def _end_unsent(self, active, exc):
@@ -287,6 +290,8 @@
         if active.responder.started:
             active.responder.abort()
             return "broken off: its time is over"
+        if active.is_ended_by_stop:
+            return self._end_at_stop(active)
         if active.runs:
             self._fail(active, 504, f"{_OUTCOME_UNKNOWN}: the deadline passed")
             return "failed: its time is over"
@@ -297,6 +302,15 @@
         )
         return "failed: nothing was free in its time"
 
+    def _end_at_stop(self, active):
+        """Answer a request that would outlast the process."""
+        if active.runs:
+            self._fail(active, 502, f"{_OUTCOME_UNKNOWN}: {_STOPS}")
+            return f"failed: {_STOPS}"
+        refusal = _stopping_refusal()
+        self._refuse(active.request, active.responder, active.call, refusal)
+        return f"refused: {refusal}"
+
     def _refuse(self, request, responder, call, refusal):
         caller_timeout_s = _caller_timeout_s(call)
         waited_s = self._context.now_s - request.arrived_s
@@ -403,6 +417,10 @@
     return call.caller_timeout_s or DEFAULT_CALLER_TIMEOUT_S
 
 
+def _stopping_refusal():
+    return RefusedError(_STOPS, refusal_reason=RefusalReason.STOPPING)
+
+
 def _kind_of(outcome):
     return outcome.partition(":")[0]
 
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -177,7 +177,9 @@
 
     @property
     def is_receiving(self):
-        return self._request_started_s is not None and not self.is_busy
+        if self.is_busy or self._is_closing:
+            return False
+        return self._request_started_s is not None
 
     @property
     def untaken_bytes(self):
