--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -21,6 +21,7 @@
 from currantdeal.entry.events import position_of
 from currantdeal.entry.memory import MemoryReserver
 from currantdeal.entry.prefill import prefill_prompt, release_kv_cache
+from currantdeal.entry.progress import RequestState
 from currantdeal.entry.relay import EventRelay
 from currantdeal.entry.run_end import (
     check_end,
@@ -178,6 +179,7 @@
         try:
             if not self._may_send():
                 return False
+            self._active.enter(RequestState.PREFILL)
             prefill = await self._obtain_prefill(reservation.record)
             if not await self._may_decode(reservation.record):
                 self._unused_prefill = prefill
@@ -340,6 +342,7 @@
             return False
         context.health.request_started(record.upstream)
         sent_s = context.limits.now_s
+        active.enter(RequestState.RUNNING)
         try:
             connection.send(call)
             return await self._stream(connection, record, sent_s)
@@ -347,9 +350,11 @@
             self._handle_lost_run(record, exc)
             return False
         except asyncio.CancelledError:
+            self._count_run()
             self._record_unfinished(record)
             raise
         finally:
+            active.enter(RequestState.UPSTREAM)
             context.health.request_ended(record.upstream)
             context.pool.release(connection)
 
@@ -393,9 +398,10 @@
         events, position = self._events_of_run, self._relay.position
         record_end(context, active, record, head, events, position)
         record_decode(context, record, events, timer.waited_s)
-        record_memory_use(
-            context, active, self._relay.events, self._now_s - began_s
-        )
+        took_s = self._now_s - began_s
+        record_memory_use(context, active, self._relay.events, took_s)
+        if not active.call.resume_after and active.runs == 1:
+            context.run_lengths.record(active.route.name, took_s)
         if not is_ended:
             self._reason = "the end of a resumed run is unknown"
         return is_ended
--- a/currantdeal/node/http_request.py
+++ b/currantdeal/node/http_request.py
@@ -43,16 +43,10 @@
         Event-loop time at which its first bytes were received.
     sender : str
         Network address of the sender, or empty.
-
-    Attributes
-    ----------
-    request_id : str
-        Id for the log; empty until the handler has set it.
     """
 
     def __init__(self, *, head, body, arrived_s, sender=""):
         """Store the parts."""
-        self.request_id = ""
         self.head = head
         self.body = body
         self.arrived_s = arrived_s
@@ -68,6 +62,13 @@
         Writes to the connection.
     has_body : bool
         False if the response ends with its head, whatever body it describes.
+
+    Attributes
+    ----------
+    started, finished : bool
+        Whether the response was begun, and ended in order.
+    request_id : str
+        Names the request in log lines; empty until the handler has set it.
     """
 
     def __init__(self, *, writer, has_body=True):
@@ -75,6 +76,13 @@
         self._writer = writer
         self._has_body = has_body
         self.started = False
+        self.finished = False
+        self.request_id = ""
+
+    @property
+    def connection_end(self):
+        """The ``ConnectionEnd`` of the caller's connection, or None."""
+        return self._writer.end
 
     def await_until(self, deadline_s):
         """Keep what the caller has not taken at least until a loop time."""
@@ -103,6 +111,7 @@
 
     def finish(self):
         """End the response in order, which completes a framed one."""
+        self.finished = True
         self._writer.send_end()
 
     def abort(self):
