Send no request on a connection that has already ended

Cause: a new connection waits while others are compared, or for the entry that it leads through. Its upstream could end it meanwhile. After an orderly end the parser raised LocalProtocolError, 'can't handle event type Request when role=CLIENT and state=MUST_CLOSE', which no user expects; after a reset the request counted as sent, was charged, and its outcome as unknown.

Change: send raises ConnectionEndedError, a ConnectError, before anything is charged or written. ConnectionPool.open replaces such a connection once and then reports that the upstream is not reached; if it led through another entry, that one is asked last. A request that HTTP cannot express is refused before it is charged. A request that was lost on a reused connection counts as sent also if the next connection cannot be opened, which said 'connecting' before.

--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -329,10 +329,7 @@
         try:
             connection = await context.pool.acquire(record.address, call)
         except ConnectError as exc:
-            self._reason = str(exc)
-            self._unused_prefill = prefill
-            self._reserver.record_unreachable(record, exc)
-            return False
+            return self._handle_unreached(record, exc, prefill)
         if not self._are_held(reservation, prefill):
             context.pool.release(connection)
             self._unused_prefill = prefill
@@ -343,6 +340,8 @@
         try:
             connection.send(call)
             return await self._stream(connection, record, sent_s)
+        except ConnectError as exc:
+            return self._handle_unreached(record, exc, prefill)
         except ExchangeError as exc:
             self._handle_lost_run(record, exc)
             return False
@@ -353,6 +352,13 @@
             context.health.request_ended(record.upstream)
             context.pool.release(connection)
 
+    def _handle_unreached(self, record, exc, prefill):
+        """Keep the prefill for another engine; nothing was sent to this."""
+        self._reason = str(exc)
+        self._unused_prefill = prefill
+        self._reserver.record_unreachable(record, exc)
+        return False
+
     async def _stream(self, connection, record, sent_s):
         context, active = self._context, self._active
         try:
--- a/currantdeal/node/answer_parser.py
+++ b/currantdeal/node/answer_parser.py
@@ -9,6 +9,7 @@
 import h11
 
 from currantdeal.node.chunk_sizes import ChunkSizes
+from currantdeal.node.errors import UnsendableRequestError
 from currantdeal.node.extra_answers import ExtraAnswer, ExtraMoment
 from currantdeal.node.head import find_values
 from currantdeal.policy.answers.answer_owner import AnswerOwner, answer_owner
@@ -119,8 +120,14 @@
         floor = self._grants.floor(now_s=self._clock())
         return math.inf if floor is None else floor - outgoing.grant.size
 
-    def begin(self, outgoing):
-        """Return the bytes of a request, whose answer is parsed next."""
+    def begin(self, outgoing, head=None):
+        """Return the bytes of a request, whose answer is parsed next.
+
+        Parameters
+        ----------
+        head : h11.Request or None
+            Head of the request, if ``encode_head`` has returned it already.
+        """
         self._outgoing = outgoing
         self._is_begun = self._is_ended = self._is_skipping = False
         self._bytes_before = self._extra_bytes = 0
@@ -133,13 +140,7 @@
             self._grants.begin(outgoing.grant.size, now_s=self._clock())
         elif not outgoing.is_id_echoed:
             self._carried_anonymous_call = True
-        raw = self._http.send(
-            h11.Request(
-                method=outgoing.method,
-                target=outgoing.target,
-                headers=list(outgoing.headers),
-            )
-        )
+        raw = self._http.send(head or encode_head(outgoing))
         if outgoing.body:
             raw += self._http.send(h11.Data(data=outgoing.body))
         return raw + self._http.send(h11.EndOfMessage())
@@ -307,6 +308,24 @@
         )
 
 
+def encode_head(outgoing):
+    """Return the head of a request for the parser of its connection.
+
+    Raises
+    ------
+    UnsendableRequestError
+        If HTTP cannot express it, such as a header with a control character.
+    """
+    try:
+        return h11.Request(
+            method=outgoing.method,
+            target=outgoing.target,
+            headers=list(outgoing.headers),
+        )
+    except (h11.LocalProtocolError, UnicodeError) as exc:
+        raise UnsendableRequestError("the request cannot be encoded") from exc
+
+
 def _body(events):
     return b"".join(bytes(e.data) for e in events if isinstance(e, h11.Data))
 
--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -9,10 +9,12 @@
 connection of its own.
 """
 
+import asyncio
 from functools import partial
 
 from currantdeal.node.buffered_answers import BufferedAnswers
 from currantdeal.node.connector import CONNECT_TIMEOUT_S, Connector
+from currantdeal.node.errors import ConnectionEndedError
 from currantdeal.node.extra_answers import ExtraAnswerLog
 from currantdeal.node.http_client import RECEIVE_BYTES, UpstreamConnection
 from currantdeal.policy.health.links import LinkState
@@ -20,6 +22,9 @@
 MAX_IDLE = 16
 """Maximum number of idle connections kept for one upstream."""
 
+MAX_OPENED = 2
+"""Maximum number of connections that are opened until one lasts."""
+
 
 class ConnectionPool:
     """Pool of reusable connections to upstreams.
@@ -83,8 +88,27 @@
         return found or await self.open(address, timeout_s=timeout_s)
 
     async def open(self, address, *, timeout_s=CONNECT_TIMEOUT_S):
-        """Open and return a new connection, see ``Connector.open``."""
-        return await self.connector.open(address, timeout_s=timeout_s)
+        """Open and return a new connection, see ``Connector.open``.
+
+        One that the upstream has ended meanwhile is replaced once.  A new one
+        may have waited for another way to the upstream.
+
+        Raises
+        ------
+        ConnectError
+            If no connection could be opened, or both have ended.
+        """
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + timeout_s
+        for _ in range(MAX_OPENED):
+            connection = await self.connector.open(
+                address, timeout_s=max(0.0, end_s - loop.time())
+            )
+            if connection.is_open:
+                return connection
+            connection.close()
+            self.connector.avoid(connection.helper)
+        raise ConnectionEndedError(f"{address} ends new connections")
 
     def is_connected(self, address):
         """Return whether an idle connection can take a retryable request."""
--- a/currantdeal/node/connector.py
+++ b/currantdeal/node/connector.py
@@ -75,6 +75,14 @@
                 raise ConnectRefusedError(str(exc)) from exc
             raise
 
+    def avoid(self, helper):
+        """Use an entry last for a while, after a connection through it ended.
+
+        Does nothing for an empty string, which is a direct connection.
+        """
+        if helper and self.link_client is not None:
+            self.link_client.avoid(helper)
+
     async def open_direct(self, address, *, timeout_s):
         """Open a connection from this process to an upstream.
 
--- a/currantdeal/node/errors.py
+++ b/currantdeal/node/errors.py
@@ -32,6 +32,10 @@
     """A retry was not sent, because no charge to the budget covers it."""
 
 
+class UnsendableRequestError(SendExpiredError):
+    """A request was not sent, because HTTP cannot express it."""
+
+
 class ExchangeError(NodeError):
     """An HTTP exchange with an upstream failed.
 
@@ -69,6 +73,10 @@
         super().__init__(message, phase=ExchangePhase.CONNECTING)
 
 
+class ConnectionEndedError(ConnectError):
+    """A connection ended before the request was sent on it."""
+
+
 class ConnectRefusedError(ConnectError):
     """No process listens at the address: the upstream has ended."""
 
--- a/currantdeal/node/exchange.py
+++ b/currantdeal/node/exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from currantdeal.node.errors import (
-    ConnectRefusedError,
+    ConnectError,
     InvalidResponseError,
     ResponseTimeoutError,
 )
@@ -60,10 +60,10 @@
         first_error = exc
     try:
         connection = await pool.open(address, timeout_s=timeout_s)
-    except ConnectRefusedError:
-        # The upstream's process has ended, rather than just closed an idle
-        # connection, and the request that was sent may have crashed it.
-        first_error.has_ended = True
+    except ConnectError as exc:
+        # If the upstream's process has ended, rather than just closed an idle
+        # connection, the request that was sent may have crashed it.
+        first_error.has_ended = exc.has_ended
         raise first_error from None
     return await exchange_on(
         pool, connection, outgoing, timeout_s=timeout_s, limit=limit
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -11,9 +11,10 @@
 import h11
 
 from currantdeal.core import boot_time_s
-from currantdeal.node.answer_parser import AnswerParser
+from currantdeal.node.answer_parser import AnswerParser, encode_head
 from currantdeal.node.buffered_answers import BufferedAnswers
 from currantdeal.node.errors import (
+    ConnectionEndedError,
     ExchangeError,
     InvalidResponseError,
     MalformedResponseError,
@@ -180,6 +181,11 @@
         """Whether an answer, or its end, waits to be read."""
         return bool(self._events) or self._close_reason is not None
 
+    @property
+    def is_open(self):
+        """Whether neither side has ended the connection."""
+        return self._close_reason is None and not self._transport.is_closing()
+
     def is_usable(self, *, retryable=False):
         """Return whether another request may be sent on this connection.
 
@@ -189,7 +195,7 @@
             True for a retryable request, one that may be lost and sent
             again.
         """
-        if self._close_reason is not None or self._transport.is_closing():
+        if not self.is_open:
             return False
         idle_s = self._loop.time() - self._idle_since_s
         return idle_s < reuse_limit_s(self._keep_alive_s, retryable=retryable)
@@ -218,12 +224,21 @@
 
         Raises
         ------
+        ConnectionEndedError
+            If the connection has ended.
+        UnsendableRequestError
+            If the request cannot be encoded.
         SendExpiredError
             If its time to be sent has passed, also while this process was
             paused.
         UnchargedError
             If it is a retry that was not charged to the retry budget.
         """
+        if not self.is_open:
+            raise ConnectionEndedError(
+                f"{self.address} has ended the connection"
+            )
+        head = encode_head(outgoing)
         if boot_time_s() >= outgoing.send_before_s:
             raise SendExpiredError("the view of the keys is too old")
         if outgoing.on_send is not None:
@@ -234,7 +249,7 @@
         self._method = outgoing.method
         self._reusable = False
         self._phase = ExchangePhase.AWAITING_ANSWER
-        self._transport.write(self._parser.begin(outgoing))
+        self._transport.write(self._parser.begin(outgoing, head))
         self._peer.record_write()
         if self._traffic is not None:
             self._traffic.begin(self)
--- a/currantdeal/node/tests/test_connection_pool.py
+++ b/currantdeal/node/tests/test_connection_pool.py
@@ -151,6 +151,9 @@
         super().__init__()
         self.is_paused = False
 
+    def is_closing(self):
+        return False
+
     def set_write_buffer_limits(self, high=None, low=None):
         pass
 
