Resume no stream after an id that no header can carry

What callers saw: a stream whose worker numbered its events with bytes such as NUL, and was lost, ended by an unexpected error of the parser (LocalProtocolError, illegal header value) in the handler of the request.

Cause: the id of the last event goes into a header of the request for the rest, whatever bytes or length it has.

Change: such an id, or one over 1,024 bytes, is no id, so that the stream is cut as one without ids.

--- a/currantdeal/entry/events.py
+++ b/currantdeal/entry/events.py
@@ -13,6 +13,9 @@
 
 _DATA_LINE = re.compile(rb"(?:\A|[\r\n])data:")
 _ID_LINE = re.compile(rb"(?:\A|[\r\n])id:([^\r\n]*)")
+_SENDABLE_ID = re.compile(rb"[^\x00-\x08\x0a-\x1f]{0,1024}")
+"""Ids that fit into a header of the request for the rest of a stream."""
+
 _BLANK_LINES = (b"\n\n", b"\n\r\n", b"\r\r")
 _MAX_BLANK_LINE_BYTES = max(map(len, _BLANK_LINES))
 _LINE_ENDS = b"\r\n"
@@ -129,7 +132,9 @@
         self._count += len(_DATA_LINE.findall(lines))
         ids = _ID_LINE.findall(lines)
         if ids:
-            self._next_id = ids[-1].strip().decode("latin-1")
+            last = ids[-1].strip()
+            is_sendable = _SENDABLE_ID.fullmatch(last) is not None
+            self._next_id = last.decode("latin-1") if is_sendable else ""
         return taken
 
     def drop_partial_event(self):
--- a/currantdeal/entry/tests/test_events.py
+++ b/currantdeal/entry/tests/test_events.py
@@ -76,6 +76,16 @@
     assert (splitter.last_id, splitter.is_resumable) == ("1", True)
 
 
+@pytest.mark.parametrize(
+    "event_id", [b"a\0b", b"a\x0bb", b"a\x1fb", b"7" * 9_000]
+)
+def test_stream_whose_ids_fit_no_header_is_not_resumable(event_id):
+    """Guards against a request for the rest that cannot be encoded."""
+    splitter = EventSplitter()
+    splitter.feed(b"id: " + event_id + b"\ndata: a\n\n")
+    assert (splitter.last_id, splitter.is_resumable) == ("", False)
+
+
 def test_stream_without_ids_is_not_resumable():
     """Guards against a resumed stream that repeats events."""
     splitter = EventSplitter()
--- a/currantdeal/entry/tests/test_resets.py
+++ b/currantdeal/entry/tests/test_resets.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from structlog.testing import capture_logs
 
 from currantdeal.policy.answers.reset_outcome import (
     CallKind,
@@ -23,6 +24,7 @@
     StandInUpstream,
     event_numbers,
     read_request,
+    send_chunk,
     send_event,
     send_refusal,
 )
@@ -287,3 +289,36 @@
     answer, seen = asyncio.run(_lose_answers(lost))
     assert seen == runs
     assert answer.startswith(b"HTTP/1.1 200") is (lost < runs)
+
+
+def test_stream_whose_ids_fit_no_header_ends_after_a_reset():
+    """Guards against a request for the rest that cannot be encoded."""
+
+    async def script(standin, request, writer):
+        if request.is_system_call or request.is_prefill:
+            return False
+        standin.begin_stream(request, writer)
+        send_chunk(writer, b"id: a\0b\ndata: piece 1\n\n")
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        reset(writer)
+        return True
+
+    async def run():
+        async with entry_world() as world:
+            engines = [
+                StandInUpstream(upstream=name, script=script)
+                for name in ("p", "d1", "d2")
+            ]
+            for standin in engines:
+                await standin.start()
+            world.announce_engines(*engines)
+            raw = request_bytes("/draft/1", more=GENERATION)
+            with capture_logs() as lines:
+                answer = await world.exchange(raw)
+        return answer, lines
+
+    answer, lines = asyncio.run(run())
+    assert event_numbers(answer) == [1]
+    assert not answer.endswith(b"0\r\n\r\n")
+    assert "handler-failed" not in [line["event"] for line in lines]
