Report calls and notices between instances that fail

What was seen: a call whose handler raised left its caller waiting until the timeout, and a task-failed line without the message when the task was collected; a notice that raised ended the connection from within the loop.

Cause: PeerConnection expected no errors of its handlers.

Change: both are logged as 'message-failed' with the kind of message and the error, and the connection is closed, from which the caller learns at once that there is no answer.

Measured: both new cases of test_peers failed before (no answer in 2 s for a call with a timeout of 60 s; no line).

--- a/currantdeal/node/peers.py
+++ b/currantdeal/node/peers.py
@@ -201,8 +201,8 @@
         except UnreadableFrameError:
             return False
         if frame.kind == FrameKind.NOTICE:
-            self._on_notice(self, message)
-        elif frame.kind == FrameKind.CALL:
+            return self._receive_notice(message)
+        if frame.kind == FrameKind.CALL:
             task = asyncio.ensure_future(self._answer(frame.number, message))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -210,6 +210,15 @@
             self._handle_answer(frame.number, message)
         return True
 
+    def _receive_notice(self, message):
+        """Handle a notice; returns False if that fails."""
+        try:
+            self._on_notice(self, message)
+        except Exception as exc:
+            _report_failure(message, exc)
+            return False
+        return True
+
     def _handle_answer(self, number, message):
         """Pass on the answer to a pending call; drop any other one."""
         future = self._pending_calls.get(number)
@@ -221,8 +230,15 @@
         )
 
     async def _answer(self, number, message):
-        answer = await self._on_call(self, message)
-        self._write(pack_frame(FrameKind.ANSWER, number, answer))
+        try:
+            answer = await self._on_call(self, message)
+            frame = pack_frame(FrameKind.ANSWER, number, answer)
+        except Exception as exc:
+            # No frame reports a failure; the caller learns it from the end.
+            _report_failure(message, exc)
+            self.close()
+            return
+        self._write(frame)
 
 
 class PeerLink:
@@ -319,6 +335,12 @@
     return connection
 
 
+def _report_failure(message, exc):
+    _log.exception(
+        "message-failed", message=type(message).__name__, why=repr(exc)
+    )
+
+
 def _unpack(raw):
     """Return a frame and its message."""
     try:
--- a/currantdeal/node/tests/test_peers.py
+++ b/currantdeal/node/tests/test_peers.py
@@ -1,21 +1,29 @@
 import asyncio
+import gc
 
 import pytest
 
 from currantdeal.adapters.generated.peers.ttypes import FrameKind
+from currantdeal.node import peers
 from currantdeal.node.errors import PeerUnreachableError
 from currantdeal.node.messages import Done, JoinCall, ReadConfigCall
 from currantdeal.node.peers import PeerConnection, PeerLink, pack_frame
+from currantdeal.testing.node_logs import node_log_lines
 
 NESTED_BODY = b"\x92\xa4Done" + b"\x91" * 100_000
 CALL = JoinCall(instance="a", address="a", blank=False)
 
 
-async def _server(on_call, notices=None):
+async def _server(on_call, notices=None, on_notice=None):
     loop = asyncio.get_running_loop()
+
+    def keep(connection, message):
+        if notices is not None:
+            notices.append(message)
+
     server = await loop.create_server(
         lambda: PeerConnection(
-            on_notice=lambda c, m: notices is not None and notices.append(m),
+            on_notice=on_notice or keep,
             on_call=on_call,
             on_lost=lambda c: None,
         ),
@@ -148,3 +156,56 @@
 
     calls = []
     assert [a.accepted for a in asyncio.run(run())] == [True] * 3
+
+
+async def _raise(*_):
+    raise KeyError("missing")
+
+
+def test_failed_call_is_reported_to_its_caller_at_once():
+    """Guards against a caller that waits for a call that has failed."""
+    unhandled = []
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, found: unhandled.append(found))
+        _, link = await _server(_raise)
+        async with asyncio.timeout(2.0):
+            with pytest.raises(PeerUnreachableError):
+                await link.call(CALL, timeout_s=60.0)
+        gc.collect()
+
+    with node_log_lines(peers) as read_lines:
+        asyncio.run(run())
+        (line,) = read_lines()
+    assert (line["event"], line["message"]) == ("message-failed", "JoinCall")
+    assert "KeyError" in line["exception"]
+    assert unhandled == []
+
+
+def test_failed_notice_closes_the_connection():
+    """Guards against an error of a handler that nobody expects."""
+    unhandled = []
+
+    def fail(connection, message):
+        raise KeyError("missing")
+
+    async def answer(connection, message):
+        await asyncio.sleep(30.0)
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, found: unhandled.append(found))
+        _, link = await _server(answer, on_notice=fail)
+        call = asyncio.ensure_future(link.call(CALL, timeout_s=60.0))
+        await asyncio.sleep(0.05)
+        link.notify(Done(accepted=True))
+        async with asyncio.timeout(2.0):
+            with pytest.raises(PeerUnreachableError):
+                await call
+
+    with node_log_lines(peers) as read_lines:
+        asyncio.run(run())
+        (line,) = read_lines()
+    assert (line["event"], line["message"]) == ("message-failed", "Done")
+    assert unhandled == []
