--- a/currantdeal/node/link_server.py
+++ b/currantdeal/node/link_server.py
@@ -32,6 +32,12 @@
 WRITE_BUFFER_BYTES = 65_536
 """Unsent bytes in one direction beyond which the other end is not read."""
 
+RECEIVE_BYTES = 16_384
+"""Maximum number of bytes that are read at once.
+
+They are added to a write buffer that may be full already.
+"""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -53,12 +59,15 @@
     ----------
     stopping : bool
         Whether further calls are refused.
+    receive_buffer : bytearray
+        Memory that all links read into.
     """
 
     def __init__(self, *, links, is_upstream, on_doubt, metrics):
         """Accept nothing before ``start``."""
         self.links = links
         self.stopping = False
+        self.receive_buffer = bytearray(RECEIVE_BYTES)
         self._is_upstream = is_upstream
         self._on_doubt = on_doubt
         self._metrics = metrics
@@ -126,10 +135,24 @@
             self._on_doubt(call.address, why)
 
 
-class _AcceptedLink(asyncio.Protocol):
+class _LinkEnd(asyncio.BufferedProtocol):
+    """An end of a link, which reads into memory that all ends share."""
+
+    def __init__(self, *, buffer):
+        self._buffer = buffer
+
+    def get_buffer(self, sizehint):
+        return self._buffer
+
+    def buffer_updated(self, nbytes):
+        self._receive(bytes(memoryview(self._buffer)[:nbytes]))
+
+
+class _AcceptedLink(_LinkEnd):
     """The end of a link that another entry has opened."""
 
     def __init__(self, *, server):
+        super().__init__(buffer=server.receive_buffer)
         self.address = ""
         self._server = server
         self._reader = FrameReader()
@@ -151,7 +174,7 @@
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(CALL_TIMEOUT_S, self.abort)
 
-    def data_received(self, data):
+    def _receive(self, data):
         if self._far is not None:
             self._far_end.write(data)
             return
@@ -198,6 +221,8 @@
 
     def finish(self):
         """Close after an orderly end of the upstream's connection."""
+        if self._transport.is_closing():
+            return
         sock = self._transport.get_extra_info("socket")
         if sock is not None:
             set_reset_on_close(sock, False)
@@ -207,7 +232,10 @@
         self.address = call.address
         outcome, why, far = self._server.refusal(call), "", None
         if outcome is None:
-            outcome, why, far = await _open_far_end(self._transport, call)
+            outcome, why, far = await _open_far_end(
+                lambda: _FarEnd(near=self._transport, buffer=self._buffer),
+                call,
+            )
         self._server.record(call, outcome, why)
         now_s = asyncio.get_running_loop().time()
         answer = LinkAnswer(
@@ -224,10 +252,11 @@
         far.resume_reading()
 
 
-class _FarEnd(asyncio.Protocol):
+class _FarEnd(_LinkEnd):
     """The end of a link at the upstream."""
 
-    def __init__(self, *, near):
+    def __init__(self, *, near, buffer):
+        super().__init__(buffer=buffer)
         self._near = near
         self._transport = None
         self._peer = None
@@ -243,7 +272,7 @@
         # Until the asking entry has its answer.
         transport.pause_reading()
 
-    def data_received(self, data):
+    def _receive(self, data):
         self._link.write(data)
 
     def write(self, data):
@@ -268,15 +297,13 @@
             self._near.abort()
 
 
-async def _open_far_end(near, call):
+async def _open_far_end(make_end, call):
     """Return outcome, reason and transport of a connection to an upstream."""
     loop = asyncio.get_running_loop()
     try:
         host, port = split_address(call.address)
         async with asyncio.timeout(min(call.timeout_s, MAX_CONNECT_S)):
-            transport, _ = await loop.create_connection(
-                lambda: _FarEnd(near=near), host, port
-            )
+            transport, _ = await loop.create_connection(make_end, host, port)
     except TimeoutError:
         return LinkOutcome.UNANSWERED, "it accepts no connections", None
     except ConnectionRefusedError as exc:
