Keep an answer for its caller until the deadline of its request

What callers saw: a caller that stopped to read for longer than the idle timeout was reset with the rest of an answer that was ready, long before its deadline.

Cause: the idle timeout ran as soon as the answer was written, and for an answer that its connection ends the whole time to take the rest was limited to it, also for a caller who read all the time. Bytes in the process hid what was taken from the kernel's buffer meanwhile.

Change: an answer is given up once nothing of it was taken for the idle timeout and the deadline has passed for as long. A connection that ends an answer lingers like others.

--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -108,6 +108,7 @@
                 request.head
             )
         caller_timeout_s = min(_caller_timeout_s(call), route.timeout_s)
+        responder.deadline_s = request.arrived_s + caller_timeout_s
         service = table.choose_service(route, self._context.random)
         active = ActiveRequest(
             request=request,
@@ -116,7 +117,7 @@
             route=route,
             service=service,
             version=table.version,
-            deadline_s=request.arrived_s + caller_timeout_s - ANSWER_MARGIN_S,
+            deadline_s=responder.deadline_s - ANSWER_MARGIN_S,
             organisation=organisation,
             arrivals=Arrivals(
                 service=service.name,
--- a/currantdeal/node/http_request.py
+++ b/currantdeal/node/http_request.py
@@ -3,6 +3,7 @@
 Also checks request heads for forms that two parsers may read differently.
 """
 
+import math
 import re
 
 from currantdeal.policy.answers.answer_end import Framing
@@ -54,12 +55,19 @@
 
 
 class Responder:
-    """Writes one response to a caller."""
+    """Writes one response to a caller.
+
+    Attributes
+    ----------
+    deadline_s : float
+        Event-loop time until which the caller may still read.
+    """
 
     def __init__(self, *, writer):
         """Write with a ``ResponseWriter``."""
         self._writer = writer
         self.started = False
+        self.deadline_s = -math.inf
 
     def begin(self, status, headers, *, framing=Framing.CHUNKS):
         """Send the head.
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import math
 
 import h11
 import structlog
@@ -141,6 +142,7 @@
         self._is_closing = False
         self._is_lingering = False
         self._untaken_before = 0
+        self._deadline_s = -math.inf
         self._discarded_bytes = 0
 
     @property
@@ -149,7 +151,7 @@
 
     @property
     def untaken_bytes(self):
-        return self._writer.unsent_bytes or self._peer.untaken_bytes
+        return self._writer.untaken_bytes
 
     def connection_made(self, transport):
         self._transport = transport
@@ -362,6 +364,7 @@
         responder = Responder(writer=self._writer)
         try:
             await self._server.handler(request, responder)
+            self._deadline_s = responder.deadline_s
             await self._close_open_ended()
         except asyncio.CancelledError:
             self._transport.abort()
@@ -375,13 +378,11 @@
             self._next_request()
 
     async def _close_open_ended(self):
+        self._untaken_before = self.untaken_bytes
         limit_s = self._server.limits().idle_timeout_s
-        try:
-            async with asyncio.timeout(limit_s):
-                await self._writer.close_open_ended()
-        except TimeoutError:
-            # The caller does not take the end of the answer.
-            self._transport.abort()
+        while not await self._writer.end_open_ended(timeout_s=limit_s):
+            if not self._may_take_more():
+                self._transport.abort()
 
     def _next_request(self):
         if self._transport.is_closing():
@@ -448,14 +449,21 @@
 
         One that reads, however slowly, has time to take the last answer.
         """
-        untaken = self.untaken_bytes
-        if not untaken:
+        if not self.untaken_bytes:
             self._transport.close()
-        elif untaken < self._untaken_before:
+        elif self._may_take_more():
             self._start_idle_timer()
         else:
             self._transport.abort()
 
+    def _may_take_more(self):
+        """Return whether to keep the rest of an answer for its caller."""
+        untaken, before = self.untaken_bytes, self._untaken_before
+        self._untaken_before = untaken
+        idle_s = self._server.limits().idle_timeout_s
+        is_late = self._loop.time() - self._deadline_s >= idle_s
+        return untaken < before or not is_late
+
     def _set_timer(self, delay_s, action):
         self._cancel_timer()
         self._timer = self._loop.call_later(delay_s, action)
--- a/currantdeal/node/response_writer.py
+++ b/currantdeal/node/response_writer.py
@@ -138,6 +138,11 @@
         """Bytes that the caller has not taken."""
         return self._transport.get_write_buffer_size()
 
+    @property
+    def untaken_bytes(self):
+        """Bytes that the caller has not taken, about."""
+        return self._peer.untaken_bytes or self.unsent_bytes
+
     def give_up(self):
         """Abort the connection of the caller who has left most untaken."""
         self._transport.abort()
@@ -146,21 +151,30 @@
         """Abort the connection, so that the response cannot look complete."""
         self._transport.abort()
 
-    async def close_open_ended(self):
-        """Close the connection if that ends the response.
+    async def end_open_ended(self, *, timeout_s):
+        """Let the connection end the response, if nothing else does.
 
         It is reset if the response was not ended in order.
+
+        Returns
+        -------
+        bool
+            False if bytes are left in this process after ``timeout_s``, which
+            would be lost if it ended.
         """
         if not self._open_ended:
-            return
+            return True
         if not self._ended:
             self.abort()
-            return
-        # Bytes that are still in this process are lost if it ends.
-        await self.writable()
-        if not self._transport.is_closing():
-            self._set_reset_on_close(False)
-            self._transport.close()
+            return True
+        if self._drained is not None:
+            await asyncio.wait({self._drained}, timeout=timeout_s)
+        if self._transport.is_closing():
+            return True
+        if self._drained is not None:
+            return False
+        self._set_reset_on_close(False)
+        return True
 
     def _write(self, data):
         self._transport.write(data)
