Receive the rest of an answer while its caller stops to read

What callers saw: a stream reset after its status when they stopped to read for 2 s, or when their deadline passed, though the upstream had sent all of it.

Cause: an entry waited for the caller after each part of a stream, with at most 256 KB read ahead, so that a slow caller held up the upstream, and with it the engine's memory, a connection and the accounts of the request. After 2 s it was cut. The pause was also reported as one of the upstream, and events that had arrived meanwhile made it look fast.

Change: up to 8 MiB of an answer wait for the caller in this process. What all may keep is shared by a dynamic threshold: each may take twice what all have left of 12 MiB, so the largest alone gets 8, and 4 of the 16 MiB stay for answers that are kept as a whole. The same threshold bounds what is read of an upstream ahead of its reader. Once the upstream's end is received, nothing is waited for. The limit of 2 s counts from when the upstream is held up and the caller takes nothing, also of the kernel's buffer. A run that was held up says nothing of its engine's speed, and its wait is no pause of the stream.

--- a/currantdeal/entry/active_request.py
+++ b/currantdeal/entry/active_request.py
@@ -197,6 +197,10 @@
             self.longest_pause_s = max(self.longest_pause_s, pause_s)
         self._last_output_s = now_s
 
+    def record_caller_wait(self, now_s):
+        """Record until when the caller has held up its output."""
+        self._last_output_s = now_s
+
     def add_step(self, kind, upstream="", detail=""):
         """Add a step at the current time, for the request's log line."""
         now_s = asyncio.get_running_loop().time()
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -388,11 +388,12 @@
         is_ended = await self._relay.forward_events(
             head,
             lambda: self._next_chunk(connection, record, timer),
-            holds_up=lambda: connection.is_paused,
+            source=connection,
         )
         events, position = self._events_of_run, self._relay.position
         record_end(context, active, record, head, events, position)
-        record_decode(context, record, events, timer.waited_s)
+        if not self._relay.was_held_up:
+            record_decode(context, record, events, timer.waited_s)
         record_memory_use(
             context, active, self._relay.events, self._now_s - began_s
         )
--- a/currantdeal/entry/relay.py
+++ b/currantdeal/entry/relay.py
@@ -31,10 +31,16 @@
         Shared by the requests of an entry.
     active : ActiveRequest
         The generation.
+
+    Attributes
+    ----------
+    was_held_up : bool
+        Whether the caller has kept the events of a run unread.
     """
 
     def __init__(self, *, context, active):
         """Start before the first event."""
+        self.was_held_up = False
         self._context = context
         self._active = active
         self._framing = None
@@ -70,7 +76,7 @@
         """The ``Position`` of the end of the events so far."""
         return self._body.position
 
-    async def forward_events(self, head, next_chunk, *, holds_up):
+    async def forward_events(self, head, next_chunk, *, source):
         """Forward a run to its end; returns whether that ends the answer.
 
         It does not if the answer is framed and nobody can know whether the run
@@ -82,8 +88,8 @@
             Head of the run's answer.
         next_chunk : callable
             Coroutine function that returns bytes, or None at the end.
-        holds_up : callable
-            Whether the rest of the run stays unread for now.
+        source : UpstreamConnection
+            Connection of the run.
 
         Raises
         ------
@@ -101,7 +107,7 @@
                     phase=ExchangePhase.WITHIN_ANSWER,
                 )
             if complete:
-                await self._send(head, complete, holds_up)
+                await self._send(head, complete, source)
         found = check_end(head, self.position)
         if not self.started:
             self._begin(head)
@@ -154,14 +160,17 @@
         else:
             self._body = OpaqueBody()
 
-    async def _send(self, head, data, holds_up):
+    async def _send(self, head, data, source):
         if not self.started:
             self._begin(head)
         self._active.record_output(self._context.now_s)
         try:
-            await self._active.responder.send(data, holds_up=holds_up)
+            has_waited = await self._active.responder.send(data, source)
         except SlowCallerError as exc:
             raise IncompleteAnswerError(str(exc)) from exc
+        if has_waited:
+            self.was_held_up = True
+            self._active.record_caller_wait(self._context.now_s)
 
     def _begin(self, head):
         self._framing = framing_of_stream(head.framing)
--- a/currantdeal/node/buffered_answers.py
+++ b/currantdeal/node/buffered_answers.py
@@ -1,11 +1,25 @@
 """Bounds the memory of the answers that an instance is receiving."""
 
+import time
+
 MAX_BUFFERED_BYTES = 16_777_216
 """Bytes of incomplete answers that are buffered, over all connections.
 
 It leaves room for one answer of the largest size beside others.
 """
 
+SHARED_PART = 0.75
+"""Part of the limit that is shared by answers which can be held up.
+
+The rest is for those that are kept as a whole.
+"""
+
+SHARE_FACTOR = 2
+"""Largest share of an answer, as a multiple of the memory that is left."""
+
+MEASURE_INTERVAL_S = 0.1
+"""Interval at which sizes are measured while memory is short."""
+
 
 class BufferedAnswers:
     """The sizes of the answers that are being received, by connection.
@@ -22,6 +36,8 @@
     measure : callable or None
         Returns the present size of the answer on a connection; without it the
         recorded sizes count.
+    clock : callable
+        Returns monotonic seconds.
 
     Examples
     --------
@@ -35,12 +51,22 @@
     given up
     >>> answers.total_bytes
     20
+    >>> answers.allowance(80), answers.allowance(200)
+    (80, 110)
     """
 
-    def __init__(self, *, limit_bytes=MAX_BUFFERED_BYTES, measure=None):
+    def __init__(
+        self,
+        *,
+        limit_bytes=MAX_BUFFERED_BYTES,
+        measure=None,
+        clock=time.monotonic,
+    ):
         """Start without answers."""
         self._limit_bytes = limit_bytes
         self._measure = measure
+        self._clock = clock
+        self._measured_s = 0.0
         self._sizes = {}
         self._total_bytes = 0
 
@@ -49,6 +75,26 @@
         """Bytes that are buffered now."""
         return self._total_bytes
 
+    def allowance(self, most_bytes):
+        """Return how much of an answer may be buffered before it is held up.
+
+        The threshold is dynamic: each answer may take a multiple of what all
+        leave, so that a few may be large, and many leave some for the next.
+
+        Parameters
+        ----------
+        most_bytes : int
+            What it may take while others take nothing.
+        """
+        allowed = self._share()
+        if allowed < most_bytes and self._measure:
+            now_s = self._clock()
+            if now_s - self._measured_s >= MEASURE_INTERVAL_S:
+                self._measured_s = now_s
+                self._update_sizes()
+                allowed = self._share()
+        return max(0, min(most_bytes, allowed))
+
     def record(self, connection, size_bytes):
         """Record how much of the answer on a connection is buffered.
 
@@ -63,9 +109,16 @@
         if size_bytes:
             self._sizes[connection] = size_bytes
         if self._total_bytes > self._limit_bytes and self._measure:
-            self._sizes = {c: self._measure(c) for c in self._sizes}
-            self._total_bytes = sum(self._sizes.values())
+            self._update_sizes()
         while self._total_bytes > self._limit_bytes:
             largest = max(self._sizes, key=self._sizes.get)
             self._total_bytes -= self._sizes.pop(largest)
             largest.give_up()
+
+    def _share(self):
+        shared_bytes = int(SHARED_PART * self._limit_bytes)
+        return SHARE_FACTOR * (shared_bytes - self._total_bytes)
+
+    def _update_sizes(self):
+        self._sizes = {c: self._measure(c) for c in self._sizes}
+        self._total_bytes = sum(self._sizes.values())
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -101,6 +101,8 @@
         self._kept = 0
         self._unparsed = b""
         self._paused = False
+        self._paused_s = 0.0
+        self._ended = self._loop.create_future()
         self._idle_since_s = 0.0
         self._keep_alive_s = None
         self._reusable = False
@@ -171,9 +173,19 @@
         return self._phase
 
     @property
-    def is_paused(self):
-        """Whether the rest of an answer stays unread for now."""
-        return self._paused
+    def held_up_s(self):
+        """Seconds for which the rest of an answer has stayed unread."""
+        return self._loop.time() - self._paused_s if self._paused else 0.0
+
+    @property
+    def has_ended(self):
+        """Whether nothing more of the present answer will come."""
+        return self._parser.has_ended or self._close_reason is not None
+
+    @property
+    def ended(self):
+        """Future that is done once nothing more of the answer will come."""
+        return self._ended
 
     @property
     def has_received(self):
@@ -234,6 +246,7 @@
         self._method = outgoing.method
         self._reusable = False
         self._phase = ExchangePhase.AWAITING_ANSWER
+        self._ended = self._loop.create_future()
         self._transport.write(self._parser.begin(outgoing))
         self._peer.record_write()
         if self._traffic is not None:
@@ -339,8 +352,7 @@
                 self._receive(step)
             except h11.RemoteProtocolError as exc:
                 self._fail_malformed(f"invalid HTTP response: {exc}")
-        if self._paused or self._unparsed or self._unread > MAX_UNREAD_BYTES:
-            self._update_reading()
+        self._update_reading()
         if self._unparsed and not self._parser.has_ended:
             self._loop.call_soon(self._parse_step)
 
@@ -349,6 +361,7 @@
             self._phase = ExchangePhase.WITHIN_ANSWER
             self._add_event(event)
             self._wake()
+        self._mark_ended()
 
     def _add_event(self, event):
         """Append an event; small parts of a body become one."""
@@ -375,10 +388,13 @@
         """Pause reading while there are bytes to parse, or many to read."""
         if self._close_reason is not None:
             return
-        limit = MAX_UNREAD_BYTES // (2 if self._paused else 1)
+        limit = self._buffered.allowance(MAX_UNREAD_BYTES)
+        if self._paused:
+            limit //= 2
         pauses = bool(self._unparsed) or self._unread > limit
         if pauses and not self._paused:
             self._transport.pause_reading()
+            self._paused_s = self._loop.time()
         elif self._paused and not pauses:
             self._transport.resume_reading()
         self._paused = pauses
@@ -400,6 +416,11 @@
     def _wake(self):
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
+        self._mark_ended()
+
+    def _mark_ended(self):
+        if self.has_ended and not self._ended.done():
+            self._ended.set_result(None)
 
     def _fail(self, reason):
         if self._close_reason is None:
--- a/currantdeal/node/http_request.py
+++ b/currantdeal/node/http_request.py
@@ -82,13 +82,13 @@
         self.started = True
         self._writer.send_head(status, headers, framing)
 
-    async def send(self, data, *, holds_up=lambda: False):
+    async def send(self, data, source):
         """Send a part of the body; wait while the caller reads slowly.
 
         See ``ResponseWriter.writable``.
         """
         self._writer.send_body(data)
-        await self._writer.writable(holds_up=holds_up)
+        return await self._writer.writable(source)
 
     def finish(self):
         """End the response in order, which completes a framed one."""
--- a/currantdeal/node/response_writer.py
+++ b/currantdeal/node/response_writer.py
@@ -20,6 +20,12 @@
 """
 
 
+MAX_READ_AHEAD_BYTES = 8_388_608
+"""Unsent bytes of one answer up to which the rest of it is received.
+
+An upstream that has sent all is free for others.
+"""
+
 MAX_UNTAKEN_S = 2.0
 """Time for which a caller may take nothing while its upstream waits.
 
@@ -27,6 +33,9 @@
 it until then.
 """
 
+CHECK_INTERVAL_S = 0.5
+"""Interval at which it is checked whether the caller has taken anything."""
+
 
 class ResponseWriter:
     """Writes one response after the other to a connection.
@@ -46,7 +55,8 @@
         self._transport = transport
         self._peer = peer
         self._unsent = unsent
-        transport.set_write_buffer_limits(high=MAX_UNCOUNTED_BYTES, low=0)
+        self._high_bytes = MAX_UNCOUNTED_BYTES
+        self._set_low_bytes(0)
         self._http = None
         self._keeps_open = None
         self._drained = None
@@ -113,29 +123,50 @@
             self._drained.set_result(None)
         self._drained = None
         self._unsent.record(self, 0)
+        if not self._transport.is_closing():
+            # This pauses again if only a part was to be taken.
+            self._set_low_bytes(0)
 
-    async def writable(self, *, holds_up=lambda: False):
-        """Wait while the caller reads slowly.
+    async def writable(self, source):
+        """Wait while the caller reads slowly and more is to come.
 
         Parameters
         ----------
-        holds_up : callable
-            Whether that keeps an upstream's answer unread.
+        source : UpstreamConnection
+            Sends the rest of the answer.
+
+        Returns
+        -------
+        bool
+            Whether that took time.
 
         Raises
         ------
         SlowCallerError
-            If it does while the caller takes nothing for ``MAX_UNTAKEN_S``.
+            If the upstream is held up for ``MAX_UNTAKEN_S`` while the caller
+            takes nothing.
         """
-        while (drained := self._drained) is not None:
-            unsent = self.unsent_bytes
-            done, _ = await asyncio.wait({drained}, timeout=MAX_UNTAKEN_S)
-            if not done and holds_up() and self.unsent_bytes >= unsent:
+        loop = asyncio.get_running_loop()
+        untaken, taken_s = self.untaken_bytes, loop.time()
+        has_waited = False
+        while self._exceeds_allowance() and not source.has_ended:
+            held_up_s = min(source.held_up_s, loop.time() - taken_s)
+            if held_up_s >= MAX_UNTAKEN_S:
                 raise SlowCallerError("the caller takes nothing")
+            has_waited = True
+            await asyncio.wait(
+                {self._drained, source.ended},
+                timeout=CHECK_INTERVAL_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if self.untaken_bytes < untaken:
+                taken_s = loop.time()
+            untaken = self.untaken_bytes
+        return has_waited
 
     @property
     def unsent_bytes(self):
-        """Bytes that the caller has not taken."""
+        """Bytes that have not left this process."""
         return self._transport.get_write_buffer_size()
 
     @property
@@ -185,6 +216,22 @@
         if self._drained is not None and not self._transport.is_closing():
             self._unsent.record(self, self.unsent_bytes)
 
+    def _exceeds_allowance(self):
+        """Return whether too much is unsent, and ask to be resumed if so."""
+        if self._drained is None:
+            return False
+        allowed = self._unsent.allowance(MAX_READ_AHEAD_BYTES)
+        if self.unsent_bytes <= allowed:
+            return False
+        self._set_low_bytes(allowed // 2)
+        return True
+
+    def _set_low_bytes(self, low_bytes):
+        """Set the unsent bytes at which writers continue."""
+        self._transport.set_write_buffer_limits(
+            high=max(self._high_bytes, low_bytes), low=low_bytes
+        )
+
     def _set_reset_on_close(self, enabled):
         sock = self._transport.get_extra_info("socket")
         set_reset_on_close(sock, enabled)
@@ -195,7 +242,8 @@
         if self._transport.is_closing():
             return
         self._set_reset_on_close(True)
-        self._transport.set_write_buffer_limits(high=0)
+        self._high_bytes = 0
+        self._set_low_bytes(0)
         self._write(_encode_head(response))
 
 
--- a/currantdeal/node/tests/test_buffered_answers.py
+++ b/currantdeal/node/tests/test_buffered_answers.py
@@ -5,7 +5,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from currantdeal.node.buffered_answers import BufferedAnswers
+from currantdeal.node.buffered_answers import (
+    MEASURE_INTERVAL_S,
+    SHARED_PART,
+    BufferedAnswers,
+)
 
 LIMIT_BYTES = 100
 
@@ -65,3 +69,31 @@
     answers.record(idle, idle.unsent)
     assert not taking.given_up and not idle.given_up
     assert answers.total_bytes == 61
+
+
+@given(st.lists(st.integers(0, 5), max_size=200))
+def test_answers_that_keep_to_their_allowance_leave_a_part(order):
+    """Guards against slow callers whose answers displace those of others."""
+    answers = BufferedAnswers(limit_bytes=LIMIT_BYTES)
+    connections = [_Connection() for _ in range(6)]
+    sizes = [0] * len(connections)
+    for number in order:
+        if sizes[number] < answers.allowance(LIMIT_BYTES // 2):
+            sizes[number] += 1
+            answers.record(connections[number], sizes[number])
+    assert sum(sizes) <= SHARED_PART * LIMIT_BYTES
+    assert not any(connection.given_up for connection in connections)
+
+
+def test_allowance_is_of_what_is_left_now():
+    """Guards against memory that counts as used long after it was taken."""
+    now_s = 1.0
+    answers = BufferedAnswers(
+        limit_bytes=100, measure=lambda c: c.unsent, clock=lambda: now_s
+    )
+    caller = _Caller(unsent=75)
+    answers.record(caller, 75)
+    assert answers.allowance(50) == 0
+    caller.unsent = 10
+    now_s += MEASURE_INTERVAL_S
+    assert answers.allowance(50) == 50
--- a/currantdeal/testing/stalled_peers.py
+++ b/currantdeal/testing/stalled_peers.py
@@ -5,11 +5,17 @@
 import socket
 import struct
 
-from currantdeal.testing.platform_upstream import StandInUpstream
+from currantdeal.testing.platform_upstream import (
+    StandInUpstream,
+    send_chunk,
+)
 
 SMALL_BUFFER_BYTES = 4_096
 """Receive buffer of a peer whose window closes after a few bytes."""
 
+EVENT_BYTES = 16_384
+"""Data of one event of a large stream."""
+
 _SO_ATTACH_FILTER = 26
 _DROP_ALL = struct.pack("HBBI", 6, 0, 0, 0)
 """A socket filter of one instruction: return 0 bytes of each packet."""
@@ -53,6 +59,43 @@
     return bytes(received)
 
 
+def stream_of(next_size, *, duration_s=0.0, is_framed=True):
+    """Return a script that answers generations with events of many bytes.
+
+    Parameters
+    ----------
+    next_size : callable
+        Returns the bytes of data of the next answer.
+    duration_s : float
+        Time over which its events are spread.
+    is_framed : bool
+        Whether it is sent in chunks; otherwise its connection ends it.
+    """
+
+    async def script(standin, request, writer):
+        if not request.is_generation or request.is_prefill:
+            return False
+        size = next_size()
+        standin.begin_stream(request, writer, is_framed=is_framed)
+        count = -(-size // EVENT_BYTES)
+        for number in range(count):
+            data = b"x" * min(EVENT_BYTES, size - number * EVENT_BYTES)
+            event = b"id: %d\ndata: %s\n\n" % (number + 1, data)
+            if is_framed:
+                send_chunk(writer, event)
+            else:
+                writer.write(event)
+            await writer.drain()
+            await asyncio.sleep(duration_s / count)
+        if is_framed:
+            writer.write(b"0\r\n\r\n")
+        else:
+            writer.close()
+        return True
+
+    return script
+
+
 class LateReader(StandInUpstream):
     """An upstream that reads nothing of a new connection for a while.
 
