End a stream that is ready when its deadline passes

What callers saw: no answer, or one that was cut, if the deadline passed in the moment in which the whole rest had arrived, as after a pause of the process.

Cause: the timer that ends the request ran before the task that forwards what was received.

Change: if nothing of the answer is missing when the deadline passes, it is forwarded and ended in order; otherwise it is cut as before.

--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -355,14 +355,7 @@
 
     async def _stream(self, connection, record, sent_s):
         context, active = self._context, self._active
-        try:
-            head = await self._wait.receive(
-                connection.head, connection, record
-            )
-        except asyncio.CancelledError:
-            if active.time_left_s(self._now_s) <= 0.0:
-                context.eject(record, context.health)
-            raise
+        head = await self._receive_head(connection, record)
         metadata = context.read_response(record, head, sent_s=sent_s)
         if metadata.not_run:
             await connection.skip_rest()
@@ -385,11 +378,7 @@
         context.record_reached(record)
         began_s = self._now_s
         timer = EventTimer()
-        is_ended = await self._relay.forward_events(
-            head,
-            lambda: self._next_chunk(connection, record, timer),
-            source=connection,
-        )
+        is_ended = await self._forward(head, connection, record, timer)
         events, position = self._events_of_run, self._relay.position
         record_end(context, active, record, head, events, position)
         if not self._relay.was_held_up:
@@ -401,6 +390,42 @@
             self._reason = "the end of a resumed run is unknown"
         return is_ended
 
+    async def _receive_head(self, connection, record):
+        try:
+            return await self._wait.receive(
+                connection.head, connection, record
+            )
+        except asyncio.CancelledError:
+            if self._is_ready_late(connection):
+                return await connection.head()
+            if self._active.time_left_s(self._now_s) <= 0.0:
+                self._context.eject(record, self._context.health)
+            raise
+
+    async def _forward(self, head, connection, record, timer):
+        """Forward a run, see ``EventRelay.forward_events``.
+
+        An answer of which nothing is missing is forwarded also if the
+        deadline has passed.
+        """
+        try:
+            return await self._relay.forward_events(
+                head,
+                lambda: self._next_chunk(connection, record, timer),
+                source=connection,
+            )
+        except asyncio.CancelledError:
+            if not self._is_ready_late(connection):
+                raise
+            return await self._relay.forward_rest(
+                head, connection.chunk, source=connection
+            )
+
+    def _is_ready_late(self, connection):
+        """Return whether a whole answer is here when the deadline passes."""
+        has_passed = self._active.time_left_s(self._now_s) <= 0.0
+        return has_passed and connection.is_answered
+
     def _count_run(self):
         """Count the present run, which may have begun, once."""
         if not self._is_run_counted:
--- a/currantdeal/entry/relay.py
+++ b/currantdeal/entry/relay.py
@@ -99,6 +99,13 @@
             If the run was broken off.
         """
         self._choose_body(head)
+        return await self.forward_rest(head, next_chunk, source=source)
+
+    async def forward_rest(self, head, next_chunk, *, source):
+        """Go on with a run of which a part may be forwarded.
+
+        See ``forward_events``.
+        """
         while (data := await next_chunk()) is not None:
             complete = self._body.feed(data)
             if self._body.is_endless:
--- a/currantdeal/entry/tests/test_slow_callers.py
+++ b/currantdeal/entry/tests/test_slow_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import time
 
 import pytest
 import structlog
@@ -14,7 +15,9 @@
     request_bytes,
 )
 from currantdeal.testing.platform_upstream import (
+    EVENTS,
     StandInUpstream,
+    event_numbers,
 )
 from currantdeal.testing.stalled_peers import exchange_with_stall, stream_of
 
@@ -185,3 +188,28 @@
     answer, pause_s = asyncio.run(run())
     assert _is_whole(answer, size)
     assert pause_s < 0.5
+
+
+def test_end_of_a_stream_is_delivered_after_a_pause_past_the_deadline():
+    """Guards against an abort when a whole answer and its deadline coincide.
+
+    The process stands still from the moment the answer is sent.
+    """
+    patience_s = 0.5
+
+    async def pause(standin, request, writer):
+        if not request.is_generation or request.is_prefill:
+            return False
+        await standin.answer(request, writer)
+        time.sleep(patience_s)
+        return True
+
+    async def run():
+        engines = await _start_engines(pause)
+        async with entry_world(config=CONFIG) as world:
+            world.announce_engines(*engines)
+            return await world.exchange(_note(patience_s=patience_s))
+
+    answer = asyncio.run(run())
+    assert event_numbers(answer) == list(range(1, EVENTS + 1))
+    assert answer.endswith(b"0\r\n\r\n")
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -182,6 +182,11 @@
         """Whether nothing more of the present answer will come."""
         return self._parser.has_ended or self._close_reason is not None
 
+    @property
+    def is_answered(self):
+        """Whether the whole present answer has been received."""
+        return self._parser.has_ended
+
     @property
     def ended(self):
         """Future that is done once nothing more of the answer will come."""
