Play callers and upstreams that stop to read beside planned work

Real processes, upstreams that do what a header of the request says, and callers with small receive buffers, judged as rule LOST judges requests.

The two scenarios with a stop fail on (KNOWN-RED.txt).

--- /dev/null
+++ b/currantdeal/cli/tests/test_stalling_peers.py
@@ -0,0 +1,75 @@
+"""Callers and upstreams that stop to read, beside planned work."""
+
+import asyncio
+import signal
+
+import pytest
+
+from currantdeal.testing.stall_play import StallPlay
+
+SCALE = 0.4
+"""Multiple of the rates of a play by hand."""
+
+CALLS_S = 8.0
+CUT_S = 5.0
+UNANSWERED = ("lost", "wrong", "failed")
+
+
+async def _at_rest(play):
+    await play.call_beside(asyncio.sleep(CALLS_S))
+
+
+async def _stop(play):
+    await play.call_beside(play.stop_entry())
+
+
+async def _reload(play):
+    async def work():
+        await asyncio.sleep(CALLS_S / 2)
+        play.entry.send_signal(signal.SIGHUP)
+        await play.put_config()
+        await asyncio.sleep(CALLS_S / 2)
+
+    await play.call_beside(work())
+
+
+async def _through_helper(play):
+    play.cut_entry()
+    await asyncio.sleep(CUT_S)
+    await play.wait_serving()
+    await _at_rest(play)
+
+
+async def _stop_through_helper(play):
+    play.cut_entry()
+    await asyncio.sleep(CUT_S)
+    await play.wait_serving()
+    await _stop(play)
+
+
+SCENARIOS = [
+    _at_rest,
+    pytest.param(_stop, marks=pytest.mark.known_red),
+    _reload,
+    _through_helper,
+    pytest.param(_stop_through_helper, marks=pytest.mark.known_red),
+]
+
+
+@pytest.mark.parametrize("scenario", SCENARIOS)
+def test_peers_that_stop_to_read_cost_no_answer(tmp_path, scenario):
+    """Guards against slow peers that are cut as if they were gone."""
+    play = StallPlay(folder=tmp_path, seed=1, scale=SCALE)
+    play.play(scenario)
+    verdicts = play.verdicts()
+    assert [
+        (verdict, end.call.row, end.request_id, end.how, end.status)
+        for end, verdict in verdicts
+        if verdict in UNANSWERED
+    ] == []
+    assert play.failed_tasks() == []
+    for row in play.rows:
+        served = [
+            end for end, v in verdicts if v == "served" and end.call.row == row
+        ]
+        assert len(served) >= 5, row
--- a/currantdeal/testing/answer_shapes.py
+++ b/currantdeal/testing/answer_shapes.py
@@ -214,12 +214,14 @@
 
 def _join_chunks(rest):
     """Return the joined chunks, and whether the last one is there."""
-    parts = []
-    while rest:
-        size, _, rest = rest.partition(b"\r\n")
+    parts, at = [], 0
+    while at < len(rest):
+        end = rest.find(b"\r\n", at)
+        size = rest[at : len(rest) if end < 0 else end]
+        at += len(size) + 2
         length = int(size or b"0", 16)
         if not length:
             return b"".join(parts), True
-        parts.append(rest[:length])
-        rest = rest[length + 2 :]
+        parts.append(rest[at : at + length])
+        at += length + 2
     return b"".join(parts), False
--- a/currantdeal/testing/platform_upstream.py
+++ b/currantdeal/testing/platform_upstream.py
@@ -8,7 +8,7 @@
 import json
 import re
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 HEALTH_PATH = "/h"
 """Path of health checks in the configuration of the tests."""
@@ -256,8 +256,15 @@
     writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
 
-async def read_request(reader):
-    """Read the next request; return None at the end of the connection."""
+async def read_request(reader, *, before_body=None):
+    """Read the next request; return None at the end of the connection.
+
+    Parameters
+    ----------
+    before_body : callable or None
+        Coroutine function that is called with the request without its body
+        before the body is read.
+    """
     line = await reader.readline()
     if not line:
         return None
@@ -266,8 +273,13 @@
     while (line := await reader.readline()) not in (b"\r\n", b""):
         name, _, value = line.decode("latin-1").partition(":")
         headers.append((name.strip().lower(), value.strip()))
-    length = int(dict(headers).get("content-length", 0))
-    body = await reader.readexactly(length) if length else b""
-    return ReceivedRequest(
-        method=method, target=target, headers=tuple(headers), body=body
+    request = ReceivedRequest(
+        method=method, target=target, headers=tuple(headers), body=b""
     )
+    length = int(request.get("content-length") or 0)
+    if not length:
+        return request
+    if before_body is not None:
+        await before_body(request)
+    body = await reader.readexactly(length)
+    return replace(request, body=body, received_s=time.monotonic())
--- /dev/null
+++ b/currantdeal/testing/scripted_upstream.py
@@ -0,0 +1,214 @@
+"""Provide a stand-in upstream that works as each request asks it to."""
+
+import asyncio
+import contextlib
+import time
+from dataclasses import asdict, dataclass
+from functools import partial
+
+import msgspec
+
+from currantdeal.testing.platform_upstream import (
+    ReceivedRequest,
+    StandInUpstream,
+    read_request,
+    send_chunk,
+    send_json,
+)
+from currantdeal.testing.stalled_peers import (
+    SMALL_BUFFER_BYTES,
+    drop_packets,
+    small_socket,
+)
+
+SCRIPT_HEADER = "X-Script"
+"""Header of a request that holds its ``Script`` as JSON."""
+
+_HANDLE = {"KvHandle": "kv-1", "Tokens": 9, "Version": 1}
+
+
+@dataclass(frozen=True, kw_only=True)
+class Script:
+    """How upstreams handle a request.
+
+    Parameters
+    ----------
+    untaken_s : float
+        Seconds for which nothing of the body is read.
+    prefill_s : float
+        Duration of the prefill of a generation.
+    work_s : float
+        Seconds before the answer begins.
+    events, event_bytes : int
+        Number of events of a stream, or of equal parts of another answer,
+        and their sizes.
+    gap_s : float
+        Seconds between two events.
+    pause_s : float
+        Further seconds before the event in the middle.
+    vanishes : bool
+        Whether its host loses power before the body is read.
+    """
+
+    untaken_s: float = 0.0
+    prefill_s: float = 0.0
+    work_s: float = 0.0
+    events: int = 1
+    event_bytes: int = 100
+    gap_s: float = 0.0
+    pause_s: float = 0.0
+    vanishes: bool = False
+
+    @property
+    def header(self):
+        """The line of the header that carries this script."""
+        return f"{SCRIPT_HEADER}: {msgspec.json.encode(asdict(self)).decode()}"
+
+    def part(self, number):
+        """Return the bytes of an event, numbered from 1."""
+        head = b"id: %d\ndata: " % number
+        return head.ljust(self.event_bytes - 2, b"x") + b"\n\n"
+
+    def body(self):
+        """Return the whole body of an answer."""
+        return b"".join(self.part(n + 1) for n in range(self.events))
+
+
+@dataclass(kw_only=True)
+class Work:
+    """The work of an upstream on a request.
+
+    Parameters
+    ----------
+    request : ReceivedRequest
+        The request.
+    upstream : str
+        The upstream.
+    began_s, ended_s : float
+        When it began, and when all of its answer was handed to the kernel.
+    """
+
+    request: ReceivedRequest
+    upstream: str
+    began_s: float
+    ended_s: float = float("inf")
+
+
+class ScriptedUpstream(StandInUpstream):
+    """An upstream with small buffers that follows the ``Script`` of a request.
+
+    Parameters
+    ----------
+    owners : currantdeal.testing.cut_upstream.SocketOwners or None
+        Tells which process has opened a connection.
+
+    Attributes
+    ----------
+    works : list of Work
+        Work on generations and plain requests, prefills among them.
+    refused : set of int
+        Ids of processes whose connections are reset.
+    """
+
+    def __init__(self, *, owners=None, **options):
+        """Create a stand-in that does not listen before ``start``."""
+        super().__init__(**options)
+        self.works = []
+        self.refused = set()
+        self._owners = owners
+        self._writers = {}
+
+    async def start(self, host="127.0.0.1", port=0):
+        """Listen with a small receive buffer."""
+        sock = small_socket()
+        sock.bind((host, port))
+        self._server = await asyncio.start_server(
+            self._serve, sock=sock, limit=SMALL_BUFFER_BYTES
+        )
+        self.address = "{}:{}".format(*sock.getsockname())
+        self.incarnation += 1
+        self.is_up = True
+
+    def refuse(self, process_ids):
+        """Reset the open connections and all new ones of some processes."""
+        self.refused.update(process_ids)
+        for writer, owner in tuple(self._writers.items()):
+            if owner in self.refused:
+                writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(
+            OSError, asyncio.IncompleteReadError, asyncio.CancelledError
+        ):
+            owner = await self._owner_of(writer)
+            if owner in self.refused:
+                writer.transport.abort()
+                return
+            self._writers[writer] = owner
+            while await self._serve_one(reader, writer):
+                pass
+        self._writers.pop(writer, None)
+        writer.close()
+
+    async def _owner_of(self, writer):
+        if self._owners is None:
+            return None
+        ends = [writer.get_extra_info(n) for n in ("peername", "sockname")]
+        return await self._owners.owner_of(*ends)
+
+    async def _serve_one(self, reader, writer):
+        request = await read_request(
+            reader, before_body=partial(_stall, writer)
+        )
+        if request is None:
+            return False
+        self.requests.append(request)
+        script = script_of(request)
+        if script is None or request.is_system_call:
+            if not (self.script and await self.script(self, request, writer)):
+                await self.answer(request, writer)
+            return True
+        work = Work(
+            request=request,
+            upstream=self.upstream,
+            began_s=time.monotonic(),
+        )
+        self.works.append(work)
+        if request.is_prefill:
+            await asyncio.sleep(script.prefill_s)
+            send_json(request, writer, _HANDLE)
+        elif request.is_generation:
+            await self._send_stream(request, writer, script)
+        else:
+            await asyncio.sleep(script.work_s)
+            self.send(request, writer, 200, script.body())
+        await writer.drain()
+        work.ended_s = time.monotonic()
+        return True
+
+    async def _send_stream(self, request, writer, script):
+        await asyncio.sleep(script.work_s)
+        self.begin_stream(request, writer)
+        first = int(request.get("Last-Event-Id") or 0) + 1
+        for number in range(first, script.events + 1):
+            if number == script.events // 2 + 1:
+                await asyncio.sleep(script.pause_s)
+            await asyncio.sleep(script.gap_s)
+            send_chunk(writer, script.part(number))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+
+
+def script_of(request):
+    """Return the ``Script`` of a ``ReceivedRequest``, or None."""
+    raw = request.get(SCRIPT_HEADER)
+    return msgspec.json.decode(raw, type=Script) if raw else None
+
+
+async def _stall(writer, request):
+    script = script_of(request)
+    if script is None:
+        return
+    if script.vanishes:
+        drop_packets(writer.get_extra_info("socket"))
+    await asyncio.sleep(script.untaken_s)
--- /dev/null
+++ b/currantdeal/testing/stall_play.py
@@ -0,0 +1,192 @@
+"""Plays slow callers and upstreams beside planned work on real processes."""
+
+import asyncio
+import json
+import random
+import signal
+import time
+from functools import partial
+
+from currantdeal.testing.cut_upstream import SocketOwners
+from currantdeal.testing.entry_world import LIMITS, config_body
+from currantdeal.testing.loop_watch import LoopWatch
+from currantdeal.testing.node_processes import NodeCluster
+from currantdeal.testing.scripted_upstream import ScriptedUpstream
+from currantdeal.testing.stall_verdicts import (
+    GRACE_S,
+    judge,
+    works_by_request,
+)
+from currantdeal.testing.stalling_caller import RowCallers, StallingCall
+from currantdeal.testing.stalling_rows import KINDS, ROWS
+from currantdeal.testing.upstream_fleet import UpstreamFleet
+
+START_S = 30.0
+BEFORE_S = 5.0
+"""Seconds for which callers come before the planned work."""
+
+TIMEOUT_S = 14.0
+TARGET_S = 1.0
+
+
+class StallPlay:
+    """Three control processes, three entries, upstreams and slow callers.
+
+    Callers go to the first entry.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Folder for settings, logs and data folders.
+    seed : int
+        Seed of the callers.
+    rows : tuple
+        See ``stalling_rows.ROWS``.
+    scale : float
+        Multiple of the rows' rates.
+
+    Attributes
+    ----------
+    callers : RowCallers
+        The callers, with the ends of their calls.
+    signalled_s : float
+        When the first entry was signalled to stop; infinite before.
+    """
+
+    def __init__(self, *, folder, seed=1, rows=ROWS, scale=1.0):
+        """Start nothing before ``play``."""
+        self.cluster = NodeCluster(folder=folder, control=3, entries=3)
+        self.fleet = UpstreamFleet(
+            cluster=self.cluster,
+            services=12,
+            engines=20,
+            prefills=10,
+            make_standin=partial(
+                ScriptedUpstream,
+                owners=SocketOwners(process_ids=self._process_ids),
+            ),
+        )
+        self.callers = RowCallers(
+            addresses=lambda: callers_addresses(self.cluster.entries[:1]),
+            rng=random.Random(seed),
+            rows=rows,
+            scale=scale,
+        )
+        self.signalled_s = float("inf")
+        self.watch = LoopWatch()
+        self._version = 0
+
+    @property
+    def rows(self):
+        """The names of the rows whose calls have ended."""
+        return sorted({end.call.row for end in self.callers.ends})
+
+    @property
+    def entry(self):
+        """The entry that callers go to."""
+        return self.cluster.entries[0]
+
+    def play(self, scenario):
+        """Run a coroutine function of this object beside the callers.
+
+        It ends once the last call has ended.
+        """
+        asyncio.run(self._play(scenario))
+
+    async def _play(self, scenario):
+        with self.cluster:
+            await self.put_config()
+            await self.fleet.start()
+            await self.wait_serving()
+            watch = asyncio.ensure_future(self.watch.run())
+            try:
+                await scenario(self)
+            finally:
+                watch.cancel()
+                self.fleet.stop()
+
+    async def put_config(self):
+        """Send a new version of the configuration."""
+        self._version += 1
+        body = config_body(
+            version=self._version,
+            timeout_ms=int(TIMEOUT_S * 1e3),
+            target_ms=int(TARGET_S * 1e3),
+            limits={
+                **LIMITS,
+                "HeaderTimeoutMs": 5_000,
+                "IdleTimeoutMs": 15_000,
+            },
+        )
+        await asyncio.to_thread(self.cluster.put_config, body)
+
+    async def wait_serving(self):
+        """Wait until all entries serve a request of each kind."""
+        ends_s = time.monotonic() + START_S
+        for place in callers_addresses(self.cluster.entries).items():
+            for kind in KINDS:
+                call = StallingCall(row="first", kind=kind, deadline_s=1.0)
+                while not (await self.callers.send(*place, call)).served:
+                    if time.monotonic() > ends_s:
+                        raise TimeoutError(f"{kind} is not served")
+                    await asyncio.sleep(0.1)
+
+    async def call_beside(self, work):
+        """Let callers come while a coroutine runs; wait for their ends."""
+        self.callers.start()
+        await work
+        await self.callers.stop()
+
+    async def stop_entry(self):
+        """Stop the entry after some seconds, and wait until it has ended."""
+        await asyncio.sleep(BEFORE_S)
+        self.signalled_s = time.monotonic()
+        self.entry.send_signal(signal.SIGTERM)
+        return await asyncio.to_thread(self.entry.wait, GRACE_S + 2.0)
+
+    def cut_entry(self):
+        """Cut the entry from all upstreams; the others remain its way."""
+        for standin in self.fleet.standins.values():
+            standin.refuse({self.entry.process_id})
+
+    def works(self):
+        """Return the lists of ``Work`` by request id, prefills left out."""
+        return works_by_request(self.fleet.standins.values())
+
+    def verdicts(self):
+        """Return pairs of a ``CallEnd`` and its verdict, see ``judge``."""
+        works = self.works()
+        return [
+            (end, judge(end, works.get(end.request_id, ()), self.signalled_s))
+            for end in self.callers.ends
+        ]
+
+    def failed_tasks(self):
+        """Return the log lines of tasks that failed, of all processes."""
+        return [
+            line
+            for process in self.cluster.processes
+            for line in process.lines
+            if line.get("event") == "task-failed"
+        ]
+
+    def log_lines(self, request_id):
+        """Return the lines of all entries that name a request."""
+        return [
+            json.dumps(line)
+            for process in self.cluster.entries
+            for line in process.lines
+            if line.get("request") == request_id
+        ]
+
+    def _process_ids(self):
+        return [e.process_id for e in self.cluster.entries if e.is_running]
+
+
+def callers_addresses(entries):
+    """Return host and port for callers by the names of entry processes."""
+    found = {}
+    for entry in entries:
+        host, _, port = entry.settings["listen"]["callers"].rpartition(":")
+        found[entry.settings["instance"]] = (host, int(port))
+    return found
--- a/currantdeal/testing/upstream_fleet.py
+++ b/currantdeal/testing/upstream_fleet.py
@@ -15,15 +15,20 @@
     ----------
     cluster : currantdeal.testing.node_processes.NodeCluster
         Cluster whose control processes receive the heartbeats.
-    services, engines : int
-        Number of plain upstreams and of decode engines. There are always two
-        prefill engines.
+    services, engines, prefills : int
+        Number of plain upstreams, of decode engines and of prefill engines.
     make_standin : callable
         Creates the ``StandInUpstream`` with a name, passed as ``upstream``.
     """
 
     def __init__(
-        self, *, cluster, services=6, engines=4, make_standin=StandInUpstream
+        self,
+        *,
+        cluster,
+        services=6,
+        engines=4,
+        prefills=2,
+        make_standin=StandInUpstream,
     ):
         """Create the upstreams; they do not listen before ``start``."""
         self._cluster = cluster
@@ -32,7 +37,7 @@
             self._upstreams[f"s{number}"] = ("shop", {})
         for number in range(engines):
             self._upstreams[f"d{number}"] = ("model", _stage("decode"))
-        for number in range(2):
+        for number in range(prefills):
             self._upstreams[f"p{number}"] = ("model", _stage("prefill"))
         self.standins = {
             name: make_standin(upstream=name) for name in self._upstreams
