--- a/benchmarks/soak_nodes.py
+++ b/benchmarks/soak_nodes.py
@@ -80,6 +80,7 @@
         self.early_exits = 0
         self.loop_watch = LoopWatch()
         self.attempts = []
+        self.stops = []
         self._sent = {}
         self._acknowledged = []
         self._version = 0
@@ -201,7 +202,7 @@
         while True:
             self._version += self.rng.randint(1, 3)
             version = self._version
-            body = config_body(version=version, timeout_ms=3_000 + version)
+            body = self._config_body(version)
             self._sent[version] = body
             status = 0
             while status != 200:
@@ -210,6 +211,10 @@
             self._acknowledged.append((now_s, version))
             await asyncio.sleep(self.rng.choice((0.05, 0.3, 1.5)))
 
+    def _config_body(self, version):
+        """Return the bytes of a version of the configuration."""
+        return config_body(version=version, timeout_ms=3_000 + version)
+
     async def _read_config(self):
         loop = asyncio.get_running_loop()
         while True:
@@ -280,6 +285,7 @@
         name = entry.settings["instance"]
         loop = asyncio.get_running_loop()
         signalled_s = loop.time()
+        self.stops.append((name, signalled_s))
         entry.send_signal(signal.SIGTERM)
         try:
             status = await asyncio.to_thread(entry.wait, STOP_S)
--- a/benchmarks/soak_runs.py
+++ b/benchmarks/soak_runs.py
@@ -19,6 +19,7 @@
 from benchmarks.soak_repetitions import RepeatingSoak
 from benchmarks.soak_replacements import ReplacingFaultInjector
 from benchmarks.soak_resets import ResettingFaultInjector
+from benchmarks.soak_stalls import StallingFaultInjector, StallingSoak
 
 SOAKS = {
     "random": (NodeSoak, NodeFaultInjector),
@@ -29,6 +30,7 @@
     "ending": (EndingSoak, ResettingFaultInjector),
     "repeating": (RepeatingSoak, NodeFaultInjector),
     "departing": (DepartingSoak, NodeFaultInjector),
+    "stalling": (StallingSoak, StallingFaultInjector),
     "unlinking": (UnlinkingSoak, UnlinkingFaultInjector),
 }
 """Soak class and fault injector by the name of a fault set."""
--- a/benchmarks/tests/test_soak_nodes.py
+++ b/benchmarks/tests/test_soak_nodes.py
@@ -59,6 +59,10 @@
 """Run with entries that are cut from some or all upstreams."""
 
 
+STALLING_SEEDS = (2100,)
+"""Run with callers and upstreams that stop to read."""
+
+
 def _check(seed, *, faults="random"):
     report = run_seed(seed, rounds=1, faults=faults)
     assert report["violations"] == []
@@ -127,6 +131,12 @@
     _check(seed, faults="unlinking")
 
 
+@pytest.mark.parametrize("seed", STALLING_SEEDS)
+def test_promises_hold_beside_peers_that_stop_to_read(seed):
+    """Guards against slow peers that are taken for gone ones."""
+    _check(seed, faults="stalling")
+
+
 @pytest.mark.parametrize("seed", REPEATING_SEEDS)
 def test_promises_hold_beside_upstreams_that_answer_twice(seed):
     """Guards against the answer to another request, late or early."""
