Keep no connection through an entry that has left meanwhile

What callers saw: at an entry whose links to upstreams are cut, requests that came up to seconds after another entry had begun a planned stop were broken off when that one ended.

Cause: when an entry is listed no more, the idle connections through it are closed once. Those in use at that time went back to the pool afterwards and carried further requests until the process ended.

Evidence: the test fails before.

--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -94,7 +94,11 @@
     def release(self, connection):
         """Return a connection to the pool after an exchange, or close it."""
         idle = self._idle.setdefault(connection.address, [])
-        if connection.reusable and len(idle) < MAX_IDLE:
+        if (
+            connection.reusable
+            and len(idle) < MAX_IDLE
+            and self.connector.may_use(connection.helper)
+        ):
             idle.append(connection)
         else:
             connection.close()
--- a/currantdeal/node/connector.py
+++ b/currantdeal/node/connector.py
@@ -153,6 +153,10 @@
         finally:
             _discard((direct, linked), chosen)
 
+    def may_use(self, helper):
+        """Return whether a helper still helps; true without a helper."""
+        return not helper or self.link_client.is_listed(helper)
+
     def _make(self, address, helper=""):
         return self._make_connection(
             address=address, helper=helper, traffic=self.traffic
--- a/currantdeal/node/link_client.py
+++ b/currantdeal/node/link_client.py
@@ -53,6 +53,10 @@
         """Whether any other entry is known."""
         return any(self._groups())
 
+    def is_listed(self, helper):
+        """Return whether an entry may still be asked for help."""
+        return any(helper in group for group in self._groups())
+
     def avoid(self, helper):
         """Ask an entry last for a while, since a link through it was lost."""
         self._choice.record_failure(helper, now_s=_now_s())
--- a/currantdeal/node/tests/test_links.py
+++ b/currantdeal/node/tests/test_links.py
@@ -196,6 +196,24 @@
     return True
 
 
+def test_connection_through_a_helper_that_left_meanwhile_is_not_kept():
+    """Guards against requests that are cut when a stopped helper ends."""
+
+    async def test(world):
+        world.cut()
+        address = world.standin.address
+        connection = await world.pool.open(address)
+        world.pool.release(connection)
+        assert world.pool.is_connected(address)
+        call = PlatformCalls().check_health(address, HEALTH_PATH)
+        connection = await world.pool.acquire(address, call, retryable=True)
+        world.helpers.clear()
+        world.pool.release(connection)
+        assert not world.pool.is_connected(address)
+
+    _run(test, helpers=1)
+
+
 def test_lost_helper_does_not_end_an_answer():
     """Guards against a part taken for whole when the helper is killed."""
 
