--- a/currantdeal/testing/stalling_caller.py
+++ b/currantdeal/testing/stalling_caller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -208,8 +209,13 @@
     def start(self):
         """Let callers come."""
         self._coming = True
+        # Each row draws from a generator of its own, so that the seed alone
+        # determines its calls.
         self._tasks = [
-            asyncio.ensure_future(self._call_row(row)) for row in self._rows
+            asyncio.ensure_future(
+                self._call_row(row, random.Random(self._rng.random()))
+            )
+            for row in self._rows
         ]
 
     async def stop(self):
@@ -224,20 +230,22 @@
         caller.close()
         return end
 
-    async def _call_row(self, row):
+    async def _call_row(self, row, rng):
         tasks = []
         while self._coming:
-            per_s = row.per_s * self._scale
-            await asyncio.sleep(self._rng.expovariate(per_s))
-            tasks.append(asyncio.ensure_future(self._call(row)))
+            await asyncio.sleep(rng.expovariate(row.per_s * self._scale))
+            addresses = self._addresses()
+            place = rng.choice(sorted(addresses.items()))
+            count = rng.randint(1, row.most_calls)
+            calls = [row.draw(rng) for _ in range(count)]
+            tasks.append(asyncio.ensure_future(self._call(place, calls)))
         await asyncio.gather(*tasks)
 
-    async def _call(self, row):
-        addresses = self._addresses()
-        entry = self._rng.choice(sorted(addresses))
-        caller = StallingCaller(entry=entry, address=addresses[entry])
-        for _ in range(self._rng.randint(1, row.most_calls)):
-            end = await caller.send(row.draw(self._rng), self._next_id())
+    async def _call(self, place, calls):
+        entry, address = place
+        caller = StallingCaller(entry=entry, address=address)
+        for call in calls:
+            end = await caller.send(call, self._next_id())
             self.ends.append(end)
             if end.how != "whole":
                 break
