End connections of instances that are gone

What operators saw: nothing; each connection of an instance that lost power kept a thread of every instance that it had called, for good, since the server of calls waits for the next one without a limit and a lost client sends no reset.

Change: a connection without a call for 20 s is closed. Clients reuse none that was idle for 5 s.

--- a/currantdeal/adapters/peers.py
+++ b/currantdeal/adapters/peers.py
@@ -36,6 +36,13 @@
 trip.
 """
 
+SERVER_IDLE_TIMEOUT_S = 4 * MAX_IDLE_AGE_S
+"""Time without a call after which a server closes a connection.
+
+Its client does not reuse it by then.  One that is gone would otherwise hold a
+thread for good.
+"""
+
 MAX_IDLE_PER_ADDRESS = 4
 BACKLOG = 256
 
@@ -66,10 +73,13 @@
         IP number to listen on.
     port : int
         Port to listen on; 0 picks a free one.
+    idle_timeout_s : float
+        Time for which a connection may neither bring nor take any bytes.
     """
 
-    def __init__(self, *, host, port):
+    def __init__(self, *, host, port, idle_timeout_s=SERVER_IDLE_TIMEOUT_S):
         """Bind the listener; nothing is accepted before ``start``."""
+        self._idle_timeout_s = idle_timeout_s
         self._processor = TMultiplexedProcessor()
         self._listener = socket.create_server(
             (host, port), backlog=BACKLOG, reuse_port=False
@@ -120,14 +130,15 @@
     def _serve(self, sock):
         raw_transport = TSocket()
         raw_transport.setHandle(sock)
+        raw_transport.setTimeout(self._idle_timeout_s * 1000.0)
         transport = TFramedTransport(raw_transport)
         protocol = _PROTOCOLS.getProtocol(transport)
         try:
             while not self._stopped:
                 self._processor.process(protocol, protocol)
         except (TException, OSError, EOFError):
-            # The client closed the connection or sent an invalid call.  The
-            # connection is unusable, and the client opens a new one.
+            # The client closed the connection, sent an invalid call or no
+            # call for long.  The client opens a new connection.
             pass
         finally:
             with self._lock:
--- a/currantdeal/adapters/tests/test_peers.py
+++ b/currantdeal/adapters/tests/test_peers.py
@@ -11,7 +11,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from currantdeal.adapters.generated.consensus import Replica
-from currantdeal.adapters.peers import PeerPool
+from currantdeal.adapters.peers import PeerPool, PeerServer
 
 LENGTH = struct.Struct("!I")
 
@@ -75,3 +75,15 @@
 def test_a_call_between_instances_gets_its_own_answer(script):
     """Guards against an answer that is matched by its order alone."""
     assert _call_three_times(script) == [[b"own"]] * 3
+
+
+@pytest.mark.parametrize("sent", [b"", LENGTH.pack(9) + b"part"])
+def test_connection_without_calls_is_closed(sent):
+    """Guards against a thread that is kept for an instance that is gone."""
+    server = PeerServer(host="127.0.0.1", port=0, idle_timeout_s=0.3)
+    server.start()
+    address = ("127.0.0.1", server.port)
+    with socket.create_connection(address, timeout=3.0) as sock:
+        sock.sendall(sent)
+        assert sock.recv(1) == b""
+    server.stop()
