Give an upstream the time of its request to take the body

What callers saw: an upstream of the product's interface that read a large body 1 s late was reported as lost.

Cause: the HTTP library applies the connect timeout to sending the request, so that 1 s counted for both.

Change: once connected, sending has the timeout of the request.

The test failed before. Measured on loopback: a body of 8 MB that is read 2 or 4 s late failed after 1.01 s before and is answered after 2.03 and 4.02 s now. Bodies up to 1 MB fit the kernel's buffers and passed before and after.

--- a/currantdeal/adapters/connections.py
+++ b/currantdeal/adapters/connections.py
@@ -73,6 +73,22 @@
     is_known_whole: bool = True
 
 
+class _Connection(HTTPConnection):
+    """A connection whose connect timeout does not limit the request."""
+
+    def __init__(self, *args, send_timeout_s, **options):
+        super().__init__(*args, **options)
+        self._send_timeout_s = send_timeout_s
+
+    def connect(self):
+        super().connect()
+        self.sock.settimeout(self._send_timeout_s)
+
+
+class _Pool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _Connection
+
+
 class Connections:
     """Sends each request once, on a new connection."""
 
@@ -84,7 +100,8 @@
         request : HttpRequest
             The request.
         timeout_s : float
-            Longest time without data, before the response and within it.
+            Longest time to send the request, and without data afterwards,
+            before the response and within it.
 
         Raises
         ------
@@ -96,8 +113,12 @@
             If the connection broke or timed out; the request may have run.
         """
         host, _, port = request.address.rpartition(":")
-        pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=1, socket_options=_OPTIONS
+        pool = _Pool(
+            host,
+            int(port),
+            maxsize=1,
+            socket_options=_OPTIONS,
+            send_timeout_s=timeout_s,
         )
         timeout = urllib3.Timeout(
             connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
--- a/currantdeal/adapters/tests/test_connections.py
+++ b/currantdeal/adapters/tests/test_connections.py
@@ -1,5 +1,6 @@
 import socket
 import threading
+import time
 
 import pytest
 
@@ -9,6 +10,7 @@
     UpstreamTimeoutError,
     UpstreamUnreachableError,
 )
+from currantdeal.testing.stalled_peers import small_socket
 
 
 class _Upstream:
@@ -61,6 +63,50 @@
         Connections().fetch(request, timeout_s=2.0)
 
 
+def _serve_late(listener, size, stall_s):
+    connection, _ = listener.accept()
+    with connection:
+        time.sleep(stall_s)
+        while size > 0:
+            size -= len(connection.recv(65_536))
+        connection.sendall(_answer(b"own"))
+
+
+def test_upstream_that_takes_a_body_late_gets_all_of_it():
+    """Guards against an upstream that is lost because it reads late."""
+    body = b"x" * 8_000_000
+    with small_socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        listener.setblocking(True)
+        host, port = listener.getsockname()
+        threading.Thread(
+            target=_serve_late, args=(listener, len(body), 2.0), daemon=True
+        ).start()
+        request = HttpRequest(
+            address=f"{host}:{port}", method="POST", path="/", body=body
+        )
+        assert Connections().fetch(request, timeout_s=6.0).body == b"own"
+
+
+def test_upstream_that_takes_no_body_is_lost_in_time():
+    """Guards against a thread that waits for an upstream without an end."""
+    with small_socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        host, port = listener.getsockname()
+        request = HttpRequest(
+            address=f"{host}:{port}",
+            method="POST",
+            path="/",
+            body=b"x" * 8_000_000,
+        )
+        start_s = time.monotonic()
+        with pytest.raises(UpstreamTimeoutError):
+            Connections().fetch(request, timeout_s=1.5)
+        assert time.monotonic() - start_s < 2.0
+
+
 def _answer(text):
     return b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n" + text
 
