--- a/currantdeal/adapters/http/client_watch.py
+++ b/currantdeal/adapters/http/client_watch.py
@@ -99,8 +99,7 @@
     def leave(self):
         """Leave what was sent to the kernel, as the connection is closed."""
         with self._lock:
-            self._socket.set_probing(False)
-            self._socket.set_kernel_timeout(False)
+            self._socket.leave_to_kernel()
 
     def _judge(self, now_s, taken_bytes, is_blocked):
         was_gone = self._was_gone
--- a/currantdeal/adapters/watched_socket.py
+++ b/currantdeal/adapters/watched_socket.py
@@ -94,6 +94,11 @@
             int(self._gone_s * 1e3) if enabled else 0,
         )
 
+    def leave_to_kernel(self):
+        """Let the kernel deliver what waits once the connection is closed."""
+        self.set_probing(False)
+        self.set_kernel_timeout(False)
+
     def set_probing(self, enabled):
         """Let a closed window be probed often, so that a loss shows soon.
 
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -1,7 +1,6 @@
 """Handles the requests of callers, from receipt to the final answer."""
 
 import asyncio
-import math
 
 import structlog
 
@@ -17,6 +16,8 @@
 )
 from currantdeal.entry.generation import serve_generation
 from currantdeal.entry.plain import serve_plain
+from currantdeal.entry.progress import RequestsInProgress, RequestState
+from currantdeal.node.connection_end import ConnectionEnd
 from currantdeal.node.dialect import CallerRequest
 from currantdeal.node.errors import SendExpiredError
 from currantdeal.policy.retries.retry_after import (
@@ -59,6 +60,7 @@
 _OUTCOME_UNKNOWN = (
     "outcome unknown, the request may have run; check before sending it again"
 )
+_STOPS = "this instance stops"
 _UNREADABLE_CALL = CallerRequest(request_id="", caller_timeout_s=None)
 _log = structlog.get_logger(__name__)
 
@@ -73,15 +75,14 @@
 
     Attributes
     ----------
-    ends_s : float
-        Loop time at which the process ends; infinite before it is stopped.
+    requests : RequestsInProgress
+        The requests that it handles, with the time of the process's end.
     """
 
     def __init__(self, *, context):
         """Start to accept all requests."""
         self._context = context
-        self.stopping = False
-        self.ends_s = math.inf
+        self.requests = RequestsInProgress(run_lengths=context.run_lengths)
         self.refuse_streams = False
         self._labelled = set()
 
@@ -92,6 +93,7 @@
         except DialectError as exc:
             self._reject(responder, _UNREADABLE_CALL, 400, str(exc))
             return
+        responder.request_id = call.request_id
         found = await self._authorise(request, responder, call)
         if found is None:
             return
@@ -108,6 +110,7 @@
                 request.head
             )
         caller_timeout_s = min(_caller_timeout_s(call), route.timeout_s)
+        responder.await_until(request.arrived_s + caller_timeout_s)
         service = table.choose_service(route, self._context.random)
         active = ActiveRequest(
             request=request,
@@ -132,9 +135,12 @@
             MAX_VIEW_WAIT_S, VIEW_WAIT_SHARE * _caller_timeout_s(call)
         )
         try:
-            return await self._context.access.authorise(
-                call, lambda: self._find_route(request.head), wait_s=wait_s
-            )
+            async with self.requests.until_stop():
+                return await self._context.access.authorise(
+                    call, lambda: self._find_route(request.head), wait_s=wait_s
+                )
+        except TimeoutError:
+            self._refuse(request, responder, call, _stopping_refusal())
         except UnauthorisedError as exc:
             self._reject(responder, call, 401, str(exc), more=(_CHALLENGE,))
         except RefusedError as exc:
@@ -147,15 +153,47 @@
 
     async def _run(self, active):
         outcome = "cancelled"
+        self.requests.add(active)
         try:
             outcome = await self._serve(active)
+        except Exception as exc:
+            outcome = f"failed: {exc!r}"
+            raise
+        except asyncio.CancelledError:
+            outcome = self._describe_cancelled(active.responder)
+            raise
         finally:
+            self.requests.remove(active, _kind_of(outcome))
             self._log_end(active, outcome)
 
+    def _describe_cancelled(self, responder):
+        end = responder.connection_end or ConnectionEnd.LOCAL
+        self._context.metrics.add("requests_cancelled_total", why=end.value)
+        return f"cancelled: {end.description}"
+
+    def record_untaken(self, request_id, size_bytes, end):
+        """Log an answer that was written, but not taken as a whole.
+
+        Parameters
+        ----------
+        size_bytes : int
+            Bytes that the caller has not acknowledged, about.
+        end : ConnectionEnd
+            Why its connection ended.
+        """
+        self._context.metrics.add("answers_untaken_total", why=end.value)
+        _log.info(
+            "answer-untaken",
+            request=request_id,
+            untaken_bytes=size_bytes,
+            why=end.description,
+        )
+
     async def _serve(self, active):
         self._context.retry_budgets.record_request(active.service.name)
         try:
-            async with asyncio.timeout_at(active.deadline_s):
+            async with asyncio.timeout_at(active.deadline_s) as time_limit:
+                active.bind(time_limit, self.requests.wait_until_s)
                 await self._dispatch(active)
         except RefusedError as exc:
             self._refuse(active.request, active.responder, active.call, exc)
@@ -186,6 +224,7 @@
         organisation = active.organisation
         if organisation is None or organisation.quota is None:
             return None
+        active.enter(RequestState.QUOTA)
         units = organisation.quota.cost(
             prompt_tokens=active.call.prompt_tokens,
             max_output_tokens=active.call.max_output_tokens,
@@ -204,6 +243,7 @@
                 urgency=active.route.priority,
             )
             outcome = "granted"
+            active.enter(RequestState.UPSTREAM)
             return admission
         except RefusedError as exc:
             outcome = exc.refusal_reason.value
@@ -224,10 +264,10 @@
 
     async def _forward(self, active):
         if not active.is_generation:
-            if active.deadline_s > self.ends_s:
+            if active.deadline_s > self.requests.ends_s:
                 # The answer could be cut off when the process ends.
                 raise RefusedError(
-                    "this instance ends before the deadline",
+                    "this instance stops before the deadline",
                     refusal_reason=RefusalReason.STOPPING,
                 )
             await serve_plain(self._context, active)
@@ -235,9 +275,7 @@
         meter = self._context.meter(active.service.name)
         meter.record_offered()
         if self.refuse_streams:
-            raise RefusedError(
-                "this instance stops", refusal_reason=RefusalReason.STOPPING
-            )
+            raise _stopping_refusal()
         await serve_generation(self._context, active)
 
     def _end_unsent(self, active, exc):
@@ -255,6 +293,8 @@
         if active.responder.started:
             active.responder.abort()
             return "broken off: its time is over"
+        if active.is_ended_by_stop:
+            return self._end_at_stop(active)
         if active.runs:
             self._fail(active, 504, f"{_OUTCOME_UNKNOWN}: the deadline passed")
             return "failed: its time is over"
@@ -265,6 +305,15 @@
         )
         return "failed: nothing was free in its time"
 
+    def _end_at_stop(self, active):
+        """Answer a request that would outlast the process."""
+        if active.runs:
+            self._fail(active, 502, f"{_OUTCOME_UNKNOWN}: {_STOPS}")
+            return f"failed: {_STOPS}"
+        refusal = _stopping_refusal()
+        self._refuse(active.request, active.responder, active.call, refusal)
+        return f"refused: {refusal}"
+
     def _refuse(self, request, responder, call, refusal):
         caller_timeout_s = _caller_timeout_s(call)
         waited_s = self._context.now_s - request.arrived_s
@@ -320,7 +369,7 @@
     def _log_end(self, active, outcome):
         now_s = self._context.now_s
         took_s = now_s - active.request.arrived_s
-        kind = outcome.partition(":")[0]
+        kind = _kind_of(outcome)
         metrics = self._context.metrics
         metrics.add("requests_total", route=active.route.name, outcome=kind)
         if active.organisation is not None:
@@ -371,5 +420,13 @@
     return call.caller_timeout_s or DEFAULT_CALLER_TIMEOUT_S
 
 
+def _stopping_refusal():
+    return RefusedError(_STOPS, refusal_reason=RefusalReason.STOPPING)
+
+
+def _kind_of(outcome):
+    return outcome.partition(":")[0]
+
+
 def _text_body(text):
     return (text + "\n").encode()
