Leave answers that callers have not taken to the kernel when a process ends

What callers saw: a caller that had stopped to read while an entry ended lost the rest of its answer, of any size: its connection was reset about a second after the exit, though the kernel held all bytes.

Cause: the bound of the probes of a closed window was still set when the process ended, and with it the kernel drops an orphaned connection soon. Nobody called PeerWatch.release(), which knew only connections that were being looked at. Bytes that did not fit into the send buffer ended with the process.

Change: release() lifts both options of all connections, and both roles call it last. 0.1 s before the exit an entry raises the send buffers by what waits in the process.

--- a/currantdeal/adapters/sockets.py
+++ b/currantdeal/adapters/sockets.py
@@ -1,4 +1,4 @@
-"""Chooses how the operating system closes a connection."""
+"""Chooses what the operating system does with a connection's last bytes."""
 
 import socket
 import struct
@@ -11,3 +11,12 @@
     """
     linger = struct.pack("ii", int(enabled), 0)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+def grow_send_buffer(sock, size_bytes):
+    """Let the operating system take more bytes, up to its own limit.
+
+    It goes on to send them if the process ends.
+    """
+    present = sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, present + size_bytes)
--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -45,6 +45,7 @@
 from currantdeal.node.connection_pool import ConnectionPool
 from currantdeal.node.http_server import HttpServer
 from currantdeal.node.messages import ControlPlace, RaftNotice
+from currantdeal.node.peer_watch import peer_watch
 from currantdeal.node.peers import HEARTBEAT_S, PeerConnection, PeerLink
 from currantdeal.node.settings import split_address
 from currantdeal.node.suspect_log import set_crash_gauges
@@ -261,6 +262,7 @@
         await asyncio.gather(
             asyncio.sleep(LEADER_TRANSFER_S), self._membership.leave()
         )
+        peer_watch().release()
         _log.info("stopped")
 
     def _repeat(self, interval_s, action):
--- a/currantdeal/cli/entry_drain.py
+++ b/currantdeal/cli/entry_drain.py
@@ -5,6 +5,7 @@
 import structlog
 
 from currantdeal.entry.progress import REFUSAL_MARGIN_S
+from currantdeal.node.peer_watch import peer_watch
 
 REFUSE_STREAMS_AFTER_S = 2.5
 """Seconds after the stop request from which new streams are refused.
@@ -76,6 +77,7 @@
         self._server.close_idle()
         await self._finish_until(exit_s - LAST_ANSWERS_S)
         self._service.requests.end_unanswered()
+        self._server.hand_over()
         await self._finish_until(exit_s)
         await self._cut_all()
 
@@ -91,6 +93,8 @@
         counts = self._counts
         cut = self._server.active_requests
         await self._server.cut_all()
+        # What callers have not taken outlives the process in the kernel.
+        peer_watch().release()
         _log.info(
             "stopped", cut=cut, ended=self._service.requests.ended, **counts
         )
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -128,11 +128,16 @@
         """Number of requests in progress."""
         return sum(1 for c in self.connections if c.is_busy)
 
+    def hand_over(self):
+        """Give answers that wait here to the operating system."""
+        for connection in self.connections:
+            connection.hand_over()
+
     async def cut_all(self):
-        """Cut the requests in progress, as the process ends."""
-        busy = [c for c in self.connections if c.is_busy]
-        tasks = [connection.cut() for connection in busy]
-        if tasks:
+        """Cut the requests and answers that end with the process."""
+        cut = [c for c in self.connections if c.ends_with_process]
+        tasks = [connection.cut() for connection in cut]
+        if tasks := [task for task in tasks if task is not None]:
             await asyncio.wait(tasks, timeout=CUT_TIMEOUT_S)
 
     @property
@@ -255,9 +260,17 @@
         if not self.is_busy and self._request_started_s is None:
             self._close()
 
+    @property
+    def ends_with_process(self):
+        return self.is_busy or self._writer.unsent_bytes > 0
+
+    def hand_over(self):
+        self._writer.hand_over()
+
     def cut(self):
-        """Cut the request in progress; returns its task, which ends soon."""
+        """Cut what is in progress; returns its task, which ends soon."""
         task = self._task
+        self._peer.leave_to_kernel()
         self._writer.abort(ConnectionEnd.STOPPED)
         self.connection_lost(None)
         return task
--- a/currantdeal/node/peer_watch.py
+++ b/currantdeal/node/peer_watch.py
@@ -10,7 +10,7 @@
 import errno
 import os
 import socket
-from weakref import WeakKeyDictionary
+from weakref import WeakKeyDictionary, WeakSet
 
 from currantdeal.node.connection_facts import read_facts
 from currantdeal.policy.health.peer_liveness import (
@@ -184,7 +184,9 @@
     def __init__(self, *, loop):
         """Start without connections."""
         self._loop = loop
+        self._peers = WeakSet()
         self._waiting = {}
+        self._is_released = False
         self._timer = None
         self._has_facts = None
         self._blank_looks = 0
@@ -206,6 +208,7 @@
             transport=transport,
             on_gone=on_gone or (lambda exc: transport.abort()),
         )
+        self._peers.add(peer)
         if not self._has_facts:
             peer.set_kernel_timeout(True)
         return peer
@@ -218,14 +221,21 @@
         """Look at a peer from now on, unless the system reports no facts."""
         if peer in self._waiting or self._has_facts is False:
             return
+        if self._is_released:
+            return
         peer.begin(self._loop.time())
         self._waiting[peer] = None
         if self._timer is None:
             self._timer = self._loop.call_later(LOOK_INTERVAL_S, self._look)
 
     def release(self):
-        """Leave all connections to the kernel, as the process ends."""
-        for peer in self._waiting:
+        """Leave all connections to the kernel, as the process ends.
+
+        It delivers what the peers have not taken, unless a socket has unread
+        bytes or an option that resets it.
+        """
+        self._is_released = True
+        for peer in tuple(self._peers):
             peer.leave_to_kernel()
         self._waiting.clear()
 
--- a/currantdeal/node/response_writer.py
+++ b/currantdeal/node/response_writer.py
@@ -9,7 +9,7 @@
 
 import h11
 
-from currantdeal.adapters.sockets import set_reset_on_close
+from currantdeal.adapters.sockets import grow_send_buffer, set_reset_on_close
 from currantdeal.node.connection_end import ConnectionEnd
 from currantdeal.node.errors import SlowCallerError
 from currantdeal.policy.answers.answer_end import Framing, framing_of_stream
@@ -162,6 +162,12 @@
         self.record_end(end)
         self._transport.abort()
 
+    def hand_over(self):
+        """Give what the caller has not taken to the operating system."""
+        sock = self._transport.get_extra_info("socket")
+        if self.unsent_bytes and not self._transport.is_closing():
+            grow_send_buffer(sock, self.unsent_bytes)
+
     def record_end(self, end):
         """Record why the connection ends; the first reason counts."""
         if self.end is None:
