--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -93,6 +93,7 @@
         except DialectError as exc:
             self._reject(responder, _UNREADABLE_CALL, 400, str(exc))
             return
+        responder.request_id = call.request_id
         found = await self._authorise(request, responder, call)
         if found is None:
             return
@@ -104,7 +105,6 @@
         if not call.request_id:
             self._reject(responder, call, 400, "no request id")
             return
-        responder.request_id = call.request_id
         if table.needs_keys:
             request.head = self._context.dialect.without_credentials(
                 request.head
@@ -156,6 +156,9 @@
         self.requests.add(active)
         try:
             outcome = await self._serve(active)
+        except Exception as exc:
+            outcome = f"failed: {exc!r}"
+            raise
         except asyncio.CancelledError:
             outcome = self._describe_cancelled(active.responder)
             raise
--- a/currantdeal/node/http_request.py
+++ b/currantdeal/node/http_request.py
@@ -56,17 +56,25 @@
 class Responder:
     """Writes one response to a caller.
 
+    Parameters
+    ----------
+    writer : ResponseWriter
+        Writes to the connection.
+    has_body : bool
+        False if the response ends with its head, whatever body it describes.
+
     Attributes
     ----------
     started, finished : bool
         Whether the response was begun, and ended in order.
     request_id : str
-        Names the request in log lines about its connection.
+        Names the request in log lines; empty until the handler has set it.
     """
 
-    def __init__(self, *, writer):
-        """Write with a ``ResponseWriter``."""
+    def __init__(self, *, writer, has_body=True):
+        """Start without a response."""
         self._writer = writer
+        self._has_body = has_body
         self.started = False
         self.finished = False
         self.request_id = ""
@@ -122,7 +130,7 @@
             length = (b"content-length", str(len(body)).encode("ascii"))
             headers = (*headers, length)
         self.begin(status, headers, framing=framing)
-        if body:
+        if body and self._has_body:
             self._writer.send_body(body)
         self.finish()
 
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -50,6 +50,7 @@
 
 _log = structlog.get_logger(__name__)
 
+_INTERNAL_ERROR = b"internal error; the request may have run\n"
 _MALFORMED = {
     400: "the request is malformed",
     431: "the head is too large",
@@ -161,6 +162,7 @@
         self._head_bytes = bytearray()
         self._head_parsed = False
         self._request_started_s = None
+        self._method = b""
         self._request = None
         self._blank_bytes = 0
         self._body = bytearray()
@@ -362,6 +364,9 @@
         return True
 
     def _start_request(self, event):
+        self._method = event.method
+        if event.method == b"CONNECT":
+            raise RefusedRequest(501, "this is no proxy")
         headers = tuple(event.headers)
         names = [key for key, _ in headers]
         if b"content-length" in names and b"transfer-encoding" in names:
@@ -425,7 +430,7 @@
 
     async def _run(self, request):
         self._writer.begin(self._http, keep_open=self._keeps_open)
-        responder = self._responder = Responder(writer=self._writer)
+        responder = self._responder = _make_responder(request, self._writer)
         try:
             await self._server.handler(request, responder)
             await self._end_open_ended()
@@ -433,13 +438,26 @@
             self._transport.abort()
             raise
         except Exception as exc:
-            # The caller has received no response or only a part of one.
-            _log.exception("handler-failed", why=repr(exc))
-            self._transport.abort()
+            _log.exception(
+                "handler-failed", request=responder.request_id, why=repr(exc)
+            )
+            self._end_failed(request)
         finally:
             self._task = None
             self._next_request()
 
+    def _end_failed(self, request):
+        """Answer a request whose handler failed, unless an answer has begun.
+
+        An answer of which only a part was sent must not look complete.
+        """
+        if self._http.our_state is h11.SEND_RESPONSE:
+            headers = ((b"content-type", b"text/plain"),)
+            responder = _make_responder(request, self._writer)
+            responder.answer(500, headers, _INTERNAL_ERROR)
+        elif self._http.our_state not in (h11.DONE, h11.MUST_CLOSE):
+            self._transport.abort()
+
     async def _end_open_ended(self):
         limit_s = self._server.limits().idle_timeout_s
         try:
@@ -489,12 +507,13 @@
                 (b"content-length", str(len(body)).encode("ascii")),
                 (b"connection", b"close"),
             ]
-            for event in (
-                h11.Response(status_code=refusal.status, headers=headers),
-                h11.Data(data=body),
-                h11.EndOfMessage(),
-            ):
-                self._writer.write(self._http, event)
+            response = h11.Response(
+                status_code=refusal.status, headers=headers
+            )
+            self._writer.write(self._http, response)
+            if self._method != b"HEAD":
+                self._writer.write(self._http, h11.Data(data=body))
+            self._writer.write(self._http, h11.EndOfMessage())
         if self._transport.can_write_eof():
             self._transport.write_eof()
         self._loop.call_later(CLOSE_DELAY_S, self._close)
@@ -537,8 +556,13 @@
             self._timer = None
 
     def _reset_parser(self):
+        self._method = b""
         self._blank_bytes = 0
         self._http = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=self._server.limits().max_header_bytes,
         )
+
+
+def _make_responder(request, writer):
+    return Responder(writer=writer, has_body=request.head.method != "HEAD")
