Count the untaken bytes of an answer by what the kernel holds

Seen in a play of stops: each caller that took its answer and closed within a quarter of a second left a line answer-untaken with one byte.

Cause: the estimate of the last look counts one byte until the first look.

Change: the number comes from the kernel (TIOCOUTQ), which knows it until the socket is closed, also after a reset.

--- a/currantdeal/adapters/sockets.py
+++ b/currantdeal/adapters/sockets.py
@@ -1,7 +1,9 @@
 """Chooses what the operating system does with a connection's last bytes."""
 
+import fcntl
 import socket
 import struct
+import termios
 
 
 def set_reset_on_close(sock, enabled):
@@ -20,3 +22,16 @@
     """
     present = sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, present + size_bytes)
+
+
+def unacknowledged_bytes(sock):
+    """Return what the operating system holds of what was sent.
+
+    It is known until the socket is closed, also if its connection is lost.
+    """
+    packed = struct.pack("i", 0)
+    try:
+        packed = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, packed)
+    except (OSError, ValueError):
+        return 0
+    return struct.unpack("i", packed)[0]
--- a/currantdeal/node/peer_watch.py
+++ b/currantdeal/node/peer_watch.py
@@ -62,7 +62,6 @@
         self.on_taken = lambda: None
         self.suspected_s = None
         self._watch = watch
-        self._buffered_bytes = 0
 
     @property
     def untaken_bytes(self):
@@ -71,23 +70,6 @@
             return 0
         return self.transport.get_write_buffer_size() + self.kernel_bytes
 
-    @property
-    def last_untaken_bytes(self):
-        """The same at the last look, also after the connection was lost."""
-        if not self._watch.is_waiting(self):
-            return 0
-        return self._buffered_bytes + self.kernel_bytes
-
-    def begin(self, now_s):
-        """Start to measure how long acknowledgements are awaited."""
-        super().begin(now_s)
-        self._buffered_bytes = 0
-
-    def look(self, now_s):
-        """Update the state; returns the ``ConnectionFacts``, or None."""
-        self._buffered_bytes = self.transport.get_write_buffer_size()
-        return super().look(now_s)
-
     def record_write(self):
         """Look at the connection until what was written is acknowledged."""
         self._watch.begin(self)
@@ -202,8 +184,8 @@
         if peer.suspected_s is None:
             peer.suspected_s = now_s
         elif now_s - peer.suspected_s >= CONFIRM_DELAY_S / 2:
+            del self._waiting[peer]
             peer.on_gone(_gone_error())
-            self._waiting.pop(peer, None)
 
     def _record_blank(self):
         """Record a look without facts, which may also come right after one."""
--- a/currantdeal/node/response_writer.py
+++ b/currantdeal/node/response_writer.py
@@ -9,7 +9,11 @@
 
 import h11
 
-from currantdeal.adapters.sockets import grow_send_buffer, set_reset_on_close
+from currantdeal.adapters.sockets import (
+    grow_send_buffer,
+    set_reset_on_close,
+    unacknowledged_bytes,
+)
 from currantdeal.node.connection_end import ConnectionEnd
 from currantdeal.node.errors import SlowCallerError
 from currantdeal.policy.answers.answer_end import Framing, framing_of_stream
@@ -46,7 +50,7 @@
     end : ConnectionEnd or None
         Why the connection ended, None before that.
     untaken_at_end : int
-        Bytes that the caller had not acknowledged then, about.
+        Bytes that the caller had not acknowledged then.
     awaited_until_s : float
         Loop time until which the caller waits for the present response.
     """
@@ -172,8 +176,9 @@
         """Record why the connection ends; the first reason counts."""
         if self.end is None:
             self.end = end
-            self.untaken_at_end = max(
-                self._counted_bytes, self._peer.last_untaken_bytes
+            sock = self._transport.get_extra_info("socket")
+            self.untaken_at_end = unacknowledged_bytes(sock) + max(
+                self._counted_bytes, self.unsent_bytes
             )
 
     async def end_open_ended(self):
--- a/currantdeal/node/tests/test_connection_ends.py
+++ b/currantdeal/node/tests/test_connection_ends.py
@@ -129,3 +129,33 @@
     assert line["why"] == why
     assert line["request"] == "r-1"
     assert 0 < line["untaken_bytes"] <= LARGE_BYTES + 4_096
+
+
+def _take_all(sock):
+    sock.setblocking(True)
+    sock.settimeout(2.0)
+    received = b""
+    while not received.endswith(b"ok"):
+        received += sock.recv(65_536)
+    sock.close()
+
+
+def test_answer_that_was_taken_at_once_leaves_no_line():
+    """Guards against callers who close soon being counted as losses."""
+
+    async def run():
+        standin = StandInUpstream(upstream="u1")
+        await standin.start()
+        async with entry_world() as world:
+            world.announce(standin)
+            with capture_logs() as logs:
+                for _ in range(5):
+                    sock = socket.create_connection(world.address)
+                    sock.sendall(ORDER)
+                    await asyncio.to_thread(_take_all, sock)
+                await asyncio.sleep(0.2)
+        return [line["event"] for line in logs]
+
+    events = asyncio.run(run())
+    assert events.count("request-ended") == 5
+    assert "answer-untaken" not in events
