--- a/currantdeal/node/response_writer.py
+++ b/currantdeal/node/response_writer.py
@@ -9,7 +9,11 @@
 
 import h11
 
-from currantdeal.adapters.sockets import set_reset_on_close
+from currantdeal.adapters.sockets import (
+    grow_send_buffer,
+    set_reset_on_close,
+    unacknowledged_bytes,
+)
 from currantdeal.node.connection_end import ConnectionEnd
 from currantdeal.node.errors import SlowCallerError
 from currantdeal.policy.answers.answer_end import Framing, framing_of_stream
@@ -55,7 +59,7 @@
     end : ConnectionEnd or None
         Why the connection ended, None before that.
     untaken_at_end : int
-        Bytes that the caller had not acknowledged then, about.
+        Bytes that the caller had not acknowledged then.
     """
 
     def __init__(self, *, transport, peer, unsent):
@@ -195,12 +199,19 @@
         self.record_end(end)
         self._transport.abort()
 
+    def hand_over(self):
+        """Give what the caller has not taken to the operating system."""
+        sock = self._transport.get_extra_info("socket")
+        if self.unsent_bytes and not self._transport.is_closing():
+            grow_send_buffer(sock, self.unsent_bytes)
+
     def record_end(self, end):
         """Record why the connection ends; the first reason counts."""
         if self.end is None:
             self.end = end
-            self.untaken_at_end = max(
-                self._counted_bytes, self._peer.last_untaken_bytes
+            sock = self._transport.get_extra_info("socket")
+            self.untaken_at_end = unacknowledged_bytes(sock) + max(
+                self._counted_bytes, self.unsent_bytes
             )
 
     async def end_open_ended(self, *, timeout_s):
