Bound what the product's own interface reads of an answer

What operators of another system reported: a faulty worker sent bytes that were no answer, without end; the machine that had called it kept them all and ran out of memory.

Cause: urllib3 and http.client bound the length of a line, but not interim answers, trailers, tiny chunks or the size of a body, and allocate a chunk or a body by the size that it states (MemoryError, which no caller expects).

Change: a connection has a budget of bytes for the head, the whole answer or the next event (64 KiB, 8 MiB, 8 MiB), an event has 1 MiB, and the incomplete answers of all threads have 16 MiB, beyond which the largest is given up. ChunkSizes moves to policy/answers, which both interfaces may import. Answers of plain services over 8 MiB now fail here, as they do in entries.

--- a/currantdeal/adapters/connections.py
+++ b/currantdeal/adapters/connections.py
@@ -12,6 +12,7 @@
 
 import socket
 from dataclasses import dataclass
+from functools import partial
 
 import urllib3
 from urllib3.connection import HTTPConnection
@@ -22,6 +23,13 @@
     ReadTimeoutError,
 )
 
+from currantdeal.adapters.answer_bounds import (
+    MAX_ANSWER_BYTES,
+    AnswerTooLargeError,
+    BoundedConnection,
+    KeptAnswers,
+    ReadBudget,
+)
 from currantdeal.core import (
     Ran,
     UpstreamCrashedError,
@@ -35,10 +43,14 @@
     framing_of,
     orderly_ending,
 )
+from currantdeal.policy.answers.chunk_sizes import ChunkSizes
 
 CONNECT_TIMEOUT_S = 1.0
 """Connect timeout; some dozen round trips between regions."""
 
+READ_BYTES = 65_536
+"""Maximum number of bytes that are read at once."""
+
 _OPTIONS = [
     *HTTPConnection.default_socket_options,
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -73,11 +85,82 @@
     is_known_whole: bool = True
 
 
+class OpenAnswer:
+    """An answer whose body is not received yet.
+
+    Parameters
+    ----------
+    response : urllib3.HTTPResponse
+        Its head, and the connection.
+    budget : ReadBudget
+        Bytes that may still be read from the connection.
+    address : str
+        The upstream.
+    """
+
+    def __init__(self, *, response, budget, address):
+        """Receive nothing yet."""
+        self._response = response
+        self._budget = budget
+        self._address = address
+
+    @property
+    def status(self):
+        """Status of the answer."""
+        return self._response.status
+
+    @property
+    def headers(self):
+        """Names and values of the headers."""
+        return tuple(self._response.headers.items())
+
+    def allow(self, size_bytes):
+        """Allow the upstream to send a number of bytes from now on."""
+        self._budget.refill(size_bytes)
+
+    def parts(self):
+        """Yield the bytes of the body as they arrive.
+
+        Raises
+        ------
+        UpstreamTimeoutError
+            If the connection broke or timed out, or the upstream sends more
+            than is allowed.
+        """
+        chunks = ChunkSizes()
+        try:
+            for part in self._parts():
+                chunks.add(part)
+                if chunks.are_too_small:
+                    raise AnswerTooLargeError("the chunks are too small")
+                yield part
+        except (HTTPError, OSError) as exc:
+            raise connection_lost_error(self._address, exc) from exc
+
+    def close(self):
+        """Close the connection."""
+        self._response.close()
+
+    def _parts(self):
+        if self._response.chunked:
+            # Each read passes through fewer layers than with ``read1``.
+            yield from self._response.read_chunked(
+                READ_BYTES, decode_content=False
+            )
+            return
+        while data := self._response.read1(READ_BYTES):
+            yield data
+
+
 class Connections:
     """Sends each request once, on a new connection."""
 
+    def __init__(self):
+        """Keep no answers yet."""
+        self._kept = KeptAnswers()
+
     def open(self, request, *, timeout_s):
-        """Send the request and return the response with its body unread.
+        """Send the request and return the answer with its body unread.
 
         Parameters
         ----------
@@ -86,6 +169,11 @@
         timeout_s : float
             Longest time without data, before the response and within it.
 
+        Returns
+        -------
+        OpenAnswer
+            May send ``MAX_ANSWER_BYTES`` unless more are allowed.
+
         Raises
         ------
         UpstreamUnreachableError
@@ -99,11 +187,13 @@
         pool = urllib3.HTTPConnectionPool(
             host, int(port), maxsize=1, socket_options=_OPTIONS
         )
+        budget = ReadBudget()
+        pool.ConnectionCls = partial(BoundedConnection, budget=budget)
         timeout = urllib3.Timeout(
             connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
         )
         try:
-            return pool.urlopen(
+            response = pool.urlopen(
                 request.method,
                 request.path,
                 body=request.body or None,
@@ -119,24 +209,50 @@
             raise UpstreamUnreachableError(str(exc), ran=Ran.NO) from exc
         except (HTTPError, OSError) as exc:
             raise connection_lost_error(request.address, exc) from exc
+        answer = OpenAnswer(
+            response=response, budget=budget, address=request.address
+        )
+        answer.allow(MAX_ANSWER_BYTES)
+        return answer
 
     def fetch(self, request, *, timeout_s):
         """Send the request and return the whole ``HttpResponse``."""
-        response = self.open(request, timeout_s=timeout_s)
+        answer = self.open(request, timeout_s=timeout_s)
         try:
-            body = response.read()
-        except (HTTPError, OSError) as exc:
-            response.close()
-            raise connection_lost_error(request.address, exc) from exc
-        response.release_conn()
-        headers = tuple(response.headers.items())
+            body = self.read(answer)
+        finally:
+            answer.close()
         return HttpResponse(
-            status=response.status,
-            headers=headers,
+            status=answer.status,
+            headers=answer.headers,
             body=body,
-            is_known_whole=_is_known_whole(request, response.status, headers),
+            is_known_whole=_is_known_whole(
+                request, answer.status, answer.headers
+            ),
         )
 
+    def read(self, answer):
+        """Return the whole body of an ``OpenAnswer``.
+
+        Raises
+        ------
+        UpstreamTimeoutError
+            See ``OpenAnswer.parts``; also if the answers that all threads are
+            receiving take too much memory.
+        """
+        body = bytearray()
+        try:
+            for part in answer.parts():
+                body += part
+                self._kept.record(answer, len(body))
+            return bytes(body)
+        except AnswerTooLargeError as exc:
+            raise UpstreamTimeoutError(str(exc), ran=Ran.MAYBE) from exc
+        finally:
+            # The traceback of an error would keep it.
+            body.clear()
+            self._kept.record(answer, 0)
+
 
 def connection_lost_error(address, failure):
     """Return the error for a connection lost during a request.
--- a/currantdeal/adapters/engines.py
+++ b/currantdeal/adapters/engines.py
@@ -4,8 +4,11 @@
 """
 
 import msgspec
-from urllib3.exceptions import HTTPError
 
+from currantdeal.adapters.answer_bounds import (
+    MAX_BYTES_BETWEEN_EVENTS,
+    MAX_EVENT_BYTES,
+)
 from currantdeal.adapters.connections import (
     Connections,
     HttpRequest,
@@ -25,7 +28,6 @@
 
 CANCELLED_REASON = "cancelled"
 
-_READ_BYTES = 65_536
 _EVENT_START = b"data: "
 _EVENT_END = b"\n\n"
 _JSON_HEADERS = (("Content-Type", "application/json"),)
@@ -71,7 +73,7 @@
         )
         try:
             if response.status != 200:
-                body = _read_all(response, upstream.address)
+                body = self._connections.read(response)
                 raise _refusal(response.status, body)
             yield from _output_chunks(response, upstream.address)
         finally:
@@ -130,7 +132,7 @@
     # Hot path, run for each token: one read returns all events that have
     # arrived, and each is decoded directly into its message.
     rest = b""
-    for data in _read_chunks(response, address):
+    for data in response.parts():
         *events, rest = (rest + data).split(_EVENT_END)
         for event in events:
             if not event.startswith(_EVENT_START):
@@ -138,34 +140,17 @@
             chunk = _decode(_CHUNKS, event[len(_EVENT_START) :])
             if chunk.finish_reason == CANCELLED_REASON:
                 raise UpstreamRefusedError("cancelled", ran=Ran.YES)
+            response.allow(MAX_BYTES_BETWEEN_EVENTS)
             yield chunk
             if chunk.finish_reason:
                 return
+        if len(rest) > MAX_EVENT_BYTES:
+            raise UpstreamRefusedError("an event does not end", ran=Ran.MAYBE)
     raise connection_lost_error(
         address, "the stream ended before its last event"
     )
 
 
-def _read_chunks(response, address):
-    """Yield the bytes of the body as they arrive."""
-    try:
-        if response.chunked:
-            # Each read passes through fewer layers than with ``read1``.
-            yield from response.read_chunked(decode_content=False)
-            return
-        while data := response.read1(_READ_BYTES):
-            yield data
-    except (HTTPError, OSError) as exc:
-        raise connection_lost_error(address, exc) from exc
-
-
-def _read_all(response, address):
-    try:
-        return response.read()
-    except (HTTPError, OSError) as exc:
-        raise connection_lost_error(address, exc) from exc
-
-
 def _decode(decoder, raw):
     try:
         return decoder.decode(raw)
--- a/currantdeal/node/answer_parser.py
+++ b/currantdeal/node/answer_parser.py
@@ -8,11 +8,11 @@
 
 import h11
 
-from currantdeal.node.chunk_sizes import ChunkSizes
 from currantdeal.node.errors import UnsendableRequestError
 from currantdeal.node.extra_answers import ExtraAnswer, ExtraMoment
 from currantdeal.node.head import find_values
 from currantdeal.policy.answers.answer_owner import AnswerOwner, answer_owner
+from currantdeal.policy.answers.chunk_sizes import ChunkSizes
 from currantdeal.policy.answers.grant_channel import GrantChannel
 
 MAX_REQUESTS = 256
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -13,7 +13,6 @@
 import structlog
 
 from currantdeal.node.buffered_answers import BufferedAnswers
-from currantdeal.node.chunk_sizes import ChunkSizes
 from currantdeal.node.head import RequestHead
 from currantdeal.node.http_request import (
     RefusedRequest,
@@ -26,6 +25,7 @@
 )
 from currantdeal.node.response_writer import ResponseWriter
 from currantdeal.node.sockets import prepare_socket
+from currantdeal.policy.answers.chunk_sizes import ChunkSizes
 from currantdeal.routing import CallerLimits
 
 READ_AHEAD_BYTES = 65_536
