--- a/currantdeal/adapters/answer_bounds.py
+++ b/currantdeal/adapters/answer_bounds.py
@@ -62,12 +62,21 @@
     ----------
     budget : ReadBudget
         Bytes that may be read.
+    send_timeout_s : float
+        Longest time to send the request; by default the connect timeout would
+        limit it.
     """
 
-    def __init__(self, *args, budget, **options):
+    def __init__(self, *args, budget, send_timeout_s, **options):
         """Connect as the base class does."""
         super().__init__(*args, **options)
         self._budget = budget
+        self._send_timeout_s = send_timeout_s
+
+    def connect(self):
+        """Connect, and set the timeout of the request."""
+        super().connect()
+        self.sock.settimeout(self._send_timeout_s)
 
     def response_class(self, sock, **options):
         """Return the parser of the response on a socket."""
--- a/currantdeal/adapters/connections.py
+++ b/currantdeal/adapters/connections.py
@@ -12,7 +12,6 @@
 
 import socket
 from dataclasses import dataclass
-from functools import partial
 
 import urllib3
 from urllib3.connection import HTTPConnection
@@ -85,6 +84,10 @@
     is_known_whole: bool = True
 
 
+class _Pool(urllib3.HTTPConnectionPool):
+    ConnectionCls = BoundedConnection
+
+
 class OpenAnswer:
     """An answer whose body is not received yet.
 
@@ -167,7 +170,8 @@
         request : HttpRequest
             The request.
         timeout_s : float
-            Longest time without data, before the response and within it.
+            Longest time to send the request, and without data afterwards,
+            before the response and within it.
 
         Returns
         -------
@@ -184,11 +188,15 @@
             If the connection broke or timed out; the request may have run.
         """
         host, _, port = request.address.rpartition(":")
-        pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=1, socket_options=_OPTIONS
-        )
         budget = ReadBudget()
-        pool.ConnectionCls = partial(BoundedConnection, budget=budget)
+        pool = _Pool(
+            host,
+            int(port),
+            maxsize=1,
+            socket_options=_OPTIONS,
+            send_timeout_s=timeout_s,
+            budget=budget,
+        )
         timeout = urllib3.Timeout(
             connect=min(CONNECT_TIMEOUT_S, timeout_s), read=timeout_s
         )
--- a/currantdeal/node/http_request.py
+++ b/currantdeal/node/http_request.py
@@ -3,6 +3,7 @@
 Also checks request heads for forms that two parsers may read differently.
 """
 
+import math
 import re
 
 from currantdeal.policy.answers.answer_end import Framing
@@ -43,16 +44,10 @@
         Event-loop time at which its first bytes were received.
     sender : str
         Network address of the sender, or empty.
-
-    Attributes
-    ----------
-    request_id : str
-        Id for the log; empty until the handler has set it.
     """
 
     def __init__(self, *, head, body, arrived_s, sender=""):
         """Store the parts."""
-        self.request_id = ""
         self.head = head
         self.body = body
         self.arrived_s = arrived_s
@@ -68,6 +63,15 @@
         Writes to the connection.
     has_body : bool
         False if the response ends with its head, whatever body it describes.
+
+    Attributes
+    ----------
+    started, finished : bool
+        Whether the response was begun, and ended in order.
+    request_id : str
+        Names the request in log lines; empty until the handler has set it.
+    deadline_s : float
+        Event-loop time until which the caller may still read.
     """
 
     def __init__(self, *, writer, has_body=True):
@@ -75,6 +79,14 @@
         self._writer = writer
         self._has_body = has_body
         self.started = False
+        self.finished = False
+        self.request_id = ""
+        self.deadline_s = -math.inf
+
+    @property
+    def connection_end(self):
+        """The ``ConnectionEnd`` of the caller's connection, or None."""
+        return self._writer.end
 
     def begin(self, status, headers, *, framing=Framing.CHUNKS):
         """Send the head.
@@ -89,16 +101,17 @@
         self.started = True
         self._writer.send_head(status, headers, framing)
 
-    async def send(self, data, *, holds_up=lambda: False):
+    async def send(self, data, source):
         """Send a part of the body; wait while the caller reads slowly.
 
         See ``ResponseWriter.writable``.
         """
         self._writer.send_body(data)
-        await self._writer.writable(holds_up=holds_up)
+        return await self._writer.writable(source)
 
     def finish(self):
         """End the response in order, which completes a framed one."""
+        self.finished = True
         self._writer.send_end()
 
     def abort(self):
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -8,11 +8,13 @@
 """
 
 import asyncio
+import math
 
 import h11
 import structlog
 
 from currantdeal.node.buffered_answers import BufferedAnswers
+from currantdeal.node.connection_end import ConnectionEnd, end_of
 from currantdeal.node.head import RequestHead
 from currantdeal.node.http_request import (
     RefusedRequest,
@@ -44,6 +46,9 @@
 the response before the caller has read it.
 """
 
+CUT_TIMEOUT_S = 0.1
+"""Longest wait for the ends of requests that were cut."""
+
 _log = structlog.get_logger(__name__)
 
 _INTERNAL_ERROR = b"internal error; the request may have run\n"
@@ -67,13 +72,24 @@
     on_refused : callable
         Called with the status, the reason and the parser's detail of a
         malformed request.
+    on_untaken : callable
+        Called with the id of a request whose whole answer was written, the
+        bytes that its caller has not taken, and the ``ConnectionEnd``.
     """
 
-    def __init__(self, *, handler, limits=CallerLimits, on_refused=None):
+    def __init__(
+        self,
+        *,
+        handler,
+        limits=CallerLimits,
+        on_refused=None,
+        on_untaken=None,
+    ):
         """Store the parameters; ``start`` begins listening."""
         self.handler = handler
         self.limits = limits
         self.on_refused = on_refused or (lambda status, reason, detail: None)
+        self.on_untaken = on_untaken or (lambda request_id, size, end: None)
         self.connections = set()
         self.unsent = BufferedAnswers(
             measure=lambda writer: writer.unsent_bytes
@@ -114,6 +130,18 @@
         """Number of requests in progress."""
         return sum(1 for c in self.connections if c.is_busy)
 
+    async def cut_all(self):
+        """Cut the requests in progress, as the process ends."""
+        busy = [c for c in self.connections if c.is_busy]
+        tasks = [connection.cut() for connection in busy]
+        if tasks:
+            await asyncio.wait(tasks, timeout=CUT_TIMEOUT_S)
+
+    @property
+    def receiving(self):
+        """Number of requests of which a part was received."""
+        return sum(1 for c in self.connections if c.is_receiving)
+
     @property
     def untaken_answers(self):
         """Number of answers of which the callers have not taken all yet."""
@@ -139,19 +167,27 @@
         self._timer = None
         self._peer = None
         self._writer = None
+        self._responder = None
         self._reading = True
         self._is_closing = False
         self._is_lingering = False
         self._untaken_before = 0
+        self._deadline_s = -math.inf
         self._discarded_bytes = 0
 
     @property
     def is_busy(self):
         return self._task is not None
 
+    @property
+    def is_receiving(self):
+        if self.is_busy or self._is_closing:
+            return False
+        return self._request_started_s is not None
+
     @property
     def untaken_bytes(self):
-        return self._writer.unsent_bytes or self._peer.untaken_bytes
+        return self._writer.untaken_bytes
 
     def connection_made(self, transport):
         self._transport = transport
@@ -165,10 +201,12 @@
         self._start_idle_timer()
 
     def _end_gone(self, exc):
-        self.connection_lost(exc)
-        self._transport.abort()
+        self._writer.abort(ConnectionEnd.GONE)
 
     def connection_lost(self, exc):
+        self._writer.record_end(end_of(exc))
+        if self in self._server.connections:
+            self._report_untaken()
         self._server.connections.discard(self)
         self._server.unread.record(self, 0)
         self._cancel_timer()
@@ -176,6 +214,13 @@
         if self._task is not None:
             self._task.cancel()
 
+    def _report_untaken(self):
+        responder, untaken = self._responder, self._writer.untaken_at_end
+        if responder is not None and responder.finished and untaken:
+            self._server.on_untaken(
+                responder.request_id, untaken, self._writer.end
+            )
+
     def pause_writing(self):
         self._writer.pause()
 
@@ -198,7 +243,10 @@
         # A caller that closes its side abandons its request: HTTP/1.1 defines
         # no way to continue only reading.  It may still read an answer that
         # has ended.
-        return self._is_lingering and self._peer.untaken_bytes > 0
+        if self._is_lingering and self._peer.untaken_bytes > 0:
+            return True
+        self._writer.record_end(ConnectionEnd.CLOSED)
+        return False
 
     def _discard(self, data):
         """Discard what follows a refused request, or stop to read it."""
@@ -211,6 +259,13 @@
         if not self.is_busy and self._request_started_s is None:
             self._close()
 
+    def cut(self):
+        """Cut the request in progress; returns its task, which ends soon."""
+        task = self._task
+        self._writer.abort(ConnectionEnd.STOPPED)
+        self.connection_lost(None)
+        return task
+
     def _close(self):
         """Close in order, once the caller has taken all.
 
@@ -364,26 +419,23 @@
 
     async def _run(self, request):
         self._writer.begin(self._http, keep_open=self._keeps_open)
-        responder = self._responder(request)
+        responder = self._responder = _make_responder(request, self._writer)
         try:
             await self._server.handler(request, responder)
-            await self._close_open_ended()
+            self._deadline_s = responder.deadline_s
+            await self._end_open_ended()
         except asyncio.CancelledError:
             self._transport.abort()
             raise
         except Exception as exc:
             _log.exception(
-                "handler-failed", request=request.request_id, why=repr(exc)
+                "handler-failed", request=responder.request_id, why=repr(exc)
             )
             self._end_failed(request)
         finally:
             self._task = None
             self._next_request()
 
-    def _responder(self, request):
-        has_body = request.head.method != "HEAD"
-        return Responder(writer=self._writer, has_body=has_body)
-
     def _end_failed(self, request):
         """Answer a request whose handler failed, unless an answer has begun.
 
@@ -391,18 +443,17 @@
         """
         if self._http.our_state is h11.SEND_RESPONSE:
             headers = ((b"content-type", b"text/plain"),)
-            self._responder(request).answer(500, headers, _INTERNAL_ERROR)
+            responder = _make_responder(request, self._writer)
+            responder.answer(500, headers, _INTERNAL_ERROR)
         elif self._http.our_state not in (h11.DONE, h11.MUST_CLOSE):
             self._transport.abort()
 
-    async def _close_open_ended(self):
+    async def _end_open_ended(self):
+        self._untaken_before = self.untaken_bytes
         limit_s = self._server.limits().idle_timeout_s
-        try:
-            async with asyncio.timeout(limit_s):
-                await self._writer.close_open_ended()
-        except TimeoutError:
-            # The caller does not take the end of the answer.
-            self._transport.abort()
+        while not await self._writer.end_open_ended(timeout_s=limit_s):
+            if not self._may_take_more():
+                self._writer.abort(ConnectionEnd.IDLE)
 
     def _next_request(self):
         if self._transport.is_closing():
@@ -453,7 +504,7 @@
             self._writer.write(self._http, h11.EndOfMessage())
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        self._loop.call_later(CLOSE_DELAY_S, self._transport.close)
+        self._loop.call_later(CLOSE_DELAY_S, self._close)
 
     def _request_timed_out(self):
         self._reject(
@@ -470,13 +521,20 @@
 
         One that reads, however slowly, has time to take the last answer.
         """
-        untaken = self.untaken_bytes
-        if not untaken:
+        if not self.untaken_bytes:
             self._transport.close()
-        elif untaken < self._untaken_before:
+        elif self._may_take_more():
             self._start_idle_timer()
         else:
-            self._transport.abort()
+            self._writer.abort(ConnectionEnd.IDLE)
+
+    def _may_take_more(self):
+        """Return whether to keep the rest of an answer for its caller."""
+        untaken, before = self.untaken_bytes, self._untaken_before
+        self._untaken_before = untaken
+        idle_s = self._server.limits().idle_timeout_s
+        is_late = self._loop.time() - self._deadline_s >= idle_s
+        return untaken < before or not is_late
 
     def _set_timer(self, delay_s, action):
         self._cancel_timer()
@@ -494,3 +552,7 @@
             h11.SERVER,
             max_incomplete_event_size=self._server.limits().max_header_bytes,
         )
+
+
+def _make_responder(request, writer):
+    return Responder(writer=writer, has_body=request.head.method != "HEAD")
--- a/currantdeal/node/tests/test_failing_handlers.py
+++ b/currantdeal/node/tests/test_failing_handlers.py
@@ -12,7 +12,7 @@
 
 
 async def _raise_at_once(request, responder):
-    request.request_id = "r-1"
+    responder.request_id = "r-1"
     raise KeyError("missing")
 
 
@@ -21,7 +21,7 @@
 
 
 async def _raise_after_head(request, responder):
-    request.request_id = "r-1"
+    responder.request_id = "r-1"
     responder.begin(200, ())
     await responder.send(b"part")
     raise KeyError("missing")
@@ -33,12 +33,12 @@
 
 
 async def _answer_illegal_header(request, responder):
-    request.request_id = "r-1"
+    responder.request_id = "r-1"
     responder.answer(200, ((b"x-illegal", b"a\nb"),), b"ok")
 
 
 async def _answer_illegal_status(request, responder):
-    request.request_id = "r-1"
+    responder.request_id = "r-1"
     responder.answer(99, (), b"ok")
 
 
