Bound the incomplete frames of all accepted connections together

What could happen: each connection to a control process could leave a frame of 16 MiB incomplete, so that its memory grew with their number.

Cause: the bound was one for each frame.

Change: the connections that a process accepts share a bound of 32 MiB, beyond which the one with the largest incomplete frame is closed.

--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -45,7 +45,12 @@
 from currantdeal.node.connection_pool import ConnectionPool
 from currantdeal.node.http_server import HttpServer
 from currantdeal.node.messages import ControlPlace, RaftNotice
-from currantdeal.node.peers import HEARTBEAT_S, PeerConnection, PeerLink
+from currantdeal.node.peers import (
+    HEARTBEAT_S,
+    PeerConnection,
+    PeerLink,
+    peer_memory,
+)
 from currantdeal.node.settings import split_address
 from currantdeal.node.suspect_log import set_crash_gauges
 from currantdeal.organisations import LimitedService, RetryAllowance
@@ -286,11 +291,13 @@
 
     async def _listen(self, settings):
         loop = asyncio.get_running_loop()
+        received = peer_memory()
         await loop.create_server(
             lambda: PeerConnection(
                 on_notice=self._service.on_notice,
                 on_call=self._service.on_call,
                 on_lost=self._service.on_lost,
+                received=received,
             ),
             settings.address,
             settings.peer_port,
--- a/currantdeal/node/peers.py
+++ b/currantdeal/node/peers.py
@@ -15,6 +15,7 @@
 
 from currantdeal.adapters.generated.peers.ttypes import Frame, FrameKind
 from currantdeal.core.errors import CodecError
+from currantdeal.node.buffered_answers import BufferedAnswers
 from currantdeal.node.errors import PeerUnreachableError, UnreadableFrameError
 from currantdeal.node.messages import PEER_CODEC
 from currantdeal.node.settings import split_address
@@ -30,6 +31,9 @@
 MAX_FRAME_BYTES = 16_777_216
 """Maximum frame size: four times the largest accepted configuration."""
 
+MAX_RECEIVED_BYTES = 2 * MAX_FRAME_BYTES
+"""Bytes of incomplete frames, over all connections that were accepted."""
+
 MAX_SINGLE_FRAME_BYTES = 4_096
 """Maximum size of a frame on a connection that carries just one."""
 
@@ -100,13 +104,16 @@
         to the call.
     on_lost : callable
         Called with this connection when it ends.
+    received : BufferedAnswers or None
+        Bounds the incomplete frames of several connections.
     """
 
-    def __init__(self, *, on_notice, on_call, on_lost):
+    def __init__(self, *, on_notice, on_call, on_lost, received=None):
         """Store the callbacks; the event loop connects afterwards."""
         self._on_notice = on_notice
         self._on_call = on_call
         self._on_lost = on_lost
+        self._received = received or peer_memory()
         self._transport = None
         self._peer = None
         self._buffer = bytearray()
@@ -126,6 +133,7 @@
 
     def connection_lost(self, exc):
         """Fail the pending calls."""
+        self._received.record(self, 0)
         for future in self._pending_calls.values():
             if not future.done():
                 future.set_exception(PeerUnreachableError("connection lost"))
@@ -135,6 +143,15 @@
     def data_received(self, data):
         """Extract and handle the complete frames in the buffer."""
         self._buffer += data
+        self._handle_frames()
+        self._received.record(self, len(self._buffer))
+
+    def give_up(self):
+        """Close the connection, whose frame is the largest of too many."""
+        self._buffer.clear()
+        self.close()
+
+    def _handle_frames(self):
         while len(self._buffer) >= _LENGTH.size:
             (length,) = _LENGTH.unpack_from(self._buffer)
             if length > MAX_FRAME_BYTES:
@@ -241,6 +258,11 @@
         self._write(frame)
 
 
+def peer_memory():
+    """Return what bounds the incomplete frames of several connections."""
+    return BufferedAnswers(limit_bytes=MAX_RECEIVED_BYTES)
+
+
 class PeerLink:
     """Connection to one address that is reopened after it is lost."""
 
--- a/currantdeal/node/tests/test_peers.py
+++ b/currantdeal/node/tests/test_peers.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import gc
 
 import pytest
@@ -7,14 +8,23 @@
 from currantdeal.node import peers
 from currantdeal.node.errors import PeerUnreachableError
 from currantdeal.node.messages import Done, JoinCall, ReadConfigCall
-from currantdeal.node.peers import PeerConnection, PeerLink, pack_frame
+from currantdeal.node.peers import (
+    MAX_FRAME_BYTES,
+    MAX_RECEIVED_BYTES,
+    PeerConnection,
+    PeerLink,
+    pack_frame,
+    peer_memory,
+)
+from currantdeal.node.settings import split_address
 from currantdeal.testing.node_logs import node_log_lines
 
 NESTED_BODY = b"\x92\xa4Done" + b"\x91" * 100_000
+PART_BYTES = 12_582_912
 CALL = JoinCall(instance="a", address="a", blank=False)
 
 
-async def _server(on_call, notices=None, on_notice=None):
+async def _server(on_call, notices=None, on_notice=None, received=None):
     loop = asyncio.get_running_loop()
 
     def keep(connection, message):
@@ -26,6 +36,7 @@
             on_notice=on_notice or keep,
             on_call=on_call,
             on_lost=lambda c: None,
+            received=received,
         ),
         "127.0.0.1",
         0,
@@ -209,3 +220,32 @@
         (line,) = read_lines()
     assert (line["event"], line["message"]) == ("message-failed", "Done")
     assert unhandled == []
+
+
+def test_large_frames_are_bounded_in_sum():
+    """Guards against memory that grows with the number of connections."""
+
+    async def answer(connection, message):
+        return Done(accepted=True)
+
+    async def run():
+        server, link = await _server(answer, received=peer_memory())
+        streams = [
+            await asyncio.open_connection(*split_address(link.address))
+            for _ in range(8)
+        ]
+        part = (MAX_FRAME_BYTES - 1).to_bytes(4, "big") + bytes(PART_BYTES)
+        for _, writer in streams:
+            with contextlib.suppress(ConnectionError):
+                writer.write(part)
+                await writer.drain()
+        answered = await link.call(CALL, timeout_s=2.0)
+        await asyncio.sleep(0.2)
+        is_open = [not reader.at_eof() for reader, _ in streams]
+        for _, writer in streams:
+            writer.transport.abort()
+        return answered, sum(is_open)
+
+    answered, still_open = asyncio.run(run())
+    assert answered.accepted
+    assert 0 < still_open * PART_BYTES <= MAX_RECEIVED_BYTES
