Answer requests whose bodies arrive while an entry stops

What callers saw: requests whose bodies were still arriving 6 s after SIGTERM had their connections reset as soon as no other request was in progress.

Cause: a connection that receives a request counted neither as busy nor as idle.

Change: it counts as in use. 0.7 s before the exit, what is not received as a whole is refused with 503, Retry-After and Connection: close, early enough for the rest of the body to be read.

--- a/currantdeal/cli/entry_drain.py
+++ b/currantdeal/cli/entry_drain.py
@@ -1,11 +1,18 @@
 """Stops an entry in stages, so that its requests end before the process."""
 
 import asyncio
+import math
 
 import structlog
 
 from currantdeal.entry.progress import REFUSAL_MARGIN_S
+from currantdeal.entry.service import STOPPING
+from currantdeal.node.http_server import CLOSE_DELAY_S
 from currantdeal.node.peer_watch import peer_watch
+from currantdeal.policy.retries.retry_after import (
+    RefusalReason,
+    choose_retry_after_s,
+)
 
 REFUSE_STREAMS_AFTER_S = 2.5
 """Seconds after the stop request from which new streams are refused.
@@ -23,6 +30,9 @@
 EXIT_MARGIN_S = 0.4
 """Seconds between the exit of the process and its kill by the platform."""
 
+REFUSE_INCOMING_S = CLOSE_DELAY_S + 0.2
+"""Seconds before the exit from which requests in receipt are refused."""
+
 LAST_ANSWERS_S = 0.1
 """Seconds before the exit at which unanswered requests get an answer."""
 
@@ -45,14 +55,18 @@
         Accepts links from other entries.
     grace_s : float
         Time between the request to stop and the forced kill.
+    random : random.Random
+        Source of the spread of retry-after times.
     """
 
-    def __init__(self, *, server, service, link_server, grace_s):
+    def __init__(self, *, server, service, link_server, grace_s, random):
         """Change nothing before ``run``."""
         self._server = server
         self._service = service
         self._link_server = link_server
         self._grace_s = grace_s
+        self._random = random
+        self._is_refusing = False
 
     async def run(self):
         """Refuse, finish or cut what is in progress; returns at the exit.
@@ -75,6 +89,8 @@
         await _sleep_until(min(stop_s + STOP_ACCEPTING_AFTER_S, last_s))
         self._server.stop_listening()
         self._server.close_idle()
+        await self._finish_until(exit_s - REFUSE_INCOMING_S)
+        self._is_refusing = True
         await self._finish_until(exit_s - LAST_ANSWERS_S)
         self._service.requests.end_unanswered()
         self._server.hand_over()
@@ -83,11 +99,21 @@
 
     async def _finish_until(self, end_s):
         while self._is_in_use:
+            if self._is_refusing:
+                self._refuse_incoming()
             left_s = end_s - asyncio.get_running_loop().time()
             if left_s <= 0.0:
                 return
             await asyncio.sleep(min(left_s, CHECK_INTERVAL_S))
 
+    def _refuse_incoming(self):
+        self._server.refuse_incoming(
+            STOPPING,
+            choose_retry_after_s=lambda: choose_retry_after_s(
+                RefusalReason.STOPPING, math.inf, self._random
+            ),
+        )
+
     async def _cut_all(self):
         """Cut what is still in progress, each with a line of its own."""
         counts = self._counts
@@ -115,6 +141,8 @@
         return (
             server.active_requests
             or server.untaken_answers
+            or server.receiving
+            or server.refused
             or self._link_server.open_links
         )
 
--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -283,6 +283,7 @@
             service=self._service,
             link_server=self._link_server,
             grace_s=self._bounds.grace_s,
+            random=self._context.random,
         )
         await drain.run()
 
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -43,6 +43,9 @@
 DEFAULT_CALLER_TIMEOUT_S = 60.0
 """Timeout of a caller that sets none."""
 
+STOPPING = "this instance stops"
+"""Reason of refusals while the process ends."""
+
 _REFUSAL_STATUS = {RefusalReason.QUARANTINE: 429, RefusalReason.QUOTA: 429}
 """Statuses of refusals other than 503.
 
@@ -60,7 +63,6 @@
 _OUTCOME_UNKNOWN = (
     "outcome unknown, the request may have run; check before sending it again"
 )
-_STOPS = "this instance stops"
 _UNREADABLE_CALL = CallerRequest(request_id="", caller_timeout_s=None)
 _log = structlog.get_logger(__name__)
 
@@ -308,8 +310,8 @@
     def _end_at_stop(self, active):
         """Answer a request that would outlast the process."""
         if active.runs:
-            self._fail(active, 502, f"{_OUTCOME_UNKNOWN}: {_STOPS}")
-            return f"failed: {_STOPS}"
+            self._fail(active, 502, f"{_OUTCOME_UNKNOWN}: {STOPPING}")
+            return f"failed: {STOPPING}"
         refusal = _stopping_refusal()
         self._refuse(active.request, active.responder, active.call, refusal)
         return f"refused: {refusal}"
@@ -421,7 +423,7 @@
 
 
 def _stopping_refusal():
-    return RefusedError(_STOPS, refusal_reason=RefusalReason.STOPPING)
+    return RefusedError(STOPPING, refusal_reason=RefusalReason.STOPPING)
 
 
 def _kind_of(outcome):
--- a/currantdeal/node/http_request.py
+++ b/currantdeal/node/http_request.py
@@ -21,13 +21,16 @@
         Text for the caller.
     detail : str
         The parser's error message, for the log.
+    retry_after_s : float or None
+        Time after which the caller may send it again, if it may.
     """
 
-    def __init__(self, status, reason, *, detail=""):
-        """Store the status and the detail."""
+    def __init__(self, status, reason, *, detail="", retry_after_s=None):
+        """Store the status and what else the response needs."""
         super().__init__(reason)
         self.status = status
         self.detail = detail
+        self.retry_after_s = retry_after_s
 
 
 class Request:
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -141,6 +141,21 @@
         if tasks := [task for task in tasks if task is not None]:
             await asyncio.wait(tasks, timeout=CUT_TIMEOUT_S)
 
+    def refuse_incoming(self, reason, *, choose_retry_after_s):
+        """Refuse the requests of which only a part was received."""
+        for connection in tuple(self.connections):
+            if connection.is_receiving:
+                connection.refuse(
+                    RefusedRequest(
+                        503, reason, retry_after_s=choose_retry_after_s()
+                    )
+                )
+
+    @property
+    def refused(self):
+        """Number of connections that are closed once a refusal is read."""
+        return sum(1 for c in self.connections if c.is_refused)
+
     @property
     def receiving(self):
         """Number of requests of which a part was received."""
@@ -188,6 +203,16 @@
             return False
         return self._request_started_s is not None
 
+    @property
+    def is_refused(self):
+        return self._is_closing and not self.is_busy
+
+    def refuse(self, refusal):
+        """Refuse a request of which a part was received."""
+        self._body.clear()
+        self._server.unread.record(self, 0)
+        self._reject(refusal)
+
     @property
     def untaken_bytes(self):
         return self._writer.unsent_bytes or self._peer.untaken_bytes
@@ -403,8 +428,7 @@
 
     def _refuse_body(self):
         if not (self.is_busy or self._is_closing):
-            self._body.clear()
-            self._reject(
+            self.refuse(
                 RefusedRequest(503, "the bodies being received are too large")
             )
 
@@ -507,6 +531,9 @@
                 (b"content-length", str(len(body)).encode("ascii")),
                 (b"connection", b"close"),
             ]
+            if refusal.retry_after_s is not None:
+                after = f"{refusal.retry_after_s:.3f}".encode("ascii")
+                headers.append((b"retry-after", after))
             response = h11.Response(
                 status_code=refusal.status, headers=headers
             )
