Close idle connections before the product's own drain hands over

What callers saw: a request on a kept connection that had been idle since the stop request was taken while the instance handed over its homes and leadership, passed on, and got no answer.

Cause: connections close after their next answer, so that an idle one stays open up to the end, which waits for nothing that came after the hand-over began.

Change: once the listener is closed, the thread that reads requests closes the connections without one, so that none is read meanwhile. A request of which a part was received is waited for as an answer is.

--- a/currantdeal/adapters/http/channel.py
+++ b/currantdeal/adapters/http/channel.py
@@ -78,6 +78,12 @@
             self.socket.shutdown(socket.SHUT_RDWR)
         self.server.pull_trigger()
 
+    def close_if_idle(self):
+        """Close it unless a request or an answer is in progress."""
+        is_busy = self.requests or self.request or self.total_outbufs_len
+        if self.connected and not is_busy:
+            self.handle_close()
+
     def begin_open_ended(self):
         """Reset the connection at its close, until the answer is sent.
 
--- a/currantdeal/adapters/http/server.py
+++ b/currantdeal/adapters/http/server.py
@@ -33,6 +33,7 @@
 CONNECTIONS_PER_THREAD = 4
 RESERVED_FILES = 100
 SENT_POLL_S = 0.02
+CLOSE_TIMEOUT_S = 2.0
 
 
 class HttpServer:
@@ -105,6 +106,25 @@
         self._server.del_channel()
         self._listener.close()
 
+    def close_idle(self):
+        """Close the connections on which no request has begun.
+
+        After ``end_connections`` each other one closes after its answer.
+        """
+        closed = threading.Event()
+
+        def close():
+            try:
+                for channel in list(self._server.active_channels.values()):
+                    channel.close_if_idle()
+            finally:
+                closed.set()
+
+        # The thread that reads requests closes them, so that none is read
+        # meanwhile.
+        self._server.trigger.pull_trigger(close)
+        closed.wait(CLOSE_TIMEOUT_S)
+
     def wait_quiet(self, *, timeout_s):
         """Wait until all answers are sent; return False on a timeout.
 
@@ -121,7 +141,8 @@
     def _is_busy(self):
         channels = list(self._server.active_channels.values())
         return any(
-            each.requests or each.total_outbufs_len for each in channels
+            each.requests or each.request or each.total_outbufs_len
+            for each in channels
         )
 
     def stop(self):
--- a/currantdeal/cli/drain.py
+++ b/currantdeal/cli/drain.py
@@ -140,6 +140,8 @@
         self._stopping.wait(self._keep_s)
         self._finish_requests()
         self._http.stop_accepting()
+        # A request that came later would be cut by the end of the process.
+        self._http.close_idle()
         self._finish_requests()
         self._serving.calls.wait_idle(timeout_s=CALLS_TIMEOUT_S)
         self._http.wait_quiet(timeout_s=SEND_TIMEOUT_S)
--- a/currantdeal/cli/tests/test_whole_path.py
+++ b/currantdeal/cli/tests/test_whole_path.py
@@ -2,6 +2,8 @@
 
 import socket
 import threading
+import time
+from dataclasses import replace
 
 import openai
 import pytest
@@ -239,6 +241,64 @@
     assert not engine.held()
 
 
+def _generation(number):
+    body = (
+        b'{"model": "nube-assistant", "prompt": "cake tokens=300",'
+        b' "max_tokens": 300}'
+    )
+    return (
+        b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+        b"X-Request-Id: kept-%d\r\nContent-Type: application/json\r\n"
+        b"Content-Length: %d\r\n\r\n%b" % (number, len(body), body)
+    )
+
+
+def _exchange_late(sock, number):
+    """Send a generation on a kept connection; return all that comes."""
+    received = b""
+    try:
+        sock.sendall(_generation(number))
+        while data := sock.recv(65_536):
+            received += data
+    except ConnectionError:
+        return received
+    return received
+
+
+def test_request_on_a_kept_connection_is_not_cut_by_a_stop(single_instance):
+    """Guards against requests that are taken once a drain hands over."""
+    daemon, engine = single_instance
+    host, _, port = daemon.caller_address.rpartition(":")
+    handing_over = threading.Event()
+
+    def hand_over():
+        handing_over.set()
+        time.sleep(0.3)
+
+    daemon._drain._ports = replace(daemon._ports, hand_over=(hand_over,))
+    kept = []
+    for _ in range(4):
+        sock = socket.create_connection((host, int(port)), timeout=10.0)
+        sock.sendall(b"GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n")
+        received = b""
+        while not received.endswith(b"]}"):
+            received += sock.recv(65_536)
+        assert received.startswith(b"HTTP/1.1 200")
+        kept.append(sock)
+    daemon.request_stop()
+    process = threading.Thread(target=daemon.wait)
+    process.start()
+    assert handing_over.wait(10.0)
+    answers = [_exchange_late(sock, n) for n, sock in enumerate(kept)]
+    process.join()
+    finished = [e for e in engine.events() if e.kind is EventKind.FINISH]
+    assert len(finished) == sum(map(bool, answers))
+    assert not any(e.kind is EventKind.CANCEL for e in engine.events())
+    for answer in filter(None, answers):
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert b"finish_reason" in answer
+
+
 def test_caller_who_takes_nothing_frees_engine_memory(single_instance):
     """Guards against engine memory held for a caller that does not read.
 
