--- a/currantdeal/node/http_request.py
+++ b/currantdeal/node/http_request.py
@@ -3,6 +3,7 @@
 Also checks request heads for forms that two parsers may read differently.
 """
 
+import math
 import re
 
 from currantdeal.policy.answers.answer_end import Framing
@@ -72,6 +73,8 @@
         Whether the response was begun, and ended in order.
     request_id : str
         Names the request in log lines; empty until the handler has set it.
+    deadline_s : float
+        Event-loop time until which the caller may still read.
     """
 
     def __init__(self, *, writer, has_body=True):
@@ -81,16 +84,13 @@
         self.started = False
         self.finished = False
         self.request_id = ""
+        self.deadline_s = -math.inf
 
     @property
     def connection_end(self):
         """The ``ConnectionEnd`` of the caller's connection, or None."""
         return self._writer.end
 
-    def await_until(self, deadline_s):
-        """Keep what the caller has not taken at least until a loop time."""
-        self._writer.awaited_until_s = deadline_s
-
     def begin(self, status, headers, *, framing=Framing.CHUNKS):
         """Send the head.
 
@@ -104,13 +104,13 @@
         self.started = True
         self._writer.send_head(status, headers, framing)
 
-    async def send(self, data, *, holds_up=lambda: False):
+    async def send(self, data, source):
         """Send a part of the body; wait while the caller reads slowly.
 
         See ``ResponseWriter.writable``.
         """
         self._writer.send_body(data)
-        await self._writer.writable(holds_up=holds_up)
+        return await self._writer.writable(source)
 
     def finish(self):
         """End the response in order, which completes a framed one."""
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import math
 
 import h11
 import structlog
@@ -191,6 +192,7 @@
         self._is_closing = False
         self._is_lingering = False
         self._untaken_before = 0
+        self._deadline_s = -math.inf
         self._discarded_bytes = 0
 
     @property
@@ -215,7 +217,7 @@
 
     @property
     def untaken_bytes(self):
-        return self._writer.unsent_bytes or self._peer.untaken_bytes
+        return self._writer.untaken_bytes
 
     def connection_made(self, transport):
         self._transport = transport
@@ -457,6 +459,7 @@
         responder = self._responder = _make_responder(request, self._writer)
         try:
             await self._server.handler(request, responder)
+            self._deadline_s = responder.deadline_s
             await self._end_open_ended()
         except asyncio.CancelledError:
             self._transport.abort()
@@ -483,13 +486,11 @@
             self._transport.abort()
 
     async def _end_open_ended(self):
+        self._untaken_before = self.untaken_bytes
         limit_s = self._server.limits().idle_timeout_s
-        try:
-            async with asyncio.timeout(limit_s):
-                await self._writer.end_open_ended()
-        except TimeoutError:
-            # The caller does not take the end of the answer.
-            self._writer.abort(ConnectionEnd.IDLE)
+        while not await self._writer.end_open_ended(timeout_s=limit_s):
+            if not self._may_take_more():
+                self._writer.abort(ConnectionEnd.IDLE)
 
     def _next_request(self):
         if self._transport.is_closing():
@@ -560,18 +561,20 @@
 
         One that reads, however slowly, has time to take the last answer.
         """
-        untaken = self.untaken_bytes
-        if not untaken:
+        if not self.untaken_bytes:
             self._transport.close()
-        elif untaken < self._untaken_before or self._is_timely:
+        elif self._may_take_more():
             self._start_idle_timer()
         else:
             self._writer.abort(ConnectionEnd.IDLE)
 
-    @property
-    def _is_timely(self):
-        """Whether the caller may still wait for the last answer."""
-        return self._loop.time() < self._writer.awaited_until_s
+    def _may_take_more(self):
+        """Return whether to keep the rest of an answer for its caller."""
+        untaken, before = self.untaken_bytes, self._untaken_before
+        self._untaken_before = untaken
+        idle_s = self._server.limits().idle_timeout_s
+        is_late = self._loop.time() - self._deadline_s >= idle_s
+        return untaken < before or not is_late
 
     def _set_timer(self, delay_s, action):
         self._cancel_timer()
--- a/currantdeal/node/response_writer.py
+++ b/currantdeal/node/response_writer.py
@@ -25,6 +25,12 @@
 """
 
 
+MAX_READ_AHEAD_BYTES = 8_388_608
+"""Unsent bytes of one answer up to which the rest of it is received.
+
+An upstream that has sent all is free for others.
+"""
+
 MAX_UNTAKEN_S = 2.0
 """Time for which a caller may take nothing while its upstream waits.
 
@@ -32,6 +38,9 @@
 it until then.
 """
 
+CHECK_INTERVAL_S = 0.5
+"""Interval at which it is checked whether the caller has taken anything."""
+
 
 class ResponseWriter:
     """Writes one response after the other to a connection.
@@ -51,8 +60,6 @@
         Why the connection ended, None before that.
     untaken_at_end : int
         Bytes that the caller had not acknowledged then.
-    awaited_until_s : float
-        Loop time until which the caller waits for the present response.
     """
 
     def __init__(self, *, transport, peer, unsent):
@@ -60,7 +67,8 @@
         self._transport = transport
         self._peer = peer
         self._unsent = unsent
-        transport.set_write_buffer_limits(high=MAX_UNCOUNTED_BYTES, low=0)
+        self._high_bytes = MAX_UNCOUNTED_BYTES
+        self._set_low_bytes(0)
         self._http = None
         self._keeps_open = None
         self._drained = None
@@ -69,7 +77,6 @@
         self.untaken_at_end = 0
         self._open_ended = False
         self._ended = False
-        self.awaited_until_s = 0.0
 
     def begin(self, http, *, keep_open):
         """Prepare for the response to the next request.
@@ -132,31 +139,57 @@
         self._drained = None
         self._counted_bytes = 0
         self._unsent.record(self, 0)
+        if not self._transport.is_closing():
+            # This pauses again if only a part was to be taken.
+            self._set_low_bytes(0)
 
-    async def writable(self, *, holds_up=lambda: False):
-        """Wait while the caller reads slowly.
+    async def writable(self, source):
+        """Wait while the caller reads slowly and more is to come.
 
         Parameters
         ----------
-        holds_up : callable
-            Whether that keeps an upstream's answer unread.
+        source : UpstreamConnection
+            Sends the rest of the answer.
+
+        Returns
+        -------
+        bool
+            Whether that took time.
 
         Raises
         ------
         SlowCallerError
-            If it does while the caller takes nothing for ``MAX_UNTAKEN_S``.
+            If the upstream is held up for ``MAX_UNTAKEN_S`` while the caller
+            takes nothing.
         """
-        while (drained := self._drained) is not None:
-            unsent = self.unsent_bytes
-            done, _ = await asyncio.wait({drained}, timeout=MAX_UNTAKEN_S)
-            if not done and holds_up() and self.unsent_bytes >= unsent:
+        loop = asyncio.get_running_loop()
+        untaken, taken_s = self.untaken_bytes, loop.time()
+        has_waited = False
+        while self._exceeds_allowance() and not source.has_ended:
+            held_up_s = min(source.held_up_s, loop.time() - taken_s)
+            if held_up_s >= MAX_UNTAKEN_S:
                 raise SlowCallerError("the caller takes nothing")
+            has_waited = True
+            await asyncio.wait(
+                {self._drained, source.ended},
+                timeout=CHECK_INTERVAL_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if self.untaken_bytes < untaken:
+                taken_s = loop.time()
+            untaken = self.untaken_bytes
+        return has_waited
 
     @property
     def unsent_bytes(self):
-        """Bytes that the caller has not taken."""
+        """Bytes that have not left this process."""
         return self._transport.get_write_buffer_size()
 
+    @property
+    def untaken_bytes(self):
+        """Bytes that the caller has not taken, about."""
+        return self._peer.untaken_bytes or self.unsent_bytes
+
     def give_up(self):
         """Abort the connection of the caller who has left most untaken."""
         self.abort(ConnectionEnd.SLOW)
@@ -181,20 +214,30 @@
                 self._counted_bytes, self.unsent_bytes
             )
 
-    async def end_open_ended(self):
-        """Let the close of the connection end a response in order.
+    async def end_open_ended(self, *, timeout_s):
+        """Let the connection end the response, if nothing else does.
+
+        It is reset if the response was not ended in order.
 
-        One that has no other end, and was not ended in order, is reset.
+        Returns
+        -------
+        bool
+            False if bytes are left in this process after ``timeout_s``, which
+            would be lost if it ended.
         """
         if not self._open_ended:
-            return
+            return True
         if not self._ended:
             self.abort()
-            return
-        # Bytes that are still in this process are lost if it ends.
-        await self.writable()
-        if not self._transport.is_closing():
-            self._set_reset_on_close(False)
+            return True
+        if self._drained is not None:
+            await asyncio.wait({self._drained}, timeout=timeout_s)
+        if self._transport.is_closing():
+            return True
+        if self._drained is not None:
+            return False
+        self._set_reset_on_close(False)
+        return True
 
     def _write(self, data):
         self._transport.write(data)
@@ -206,6 +249,22 @@
             self._counted_bytes = self.unsent_bytes
             self._unsent.record(self, self._counted_bytes)
 
+    def _exceeds_allowance(self):
+        """Return whether too much is unsent, and ask to be resumed if so."""
+        if self._drained is None:
+            return False
+        allowed = self._unsent.allowance(MAX_READ_AHEAD_BYTES)
+        if self.unsent_bytes <= allowed:
+            return False
+        self._set_low_bytes(allowed // 2)
+        return True
+
+    def _set_low_bytes(self, low_bytes):
+        """Set the unsent bytes at which writers continue."""
+        self._transport.set_write_buffer_limits(
+            high=max(self._high_bytes, low_bytes), low=low_bytes
+        )
+
     def _set_reset_on_close(self, enabled):
         sock = self._transport.get_extra_info("socket")
         set_reset_on_close(sock, enabled)
@@ -216,7 +275,8 @@
         if self._transport.is_closing():
             return
         self._set_reset_on_close(True)
-        self._transport.set_write_buffer_limits(high=0)
+        self._high_bytes = 0
+        self._set_low_bytes(0)
         self._write(_encode_head(response))
 
 
