Test a stream that is moved while prefills stay silent, failing on this code

What callers saw: answers of resumable streams that ended early with status 200, at any time, where a worker paused, prefill engines were slow and the retry budget was nearly used up.

Cause: the wait for a silent worker obtains a charge for the next run and ends the present one. The prefill that comes next uses that charge, and if it stays silent, the run is denied.

--- a/currantdeal/entry/tests/test_retry_budget.py
+++ b/currantdeal/entry/tests/test_retry_budget.py
@@ -21,10 +21,12 @@
     EVENTS,
     StandInUpstream,
     event_numbers,
+    send_event,
     send_refusal,
 )
 
 CONFIG = config_body(target_ms=2_000)
+TIMEOUT_S = 8.0
 NOTE = request_bytes("/note/1", more=GENERATION)
 
 
@@ -65,16 +67,16 @@
     return script
 
 
-async def _serve(engines, *, allowance):
+async def _serve(engines, *, allowance, raw=NOTE, config=CONFIG):
     """Return the answer to a note, with engines by their names."""
-    async with entry_world(config=CONFIG, allowance=allowance) as world:
+    async with entry_world(config=config, allowance=allowance) as world:
         for standin in engines.values():
             await standin.start()
             stage = Stage.PREFILL if standin.upstream[0] == "p" else None
             world.announce(
                 standin, service="model", stage=stage or Stage.DECODE
             )
-        return await world.exchange(NOTE)
+        return await world.exchange(raw, timeout_s=TIMEOUT_S)
 
 
 def _arrivals(engines):
@@ -178,3 +180,56 @@
             arrivals.begin(ArrivalKind.CALL)
 
     asyncio.run(run())
+
+
+PATIENT = config_body(timeout_ms=int(TIMEOUT_S * 1e3))
+DRAFT = request_bytes("/draft/1", more=GENERATION).replace(
+    b"Deadline-Ms: 3000", b"Deadline-Ms: 8000"
+)
+PAUSE_EVENT = 3
+PAUSE_S = 4.0
+
+
+MOVED_ALLOWANCES = [
+    2,
+    3,
+    pytest.param(4, marks=pytest.mark.known_red),
+    pytest.param(5, marks=pytest.mark.known_red),
+    6,
+    8,
+    12,
+]
+
+
+async def _answer_unless_silent(standin, request, writer):
+    """Leave prefills unanswered; the first stream pauses in the middle."""
+    if request.is_prefill:
+        await asyncio.sleep(TIMEOUT_S)
+        return True
+    if request.is_system_call or request.get("Last-Event-Id"):
+        return False
+    standin.begin_stream(request, writer)
+    for number in range(1, PAUSE_EVENT):
+        send_event(writer, number)
+    await writer.drain()
+    await asyncio.sleep(PAUSE_S)
+    for number in range(PAUSE_EVENT, EVENTS + 1):
+        send_event(writer, number)
+    writer.write(b"0\r\n\r\n")
+    return True
+
+
+@pytest.mark.parametrize("allowance", MOVED_ALLOWANCES)
+def test_stream_that_is_moved_keeps_the_charge_of_its_run(allowance):
+    """Guards against an answer that ends early as a prefill used its charge.
+
+    Its engine pauses, and prefill engines take prompts without an answer.
+    """
+    engines = {
+        name: StandInUpstream(upstream=name, script=_answer_unless_silent)
+        for name in ("p1", "p2", "p3", "d1", "d2")
+    }
+    answer = asyncio.run(
+        _serve(engines, allowance=allowance, raw=DRAFT, config=PATIENT)
+    )
+    assert event_numbers(answer) == list(range(1, EVENTS + 1))
