Judge slow peers' requests at the end of a process by what the rule says

A true failure that a process sends in the last sixth of its grace, for a request that may have run, is an answer: rule LOST counts channels that end without one. It has a verdict of its own, "ended".

--- a/benchmarks/soak_stalls.py
+++ b/benchmarks/soak_stalls.py
@@ -42,6 +42,7 @@
 EXPLAINED = (
     "served",
     "refused",
+    "ended",
     "unconnected",
     "crossed",
     "late",
@@ -221,7 +222,7 @@
     def _check_end(self, end, works):
         signalled_s = max(
             (s for n, s in self.stops if n == end.entry and s < end.ended_s),
-            default=float("-inf"),
+            default=math.inf,
         )
         verdict = judge(end, works, signalled_s)
         self.checked[f"{end.call.row}: {verdict}"] += 1
--- a/currantdeal/testing/stall_verdicts.py
+++ b/currantdeal/testing/stall_verdicts.py
@@ -29,16 +29,18 @@
     works : sequence of Work
         What upstreams did for it.
     signalled_s : float
-        When the process was signalled to stop.
+        When the process was signalled to stop; infinite if it was not.
 
     Returns
     -------
     str
         ``served``, ``refused`` (it has not run), ``failed`` (another status),
-        ``unconnected``, ``crossed`` (closed before it was taken), ``late``
-        (its time is over), ``outlasted`` (its upstream was still at work at
-        the end of the grace), ``wrong`` or ``lost``.
+        ``ended`` (the same in the last sixth of the grace, when the process
+        has to end), ``unconnected``, ``crossed`` (closed before it was
+        taken), ``late`` (its time is over), ``outlasted`` (its upstream was
+        still at work at the end of the grace), ``wrong`` or ``lost``.
     """
+    last_sixth_s = signalled_s + GRACE_S * 5 / 6
     if end.how == "whole" and end.status in (200, 429, 503):
         return "served" if end.served else "refused"
     if end.how in ("unconnected", "wrong"):
@@ -46,12 +48,15 @@
     if end.ended_s >= end.began_s + end.call.deadline_s - ANSWER_MARGIN_S:
         return "late"
     if end.how == "whole":
-        return "failed"
+        is_end = last_sixth_s < end.ended_s < signalled_s + GRACE_S
+        return "ended" if is_end else "failed"
     if not works and end.ended_s < end.sent_s + LOSS_SLACK_S:
         return "crossed"
-    last_sixth_s = signalled_s + GRACE_S * 5 / 6
-    if end.sent_s <= signalled_s + LATE_S and any(
-        work.began_s < last_sixth_s < work.ended_s for work in works
+    is_timely = end.sent_s <= signalled_s + LATE_S
+    if (
+        is_timely
+        and end.ended_s > last_sixth_s
+        and any(work.began_s < last_sixth_s < work.ended_s for work in works)
     ):
         return "outlasted"
     return "lost"
