Deliver no request that was given up once its path is repaired

What upstreams would see: an order that was answered 502, because its path was cut, ran there when the path was repaired within about a minute and a half.

Cause: since connections are judged by acknowledgements, the kernel's timeout is lifted. It also ended what a closed connection left in the kernel, which now was repeated until the kernel's own limit for sockets without a process.

Tests of node, entry, policy/health and adapters/http pass.

--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -164,7 +164,7 @@
     def _end_gone(self, exc):
         """End the connection, whose upstream acknowledges nothing."""
         self.connection_lost(exc)
-        self._transport.abort()
+        self._peer.abort()
 
     @property
     def phase(self):
@@ -332,7 +332,7 @@
             self._close_reason = "closed locally"
         self._stop_observing()
         self.record_buffered(0)
-        self._transport.abort()
+        self._peer.abort()
 
     def _stop_observing(self):
         if self._traffic is not None:
@@ -420,7 +420,7 @@
         if self._close_reason is None:
             self._close_reason = reason
         self._stop_observing()
-        self._transport.abort()
+        self._peer.abort()
         self._wake()
 
     def _fail_malformed(self, reason):
--- a/currantdeal/node/peer_watch.py
+++ b/currantdeal/node/peer_watch.py
@@ -45,8 +45,9 @@
         Looks at it while bytes wait.
     transport : asyncio.Transport
         The connection.
-    on_gone : callable
-        Called with an ``OSError`` once the peer is gone.
+    on_gone : callable or None
+        Called with an ``OSError`` once the peer is gone; by default the
+        connection is aborted.
 
     Attributes
     ----------
@@ -58,7 +59,7 @@
         """Start with nothing that waits."""
         super().__init__(sock=transport.get_extra_info("socket"))
         self.transport = transport
-        self.on_gone = on_gone
+        self.on_gone = on_gone or (lambda exc: self.abort())
         self.on_taken = lambda: None
         self.suspected_s = None
         self._watch = watch
@@ -92,6 +93,15 @@
         """Look at the connection until what was written is acknowledged."""
         self._watch.begin(self)
 
+    def abort(self):
+        """Abort the connection, and deliver nothing of it much later.
+
+        The kernel repeats for minutes what a process leaves behind, and a
+        request that was given up would run once its path is repaired.
+        """
+        self.set_kernel_timeout(True)
+        self.transport.abort()
+
 
 class PeerWatch:
     """Looks at the connections of an event loop on which bytes wait.
@@ -125,7 +135,7 @@
         peer = WatchedPeer(
             watch=self,
             transport=transport,
-            on_gone=on_gone or (lambda exc: transport.abort()),
+            on_gone=on_gone,
         )
         if not self._has_facts:
             peer.set_kernel_timeout(True)
--- a/currantdeal/node/peers.py
+++ b/currantdeal/node/peers.py
@@ -138,7 +138,7 @@
         while len(self._buffer) >= _LENGTH.size:
             (length,) = _LENGTH.unpack_from(self._buffer)
             if length > MAX_FRAME_BYTES:
-                self._transport.abort()
+                self._peer.abort()
                 return
             end = _LENGTH.size + length
             if len(self._buffer) < end:
@@ -146,7 +146,7 @@
             raw = bytes(self._buffer[_LENGTH.size : end])
             del self._buffer[:end]
             if not self._handle_frame(raw):
-                self._transport.abort()
+                self._peer.abort()
                 return
 
     def notify(self, message):
@@ -182,7 +182,7 @@
     def close(self):
         """Close the connection at once, without sending buffered bytes."""
         if self._transport is not None:
-            self._transport.abort()
+            self._peer.abort()
 
     def _write(self, raw):
         if not self.is_open:
@@ -190,7 +190,7 @@
         if self._transport.get_write_buffer_size() > MAX_BACKLOG_BYTES:
             # Buffering for a peer that has stopped reading would use more
             # and more memory until this process is killed.
-            self._transport.abort()
+            self._peer.abort()
             return
         self._transport.write(raw)
         self._peer.record_write()
--- a/currantdeal/node/response_writer.py
+++ b/currantdeal/node/response_writer.py
@@ -160,7 +160,7 @@
     def abort(self, end=ConnectionEnd.CUT):
         """Abort the connection, so that the response cannot look complete."""
         self.record_end(end)
-        self._transport.abort()
+        self._peer.abort()
 
     def record_end(self, end):
         """Record why the connection ends; the first reason counts."""
--- a/currantdeal/node/tests/test_stalled_peers.py
+++ b/currantdeal/node/tests/test_stalled_peers.py
@@ -18,6 +18,7 @@
 from currantdeal.testing.platform_upstream import StandInUpstream
 from currantdeal.testing.stalled_peers import (
     LateReader,
+    admit_packets,
     drop_packets,
     exchange_with_stall,
     small_socket,
@@ -147,3 +148,38 @@
     if not request.is_system_call:
         standin.send(request, writer, 200, b"x" * SIZES[-1])
     return not request.is_system_call
+
+
+class _CutForAWhile(StandInUpstream):
+    """An upstream whose packets are lost until it is joined again."""
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        self._cut = []
+
+    async def _serve(self, reader, writer):
+        self._cut.append(writer.get_extra_info("socket"))
+        drop_packets(self._cut[-1])
+        await super()._serve(reader, writer)
+
+    def join(self):
+        for sock in self._cut:
+            admit_packets(sock)
+
+
+async def _order_beside_a_cut(cut_s):
+    upstream = _CutForAWhile(upstream="u1")
+    answering = asyncio.create_task(_orders_at(upstream, "/order/1"))
+    await asyncio.sleep(cut_s)
+    upstream.join()
+    # The kernel repeats what it holds after at most 6.4 s.
+    await asyncio.sleep(5.0)
+    answer, _ = await answering
+    return answer, upstream.runs
+
+
+def test_order_that_was_given_up_is_not_delivered_later():
+    """Guards against a run that begins after its caller was refused."""
+    answer, runs = asyncio.run(_order_beside_a_cut(2.5))
+    assert answer.startswith(b"HTTP/1.1 502")
+    assert runs == []
--- a/currantdeal/testing/stalled_peers.py
+++ b/currantdeal/testing/stalled_peers.py
@@ -11,6 +11,7 @@
 """Receive buffer of a peer whose window closes after a few bytes."""
 
 _SO_ATTACH_FILTER = 26
+_SO_DETACH_FILTER = 27
 _DROP_ALL = struct.pack("HBBI", 6, 0, 0, 0)
 """A socket filter of one instruction: return 0 bytes of each packet."""
 
@@ -30,6 +31,11 @@
     sock.setsockopt(socket.SOL_SOCKET, _SO_ATTACH_FILTER, packed)
 
 
+def admit_packets(sock):
+    """Let packets arrive again."""
+    sock.setsockopt(socket.SOL_SOCKET, _SO_DETACH_FILTER, 0)
+
+
 async def exchange_with_stall(address, raw, *, stall_s, first_bytes=300):
     """Send a request, take a little, stop to read, then take all the rest.
 
