--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import math
 
 import h11
 import structlog
@@ -129,11 +130,16 @@
         """Number of requests in progress."""
         return sum(1 for c in self.connections if c.is_busy)
 
+    def hand_over(self):
+        """Give answers that wait here to the operating system."""
+        for connection in self.connections:
+            connection.hand_over()
+
     async def cut_all(self):
-        """Cut the requests in progress, as the process ends."""
-        busy = [c for c in self.connections if c.is_busy]
-        tasks = [connection.cut() for connection in busy]
-        if tasks:
+        """Cut the requests and answers that end with the process."""
+        cut = [c for c in self.connections if c.ends_with_process]
+        tasks = [connection.cut() for connection in cut]
+        if tasks := [task for task in tasks if task is not None]:
             await asyncio.wait(tasks, timeout=CUT_TIMEOUT_S)
 
     @property
@@ -171,6 +177,7 @@
         self._is_closing = False
         self._is_lingering = False
         self._untaken_before = 0
+        self._deadline_s = -math.inf
         self._discarded_bytes = 0
 
     @property
@@ -185,7 +192,7 @@
 
     @property
     def untaken_bytes(self):
-        return self._writer.unsent_bytes or self._peer.untaken_bytes
+        return self._writer.untaken_bytes
 
     def connection_made(self, transport):
         self._transport = transport
@@ -257,9 +264,17 @@
         if not self.is_busy and self._request_started_s is None:
             self._close()
 
+    @property
+    def ends_with_process(self):
+        return self.is_busy or self._writer.unsent_bytes > 0
+
+    def hand_over(self):
+        self._writer.hand_over()
+
     def cut(self):
-        """Cut the request in progress; returns its task, which ends soon."""
+        """Cut what is in progress; returns its task, which ends soon."""
         task = self._task
+        self._peer.leave_to_kernel()
         self._writer.abort(ConnectionEnd.STOPPED)
         self.connection_lost(None)
         return task
@@ -420,6 +435,7 @@
         responder = self._responder = _make_responder(request, self._writer)
         try:
             await self._server.handler(request, responder)
+            self._deadline_s = responder.deadline_s
             await self._end_open_ended()
         except asyncio.CancelledError:
             self._transport.abort()
@@ -446,13 +462,11 @@
             self._transport.abort()
 
     async def _end_open_ended(self):
+        self._untaken_before = self.untaken_bytes
         limit_s = self._server.limits().idle_timeout_s
-        try:
-            async with asyncio.timeout(limit_s):
-                await self._writer.end_open_ended()
-        except TimeoutError:
-            # The caller does not take the end of the answer.
-            self._writer.abort(ConnectionEnd.IDLE)
+        while not await self._writer.end_open_ended(timeout_s=limit_s):
+            if not self._may_take_more():
+                self._writer.abort(ConnectionEnd.IDLE)
 
     def _next_request(self):
         if self._transport.is_closing():
@@ -520,18 +534,20 @@
 
         One that reads, however slowly, has time to take the last answer.
         """
-        untaken = self.untaken_bytes
-        if not untaken:
+        if not self.untaken_bytes:
             self._transport.close()
-        elif untaken < self._untaken_before or self._is_timely:
+        elif self._may_take_more():
             self._start_idle_timer()
         else:
             self._writer.abort(ConnectionEnd.IDLE)
 
-    @property
-    def _is_timely(self):
-        """Whether the caller may still wait for the last answer."""
-        return self._loop.time() < self._writer.awaited_until_s
+    def _may_take_more(self):
+        """Return whether to keep the rest of an answer for its caller."""
+        untaken, before = self.untaken_bytes, self._untaken_before
+        self._untaken_before = untaken
+        idle_s = self._server.limits().idle_timeout_s
+        is_late = self._loop.time() - self._deadline_s >= idle_s
+        return untaken < before or not is_late
 
     def _set_timer(self, delay_s, action):
         self._cancel_timer()
--- a/currantdeal/node/peer_watch.py
+++ b/currantdeal/node/peer_watch.py
@@ -8,7 +8,7 @@
 import asyncio
 import errno
 import os
-from weakref import WeakKeyDictionary
+from weakref import WeakKeyDictionary, WeakSet
 
 from currantdeal.adapters.watched_socket import WatchedSocket
 from currantdeal.policy.health.peer_liveness import PeerState
@@ -63,7 +63,6 @@
         self.on_taken = lambda: None
         self.suspected_s = None
         self._watch = watch
-        self._buffered_bytes = 0
 
     @property
     def untaken_bytes(self):
@@ -72,23 +71,6 @@
             return 0
         return self.transport.get_write_buffer_size() + self.kernel_bytes
 
-    @property
-    def last_untaken_bytes(self):
-        """The same at the last look, also after the connection was lost."""
-        if not self._watch.is_waiting(self):
-            return 0
-        return self._buffered_bytes + self.kernel_bytes
-
-    def begin(self, now_s):
-        """Start to measure how long acknowledgements are awaited."""
-        super().begin(now_s)
-        self._buffered_bytes = 0
-
-    def look(self, now_s):
-        """Update the state; returns the ``ConnectionFacts``, or None."""
-        self._buffered_bytes = self.transport.get_write_buffer_size()
-        return super().look(now_s)
-
     def record_write(self):
         """Look at the connection until what was written is acknowledged."""
         self._watch.begin(self)
@@ -115,7 +97,9 @@
     def __init__(self, *, loop):
         """Start without connections."""
         self._loop = loop
+        self._peers = WeakSet()
         self._waiting = {}
+        self._is_released = False
         self._timer = None
         self._has_facts = None
         self._blank_looks = 0
@@ -137,6 +121,7 @@
             transport=transport,
             on_gone=on_gone,
         )
+        self._peers.add(peer)
         if not self._has_facts:
             peer.set_kernel_timeout(True)
         return peer
@@ -149,14 +134,21 @@
         """Look at a peer from now on, unless the system reports no facts."""
         if peer in self._waiting or self._has_facts is False:
             return
+        if self._is_released:
+            return
         peer.begin(self._loop.time())
         self._waiting[peer] = None
         if self._timer is None:
             self._timer = self._loop.call_later(LOOK_INTERVAL_S, self._look)
 
     def release(self):
-        """Leave all connections to the kernel, as the process ends."""
-        for peer in self._waiting:
+        """Leave all connections to the kernel, as the process ends.
+
+        It delivers what the peers have not taken, unless a socket has unread
+        bytes or an option that resets it.
+        """
+        self._is_released = True
+        for peer in tuple(self._peers):
             peer.leave_to_kernel()
         self._waiting.clear()
 
@@ -202,8 +194,8 @@
         if peer.suspected_s is None:
             peer.suspected_s = now_s
         elif now_s - peer.suspected_s >= CONFIRM_DELAY_S / 2:
+            del self._waiting[peer]
             peer.on_gone(_gone_error())
-            self._waiting.pop(peer, None)
 
     def _record_blank(self):
         """Record a look without facts, which may also come right after one."""
