Give up answers that are taken slowly before those of callers who read

What callers saw: a large answer cut at once, while many others read nothing.

Cause: the largest answer was given up where all together took too much memory, also one that had been written a moment ago, beside hundreds of smaller ones that had waited for seconds.

Change: of the answers that callers take, the largest of those that have waited for a second is given up first. What upstreams send is bounded as before.

The builder of the test measures sizes as the server does by default.

--- a/currantdeal/node/buffered_answers.py
+++ b/currantdeal/node/buffered_answers.py
@@ -17,6 +17,9 @@
 SHARE_FACTOR = 2
 """Largest share of an answer, as a multiple of the memory that is left."""
 
+SLOW_S = 1.0
+"""Time after which an answer that is still buffered is taken slowly."""
+
 MEASURE_INTERVAL_S = 0.1
 """Interval at which sizes are measured while memory is short."""
 
@@ -27,7 +30,8 @@
     A bound for each answer alone would let the memory grow with the number of
     requests.  If the answers exceed the limit together, the largest one is
     given up, so that upstreams that send without end do not displace the small
-    answers of others.
+    answers of others.  Where sizes are measured, as those of answers that
+    callers take, it is the largest of those that are taken slowly.
 
     Parameters
     ----------
@@ -68,6 +72,7 @@
         self._clock = clock
         self._measured_s = 0.0
         self._sizes = {}
+        self._since_s = {}
         self._total_bytes = 0
 
     @property
@@ -108,13 +113,25 @@
         self._total_bytes += size_bytes - self._sizes.pop(connection, 0)
         if size_bytes:
             self._sizes[connection] = size_bytes
+            self._since_s.setdefault(connection, self._clock())
+        else:
+            self._since_s.pop(connection, None)
         if self._total_bytes > self._limit_bytes and self._measure:
             self._update_sizes()
         while self._total_bytes > self._limit_bytes:
-            largest = max(self._sizes, key=self._sizes.get)
+            largest = max(self._candidates(), key=self._sizes.get)
             self._total_bytes -= self._sizes.pop(largest)
+            del self._since_s[largest]
             largest.give_up()
 
+    def _candidates(self):
+        """Return the connections of which one is given up."""
+        if self._measure is None:
+            return self._sizes
+        before_s = self._clock() - SLOW_S
+        slow = [c for c in self._sizes if self._since_s[c] <= before_s]
+        return slow or self._sizes
+
     def _share(self):
         shared_bytes = int(SHARED_PART * self._limit_bytes)
         return SHARE_FACTOR * (shared_bytes - self._total_bytes)
--- a/currantdeal/node/tests/test_buffered_answers.py
+++ b/currantdeal/node/tests/test_buffered_answers.py
@@ -8,6 +8,7 @@
 from currantdeal.node.buffered_answers import (
     MEASURE_INTERVAL_S,
     SHARED_PART,
+    SLOW_S,
     BufferedAnswers,
 )
 
@@ -85,6 +86,22 @@
     assert not any(connection.given_up for connection in connections)
 
 
+def test_caller_who_reads_is_not_displaced_by_many_who_do_not():
+    """Guards against a large answer that costs more than many small ones."""
+    now_s = 1.0
+    answers = BufferedAnswers(
+        limit_bytes=100, measure=lambda c: c.unsent, clock=lambda: now_s
+    )
+    stalled = [_Caller(unsent=size) for size in (10, 30, 20, 30)]
+    for caller in stalled:
+        answers.record(caller, caller.unsent)
+    now_s += SLOW_S
+    reader = _Caller(unsent=60)
+    answers.record(reader, reader.unsent)
+    assert not reader.given_up
+    assert [c.given_up for c in stalled] == [False, True, False, True]
+
+
 def test_allowance_is_of_what_is_left_now():
     """Guards against memory that counts as used long after it was taken."""
     now_s = 1.0
--- a/currantdeal/node/tests/test_slow_callers.py
+++ b/currantdeal/node/tests/test_slow_callers.py
@@ -26,7 +26,9 @@
 
 async def _server(handler, **limits):
     server = HttpServer(handler=handler, limits=lambda: CallerLimits(**limits))
-    server.unsent = BufferedAnswers(limit_bytes=LIMIT_BYTES)
+    server.unsent = BufferedAnswers(
+        limit_bytes=LIMIT_BYTES, measure=lambda writer: writer.unsent_bytes
+    )
     server.unread = BufferedAnswers(limit_bytes=LIMIT_BYTES)
     await server.start("127.0.0.1", 0)
     return server
@@ -71,6 +73,37 @@
     assert left == 0
 
 
+def test_large_answer_is_not_displaced_by_many_that_nobody_takes():
+    """Guards against slow callers who cost others their answers."""
+    small = GET.replace(b"/large", b"/small")
+
+    async def handle(request, responder):
+        is_small = request.head.target == "/small"
+        size = ANSWER_BYTES // 16 if is_small else ANSWER_BYTES
+        responder.answer(200, (), b"x" * size)
+
+    async def run():
+        server = await _server(handle)
+        (listener,) = server._server.sockets
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        slow = [
+            await _caller_who_does_not_read(server.address, small)
+            for _ in range(40)
+        ]
+        await asyncio.sleep(1.5)
+        kept = server.unsent.total_bytes
+        reader, writer = await asyncio.open_connection(*server.address)
+        writer.write(GET)
+        answer = await read_to_end(reader)
+        for sock in slow:
+            sock.close()
+        return kept, answer
+
+    kept, answer = asyncio.run(run())
+    assert kept > LIMIT_BYTES - ANSWER_BYTES // 8
+    assert len(answer.partition(b"\r\n\r\n")[2]) == ANSWER_BYTES
+
+
 def test_answer_that_is_never_taken_is_dropped_after_the_idle_timeout():
     """Guards against holding an answer for as long as a caller likes."""
 
