Count no silence of upstreams that cannot answer

Cause: silence on a connection counted from the sending of the request, also while its upstream acknowledges with a closed window that it has not read it, and while this process does not read.

Change: silence counts from when the upstream can answer.

--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -26,6 +26,7 @@
 from currantdeal.node.sockets import prepare_socket
 from currantdeal.policy.answers.answer_end import framing_of
 from currantdeal.policy.answers.reset_outcome import ExchangePhase
+from currantdeal.policy.health.peer_liveness import PeerState
 
 RECEIVE_BYTES = 65_536
 """Maximum number of bytes that are read from a connection at once."""
@@ -177,6 +178,11 @@
         """Seconds for which the rest of an answer has stayed unread."""
         return self._loop.time() - self._paused_s if self._paused else 0.0
 
+    @property
+    def is_held_up(self):
+        """Whether no answer is due yet, or its rest stays unread."""
+        return self._paused or self._peer.state is PeerState.STALLED
+
     @property
     def has_ended(self):
         """Whether nothing more of the present answer will come."""
--- a/currantdeal/node/link_traffic.py
+++ b/currantdeal/node/link_traffic.py
@@ -74,6 +74,7 @@
         for_s : float
             Least time since the last bytes and the sending of a request.
         """
+        self._excuse_held_up()
         before_s = asyncio.get_running_loop().time() - for_s
         return {
             connection.address
@@ -85,6 +86,7 @@
 
     def silent_helpers(self, *, for_s):
         """Return the entries through which no bytes come for a time."""
+        self._excuse_held_up()
         before_s = asyncio.get_running_loop().time() - for_s
         waiting = {
             connection.helper
@@ -97,6 +99,17 @@
             if self._helper_contact_s.get(helper, before_s) <= before_s
         }
 
+    def _excuse_held_up(self):
+        """Count silence from when the upstream can answer.
+
+        It cannot while a caller keeps this process from reading, or while it
+        acknowledges that it has not read the whole request.
+        """
+        now_s = asyncio.get_running_loop().time()
+        for connection in self._awaiting:
+            if connection.is_held_up:
+                self._awaiting[connection] = now_s
+
     def forget_helpers(self, helpers):
         """Forget entries that have left."""
         for helper in helpers:
