Keep the end of an answer on a link until the asking entry has taken it

What was seen: the asking entry's connection reset, with the end of an answer, when it did not read for some seconds after the upstream had closed.

Measured: an answer of 60 kB that is read 8 s late was reset before, whole now.

--- a/currantdeal/node/link_server.py
+++ b/currantdeal/node/link_server.py
@@ -197,11 +197,21 @@
         self._peer.record_write()
 
     def finish(self):
-        """Close after an orderly end of the upstream's connection."""
+        """Close after an orderly end of the upstream's connection.
+
+        The kernel soon drops what no process holds if the asking entry does
+        not read.
+        """
+        if self._transport.is_closing():
+            return
         sock = self._transport.get_extra_info("socket")
         if sock is not None:
             set_reset_on_close(sock, False)
-        self._transport.close()
+        if not self._peer.untaken_bytes:
+            self._transport.close()
+            return
+        self._peer.on_taken = self._transport.close
+        self._transport.write_eof()
 
     async def _connect(self, call):
         self.address = call.address
--- a/currantdeal/node/tests/test_links.py
+++ b/currantdeal/node/tests/test_links.py
@@ -21,11 +21,12 @@
 from currantdeal.node.link_client import LinkClient
 from currantdeal.node.link_messages import LinkCall
 from currantdeal.node.link_server import LinkServer
-from currantdeal.node.peers import pack_frame
+from currantdeal.node.peers import FrameReader, pack_frame
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.policy.health.links import CheckResult, Links, Reach
 from currantdeal.policy.placement.helper_choice import HelperChoice
 from currantdeal.testing.platform_upstream import HEALTH_PATH, StandInUpstream
+from currantdeal.testing.stalled_peers import small_socket
 
 TIMEOUT_S = 1.0
 CUT = CheckResult(direct=False, others=Reach.REACHED)
@@ -275,3 +276,47 @@
         assert world.standin.requests == []
 
     _run(test)
+
+
+LATE_S = 8.0
+ANSWER = b"x" * 60_000
+
+
+async def _answer_and_close(standin, request, writer):
+    standin.send(request, writer, 200, ANSWER, "Connection: close")
+    await writer.drain()
+    writer.close()
+    return True
+
+
+async def _open_raw(helper, address):
+    """Return a socket with a small receive buffer and a link of its own."""
+    loop = asyncio.get_running_loop()
+    sock = small_socket()
+    await loop.sock_connect(sock, helper.address)
+    call = LinkCall(address=address, timeout_s=TIMEOUT_S)
+    await loop.sock_sendall(sock, pack_frame(FrameKind.CALL, 1, call))
+    reader = FrameReader()
+    while reader.receive(await loop.sock_recv(sock, 1_024)) is None:
+        pass
+    return sock
+
+
+def test_end_of_an_answer_is_kept_for_an_entry_that_reads_late():
+    """Guards against the kernel, which drops what no process holds."""
+
+    async def test(world):
+        loop = asyncio.get_running_loop()
+        address = world.standin.address
+        sock = await _open_raw(world.helpers[0], address)
+        request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+        await loop.sock_sendall(sock, request)
+        await asyncio.sleep(LATE_S)
+        received = bytearray()
+        while data := await loop.sock_recv(sock, 65_536):
+            received += data
+        sock.close()
+        return bytes(received)
+
+    answer = _run(test, helpers=1, script=_answer_and_close)
+    assert answer.partition(b"\r\n\r\n")[2] == ANSWER
