--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -8,6 +8,7 @@
 import structlog
 
 from currantdeal.adapters.metrics import Metrics
+from currantdeal.cli.entry_drain import EntryDrain
 from currantdeal.cli.process import (
     SETTINGS_INTERVAL_S,
     LoopDelay,
@@ -43,19 +44,6 @@
 from currantdeal.policy.placement.helper_choice import HelperChoice
 from currantdeal.registry import EntryRecord
 
-REFUSE_STREAMS_AFTER_S = 2.5
-"""Seconds after the stop request from which new streams are refused.
-
-Those accepted before need the rest of the grace period to end.
-"""
-
-STOP_ACCEPTING_AFTER_S = 6.0
-"""Seconds after the stop request from which no connection is accepted.
-
-Most callers cache the answer of the directory for four seconds, a few for
-longer.
-"""
-
 QUOTA_REFILL_S = 1.0
 """Interval at which the reserves of quotas are checked."""
 
@@ -65,9 +53,6 @@
 RECENT_NOTICE_S = 1.2
 """Silence of the source up to which a confirmation is expected soon."""
 
-EXIT_MARGIN_S = 0.4
-"""Seconds between the exit of the process and its kill by the platform."""
-
 _log = structlog.get_logger(__name__)
 
 
@@ -151,6 +136,7 @@
             handler=self._service.handle,
             limits=lambda: self._view.limits,
             on_refused=self._record_malformed,
+            on_untaken=self._service.record_untaken,
         )
 
     def _connect_links(self, settings):
@@ -217,7 +203,6 @@
             self._repeat(SETTINGS_INTERVAL_S, self._reload_settings),
         )
         await self._drain()
-        _log.info("stopped", cut=self._server.active_requests)
 
     def _repeat(self, interval_s, action):
         return call_periodically(interval_s, action, metrics=self._metrics)
@@ -291,37 +276,15 @@
         )
 
     async def _drain(self):
-        """Stop in stages, so that requests in progress finish before the kill.
-
-        Calls that could outlast the process are refused first, then streams,
-        then connections.  Streams that are still in progress shortly before
-        the kill are cut off.
-        """
-        loop = asyncio.get_running_loop()
-        stop_s = loop.time()
-        exit_s = stop_s + self._bounds.grace_s - EXIT_MARGIN_S
         self._ready = False
-        self._service.ends_s = exit_s
-        self._server.closing = True
-        self._link_server.stop()
         self._subscription.announce()
-        _log.info("stopping", requests=self._server.active_requests)
-        await asyncio.sleep(REFUSE_STREAMS_AFTER_S)
-        self._service.refuse_streams = True
-        await asyncio.sleep(STOP_ACCEPTING_AFTER_S - REFUSE_STREAMS_AFTER_S)
-        self._server.stop_listening()
-        self._server.close_idle()
-        while self._is_in_use and loop.time() < exit_s:
-            await asyncio.sleep(0.05)
-
-    @property
-    def _is_in_use(self):
-        server = self._server
-        return (
-            server.active_requests
-            or server.untaken_answers
-            or self._link_server.open_links
+        drain = EntryDrain(
+            server=self._server,
+            service=self._service,
+            link_server=self._link_server,
+            grace_s=self._bounds.grace_s,
         )
+        await drain.run()
 
     def _set_gauges(self):
         view = self._view
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -21,6 +21,7 @@
 from currantdeal.entry.events import position_of
 from currantdeal.entry.memory import MemoryReserver
 from currantdeal.entry.prefill import prefill_prompt, release_kv_cache
+from currantdeal.entry.progress import RequestState
 from currantdeal.entry.relay import EventRelay
 from currantdeal.entry.run_end import (
     check_end,
@@ -178,6 +179,7 @@
         try:
             if not self._may_send():
                 return False
+            self._active.enter(RequestState.PREFILL)
             prefill = await self._obtain_prefill(reservation.record)
             if not await self._may_decode(reservation.record):
                 self._unused_prefill = prefill
@@ -329,10 +331,7 @@
         try:
             connection = await context.pool.acquire(record.address, call)
         except ConnectError as exc:
-            self._reason = str(exc)
-            self._unused_prefill = prefill
-            self._reserver.record_unreachable(record, exc)
-            return False
+            return self._handle_unreached(record, exc, prefill)
         if not self._are_held(reservation, prefill):
             context.pool.release(connection)
             self._unused_prefill = prefill
@@ -340,19 +339,31 @@
             return False
         context.health.request_started(record.upstream)
         sent_s = context.limits.now_s
+        active.enter(RequestState.RUNNING)
         try:
             connection.send(call)
             return await self._stream(connection, record, sent_s)
+        except ConnectError as exc:
+            return self._handle_unreached(record, exc, prefill)
         except ExchangeError as exc:
             self._handle_lost_run(record, exc)
             return False
         except asyncio.CancelledError:
+            self._count_run()
             self._record_unfinished(record)
             raise
         finally:
+            active.enter(RequestState.UPSTREAM)
             context.health.request_ended(record.upstream)
             context.pool.release(connection)
 
+    def _handle_unreached(self, record, exc, prefill):
+        """Keep the prefill for another engine; nothing was sent to this."""
+        self._reason = str(exc)
+        self._unused_prefill = prefill
+        self._reserver.record_unreachable(record, exc)
+        return False
+
     async def _stream(self, connection, record, sent_s):
         context, active = self._context, self._active
         head = await self._receive_head(connection, record)
@@ -383,9 +394,10 @@
         record_end(context, active, record, head, events, position)
         if not self._relay.was_held_up:
             record_decode(context, record, events, timer.waited_s)
-        record_memory_use(
-            context, active, self._relay.events, self._now_s - began_s
-        )
+        took_s = self._now_s - began_s
+        record_memory_use(context, active, self._relay.events, took_s)
+        if not active.call.resume_after and active.runs == 1:
+            context.run_lengths.record(active.route.name, took_s)
         if not is_ended:
             self._reason = "the end of a resumed run is unknown"
         return is_ended
--- a/currantdeal/node/connector.py
+++ b/currantdeal/node/connector.py
@@ -75,6 +75,14 @@
                 raise ConnectRefusedError(str(exc)) from exc
             raise
 
+    def avoid(self, helper):
+        """Use an entry last for a while, after a connection through it ended.
+
+        Does nothing for an empty string, which is a direct connection.
+        """
+        if helper and self.link_client is not None:
+            self.link_client.avoid(helper)
+
     async def open_direct(self, address, *, timeout_s):
         """Open a connection from this process to an upstream.
 
@@ -153,6 +161,10 @@
         finally:
             _discard((direct, linked), chosen)
 
+    def may_use(self, helper):
+        """Return whether a helper still helps; true without a helper."""
+        return not helper or self.link_client.is_listed(helper)
+
     def _make(self, address, helper=""):
         return self._make_connection(
             address=address, helper=helper, traffic=self.traffic
--- a/currantdeal/node/http_request.py
+++ b/currantdeal/node/http_request.py
@@ -57,18 +57,37 @@
 class Responder:
     """Writes one response to a caller.
 
+    Parameters
+    ----------
+    writer : ResponseWriter
+        Writes to the connection.
+    has_body : bool
+        False if the response ends with its head, whatever body it describes.
+
     Attributes
     ----------
+    started, finished : bool
+        Whether the response was begun, and ended in order.
+    request_id : str
+        Names the request in log lines; empty until the handler has set it.
     deadline_s : float
         Event-loop time until which the caller may still read.
     """
 
-    def __init__(self, *, writer):
-        """Write with a ``ResponseWriter``."""
+    def __init__(self, *, writer, has_body=True):
+        """Start without a response."""
         self._writer = writer
+        self._has_body = has_body
         self.started = False
+        self.finished = False
+        self.request_id = ""
         self.deadline_s = -math.inf
 
+    @property
+    def connection_end(self):
+        """The ``ConnectionEnd`` of the caller's connection, or None."""
+        return self._writer.end
+
     def begin(self, status, headers, *, framing=Framing.CHUNKS):
         """Send the head.
 
@@ -92,6 +111,7 @@
 
     def finish(self):
         """End the response in order, which completes a framed one."""
+        self.finished = True
         self._writer.send_end()
 
     def abort(self):
@@ -110,7 +130,7 @@
             length = (b"content-length", str(len(body)).encode("ascii"))
             headers = (*headers, length)
         self.begin(status, headers, framing=framing)
-        if body:
+        if body and self._has_body:
             self._writer.send_body(body)
         self.finish()
 
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -15,6 +15,7 @@
 
 from currantdeal.node.buffered_answers import BufferedAnswers
 from currantdeal.node.chunk_sizes import ChunkSizes
+from currantdeal.node.connection_end import ConnectionEnd, end_of
 from currantdeal.node.head import RequestHead
 from currantdeal.node.http_request import (
     RefusedRequest,
@@ -45,8 +46,12 @@
 the response before the caller has read it.
 """
 
+CUT_TIMEOUT_S = 0.1
+"""Longest wait for the ends of requests that were cut."""
+
 _log = structlog.get_logger(__name__)
 
+_INTERNAL_ERROR = b"internal error; the request may have run\n"
 _MALFORMED = {
     400: "the request is malformed",
     431: "the head is too large",
@@ -67,13 +72,24 @@
     on_refused : callable
         Called with the status, the reason and the parser's detail of a
         malformed request.
+    on_untaken : callable
+        Called with the id of a request whose whole answer was written, the
+        bytes that its caller has not taken, and the ``ConnectionEnd``.
     """
 
-    def __init__(self, *, handler, limits=CallerLimits, on_refused=None):
+    def __init__(
+        self,
+        *,
+        handler,
+        limits=CallerLimits,
+        on_refused=None,
+        on_untaken=None,
+    ):
         """Store the parameters; ``start`` begins listening."""
         self.handler = handler
         self.limits = limits
         self.on_refused = on_refused or (lambda status, reason, detail: None)
+        self.on_untaken = on_untaken or (lambda request_id, size, end: None)
         self.connections = set()
         self.unsent = BufferedAnswers(
             measure=lambda writer: writer.unsent_bytes
@@ -114,6 +130,23 @@
         """Number of requests in progress."""
         return sum(1 for c in self.connections if c.is_busy)
 
+    def hand_over(self):
+        """Give answers that wait here to the operating system."""
+        for connection in self.connections:
+            connection.hand_over()
+
+    async def cut_all(self):
+        """Cut the requests and answers that end with the process."""
+        cut = [c for c in self.connections if c.ends_with_process]
+        tasks = [connection.cut() for connection in cut]
+        if tasks := [task for task in tasks if task is not None]:
+            await asyncio.wait(tasks, timeout=CUT_TIMEOUT_S)
+
+    @property
+    def receiving(self):
+        """Number of requests of which a part was received."""
+        return sum(1 for c in self.connections if c.is_receiving)
+
     @property
     def untaken_answers(self):
         """Number of answers of which the callers have not taken all yet."""
@@ -130,6 +163,7 @@
         self._head_bytes = bytearray()
         self._head_parsed = False
         self._request_started_s = None
+        self._method = b""
         self._request = None
         self._blank_bytes = 0
         self._body = bytearray()
@@ -138,6 +172,7 @@
         self._timer = None
         self._peer = None
         self._writer = None
+        self._responder = None
         self._reading = True
         self._is_closing = False
         self._is_lingering = False
@@ -149,6 +184,12 @@
     def is_busy(self):
         return self._task is not None
 
+    @property
+    def is_receiving(self):
+        if self.is_busy or self._is_closing:
+            return False
+        return self._request_started_s is not None
+
     @property
     def untaken_bytes(self):
         return self._writer.untaken_bytes
@@ -165,10 +206,12 @@
         self._start_idle_timer()
 
     def _end_gone(self, exc):
-        self.connection_lost(exc)
-        self._transport.abort()
+        self._writer.abort(ConnectionEnd.GONE)
 
     def connection_lost(self, exc):
+        self._writer.record_end(end_of(exc))
+        if self in self._server.connections:
+            self._report_untaken()
         self._server.connections.discard(self)
         self._server.unread.record(self, 0)
         self._cancel_timer()
@@ -176,6 +219,13 @@
         if self._task is not None:
             self._task.cancel()
 
+    def _report_untaken(self):
+        responder, untaken = self._responder, self._writer.untaken_at_end
+        if responder is not None and responder.finished and untaken:
+            self._server.on_untaken(
+                responder.request_id, untaken, self._writer.end
+            )
+
     def pause_writing(self):
         self._writer.pause()
 
@@ -198,7 +248,10 @@
         # A caller that closes its side abandons its request: HTTP/1.1 defines
         # no way to continue only reading.  It may still read an answer that
         # has ended.
-        return self._is_lingering and self._peer.untaken_bytes > 0
+        if self._is_lingering and self._peer.untaken_bytes > 0:
+            return True
+        self._writer.record_end(ConnectionEnd.CLOSED)
+        return False
 
     def _discard(self, data):
         """Discard what follows a refused request, or stop to read it."""
@@ -211,6 +264,21 @@
         if not self.is_busy and self._request_started_s is None:
             self._close()
 
+    @property
+    def ends_with_process(self):
+        return self.is_busy or self._writer.unsent_bytes > 0
+
+    def hand_over(self):
+        self._writer.hand_over()
+
+    def cut(self):
+        """Cut what is in progress; returns its task, which ends soon."""
+        task = self._task
+        self._peer.leave_to_kernel()
+        self._writer.abort(ConnectionEnd.STOPPED)
+        self.connection_lost(None)
+        return task
+
     def _close(self):
         """Close in order, once the caller has taken all.
 
@@ -298,6 +366,9 @@
         return True
 
     def _start_request(self, event):
+        self._method = event.method
+        if event.method == b"CONNECT":
+            raise RefusedRequest(501, "this is no proxy")
         headers = tuple(event.headers)
         names = [key for key, _ in headers]
         if b"content-length" in names and b"transfer-encoding" in names:
@@ -361,28 +432,41 @@
 
     async def _run(self, request):
         self._writer.begin(self._http, keep_open=self._keeps_open)
-        responder = Responder(writer=self._writer)
+        responder = self._responder = _make_responder(request, self._writer)
         try:
             await self._server.handler(request, responder)
             self._deadline_s = responder.deadline_s
-            await self._close_open_ended()
+            await self._end_open_ended()
         except asyncio.CancelledError:
             self._transport.abort()
             raise
         except Exception as exc:
-            # The caller has received no response or only a part of one.
-            _log.exception("handler-failed", why=repr(exc))
-            self._transport.abort()
+            _log.exception(
+                "handler-failed", request=responder.request_id, why=repr(exc)
+            )
+            self._end_failed(request)
         finally:
             self._task = None
             self._next_request()
 
-    async def _close_open_ended(self):
+    def _end_failed(self, request):
+        """Answer a request whose handler failed, unless an answer has begun.
+
+        An answer of which only a part was sent must not look complete.
+        """
+        if self._http.our_state is h11.SEND_RESPONSE:
+            headers = ((b"content-type", b"text/plain"),)
+            responder = _make_responder(request, self._writer)
+            responder.answer(500, headers, _INTERNAL_ERROR)
+        elif self._http.our_state not in (h11.DONE, h11.MUST_CLOSE):
+            self._transport.abort()
+
+    async def _end_open_ended(self):
         self._untaken_before = self.untaken_bytes
         limit_s = self._server.limits().idle_timeout_s
         while not await self._writer.end_open_ended(timeout_s=limit_s):
             if not self._may_take_more():
-                self._transport.abort()
+                self._writer.abort(ConnectionEnd.IDLE)
 
     def _next_request(self):
         if self._transport.is_closing():
@@ -424,15 +508,16 @@
                 (b"content-length", str(len(body)).encode("ascii")),
                 (b"connection", b"close"),
             ]
-            for event in (
-                h11.Response(status_code=refusal.status, headers=headers),
-                h11.Data(data=body),
-                h11.EndOfMessage(),
-            ):
-                self._writer.write(self._http, event)
+            response = h11.Response(
+                status_code=refusal.status, headers=headers
+            )
+            self._writer.write(self._http, response)
+            if self._method != b"HEAD":
+                self._writer.write(self._http, h11.Data(data=body))
+            self._writer.write(self._http, h11.EndOfMessage())
         if self._transport.can_write_eof():
             self._transport.write_eof()
-        self._loop.call_later(CLOSE_DELAY_S, self._transport.close)
+        self._loop.call_later(CLOSE_DELAY_S, self._close)
 
     def _request_timed_out(self):
         self._reject(
@@ -454,7 +539,7 @@
         elif self._may_take_more():
             self._start_idle_timer()
         else:
-            self._transport.abort()
+            self._writer.abort(ConnectionEnd.IDLE)
 
     def _may_take_more(self):
         """Return whether to keep the rest of an answer for its caller."""
@@ -474,8 +559,13 @@
             self._timer = None
 
     def _reset_parser(self):
+        self._method = b""
         self._blank_bytes = 0
         self._http = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=self._server.limits().max_header_bytes,
         )
+
+
+def _make_responder(request, writer):
+    return Responder(writer=writer, has_body=request.head.method != "HEAD")
--- a/currantdeal/node/response_writer.py
+++ b/currantdeal/node/response_writer.py
@@ -9,7 +9,12 @@
 
 import h11
 
-from currantdeal.adapters.sockets import set_reset_on_close
+from currantdeal.adapters.sockets import (
+    grow_send_buffer,
+    set_reset_on_close,
+    unacknowledged_bytes,
+)
+from currantdeal.node.connection_end import ConnectionEnd
 from currantdeal.node.errors import SlowCallerError
 from currantdeal.policy.answers.answer_end import Framing, framing_of_stream
 
@@ -48,6 +53,13 @@
         The caller.
     unsent : BufferedAnswers
         Bounds what all callers together have not taken.
+
+    Attributes
+    ----------
+    end : ConnectionEnd or None
+        Why the connection ended, None before that.
+    untaken_at_end : int
+        Bytes that the caller had not acknowledged then.
     """
 
     def __init__(self, *, transport, peer, unsent):
@@ -60,6 +72,9 @@
         self._http = None
         self._keeps_open = None
         self._drained = None
+        self._counted_bytes = 0
+        self.end = None
+        self.untaken_at_end = 0
         self._open_ended = False
         self._ended = False
 
@@ -122,6 +137,7 @@
         if self._drained is not None and not self._drained.done():
             self._drained.set_result(None)
         self._drained = None
+        self._counted_bytes = 0
         self._unsent.record(self, 0)
         if not self._transport.is_closing():
             # This pauses again if only a part was to be taken.
@@ -176,12 +192,28 @@
 
     def give_up(self):
         """Abort the connection of the caller who has left most untaken."""
-        self._transport.abort()
+        self.abort(ConnectionEnd.SLOW)
 
-    def abort(self):
+    def abort(self, end=ConnectionEnd.CUT):
         """Abort the connection, so that the response cannot look complete."""
+        self.record_end(end)
         self._transport.abort()
 
+    def hand_over(self):
+        """Give what the caller has not taken to the operating system."""
+        sock = self._transport.get_extra_info("socket")
+        if self.unsent_bytes and not self._transport.is_closing():
+            grow_send_buffer(sock, self.unsent_bytes)
+
+    def record_end(self, end):
+        """Record why the connection ends; the first reason counts."""
+        if self.end is None:
+            self.end = end
+            sock = self._transport.get_extra_info("socket")
+            self.untaken_at_end = unacknowledged_bytes(sock) + max(
+                self._counted_bytes, self.unsent_bytes
+            )
+
     async def end_open_ended(self, *, timeout_s):
         """Let the connection end the response, if nothing else does.
 
@@ -214,7 +246,8 @@
 
     def _record_unsent(self):
         if self._drained is not None and not self._transport.is_closing():
-            self._unsent.record(self, self.unsent_bytes)
+            self._counted_bytes = self.unsent_bytes
+            self._unsent.record(self, self._counted_bytes)
 
     def _exceeds_allowance(self):
         """Return whether too much is unsent, and ask to be resumed if so."""
