--- a/currantdeal/cli/tests/test_stalling_peers.py
+++ b/currantdeal/cli/tests/test_stalling_peers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from currantdeal.testing.stall_play import StallPlay
+from currantdeal.testing.stalling_rows import LONGEST_STALL_S, rows
 
 SCALE = 0.4
 """Multiple of the rates of a play by hand."""
@@ -47,19 +48,26 @@
     await _stop(play)
 
 
+SHORT_S = 5.0
+"""Longest stall that ends before a process that stops does."""
+
 SCENARIOS = [
-    _at_rest,
-    pytest.param(_stop, marks=pytest.mark.known_red),
-    _reload,
-    _through_helper,
-    pytest.param(_stop_through_helper, marks=pytest.mark.known_red),
+    (_at_rest, LONGEST_STALL_S),
+    (_stop, SHORT_S),
+    pytest.param(_stop, LONGEST_STALL_S, marks=pytest.mark.known_red),
+    (_reload, LONGEST_STALL_S),
+    (_through_helper, LONGEST_STALL_S),
+    (_stop_through_helper, SHORT_S),
 ]
 
 
-@pytest.mark.parametrize("scenario", SCENARIOS)
-def test_peers_that_stop_to_read_cost_no_answer(tmp_path, scenario):
+@pytest.mark.parametrize(("scenario", "longest_stall_s"), SCENARIOS)
+def test_peers_that_stop_to_read_cost_no_answer(
+    tmp_path, scenario, longest_stall_s
+):
     """Guards against slow peers that are cut as if they were gone."""
-    play = StallPlay(folder=tmp_path, seed=1, scale=SCALE)
+    calls = rows(longest_stall_s=longest_stall_s)
+    play = StallPlay(folder=tmp_path, seed=1, calls=calls, scale=SCALE)
     play.play(scenario)
     verdicts = play.verdicts()
     assert [
--- a/currantdeal/testing/stall_play.py
+++ b/currantdeal/testing/stall_play.py
@@ -18,7 +18,7 @@
     works_by_request,
 )
 from currantdeal.testing.stalling_caller import RowCallers, StallingCall
-from currantdeal.testing.stalling_rows import KINDS, ROWS
+from currantdeal.testing.stalling_rows import KINDS, rows
 from currantdeal.testing.upstream_fleet import UpstreamFleet
 
 START_S = 30.0
@@ -40,8 +40,8 @@
         Folder for settings, logs and data folders.
     seed : int
         Seed of the callers.
-    rows : tuple
-        See ``stalling_rows.ROWS``.
+    calls : tuple of Row or None
+        What callers send; ``stalling_rows.rows`` by default.
     scale : float
         Multiple of the rows' rates.
 
@@ -53,7 +53,7 @@
         When the first entry was signalled to stop; infinite before.
     """
 
-    def __init__(self, *, folder, seed=1, rows=ROWS, scale=1.0):
+    def __init__(self, *, folder, seed=1, calls=None, scale=1.0):
         """Start nothing before ``play``."""
         self.cluster = NodeCluster(folder=folder, control=3, entries=3)
         self.fleet = UpstreamFleet(
@@ -69,7 +69,7 @@
         self.callers = RowCallers(
             addresses=lambda: callers_addresses(self.cluster.entries[:1]),
             rng=random.Random(seed),
-            rows=rows,
+            rows=calls or rows(),
             scale=scale,
         )
         self.signalled_s = float("inf")
--- a/currantdeal/testing/stalling_rows.py
+++ b/currantdeal/testing/stalling_rows.py
@@ -1,6 +1,7 @@
 """Draws the calls of slow callers and slow upstreams, by rows."""
 
 import math
+from functools import partial
 
 from currantdeal.testing.scripted_upstream import Script
 from currantdeal.testing.stalling_caller import Row, StallingCall
@@ -46,10 +47,10 @@
     )
 
 
-def draw_taken_last(rng):
+def draw_taken_last(rng, *, longest_stall_s=LONGEST_STALL_S):
     """Draw callers that stop for up to the timeout, 10 kB to 4 MB."""
     size = int(10_000 * math.exp(rng.uniform(0.0, math.log(400))))
-    stall_s = rng.uniform(0.5, LONGEST_STALL_S)
+    stall_s = rng.uniform(0.5, longest_stall_s)
     return _stalling("taken last", rng, size=size, stall_s=stall_s)
 
 
@@ -76,9 +77,12 @@
     )
 
 
-ROWS = (
-    Row(draw=draw_usual, per_s=25.0, most_calls=3),
-    Row(draw=draw_taken_late, per_s=14.0),
-    Row(draw=draw_taken_last, per_s=2.0),
-    Row(draw=draw_read_late, per_s=3.0),
-)
+def rows(*, longest_stall_s=LONGEST_STALL_S):
+    """Return all rows, with a longest stall of those that are taken last."""
+    taken_last = partial(draw_taken_last, longest_stall_s=longest_stall_s)
+    return (
+        Row(draw=draw_usual, per_s=25.0, most_calls=3),
+        Row(draw=draw_taken_late, per_s=14.0),
+        Row(draw=taken_last, per_s=2.0),
+        Row(draw=draw_read_late, per_s=3.0),
+    )
