Leave no request that was given up to the kernel at the end of a process

What upstreams would see: an order that is cut at the end of a process, while its path is cut, may arrive once that is repaired: release() lifts the timeout that aborting the connection has just set, if the loop has not closed the socket yet.

Change: release() spares connections that were given up, and those whose peers are gone count as such. Callers whose answer is cut at the end keep what was sent, as before.

The test failed before. Tests of stalled peers, answers and streams at a stop pass.

--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -274,8 +274,9 @@
     def cut(self):
         """Cut what is in progress; returns its task, which ends soon."""
         task = self._task
+        self._writer.record_end(ConnectionEnd.STOPPED)
         self._peer.leave_to_kernel()
-        self._writer.abort(ConnectionEnd.STOPPED)
+        self._transport.abort()
         self.connection_lost(None)
         return task
 
--- a/currantdeal/node/peer_watch.py
+++ b/currantdeal/node/peer_watch.py
@@ -53,6 +53,8 @@
     ----------
     on_taken : callable
         Called once all that was written is acknowledged.
+    is_given_up : bool
+        Whether what waits is to be delivered no more.
     """
 
     def __init__(self, *, watch, transport, on_gone):
@@ -62,6 +64,7 @@
         self.on_gone = on_gone or (lambda exc: self.abort())
         self.on_taken = lambda: None
         self.suspected_s = None
+        self.is_given_up = False
         self._watch = watch
 
     @property
@@ -81,9 +84,14 @@
         The kernel repeats for minutes what a process leaves behind, and a
         request that was given up would run once its path is repaired.
         """
-        self.set_kernel_timeout(True)
+        self.give_up()
         self.transport.abort()
 
+    def give_up(self):
+        """Let the kernel drop soon what waits."""
+        self.is_given_up = True
+        self.set_kernel_timeout(True)
+
 
 class PeerWatch:
     """Looks at the connections of an event loop on which bytes wait.
@@ -149,7 +157,8 @@
         """
         self._is_released = True
         for peer in tuple(self._peers):
-            peer.leave_to_kernel()
+            if not peer.is_given_up:
+                peer.leave_to_kernel()
         self._waiting.clear()
 
     def _look(self):
@@ -194,6 +203,7 @@
         if peer.suspected_s is None:
             peer.suspected_s = now_s
         elif now_s - peer.suspected_s >= CONFIRM_DELAY_S / 2:
+            peer.give_up()
             del self._waiting[peer]
             peer.on_gone(_gone_error())
 
--- a/currantdeal/node/tests/test_stalled_peers.py
+++ b/currantdeal/node/tests/test_stalled_peers.py
@@ -4,11 +4,14 @@
 """
 
 import asyncio
+import socket
 import time
 
 import pytest
 
 from currantdeal.node.http_server import HttpServer
+from currantdeal.node.peer_watch import LOOK_INTERVAL_S, peer_watch
+from currantdeal.node.sockets import prepare_socket
 from currantdeal.routing import CallerLimits
 from currantdeal.testing.entry_world import (
     config_body,
@@ -183,3 +186,33 @@
     answer, runs = asyncio.run(_order_beside_a_cut(2.5))
     assert answer.startswith(b"HTTP/1.1 502")
     assert runs == []
+
+
+async def _timeouts_at_the_end():
+    """Return the kernel's timeouts of a kept and an aborted connection."""
+    loop = asyncio.get_running_loop()
+    server = await _server(1)
+    peers = []
+    for _ in range(2):
+        transport, _ = await loop.create_connection(
+            asyncio.Protocol, *server.address
+        )
+        peers.append(prepare_socket(transport))
+        transport.write(b"x")
+        peers[-1].record_write()
+    await asyncio.sleep(2 * LOOK_INTERVAL_S)
+    peers[1].abort()
+    peer_watch().release()
+    return [
+        peer.transport.get_extra_info("socket").getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+        )
+        for peer in peers
+    ]
+
+
+def test_end_of_a_process_leaves_no_request_that_was_given_up():
+    """Guards against an order that is delivered after its process ended."""
+    kept_ms, aborted_ms = asyncio.run(_timeouts_at_the_end())
+    assert kept_ms == 0
+    assert aborted_ms > 0
