--- a/currantdeal/node/tests/test_failing_handlers.py
+++ b/currantdeal/node/tests/test_failing_handlers.py
@@ -23,7 +23,7 @@
 async def _raise_after_head(request, responder):
     responder.request_id = "r-1"
     responder.begin(200, ())
-    await responder.send(b"part")
+    await responder.send(b"part", None)
     raise KeyError("missing")
 
 
