--- a/currantdeal/node/tests/test_links.py
+++ b/currantdeal/node/tests/test_links.py
@@ -1,6 +1,7 @@
 """Both ends of links through other entries, with real sockets."""
 
 import asyncio
+import gc
 import random
 from contextlib import asynccontextmanager, suppress
 
@@ -21,6 +22,7 @@
 from currantdeal.node.link_client import LinkClient
 from currantdeal.node.link_messages import LinkCall
 from currantdeal.node.link_server import LinkServer
+from currantdeal.node.peer_watch import LOOK_INTERVAL_S
 from currantdeal.node.peers import FrameReader, pack_frame
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.policy.health.links import CheckResult, Links, Reach
@@ -338,3 +340,25 @@
 
     answer = _run(test, helpers=1, script=_answer_and_close)
     assert answer.partition(b"\r\n\r\n")[2] == ANSWER
+
+
+@pytest.mark.parametrize("steps", range(1, 9))
+def test_call_for_a_link_may_be_cancelled_at_any_step(steps):
+    """Guards against an error that nobody awaits, and that is then logged."""
+    unhandled = []
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, found: unhandled.append(found))
+        async with _world(helpers=1) as world:
+            world.cut()
+            task = asyncio.ensure_future(world.ask())
+            for _ in range(steps):
+                await asyncio.sleep(0.0)
+            task.cancel()
+            # Nothing refers to the connection after the next look at it.
+            await asyncio.sleep(2 * LOOK_INTERVAL_S)
+            gc.collect()
+
+    asyncio.run(run())
+    assert unhandled == []
