Answer a request whose handler ends without a response

What callers would see: a closed connection without a byte of an answer. No handler is known to do so.

Change: it counts as a handler that failed (500, 'handler-failed'), unless its connection was ended on purpose.

Measured: test_failed_handler_yields_an_error_response[_forget_to_answer] failed before: no byte of an answer.

--- a/currantdeal/node/errors.py
+++ b/currantdeal/node/errors.py
@@ -20,6 +20,10 @@
     """Another instance could not be reached or did not respond in time."""
 
 
+class NoResponseError(NodeError):
+    """The handler of a request has ended without a response."""
+
+
 class SlowCallerError(NodeError):
     """A caller does not take its answer while an upstream waits for that."""
 
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -15,6 +15,7 @@
 
 from currantdeal.node.buffered_answers import BufferedAnswers
 from currantdeal.node.connection_end import ConnectionEnd, end_of
+from currantdeal.node.errors import NoResponseError
 from currantdeal.node.head import RequestHead
 from currantdeal.node.http_request import (
     RefusedRequest,
@@ -459,6 +460,7 @@
         responder = self._responder = _make_responder(request, self._writer)
         try:
             await self._server.handler(request, responder)
+            self._check_answered()
             self._deadline_s = responder.deadline_s
             await self._end_open_ended()
         except asyncio.CancelledError:
@@ -473,6 +475,11 @@
             self._task = None
             self._next_request()
 
+    def _check_answered(self):
+        is_open = not self._transport.is_closing()
+        if is_open and self._http.our_state is h11.SEND_RESPONSE:
+            raise NoResponseError("the handler has sent no response")
+
     def _end_failed(self, request):
         """Answer a request whose handler failed, unless an answer has begun.
 
--- a/currantdeal/node/tests/test_failing_handlers.py
+++ b/currantdeal/node/tests/test_failing_handlers.py
@@ -20,6 +20,10 @@
     raise ValueError("x" * 1_000_000)
 
 
+async def _forget_to_answer(request, responder):
+    responder.request_id = "r-1"
+
+
 async def _raise_after_head(request, responder):
     responder.request_id = "r-1"
     responder.begin(200, ())
@@ -71,7 +75,12 @@
 
 @pytest.mark.parametrize(
     "handler",
-    [_raise_at_once, _answer_illegal_header, _answer_illegal_status],
+    [
+        _raise_at_once,
+        _answer_illegal_header,
+        _answer_illegal_status,
+        _forget_to_answer,
+    ],
 )
 def test_failed_handler_yields_an_error_response(handler):
     """Guards against a connection that is closed without any answer."""
@@ -131,6 +140,17 @@
     assert lines == unhandled == []
 
 
+async def _abort(request, responder):
+    responder.abort()
+
+
+def test_aborted_request_is_no_failure():
+    """Guards against an error response where a handler cut its caller."""
+    answer, lines, unhandled = _exchange(_abort)
+    assert answer in (b"", b"<reset>")
+    assert lines == unhandled == []
+
+
 def test_log_line_of_a_large_error_is_bounded():
     """Guards against log lines as long as what a peer has sent."""
     _, lines, _ = _exchange(_raise_with_much_text)
