Blame no upstream for the cut of an answer that its caller did not read

Change: the loss of one that stayed unread for a second at a time only ends or moves the stream, unless the process is known to have ended. The line stream-broken says whether the caller was slow.

--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -346,7 +346,9 @@
         except ConnectError as exc:
             return self._handle_unreached(record, exc, prefill)
         except ExchangeError as exc:
-            self._handle_lost_run(record, exc)
+            self._handle_lost_run(
+                record, exc, is_caller_slow=connection.may_be_cut
+            )
             return False
         except asyncio.CancelledError:
             self._count_run()
@@ -472,7 +474,7 @@
             self._active, record, events=self._events_of_run
         )
 
-    def _handle_lost_run(self, record, exc):
+    def _handle_lost_run(self, record, exc, *, is_caller_slow):
         active = self._active
         phase = self._relay.phase_of(exc)
         if reset_outcome(active.kind, phase).ran is not Ran.NO:
@@ -486,12 +488,16 @@
         else:
             self._record_unfinished(record)
         self._reserver.exclude(record)
-        self._reserver.record_unreachable(record, exc)
+        if is_caller_slow and not exc.has_ended:
+            active.add_failure_step(record.upstream, exc)
+        else:
+            self._reserver.record_unreachable(record, exc)
         _log.info(
             "stream-broken",
             request=active.call.request_id,
             upstream=record.upstream,
             after=self._relay.last_id,
             moment=phase.value,
+            caller_slow=is_caller_slow,
             why=str(exc),
         )
--- a/currantdeal/entry/tests/test_slow_callers.py
+++ b/currantdeal/entry/tests/test_slow_callers.py
@@ -19,7 +19,11 @@
     StandInUpstream,
     event_numbers,
 )
-from currantdeal.testing.stalled_peers import exchange_with_stall, stream_of
+from currantdeal.testing.stalled_peers import (
+    exchange_with_stall,
+    impatient_stream,
+    stream_of,
+)
 
 TIMEOUT_S = 14.0
 IDLE_S = 1.0
@@ -213,3 +217,20 @@
     answer = asyncio.run(run())
     assert event_numbers(answer) == list(range(1, EVENTS + 1))
     assert answer.endswith(b"0\r\n\r\n")
+
+
+def test_upstream_that_cuts_an_unread_answer_is_not_ejected():
+    """Guards against a sound engine that is avoided for a slow caller."""
+
+    async def run():
+        script = impatient_stream(3 * MAX_READ_AHEAD_BYTES)
+        engines = await _start_engines(script)
+        async with entry_world(config=CONFIG) as world:
+            world.announce_engines(*engines)
+            with structlog.testing.capture_logs() as logs:
+                await exchange_with_stall(world.address, _note(), stall_s=1.6)
+            return [entry["event"] for entry in logs]
+
+    events = asyncio.run(run())
+    assert "stream-broken" in events
+    assert "upstream-out" not in events
--- a/currantdeal/entry/tests/test_slow_links.py
+++ b/currantdeal/entry/tests/test_slow_links.py
@@ -21,8 +21,10 @@
 )
 from currantdeal.testing.platform_upstream import StandInUpstream
 from currantdeal.testing.stalled_peers import (
+    UNREAD_PATIENCE_S,
     LateReader,
     exchange_with_stall,
+    impatient_stream,
     stream_of,
 )
 
@@ -53,8 +55,10 @@
         self.unsound = set()
         self.ejected = set()
         self.avoided = []
-        client = world.context.pool.connector.link_client
-        client.avoid = self.avoided.append
+        self.losses = []
+        connector = world.context.pool.connector
+        connector.link_client.avoid = self.avoided.append
+        connector.traffic.on_doubt = lambda *loss: self.losses.append(loss)
 
     @property
     def links(self):
@@ -98,10 +102,10 @@
         yield _Observed(world=world, helper=helper)
 
 
-async def _start_engines(world, size):
+async def _start_engines(world, script):
     engines = [
         StandInUpstream(upstream="p1"),
-        StandInUpstream(upstream="d1", script=stream_of(lambda: size)),
+        StandInUpstream(upstream="d1", script=script),
     ]
     for engine in engines:
         await engine.start()
@@ -118,7 +122,8 @@
 
     async def run():
         async with _linked_world() as seen:
-            engines = await _start_engines(seen.world, size)
+            script = stream_of(lambda: size)
+            engines = await _start_engines(seen.world, script)
             seen.cut(*engines)
             raw = _with_patience(request_bytes("/note/1", more=GENERATION))
             answer = await seen.watch(
@@ -156,3 +161,28 @@
     assert [request.body for request in upstream.runs] == [BODY]
     assert not seen.ejected
     assert is_cut or not (seen.unsound or seen.avoided)
+
+
+@pytest.mark.parametrize("is_cut", [False, True])
+def test_cut_of_an_unread_answer_says_nothing_of_the_link(is_cut):
+    """Guards against a link that is doubted as a caller does not read."""
+
+    async def run():
+        async with _linked_world() as seen:
+            script = impatient_stream(3 * MAX_READ_AHEAD_BYTES)
+            engines = await _start_engines(seen.world, script)
+            if is_cut:
+                seen.cut(*engines)
+            raw = _with_patience(request_bytes("/note/1", more=GENERATION))
+            answer = await seen.watch(
+                exchange_with_stall(
+                    seen.world.address, raw, stall_s=1.5 * UNREAD_PATIENCE_S
+                )
+            )
+            return answer, seen
+
+    answer, seen = asyncio.run(run())
+    assert not answer.endswith(b"0\r\n\r\n")
+    assert not seen.losses
+    assert not seen.avoided
+    assert not seen.ejected
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -47,6 +47,9 @@
 They accumulate when a caller reads slowly.
 """
 
+UNREAD_CUT_S = 1.0
+"""Time after which upstreams may cut an answer that stays unread."""
+
 
 class UpstreamConnection(asyncio.BufferedProtocol):
     """A connection to an upstream that carries one exchange at a time.
@@ -104,6 +107,7 @@
         self._unparsed = b""
         self._paused = False
         self._paused_s = 0.0
+        self._longest_hold_s = 0.0
         self._ended = self._loop.create_future()
         self._idle_since_s = 0.0
         self._keep_alive_s = None
@@ -179,6 +183,11 @@
         """Seconds for which the rest of an answer has stayed unread."""
         return self._loop.time() - self._paused_s if self._paused else 0.0
 
+    @property
+    def may_be_cut(self):
+        """Whether the present answer was unread for long at a time."""
+        return max(self._longest_hold_s, self.held_up_s) >= UNREAD_CUT_S
+
     @property
     def is_held_up(self):
         """Whether no answer is due yet, or its rest stays unread."""
@@ -273,6 +282,7 @@
         self._reusable = False
         self._phase = ExchangePhase.AWAITING_ANSWER
         self._ended = self._loop.create_future()
+        self._longest_hold_s = 0.0
         self._transport.write(self._parser.begin(outgoing, head))
         self._peer.record_write()
         if self._traffic is not None:
@@ -422,6 +432,7 @@
             self._transport.pause_reading()
             self._paused_s = self._loop.time()
         elif self._paused and not pauses:
+            self._longest_hold_s = max(self._longest_hold_s, self.held_up_s)
             self._transport.resume_reading()
         self._paused = pauses
 
--- a/currantdeal/node/link_traffic.py
+++ b/currantdeal/node/link_traffic.py
@@ -57,6 +57,9 @@
         self.end(connection)
         if exc is None and not was_awaited:
             return
+        if was_awaited and connection.may_be_cut:
+            # The upstream may be tired of an answer that is not read.
+            return
         if connection.helper:
             self.on_helper_lost(connection.helper)
             return
--- a/currantdeal/testing/stalled_peers.py
+++ b/currantdeal/testing/stalled_peers.py
@@ -16,6 +16,9 @@
 EVENT_BYTES = 16_384
 """Data of one event of a large stream."""
 
+UNREAD_PATIENCE_S = 1.1
+"""Time after which an impatient upstream cuts an answer that is not read."""
+
 _SO_ATTACH_FILTER = 26
 _DROP_ALL = struct.pack("HBBI", 6, 0, 0, 0)
 """A socket filter of one instruction: return 0 bytes of each packet."""
@@ -96,6 +99,32 @@
     return script
 
 
+def impatient_stream(size):
+    """Return a script that cuts its answer to a generation if it is not read.
+
+    Parameters
+    ----------
+    size : int
+        Bytes of data of the answer, at least.
+    """
+    event = b"id: 1\ndata: %s\n\n" % (b"x" * EVENT_BYTES)
+
+    async def script(standin, request, writer):
+        if not request.is_generation or request.is_prefill:
+            return False
+        standin.begin_stream(request, writer)
+        try:
+            for _ in range(-(-size // EVENT_BYTES)):
+                send_chunk(writer, event)
+                async with asyncio.timeout(UNREAD_PATIENCE_S):
+                    await writer.drain()
+        except TimeoutError:
+            writer.transport.abort()
+        return True
+
+    return script
+
+
 class LateReader(StandInUpstream):
     """An upstream that reads nothing of a new connection for a while.
 
