Let callers that stall for long keep the bytes of a process that ends

What callers saw: one that had stalled since before the stop request lost what the kernel held, about a second after the exit, also with the bound of the probes lifted at the end.

Cause: the kernel counts the probes of a closed window, doubling their interval. At one probe a second the count reaches, in some seconds, a value with which an orphaned connection is dropped at its next probe once the bound is lifted.

Change: an entry that stops lifts the bound at once. A stalled caller that vanishes within the grace is noticed later, which holds up nothing.

Not run: callers that have stalled for much longer than 1.5 s when SIGTERM comes, for which the count may be too high already.

--- a/currantdeal/cli/entry_drain.py
+++ b/currantdeal/cli/entry_drain.py
@@ -81,6 +81,7 @@
         self._service.requests.stop(exit_s)
         self._server.closing = True
         self._link_server.stop()
+        peer_watch().stop_probing()
         requests = self._server.active_requests
         _log.info("stopping", requests=requests, **self._counts)
         last_s = exit_s - REFUSAL_MARGIN_S
--- a/currantdeal/cli/tests/test_answers_at_a_stop.py
+++ b/currantdeal/cli/tests/test_answers_at_a_stop.py
@@ -12,9 +12,18 @@
 
 GRACE_S = 8.0
 SHORT_TIMEOUT_MS = 1_500
-SENT_S = 5.4
-STALL_S = 3.6
-"""From the request to a time after the process has been gone for a second."""
+SENT_S = {"early": -1.5, "late": 5.4}
+"""Times of requests, from the stop request."""
+
+READ_S = 10.5
+"""Time from which callers read on; the process has been gone for seconds."""
+
+LIMITS = {
+    "MaxHeaderBytes": 4_096,
+    "MaxBodyBytes": 65_536,
+    "HeaderTimeoutMs": 400,
+    "IdleTimeoutMs": 20_000,
+}
 
 MAX_SEND_BUFFER = int(Path("/proc/sys/net/core/wmem_max").read_text())
 SIZES = (10_000, 180_000, min(3_000_000, MAX_SEND_BUFFER))
@@ -58,31 +67,43 @@
     return raw.replace(b"Host:", b"X-Size: %d\r\nHost:" % size)
 
 
+def _cases():
+    """Return when a caller sends, which kind it is, and its answer's size."""
+    late = [("late", name, size) for name in CALLERS for size in SIZES]
+    # A connection that is kept has further answers for what is pipelined.
+    single = ("closing", "kept", "open-ended")
+    return [
+        ("early", name, size) for name in single for size in SIZES[:2]
+    ] + late
+
+
+def _send(entry, when):
+    return {
+        case: asyncio.create_task(
+            exchange_with_stall(
+                entry.address,
+                _with_size(CALLERS[case[1]], case[2]),
+                stall_s=READ_S - SENT_S[when],
+            )
+        )
+        for case in _cases()
+        if case[0] == when
+    }
+
+
 async def _play(folder):
     upstream = _Upstream()
-    config = config_body(timeout_ms=SHORT_TIMEOUT_MS)
+    config = config_body(timeout_ms=SHORT_TIMEOUT_MS, limits=LIMITS)
     async with stopping_entry(folder, config, (upstream, "shop", {})) as entry:
+        tasks = _send(entry, "early")
+        await asyncio.sleep(-SENT_S["early"])
         entry.stop()
-        await entry.sleep_until(SENT_S)
-        names = [(name, size) for name in CALLERS for size in SIZES]
-        tasks = [
-            asyncio.create_task(
-                exchange_with_stall(
-                    entry.address,
-                    _with_size(CALLERS[name], size),
-                    stall_s=STALL_S,
-                )
-            )
-            for name, size in names
-        ]
+        await entry.sleep_until(SENT_S["late"])
+        tasks |= _send(entry, "late")
         status, ended_s = await entry.wait(GRACE_S)
-        assert not any(task.done() for task in tasks)
-        answers = await asyncio.gather(*tasks)
-    return (
-        status,
-        ended_s - entry.stopped_s,
-        dict(zip(names, answers, strict=True)),
-    )
+        assert not any(task.done() for task in tasks.values())
+        answers = {case: await task for case, task in tasks.items()}
+    return status, ended_s - entry.stopped_s, answers
 
 
 @pytest.fixture(scope="module")
@@ -91,13 +112,14 @@
     return asyncio.run(_play(tmp_path_factory.mktemp("stop")))
 
 
-@pytest.mark.parametrize("size", SIZES)
-@pytest.mark.parametrize("name", CALLERS)
-def test_answer_that_was_written_outlives_its_process(played, name, size):
+@pytest.mark.parametrize(("when", "name", "size"), _cases())
+def test_answer_that_was_written_outlives_its_process(
+    played, when, name, size
+):
     """Guards against bytes that are lost with the process that sent them."""
     status, after_s, answers = played
     assert status == 0
     assert after_s < GRACE_S
-    head, _, body = answers[name, size].partition(b"\r\n\r\n")
+    head, _, body = answers[when, name, size].partition(b"\r\n\r\n")
     assert head.startswith(b"HTTP/1.1 200")
     assert body == b"x" * size
--- a/currantdeal/node/peer_watch.py
+++ b/currantdeal/node/peer_watch.py
@@ -89,6 +89,7 @@
         self._loop = loop
         self._peers = WeakSet()
         self._waiting = {}
+        self._probes = True
         self._is_released = False
         self._timer = None
         self._has_facts = None
@@ -131,6 +132,16 @@
         if self._timer is None:
             self._timer = self._loop.call_later(LOOK_INTERVAL_S, self._look)
 
+    def stop_probing(self):
+        """Let the kernel probe closed windows as usual, before a release.
+
+        It counts its probes, and drops what a process leaves behind sooner
+        after many of them.
+        """
+        self._probes = False
+        for peer in tuple(self._peers):
+            peer.set_probing(False)
+
     def release(self):
         """Leave all connections to the kernel, as the process ends.
 
@@ -171,7 +182,8 @@
             return
         peer.suspected_s = None
         is_stalled = peer.state is PeerState.STALLED
-        peer.set_probing(is_stalled and not peer.transport.is_closing())
+        is_closing = peer.transport.is_closing()
+        peer.set_probing(is_stalled and self._probes and not is_closing)
         has_ended = not facts.is_outstanding
         if has_ended and not peer.transport.get_write_buffer_size():
             self._end(peer)
