--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -14,7 +14,6 @@
 import structlog
 
 from currantdeal.node.buffered_answers import BufferedAnswers
-from currantdeal.node.chunk_sizes import ChunkSizes
 from currantdeal.node.connection_end import ConnectionEnd, end_of
 from currantdeal.node.head import RequestHead
 from currantdeal.node.http_request import (
@@ -28,6 +27,7 @@
 )
 from currantdeal.node.response_writer import ResponseWriter
 from currantdeal.node.sockets import prepare_socket
+from currantdeal.policy.answers.chunk_sizes import ChunkSizes
 from currantdeal.routing import CallerLimits
 
 READ_AHEAD_BYTES = 65_536
@@ -299,8 +299,9 @@
     def cut(self):
         """Cut what is in progress; returns its task, which ends soon."""
         task = self._task
+        self._writer.record_end(ConnectionEnd.STOPPED)
         self._peer.leave_to_kernel()
-        self._writer.abort(ConnectionEnd.STOPPED)
+        self._transport.abort()
         self.connection_lost(None)
         return task
 
--- a/currantdeal/node/link_client.py
+++ b/currantdeal/node/link_client.py
@@ -138,6 +138,7 @@
         self._reader = FrameReader()
         self._transport = None
         self.answer = asyncio.get_running_loop().create_future()
+        self.answer.add_done_callback(_mark_retrieved)
 
     def connection_made(self, transport):
         self._transport = transport
@@ -169,6 +170,12 @@
             self.answer.set_exception(exc)
 
 
+def _mark_retrieved(answer):
+    """Let an answer fail that is no longer awaited."""
+    if not answer.cancelled():
+        answer.exception()
+
+
 async def _call(helper, address, make_connection, timeout_s):
     """Return what became of the call to one helper, as an ``_Attempt``."""
     loop = asyncio.get_running_loop()
