--- a/currantdeal/testing/scripted_upstream.py
+++ b/currantdeal/testing/scripted_upstream.py
@@ -158,11 +158,11 @@
 
     async def _serve_one(self, reader, writer):
         request = await read_request(
-            reader, before_body=partial(_stall, writer)
+            reader, before_body=partial(self._begin_body, writer)
         )
         if request is None:
             return False
-        self.requests.append(request)
+        self._record(request)
         script = script_of(request)
         if script is None or request.is_system_call:
             if not (self.script and await self.script(self, request, writer)):
@@ -186,6 +186,19 @@
         work.ended_s = time.monotonic()
         return True
 
+    async def _begin_body(self, writer, request):
+        # It has reached the upstream, which may read its body much later.
+        self.requests.append(request)
+        await _stall(writer, request)
+
+    def _record(self, request):
+        """Record a request; it takes the place of the one without a body."""
+        for number, other in enumerate(self.requests):
+            if other.headers is request.headers:
+                self.requests[number] = request
+                return
+        self.requests.append(request)
+
     async def _send_stream(self, request, writer, script):
         await asyncio.sleep(script.work_s)
         self.begin_stream(request, writer)
