--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -27,6 +27,7 @@
 from currantdeal.node.sockets import prepare_socket
 from currantdeal.policy.answers.answer_end import framing_of
 from currantdeal.policy.answers.reset_outcome import ExchangePhase
+from currantdeal.policy.health.peer_liveness import PeerState
 
 RECEIVE_BYTES = 65_536
 """Maximum number of bytes that are read from a connection at once."""
@@ -166,7 +167,7 @@
     def _end_gone(self, exc):
         """End the connection, whose upstream acknowledges nothing."""
         self.connection_lost(exc)
-        self._transport.abort()
+        self._peer.abort()
 
     @property
     def phase(self):
@@ -178,6 +179,11 @@
         """Seconds for which the rest of an answer has stayed unread."""
         return self._loop.time() - self._paused_s if self._paused else 0.0
 
+    @property
+    def is_held_up(self):
+        """Whether no answer is due yet, or its rest stays unread."""
+        return self._paused or self._peer.state is PeerState.STALLED
+
     @property
     def has_ended(self):
         """Whether nothing more of the present answer will come."""
@@ -350,7 +356,7 @@
             self._close_reason = "closed locally"
         self._stop_observing()
         self.record_buffered(0)
-        self._transport.abort()
+        self._peer.abort()
 
     def _stop_observing(self):
         if self._traffic is not None:
@@ -446,7 +452,7 @@
         if self._close_reason is None:
             self._close_reason = reason
         self._stop_observing()
-        self._transport.abort()
+        self._peer.abort()
         self._wake()
 
     def _fail_malformed(self, reason):
--- a/currantdeal/node/peer_watch.py
+++ b/currantdeal/node/peer_watch.py
@@ -45,22 +45,26 @@
         Looks at it while bytes wait.
     transport : asyncio.Transport
         The connection.
-    on_gone : callable
-        Called with an ``OSError`` once the peer is gone.
+    on_gone : callable or None
+        Called with an ``OSError`` once the peer is gone; by default the
+        connection is aborted.
 
     Attributes
     ----------
     on_taken : callable
         Called once all that was written is acknowledged.
+    is_given_up : bool
+        Whether what waits is to be delivered no more.
     """
 
     def __init__(self, *, watch, transport, on_gone):
         """Start with nothing that waits."""
         super().__init__(sock=transport.get_extra_info("socket"))
         self.transport = transport
-        self.on_gone = on_gone
+        self.on_gone = on_gone or (lambda exc: self.abort())
         self.on_taken = lambda: None
         self.suspected_s = None
+        self.is_given_up = False
         self._watch = watch
 
     @property
@@ -74,6 +78,20 @@
         """Look at the connection until what was written is acknowledged."""
         self._watch.begin(self)
 
+    def abort(self):
+        """Abort the connection, and deliver nothing of it much later.
+
+        The kernel repeats for minutes what a process leaves behind, and a
+        request that was given up would run once its path is repaired.
+        """
+        self.give_up()
+        self.transport.abort()
+
+    def give_up(self):
+        """Let the kernel drop soon what waits."""
+        self.is_given_up = True
+        self.set_kernel_timeout(True)
+
 
 class PeerWatch:
     """Looks at the connections of an event loop on which bytes wait.
@@ -109,7 +127,7 @@
         peer = WatchedPeer(
             watch=self,
             transport=transport,
-            on_gone=on_gone or (lambda exc: transport.abort()),
+            on_gone=on_gone,
         )
         self._peers.add(peer)
         if not self._has_facts:
@@ -139,7 +157,8 @@
         """
         self._is_released = True
         for peer in tuple(self._peers):
-            peer.leave_to_kernel()
+            if not peer.is_given_up:
+                peer.leave_to_kernel()
         self._waiting.clear()
 
     def _look(self):
@@ -184,6 +203,7 @@
         if peer.suspected_s is None:
             peer.suspected_s = now_s
         elif now_s - peer.suspected_s >= CONFIRM_DELAY_S / 2:
+            peer.give_up()
             del self._waiting[peer]
             peer.on_gone(_gone_error())
 
--- a/currantdeal/node/response_writer.py
+++ b/currantdeal/node/response_writer.py
@@ -197,7 +197,7 @@
     def abort(self, end=ConnectionEnd.CUT):
         """Abort the connection, so that the response cannot look complete."""
         self.record_end(end)
-        self._transport.abort()
+        self._peer.abort()
 
     def hand_over(self):
         """Give what the caller has not taken to the operating system."""
--- a/currantdeal/node/tests/test_stalled_peers.py
+++ b/currantdeal/node/tests/test_stalled_peers.py
@@ -4,11 +4,14 @@
 """
 
 import asyncio
+import socket
 import time
 
 import pytest
 
 from currantdeal.node.http_server import HttpServer
+from currantdeal.node.peer_watch import LOOK_INTERVAL_S, peer_watch
+from currantdeal.node.sockets import prepare_socket
 from currantdeal.routing import CallerLimits
 from currantdeal.testing.entry_world import (
     config_body,
@@ -18,6 +21,7 @@
 from currantdeal.testing.platform_upstream import StandInUpstream
 from currantdeal.testing.stalled_peers import (
     LateReader,
+    admit_packets,
     drop_packets,
     exchange_with_stall,
     small_socket,
@@ -147,3 +151,68 @@
     if not request.is_system_call:
         standin.send(request, writer, 200, b"x" * SIZES[-1])
     return not request.is_system_call
+
+
+class _CutForAWhile(StandInUpstream):
+    """An upstream whose packets are lost until it is joined again."""
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        self._cut = []
+
+    async def _serve(self, reader, writer):
+        self._cut.append(writer.get_extra_info("socket"))
+        drop_packets(self._cut[-1])
+        await super()._serve(reader, writer)
+
+    def join(self):
+        for sock in self._cut:
+            admit_packets(sock)
+
+
+async def _order_beside_a_cut(cut_s):
+    upstream = _CutForAWhile(upstream="u1")
+    answering = asyncio.create_task(_orders_at(upstream, "/order/1"))
+    await asyncio.sleep(cut_s)
+    upstream.join()
+    # The kernel repeats what it holds after at most 6.4 s.
+    await asyncio.sleep(5.0)
+    answer, _ = await answering
+    return answer, upstream.runs
+
+
+def test_order_that_was_given_up_is_not_delivered_later():
+    """Guards against a run that begins after its caller was refused."""
+    answer, runs = asyncio.run(_order_beside_a_cut(2.5))
+    assert answer.startswith(b"HTTP/1.1 502")
+    assert runs == []
+
+
+async def _timeouts_at_the_end():
+    """Return the kernel's timeouts of a kept and an aborted connection."""
+    loop = asyncio.get_running_loop()
+    server = await _server(1)
+    peers = []
+    for _ in range(2):
+        transport, _ = await loop.create_connection(
+            asyncio.Protocol, *server.address
+        )
+        peers.append(prepare_socket(transport))
+        transport.write(b"x")
+        peers[-1].record_write()
+    await asyncio.sleep(2 * LOOK_INTERVAL_S)
+    peers[1].abort()
+    peer_watch().release()
+    return [
+        peer.transport.get_extra_info("socket").getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+        )
+        for peer in peers
+    ]
+
+
+def test_end_of_a_process_leaves_no_request_that_was_given_up():
+    """Guards against an order that is delivered after its process ended."""
+    kept_ms, aborted_ms = asyncio.run(_timeouts_at_the_end())
+    assert kept_ms == 0
+    assert aborted_ms > 0
