--- a/currantdeal/node/link_server.py
+++ b/currantdeal/node/link_server.py
@@ -220,12 +220,20 @@
         self._peer.record_write()
 
     def finish(self):
-        """Close after an orderly end of the upstream's connection."""
+        """Close after an orderly end of the upstream's connection.
+
+        The kernel soon drops what no process holds if the asking entry does
+        not read.
+        """
         if self._transport.is_closing():
             return
         sock = self._transport.get_extra_info("socket")
         if sock is not None:
             set_reset_on_close(sock, False)
+        if self._peer.untaken_bytes:
+            self._peer.on_taken = self._transport.close
+            self._transport.write_eof()
+            return
         self._peer.leave_to_kernel()
         self._transport.close()
 
