Count repetitions of segments on which a window has closed as probes

Cause: the kernel does not count these repetitions apart, so that twice their interval was waited for, which doubles with each.

Change: those since the last acknowledgement are counted at each look.

--- a/currantdeal/adapters/connection_facts.py
+++ b/currantdeal/adapters/connection_facts.py
@@ -18,7 +18,6 @@
 _CLOSE = 7
 _CLOSE_WAIT = 8
 _MS = 1e-3
-_US = 1e-6
 
 
 def read_facts(sock):
@@ -51,7 +50,6 @@
         acknowledgements=acked_bytes + segments - data_segments,
         retransmissions=retransmissions,
         probes=probes,
-        interval_s=head[8] * _US,
         has_ended=state not in (_ESTABLISHED, _CLOSE_WAIT),
         is_reset=state == _CLOSE,
     )
--- a/currantdeal/adapters/watched_socket.py
+++ b/currantdeal/adapters/watched_socket.py
@@ -51,6 +51,7 @@
         self._silent_since_s = 0.0
         self._looked_s = 0.0
         self._acknowledgements = None
+        self._repeats_before = 0
         self._usual_interval_ms = None
 
     @property
@@ -71,6 +72,7 @@
             return None
         if facts.acknowledgements != self._acknowledgements:
             self._acknowledgements = facts.acknowledgements
+            self._repeats_before = facts.retransmissions
             self._silent_since_s = max(
                 self._looked_s, now_s - facts.acknowledged_s
             )
@@ -79,6 +81,7 @@
         self.state = judge_peer(
             facts,
             silent_s=now_s - self._silent_since_s,
+            repeats=facts.retransmissions - self._repeats_before,
             gone_s=self._gone_s,
         )
         return facts
--- a/currantdeal/policy/health/peer_liveness.py
+++ b/currantdeal/policy/health/peer_liveness.py
@@ -21,9 +21,6 @@
 Kernels leave one unanswered that follows another within half a second.
 """
 
-PROBE_MARGIN_S = 0.25
-"""Delay of the answer to a probe."""
-
 
 class PeerState(Enum):
     """What a connection's peer does with the bytes that are sent to it."""
@@ -65,8 +62,6 @@
         Retransmissions of the oldest segment.
     probes : int
         Probes of a closed window since the last acknowledgement.
-    interval_s : float
-        Seconds between the last retransmission or probe and the next one.
     has_ended : bool
         Whether this side of the connection has been closed.
     is_reset : bool
@@ -80,7 +75,6 @@
     acknowledgements: int = 0
     retransmissions: int = 0
     probes: int = 0
-    interval_s: float = 0.0
     has_ended: bool = False
     is_reset: bool = False
 
@@ -97,7 +91,7 @@
         return self.window_bytes == 0 or not self.unacknowledged
 
 
-def judge_peer(facts, *, silent_s, gone_s=GONE_S):
+def judge_peer(facts, *, silent_s, repeats=0, gone_s=GONE_S):
     """Return the ``PeerState`` of a connection.
 
     A peer that is judged to be gone may have answered a moment later; the
@@ -109,8 +103,10 @@
         What the kernel knows now.
     silent_s : float
         Seconds without an acknowledgement while bytes have waited.
+    repeats : int
+        Retransmissions in that time.
     gone_s : float
-        Seconds of them that mean a lost peer.
+        Seconds of it that mean a lost peer.
 
     Examples
     --------
@@ -129,18 +125,13 @@
         return PeerState.GONE
     if not facts.is_outstanding:
         return PeerState.CLOSING if facts.has_ended else PeerState.IDLE
-    if _is_overdue(facts, silent_s, gone_s):
+    if silent_s >= gone_s and _is_unanswered(facts, repeats):
         return PeerState.GONE
     return PeerState.STALLED if facts.is_window_closed else PeerState.TAKING
 
 
-def _is_overdue(facts, silent_s, gone_s):
-    if silent_s < gone_s:
-        return False
+def _is_unanswered(facts, repeats):
     if not facts.is_window_closed:
         return facts.retransmissions > 0
-    if not facts.unacknowledged:
-        return facts.probes >= MIN_PROBES
-    # The window closed on sent segments, which are repeated as probes that
-    # the kernel does not count apart.
-    return silent_s > MIN_PROBES * facts.interval_s + PROBE_MARGIN_S
+    # Segments on which the window has closed are repeated in place of probes.
+    return facts.probes + repeats >= MIN_PROBES
