--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -136,7 +136,7 @@
             handler=self._service.handle,
             limits=lambda: self._view.limits,
             on_refused=self._record_malformed,
-            on_untaken=self._service.record_untaken,
+            on_untaken=self._service.log.record_untaken,
         )
 
     def _connect_links(self, settings):
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -17,7 +17,7 @@
 from currantdeal.entry.generation import serve_generation
 from currantdeal.entry.plain import serve_plain
 from currantdeal.entry.progress import RequestsInProgress, RequestState
-from currantdeal.node.connection_end import ConnectionEnd
+from currantdeal.entry.request_log import RequestLog, kind_of
 from currantdeal.node.dialect import CallerRequest
 from currantdeal.node.errors import SendExpiredError
 from currantdeal.policy.retries.retry_after import (
@@ -31,9 +31,6 @@
 The bucket of a new owner is empty for a moment.
 """
 
-MAX_LABELLED_ORGANISATIONS = 64
-"""Number of organisations with metrics of their own."""
-
 ANSWER_MARGIN_S = 0.03
 """Time before the caller's timeout at which a request is timed out.
 
@@ -77,6 +74,8 @@
 
     Attributes
     ----------
+    log : RequestLog
+        Their log lines and metrics.
     requests : RequestsInProgress
         The requests that it handles, with the time of the process's end.
     """
@@ -84,9 +83,9 @@
     def __init__(self, *, context):
         """Start to accept all requests."""
         self._context = context
+        self.log = RequestLog(context=context)
         self.requests = RequestsInProgress(run_lengths=context.run_lengths)
         self.refuse_streams = False
-        self._labelled = set()
 
     async def handle(self, request, responder):
         """Answer one request."""
@@ -162,34 +161,11 @@
             outcome = f"failed: {exc!r}"
             raise
         except asyncio.CancelledError:
-            outcome = self._describe_cancelled(active.responder)
+            outcome = self.log.describe_cancelled(active.responder)
             raise
         finally:
-            self.requests.remove(active, _kind_of(outcome))
-            self._log_end(active, outcome)
-
-    def _describe_cancelled(self, responder):
-        end = responder.connection_end or ConnectionEnd.LOCAL
-        self._context.metrics.add("requests_cancelled_total", why=end.value)
-        return f"cancelled: {end.description}"
-
-    def record_untaken(self, request_id, size_bytes, end):
-        """Log an answer that was written, but not taken as a whole.
-
-        Parameters
-        ----------
-        size_bytes : int
-            Bytes that the caller has not acknowledged, about.
-        end : ConnectionEnd
-            Why its connection ended.
-        """
-        self._context.metrics.add("answers_untaken_total", why=end.value)
-        _log.info(
-            "answer-untaken",
-            request=request_id,
-            untaken_bytes=size_bytes,
-            why=end.description,
-        )
+            self.requests.remove(active, kind_of(outcome))
+            self.log.record_end(active, outcome)
 
     async def _serve(self, active):
         self._context.retry_budgets.record_request(active.service.name)
@@ -251,18 +227,7 @@
             outcome = exc.refusal_reason.value
             raise
         finally:
-            self._record_credit(active, units, outcome, started_s)
-
-    def _record_credit(self, active, units, outcome, started_s):
-        labels = {
-            "organisation": self._label(active.organisation.name),
-            "priority": str(active.route.priority),
-        }
-        metrics = self._context.metrics
-        metrics.add("quota_requests_total", outcome=outcome, **labels)
-        metrics.add("quota_units_total", units, outcome=outcome, **labels)
-        waited_s = self._context.now_s - started_s
-        metrics.observe("quota_wait_seconds", waited_s, **labels)
+            self.log.record_credit(active, units, outcome, started_s)
 
     async def _forward(self, active):
         if not active.is_generation:
@@ -362,61 +327,6 @@
                 status, (_TEXT_HEADER,), _text_body(reason)
             )
 
-    def _label(self, organisation):
-        """Return the label of an organisation in metrics."""
-        if len(self._labelled) < MAX_LABELLED_ORGANISATIONS:
-            self._labelled.add(organisation)
-        return organisation if organisation in self._labelled else "other"
-
-    def _log_end(self, active, outcome):
-        now_s = self._context.now_s
-        took_s = now_s - active.request.arrived_s
-        kind = _kind_of(outcome)
-        metrics = self._context.metrics
-        metrics.add("requests_total", route=active.route.name, outcome=kind)
-        if active.organisation is not None:
-            metrics.add(
-                "organisation_requests_total",
-                organisation=self._label(active.organisation.name),
-                outcome=kind,
-            )
-        if active.search.outcome:
-            metrics.add(
-                "memory_waits_total",
-                route=active.route.name,
-                organisation=self._label(active.organisation_name),
-                outcome=active.search.outcome,
-            )
-        if active.first_output_s is not None:
-            first_s = active.first_output_s - active.request.arrived_s
-            metrics.observe("first_output_seconds", first_s)
-            metrics.observe("longest_pause_seconds", active.longest_pause_s)
-        else:
-            first_s = None
-        _log.info(
-            "request-ended",
-            request=active.call.request_id,
-            route=active.route.name,
-            service=active.service.name,
-            organisation=active.organisation and active.organisation.name,
-            outcome=outcome,
-            took=round(took_s, 4),
-            first=None if first_s is None else round(first_s, 4),
-            longest_pause=round(active.longest_pause_s, 4),
-            target=active.route.target_s,
-            pause_target=active.route.gap_target_s,
-            patience=active.call.caller_timeout_s,
-            timeout=active.route.timeout_s,
-            returned=active.is_retry,
-            prompt_tokens=active.call.prompt_tokens,
-            search=str(active.search),
-            retries=active.arrivals.retries,
-            charged=active.arrivals.charged,
-            steps=[str(step) for step in active.steps],
-            version=active.version,
-            view_age=self._context.view.age_s,
-        )
-
 
 def _caller_timeout_s(call):
     return call.caller_timeout_s or DEFAULT_CALLER_TIMEOUT_S
@@ -426,9 +336,5 @@
     return RefusedError(STOPPING, refusal_reason=RefusalReason.STOPPING)
 
 
-def _kind_of(outcome):
-    return outcome.partition(":")[0]
-
-
 def _text_body(text):
     return (text + "\n").encode()
--- a/currantdeal/entry/tests/test_access.py
+++ b/currantdeal/entry/tests/test_access.py
@@ -7,7 +7,7 @@
 import pytest
 
 from currantdeal.core import boot_time_s
-from currantdeal.entry import service
+from currantdeal.entry import request_log
 from currantdeal.testing.entry_world import (
     GENERATION,
     config_body,
@@ -328,7 +328,7 @@
 
 
 def test_metrics_name_a_bounded_number_of_organisations(monkeypatch):
-    monkeypatch.setattr(service, "MAX_LABELLED_ORGANISATIONS", 1)
+    monkeypatch.setattr(request_log, "MAX_LABELLED_ORGANISATIONS", 1)
     _, _, metrics = _ask(
         _order(AUTHORIZED), _order("Authorization: Bearer m1ll")
     )
--- a/currantdeal/testing/entry_world.py
+++ b/currantdeal/testing/entry_world.py
@@ -279,7 +279,7 @@
     server = HttpServer(
         handler=service.handle,
         limits=lambda: view.limits,
-        on_untaken=service.record_untaken,
+        on_untaken=service.log.record_untaken,
     )
     await server.start("127.0.0.1", 0)
     address = server.address
