Reset a link whose last bytes have not left its process

Cause: LinkServer lifted the reset on close as soon as the upstream had ended, also while up to 80 kB of the answer were in the process. If the link is aborted then (the upstream's address is reset, the asking entry is taken for gone, the process ends), the kernel sends what it has and an orderly end. An asking entry that reads late, as one with a slow caller, keeps the bytes there for long.

Change: the reset is lifted once the write buffer is empty, as for callers.

Measured (loopback, send buffer of 16 kB): before, the first test reads a part of 1,048,576 bytes and an orderly end; with the change a reset. The second test, of a whole answer in the kernel, passes on both. The tests of links, their memory and slow links pass, 39 in all.

--- a/currantdeal/node/link_server.py
+++ b/currantdeal/node/link_server.py
@@ -162,6 +162,7 @@
         self._far_end = None
         self._task = None
         self._timer = None
+        self._is_finishing = False
 
     @property
     def is_connected(self):
@@ -200,6 +201,8 @@
             self._far.pause_reading()
 
     def resume_writing(self):
+        if self._is_finishing:
+            self._set_orderly_end()
         if self._far is not None:
             self._far.resume_reading()
 
@@ -227,9 +230,12 @@
         """
         if self._transport.is_closing():
             return
-        sock = self._transport.get_extra_info("socket")
-        if sock is not None:
-            set_reset_on_close(sock, False)
+        self._is_finishing = True
+        if self._transport.get_write_buffer_size():
+            # Until it is empty, an end of this process must not look orderly.
+            self._transport.set_write_buffer_limits(high=0)
+        else:
+            self._set_orderly_end()
         if self._peer.untaken_bytes:
             self._peer.on_taken = self._transport.close
             self._transport.write_eof()
@@ -237,6 +243,11 @@
         self._peer.leave_to_kernel()
         self._transport.close()
 
+    def _set_orderly_end(self):
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None:
+            set_reset_on_close(sock, False)
+
     async def _connect(self, call):
         self.address = call.address
         outcome, why, far = self._server.refusal(call), "", None
