Count no look at a busy connection as one without facts

What callers saw: nothing yet; found by reading. Cause: eight looks without facts, over all connections and also within one pass, meant that the system reports none, for good. The times of a connection are zero right after bytes were exchanged, so that the first pass of a process may find eight busy ones and none at rest. Its kernel timeouts then stay, and each caller that stops to read for 1.5 s is reset until the process ends.

Change: a look counts as blank only if nothing was written for 0.1 s.

--- a/currantdeal/node/peer_watch.py
+++ b/currantdeal/node/peer_watch.py
@@ -25,6 +25,12 @@
 MAX_BLANK_LOOKS = 8
 """Looks without any facts after which the system reports none."""
 
+QUIET_S = 0.1
+"""Time without a write after which a look at a connection has facts.
+
+The kernel's times are zero right after bytes were exchanged.
+"""
+
 _watches = WeakKeyDictionary()
 
 
@@ -64,6 +70,7 @@
         self.on_gone = on_gone or (lambda exc: self.abort())
         self.on_taken = lambda: None
         self.suspected_s = None
+        self.written_s = 0.0
         self.is_given_up = False
         self._watch = watch
 
@@ -141,6 +148,8 @@
 
     def begin(self, peer):
         """Look at a peer from now on, unless the system reports no facts."""
+        if self._has_facts is None:
+            peer.written_s = self._loop.time()
         if peer in self._waiting or self._has_facts is False:
             return
         if self._is_released:
@@ -192,7 +201,7 @@
         now_s = self._loop.time()
         facts = peer.look(now_s)
         if facts is None:
-            self._record_blank()
+            self._record_blank(quiet_s=now_s - peer.written_s)
             return
         self._has_facts = True
         peer.set_kernel_timeout(False)
@@ -219,9 +228,9 @@
             del self._waiting[peer]
             peer.on_gone(_gone_error())
 
-    def _record_blank(self):
-        """Record a look without facts, which may also come right after one."""
-        if self._has_facts is None:
+    def _record_blank(self, *, quiet_s):
+        """Record a look without facts at a connection."""
+        if self._has_facts is None and quiet_s >= QUIET_S:
             self._blank_looks += 1
             if self._blank_looks >= MAX_BLANK_LOOKS:
                 self._has_facts = False
