Never shrink a send buffer at the end of a process

What callers saw: nothing shown on this machine. Cause: before a process ends, the send buffer of a caller who has not taken all is set to its size and the bytes that wait. The system bounds what is set by net.core.wmem_max, but not what it has sized itself. With the usual limit of 212,992 a buffer of 3,939,840 bytes becomes one of 425,984, so that less than before outlives the process.

Change: the size is set only where that makes it larger.

Measured: a trial on loopback, which sets what that limit would leave, shrinks the buffer from 3,939,840 to 425,984 bytes; the limit here is 4,194,304, so the whole path was not run with the usual one.

--- a/currantdeal/adapters/sockets.py
+++ b/currantdeal/adapters/sockets.py
@@ -3,7 +3,11 @@
 import fcntl
 import socket
 import struct
+import sys
 import termios
+from pathlib import Path
+
+_MAX_SEND_BUFFER = Path("/proc/sys/net/core/wmem_max")
 
 
 def set_reset_on_close(sock, enabled):
@@ -18,10 +22,22 @@
 def grow_send_buffer(sock, size_bytes):
     """Let the operating system take more bytes, up to its own limit.
 
-    It goes on to send them if the process ends.
+    It goes on to send them if the process ends.  A buffer that it has sized
+    itself may be above that limit, and is left as it is.
     """
     present = sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, present + size_bytes)
+    wanted = min(present + size_bytes, max_send_buffer())
+    # The system doubles it for its own overhead.
+    if 2 * wanted > present:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, wanted)
+
+
+def max_send_buffer():
+    """Return the most bytes that a socket may be set to hold."""
+    try:
+        return int(_MAX_SEND_BUFFER.read_text())
+    except (OSError, ValueError):
+        return sys.maxsize
 
 
 def unacknowledged_bytes(sock):
