Log no bytes that a parser quotes of a malformed request

What was seen: a head with "Authorization Bearer: KEY" or "Authorization : KEY", a target with a control character, or a body that is no chunk leave the whole line, with the caller's key, in the line request-malformed. Cause: the messages of the parser quote what it could not read.

Change: the message is logged up to the quotation.

Measured: the new test failed in four of four cases before and passes now.

--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -337,8 +337,7 @@
         except RefusedRequest as exc:
             self._reject(exc)
         except h11.RemoteProtocolError as exc:
-            # The parser's message quotes raw bytes, so it goes to the log
-            # only and not to the caller.
+            # What the parser quotes may be a credential.
             self._reject(
                 RefusedRequest(
                     exc.error_status_hint,
@@ -346,7 +345,7 @@
                         exc.error_status_hint,
                         "the bytes are not an HTTP request",
                     ),
-                    detail=str(exc),
+                    detail=str(exc).partition(": b")[0],
                 )
             )
 
