--- a/currantdeal/cli/entry_drain.py
+++ b/currantdeal/cli/entry_drain.py
@@ -7,7 +7,7 @@
 
 from currantdeal.entry.progress import REFUSAL_MARGIN_S
 from currantdeal.entry.service import STOPPING
-from currantdeal.node.http_server import CLOSE_DELAY_S
+from currantdeal.node.caller_connection import CLOSE_DELAY_S
 from currantdeal.node.peer_watch import peer_watch
 from currantdeal.policy.retries.retry_after import (
     RefusalReason,
--- a/currantdeal/node/tests/test_failing_handlers.py
+++ b/currantdeal/node/tests/test_failing_handlers.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from currantdeal.node import http_server
+from currantdeal.node import caller_connection
 from currantdeal.node.http_server import HttpServer
 from currantdeal.node.logs import MAX_TEXT_CHARS
 from currantdeal.testing.entry_world import read_to_end, request_bytes
@@ -68,7 +68,7 @@
         writer.close()
         return answer
 
-    with node_log_lines(http_server) as read_lines:
+    with node_log_lines(caller_connection) as read_lines:
         answer = asyncio.run(run())
         return answer, read_lines(), unhandled
 
