Go on looking at peers after a callback has failed

What callers saw: nothing; found by reading. Cause: the looks at all waiting connections share a timer, which was set again at the end of a pass only. An error of one callback ended the pass, and nobody looked at the others until something was written on a connection at rest: a lost peer was not noticed, and a lingering close did not end. A callback that began to wait for another peer would have started a second series of looks beside the first.

Change: the next look is scheduled also after an error, and only once.

--- a/currantdeal/node/peer_watch.py
+++ b/currantdeal/node/peer_watch.py
@@ -183,13 +183,23 @@
 
     def _look(self):
         self._timer = None
+        try:
+            self._look_at_all()
+        finally:
+            # Also after an error of a callback: others still wait.
+            self._schedule()
+
+    def _look_at_all(self):
         for peer in tuple(self._waiting):
             if peer in self._waiting:
                 self._look_at(peer)
         if self._has_facts is False:
             for peer in tuple(self._waiting):
                 self._end(peer)
-        if self._waiting:
+
+    def _schedule(self):
+        """Schedule the next look, unless a callback has done so."""
+        if self._waiting and self._timer is None:
             suspects = any(p.suspected_s is not None for p in self._waiting)
             delay_s = CONFIRM_DELAY_S if suspects else LOOK_INTERVAL_S
             self._timer = self._loop.call_later(delay_s, self._look)
--- a/currantdeal/node/tests/test_peer_watch.py
+++ b/currantdeal/node/tests/test_peer_watch.py
@@ -10,6 +10,10 @@
     peer_watch,
 )
 from currantdeal.node.sockets import prepare_socket
+from currantdeal.testing.stalled_peers import drop_packets
+
+GONE_S = 2.5
+"""Time in which a lost peer is noticed: 2 s, and one more look."""
 
 BUSY_PEERS = 5 * MAX_BLANK_LOOKS
 
@@ -75,3 +79,37 @@
     has_facts, timeout_ms = asyncio.run(_stay_without_facts())
     assert has_facts is False
     assert timeout_ms > 0
+
+
+async def _lose_two():
+    """Lose two peers, and return whether the second one is noticed.
+
+    The callback of the first one raises an error.
+    """
+    loop = asyncio.get_running_loop()
+    errors = []
+    loop.set_exception_handler(lambda _, found: errors.append(found))
+    clients = await _connect(2)
+    await _exchange(clients)
+    peers = sorted(peer_watch()._peers, key=lambda peer: peer.written_s)
+    lost = loop.create_future()
+
+    def fail(exc):
+        raise KeyError("missing")
+
+    peers[0].on_gone = fail
+    peers[1].on_gone = lost.set_result
+    for _, writer in clients:
+        drop_packets(writer.get_extra_info("socket"))
+    for peer in peers:
+        peer.transport.write(b"x")
+        peer.record_write()
+    async with asyncio.timeout(GONE_S):
+        await lost
+    return errors
+
+
+def test_failed_callback_leaves_no_other_peer_unwatched():
+    """Guards against lost peers that nobody notices after an error."""
+    (error,) = asyncio.run(_lose_two())
+    assert isinstance(error["exception"], KeyError)
