Let no further step put off the end of a request at a stop

Cause, found by reading: a request that ends with its process could enter its next wait before its time limit took effect, which set the limit back to its deadline; it would have been cut without an answer.

--- a/currantdeal/entry/active_request.py
+++ b/currantdeal/entry/active_request.py
@@ -125,6 +125,7 @@
         self.longest_pause_s = 0.0
         self._wait_until_s = lambda: math.inf
         self._time_limit = None
+        self._is_over = False
         self._last_output_s = None
 
     @property
@@ -227,10 +228,13 @@
     def end_by_stop(self):
         """End it now, as the process ends."""
         self._end_at(-math.inf)
+        self._is_over = True
 
     def _end_at(self, time_s):
         if self._time_limit is None or self._time_limit.expired():
             return
+        if self._is_over:
+            return
         self.is_ended_by_stop = time_s < self.deadline_s
         self._time_limit.reschedule(
             max(time_s, asyncio.get_running_loop().time())
--- a/currantdeal/entry/tests/test_stop.py
+++ b/currantdeal/entry/tests/test_stop.py
@@ -1,10 +1,12 @@
 """Requests that wait when their process is about to end."""
 
 import asyncio
+import math
 
 import pytest
 
-from currantdeal.entry.progress import REFUSAL_MARGIN_S
+from currantdeal.entry.active_request import ActiveRequest
+from currantdeal.entry.progress import REFUSAL_MARGIN_S, RequestState
 from currantdeal.policy.load.run_lengths import MIN_RUNS
 from currantdeal.testing.entry_world import (
     GENERATION,
@@ -165,3 +167,29 @@
     assert answer.startswith(b"HTTP/1.1 200")
     assert not answer.endswith(b"0\r\n\r\n")
     assert after_s >= ENDS_S - 0.05
+
+
+def test_end_of_a_process_is_not_put_off_by_the_next_step():
+    """Guards against a wait that begins while the end is on its way."""
+
+    async def run():
+        active = ActiveRequest(
+            request=None,
+            responder=None,
+            call=None,
+            route=None,
+            service=None,
+            version=1,
+            deadline_s=asyncio.get_running_loop().time() + 60.0,
+            organisation=None,
+            arrivals=None,
+        )
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(60.0) as time_limit:
+                active.bind(time_limit, lambda request: math.inf)
+                active.end_by_stop()
+                active.enter(RequestState.MEMORY)
+                await asyncio.sleep(1.0)
+        return active.is_ended_by_stop
+
+    assert asyncio.run(run())
