--- a/currantdeal/cli/tests/test_stalling_peers.py
+++ b/currantdeal/cli/tests/test_stalling_peers.py
@@ -54,7 +54,7 @@
 SCENARIOS = [
     (_at_rest, LONGEST_STALL_S),
     (_stop, SHORT_S),
-    pytest.param(_stop, LONGEST_STALL_S, marks=pytest.mark.known_red),
+    (_stop, LONGEST_STALL_S),
     (_reload, LONGEST_STALL_S),
     (_through_helper, LONGEST_STALL_S),
     (_stop_through_helper, SHORT_S),
