Let callers wait for the cut of an unread answer by an event

It does so 1.1 s after its buffers are full, which left 0.5 s to fill them. A stall of 4 s fails always: the entry then cuts first, after 2 s.

Change: the caller reads on once the upstream has cut, in both tests of such an upstream; what they assert is as it was.

--- a/currantdeal/entry/tests/test_slow_callers.py
+++ b/currantdeal/entry/tests/test_slow_callers.py
@@ -20,6 +20,7 @@
     event_numbers,
 )
 from currantdeal.testing.stalled_peers import (
+    UNREAD_STALL_S,
     exchange_with_stall,
     impatient_stream,
     stream_of,
@@ -223,12 +224,18 @@
     """Guards against a sound engine that is avoided for a slow caller."""
 
     async def run():
-        script = impatient_stream(3 * MAX_READ_AHEAD_BYTES)
+        cut = asyncio.Event()
+        script = impatient_stream(3 * MAX_READ_AHEAD_BYTES, on_cut=cut.set)
         engines = await _start_engines(script)
         async with entry_world(config=CONFIG) as world:
             world.announce_engines(*engines)
             with structlog.testing.capture_logs() as logs:
-                await exchange_with_stall(world.address, _note(), stall_s=1.6)
+                await exchange_with_stall(
+                    world.address,
+                    _note(),
+                    stall_s=UNREAD_STALL_S,
+                    until=cut,
+                )
             return [entry["event"] for entry in logs]
 
     events = asyncio.run(run())
--- a/currantdeal/entry/tests/test_slow_links.py
+++ b/currantdeal/entry/tests/test_slow_links.py
@@ -21,7 +21,7 @@
 )
 from currantdeal.testing.platform_upstream import StandInUpstream
 from currantdeal.testing.stalled_peers import (
-    UNREAD_PATIENCE_S,
+    UNREAD_STALL_S,
     LateReader,
     exchange_with_stall,
     impatient_stream,
@@ -169,14 +169,18 @@
 
     async def run():
         async with _linked_world() as seen:
-            script = impatient_stream(3 * MAX_READ_AHEAD_BYTES)
+            cut = asyncio.Event()
+            script = impatient_stream(3 * MAX_READ_AHEAD_BYTES, on_cut=cut.set)
             engines = await _start_engines(seen.world, script)
             if is_cut:
                 seen.cut(*engines)
             raw = _with_patience(request_bytes("/note/1", more=GENERATION))
             answer = await seen.watch(
                 exchange_with_stall(
-                    seen.world.address, raw, stall_s=1.5 * UNREAD_PATIENCE_S
+                    seen.world.address,
+                    raw,
+                    stall_s=UNREAD_STALL_S,
+                    until=cut,
                 )
             )
             return answer, seen
--- a/currantdeal/testing/stalled_peers.py
+++ b/currantdeal/testing/stalled_peers.py
@@ -19,6 +19,9 @@
 UNREAD_PATIENCE_S = 1.1
 """Time after which an impatient upstream cuts an answer that is not read."""
 
+UNREAD_STALL_S = 4.0
+"""Longest wait of a caller for such an upstream to cut its answer."""
+
 _SO_ATTACH_FILTER = 26
 _SO_DETACH_FILTER = 27
 _DROP_ALL = struct.pack("HBBI", 6, 0, 0, 0)
@@ -45,9 +48,16 @@
     sock.setsockopt(socket.SOL_SOCKET, _SO_DETACH_FILTER, 0)
 
 
-async def exchange_with_stall(address, raw, *, stall_s, first_bytes=300):
+async def exchange_with_stall(
+    address, raw, *, stall_s, first_bytes=300, until=None
+):
     """Send a request, take a little, stop to read, then take all the rest.
 
+    Parameters
+    ----------
+    until : asyncio.Event or None
+        Ends the stall; ``stall_s`` is the longest one then.
+
     Returns
     -------
     bytes
@@ -60,7 +70,11 @@
             await loop.sock_connect(sock, address)
             await loop.sock_sendall(sock, raw)
             received += await loop.sock_recv(sock, first_bytes)
-            await asyncio.sleep(stall_s)
+            if until is None:
+                await asyncio.sleep(stall_s)
+            else:
+                async with asyncio.timeout(stall_s):
+                    await until.wait()
             while data := await loop.sock_recv(sock, 65_536):
                 received += data
         except ConnectionError:
@@ -105,13 +119,15 @@
     return script
 
 
-def impatient_stream(size):
+def impatient_stream(size, *, on_cut):
     """Return a script that cuts its answer to a generation if it is not read.
 
     Parameters
     ----------
     size : int
         Bytes of data of the answer, at least.
+    on_cut : callable
+        Called once it has cut an answer.
     """
     event = b"id: 1\ndata: %s\n\n" % (b"x" * EVENT_BYTES)
 
@@ -126,6 +142,7 @@
                     await writer.drain()
         except TimeoutError:
             writer.transport.abort()
+            on_cut()
         return True
 
     return script
