--- a/currantdeal/node/buffered_answers.py
+++ b/currantdeal/node/buffered_answers.py
@@ -21,7 +21,7 @@
 """Time after which an answer that is still buffered is taken slowly."""
 
 MEASURE_INTERVAL_S = 0.1
-"""Interval at which sizes are measured while memory is short."""
+"""Interval at which sizes are updated while memory is short."""
 
 
 class BufferedAnswers:
@@ -30,7 +30,7 @@
     A bound for each answer alone would let the memory grow with the number of
     requests.  If the answers exceed the limit together, the largest one is
     given up, so that upstreams that send without end do not displace the small
-    answers of others.  Where sizes are measured, as those of answers that
+    answers of others.  With ``measure``, as for answers that
     callers take, it is the largest of those that are taken slowly.
 
     Parameters
--- a/currantdeal/node/peer_watch.py
+++ b/currantdeal/node/peer_watch.py
@@ -23,7 +23,8 @@
 """
 
 MAX_BLANK_LOOKS = 8
-"""Looks without any facts after which the system reports none."""
+"""Looks at quiet connections without any facts after which the system is
+taken to report none."""
 
 QUIET_S = 0.1
 """Time without a write after which a look at a connection has facts.
