Begin the hold time of a cut link anew after each failed check

What callers saw: generations refused, and idempotent requests that waited for the whole of an attempt, at entries whose links flap.

Cause: a cut link is restored by answers in a row. A failed check for which another entry was asked as well, and reached the upstream, did not end the row, so that the answers of two short returns restored the link.

Change: any failed direct check ends the row.

Evidence: the new test failed before in the case [reached].

--- a/currantdeal/policy/health/links.py
+++ b/currantdeal/policy/health/links.py
@@ -241,13 +241,12 @@
             link.compared_s = now_s
         if result.direct:
             self._record_answer(address, link, now_s)
-        elif result.others is Reach.REACHED:
-            if link.state is not LinkState.CUT:
-                self._record_loss(link, now_s)
-                self._set(address, LinkState.CUT)
-        else:
-            link.answered_s = None
-        if not result.direct and result.others is Reach.NOT_REACHED:
+            return link.state
+        link.answered_s = None
+        if result.others is Reach.REACHED and not self.is_cut(address):
+            self._record_loss(link, now_s)
+            self._set(address, LinkState.CUT)
+        if result.others is Reach.NOT_REACHED:
             # The upstream itself fails, for the others as well.
             self._set(address, LinkState.SOUND)
         return link.state
--- a/currantdeal/policy/health/tests/test_links.py
+++ b/currantdeal/policy/health/tests/test_links.py
@@ -6,6 +6,7 @@
 import pytest
 
 from currantdeal.policy.health.links import (
+    BASE_HOLD_S,
     COMPARE_S,
     RECHECK_S,
     CheckResult,
@@ -136,6 +137,19 @@
     assert set(states) == {LinkState.CUT}
 
 
+@pytest.mark.parametrize("others", [Reach.REACHED, Reach.UNKNOWN])
+def test_failed_check_of_a_cut_link_begins_the_hold_time_anew(others):
+    """Guards against a hold time that goes on through another cut."""
+    links = Links()
+    _cut(links, 0.0)
+    back = CheckResult(direct=True)
+    gone = CheckResult(direct=False, others=others)
+    assert links.record_check(ADDRESS, back, now_s=1.0) is LinkState.CUT
+    assert links.record_check(ADDRESS, gone, now_s=2.0) is LinkState.CUT
+    time_s, _ = _time_to_return(links, 3.0)
+    assert time_s == BASE_HOLD_S
+
+
 @pytest.mark.parametrize("unknown", [1, 2, 3, 20])
 def test_checks_become_rarer_while_nobody_can_tell(unknown):
     """Guards against endless checks of a dead upstream by a lone entry."""
