Use no direct connection while its link is cut

Cause: a cut link is checked each half second on a new direct connection, which went to the pool once its check was answered; so did one that was in use as the link was cut. The pool preferred it as the last one used, so that requests went over a flapping link before its hold time had passed, and hung with its next cut. Idle direct ones were kept, too, if the upstream had been heard of within half a second.

Evidence: the new test failed before in both cases.

--- a/currantdeal/entry/link_watch.py
+++ b/currantdeal/entry/link_watch.py
@@ -333,8 +333,7 @@
             self._metrics.add("links_lost_total")
             self._log_change("link-lost", address, others=result.others.value)
             self._suspect_beside_cut()
-            if not self._links.was_contacted(address, now_s=_now_s()):
-                self._pool.close_idle_direct(address)
+            self._pool.close_idle_direct(address)
             self.on_cut(address)
         elif before is LinkState.CUT:
             self._metrics.add("links_restored_total")
--- a/currantdeal/node/connection_pool.py
+++ b/currantdeal/node/connection_pool.py
@@ -113,7 +113,9 @@
     def is_connected(self, address):
         """Return whether an idle connection can take a retryable request."""
         idle = self._idle.get(address, ())
-        return any(c.is_usable(retryable=True) for c in idle)
+        return any(
+            c.is_usable(retryable=True) and self._fits_link(c) for c in idle
+        )
 
     def release(self, connection):
         """Return a connection to the pool after an exchange, or close it."""
@@ -122,6 +124,7 @@
             connection.reusable
             and len(idle) < MAX_IDLE
             and self.connector.may_use(connection.helper)
+            and self._fits_link(connection)
         ):
             idle.append(connection)
         else:
@@ -185,11 +188,21 @@
 
     def _close_ended(self, address):
         idle = self._idle.get(address, [])
-        links = self.connector.links
-        is_sound = links.state(address) is LinkState.SOUND
         for connection in tuple(idle):
-            if not connection.is_usable(retryable=True) or (
-                is_sound and connection.helper
+            if not (
+                connection.is_usable(retryable=True)
+                and self._fits_link(connection)
             ):
                 idle.remove(connection)
                 connection.close()
+
+    def _fits_link(self, connection):
+        """Return whether new requests may go the way of a connection.
+
+        A link that is cut may answer in between; it carries no requests
+        before its hold time has passed.
+        """
+        state = self.connector.links.state(connection.address)
+        if connection.helper:
+            return state is not LinkState.SOUND
+        return state is not LinkState.CUT
--- a/currantdeal/node/tests/test_links.py
+++ b/currantdeal/node/tests/test_links.py
@@ -102,6 +102,26 @@
     _run(test)
 
 
+@pytest.mark.parametrize("is_cut_in_use", [False, True])
+def test_direct_connection_is_not_used_while_its_link_is_cut(is_cut_in_use):
+    """Guards against requests on a link that flaps, before it is sound."""
+
+    async def test(world):
+        pool, address = world.pool, world.standin.address
+        call = PlatformCalls().check_health(address, HEALTH_PATH)
+        connection = await pool.acquire(address, call)
+        if is_cut_in_use:
+            world.cut()
+        pool.release(connection)
+        if not is_cut_in_use:
+            world.cut()
+        assert not pool.is_connected(address)
+        chosen = await pool.acquire(address, call, retryable=True)
+        assert chosen.helper
+
+    _run(test)
+
+
 def test_refusal_of_a_sound_helper_proves_the_end_of_a_process():
     """Guards against a crash that is not recognised any more."""
 
