Let a cluster of a test start only with listening control processes

A test that floods a control process failed twice, as its connection was refused. A quorum of two accepts the configuration while the third process still imports its modules, and the test then connects to the first one. Tests that call one given control process share the cause, and a call that is refused there counts as none, without a word.

A cluster waits until each of its control processes accepts connections, and tells how one that does not has ended. A connection that is refused after that is a process that ended; the test then shows its status and last lines.

--- a/currantdeal/cli/tests/test_endless_bytes.py
+++ b/currantdeal/cli/tests/test_endless_bytes.py
@@ -329,12 +329,15 @@
             background = asyncio.ensure_future(
                 callers.keep_sending("/menu/1", others)
             )
-            floods = {
-                place: await flood_server(address, place)
-                for place in REQUEST_PLACES
-            }
+            try:
+                floods = {
+                    place: await flood_server(address, place)
+                    for place in REQUEST_PLACES
+                }
+            except ConnectionError as exc:
+                raise AssertionError(process.condition) from exc
             background.cancel()
-            assert process.is_running
+            assert process.is_running, process.condition
             return (
                 floods,
                 others,
--- a/currantdeal/testing/node_processes.py
+++ b/currantdeal/testing/node_processes.py
@@ -17,9 +17,13 @@
 import urllib.request
 from pathlib import Path
 
+from currantdeal.testing.errors import HarnessError
+from currantdeal.testing.waiting import POLL_S
+
 ROOT = Path(__file__).parents[2]
 START_TIMEOUT_S = 30.0
 CALL_TIMEOUT_S = 2.0
+LAST_LINES = 5
 
 
 class NodeProcess:
@@ -64,6 +68,34 @@
         """Id of the process that was started last."""
         return self._process.pid
 
+    @property
+    def condition(self):
+        """Whether it runs or how it ended, and its last log lines."""
+        status = None if self._process is None else self._process.poll()
+        ending = "runs" if status is None else f"ended with status {status}"
+        last = self._log.read_text().splitlines()[-LAST_LINES:]
+        return "\n".join((f"{self.settings['instance']} {ending}", *last))
+
+    def wait_listening(self, *, timeout_s=START_TIMEOUT_S):
+        """Wait until a control process accepts connections.
+
+        Raises
+        ------
+        HarnessError
+            If it does not within the timeout, or has ended.
+        """
+        host, _, port = self.settings["listen"]["control"].rpartition(":")
+        end_s = time.monotonic() + timeout_s
+        while True:
+            with contextlib.suppress(OSError):
+                socket.create_connection(
+                    (host, int(port)), CALL_TIMEOUT_S
+                ).close()
+                return
+            if time.monotonic() >= end_s or not self.is_running:
+                raise HarnessError(f"it does not listen: {self.condition}")
+            time.sleep(POLL_S)
+
     def write_settings(self, **changes):
         """Change some settings and write the settings file."""
         self.settings = {**self.settings, **changes}
@@ -135,9 +167,18 @@
         return [*self.control, *self.entries]
 
     def __enter__(self):
-        """Start all processes."""
-        for process in self.processes:
-            process.start()
+        """Start all processes; control processes listen afterwards.
+
+        A quorum serves while the others still start.
+        """
+        try:
+            for process in self.processes:
+                process.start()
+            for process in self.control:
+                process.wait_listening()
+        except BaseException:
+            self.__exit__()
+            raise
         return self
 
     def __exit__(self, *exc_info):
