Show what is known of an answer that a play of slow peers has lost

The play at rest failed once and only named the calls, so that neither the upstreams' part nor the lines of the entry could be compared with it. The failure now shows for each call its times, the work of upstreams, the log lines and the longest stall of the play's own loop; a row with too few served calls shows all verdicts. What is asserted is unchanged.

--- a/currantdeal/cli/tests/test_stalling_peers.py
+++ b/currantdeal/cli/tests/test_stalling_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+from collections import Counter
 
 import pytest
 
@@ -70,14 +71,14 @@
     play = StallPlay(folder=tmp_path, seed=1, calls=calls, scale=SCALE)
     play.play(scenario)
     verdicts = play.verdicts()
+    unanswered = [(v, end) for end, v in verdicts if v in UNANSWERED]
     assert [
         (verdict, end.call.row, end.request_id, end.how, end.status)
-        for end, verdict in verdicts
-        if verdict in UNANSWERED
-    ] == []
+        for verdict, end in unanswered
+    ] == [], play.explain(end for _, end in unanswered)
     assert play.failed_tasks() == []
     for row in play.rows:
         served = [
             end for end, v in verdicts if v == "served" and end.call.row == row
         ]
-        assert len(served) >= 5, row
+        assert len(served) >= 5, (row, Counter(v for _, v in verdicts))
--- a/currantdeal/testing/stall_play.py
+++ b/currantdeal/testing/stall_play.py
@@ -179,6 +179,34 @@
             if line.get("request") == request_id
         ]
 
+    def explain(self, ends):
+        """Return what is known of calls: their times, works and log lines.
+
+        Times are those of the log lines, so that both can be compared.
+        """
+        wall_s = time.time() - time.monotonic()
+        works = self.works()
+        parts = [
+            f"stopped at {wall_s + self.signalled_s:.3f}, "
+            f"longest stall of this loop {self.watch.longest_stall_s:.3f} s"
+        ]
+        for end in ends:
+            parts += [
+                f"{end.request_id} {end.call.row} {end.call.kind} "
+                f"stalls {end.call.stall_s:.2f} s, {end.call.script}: "
+                f"{end.how} {end.status} {end.received} bytes, "
+                f"began {wall_s + end.began_s:.3f} "
+                f"sent {wall_s + end.sent_s:.3f} "
+                f"ended {wall_s + end.ended_s:.3f}",
+                *(
+                    f"  {work.upstream} {wall_s + work.began_s:.3f} "
+                    f"to {wall_s + work.ended_s:.3f}"
+                    for work in works.get(end.request_id, ())
+                ),
+                *self.log_lines(end.request_id),
+            ]
+        return "\n".join(parts)
+
     def _process_ids(self):
         return [e.process_id for e in self.cluster.entries if e.is_running]
 
