Deliver a plain answer that is whole at its deadline

What callers saw: 504 "outcome unknown" for an answer that had arrived as a whole, if the process stood still until the deadline had passed. The sound upstream was ejected as one without an answer.

Cause: the timers of the exchange and of the request run in the same turn of the event loop as the receipt, before the task that reads the answer. The same held for calls of the system, such as reservations, and for a stream of more bytes than are parsed at once.

Change: an exchange whose time is over returns an answer that is whole by then; what was received and waits to be parsed counts. A cancellation is taken for the end of the time only if the request's own limit has expired, so that a caller who leaves still cancels his request. No further attempt follows after that end.

--- a/currantdeal/entry/active_request.py
+++ b/currantdeal/entry/active_request.py
@@ -202,6 +202,11 @@
             return CallKind.IDEMPOTENT
         return CallKind.NON_IDEMPOTENT
 
+    @property
+    def has_expired(self):
+        """Whether its time is over, at its deadline or by a stop."""
+        return self._time_limit is not None and self._time_limit.expired()
+
     def bind(self, time_limit, wait_until_s):
         """Set what ends it early if the process stops.
 
@@ -231,7 +236,7 @@
         self._is_over = True
 
     def _end_at(self, time_s):
-        if self._time_limit is None or self._time_limit.expired():
+        if self._time_limit is None or self.has_expired:
             return
         if self._is_over:
             return
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -264,7 +264,7 @@
         active = self._active
         if self._reason == "no memory" or self._is_over_budget:
             return False
-        if not self._may_send():
+        if active.has_expired or not self._may_send():
             return False
         if active.time_left_s(self._now_s) < active.route.target_s / 4:
             return False
@@ -438,8 +438,7 @@
 
     def _is_ready_late(self, connection):
         """Return whether a whole answer is here when the deadline passes."""
-        has_passed = self._active.time_left_s(self._now_s) <= 0.0
-        return has_passed and connection.is_answered
+        return self._active.has_expired and connection.has_whole_answer()
 
     def _count_run(self):
         """Count the present run, which may have begun, once."""
--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -193,6 +193,8 @@
 
 
 def _may_retry(active, answer):
+    if active.has_expired:
+        return False
     runs_left = active.runs == 0 or active.runs < active.route.max_upstreams
     return answer.retryable and runs_left
 
@@ -219,6 +221,7 @@
             outgoing,
             timeout_s=_attempt_timeout_s(active, now_s),
             limit=MAX_ANSWER_BYTES,
+            has_expired=lambda: active.has_expired,
         )
         completeness = check_end(head, position_of(head, body))
     except ExchangeError as exc:
--- a/currantdeal/entry/tests/test_plain.py
+++ b/currantdeal/entry/tests/test_plain.py
@@ -1,6 +1,7 @@
 """Calls that are not generations, against faulty stand-ins for upstreams."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -195,6 +196,41 @@
     assert answer.startswith(b"HTTP/1.1 404")
 
 
+@pytest.mark.parametrize("size", [2, 20_000])
+@pytest.mark.parametrize("raw", [MENU, ORDER])
+def test_answer_is_delivered_after_a_pause_past_the_deadline(raw, size):
+    """Guards against a 504 when a whole answer and its deadline coincide.
+
+    The process stands still from the moment the answer is sent.
+    """
+    patience_s = 0.5
+
+    async def pause(standin, request, writer):
+        standin.send(request, writer, 200, b"x" * size)
+        time.sleep(patience_s)
+        return True
+
+    raw = raw.replace(b"Ms: 3000", b"Ms: %d" % (patience_s * 1e3))
+    answer, standins = _ask(raw, pause)
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert answer.endswith(b"\r\n\r\n" + b"x" * size)
+    assert _runs(standins) == 1
+
+
+def test_pause_past_the_deadline_leads_to_no_further_attempt():
+    """Guards against a request that goes on after its time is over."""
+
+    async def pause(standin, request, writer):
+        standin.send(request, writer, 500, b"broken")
+        time.sleep(0.5)
+        return True
+
+    raw = MENU.replace(b"Ms: 3000", b"Ms: 500")
+    answer, standins = _ask(raw, pause, pause)
+    assert answer.startswith(b"HTTP/1.1 500")
+    assert _runs(standins) == 1
+
+
 def test_pipelined_requests_are_answered_in_order():
     async def run():
         standin = StandInUpstream()
--- a/currantdeal/node/exchange.py
+++ b/currantdeal/node/exchange.py
@@ -22,6 +22,7 @@
     limit=MAX_CALL_ANSWER_BYTES,
     retryable=False,
     may_repeat=None,
+    has_expired=lambda: False,
 ):
     """Send a small request and return the response head and the whole body.
 
@@ -38,6 +39,9 @@
     may_repeat : callable or None
         Coroutine function that is asked before the request of a caller is
         sent once more.  Without it, only calls of the system are.
+    has_expired : callable
+        Returns whether a cancellation is the end of the request's own time.
+        An answer that is whole at the end of either time is returned.
 
     Raises
     ------
@@ -48,10 +52,13 @@
         address, outgoing, timeout_s=timeout_s, retryable=retryable
     )
     reused = connection.used
+    options = {
+        "timeout_s": timeout_s,
+        "limit": limit,
+        "has_expired": has_expired,
+    }
     try:
-        return await exchange_on(
-            pool, connection, outgoing, timeout_s=timeout_s, limit=limit
-        )
+        return await exchange_on(pool, connection, outgoing, **options)
     except InvalidResponseError as exc:
         if not (retryable and reused):
             raise
@@ -65,9 +72,7 @@
         # connection, the request that was sent may have crashed it.
         first_error.has_ended = exc.has_ended
         raise first_error from None
-    return await exchange_on(
-        pool, connection, outgoing, timeout_s=timeout_s, limit=limit
-    )
+    return await exchange_on(pool, connection, outgoing, **options)
 
 
 async def _may_repeat(outgoing, may_repeat):
@@ -77,17 +82,22 @@
 
 
 async def exchange_on(
-    pool, connection, outgoing, *, timeout_s, limit=MAX_CALL_ANSWER_BYTES
+    pool,
+    connection,
+    outgoing,
+    *,
+    timeout_s,
+    limit=MAX_CALL_ANSWER_BYTES,
+    has_expired=lambda: False,
 ):
     """Send a request on a connection, see ``exchange``.
 
     The connection is returned to the pool afterwards, or closed.
     """
+    answer = _Answer(connection=connection, limit=limit)
     try:
-        async with asyncio.timeout(timeout_s):
-            connection.send(outgoing)
-            head = await connection.head()
-            body = await connection.rest(limit=limit)
+        connection.send(outgoing)
+        await answer.receive(timeout_s=timeout_s, has_expired=has_expired)
     except TimeoutError:
         connection.close()
         raise ResponseTimeoutError(
@@ -97,11 +107,53 @@
     except BaseException:
         connection.close()
         raise
-    if _is_of_no_more_use(connection, outgoing, head):
+    if _is_of_no_more_use(connection, outgoing, answer.head):
         connection.close()
     else:
         pool.release(connection)
-    return head, body
+    return answer.head, answer.body
+
+
+class _Answer:
+    """An answer that is kept as a whole.
+
+    Parameters
+    ----------
+    connection : UpstreamConnection
+        Connection on which it is awaited.
+    limit : int
+        Maximum size of its body, in bytes.
+    """
+
+    def __init__(self, *, connection, limit):
+        """Start before its head."""
+        self.head = None
+        self.body = b""
+        self._connection = connection
+        self._limit = limit
+
+    async def receive(self, *, timeout_s, has_expired):
+        """Receive it; see ``exchange`` for the parameters.
+
+        The process may have stood still at the end of the time, so that the
+        whole answer and the timer come together.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._receive_rest()
+        except TimeoutError:
+            if not self._connection.has_whole_answer():
+                raise
+            await self._receive_rest()
+        except asyncio.CancelledError:
+            if not (has_expired() and self._connection.has_whole_answer()):
+                raise
+            await self._receive_rest()
+
+    async def _receive_rest(self):
+        if self.head is None:
+            self.head = await self._connection.head()
+        self.body = await self._connection.rest(limit=self._limit)
 
 
 def _is_of_no_more_use(connection, outgoing, head):
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -104,6 +104,7 @@
         self._phase = ExchangePhase.CONNECTING
         self._unread = 0
         self._kept = 0
+        self._parts = []
         self._unparsed = b""
         self._paused = False
         self._paused_s = 0.0
@@ -198,11 +199,6 @@
         """Whether nothing more of the present answer will come."""
         return self._parser.has_ended or self._close_reason is not None
 
-    @property
-    def is_answered(self):
-        """Whether the whole present answer has been received."""
-        return self._parser.has_ended
-
     @property
     def ended(self):
         """Future that is done once nothing more of the answer will come."""
@@ -280,6 +276,7 @@
         self.used = True
         self._method = outgoing.method
         self._reusable = False
+        self._parts = []
         self._phase = ExchangePhase.AWAITING_ANSWER
         self._ended = self._loop.create_future()
         self._longest_hold_s = 0.0
@@ -333,18 +330,28 @@
     async def rest(self, *, limit):
         """Return the rest of the body.
 
-        A body of more than ``limit`` bytes closes the connection.
+        A body of more than ``limit`` bytes closes the connection.  A call
+        that was cancelled may be made again, and goes on where it was.
         """
-        parts = []
-        size = 0
+        size = sum(map(len, self._parts))
         while (data := await self.chunk()) is not None:
-            parts.append(data)
+            self._parts.append(data)
             size += len(data)
             if size > limit:
                 self._fail_malformed("the response is too large")
             self.record_buffered(size)
+        parts, self._parts = self._parts, []
         return b"".join(parts)
 
+    def has_whole_answer(self):
+        """Return whether the whole present answer has been received.
+
+        What waits to be parsed is parsed at once.
+        """
+        while self._unparsed and not self.has_ended:
+            self._parse_step()
+        return self._parser.has_ended
+
     def record_buffered(self, size_bytes):
         """Record how many bytes of the answer its reader keeps."""
         self._kept = size_bytes
