Abandon the request of a caller who closes its side and does not read

What callers saw: nothing; the others paid. A caller that shut down its side of the connection during an answer, and did not read what was in the process already, kept its handler, its upstream, its connection and up to 8 MiB until the process ended.

Cause: the end of its side closed the transport in order, which ends only once all that is in the process has been sent. The kernel's timeout of 1.5 s bounded that before; since a closed window is no evidence, nothing does, as a request in progress has no idle timer.

Change: a request in progress is abandoned at once, as it is for a caller who has taken everything.

--- a/currantdeal/node/caller_connection.py
+++ b/currantdeal/node/caller_connection.py
@@ -181,6 +181,9 @@
         # has ended.
         if self._is_lingering and self._peer.untaken_bytes > 0:
             return True
+        if self.is_busy and not self._responder.finished:
+            # In order, it would end only once the caller has taken all.
+            self._writer.abort(ConnectionEnd.CLOSED)
         self._writer.record_end(ConnectionEnd.CLOSED)
         return False
 
--- /dev/null
+++ b/currantdeal/node/tests/test_half_closed_callers.py
@@ -0,0 +1,58 @@
+"""Callers that close their side of the connection and do not read."""
+
+import asyncio
+import socket
+
+from currantdeal.node.http_server import HttpServer
+from currantdeal.routing import CallerLimits
+from currantdeal.testing.stalled_peers import small_socket
+
+GET = b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n"
+ABANDON_S = 0.5
+"""Time in which work for a caller who has left ends."""
+
+
+async def _half_closed_caller(handler, *, before_s):
+    """Return a server, and a caller who has read nothing of its answer."""
+    server = HttpServer(handler=handler, limits=CallerLimits)
+    await server.start("127.0.0.1", 0)
+    loop = asyncio.get_running_loop()
+    sock = small_socket()
+    await loop.sock_connect(sock, server.address)
+    await loop.sock_sendall(sock, GET)
+    await asyncio.sleep(before_s)
+    sock.shutdown(socket.SHUT_WR)
+    return server, sock
+
+
+def test_request_of_a_caller_who_left_is_abandoned_though_bytes_wait():
+    """Guards against work, and memory held, for a caller who has left."""
+    ends = []
+
+    async def endless(request, responder):
+        responder.begin(200, ())
+        source = _Sending()
+        try:
+            while True:
+                await responder.send(b"x" * 65_536, source)
+                await asyncio.sleep(0.005)
+        finally:
+            ends.append(responder.connection_end.value)
+
+    async def run():
+        server, sock = await _half_closed_caller(endless, before_s=1.0)
+        await asyncio.sleep(ABANDON_S)
+        sock.close()
+        return list(ends), len(server.connections), server.unsent.total_bytes
+
+    assert asyncio.run(run()) == (["closed"], 0, 0)
+
+
+class _Sending:
+    """An upstream that always has more to send."""
+
+    has_ended = False
+    held_up_s = 0.0
+
+    def __init__(self):
+        self.ended = asyncio.get_running_loop().create_future()
