Keep a whole answer for a caller who closes its side before reading it

What callers saw: a caller that stopped to read for a second, shut down its side of the connection and then read on got the first 6 kB of 180 kB and a reset, though the whole answer was written and its upstream had ended.

Cause: the end of its side closed the socket, unless the connection lingered already. The window of such a caller is closed, so its probes are bounded to one second, and the kernel drops a socket that no process holds after a few probes of that interval.

Change: such a connection lingers, as one that is closed from this side does, and with the same bounds. A request that was received in part is dropped.

The test failed before with a reset, and passes with this change.

--- a/currantdeal/node/caller_connection.py
+++ b/currantdeal/node/caller_connection.py
@@ -87,6 +87,7 @@
         self._reading = True
         self._is_closing = False
         self._is_lingering = False
+        self._has_caller_ended = False
         self._untaken_before = 0
         self._deadline_s = -math.inf
         self._discarded_bytes = 0
@@ -179,13 +180,20 @@
         # A caller that closes its side abandons its request: HTTP/1.1 defines
         # no way to continue only reading.  It may still read an answer that
         # has ended.
-        if self._is_lingering and self._peer.untaken_bytes > 0:
-            return True
-        if self.is_busy and not self._responder.finished:
+        self._has_caller_ended = True
+        if self.is_busy:
+            if self._responder.finished:
+                return True
             # In order, it would end only once the caller has taken all.
             self._writer.abort(ConnectionEnd.CLOSED)
-        self._writer.record_end(ConnectionEnd.CLOSED)
-        return False
+            return False
+        if not self._peer.untaken_bytes:
+            self._writer.record_end(ConnectionEnd.CLOSED)
+            return False
+        self._body.clear()
+        self._server.unread.record(self, 0)
+        self._close()
+        return True
 
     def _discard(self, data):
         """Discard what follows a refused request, or stop to read it."""
@@ -417,7 +425,7 @@
         if not finished or self._http.their_state is not h11.DONE:
             self._close()
             return
-        if self._server.closing:
+        if self._server.closing or self._has_caller_ended:
             self._close()
             return
         self._head_bytes[:0] = self._http.trailing_data[0]
--- a/currantdeal/node/tests/test_half_closed_callers.py
+++ b/currantdeal/node/tests/test_half_closed_callers.py
@@ -8,6 +8,7 @@
 from currantdeal.testing.stalled_peers import small_socket
 
 GET = b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n"
+ANSWER_BYTES = 180_000
 ABANDON_S = 0.5
 """Time in which work for a caller who has left ends."""
 
@@ -25,6 +26,36 @@
     return server, sock
 
 
+async def _read(sock):
+    loop = asyncio.get_running_loop()
+    received = bytearray()
+    async with asyncio.timeout(2.0):
+        while data := await loop.sock_recv(sock, 65_536):
+            received += data
+    return received.partition(b"\r\n\r\n")[2]
+
+
+def test_answer_that_has_ended_outlives_the_end_of_its_requests():
+    """Guards against a whole answer that is lost with its caller's side."""
+
+    async def answer(request, responder):
+        responder.deadline_s = asyncio.get_running_loop().time() + 30.0
+        responder.answer(200, (), b"x" * ANSWER_BYTES)
+
+    async def run():
+        server, sock = await _half_closed_caller(answer, before_s=1.0)
+        # The kernel would drop it after some probes if nothing held it.
+        await asyncio.sleep(4.0)
+        with sock:
+            body = await _read(sock)
+        await asyncio.sleep(0.6)
+        return body, len(server.connections)
+
+    body, left = asyncio.run(run())
+    assert len(body) == ANSWER_BYTES
+    assert left == 0
+
+
 def test_request_of_a_caller_who_left_is_abandoned_though_bytes_wait():
     """Guards against work, and memory held, for a caller who has left."""
     ends = []
