End this side of a connection that was reset without a failed task

Cause: shutting down one side of a socket whose connection is reset raises an error, and the event loop has not read the reset yet.

--- a/currantdeal/node/sockets.py
+++ b/currantdeal/node/sockets.py
@@ -1,5 +1,6 @@
 """Sets the options of TCP sockets that carry requests and messages."""
 
+import contextlib
 import socket
 
 from currantdeal.node.peer_watch import peer_watch
@@ -25,3 +26,13 @@
     if sock is not None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return peer_watch().add(transport, on_gone=on_gone)
+
+
+def end_writing(transport):
+    """End this side of a connection, if the other has not reset it.
+
+    The event loop may not have read the reset yet; it reports the loss then.
+    """
+    if transport.can_write_eof():
+        with contextlib.suppress(OSError):
+            transport.write_eof()
