--- a/currantdeal/node/tests/test_buffered_answers.py
+++ b/currantdeal/node/tests/test_buffered_answers.py
@@ -114,3 +114,24 @@
     caller.unsent = 10
     now_s += MEASURE_INTERVAL_S
     assert answers.allowance(50) == 50
+
+
+def test_small_answers_are_not_given_up_in_vain():
+    """Guards against large answers at once that cost all slow callers theirs.
+
+    One of the large ones has to be given up in any case.
+    """
+    now_s = 1.0
+    answers = BufferedAnswers(
+        limit_bytes=100, measure=lambda c: c.unsent, clock=lambda: now_s
+    )
+    slow = [_Caller(unsent=2) for _ in range(5)]
+    for caller in slow:
+        answers.record(caller, caller.unsent)
+    now_s += SLOW_S
+    large = [_Caller(unsent=40) for _ in range(3)]
+    for caller in large:
+        answers.record(caller, caller.unsent)
+    assert not any(caller.given_up for caller in slow)
+    assert sum(caller.given_up for caller in large) == 1
+    assert answers.total_bytes == 90
