Read what arrived during a pause of the process before a caller counts as late

What callers saw: after an entry had been paused (SIGSTOP) over the end of a limit, a request that had arrived meanwhile got 408, or, on a kept connection, a reset, though all of it lay in the kernel.

Cause: silence of bytes taken for a silent caller. After a pause the event loop runs the timers that are due before it looks at sockets: the wait for events is interrupted, and Python reports none once its timeout is over.

Change: if bytes are unread when a limit ends, a request in receipt gets its time once more, and only once, and an idle connection is kept.

--- a/currantdeal/adapters/sockets.py
+++ b/currantdeal/adapters/sockets.py
@@ -45,9 +45,18 @@
 
     It is known until the socket is closed, also if its connection is lost.
     """
+    return _queued_bytes(sock, termios.TIOCOUTQ)
+
+
+def unread_bytes(sock):
+    """Return what the operating system has received for this process."""
+    return _queued_bytes(sock, termios.FIONREAD)
+
+
+def _queued_bytes(sock, queue):
     packed = struct.pack("i", 0)
     try:
-        packed = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, packed)
+        packed = fcntl.ioctl(sock.fileno(), queue, packed)
     except (OSError, ValueError):
         return 0
     return struct.unpack("i", packed)[0]
--- a/currantdeal/node/caller_connection.py
+++ b/currantdeal/node/caller_connection.py
@@ -13,6 +13,7 @@
 import h11
 import structlog
 
+from currantdeal.adapters.sockets import unread_bytes
 from currantdeal.node.connection_end import ConnectionEnd, end_of
 from currantdeal.node.errors import NoResponseError
 from currantdeal.node.head import RequestHead
@@ -471,7 +472,21 @@
         end_writing(self._transport)
         self._loop.call_later(CLOSE_DELAY_S, self._close)
 
+    @property
+    def _has_unread_bytes(self):
+        """Whether bytes have arrived that this process had no time to read."""
+        sock = self._transport.get_extra_info("socket")
+        return self._reading and unread_bytes(sock) > 0
+
     def _request_timed_out(self):
+        """Refuse the request, unless this process was paused meanwhile."""
+        if self._has_unread_bytes:
+            limit = self._server.limits().header_timeout_s
+            self._set_timer(limit, self._refuse_late)
+        else:
+            self._refuse_late()
+
+    def _refuse_late(self):
         self._reject(
             RefusedRequest(408, "the request was not received in time")
         )
@@ -486,7 +501,9 @@
 
         One that reads, however slowly, has time to take the last answer.
         """
-        if not self.untaken_bytes:
+        if self._has_unread_bytes and not self._is_closing:
+            self._start_idle_timer()
+        elif not self.untaken_bytes:
             self._transport.close()
         elif self._may_take_more():
             self._start_idle_timer()
