--- a/currantdeal/node/caller_connection.py
+++ b/currantdeal/node/caller_connection.py
@@ -13,6 +13,7 @@
 import h11
 import structlog
 
+from currantdeal.adapters.sockets import unread_bytes
 from currantdeal.node.connection_end import ConnectionEnd, end_of
 from currantdeal.node.errors import NoResponseError
 from currantdeal.node.head import RequestHead
@@ -26,7 +27,7 @@
     content_length,
 )
 from currantdeal.node.response_writer import ResponseWriter
-from currantdeal.node.sockets import prepare_socket
+from currantdeal.node.sockets import end_writing, prepare_socket
 from currantdeal.policy.answers.chunk_sizes import ChunkSizes
 
 READ_AHEAD_BYTES = 65_536
@@ -87,6 +88,7 @@
         self._reading = True
         self._is_closing = False
         self._is_lingering = False
+        self._has_caller_ended = False
         self._untaken_before = 0
         self._deadline_s = -math.inf
         self._discarded_bytes = 0
@@ -179,10 +181,20 @@
         # A caller that closes its side abandons its request: HTTP/1.1 defines
         # no way to continue only reading.  It may still read an answer that
         # has ended.
-        if self._is_lingering and self._peer.untaken_bytes > 0:
-            return True
-        self._writer.record_end(ConnectionEnd.CLOSED)
-        return False
+        self._has_caller_ended = True
+        if self.is_busy:
+            if self._responder.finished:
+                return True
+            # In order, it would end only once the caller has taken all.
+            self._writer.abort(ConnectionEnd.CLOSED)
+            return False
+        if not self._peer.untaken_bytes:
+            self._writer.record_end(ConnectionEnd.CLOSED)
+            return False
+        self._body.clear()
+        self._server.unread.record(self, 0)
+        self._close()
+        return True
 
     def _discard(self, data):
         """Discard what follows a refused request, or stop to read it."""
@@ -231,7 +243,7 @@
         if not self._reading:
             self._reading = True
             self._transport.resume_reading()
-        self._transport.write_eof()
+        end_writing(self._transport)
         self._start_idle_timer()
 
     def _advance(self):
@@ -414,7 +426,7 @@
         if not finished or self._http.their_state is not h11.DONE:
             self._close()
             return
-        if self._server.closing:
+        if self._server.closing or self._has_caller_ended:
             self._close()
             return
         self._head_bytes[:0] = self._http.trailing_data[0]
@@ -457,11 +469,24 @@
             if self._method != b"HEAD":
                 self._writer.write(self._http, h11.Data(data=body))
             self._writer.write(self._http, h11.EndOfMessage())
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
+        end_writing(self._transport)
         self._loop.call_later(CLOSE_DELAY_S, self._close)
 
+    @property
+    def _has_unread_bytes(self):
+        """Whether bytes have arrived that this process had no time to read."""
+        sock = self._transport.get_extra_info("socket")
+        return self._reading and unread_bytes(sock) > 0
+
     def _request_timed_out(self):
+        """Refuse the request, unless this process was paused meanwhile."""
+        if self._has_unread_bytes:
+            limit = self._server.limits().header_timeout_s
+            self._set_timer(limit, self._refuse_late)
+        else:
+            self._refuse_late()
+
+    def _refuse_late(self):
         self._reject(
             RefusedRequest(408, "the request was not received in time")
         )
@@ -476,7 +501,9 @@
 
         One that reads, however slowly, has time to take the last answer.
         """
-        if not self.untaken_bytes:
+        if self._has_unread_bytes and not self._is_closing:
+            self._start_idle_timer()
+        elif not self.untaken_bytes:
             self._transport.close()
         elif self._may_take_more():
             self._start_idle_timer()
