Look for the owners of links only while something is cut

Cause: a stand-in upstream whose links can be cut found out for each new connection which process had opened it, from the open files of all entries, on the loop that serves all upstreams and callers of a soak.

Change: the owner of a connection is sought when it is opened during a cut, and those of open connections once a cut begins. Paths are read relative to the open folder of a process. Which connections are cut, and when, is as before.

--- a/currantdeal/testing/cut_upstream.py
+++ b/currantdeal/testing/cut_upstream.py
@@ -6,7 +6,6 @@
 import socket
 import struct
 from enum import Enum
-from pathlib import Path
 
 from currantdeal.node.single_flight import SingleFlight
 from currantdeal.testing.platform_upstream import StandInUpstream
@@ -58,17 +57,25 @@
 
     async def owner_of(self, source, target):
         """Return the id of the process, or None if it is none of them."""
-        inode = _inode_of(source, target)
-        return (await self._scan.run()).get(f"socket:[{inode}]")
+        socket_name = _socket_name(source, target)
+        return (await self._scan.run()).get(socket_name)
+
+    def owners_now(self, connections):
+        """Return the owner of each ``(source, target)``, None if unknown."""
+        names = [_socket_name(*ends) for ends in connections]
+        if not names:
+            return []
+        owners = self._list_now()
+        return [owners.get(name) for name in names]
 
     async def _list_sockets(self):
+        return self._list_now()
+
+    def _list_now(self):
         found = {}
         for process_id in self._process_ids():
-            folder = Path(f"/proc/{process_id}/fd")
-            with contextlib.suppress(OSError):
-                for name in os.listdir(folder):
-                    with contextlib.suppress(OSError):
-                        found[os.readlink(folder / name)] = process_id
+            for name in _file_names(process_id):
+                found[name] = process_id
         return found
 
 
@@ -109,6 +116,7 @@
 
     def cut(self, process_ids, how):
         """Cut the links of processes, open ones as well."""
+        self._find_owners()
         self._cuts.update(dict.fromkeys(process_ids, how))
         if how is LinkCut.RESET:
             for link in tuple(self._links):
@@ -126,11 +134,16 @@
         """Return the ``LinkCut`` of a process, or None."""
         return self._cuts.get(process_id)
 
+    def _find_owners(self):
+        links = [link for link in self._links if not link.is_owner_known]
+        owners = self._owners.owners_now(link.ends for link in links)
+        for link, process_id in zip(links, owners, strict=True):
+            link.set_owner(process_id)
+
     async def _link(self, reader, writer):
-        ends = [writer.get_extra_info(n) for n in ("peername", "sockname")]
-        link = _Link(
-            process_id=await self._owners.owner_of(*ends), writer=writer
-        )
+        link = _Link(writer=writer)
+        if self._cuts:
+            link.set_owner(await self._owners.owner_of(*link.ends))
         if self.cut_of(link.process_id) in (LinkCut.RESET, LinkCut.RESET_NEW):
             link.reset()
             return
@@ -163,19 +176,52 @@
 
 
 class _Link:
-    """A connection to a stand-in, and the process that opened it."""
+    """A connection to a stand-in, and the process that opened it.
 
-    def __init__(self, *, process_id, writer):
-        self.process_id = process_id
+    The process is looked for once something is cut: to find it takes as long
+    as several answers.
+    """
+
+    def __init__(self, *, writer):
+        self.process_id = None
+        self.is_owner_known = False
+        self.ends = tuple(
+            writer.get_extra_info(name) for name in ("peername", "sockname")
+        )
         self.writers = [writer]
 
+    def set_owner(self, process_id):
+        self.process_id = process_id
+        self.is_owner_known = True
+
     def reset(self):
         for writer in self.writers:
             writer.transport.abort()
 
 
-def _inode_of(source, target):
-    """Return the inode of the socket that connects two addresses.
+def _file_names(process_id):
+    """Return the targets of the open files of a process."""
+    found = []
+    try:
+        folder = os.open(f"/proc/{process_id}/fd", os.O_RDONLY)
+    except OSError:
+        # The process has ended.
+        return found
+    try:
+        for number in os.listdir(folder):
+            with contextlib.suppress(OSError):
+                found.append(os.readlink(number, dir_fd=folder))
+    except OSError:
+        return found
+    finally:
+        os.close(folder)
+    return found
+
+
+def _socket_name(source, target):
+    """Return the name of the socket that connects two addresses.
+
+    It is the target of the link in the folder of its process.
 
     The kernel is asked by the ``sock_diag`` interface of Linux.
     """
@@ -192,4 +238,5 @@
         answer = link.recv(CHUNK_BYTES)
     if _NETLINK_HEADER.unpack_from(answer)[1] != _DIAG_BY_FAMILY:
         return None
-    return struct.unpack_from("=I", answer, _INODE_OFFSET)[0]
+    inode = struct.unpack_from("=I", answer, _INODE_OFFSET)[0]
+    return f"socket:[{inode}]"
