Begin the hold time of a cut link anew after any failed check

Cause: a link that was cut is sound again after answers in a row over a hold time.

Change: any check without a direct answer ends it. The test fails before for the case "reached" and passes for "unknown".

--- a/currantdeal/policy/health/links.py
+++ b/currantdeal/policy/health/links.py
@@ -241,12 +241,14 @@
             link.compared_s = now_s
         if result.direct:
             self._record_answer(address, link, now_s)
-        elif result.others is Reach.REACHED:
-            if link.state is not LinkState.CUT:
-                self._record_loss(link, now_s)
-                self._set(address, LinkState.CUT)
         else:
             link.answered_s = None
+            if (
+                result.others is Reach.REACHED
+                and link.state is not LinkState.CUT
+            ):
+                self._record_loss(link, now_s)
+                self._set(address, LinkState.CUT)
         if not result.direct and result.others is Reach.NOT_REACHED:
             # The upstream itself fails, for the others as well.
             self._set(address, LinkState.SOUND)
@@ -282,7 +284,6 @@
         is_calm = now_s - link.lost_s > CALM_S
         link.losses = 1 if is_calm else link.losses + 1
         link.lost_s = now_s
-        link.answered_s = None
 
     def _hold_s(self, link):
         doublings = min(link.losses - 1, _MAX_DOUBLINGS)
--- a/currantdeal/policy/health/tests/test_links.py
+++ b/currantdeal/policy/health/tests/test_links.py
@@ -6,6 +6,7 @@
 import pytest
 
 from currantdeal.policy.health.links import (
+    BASE_HOLD_S,
     COMPARE_S,
     RECHECK_S,
     CheckResult,
@@ -136,6 +137,19 @@
     assert set(states) == {LinkState.CUT}
 
 
+@pytest.mark.parametrize("others", [Reach.REACHED, Reach.UNKNOWN])
+def test_answers_before_and_after_a_failure_do_not_restore(others):
+    """Guards against a hold time that a failed check does not begin anew."""
+    links = Links()
+    _cut(links, 0.0)
+    back = CheckResult(direct=True)
+    links.record_check(ADDRESS, back, now_s=1.0)
+    gone = CheckResult(direct=False, others=others)
+    links.record_check(ADDRESS, gone, now_s=2.0)
+    state = links.record_check(ADDRESS, back, now_s=1.0 + BASE_HOLD_S)
+    assert state is LinkState.CUT
+
+
 @pytest.mark.parametrize("unknown", [1, 2, 3, 20])
 def test_checks_become_rarer_while_nobody_can_tell(unknown):
     """Guards against endless checks of a dead upstream by a lone entry."""
