--- a/currantdeal/entry/link_watch.py
+++ b/currantdeal/entry/link_watch.py
@@ -243,7 +243,7 @@
     async def _check(self, address, may_reuse):
         before = self._links.state(address)
         try:
-            result = await self._compare(address, before, may_reuse)
+            result = await self._compare(address, may_reuse)
         finally:
             self._checking.discard(address)
         if address not in self._view.addresses:
@@ -259,14 +259,13 @@
         if result.direct:
             self.on_answer(self._view.upstream_at(address))
 
-    async def _compare(self, address, before, may_reuse):
+    async def _compare(self, address, may_reuse):
         """Return what a check finds, directly and through others."""
         direct = asyncio.ensure_future(self._answers_here(address, may_reuse))
         try:
             if not self._links.wants_comparison(address, now_s=_now_s()):
                 return CheckResult(direct=await direct)
-            if before is not LinkState.CUT:
-                await asyncio.wait({direct}, timeout=COMPARE_AFTER_S)
+            await asyncio.wait({direct}, timeout=COMPARE_AFTER_S)
             if direct.done() and direct.result():
                 return CheckResult(direct=True)
             others = await self._reach_through_others(address)
--- a/currantdeal/node/link_client.py
+++ b/currantdeal/node/link_client.py
@@ -18,6 +18,13 @@
 HEDGE_S = 0.1
 """Delay after which the next entry is asked beside one that is slow."""
 
+MAX_UNVERIFIED = 2
+"""Maximum number of connections on which the upstream's answer is awaited.
+
+Helpers that have connected are not slow; the upstream is, and more connections
+would slow it further.
+"""
+
 
 @dataclass(frozen=True, kw_only=True)
 class _Attempt:
@@ -80,12 +87,13 @@
         left = list(self._choice.order(self._groups(), now_s=_now_s()))
         end_s = _now_s() + timeout_s
         pending, failed = set(), []
+        unverified = _Unverified(verify=verify)
         try:
             while left or pending:
-                if left:
+                if left and unverified.count < MAX_UNVERIFIED:
                     helper = left.pop(0)
                     work = self._attempt(
-                        helper, address, make_connection, end_s, verify
+                        helper, address, make_connection, end_s, unverified
                     )
                     pending.add(asyncio.ensure_future(work))
                 wait_s = end_s - _now_s()
@@ -109,14 +117,16 @@
         self._metrics.add("links_opened_total", outcome="failed")
         raise _error(address, failed)
 
-    async def _attempt(self, helper, address, make_connection, end_s, verify):
+    async def _attempt(
+        self, helper, address, make_connection, end_s, unverified
+    ):
         try:
             async with asyncio.timeout_at(end_s):
                 found = await _call(
                     helper, address, make_connection, end_s - _now_s()
                 )
-                if found.connection is not None and verify is not None:
-                    found = await _verified(found, verify)
+                if found.connection is not None:
+                    found = await unverified.verify(found)
         except (TimeoutError, OSError, UnreadableFrameError):
             found = _Attempt()
         if found.connection is not None:
@@ -126,6 +136,36 @@
         return found
 
 
+class _Unverified:
+    """Verifies connections that helpers have opened, and counts them.
+
+    Parameters
+    ----------
+    verify : callable or None
+        See ``LinkClient.open``.
+    """
+
+    def __init__(self, *, verify):
+        self._verify = verify
+        self.count = 0
+
+    async def verify(self, attempt):
+        """Return an attempt, without its connection if that has no answer."""
+        if self._verify is None:
+            return attempt
+        self.count += 1
+        try:
+            await self._verify(attempt.connection)
+        except ExchangeError:
+            return _Attempt(is_conclusive=attempt.is_sound)
+        except BaseException:
+            attempt.connection.close()
+            raise
+        finally:
+            self.count -= 1
+        return attempt
+
+
 _VERDICTS = (LinkOutcome.REFUSED, LinkOutcome.UNANSWERED)
 """Outcomes that say something of the upstream."""
 
@@ -207,18 +247,6 @@
     )
 
 
-async def _verified(attempt, verify):
-    """Return an attempt, without its connection if that has no answer."""
-    try:
-        await verify(attempt.connection)
-    except ExchangeError:
-        return _Attempt(is_conclusive=attempt.is_sound)
-    except BaseException:
-        attempt.connection.close()
-        raise
-    return attempt
-
-
 def _take_one(attempts):
     """Return one connection that was opened, and close the others."""
     opened = [a.connection for a in attempts if a.connection]
