Receive what waits before the timers of a replica run

A replica that was held up, by a write to disk or by its machine, ran its timers before it read the messages that had arrived meanwhile. A leader whose heartbeats lay there was taken for silent: the replica forgot it and asked for votes, and a leader with slow writes could miss the answers of its quorum.

Both programs now receive first: the control process, and the actor of the product's own interface, which ticks once its inbox is empty or as many messages were handled as before a sync.

--- a/currantdeal/adapters/replication/replica.py
+++ b/currantdeal/adapters/replication/replica.py
@@ -128,6 +128,7 @@
         self._open_calls = OpenCalls()
         self._leases = None
         self._messages_since_sync = 0
+        self._is_tick_due = False
         self._unsaved = None
         self._logged_role = None
         self._configuration = None
@@ -142,6 +143,7 @@
             or self._messages_since_sync >= MAX_MESSAGES_PER_SYNC
         ):
             self._messages_since_sync = 0
+            self._tick_if_due()
             self._flush()
         return answer
 
@@ -151,6 +153,13 @@
         self._pending_proposals.fail_all("the instance stops")
         self._folder.close()
 
+    def _tick_if_due(self):
+        # After all messages that wait: a leader whose heartbeats arrived
+        # during a write is not silent.
+        if self._is_tick_due and self._unsaved is None:
+            self._node.tick(self._now_s)
+        self._is_tick_due = False
+
     @property
     def _now_s(self):
         return self._clock.monotonic_s()
@@ -165,8 +174,7 @@
 
     @_handle.register
     def _(self, message: Tick):
-        if self._unsaved is None:
-            self._node.tick(self._now_s)
+        self._is_tick_due = True
 
     @_handle.register
     def _(self, message: Deliver):
--- a/currantdeal/control/replica.py
+++ b/currantdeal/control/replica.py
@@ -180,10 +180,12 @@
         while True:
             await self._wait_for_work()
             now_s = self._clock()
-            self.node.tick(now_s)
+            # Received before the timers run: a leader whose messages wait
+            # here is not silent.
             inbox, self._inbox = self._inbox, []
             for message in inbox:
                 self.node.receive(message, now_s)
+            self.node.tick(now_s)
             while await self._process_output():
                 pass
             self._update_waiters()
--- a/currantdeal/control/tests/test_replica.py
+++ b/currantdeal/control/tests/test_replica.py
@@ -1,5 +1,6 @@
 import asyncio
 import os
+import random
 import threading
 import time
 import zlib
@@ -7,10 +8,19 @@
 import pytest
 from structlog.testing import capture_logs
 
+from currantdeal.adapters.disk import DataFolder
+from currantdeal.consensus import (
+    MESSAGE_CODEC,
+    AppendAnswer,
+    AppendRequest,
+    Configuration,
+    VoteRequest,
+)
 from currantdeal.consensus import Replica as Member
 from currantdeal.control.deployment_state import DeploymentState
 from currantdeal.control.errors import NotCertainError, NotCommittedError
-from currantdeal.control.tests.builders import a_change, run_group
+from currantdeal.control.replica import Replica
+from currantdeal.control.tests.builders import FAST, a_change, run_group
 
 
 def _run(tmp_path, work):
@@ -161,6 +171,48 @@
     assert _run(tmp_path, work) == (True, False)
 
 
+def test_leader_whose_messages_wait_is_not_silent(tmp_path):
+    """Guards against an election because this replica was held up."""
+    sent = []
+    now_s = 0.0
+
+    async def run():
+        nonlocal now_s
+        voters = tuple(Member(instance=n, address=n) for n in "abc")
+        replica = Replica(
+            local_id="a",
+            folder=DataFolder(path=tmp_path / "a"),
+            node_settings=FAST,
+            random=random.Random(1),
+            clock=lambda: now_s,
+            send=sent.extend,
+            on_state=lambda state: None,
+        )
+        replica.bootstrap(Configuration(voters=voters))
+        running = asyncio.ensure_future(replica.run())
+        for _ in range(3):
+            replica.deliver([MESSAGE_CODEC.encode(_heartbeat(now_s))])
+            await asyncio.sleep(0.1)
+            now_s += 10.0 * FAST.election_s
+        running.cancel()
+
+    asyncio.run(run())
+    assert not [m for m in sent if isinstance(m, VoteRequest)]
+    assert [m for m in sent if isinstance(m, AppendAnswer)]
+
+
+def _heartbeat(now_s):
+    return AppendRequest(
+        term=1,
+        sender="b",
+        to="a",
+        previous_index=0,
+        previous_term=0,
+        commit=0,
+        sent_s=now_s,
+    )
+
+
 def test_a_slow_disk_write_is_logged(tmp_path):
     """Guards against a replica that takes no part, and no line says why."""
 
