Count an election's timeout from when its requests for votes are sent

A candidate writes its new term to disk, then sends the requests for votes, and each voter writes its vote before it answers. The timeout of the election counted from before the first write. Once a write took about as long as the shortest timeout, each election was given up before any vote could arrive, and no leader was elected as long as the disks stayed slow. The first election after a start has the shortest timeout, a quarter of the usual one.

After its write, a candidate starts the timeout anew and adds the time of the write, as the voters' take about as long, bounded by the silence after which a member counts as lost. Other replicas whose timeout ran out during a write start it anew too, as they have received nothing.

--- a/currantdeal/adapters/replication/replica.py
+++ b/currantdeal/adapters/replication/replica.py
@@ -356,7 +356,7 @@
             self._outbox.send(output.early)
         if not self._save(output):
             return False
-        self._node.synced(output.last_index)
+        self._node.synced(output.last_index, self._now_s)
         self._outbox.send(
             message
             for message in output.messages
--- a/currantdeal/consensus/elections.py
+++ b/currantdeal/consensus/elections.py
@@ -40,11 +40,28 @@
     raft.leader = None
     raft.set_term(raft.term + 1, raft.local_id)
     raft.reset_election_timer(now_s)
+    raft.campaigned_s = now_s
     raft.votes = {raft.local_id}
     _request_votes(raft, term=raft.term, pre=False, transfer=transfer)
     _count_votes(raft, now_s)
 
 
+def on_written(raft, now_s):
+    """Restart the election timeout after a write to disk, where it matters.
+
+    A candidate sends its requests only after the write, and each voter
+    answers after one that takes about as long.  With a slow disk it would
+    otherwise give up its election before any vote can arrive.  Others have
+    received nothing while they wrote.
+    """
+    if raft.role is RaftRole.CANDIDATE:
+        raft.reset_election_timer(now_s)
+        write_s = now_s - raft.campaigned_s
+        raft.election_due_s += min(write_s, raft.settings.silent_s)
+    elif now_s >= raft.election_due_s:
+        raft.reset_election_timer(now_s)
+
+
 def on_timeout_now(raft, message, now_s):
     """Start an election at the leader's request."""
     if message.term == raft.term and raft.is_voter and not raft.blank:
--- a/currantdeal/consensus/node.py
+++ b/currantdeal/consensus/node.py
@@ -62,7 +62,7 @@
     ...     local_id="i1", settings=NodeSettings(),
     ...     stored=Stored(snapshot=first), random=random.Random(1), now_s=0.0)
     >>> node.tick(2.0)
-    >>> node.synced(node.take_output().last_index)
+    >>> node.synced(node.take_output().last_index, 2.0)
     >>> node.is_ready
     False
     >>> [entry.index for entry in node.take_output().committed], node.is_ready
@@ -80,6 +80,7 @@
             stored=stored,
             now_s=now_s,
         )
+        self._is_writing = False
 
     @property
     def term(self):
@@ -309,10 +310,14 @@
         raft.log.compact_to(max(raft.log.base_index, index - keep))
         raft.compact_configurations(raft.log.base_index)
 
-    def synced(self, last_index):
+    def synced(self, last_index, now_s):
         """Record that the writes of the output are synced to disk."""
-        self._raft.synced = min(last_index, self._raft.log.last_index)
-        replication.advance_commit(self._raft)
+        raft = self._raft
+        raft.synced = min(last_index, raft.log.last_index)
+        replication.advance_commit(raft)
+        if self._is_writing:
+            self._is_writing = False
+            elections.on_written(raft, now_s)
 
     def take_output(self):
         """Return the output that has accumulated since the last call."""
@@ -332,6 +337,7 @@
             committed=committed,
             last_index=raft.log.last_index,
         )
+        self._is_writing = self._is_writing or bool(output.writes)
         raft.early.clear()
         raft.writes.clear()
         raft.messages.clear()
--- a/currantdeal/consensus/raft.py
+++ b/currantdeal/consensus/raft.py
@@ -114,6 +114,7 @@
         self.last_replica_set_change = None
         self.first_own_index = 0
         self.elected_s = NEVER_S
+        self.campaigned_s = NEVER_S
         self.transfer_to = None
         self.transfer_due_s = 0.0
         self.heartbeat_due_s = 0.0
--- a/currantdeal/consensus/tests/builders.py
+++ b/currantdeal/consensus/tests/builders.py
@@ -101,7 +101,7 @@
 
     def _process_output(self, name):
         output = self.nodes[name].take_output()
-        self.nodes[name].synced(output.last_index)
+        self.nodes[name].synced(output.last_index, self.now_s)
         if output.installed:
             self.installed.add(name)
         for message in output.early + output.messages:
--- a/currantdeal/consensus/tests/schedules.py
+++ b/currantdeal/consensus/tests/schedules.py
@@ -211,7 +211,7 @@
         output, process.unsynced = process.unsynced, None
         for write in output.writes:
             self.disks[name].write(write)
-        process.node.synced(output.last_index)
+        process.node.synced(output.last_index, self.clock_s(name))
         self._send(output.messages)
         if output.installed is not None:
             self.counts["installs"] += 1
--- a/currantdeal/consensus/tests/test_node.py
+++ b/currantdeal/consensus/tests/test_node.py
@@ -209,7 +209,7 @@
             2.0,
         )
     assert node.role is RaftRole.LEADER
-    node.synced(node.take_output().last_index)
+    node.synced(node.take_output().last_index, 2.0)
 
     def answer(match):
         node.receive(
@@ -298,7 +298,7 @@
         now_s=0.0,
     )
     node.tick(2.0)
-    node.synced(node.take_output().last_index)
+    node.synced(node.take_output().last_index, 2.0)
     assert node.commit_index == 2
     assert not node.is_ready
     committed = node.take_output().committed
@@ -348,3 +348,37 @@
     commits = {node.commit_index for node in cluster.nodes.values()}
     assert commits == {leader.commit_index}
     assert leader.commit_index >= 1
+
+
+def test_candidate_waits_for_votes_from_when_its_requests_are_sent():
+    """Guards against elections that end before any vote can arrive.
+
+    Writing the new term takes longer than an election timeout, and the
+    requests for votes are sent after it.
+    """
+    voters = tuple(
+        Replica(instance=name, address=name) for name in ("i1", "i2", "i3")
+    )
+    first = Snapshot(
+        index=0, term=0, configuration=Configuration(voters=voters)
+    )
+    settings = NodeSettings()
+    node = Node(
+        local_id="i1",
+        settings=settings,
+        stored=Stored(snapshot=first),
+        random=random.Random(1),
+        now_s=0.0,
+    )
+    now_s = 2.0
+    node.tick(now_s)
+    vote = {"term": 1, "sender": "i2", "to": "i1", "granted": True}
+    node.receive(VoteAnswer(**vote, pre=True), now_s)
+    requests = node.take_output()
+    now_s += 2.0 * settings.election_s
+    node.synced(requests.last_index, now_s)
+    assert {message.to for message in requests.messages} == {"i2", "i3"}
+    now_s += 0.9 * settings.election_s
+    node.tick(now_s)
+    node.receive(VoteAnswer(**vote, pre=False), now_s)
+    assert node.role is RaftRole.LEADER
--- a/currantdeal/control/replica.py
+++ b/currantdeal/control/replica.py
@@ -204,7 +204,7 @@
         self._send(output.early)
         if output.writes:
             await self._save(output.writes)
-        self.node.synced(output.last_index)
+        self.node.synced(output.last_index, self._clock())
         self._send(output.messages)
         if output.installed is not None:
             self.state = _decode_snapshot(output.installed)
--- a/currantdeal/control/tests/test_replica_watch.py
+++ b/currantdeal/control/tests/test_replica_watch.py
@@ -24,7 +24,7 @@
     with capture_logs() as lines:
         while now_s < seconds:
             node.tick(now_s)
-            node.synced(node.take_output().last_index)
+            node.synced(node.take_output().last_index, now_s)
             watch.log_changes(node)
             now_s += 0.05
     return lines
