Answer the operations of a control process before it ends

What callers saw: no answer. An operation that was read while its control process stopped, such as GET /v1/config, ended with a closed connection if it still waited for other replicas at the exit.

Cause: the process ended as soon as it had left the replica set, and asked none of the operations in progress. Of the listeners of a server with two addresses only the last one could be closed.

Change: once it has left, the process closes its listeners and waits for the operations, each of which has a time limit of its own, at most until shortly before the end of the grace. A line tells how many there are, and how many are cut.

--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -10,6 +10,7 @@
 from currantdeal.adapters.disk import DataFolder, StateFile
 from currantdeal.adapters.metrics import Metrics
 from currantdeal.cli.process import (
+    EXIT_MARGIN_S,
     SETTINGS_INTERVAL_S,
     LoopDelay,
     MetricsEndpoint,
@@ -90,6 +91,9 @@
 It is the time for the transfer of leadership to another replica.
 """
 
+CHECK_INTERVAL_S = 0.02
+"""Interval at which a stopping instance looks for operations in progress."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -132,6 +136,7 @@
             clock=boot_time_s,
         )
         bounds = read_bounds(settings.bounds)
+        self._grace_s = bounds.grace_s
         dialect = PlatformControl()
         self._leave_store = _record_store(settings, LEAVES_FILE, SavedLeaves)
         self._exchange = exchange = self._make_exchange(settings)
@@ -215,6 +220,7 @@
             held_tokens=lambda: self._service.held_tokens,
             slowdowns=self._speeds.slowdowns,
         )
+        self._server = HttpServer(handler=self._operations.handle)
 
     async def run(self, *, stop_requested):
         """Run until SIGTERM or SIGINT, then transfer leadership and leave.
@@ -262,13 +268,36 @@
         await self._leave_replica_set()
 
     async def _leave_replica_set(self):
+        loop = asyncio.get_running_loop()
+        exit_s = loop.time() + self._grace_s - EXIT_MARGIN_S
         _log.info("stopping", leads=self._replica.is_leader)
         self._replica.node.transfer(boot_time_s())
         await asyncio.gather(
             asyncio.sleep(LEADER_TRANSFER_S), self._membership.leave()
         )
+        cut = await self._end_operations(exit_s)
         peer_watch().release()
-        _log.info("stopped")
+        _log.info("stopped", cut=cut)
+
+    async def _end_operations(self, exit_s):
+        """Answer the operations in progress, each of which has a time limit.
+
+        Returns
+        -------
+        int
+            Number of those that end without an answer.
+        """
+        loop = asyncio.get_running_loop()
+        self._server.stop_listening()
+        self._server.close_idle()
+        _log.info("listeners-closed", operations=self._server.active_requests)
+        while self._server.active_requests and loop.time() < exit_s:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+        cut = self._server.active_requests
+        self._server.hand_over()
+        await asyncio.sleep(CHECK_INTERVAL_S)
+        await self._server.cut_all()
+        return cut
 
     def _repeat(self, interval_s, action):
         return call_periodically(interval_s, action, metrics=self._metrics)
@@ -304,10 +333,9 @@
             settings.address,
             settings.peer_port,
         )
-        server = HttpServer(handler=self._operations.handle)
         wanted = (settings.listen.control, settings.listen.directory)
         for address in filter(None, dict.fromkeys(wanted)):
-            await server.start(*split_address(address))
+            await self._server.start(*split_address(address))
         metrics_endpoint = MetricsEndpoint(
             metrics=self._metrics, refresh=self._set_gauges
         )
--- a/currantdeal/cli/entry_drain.py
+++ b/currantdeal/cli/entry_drain.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from currantdeal.cli.process import EXIT_MARGIN_S
 from currantdeal.entry.progress import REFUSAL_MARGIN_S
 from currantdeal.entry.service import STOPPING
 from currantdeal.node.caller_connection import CLOSE_DELAY_S
@@ -27,9 +28,6 @@
 longer.
 """
 
-EXIT_MARGIN_S = 0.4
-"""Seconds between the exit of the process and its kill by the platform."""
-
 REFUSE_INCOMING_S = CLOSE_DELAY_S + 0.2
 """Seconds before the exit from which requests in receipt are refused."""
 
--- a/currantdeal/cli/process.py
+++ b/currantdeal/cli/process.py
@@ -15,6 +15,9 @@
 RESTART_PAUSE_S = 1.0
 """Pause before a task that raised is started again, in seconds."""
 
+EXIT_MARGIN_S = 0.4
+"""Seconds between the exit of the process and its kill by the platform."""
+
 SETTINGS_INTERVAL_S = 2.0
 """Interval between checks of the settings file, in seconds.
 
--- a/currantdeal/entry/tests/test_many_slow_callers.py
+++ b/currantdeal/entry/tests/test_many_slow_callers.py
@@ -55,7 +55,7 @@
 
 def _limit_send_buffers(world):
     """Let answers wait in the process instead of in the kernel."""
-    (listener,) = world.server._server.sockets
+    (listener,) = world.server._listeners[0].sockets
     listener.setsockopt(
         socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES
     )
--- a/currantdeal/node/http_server.py
+++ b/currantdeal/node/http_server.py
@@ -48,24 +48,25 @@
         )
         self.unread = BufferedAnswers()
         self.closing = False
-        self._server = None
+        self._listeners = []
 
     async def start(self, host, port):
-        """Start to listen at a host and port."""
+        """Start to listen at a host and port, besides earlier ones."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
+        listener = await loop.create_server(
             lambda: CallerConnection(server=self), host, port, backlog=1024
         )
+        self._listeners.append(listener)
 
     @property
     def address(self):
-        """Host and port at which this server listens."""
-        return self._server.sockets[0].getsockname()[:2]
+        """Host and port at which this server listens first."""
+        return self._listeners[0].sockets[0].getsockname()[:2]
 
     def stop_listening(self):
         """Stop accepting connections."""
-        if self._server is not None:
-            self._server.close()
+        for listener in self._listeners:
+            listener.close()
 
     def close_idle(self):
         """Close idle connections, and each other one after its request.
--- a/currantdeal/node/tests/test_slow_callers.py
+++ b/currantdeal/node/tests/test_slow_callers.py
@@ -84,7 +84,7 @@
 
     async def run():
         server = await _server(handle)
-        (listener,) = server._server.sockets
+        (listener,) = server._listeners[0].sockets
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
         slow = [
             await _caller_who_does_not_read(server.address, small)
