Name the task of a line about one that was dropped

What was seen: "Task was destroyed but it is pending!" of a control process, 0.24 s after it had logged "stopped", in one of five plays of a stop beside restarts of the others; the line named the task "callback".

Cause of the missing name: the event loop reports such a task under another key than one that failed. Which task it was is not known; it was not seen again in 51 stops.

Measured: the test failed before, and passes.

--- a/currantdeal/cli/process.py
+++ b/currantdeal/cli/process.py
@@ -223,7 +223,7 @@
 
 def _failed_part(context):
     """Return a name for the source of an error that the loop reports."""
-    task = context.get("future")
+    task = context.get("future", context.get("task"))
     if isinstance(task, asyncio.Task):
         return _name_of(task.get_coro())
     if "protocol" in context:
--- a/currantdeal/cli/tests/test_process.py
+++ b/currantdeal/cli/tests/test_process.py
@@ -85,3 +85,22 @@
     for part in ("_raise_in_time", "callback"):
         line = f'currantdeal_task_failures_total{{task="{part}"}} 1'
         assert line in text
+
+
+async def _sleep_for_ever():
+    await asyncio.Event().wait()
+
+
+def test_task_that_is_dropped_is_named():
+    """Guards against a line that does not tell which task was dropped."""
+    metrics = Metrics()
+
+    async def run():
+        report_unhandled_errors(metrics)
+        task = asyncio.ensure_future(_sleep_for_ever())
+        context = {"task": task, "message": "Task was destroyed"}
+        asyncio.get_running_loop().call_exception_handler(context)
+        task.cancel()
+
+    asyncio.run(run())
+    assert 'task="_sleep_for_ever"' in metrics.render()[1].decode()
