--- a/currantdeal/cli/process.py
+++ b/currantdeal/cli/process.py
@@ -15,6 +15,9 @@
 RESTART_PAUSE_S = 1.0
 """Pause before a task that raised is started again, in seconds."""
 
+EXIT_MARGIN_S = 0.4
+"""Seconds between the exit of the process and its kill by the platform."""
+
 SETTINGS_INTERVAL_S = 2.0
 """Interval between checks of the settings file, in seconds.
 
@@ -220,7 +223,7 @@
 
 def _failed_part(context):
     """Return a name for the source of an error that the loop reports."""
-    task = context.get("future")
+    task = context.get("future", context.get("task"))
     if isinstance(task, asyncio.Task):
         return _name_of(task.get_coro())
     if "protocol" in context:
