Tell a caller who reset its connection from one who is silent

What operators saw: a caller that had closed its side, and then reset the connection with an answer untaken, left a line that says that it acknowledged nothing any more.

Cause: nothing reads that connection any more, so that the watch finds the reset, and it had one error for a connection that exists no more and for a silent peer.

Change: the watch passes on the error that the kernel would have given in each case, which upstreams and links are told as well.

Measured: the test failed before ("gone" where "reset" is expected) and passes; its other case, a caller that vanishes, stays "gone". Found beside it, not changed: a caller all of whose input is dropped repeats its end, and each repetition counts as an acknowledgement.

--- a/currantdeal/node/caller_connection.py
+++ b/currantdeal/node/caller_connection.py
@@ -134,7 +134,8 @@
         self._start_idle_timer()
 
     def _end_gone(self, exc):
-        self._writer.abort(ConnectionEnd.GONE)
+        is_silent = isinstance(exc, TimeoutError)
+        self._writer.abort(ConnectionEnd.GONE if is_silent else end_of(exc))
 
     def connection_lost(self, exc):
         """Cancel the request in progress."""
--- a/currantdeal/node/peer_watch.py
+++ b/currantdeal/node/peer_watch.py
@@ -217,7 +217,7 @@
         self._has_facts = True
         peer.set_kernel_timeout(False)
         if peer.state is PeerState.GONE:
-            self._suspect(peer, now_s)
+            self._suspect(peer, now_s, _end_error(facts))
             return
         peer.suspected_s = None
         is_stalled = peer.state is PeerState.STALLED
@@ -231,13 +231,13 @@
         del self._waiting[peer]
         peer.on_taken()
 
-    def _suspect(self, peer, now_s):
+    def _suspect(self, peer, now_s, error):
         if peer.suspected_s is None:
             peer.suspected_s = now_s
         elif now_s - peer.suspected_s >= CONFIRM_DELAY_S / 2:
             peer.give_up()
             del self._waiting[peer]
-            peer.on_gone(_gone_error())
+            peer.on_gone(error)
 
     def _record_blank(self, *, quiet_s):
         """Record a look without facts at a connection."""
@@ -247,6 +247,7 @@
                 self._has_facts = False
 
 
-def _gone_error():
+def _end_error(facts):
     """Return the error with which the kernel itself would end it."""
-    return TimeoutError(errno.ETIMEDOUT, os.strerror(errno.ETIMEDOUT))
+    number = errno.ECONNRESET if facts.is_reset else errno.ETIMEDOUT
+    return OSError(number, os.strerror(number))
--- a/currantdeal/node/tests/test_leaving_callers.py
+++ b/currantdeal/node/tests/test_leaving_callers.py
@@ -4,10 +4,12 @@
 import gc
 import socket
 
+import pytest
+
 from currantdeal.adapters.sockets import set_reset_on_close
 from currantdeal.node.http_server import HttpServer
 from currantdeal.routing import CallerLimits
-from currantdeal.testing.stalled_peers import small_socket
+from currantdeal.testing.stalled_peers import drop_packets, small_socket
 
 GET = b"GET /large HTTP/1.1\r\nHost: h\r\n\r\n"
 LAST_GET = GET.replace(b"h\r\n", b"h\r\nConnection: close\r\n")
@@ -116,3 +118,34 @@
 
     assert asyncio.run(run()) == 0
     assert unhandled == []
+
+
+@pytest.mark.parametrize(
+    ("vanishes", "end"), [(False, "reset"), (True, "gone")]
+)
+def test_end_of_a_caller_who_left_after_its_requests_is_told_apart(
+    vanishes, end
+):
+    """Guards against a reset that a log calls a silent host."""
+    ends = []
+
+    async def answer(request, responder):
+        responder.deadline_s = asyncio.get_running_loop().time() + 30.0
+        responder.answer(200, (), b"x" * ANSWER_BYTES)
+
+    async def run():
+        server, sock = await _half_closed_caller(answer, before_s=0.5)
+        server.on_untaken = lambda request, size, end: ends.append(end.value)
+        # Its kernel would repeat an end that is not acknowledged.
+        await asyncio.sleep(0.2)
+        if vanishes:
+            drop_packets(sock)
+            await asyncio.sleep(3.0)
+        else:
+            set_reset_on_close(sock, True)
+            sock.close()
+            await asyncio.sleep(0.8)
+        sock.close()
+
+    asyncio.run(run())
+    assert ends == [end]
