Let later checks of a doubted link wait longer for their answer

Load pattern: metastable failure. An upstream that answers everybody after more than 0.5 s failed each check of each entry.

Change: a check that follows one without a finding waits for its direct answer twice as long, up to four times as long. Checks of cut links and what others find keep their times, so that a link that is slow for this entry alone is taken for cut as soon as before.

--- a/currantdeal/entry/link_watch.py
+++ b/currantdeal/entry/link_watch.py
@@ -18,7 +18,7 @@
 """Interval at which silence is looked for and due checks are started."""
 
 CHECK_TIMEOUT_S = 0.5
-"""Time to answer a health check, including a new connection."""
+"""Time to answer the first health check, including a new connection."""
 
 OPEN_CHECK_TIMEOUT_S = 0.15
 """Time to answer one on a connection that is open."""
@@ -261,7 +261,10 @@
 
     async def _compare(self, address, may_reuse):
         """Return what a check finds, directly and through others."""
-        direct = asyncio.ensure_future(self._answers_here(address, may_reuse))
+        timeout_s = CHECK_TIMEOUT_S * self._links.patience(address)
+        direct = asyncio.ensure_future(
+            self._answers_here(address, may_reuse, timeout_s)
+        )
         try:
             if not self._links.wants_comparison(address, now_s=_now_s()):
                 return CheckResult(direct=await direct)
@@ -269,7 +272,7 @@
             if direct.done() and direct.result():
                 return CheckResult(direct=True)
             others = await self._reach_through_others(address)
-            wait_s = GRACE_S if others is Reach.REACHED else CHECK_TIMEOUT_S
+            wait_s = GRACE_S if others is Reach.REACHED else timeout_s
             await asyncio.wait({direct}, timeout=wait_s)
             return CheckResult(
                 direct=direct.done() and direct.result(), others=others
@@ -277,7 +280,7 @@
         finally:
             direct.cancel()
 
-    async def _answers_here(self, address, may_reuse):
+    async def _answers_here(self, address, may_reuse, timeout_s):
         """Return whether an upstream answers on a direct connection."""
         connection = self._pool.take_direct(address) if may_reuse else None
         if connection is not None and await self._answers(
@@ -285,11 +288,11 @@
         ):
             return True
         try:
-            async with asyncio.timeout(CHECK_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 connection = await self._connector.open_direct(
-                    address, timeout_s=CHECK_TIMEOUT_S
+                    address, timeout_s=timeout_s
                 )
-                return await self._answers(connection, CHECK_TIMEOUT_S)
+                return await self._answers(connection, timeout_s)
         except (ExchangeError, TimeoutError):
             return False
 
