Answer in a stand-in without looking at all earlier requests

Cause: upstreams that repeat answers looked for each request among all that had run, a list made anew from all requests so far, on the loop that serves all upstreams, proxies and callers of a soak. An answer took 0.14 ms of processor time after 100 requests, 2.7 ms after 2,000 and 11 ms after 8,000. Upstreams that stop to read searched all requests in the same way.

Change: whether a request executes work is seen from itself, and a request whose body comes later is found by its headers.

--- a/benchmarks/soak_repetitions.py
+++ b/benchmarks/soak_repetitions.py
@@ -73,7 +73,7 @@
         await writer.drain()
 
     async def _answer_own(self, request, own):
-        if request in self.runs:
+        if request.is_run:
             await self._answer_run(request, own)
         else:
             self._answer_call(request, own)
--- a/currantdeal/testing/platform_upstream.py
+++ b/currantdeal/testing/platform_upstream.py
@@ -54,6 +54,11 @@
         """Whether the system sent it for itself, such as a reservation."""
         return self.is_health_check or self.target.startswith("/v1/")
 
+    @property
+    def is_run(self):
+        """Whether the request executes work."""
+        return not self.is_system_call and not self.is_prefill
+
     @property
     def request_id(self):
         """Request id that the sender set."""
@@ -109,11 +114,7 @@
 
         Health checks, reservations and prefills are left out.
         """
-        return [
-            request
-            for request in self.requests
-            if not request.is_system_call and not request.is_prefill
-        ]
+        return [request for request in self.requests if request.is_run]
 
     async def _serve(self, reader, writer):
         self.open_connections += 1
--- a/currantdeal/testing/repeating_upstream.py
+++ b/currantdeal/testing/repeating_upstream.py
@@ -187,7 +187,7 @@
         return repetition.raw(request)
 
     def _answer_own(self, request, writer):
-        if request not in self.runs:
+        if not request.is_run:
             self._answer_call(request, writer)
         elif not request.is_generation:
             self.send(request, writer, 200, request.body)
--- a/currantdeal/testing/scripted_upstream.py
+++ b/currantdeal/testing/scripted_upstream.py
@@ -117,6 +117,7 @@
         self.refused = set()
         self._owners = owners
         self._writers = {}
+        self._unread = {}
 
     async def start(self, host="127.0.0.1", port=0):
         """Listen with a small receive buffer."""
@@ -188,16 +189,17 @@
 
     async def _begin_body(self, writer, request):
         # It has reached the upstream, which may read its body much later.
+        self._unread[id(request.headers)] = len(self.requests)
         self.requests.append(request)
         await _stall(writer, request)
 
     def _record(self, request):
         """Record a request; it takes the place of the one without a body."""
-        for number, other in enumerate(self.requests):
-            if other.headers is request.headers:
-                self.requests[number] = request
-                return
-        self.requests.append(request)
+        number = self._unread.pop(id(request.headers), None)
+        if number is None:
+            self.requests.append(request)
+        else:
+            self.requests[number] = request
 
     async def _send_stream(self, request, writer, script):
         await asyncio.sleep(script.work_s)
