Count no processor time in the test of many requests

The test compared times of answers, which tests here never do. Now the list of earlier requests may be added to and not be looked through, which is stricter: any look fails. It fails with the code before.

--- a/benchmarks/tests/test_many_requests.py
+++ b/benchmarks/tests/test_many_requests.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 
 import pytest
 
@@ -10,11 +9,6 @@
 from currantdeal.testing.platform_upstream import ReceivedRequest
 from currantdeal.testing.repeating_upstream import AnswerBuffer
 
-ANSWERS = 20
-EARLIER = 4_000
-MAX_RATIO = 8.0
-"""Tolerated growth of the time of an answer; it does not grow at all."""
-
 HEADERS = (("x-currantdeal-request-id", "r1"), ("x-currantdeal-stage", ""))
 
 
@@ -24,8 +18,18 @@
     )
 
 
-def _answers_s(earlier):
-    """Return the processor time of some answers after earlier requests."""
+class _Unread(list):
+    """Requests that may be added and not be looked through."""
+
+    def __iter__(self):
+        raise AssertionError("all earlier requests are looked through")
+
+    def __contains__(self, request):
+        raise AssertionError("all earlier requests are looked through")
+
+
+def test_answer_does_not_look_at_earlier_requests():
+    """Guards against a soak whose own loop stands still after a while."""
     standin = RandomlyRepeatingUpstream(
         upstream="s1",
         rng=random.Random(1),
@@ -33,31 +37,10 @@
         check=lambda *_: None,
         echoes_calls=True,
     )
-    standin.requests += [_request() for _ in range(earlier)]
-
-    async def answer():
-        began_s = time.process_time()
-        for _ in range(ANSWERS):
-            standin.requests.append(_request())
-            await standin.answer(standin.requests[-1], _Writer())
-        return time.process_time() - began_s
-
-    return asyncio.run(answer())
-
-
-class _Writer(AnswerBuffer):
-    """Takes all bytes at once."""
-
-    async def drain(self):
-        """Return at once."""
-
-
-def test_answer_takes_no_longer_after_many_requests():
-    """Guards against a soak whose own loop stands still after a while."""
-    first_s, last_s = (
-        min(_answers_s(earlier) for _ in range(5)) for earlier in (0, EARLIER)
-    )
-    assert last_s < MAX_RATIO * first_s
+    standin.requests = _Unread([_request(), _request()])
+    writer = AnswerBuffer()
+    asyncio.run(standin.answer(standin.requests[-1], writer))
+    assert writer.data
 
 
 @pytest.mark.parametrize(
