--- a/currantdeal/node/link_client.py
+++ b/currantdeal/node/link_client.py
@@ -7,6 +7,7 @@
 from currantdeal.adapters.generated.peers.ttypes import FrameKind
 from currantdeal.node.errors import ExchangeError, LinkError
 from currantdeal.node.link_messages import LinkAnswer, LinkCall, LinkOutcome
+from currantdeal.node.peer_watch import peer_watch
 from currantdeal.node.peers import (
     FrameReader,
     UnreadableFrameError,
@@ -137,14 +138,22 @@
         self._call = call
         self._reader = FrameReader()
         self._transport = None
+        self._peer = None
         self.answer = asyncio.get_running_loop().create_future()
         self.answer.add_done_callback(_mark_retrieved)
 
     def connection_made(self, transport):
         self._transport = transport
-        peer = prepare_socket(transport, on_gone=self._fail)
+        self._peer = prepare_socket(transport, on_gone=self._fail)
         transport.write(pack_frame(FrameKind.CALL, 1, self._call))
-        peer.record_write()
+        self._peer.record_write()
+
+    def hand_over(self, protocol):
+        """Let another protocol go on with the connection."""
+        peer_watch().remove(self._peer)
+        self._transport.set_protocol(protocol)
+        protocol.connection_made(self._transport)
+        self._transport.resume_reading()
 
     def data_received(self, data):
         try:
@@ -197,9 +206,7 @@
             is_conclusive=answer.is_sound and answer.outcome in _VERDICTS,
         )
     connection = make_connection(helper)
-    transport.set_protocol(connection)
-    connection.connection_made(transport)
-    transport.resume_reading()
+    opening.hand_over(connection)
     return _Attempt(
         connection=connection,
         outcome=answer.outcome,
--- a/currantdeal/node/peer_watch.py
+++ b/currantdeal/node/peer_watch.py
@@ -143,6 +143,12 @@
             peer.set_kernel_timeout(True)
         return peer
 
+    def remove(self, peer):
+        """Look at a peer no more, as its connection is added again."""
+        self._peers.discard(peer)
+        self._waiting.pop(peer, None)
+        peer.leave_to_kernel()
+
     def is_waiting(self, peer):
         """Return whether bytes to a peer wait."""
         return peer in self._waiting
--- a/currantdeal/node/tests/test_links.py
+++ b/currantdeal/node/tests/test_links.py
@@ -18,17 +18,18 @@
     LinkError,
 )
 from currantdeal.node.exchange import exchange
+from currantdeal.node.head import Outgoing
 from currantdeal.node.http_server import HttpServer
 from currantdeal.node.link_client import LinkClient
 from currantdeal.node.link_messages import LinkCall
 from currantdeal.node.link_server import LinkServer
-from currantdeal.node.peer_watch import LOOK_INTERVAL_S
+from currantdeal.node.peer_watch import LOOK_INTERVAL_S, peer_watch
 from currantdeal.node.peers import FrameReader, pack_frame
 from currantdeal.platform.calls import PlatformCalls
 from currantdeal.policy.health.links import CheckResult, Links, Reach
 from currantdeal.policy.placement.helper_choice import HelperChoice
 from currantdeal.testing.platform_upstream import HEALTH_PATH, StandInUpstream
-from currantdeal.testing.stalled_peers import small_socket
+from currantdeal.testing.stalled_peers import LateReader, small_socket
 
 TIMEOUT_S = 1.0
 CUT = CheckResult(direct=False, others=Reach.REACHED)
@@ -66,8 +67,8 @@
 
 
 @asynccontextmanager
-async def _world(*, helpers=2, script=None):
-    standin = StandInUpstream(script=script)
+async def _world(*, helpers=2, script=None, standin=None):
+    standin = standin or StandInUpstream(script=script)
     await standin.start()
     servers = []
     for _ in range(helpers):
@@ -299,6 +300,11 @@
 
 
 LATE_S = 8.0
+LARGE_BYTES = 6_000_000
+LARGE_HEADERS = (
+    (b"host", b"u"),
+    (b"content-length", b"%d" % LARGE_BYTES),
+)
 ANSWER = b"x" * 60_000
 
 
@@ -362,3 +368,33 @@
 
     asyncio.run(run())
     assert unhandled == []
+
+
+def test_connection_through_a_helper_is_watched_once():
+    """Guards against two watches that undo each other's socket options."""
+
+    async def test():
+        upstream = LateReader(stall_s=1.0)
+        async with _world(helpers=1, standin=upstream) as world:
+            world.cut()
+            connection = await world.pool.open(upstream.address)
+            connection.send(
+                Outgoing(
+                    method="POST",
+                    target="/order/1",
+                    headers=LARGE_HEADERS,
+                    body=b"x" * LARGE_BYTES,
+                )
+            )
+            await asyncio.sleep(2 * LOOK_INTERVAL_S)
+            transport = connection._transport
+            waiting = [
+                peer
+                for peer in peer_watch()._waiting
+                if peer.transport is transport
+            ]
+            connection.close()
+            await asyncio.sleep(1.0)
+        return len(waiting)
+
+    assert asyncio.run(test()) == 1
