Drop what an asking entry still sends once the upstream's answer has ended

Seen: "socket.send() raised exception." from the event loop, once for each part of up to 16 KiB, without the format of our lines and without a bound.

Cause: an upstream answers a request early and ends its connection. The link lingers until the asking entry has taken the answer, and went on to forward what that entry sent to the connection that had ended.

Change: a link that is finishing drops it.

--- a/currantdeal/node/link_server.py
+++ b/currantdeal/node/link_server.py
@@ -180,6 +180,8 @@
         self._timer = loop.call_later(CALL_TIMEOUT_S, self.abort)
 
     def _receive(self, data):
+        if self._is_finishing:
+            return
         if self._far is not None:
             self._far_end.write(data)
             return
--- a/currantdeal/node/tests/test_links.py
+++ b/currantdeal/node/tests/test_links.py
@@ -398,3 +398,32 @@
         return len(waiting)
 
     assert asyncio.run(test()) == 1
+
+
+def test_rest_of_a_request_is_dropped_once_its_answer_has_ended(caplog):
+    """Guards against a log line for each part that nobody takes any more."""
+
+    async def answer_early(standin, request, writer):
+        writer.write(b"HTTP/1.1 413 Large\r\nConnection: close\r\n\r\n")
+        await writer.drain()
+        writer.write_eof()
+        return True
+
+    async def test(world):
+        loop = asyncio.get_running_loop()
+        sock = await _open_raw(world.helpers[0], world.standin.address)
+        request = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+        await loop.sock_sendall(sock, request)
+        received = bytearray()
+        while data := await loop.sock_recv(sock, 65_536):
+            received += data
+        with suppress(ConnectionError):
+            for _ in range(32):
+                await loop.sock_sendall(sock, b"x" * 16_384)
+                await asyncio.sleep(0.005)
+        sock.close()
+        return bytes(received)
+
+    answer = _run(test, helpers=1, script=answer_early)
+    assert answer.startswith(b"HTTP/1.1 413")
+    assert [r.getMessage() for r in caplog.records] == []
