Say that a look without facts may come right after an exchange

The text named only systems that report nothing, though the watch of peers has a rule for the other case, which then reads like a mistake. No change of logic.

--- a/currantdeal/adapters/connection_facts.py
+++ b/currantdeal/adapters/connection_facts.py
@@ -23,8 +23,9 @@
 def read_facts(sock):
     """Return the ``ConnectionFacts`` of a socket, or None.
 
-    None means that the system does not report them, as older ones and those
-    that only resemble Linux.
+    None means that the system does not report them, as older kernels and
+    systems that imitate Linux, or that bytes went both ways just now: the
+    kernel's times are zero then too, so that one None proves nothing.
     """
     try:
         raw = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _INFO_BYTES)
