Count no answer that is being taken as a request in receipt

What operators saw, on systems that report no facts of connections: at a stop, a line and a count of a refusal (503) for a connection whose caller was taking a whole answer slowly. Callers got their answers.

Cause: there such a connection is closing in order and does not linger. The request it carried still counted as received in part.

Change: a connection that is closing receives nothing.

--- a/currantdeal/node/caller_connection.py
+++ b/currantdeal/node/caller_connection.py
@@ -101,7 +101,7 @@
     @property
     def is_receiving(self):
         """Whether a request was received in part."""
-        if self.is_busy or self._is_closing:
+        if self.is_busy or self._is_closing or self._transport.is_closing():
             return False
         return self._request_started_s is not None
 
--- a/currantdeal/node/tests/test_slow_callers.py
+++ b/currantdeal/node/tests/test_slow_callers.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from currantdeal.adapters import watched_socket
 from currantdeal.node.buffered_answers import BufferedAnswers
 from currantdeal.node.http_server import HttpServer
+from currantdeal.node.peer_watch import peer_watch
 from currantdeal.node.response_writer import MAX_UNTAKEN_S
 from currantdeal.routing import CallerLimits
 from currantdeal.testing.entry_world import (
@@ -193,3 +195,28 @@
             return world.context.pool.buffered_bytes
 
     assert asyncio.run(run()) == (chunks if reads else 0)
+
+
+def test_answer_that_is_being_taken_is_no_request_in_receipt(monkeypatch):
+    """Guards against a refusal in the log of an answer that is whole.
+
+    The system reports no facts of connections, so that they don't linger.
+    """
+    monkeypatch.setattr(watched_socket, "read_facts", lambda sock: None)
+    refused = []
+
+    async def run():
+        monkeypatch.setattr(peer_watch(), "_has_facts", False)
+        server = await _server(_large_answer)
+        server.on_refused = lambda *reason: refused.append(reason)
+        slow = await _caller_who_does_not_read(server.address, GET)
+        await asyncio.sleep(0.3)
+        receiving = server.receiving
+        server.refuse_incoming("stopping", choose_retry_after_s=lambda: 1.0)
+        reader, writer = await asyncio.open_connection(sock=slow)
+        answer = await read_to_end(reader)
+        writer.close()
+        return receiving, len(answer.partition(b"\r\n\r\n")[2])
+
+    assert asyncio.run(run()) == (0, ANSWER_BYTES)
+    assert refused == []
