Keep the port of a stopped stand-in from other processes

A test that stops upstreams and expects that connections are refused failed once, and an answer of another process was suspected. Stand-ins that crash and listen again at their port share the cause; the port could be taken, also by the near end of a connection.

--- a/currantdeal/testing/platform_upstream.py
+++ b/currantdeal/testing/platform_upstream.py
@@ -7,7 +7,9 @@
 import asyncio
 import json
 import re
+import socket
 import time
+import weakref
 from dataclasses import dataclass, field, replace
 
 HEALTH_PATH = "/h"
@@ -88,16 +90,39 @@
         self.address = ""
         self.incarnation = 0
         self.is_up = False
+        self._reserved = None
         self._server = None
 
     async def start(self, host="127.0.0.1", port=0):
-        """Listen, on a free port unless one is given."""
-        self._server = await asyncio.start_server(self._serve, host, port)
+        """Listen, on a free port unless one is given.
+
+        The port stays reserved while this object lives: of a stopped upstream
+        it refuses connections, and no other process can listen there.
+        """
+        address = self._reserve(host, port)
+        self._server = await asyncio.start_server(self._serve, *address)
         bound = self._server.sockets[0].getsockname()
         self.address = f"{bound[0]}:{bound[1]}"
         self.incarnation += 1
         self.is_up = True
 
+    def _reserve(self, host, port):
+        """Return host and port of a bound socket that does not listen.
+
+        Another socket with the same option can be bound there and listen.
+        """
+        if self._reserved is None or port not in (
+            0,
+            self._reserved.getsockname()[1],
+        ):
+            self._reserved = socket.socket()
+            self._reserved.setsockopt(
+                socket.SOL_SOCKET, socket.SO_REUSEADDR, 1
+            )
+            self._reserved.bind((host, port))
+            weakref.finalize(self, self._reserved.close)
+        return self._reserved.getsockname()
+
     def stop(self):
         """Stop listening."""
         self.is_up = False
