Leave a slow upstream only for an attempt that can follow

With a single upstream the attempt was ended as well, and nothing could follow.

An attempt is now ended early only once a repeat is charged and another upstream is there; otherwise it has the whole time. Connecting has the same time as before. Both cases of the new test get 502 without the change and 200 with it.

--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -27,7 +27,7 @@
     MalformedResponseError,
     ResponseTimeoutError,
 )
-from currantdeal.node.exchange import exchange
+from currantdeal.node.exchange import EarlyLeave, exchange
 from currantdeal.policy.answers.answer_end import framing_of_buffered
 from currantdeal.policy.answers.reset_outcome import (
     ExchangePhase,
@@ -73,7 +73,7 @@
             active.add_step(StepKind.NO_BUDGET)
             break
         attempted.add(record.upstream)
-        answer = await _attempt(context, active, record)
+        answer = await _attempt(context, active, record, attempted)
         if last is not None and answer.head is not None:
             context.repeat_outcomes.record(
                 active.service.name,
@@ -197,15 +197,30 @@
     return answer.retryable and runs_left
 
 
-def _attempt_timeout_s(active, now_s):
-    left_s = active.time_left_s(now_s)
+def _early_leave(context, active, attempted):
+    """Return when a slow attempt makes place for another one, or None.
+
+    It does so only for one that will be sent: the upstream may still answer.
+    """
     retryable = active.route.retry_safety is RetrySafety.FREELY
-    if retryable and active.runs + 1 < active.route.max_upstreams:
-        return FIRST_ATTEMPT_SHARE * left_s
-    return left_s
+    if not retryable or active.runs + 1 >= active.route.max_upstreams:
+        return None
+
+    async def may_leave():
+        if not _order(context, active, attempted):
+            return False
+        if await _may_send(context, active, None):
+            return True
+        active.add_step(StepKind.NO_BUDGET)
+        return False
+
+    return EarlyLeave(
+        after_s=FIRST_ATTEMPT_SHARE * active.time_left_s(context.now_s),
+        may_leave=may_leave,
+    )
 
 
-async def _attempt(context, active, record):
+async def _attempt(context, active, record, attempted):
     now_s = context.now_s
     sent_s = context.limits.now_s
     outgoing = context.encode(active, record, ArrivalKind.CALL)
@@ -217,8 +232,9 @@
             context.pool,
             record.address,
             outgoing,
-            timeout_s=_attempt_timeout_s(active, now_s),
+            timeout_s=active.time_left_s(now_s),
             limit=MAX_ANSWER_BYTES,
+            leave=_early_leave(context, active, attempted),
         )
         completeness = check_end(head, position_of(head, body))
     except ExchangeError as exc:
--- a/currantdeal/entry/tests/test_plain.py
+++ b/currantdeal/entry/tests/test_plain.py
@@ -226,3 +226,26 @@
 
     _, standins = _ask(MENU, _server_error, _server_error, prepare=fail)
     assert _runs(standins) == (1 if failures else 2)
+
+
+@pytest.mark.parametrize(("names", "allowance"), [("ab", 0.0), ("a", 100.0)])
+def test_slow_upstream_is_left_only_for_another_attempt(names, allowance):
+    """Guards against the end of an attempt that nothing can follow.
+
+    No repeat is allowed, or there is no other upstream.
+    """
+
+    async def answer_late(standin, request, writer):
+        if not request.is_health_check:
+            await asyncio.sleep(1.3)
+        return False
+
+    async def run():
+        async with entry_world(allowance=allowance) as world:
+            for name in names:
+                standin = StandInUpstream(upstream=name, script=answer_late)
+                await standin.start()
+                world.announce(standin)
+            return await world.exchange(request_bytes("/menu/1"))
+
+    assert asyncio.run(run()).startswith(b"HTTP/1.1 200")
--- a/currantdeal/node/exchange.py
+++ b/currantdeal/node/exchange.py
@@ -1,6 +1,8 @@
 """Exchanges of small requests and answers with upstreams."""
 
 import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from currantdeal.node.errors import (
     ConnectError,
@@ -13,6 +15,23 @@
 """Maximum size of the answer to a call of the system."""
 
 
+@dataclass(frozen=True, kw_only=True)
+class EarlyLeave:
+    """When an exchange is given up before its time is over.
+
+    Parameters
+    ----------
+    after_s : float
+        Time for which a connection, and then the whole response, is awaited
+        in any case.
+    may_leave : callable
+        Coroutine function that is asked once, after that time.
+    """
+
+    after_s: float
+    may_leave: Callable
+
+
 async def exchange(
     pool,
     address,
@@ -22,6 +41,7 @@
     limit=MAX_CALL_ANSWER_BYTES,
     retryable=False,
     may_repeat=None,
+    leave=None,
 ):
     """Send a small request and return the response head and the whole body.
 
@@ -38,19 +58,27 @@
     may_repeat : callable or None
         Coroutine function that is asked before the request of a caller is
         sent once more.  Without it, only calls of the system are.
+    leave : EarlyLeave or None
+        When to give up before ``timeout_s``.
 
     Raises
     ------
     ExchangeError
         If no complete response is received within ``timeout_s``.
     """
+    connect_s = timeout_s if leave is None else leave.after_s
     connection = await pool.acquire(
-        address, outgoing, timeout_s=timeout_s, retryable=retryable
+        address, outgoing, timeout_s=connect_s, retryable=retryable
     )
     reused = connection.used
     try:
         return await exchange_on(
-            pool, connection, outgoing, timeout_s=timeout_s, limit=limit
+            pool,
+            connection,
+            outgoing,
+            timeout_s=timeout_s,
+            limit=limit,
+            leave=leave,
         )
     except InvalidResponseError as exc:
         if not (retryable and reused):
@@ -59,14 +87,19 @@
             raise
         first_error = exc
     try:
-        connection = await pool.open(address, timeout_s=timeout_s)
+        connection = await pool.open(address, timeout_s=connect_s)
     except ConnectError as exc:
         # If the upstream's process has ended, rather than just closed an idle
         # connection, the request that was sent may have crashed it.
         first_error.has_ended = exc.has_ended
         raise first_error from None
     return await exchange_on(
-        pool, connection, outgoing, timeout_s=timeout_s, limit=limit
+        pool,
+        connection,
+        outgoing,
+        timeout_s=timeout_s,
+        limit=limit,
+        leave=leave,
     )
 
 
@@ -77,21 +110,31 @@
 
 
 async def exchange_on(
-    pool, connection, outgoing, *, timeout_s, limit=MAX_CALL_ANSWER_BYTES
+    pool,
+    connection,
+    outgoing,
+    *,
+    timeout_s,
+    limit=MAX_CALL_ANSWER_BYTES,
+    leave=None,
 ):
     """Send a request on a connection, see ``exchange``.
 
     The connection is returned to the pool afterwards, or closed.
     """
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
     try:
         async with asyncio.timeout(timeout_s):
-            connection.send(outgoing)
-            head = await connection.head()
-            body = await connection.rest(limit=limit)
+            answer = _receive_answer(connection, outgoing, limit)
+            if leave is not None:
+                answer = _unless_left(answer, leave)
+            head, body = await answer
     except TimeoutError:
         connection.close()
         raise ResponseTimeoutError(
-            f"no answer from {connection.address} in {timeout_s:.2f} s",
+            f"no answer from {connection.address} in "
+            f"{loop.time() - began_s:.2f} s",
             phase=ExchangePhase.AWAITING_ANSWER,
         ) from None
     except BaseException:
@@ -104,6 +147,24 @@
     return head, body
 
 
+async def _receive_answer(connection, outgoing, limit):
+    connection.send(outgoing)
+    head = await connection.head()
+    return head, await connection.rest(limit=limit)
+
+
+async def _unless_left(answer, leave):
+    """Return an answer; raise ``TimeoutError`` if it is left before."""
+    receiving = asyncio.ensure_future(answer)
+    try:
+        done, _ = await asyncio.wait({receiving}, timeout=leave.after_s)
+        if not done and await leave.may_leave() and not receiving.done():
+            raise TimeoutError
+        return await receiving
+    finally:
+        receiving.cancel()
+
+
 def _is_of_no_more_use(connection, outgoing, head):
     """Return whether no request is likely to follow on a connection.
 
