--- a/currantdeal/testing/tests/test_platform_upstream.py
+++ b/currantdeal/testing/tests/test_platform_upstream.py
@@ -37,5 +37,6 @@
         assert standin.address == "{}:{}".format(*address)
         _, writer = await asyncio.open_connection(*address)
         writer.close()
+        standin.stop()
 
     asyncio.run(run())
