Start a test's replica set with all replicas able to vote

Tests failed once with "unresponsive" after 31.7 s and with "no leader", some earlier ones too. A replica that starts late finds that the others have elected a leader, and joins them without a vote at first. A test that then loses one of the other two has lost its quorum, and no product could serve it.

A cluster is started once its leader counts each replica of the first set as a voter and none is blank. The new test, with a replica 2 s late, fails without the change.

--- a/currantdeal/adapters/replication/tests/builders.py
+++ b/currantdeal/adapters/replication/tests/builders.py
@@ -131,7 +131,10 @@
     """
 
     def __init__(self, folder, *, replicas=3, others=1, first_set=None):
-        """Start every instance."""
+        """Start every instance; the first replica set is complete then.
+
+        Without it a quorum may be lost with one replica.
+        """
         self._folder = folder
         self.failing_disks = set()
         names = [f"i{n + 1}" for n in range(replicas + others)]
@@ -146,6 +149,7 @@
         self.services = {}
         for name in names:
             self._start(name, self._servers[name])
+        wait_until(self._is_complete)
 
     def port(self, name):
         """Return the StatePort of an instance."""
@@ -213,6 +217,21 @@
             self.kill(name)
         self._ports.close()
 
+    def _is_complete(self):
+        """Return whether the first replica set can vote, at its leader."""
+        leader = self.leader()
+        statuses = {
+            name: self.services[name].replica.status()
+            for name in self._first_set
+        }
+        if leader not in statuses or None in statuses.values():
+            return False
+        voters = statuses[leader].configuration.voter_names
+        return all(
+            name in voters and not status.blank
+            for name, status in statuses.items()
+        )
+
     def _make_server(self, name):
         host, _, port = self.addresses[name].rpartition(":")
         return PeerServer(host=host, port=int(port))
--- a/currantdeal/adapters/replication/tests/test_replicated_state.py
+++ b/currantdeal/adapters/replication/tests/test_replicated_state.py
@@ -1,10 +1,12 @@
 import shutil
+import threading
 import time
 from pathlib import Path
 
 import pytest
 
 from currantdeal.adapters.replication import compaction
+from currantdeal.adapters.replication.joiner import Joiner
 from currantdeal.adapters.replication.tests.builders import (
     LIMIT_S,
     Cluster,
@@ -30,6 +32,22 @@
     found.close()
 
 
+def test_replicas_of_a_started_cluster_can_all_vote(tmp_path, monkeypatch):
+    """Guards against tests that lose a quorum with one replica."""
+    start = Joiner.start
+
+    def start_late(joiner):
+        late_s = 2.0 if joiner._replica.instance == "i3" else 0.0
+        threading.Timer(late_s, start, [joiner]).start()
+
+    monkeypatch.setattr(Joiner, "start", start_late)
+    cluster = Cluster(tmp_path)
+    propose(cluster, "i4", selector("before"))
+    cluster.make_unresponsive(cluster.wait_for_leader())
+    assert isinstance(propose(cluster, "i4", selector("after")), Applied)
+    cluster.close()
+
+
 def propose(cluster, name, command):
     return cluster.port(name).propose(command, timeout_s=LIMIT_S)
 
