--- a/currantdeal/node/exchange.py
+++ b/currantdeal/node/exchange.py
@@ -1,6 +1,8 @@
 """Exchanges of small requests and answers with upstreams."""
 
 import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from currantdeal.node.errors import (
     ConnectError,
@@ -13,6 +15,23 @@
 """Maximum size of the answer to a call of the system."""
 
 
+@dataclass(frozen=True, kw_only=True)
+class EarlyLeave:
+    """When an exchange is given up before its time is over.
+
+    Parameters
+    ----------
+    after_s : float
+        Time for which a connection, and then the whole response, is awaited
+        in any case.
+    may_leave : callable
+        Coroutine function that is asked once, after that time.
+    """
+
+    after_s: float
+    may_leave: Callable
+
+
 async def exchange(
     pool,
     address,
@@ -23,6 +42,7 @@
     retryable=False,
     may_repeat=None,
     has_expired=lambda: False,
+    leave=None,
 ):
     """Send a small request and return the response head and the whole body.
 
@@ -42,20 +62,24 @@
     has_expired : callable
         Returns whether a cancellation is the end of the request's own time.
         An answer that is whole at the end of either time is returned.
+    leave : EarlyLeave or None
+        When to give up before ``timeout_s``.
 
     Raises
     ------
     ExchangeError
         If no complete response is received within ``timeout_s``.
     """
+    connect_s = timeout_s if leave is None else leave.after_s
     connection = await pool.acquire(
-        address, outgoing, timeout_s=timeout_s, retryable=retryable
+        address, outgoing, timeout_s=connect_s, retryable=retryable
     )
     reused = connection.used
     options = {
         "timeout_s": timeout_s,
         "limit": limit,
         "has_expired": has_expired,
+        "leave": leave,
     }
     try:
         return await exchange_on(pool, connection, outgoing, **options)
@@ -66,7 +90,7 @@
             raise
         first_error = exc
     try:
-        connection = await pool.open(address, timeout_s=timeout_s)
+        connection = await pool.open(address, timeout_s=connect_s)
     except ConnectError as exc:
         # If the upstream's process has ended, rather than just closed an idle
         # connection, the request that was sent may have crashed it.
@@ -89,19 +113,23 @@
     timeout_s,
     limit=MAX_CALL_ANSWER_BYTES,
     has_expired=lambda: False,
+    leave=None,
 ):
     """Send a request on a connection, see ``exchange``.
 
     The connection is returned to the pool afterwards, or closed.
     """
-    answer = _Answer(connection=connection, limit=limit)
+    answer = _Answer(connection=connection, limit=limit, leave=leave)
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
     try:
         connection.send(outgoing)
         await answer.receive(timeout_s=timeout_s, has_expired=has_expired)
     except TimeoutError:
         connection.close()
         raise ResponseTimeoutError(
-            f"no answer from {connection.address} in {timeout_s:.2f} s",
+            f"no answer from {connection.address} in "
+            f"{loop.time() - began_s:.2f} s",
             phase=ExchangePhase.AWAITING_ANSWER,
         ) from None
     except BaseException:
@@ -123,14 +151,18 @@
         Connection on which it is awaited.
     limit : int
         Maximum size of its body, in bytes.
+    leave : EarlyLeave or None
+        When to give up before the time is over.
     """
 
-    def __init__(self, *, connection, limit):
+    def __init__(self, *, connection, limit, leave):
         """Start before its head."""
         self.head = None
         self.body = b""
         self._connection = connection
         self._limit = limit
+        self._leave = leave
+        self._parts = []
 
     async def receive(self, *, timeout_s, has_expired):
         """Receive it; see ``exchange`` for the parameters.
@@ -140,7 +172,7 @@
         """
         try:
             async with asyncio.timeout(timeout_s):
-                await self._receive_rest()
+                await self._receive_unless_left()
         except TimeoutError:
             if not self._connection.has_whole_answer():
                 raise
@@ -150,10 +182,34 @@
                 raise
             await self._receive_rest()
 
+    async def _receive_unless_left(self):
+        """Receive it; raise ``TimeoutError`` if it is left before."""
+        if self._leave is None:
+            await self._receive_rest()
+            return
+        receiving = asyncio.ensure_future(self._receive_rest())
+        receiving.add_done_callback(_mark_retrieved)
+        try:
+            await asyncio.wait({receiving}, timeout=self._leave.after_s)
+            is_left = not receiving.done() and await self._leave.may_leave()
+            if is_left and not receiving.done():
+                raise TimeoutError
+            await receiving
+        finally:
+            receiving.cancel()
+
     async def _receive_rest(self):
         if self.head is None:
             self.head = await self._connection.head()
-        self.body = await self._connection.rest(limit=self._limit)
+        self.body = await self._connection.rest(
+            limit=self._limit, parts=self._parts
+        )
+
+
+def _mark_retrieved(receiving):
+    """Let the receipt of an answer fail that is no longer awaited."""
+    if not receiving.cancelled():
+        receiving.exception()
 
 
 def _is_of_no_more_use(connection, outgoing, head):
