Count the grace period from the signal

What was seen: in a play of a stop beside restarts (load of 86 on 8 cores) an entry logged "stopping" 3.2 s after SIGTERM and was not gone 10 s after it; by its own count it would have ended 10.8 s after it. The platform kills it after 8 s, with all that it would still have answered, refused or handed over.

Cause: the drain counted from the moment in which the event loop came to handle the signal, several turns after its arrival. A turn took up to 1 s there.

Change: a handler that runs between two instructions records when the first signal arrives; the loop still handles it, and entries and control processes count their grace from the recorded time.

The play was not repeated at that load.

--- a/currantdeal/cli/control_process.py
+++ b/currantdeal/cli/control_process.py
@@ -15,8 +15,9 @@
     LoopDelay,
     MetricsEndpoint,
     SettingsFile,
+    StopSignal,
     call_periodically,
-    install_signal_handlers,
+    install_reload_handler,
     keep_running,
     report_unhandled_errors,
     run_until,
@@ -113,7 +114,6 @@
         self._file = SettingsFile(settings=settings, path=path)
         self._own_address = settings.peer_address
         self._links = {}
-        self._stopping = None
         self._metrics = Metrics()
         self._replica = Replica(
             local_id=self._own_address,
@@ -231,13 +231,12 @@
             Returns whether a signal to stop arrived before ``run``.
         """
         settings = self._file.current
-        self._stopping = asyncio.Event()
-        install_signal_handlers(
-            stop=self._stopping.set, reload=self._file.reload
-        )
+        stop_signal = StopSignal()
+        stop_signal.install()
+        install_reload_handler(self._file.reload)
         report_unhandled_errors(self._metrics)
         if stop_requested():
-            self._stopping.set()
+            stop_signal.request()
         _log.info(
             "started",
             role="control",
@@ -253,7 +252,7 @@
         self._load_records()
         await self._listen(settings)
         await run_until(
-            self._stopping,
+            stop_signal.requested,
             LoopDelay(metrics=self._metrics).run(),
             self._replica.run(),
             self._repeat(SETTINGS_INTERVAL_S, self._file.reload_if_changed),
@@ -265,11 +264,10 @@
             keep_running(self._leave_store.run, metrics=self._metrics),
             self._repeat(PLAN_INTERVAL_S, self._orders.step),
         )
-        await self._leave_replica_set()
+        await self._leave_replica_set(stop_signal.at_s)
 
-    async def _leave_replica_set(self):
-        loop = asyncio.get_running_loop()
-        exit_s = loop.time() + self._grace_s - EXIT_MARGIN_S
+    async def _leave_replica_set(self, stop_s):
+        exit_s = stop_s + self._grace_s - EXIT_MARGIN_S
         _log.info("stopping", leads=self._replica.is_leader)
         self._replica.node.transfer(boot_time_s())
         await asyncio.gather(
--- a/currantdeal/cli/entry_drain.py
+++ b/currantdeal/cli/entry_drain.py
@@ -66,15 +66,19 @@
         self._random = random
         self._is_refusing = False
 
-    async def run(self):
+    async def run(self, stop_s):
         """Refuse, finish or cut what is in progress; returns at the exit.
 
         Calls that could outlast the process are refused first, then streams,
         then connections, then what waits and has not run.  Requests that may
         have run get an answer that says so if none has begun.  Streams that
         are still in progress are cut last.
+
+        Parameters
+        ----------
+        stop_s : float
+            Loop time of the request to stop.
         """
-        stop_s = asyncio.get_running_loop().time()
         exit_s = stop_s + self._grace_s - EXIT_MARGIN_S
         self._service.requests.stop(exit_s)
         self._server.closing = True
--- a/currantdeal/cli/entry_process.py
+++ b/currantdeal/cli/entry_process.py
@@ -1,6 +1,5 @@
 """Builds and runs an entry process, which serves callers."""
 
-import asyncio
 import random
 import time
 
@@ -14,8 +13,9 @@
     LoopDelay,
     MetricsEndpoint,
     SettingsFile,
+    StopSignal,
     call_periodically,
-    install_signal_handlers,
+    install_reload_handler,
     keep_running,
     report_unhandled_errors,
     run_until,
@@ -179,8 +179,9 @@
             Returns whether a signal to stop arrived before ``run``.
         """
         settings = self._file.current
-        stopping = asyncio.Event()
-        install_signal_handlers(stop=stopping.set, reload=self._file.reload)
+        stop_signal = StopSignal()
+        stop_signal.install()
+        install_reload_handler(self._file.reload)
         report_unhandled_errors(self._metrics)
         _log.info(
             "started",
@@ -194,7 +195,7 @@
             return
         await self._listen(settings.listen)
         await run_until(
-            stopping,
+            stop_signal.requested,
             LoopDelay(metrics=self._metrics).run(),
             keep_running(self._subscription.run, metrics=self._metrics),
             self._repeat(LOAD_INTERVAL_S, self._subscription.send_load),
@@ -202,7 +203,7 @@
             self._repeat(QUOTA_REFILL_S, self._refill_quotas),
             self._repeat(SETTINGS_INTERVAL_S, self._reload_settings),
         )
-        await self._drain()
+        await self._drain(stop_signal.at_s)
 
     def _repeat(self, interval_s, action):
         return call_periodically(interval_s, action, metrics=self._metrics)
@@ -275,7 +276,7 @@
             sequence=self._sequence,
         )
 
-    async def _drain(self):
+    async def _drain(self, stop_s):
         self._ready = False
         self._subscription.announce()
         drain = EntryDrain(
@@ -285,7 +286,7 @@
             grace_s=self._bounds.grace_s,
             random=self._context.random,
         )
-        await drain.run()
+        await drain.run(stop_s)
 
     def _set_gauges(self):
         view = self._view
--- a/currantdeal/cli/process.py
+++ b/currantdeal/cli/process.py
@@ -4,6 +4,7 @@
 import inspect
 import os
 import signal
+import time
 
 import structlog
 
@@ -72,12 +73,48 @@
         return (status.st_mtime_ns, status.st_size, status.st_ino)
 
 
-def install_signal_handlers(*, stop, reload):
-    """Install ``stop`` for SIGTERM and SIGINT and ``reload`` for SIGHUP."""
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stop)
-    loop.add_signal_handler(signal.SIGINT, stop)
-    loop.add_signal_handler(signal.SIGHUP, reload)
+class StopSignal:
+    """The request to stop the process, by SIGTERM or SIGINT.
+
+    The platform counts the grace period from the signal, which a loop that
+    is late handles late.
+
+    Attributes
+    ----------
+    requested : asyncio.Event
+        Set once the loop has handled the first signal.
+    at_s : float or None
+        Loop time of the first signal.
+    """
+
+    def __init__(self):
+        """Wait for the signal once ``install`` was called."""
+        self.requested = asyncio.Event()
+        self.at_s = None
+
+    def install(self):
+        """Handle both signals in the running loop."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.request)
+            # The loop is woken by a file descriptor, whatever this handler
+            # does; it replaces one that does nothing.
+            signal.signal(number, lambda _number, _frame: self._record())
+            signal.siginterrupt(number, False)
+
+    def request(self):
+        """Stop as if a signal had arrived now, unless one has before."""
+        self._record()
+        self.requested.set()
+
+    def _record(self):
+        if self.at_s is None:
+            self.at_s = time.monotonic()
+
+
+def install_reload_handler(reload):
+    """Call ``reload`` at each SIGHUP."""
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
 
 
 class MetricsEndpoint:
--- a/currantdeal/cli/tests/test_process.py
+++ b/currantdeal/cli/tests/test_process.py
@@ -1,10 +1,14 @@
 import asyncio
+import os
+import signal
+import time
 
 import pytest
 
 from currantdeal.adapters.metrics import Metrics
 from currantdeal.cli import process
 from currantdeal.cli.process import (
+    StopSignal,
     call_periodically,
     keep_running,
     report_unhandled_errors,
@@ -104,3 +108,21 @@
 
     asyncio.run(run())
     assert 'task="_sleep_for_ever"' in metrics.render()[1].decode()
+
+
+def test_stop_counts_from_the_signal_and_not_from_its_handling():
+    """Guards against a late loop that outlasts the grace of its process."""
+
+    async def run():
+        stop_signal = StopSignal()
+        stop_signal.install()
+        sent_s = asyncio.get_running_loop().time()
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(0.3)
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(0.3)
+        async with asyncio.timeout(LIMIT_S):
+            await stop_signal.requested.wait()
+        return stop_signal.at_s - sent_s
+
+    assert asyncio.run(run()) < 0.2
