Expect a reset when a connection's own side is ended

The caller had reset its connection; its idle timer was not started either.

Cause: the last bytes wait unacknowledged when an answer ends, so that the connection lingers and its own side is ended. If the caller has reset it and the event loop does not know yet, the kernel has no connection to end.

Change: that error is expected, in both places for callers and for the links of other entries; the loop reports the loss of the connection in the same turn or the next.

Measured: the test failed before in its case of an answer (the case of a refusal passed).

--- a/currantdeal/node/caller_connection.py
+++ b/currantdeal/node/caller_connection.py
@@ -26,7 +26,7 @@
     content_length,
 )
 from currantdeal.node.response_writer import ResponseWriter
-from currantdeal.node.sockets import prepare_socket
+from currantdeal.node.sockets import end_sending, prepare_socket
 from currantdeal.policy.answers.chunk_sizes import ChunkSizes
 
 READ_AHEAD_BYTES = 65_536
@@ -231,7 +231,7 @@
         if not self._reading:
             self._reading = True
             self._transport.resume_reading()
-        self._transport.write_eof()
+        end_sending(self._transport)
         self._start_idle_timer()
 
     def _advance(self):
@@ -458,7 +458,7 @@
                 self._writer.write(self._http, h11.Data(data=body))
             self._writer.write(self._http, h11.EndOfMessage())
         if self._transport.can_write_eof():
-            self._transport.write_eof()
+            end_sending(self._transport)
         self._loop.call_later(CLOSE_DELAY_S, self._close)
 
     def _request_timed_out(self):
--- a/currantdeal/node/link_server.py
+++ b/currantdeal/node/link_server.py
@@ -18,7 +18,11 @@
     pack_frame,
 )
 from currantdeal.node.settings import split_address
-from currantdeal.node.sockets import UNREACHABLE_ERRORS, prepare_socket
+from currantdeal.node.sockets import (
+    UNREACHABLE_ERRORS,
+    end_sending,
+    prepare_socket,
+)
 
 MAX_LINKS = 256
 """Maximum number of links at a time; each takes two file descriptors."""
@@ -238,7 +242,7 @@
             self._set_orderly_end()
         if self._peer.untaken_bytes:
             self._peer.on_taken = self._transport.close
-            self._transport.write_eof()
+            end_sending(self._transport)
             return
         self._peer.leave_to_kernel()
         self._transport.close()
--- a/currantdeal/node/sockets.py
+++ b/currantdeal/node/sockets.py
@@ -1,5 +1,6 @@
 """Sets the options of TCP sockets that carry requests and messages."""
 
+import contextlib
 import socket
 
 from currantdeal.node.peer_watch import peer_watch
@@ -25,3 +26,13 @@
     if sock is not None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return peer_watch().add(transport, on_gone=on_gone)
+
+
+def end_sending(transport):
+    """End this side of a connection.
+
+    One that its peer has reset, of which the loop does not know yet, raises
+    an error; the loop then reports the loss.
+    """
+    with contextlib.suppress(OSError):
+        transport.write_eof()
--- a/currantdeal/node/tests/test_failing_handlers.py
+++ b/currantdeal/node/tests/test_failing_handlers.py
@@ -1,4 +1,6 @@
 import asyncio
+import socket
+import struct
 
 import pytest
 
@@ -7,6 +9,7 @@
 from currantdeal.node.logs import MAX_TEXT_CHARS
 from currantdeal.testing.entry_world import read_to_end, request_bytes
 from currantdeal.testing.node_logs import node_log_lines
+from currantdeal.testing.stalled_peers import small_socket
 
 REQUEST = request_bytes("/order/1")
 
@@ -156,3 +159,46 @@
     _, lines, _ = _exchange(_raise_with_much_text)
     assert len(lines[0]["why"]) <= MAX_TEXT_CHARS
     assert len(lines[0]["exception"]) <= MAX_TEXT_CHARS
+
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+STALLED_BYTES = 30_000
+"""More than the receive buffer of a small socket; the kernel takes it all."""
+
+
+@pytest.mark.parametrize(
+    "raw", [REQUEST, b"no request\r\n\r\n"], ids=["answered", "refused"]
+)
+def test_caller_who_resets_at_the_end_of_an_answer_is_no_failure(raw):
+    """Guards against an error in the end of a connection that is reset."""
+    unhandled = []
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(
+            lambda _, context: unhandled.append(context)
+        )
+        sock, is_reset = small_socket(), asyncio.Event()
+
+        def reset(*_):
+            is_reset.set()
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+            )
+            sock.close()
+
+        async def answer_and_reset(request, responder):
+            responder.answer(200, (), b"x" * STALLED_BYTES)
+            reset()
+
+        server = HttpServer(handler=answer_and_reset, on_refused=reset)
+        await server.start("127.0.0.1", 0)
+        await loop.sock_connect(sock, server.address)
+        await loop.sock_sendall(sock, raw)
+        async with asyncio.timeout(3.0):
+            await is_reset.wait()
+            while server.connections:
+                await asyncio.sleep(0.01)
+
+    asyncio.run(run())
+    assert unhandled == []
