Test interim heads, errors and many requests without end

Answers without end were not tested in a head of an interim answer (other than whole interim answers without end) and in errors, and requests without end came one at a time.

Added: header lines without end in an interim answer, for all kinds of calls; errors of calls and runs with bodies without end, also many at once; many bodies of requests at once that are each within their limit.

Measured: no fault of the code was found.

--- a/currantdeal/cli/tests/test_endless_bytes.py
+++ b/currantdeal/cli/tests/test_endless_bytes.py
@@ -10,6 +10,7 @@
 from currantdeal.testing.endless import (
     BODY_PLACES,
     HEAD_PLACES,
+    MAX_SENT_BYTES,
     STREAM_PLACES,
     EndlessUpstream,
     Place,
@@ -22,7 +23,7 @@
     flood_server,
     peak_memory_bytes,
 )
-from currantdeal.testing.entry_world import config_body
+from currantdeal.testing.entry_world import LIMITS, config_body
 from currantdeal.testing.node_processes import NodeCluster
 from currantdeal.testing.platform_upstream import StandInUpstream, heartbeat
 
@@ -61,6 +62,10 @@
         Request of a caller that causes such calls.
     others : str
         Request of the other callers.
+    places : tuple of Place
+        Where the answers do not end.
+    status : int
+        Status of those answers.
     """
 
     is_affected: object
@@ -68,6 +73,7 @@
     target: str
     others: str
     places: tuple
+    status: int = 200
 
 
 def _is_run(request):
@@ -111,6 +117,21 @@
         places=STREAM_PLACES,
         **GENERATION_CASE,
     ),
+    "error-of-a-call": Case(
+        is_affected=_is_call,
+        stage="",
+        target="/menu/1",
+        others="/draft/1",
+        places=(Place.NO_LENGTH, Place.CHUNKS, Place.TRAILERS),
+        status=500,
+    ),
+    "error-of-a-run": Case(
+        is_affected=_is_run,
+        stage="decode",
+        places=(Place.NO_LENGTH, Place.CHUNKS, Place.TRAILERS),
+        status=500,
+        **GENERATION_CASE,
+    ),
     "release": Case(
         is_affected=lambda r: r.method == "DELETE",
         stage="decode",
@@ -176,12 +197,12 @@
 
 
 @asynccontextmanager
-async def _system(folder):
+async def _system(folder, config=CONFIG):
     """Run control processes and an entry with a sound fleet."""
     cluster = NodeCluster(folder=folder, control=3, entries=1)
     (entry,) = cluster.entries
     with cluster:
-        await asyncio.to_thread(cluster.put_config, CONFIG)
+        await asyncio.to_thread(cluster.put_config, config)
         fleet = _Fleet(cluster)
         for stage in ("", "prefill", "decode"):
             await fleet.add_sound(stage)
@@ -222,6 +243,7 @@
         upstream=f"bad-{place.value}",
         is_affected=case.is_affected,
         place=place,
+        status=case.status,
     )
     await fleet.add(standin, stage=case.stage)
     await fleet.remove_sound(case.stage)
@@ -278,6 +300,7 @@
     [
         ("call-and-health-check", Place.NO_LENGTH),
         ("stream", Place.ONE_EVENT),
+        ("error-of-a-run", Place.CHUNKS),
     ],
 )
 def test_many_answers_without_end_share_one_bound(tmp_path, name, place):
@@ -348,3 +371,35 @@
     assert set(others.statuses) == {200}
     assert max(others.took_s) <= DEADLINE_S
     assert growth <= MAX_GROWTH_BYTES
+
+
+def test_many_requests_without_end_share_one_bound(tmp_path):
+    """Guards against memory that grows with the number of callers.
+
+    Each body alone is within its limit when the next parts arrive.
+    """
+    limits = {**LIMITS, "MaxBodyBytes": 8_388_608}
+    config = config_body(timeout_ms=1_500, target_ms=600, limits=limits)
+
+    async def run():
+        async with _system(tmp_path, config) as (_, entry, _, callers):
+            before = peak_memory_bytes(entry.process_id)
+            others = Answers()
+            background = asyncio.ensure_future(
+                callers.keep_sending("/menu/1", others)
+            )
+            floods = await asyncio.gather(
+                *(
+                    flood_server(callers.address, Place.CHUNKS)
+                    for _ in range(MANY_REQUESTS)
+                )
+            )
+            background.cancel()
+            assert entry.is_running
+            growth = peak_memory_bytes(entry.process_id) - before
+            return floods, others, growth
+
+    floods, others, growth = asyncio.run(run())
+    assert all(flood.sent_bytes < MAX_SENT_BYTES for flood in floods)
+    assert set(others.statuses) == {200}
+    assert growth <= MAX_GROWTH_BYTES
--- a/currantdeal/testing/endless.py
+++ b/currantdeal/testing/endless.py
@@ -28,6 +28,7 @@
     HEADER_LINES = "header-lines"
     SLOW_HEADER_LINES = "slow-header-lines"
     INTERIM_ANSWERS = "interim-answers"
+    INTERIM_HEADERS = "interim-headers"
     NO_LENGTH = "no-length"
     CHUNKS = "chunks"
     SMALL_CHUNKS = "small-chunks"
@@ -45,6 +46,7 @@
     Place.HEADER_LINES,
     Place.SLOW_HEADER_LINES,
     Place.INTERIM_ANSWERS,
+    Place.INTERIM_HEADERS,
 )
 BODY_PLACES = (
     Place.NO_LENGTH,
@@ -72,6 +74,11 @@
     Place.HEADER_LINES: ((), b"", b"X-Many: 1\r\n"),
     Place.SLOW_HEADER_LINES: ((), b"", b"X-Slow: 1\r\n"),
     Place.INTERIM_ANSWERS: ((), b"", _INTERIM),
+    Place.INTERIM_HEADERS: (
+        (),
+        b"HTTP/1.1 102 Processing\r\n",
+        b"X-Many: 1\r\n",
+    ),
     Place.NO_LENGTH: ((), b"\r\n", _BODY),
     Place.CHUNKS: ((_CHUNKED,), b"\r\n", _chunk(_BODY)),
     Place.SMALL_CHUNKS: ((_CHUNKED,), b"\r\n", _chunk(b"x")),
@@ -91,6 +98,7 @@
     Place.NO_FIRST_LINE,
     Place.BLANK_LINES,
     Place.INTERIM_ANSWERS,
+    Place.INTERIM_HEADERS,
 )
 
 
@@ -151,6 +159,8 @@
         Returns whether a ``ReceivedRequest`` is of that kind.
     place : Place
         Where the answer does not end.
+    status : int
+        Status of such an answer.
 
     Attributes
     ----------
@@ -158,12 +168,13 @@
         One for each such answer.
     """
 
-    def __init__(self, *, is_affected, place, **more):
+    def __init__(self, *, is_affected, place, status=200, **more):
         """Create a stand-in that does not listen before ``start``."""
         super().__init__(**more)
         self.floods = []
         self._is_affected = is_affected
         self._place = place
+        self._status = status
 
     async def answer(self, request, writer):
         """Send the response to a request."""
@@ -172,7 +183,7 @@
             return
         self.floods.append(Flood())
         lines = (
-            "HTTP/1.1 200 OK",
+            f"HTTP/1.1 {self._status} Answer",
             *echo_lines(request),
             f"X-Currantdeal-Response-Signature: by-{self.upstream}",
         )
