--- a/currantdeal/entry/link_watch.py
+++ b/currantdeal/entry/link_watch.py
@@ -13,6 +13,7 @@
 from currantdeal.node.errors import ConnectError, ExchangeError, LinkError
 from currantdeal.node.exchange import exchange_on
 from currantdeal.policy.health.links import CheckResult, LinkState, Reach
+from currantdeal.policy.placement.helper_choice import MAX_HELPERS
 
 TICK_S = 0.2
 """Interval at which silence is looked for and due checks are started."""
@@ -48,6 +49,14 @@
 SPARE_LINKS = 16
 """Links of upstreams that have left which are kept without harm."""
 
+MAX_VERIFIED_AGAIN = 2
+"""Maximum number of helpers whose connections are verified at a time, in all
+checks of a link but the first.
+
+That the first one has found nothing may mean that the upstream is slow for
+all, and more connections would slow it further.
+"""
+
 HELPER_SILENCE_S = 0.6
 """Silence on links through an entry after which it is asked last."""
 
@@ -305,6 +314,11 @@
                 timeout_s=CHECK_TIMEOUT_S,
                 # The connection is idle in the pool afterwards.
                 verify=lambda c: self._verify(c, CHECK_TIMEOUT_S),
+                max_unverified=(
+                    MAX_HELPERS
+                    if self._links.is_new_doubt(address)
+                    else MAX_VERIFIED_AGAIN
+                ),
             )
         except LinkError as exc:
             is_told = exc.is_conclusive
--- a/currantdeal/node/link_client.py
+++ b/currantdeal/node/link_client.py
@@ -14,17 +14,11 @@
 )
 from currantdeal.node.settings import split_address
 from currantdeal.node.sockets import prepare_socket
+from currantdeal.policy.placement.helper_choice import MAX_HELPERS
 
 HEDGE_S = 0.1
 """Delay after which the next entry is asked beside one that is slow."""
 
-MAX_UNVERIFIED = 2
-"""Maximum number of connections on which the upstream's answer is awaited.
-
-Helpers that have connected are not slow; the upstream is, and more connections
-would slow it further.
-"""
-
 
 @dataclass(frozen=True, kw_only=True)
 class _Attempt:
@@ -68,7 +62,15 @@
         """Ask an entry last for a while, since a link through it was lost."""
         self._choice.record_failure(helper, now_s=_now_s())
 
-    async def open(self, address, make_connection, *, timeout_s, verify=None):
+    async def open(
+        self,
+        address,
+        make_connection,
+        *,
+        timeout_s,
+        verify=None,
+        max_unverified=MAX_HELPERS,
+    ):
         """Return a connection to an upstream through another entry.
 
         Parameters
@@ -78,6 +80,8 @@
         verify : callable or None
             Coroutine function that raises ``ExchangeError`` unless the
             upstream answers on a connection.
+        max_unverified : int
+            Maximum number of connections that are verified at a time.
 
         Raises
         ------
@@ -90,7 +94,7 @@
         unverified = _Unverified(verify=verify)
         try:
             while left or pending:
-                if left and unverified.count < MAX_UNVERIFIED:
+                if left and unverified.count < max_unverified:
                     helper = left.pop(0)
                     work = self._attempt(
                         helper, address, make_connection, end_s, unverified
--- a/currantdeal/node/tests/test_links.py
+++ b/currantdeal/node/tests/test_links.py
@@ -169,7 +169,10 @@
 
         with pytest.raises(LinkError):
             await world.pool.connector.open_linked(
-                address, timeout_s=TIMEOUT_S, verify=verify
+                address,
+                timeout_s=TIMEOUT_S,
+                verify=verify,
+                max_unverified=2,
             )
         assert len(world.standin.requests) == 2
 
@@ -192,7 +195,7 @@
         for server in world.helpers:
             server.links.doubt("another", now_s=0.0)
         connection = await world.pool.connector.open_linked(
-            address, timeout_s=TIMEOUT_S, verify=verify
+            address, timeout_s=TIMEOUT_S, verify=verify, max_unverified=1
         )
         assert connection.is_open
 
--- a/currantdeal/policy/health/links.py
+++ b/currantdeal/policy/health/links.py
@@ -237,6 +237,11 @@
         pause_s = RECHECK_S * 2.0 ** min(link.unknown, _MAX_DOUBLINGS)
         link.due_s = now_s + min(MAX_RECHECK_S, pause_s)
 
+    def is_new_doubt(self, address):
+        """Return whether no check of a doubted link has ended yet."""
+        link = self._link(address)
+        return link.state is LinkState.DOUBTED and link.unknown == 0
+
     def patience(self, address):
         """Return by how much longer than the first a check is to wait.
 
