Check cut links each half second again

Price: the checks of cut links of many entries are as frequent as before. The hold time that a failed check begins anew stays.

--- a/currantdeal/policy/health/links.py
+++ b/currantdeal/policy/health/links.py
@@ -13,14 +13,7 @@
 NEVER_S = -math.inf
 
 RECHECK_S = 0.5
-"""Shortest interval of the checks of a link that is doubted or cut."""
-
-MAX_CUT_RECHECK_S = 2.0
-"""Longest interval of the checks of a link that is cut.
-
-All entries may be cut at once.  Each check is a new connection to the
-upstream, which slows it further if it is slow itself.
-"""
+"""Interval of the checks of a link that is doubted or cut."""
 
 DOUBT_PAUSE_S = 1.0
 """Time after a check in which a link is not doubted again."""
@@ -108,7 +101,6 @@
         self.lost_s = NEVER_S
         self.losses = 0
         self.unknown = 0
-        self.failed = 0
 
 
 class Links:
@@ -227,13 +219,9 @@
     def begin_check(self, address, *, now_s):
         """Record the start of a check, after which the next one is due.
 
-        Checks of a doubted link become rarer while nobody can tell, and those
-        of a cut one while it stays cut, or is to be held for longer.
+        Checks of a doubted link become rarer while nobody can tell.
         """
         link = self._link(address)
-        if link.state is LinkState.CUT:
-            link.due_s = now_s + self._cut_pause_s(link)
-            return
         pause_s = RECHECK_S * 2.0 ** min(link.unknown, _MAX_DOUBLINGS)
         link.due_s = now_s + min(MAX_RECHECK_S, pause_s)
 
@@ -266,7 +254,6 @@
             link.unknown += 1
             return link.state
         link.unknown = 0
-        link.failed = 0 if result.direct else link.failed + 1
         if result.others is not Reach.UNKNOWN:
             link.compared_s = now_s
         if result.direct:
@@ -292,7 +279,6 @@
         for address in addresses:
             if address in self._unsound:
                 self._links[address].due_s = now_s
-                self._links[address].failed = 0
 
     def keep_only(self, addresses):
         """Forget all links but those to some addresses."""
@@ -308,7 +294,6 @@
             return
         if link.answered_s is None:
             link.answered_s = now_s
-            link.due_s = min(link.due_s, now_s + self._cut_pause_s(link))
         if now_s - link.answered_s >= self._hold_s(link):
             self._set(address, LinkState.SOUND)
 
@@ -316,14 +301,6 @@
         is_calm = now_s - link.lost_s > CALM_S
         link.losses = 1 if is_calm else link.losses + 1
         link.lost_s = now_s
-        link.failed = 0
-
-    def _cut_pause_s(self, link):
-        if link.answered_s is None:
-            pause_s = RECHECK_S * 2.0 ** min(link.failed, _MAX_DOUBLINGS)
-        else:
-            pause_s = RECHECK_S * self._hold_s(link) / BASE_HOLD_S
-        return min(MAX_CUT_RECHECK_S, pause_s)
 
     def _hold_s(self, link):
         doublings = min(link.losses - 1, _MAX_DOUBLINGS)
