Receive a whole answer only once

Where an attempt may be left early, the receipt runs as a task of its own; after a pause of the process it may have ended in the turn in which the time of the request ends, and what it received was awaited once more. Two tests of answers at the deadline hung until the caller's time was over.

Change: a head and a body that are known are not awaited again.

--- a/currantdeal/node/exchange.py
+++ b/currantdeal/node/exchange.py
@@ -158,7 +158,7 @@
     def __init__(self, *, connection, limit, leave):
         """Start before its head."""
         self.head = None
-        self.body = b""
+        self.body = None
         self._connection = connection
         self._limit = limit
         self._leave = leave
@@ -201,9 +201,10 @@
     async def _receive_rest(self):
         if self.head is None:
             self.head = await self._connection.head()
-        self.body = await self._connection.rest(
-            limit=self._limit, parts=self._parts
-        )
+        if self.body is None:
+            self.body = await self._connection.rest(
+                limit=self._limit, parts=self._parts
+            )
 
 
 def _mark_retrieved(receiving):
