--- a/currantdeal/entry/link_watch.py
+++ b/currantdeal/entry/link_watch.py
@@ -13,13 +13,12 @@
 from currantdeal.node.errors import ConnectError, ExchangeError, LinkError
 from currantdeal.node.exchange import exchange_on
 from currantdeal.policy.health.links import CheckResult, LinkState, Reach
-from currantdeal.policy.placement.helper_choice import MAX_HELPERS
 
 TICK_S = 0.2
 """Interval at which silence is looked for and due checks are started."""
 
 CHECK_TIMEOUT_S = 0.5
-"""Time to answer the first health check, including a new connection."""
+"""Time to answer a health check, including a new connection."""
 
 OPEN_CHECK_TIMEOUT_S = 0.15
 """Time to answer one on a connection that is open."""
@@ -52,14 +51,6 @@
 SPARE_LINKS = 16
 """Links of upstreams that have left which are kept without harm."""
 
-MAX_VERIFIED_AGAIN = 2
-"""Maximum number of helpers whose connections are verified at a time, in all
-checks of a link but the first.
-
-That the first one has found nothing may mean that the upstream is slow for
-all, and more connections would slow it further.
-"""
-
 HELPER_SILENCE_S = 0.6
 """Silence on links through an entry after which it is asked last."""
 
@@ -264,7 +255,7 @@
     async def _check(self, address, may_reuse):
         before = self._links.state(address)
         try:
-            result = await self._compare(address, may_reuse)
+            result = await self._compare(address, before, may_reuse)
         finally:
             self._checking.discard(address)
         if address not in self._view.addresses:
@@ -280,20 +271,18 @@
         if result.direct:
             self.on_answer(self._view.upstream_at(address))
 
-    async def _compare(self, address, may_reuse):
+    async def _compare(self, address, before, may_reuse):
         """Return what a check finds, directly and through others."""
-        timeout_s = CHECK_TIMEOUT_S * self._links.patience(address)
-        direct = asyncio.ensure_future(
-            self._answers_here(address, may_reuse, timeout_s)
-        )
+        direct = asyncio.ensure_future(self._answers_here(address, may_reuse))
         try:
             if not self._links.wants_comparison(address, now_s=_now_s()):
                 return CheckResult(direct=await direct)
-            await asyncio.wait({direct}, timeout=COMPARE_AFTER_S)
+            if before is not LinkState.CUT:
+                await asyncio.wait({direct}, timeout=COMPARE_AFTER_S)
             if direct.done() and direct.result():
                 return CheckResult(direct=True)
             others = await self._reach_through_others(address)
-            wait_s = GRACE_S if others is Reach.REACHED else timeout_s
+            wait_s = GRACE_S if others is Reach.REACHED else CHECK_TIMEOUT_S
             await asyncio.wait({direct}, timeout=wait_s)
             return CheckResult(
                 direct=direct.done() and direct.result(), others=others
@@ -301,7 +290,7 @@
         finally:
             direct.cancel()
 
-    async def _answers_here(self, address, may_reuse, timeout_s):
+    async def _answers_here(self, address, may_reuse):
         """Return whether an upstream answers on a direct connection."""
         connection = self._pool.take_direct(address) if may_reuse else None
         if connection is not None and await self._answers(
@@ -309,11 +298,11 @@
         ):
             return True
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(CHECK_TIMEOUT_S):
                 connection = await self._connector.open_direct(
-                    address, timeout_s=timeout_s
+                    address, timeout_s=CHECK_TIMEOUT_S
                 )
-                return await self._answers(connection, timeout_s)
+                return await self._answers(connection, CHECK_TIMEOUT_S)
         except (ExchangeError, TimeoutError):
             return False
 
@@ -326,11 +315,6 @@
                 timeout_s=CHECK_TIMEOUT_S,
                 # The connection is idle in the pool afterwards.
                 verify=lambda c: self._verify(c, CHECK_TIMEOUT_S),
-                max_unverified=(
-                    MAX_HELPERS
-                    if self._links.is_new_doubt(address)
-                    else MAX_VERIFIED_AGAIN
-                ),
             )
         except LinkError as exc:
             is_told = exc.is_conclusive
--- a/currantdeal/node/connector.py
+++ b/currantdeal/node/connector.py
@@ -111,12 +111,12 @@
             self.on_connected(address, loop.time() - began_s)
         return connection
 
-    async def open_linked(self, address, *, timeout_s, **options):
+    async def open_linked(self, address, *, timeout_s, verify=None):
         """Open a connection through another entry.
 
         Parameters
         ----------
-        options : dict
+        verify : callable or None
             See ``LinkClient.open``.
 
         Raises
@@ -128,7 +128,7 @@
             address,
             lambda helper: self._make(address, helper),
             timeout_s=timeout_s,
-            **options,
+            verify=verify,
         )
 
     async def _open_either(self, address, timeout_s):
--- a/currantdeal/node/link_client.py
+++ b/currantdeal/node/link_client.py
@@ -15,7 +15,6 @@
 )
 from currantdeal.node.settings import split_address
 from currantdeal.node.sockets import prepare_socket
-from currantdeal.policy.placement.helper_choice import MAX_HELPERS
 
 HEDGE_S = 0.1
 """Delay after which the next entry is asked beside one that is slow."""
@@ -63,15 +62,7 @@
         """Ask an entry last for a while, since a link through it was lost."""
         self._choice.record_failure(helper, now_s=_now_s())
 
-    async def open(
-        self,
-        address,
-        make_connection,
-        *,
-        timeout_s,
-        verify=None,
-        max_unverified=MAX_HELPERS,
-    ):
+    async def open(self, address, make_connection, *, timeout_s, verify=None):
         """Return a connection to an upstream through another entry.
 
         Parameters
@@ -81,8 +72,6 @@
         verify : callable or None
             Coroutine function that raises ``ExchangeError`` unless the
             upstream answers on a connection.
-        max_unverified : int
-            Maximum number of connections that are verified at a time.
 
         Raises
         ------
@@ -92,13 +81,12 @@
         left = list(self._choice.order(self._groups(), now_s=_now_s()))
         end_s = _now_s() + timeout_s
         pending, failed = set(), []
-        unverified = _Unverified(verify=verify)
         try:
             while left or pending:
-                if left and unverified.count < max_unverified:
+                if left:
                     helper = left.pop(0)
                     work = self._attempt(
-                        helper, address, make_connection, end_s, unverified
+                        helper, address, make_connection, end_s, verify
                     )
                     pending.add(asyncio.ensure_future(work))
                 wait_s = end_s - _now_s()
@@ -122,16 +110,14 @@
         self._metrics.add("links_opened_total", outcome="failed")
         raise _error(address, failed)
 
-    async def _attempt(
-        self, helper, address, make_connection, end_s, unverified
-    ):
+    async def _attempt(self, helper, address, make_connection, end_s, verify):
         try:
             async with asyncio.timeout_at(end_s):
                 found = await _call(
                     helper, address, make_connection, end_s - _now_s()
                 )
-                if found.connection is not None:
-                    found = await unverified.verify(found)
+                if found.connection is not None and verify is not None:
+                    found = await _verified(found, verify)
         except (TimeoutError, OSError, UnreadableFrameError):
             found = _Attempt()
         if found.connection is not None:
@@ -141,36 +127,6 @@
         return found
 
 
-class _Unverified:
-    """Verifies connections that helpers have opened, and counts them.
-
-    Parameters
-    ----------
-    verify : callable or None
-        See ``LinkClient.open``.
-    """
-
-    def __init__(self, *, verify):
-        self._verify = verify
-        self.count = 0
-
-    async def verify(self, attempt):
-        """Return an attempt, without its connection if that has no answer."""
-        if self._verify is None:
-            return attempt
-        self.count += 1
-        try:
-            await self._verify(attempt.connection)
-        except ExchangeError:
-            return _Attempt(is_conclusive=attempt.is_sound)
-        except BaseException:
-            attempt.connection.close()
-            raise
-        finally:
-            self.count -= 1
-        return attempt
-
-
 _VERDICTS = (LinkOutcome.REFUSED, LinkOutcome.UNANSWERED)
 """Outcomes that say something of the upstream."""
 
@@ -258,6 +214,18 @@
     )
 
 
+async def _verified(attempt, verify):
+    """Return an attempt, without its connection if that has no answer."""
+    try:
+        await verify(attempt.connection)
+    except ExchangeError:
+        return _Attempt(is_conclusive=attempt.is_sound)
+    except BaseException:
+        attempt.connection.close()
+        raise
+    return attempt
+
+
 def _take_one(attempts):
     """Return one connection that was opened, and close the others."""
     opened = [a.connection for a in attempts if a.connection]
--- a/currantdeal/policy/health/links.py
+++ b/currantdeal/policy/health/links.py
@@ -45,9 +45,6 @@
 MAX_RECHECK_S = 4.0
 """Longest interval of checks while no other entry can tell."""
 
-MAX_PATIENCE = 4.0
-"""Most by which a check waits longer than the first one for its answer."""
-
 _MAX_DOUBLINGS = 10
 
 
@@ -235,20 +232,6 @@
         pause_s = RECHECK_S * 2.0 ** min(link.unknown, _MAX_DOUBLINGS)
         link.due_s = now_s + min(MAX_RECHECK_S, pause_s)
 
-    def is_new_doubt(self, address):
-        """Return whether no check of a doubted link has ended yet."""
-        link = self._link(address)
-        return link.state is LinkState.DOUBTED and link.unknown == 0
-
-    def patience(self, address):
-        """Return by how much longer than the first a check is to wait.
-
-        An upstream that is slow answers all entries late.  A check that gives
-        up before costs it as much, and finds nothing.
-        """
-        unknown = min(self._link(address).unknown, _MAX_DOUBLINGS)
-        return min(MAX_PATIENCE, 2.0**unknown)
-
     def wants_comparison(self, address, *, now_s):
         """Return whether a check should ask other entries as well."""
         link = self._link(address)
