--- a/currantdeal/entry/link_watch.py
+++ b/currantdeal/entry/link_watch.py
@@ -29,9 +29,6 @@
 COMPARE_AFTER_S = 0.1
 """Time without a direct answer after which another entry is asked as well."""
 
-VERDICT_S = OPEN_CHECK_TIMEOUT_S + 2 * CHECK_TIMEOUT_S
-"""Time after a doubt in which a comparison has usually ended."""
-
 UPSTREAM_SILENCE_S = 1.0
 """Silence of an upstream at which requests wait, after which it is checked."""
 
@@ -142,19 +139,10 @@
         if silence_s > UPSTREAM_SILENCE_S:
             self.doubt(address, "timed out", may_reuse=True)
 
-    def record_silence(self, address, *, since_s):
-        """Check the link to an upstream if no bytes came since a loop time."""
-        if self._links.contact_s(address) < since_s:
-            self.doubt(address, "left a call unanswered", may_reuse=True)
-
     def is_trusted(self, address):
         """Return whether what is observed of an upstream is not its link's."""
         return address not in self._links.unsound
 
-    def has_other_way(self, address):
-        """Return whether others reach an upstream, or may be found to soon."""
-        return self._links.has_other_way(address)
-
     def is_hung(self, connection):
         """Return whether a connection hangs on a link that is cut."""
         return (
--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -16,7 +16,6 @@
 from currantdeal.entry.memory_turn import MemoryTurn
 from currantdeal.entry.prefill import expects_local_prefill
 from currantdeal.entry.releases import release
-from currantdeal.entry.silent_engines import SilentEngines
 from currantdeal.entry.speeds import is_too_slow, slowdowns
 from currantdeal.node.errors import ExchangeError
 from currantdeal.node.exchange import exchange
@@ -80,7 +79,6 @@
         self._excluded = set()
         self._unreached = 0
         self._turn = None
-        self._silent = SilentEngines(context=context, active=active)
         self._tokens = _tokens(active)
 
     @property
@@ -99,8 +97,6 @@
     async def reserve(self, until_s, *, max_fill=MAX_FILL, in_turn=True):
         """Reserve memory; returns None if none is free until a time.
 
-        It takes longer if no engine answers, see ``SilentEngines``.
-
         Parameters
         ----------
         until_s : float
@@ -132,7 +128,7 @@
                 )
                 if granted is None:
                     turn.record_wait()
-                    if self._is_over(turn, until_s - pause_s):
+                    if turn.is_too_late or self._now_s + pause_s > until_s:
                         break
                     granted = await hedge.wait(pause_s)
             return granted
@@ -140,15 +136,6 @@
             turn.end(granted=granted is not None)
             self._context.in_background(hedge.drain())
 
-    def _is_over(self, turn, last_s):
-        """Return whether to stop trying, at a loop time or earlier.
-
-        Silence is no lack of memory: it goes on a little longer then.
-        """
-        if self._now_s <= last_s:
-            return turn.is_too_late
-        return not self._silent.may_be_reached(last_s)
-
     async def reserve_once(self, *, excluding):
         """Request memory once from each engine except one.
 
@@ -262,7 +249,6 @@
             upstream=record.upstream,
         )
         was_connected = context.pool.is_connected(record.address)
-        self._silent.record_request(record)
         began_s = self._now_s
         try:
             head, body = await exchange(
@@ -273,10 +259,8 @@
                 retryable=True,
             )
         except ExchangeError as exc:
-            self._silent.record_failure(exc)
             self.record_unreachable(record, exc)
             return None
-        self._silent.record_answer()
         context.record_reached(record)
         if was_connected:
             context.departures.costs.record_round_trip(
--- a/currantdeal/node/exchange.py
+++ b/currantdeal/node/exchange.py
@@ -127,6 +127,7 @@
         await answer.receive(timeout_s=timeout_s, has_expired=has_expired)
     except TimeoutError:
         connection.close()
+        answer.discard()
         raise ResponseTimeoutError(
             f"no answer from {connection.address} in "
             f"{loop.time() - began_s:.2f} s",
@@ -134,6 +135,7 @@
         ) from None
     except BaseException:
         connection.close()
+        answer.discard()
         raise
     if _is_of_no_more_use(connection, outgoing, answer.head):
         connection.close()
@@ -182,6 +184,10 @@
                 raise
             await self._receive_rest()
 
+    def discard(self):
+        """Free what was received, to which an error may refer for a while."""
+        self._parts.clear()
+
     async def _receive_unless_left(self):
         """Receive it; raise ``TimeoutError`` if it is left before."""
         if self._leave is None:
@@ -197,6 +203,8 @@
             await receiving
         finally:
             receiving.cancel()
+            # Its error would keep this frame, and thus itself, for long.
+            del receiving
 
     async def _receive_rest(self):
         if self.head is None:
--- a/currantdeal/policy/health/links.py
+++ b/currantdeal/policy/health/links.py
@@ -171,16 +171,6 @@
             self._links[address].state is LinkState.CUT
         )
 
-    def has_other_way(self, address):
-        """Return whether others reach an upstream, or may be found to soon.
-
-        They may while the first check of a doubted link is under way.
-        """
-        if address not in self._unsound:
-            return False
-        link = self._links[address]
-        return link.state is LinkState.CUT or not link.unknown
-
     def record_contact(self, address, *, now_s):
         """Record bytes from an upstream on a connection of this entry."""
         self._link(address).contact_s = now_s
