--- a/currantdeal/node/exchange.py
+++ b/currantdeal/node/exchange.py
@@ -9,6 +9,7 @@
     InvalidResponseError,
     ResponseTimeoutError,
 )
+from currantdeal.node.futures import mark_retrieved
 from currantdeal.policy.answers.reset_outcome import ExchangePhase
 
 MAX_CALL_ANSWER_BYTES = 65_536
@@ -194,7 +195,7 @@
             await self._receive_rest()
             return
         receiving = asyncio.ensure_future(self._receive_rest())
-        receiving.add_done_callback(_mark_retrieved)
+        receiving.add_done_callback(mark_retrieved)
         try:
             await asyncio.wait({receiving}, timeout=self._leave.after_s)
             is_left = not receiving.done() and await self._leave.may_leave()
@@ -215,12 +216,6 @@
             )
 
 
-def _mark_retrieved(receiving):
-    """Let the receipt of an answer fail that is no longer awaited."""
-    if not receiving.cancelled():
-        receiving.exception()
-
-
 def _is_of_no_more_use(connection, outgoing, head):
     """Return whether no request is likely to follow on a connection.
 
--- a/currantdeal/node/link_client.py
+++ b/currantdeal/node/link_client.py
@@ -6,6 +6,7 @@
 
 from currantdeal.adapters.generated.peers.ttypes import FrameKind
 from currantdeal.node.errors import ExchangeError, LinkError
+from currantdeal.node.futures import mark_retrieved
 from currantdeal.node.link_messages import LinkAnswer, LinkCall, LinkOutcome
 from currantdeal.node.peer_watch import peer_watch
 from currantdeal.node.peers import (
@@ -140,7 +141,7 @@
         self._transport = None
         self._peer = None
         self.answer = asyncio.get_running_loop().create_future()
-        self.answer.add_done_callback(_mark_retrieved)
+        self.answer.add_done_callback(mark_retrieved)
 
     def connection_made(self, transport):
         self._transport = transport
@@ -179,12 +180,6 @@
             self.answer.set_exception(exc)
 
 
-def _mark_retrieved(answer):
-    """Let an answer fail that is no longer awaited."""
-    if not answer.cancelled():
-        answer.exception()
-
-
 async def _call(helper, address, make_connection, timeout_s):
     """Return what became of the call to one helper, as an ``_Attempt``."""
     loop = asyncio.get_running_loop()
