--- a/currantdeal/node/exchange.py
+++ b/currantdeal/node/exchange.py
@@ -204,7 +204,8 @@
             await receiving
         finally:
             receiving.cancel()
-            # Its error would keep this frame, and thus itself, for long.
+            # Breaks the cycle of the task, its error and this frame, which
+            # would keep the bytes received until the next collection.
             del receiving
 
     async def _receive_rest(self):
