Leave no slow upstream on the last attempt of a request

What callers saw: 502 "an upstream may have run it" after half of the time of an idempotent request, where the upstream that had it would have answered.

Cause: a slow attempt is ended early if a repeat is charged and another upstream is there, but the number of attempts counts upstreams that refused, too. After three refusals the fourth attempt was ended, and no fifth is made. The same held where the request may no longer be sent.

Evidence: the test failed before with 502 after 0.99 s of 2 s, where the answer would have come after 1.3 s.

Change: an attempt is left only if the loop would make another one.

--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -209,6 +209,8 @@
         return None
 
     async def may_leave():
+        if len(attempted) >= MAX_ATTEMPTS or not context.may_send(active):
+            return False
         if not _order(context, active, attempted):
             return False
         if await _may_send(context, active, None):
--- a/currantdeal/entry/tests/test_plain.py
+++ b/currantdeal/entry/tests/test_plain.py
@@ -1,10 +1,12 @@
 """Calls that are not generations, against faulty stand-ins for upstreams."""
 
 import asyncio
+import itertools
 import time
 
 import pytest
 
+from currantdeal.entry.plain import MAX_ATTEMPTS
 from currantdeal.testing.entry_world import (
     entry_world,
     read_to_end,
@@ -285,3 +287,19 @@
             return await world.exchange(request_bytes("/menu/1"))
 
     assert asyncio.run(run()).startswith(b"HTTP/1.1 200")
+
+
+def test_slow_upstream_is_not_left_by_the_last_attempt():
+    """Guards against the end of an attempt after which none is made."""
+    numbers = itertools.count(1)
+
+    async def answer(standin, request, writer):
+        if request.is_health_check:
+            return False
+        if next(numbers) < MAX_ATTEMPTS:
+            return await _full(standin, request, writer)
+        await asyncio.sleep(1.3)
+        return False
+
+    raw, _ = _ask(MENU, *[answer] * (MAX_ATTEMPTS + 1))
+    assert raw.startswith(b"HTTP/1.1 200")
