Leave a slow upstream only for one that has a slot

What callers saw: 502 "an upstream may have run it" after half of the time of an idempotent request, where the slow upstream would have answered and the others were at the limits that they name.

Cause: an attempt is ended early if another upstream is there. Whether that one takes a request is asked only afterwards, and a request that may have run ends if it does not.

Change: the next upstream is chosen, with its slot, before the attempt is ended, and is the one that is tried next. The answer of the slow one is no longer held up by the question; it cancels it.

--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -64,16 +64,18 @@
         If an upstream may have run it and there is no answer.
     """
     attempted = set()
+    chosen = []
     last = None
     while len(attempted) < MAX_ATTEMPTS:
-        record = await _next_upstream(context, active, attempted)
+        record = await _next_upstream(context, active, attempted, chosen)
         if record is None or not context.may_send(active):
             break
         if not await _may_send(context, active, last):
             active.add_step(StepKind.NO_BUDGET)
             break
         attempted.add(record.upstream)
-        answer = await _attempt(context, active, record, attempted)
+        leave = _early_leave(context, active, attempted, chosen)
+        answer = await _attempt(context, active, record, leave)
         if last is not None and answer.head is not None:
             context.repeat_outcomes.record(
                 active.service.name,
@@ -128,14 +130,25 @@
         self.final = final
 
 
-async def _next_upstream(context, active, attempted):
+async def _next_upstream(context, active, attempted, chosen=()):
     """Return the upstream to try next; None if there is none.
 
+    Parameters
+    ----------
+    chosen : iterable of UpstreamRecord
+        Upstreams that were admitted for this attempt already.
+
     Raises
     ------
     RefusedError
         If the request has not run, and all upstreams are at their limits.
     """
+    for record in chosen:
+        if (
+            context.view.accepts_work(record.upstream)
+            and record.upstream not in attempted
+        ):
+            return record
     ordered = _order(context, active, attempted)
     while ordered:
         record = await _admitted(context, active, ordered)
@@ -199,10 +212,15 @@
     return answer.retryable and runs_left
 
 
-def _early_leave(context, active, attempted):
+def _early_leave(context, active, attempted, chosen):
     """Return when a slow attempt makes place for another one, or None.
 
     It does so only for one that will be sent: the upstream may still answer.
+
+    Parameters
+    ----------
+    chosen : list
+        The upstream of that attempt is appended to it.
     """
     retryable = active.route.retry_safety is RetrySafety.FREELY
     if not retryable or active.runs + 1 >= active.route.max_upstreams:
@@ -211,9 +229,14 @@
     async def may_leave():
         if len(attempted) >= MAX_ATTEMPTS or not context.may_send(active):
             return False
-        if not _order(context, active, attempted):
+        try:
+            record = await _next_upstream(context, active, attempted)
+        except RefusedError:
+            return False
+        if record is None:
             return False
         if await _may_send(context, active, None):
+            chosen.append(record)
             return True
         active.add_step(StepKind.NO_BUDGET)
         return False
@@ -224,7 +247,7 @@
     )
 
 
-async def _attempt(context, active, record, attempted):
+async def _attempt(context, active, record, leave):
     now_s = context.now_s
     sent_s = context.limits.now_s
     outgoing = context.encode(active, record, ArrivalKind.CALL)
@@ -239,7 +262,7 @@
             timeout_s=active.time_left_s(now_s),
             limit=MAX_ANSWER_BYTES,
             has_expired=lambda: active.has_expired,
-            leave=_early_leave(context, active, attempted),
+            leave=leave,
         )
         completeness = check_end(head, position_of(head, body))
     except ExchangeError as exc:
--- a/currantdeal/entry/tests/test_plain.py
+++ b/currantdeal/entry/tests/test_plain.py
@@ -7,6 +7,8 @@
 import pytest
 
 from currantdeal.entry.plain import MAX_ATTEMPTS
+from currantdeal.node.dialect import ResponseMetadata
+from currantdeal.policy.limits.limit_owner import LimitGrant
 from currantdeal.testing.entry_world import (
     entry_world,
     read_to_end,
@@ -303,3 +305,28 @@
 
     raw, _ = _ask(MENU, *[answer] * (MAX_ATTEMPTS + 1))
     assert raw.startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize("has_slot", [False, True])
+def test_slow_upstream_is_left_only_for_one_with_a_slot(has_slot):
+    """Guards against the end of an attempt while all others are at limits."""
+
+    async def answer_late(standin, request, writer):
+        if not request.is_health_check:
+            await asyncio.sleep(1.3)
+        return False
+
+    async def grant(ask, timeout_s):
+        return LimitGrant(upstream="u2" if has_slot else "", retry_after_s=9.0)
+
+    def limit(world):
+        limits = world.context.limits
+        limits.ask_owner = grant
+        limits.observe(
+            "u2",
+            ResponseMetadata(not_run=False, is_signed=True, limit_per_s=1.0),
+        )
+
+    answer, standins = _ask(MENU, answer_late, None, prepare=limit)
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert [len(standin.runs) for standin in standins] == [1, int(has_slot)]
--- a/currantdeal/node/exchange.py
+++ b/currantdeal/node/exchange.py
@@ -26,7 +26,8 @@
         Time for which a connection, and then the whole response, is awaited
         in any case.
     may_leave : callable
-        Coroutine function that is asked once, after that time.
+        Coroutine function that is asked once, after that time; cancelled if
+        the response is received meanwhile.
     """
 
     after_s: float
@@ -198,8 +199,7 @@
         receiving.add_done_callback(mark_retrieved)
         try:
             await asyncio.wait({receiving}, timeout=self._leave.after_s)
-            is_left = not receiving.done() and await self._leave.may_leave()
-            if is_left and not receiving.done():
+            if not receiving.done() and await self._is_left_during(receiving):
                 raise TimeoutError
             await receiving
         finally:
@@ -208,6 +208,18 @@
             # would keep the bytes received until the next collection.
             del receiving
 
+    async def _is_left_during(self, receiving):
+        """Ask whether to leave, until the answer is received."""
+        asking = asyncio.ensure_future(self._leave.may_leave())
+        asking.add_done_callback(mark_retrieved)
+        try:
+            await asyncio.wait(
+                {receiving, asking}, return_when=asyncio.FIRST_COMPLETED
+            )
+            return not receiving.done() and asking.result()
+        finally:
+            asking.cancel()
+
     async def _receive_rest(self):
         if self.head is None:
             self.head = await self._connection.head()
