Abandon a request that begins as its caller ends its side

What callers saw: nothing; the others paid. A second request of one connection that was there before the first was answered kept its upstream until its end, though its caller had left.

If the end of the caller's side is read in the turn of the event loop in which the first answer ends, the second request has begun, but the answer that is looked at is still the first one, which is whole.

Change: a request has no answer until its handler runs.

--- a/currantdeal/node/caller_connection.py
+++ b/currantdeal/node/caller_connection.py
@@ -184,7 +184,7 @@
         # has ended.
         self._has_caller_ended = True
         if self.is_busy:
-            if self._responder.finished:
+            if self._responder is not None and self._responder.finished:
                 return True
             # In order, it would end only once the caller has taken all.
             self._writer.abort(ConnectionEnd.CLOSED)
@@ -373,7 +373,7 @@
             sender=self._sender,
         )
         self._body.clear()
-        self._request = None
+        self._request = self._responder = None
         self._task = self._loop.create_task(self._run(request))
 
     async def _run(self, request):
--- a/currantdeal/node/tests/test_leaving_callers.py
+++ b/currantdeal/node/tests/test_leaving_callers.py
@@ -149,3 +149,38 @@
 
     asyncio.run(run())
     assert ends == [end]
+
+
+def test_second_request_is_abandoned_as_its_caller_ends_with_the_first():
+    """Guards against work for a caller who left as the next request began."""
+
+    async def run():
+        release, ended = asyncio.Event(), asyncio.Event()
+        begun = []
+
+        async def answer(request, responder):
+            begun.append(request)
+            if len(begun) == 1:
+                await release.wait()
+                responder.answer(200, (), b"")
+                return
+            try:
+                await asyncio.sleep(10.0)
+            finally:
+                ended.set()
+
+        server = HttpServer(handler=answer, limits=CallerLimits)
+        await server.start("127.0.0.1", 0)
+        loop = asyncio.get_running_loop()
+        with socket.socket() as sock:
+            sock.setblocking(False)
+            await loop.sock_connect(sock, server.address)
+            await loop.sock_sendall(sock, 2 * GET)
+            await asyncio.sleep(0.1)
+            # The server reads the end in the turn in which the answer ends.
+            release.set()
+            sock.shutdown(socket.SHUT_WR)
+            await asyncio.sleep(ABANDON_S)
+        return ended.is_set() or len(begun) == 1
+
+    assert asyncio.run(run())
