--- a/currantdeal/node/connector.py
+++ b/currantdeal/node/connector.py
@@ -68,12 +68,18 @@
             return await self.open_direct(address, timeout_s=timeout_s)
         if not self.links.is_cut(address):
             return await self._open_either(address, timeout_s)
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + timeout_s
         try:
             return await self.open_linked(address, timeout_s=timeout_s)
         except LinkError as exc:
             if exc.is_refused:
                 raise ConnectRefusedError(str(exc)) from exc
-            raise
+            if not self.links.is_returning(address):
+                raise
+        # The helpers may be cut as well, or have ended.
+        left_s = max(0.0, end_s - loop.time())
+        return await self.open_direct(address, timeout_s=left_s)
 
     def avoid(self, helper):
         """Use an entry last for a while, after a connection through it ended.
--- a/currantdeal/node/tests/test_links.py
+++ b/currantdeal/node/tests/test_links.py
@@ -123,6 +123,27 @@
     _run(test)
 
 
+@pytest.mark.parametrize("is_back", [True, False])
+def test_link_that_answers_again_is_used_if_no_helper_reaches(is_back):
+    """Guards against refusals in a hold time during which helpers are cut."""
+
+    async def test(world):
+        world.cut()
+        world.cut(world.helpers[0].links)
+        world.pool.connector.links.record_check(
+            world.standin.address, CheckResult(direct=is_back), now_s=1.0
+        )
+        if is_back:
+            head, _ = await world.ask()
+            assert head.status == 200
+            assert not world.pool.is_connected(world.standin.address)
+        else:
+            with pytest.raises(LinkError):
+                await world.ask()
+
+    _run(test, helpers=1)
+
+
 def test_refusal_of_a_sound_helper_proves_the_end_of_a_process():
     """Guards against a crash that is not recognised any more."""
 
--- a/currantdeal/policy/health/links.py
+++ b/currantdeal/policy/health/links.py
@@ -171,6 +171,12 @@
             self._links[address].state is LinkState.CUT
         )
 
+    def is_returning(self, address):
+        """Return whether a link that is cut answered its last check."""
+        if not self.is_cut(address):
+            return False
+        return self._links[address].answered_s is not None
+
     def record_contact(self, address, *, now_s):
         """Record bytes from an upstream on a connection of this entry."""
         self._link(address).contact_s = now_s
