Claim no leadership while a step-down is due

What callers saw: nothing yet; an operation could be reported in force everywhere while an instance still held a lease on the state before it.

A leader steps down once no quorum has answered for twice the election timeout (1.6 s), which is before the leases that it knows of end (2 s). The step-down now waits for all messages that are in the inbox. A leader that was held up for longer answered checks among them first: it took leases for ended that a later leader may have renewed.

Change: a replica claims no leadership if its step-down is due, whether its timers have run or not. It still receives first, and stays the leader if the answers of its quorum wait.

--- a/currantdeal/adapters/replication/replica.py
+++ b/currantdeal/adapters/replication/replica.py
@@ -166,7 +166,10 @@
 
     @property
     def _leads(self):
-        return self._node.is_ready and self._unsaved is None
+        if not self._node.is_ready or self._unsaved is not None:
+            return False
+        # A tick that is due runs after the messages that wait.
+        return not self._node.is_quorum_silent(self._now_s)
 
     @singledispatchmethod
     def _handle(self, message):
--- a/currantdeal/consensus/node.py
+++ b/currantdeal/consensus/node.py
@@ -191,6 +191,10 @@
         """Return the send time of the last heartbeat a quorum answered."""
         return replication.quorum_acked_s(self._raft, now_s)
 
+    def is_quorum_silent(self, now_s):
+        """Return whether a leader has to step down at its next tick."""
+        return replication.is_quorum_silent(self._raft, now_s)
+
     def silent_members(self, now_s):
         """Return the members that a leader considers lost for good."""
         if self._raft.role is not RaftRole.LEADER:
--- a/currantdeal/consensus/replication.py
+++ b/currantdeal/consensus/replication.py
@@ -70,8 +70,7 @@
     The leader steps down when no quorum has answered its heartbeats for
     twice the minimum election timeout.
     """
-    limit_s = 2.0 * raft.settings.election_s
-    if now_s - max(quorum_acked_s(raft, now_s), raft.elected_s) > limit_s:
+    if is_quorum_silent(raft, now_s):
         raft.become_follower(raft.term, None, now_s)
         return
     if raft.transfer_to is not None and now_s >= raft.transfer_due_s:
@@ -81,6 +80,13 @@
     _adapt_replica_set(raft, now_s)
 
 
+def is_quorum_silent(raft, now_s):
+    """Return whether a leader has to step down at its next tick."""
+    limit_s = 2.0 * raft.settings.election_s
+    heard_s = max(quorum_acked_s(raft, now_s), raft.elected_s)
+    return now_s - heard_s > limit_s
+
+
 def broadcast(raft, now_s):
     """Send every other member its missing entries, or a heartbeat."""
     raft.heartbeat_due_s = now_s + raft.settings.heartbeat_s
