Let only a leader that cannot have been replaced confirm the newest version

What callers saw: by the code, 401 "the key is not known" for a key that a later leader had accepted.

Cause: a control process whose disk holds it up neither receives nor runs its timers, and stays the leader in its own eyes. Asked whether its version is the newest it said so, whatever the age of its last quorum. An entry that finds a key in no version trusts that answer.

Change: it says so only within the shortest election timeout after a heartbeat that a quorum answered, and not during a transfer of leadership. Version and age are stated as before, and other control processes go on to use them, so that keys that are known stay confirmed.

The stand-in of a leader in test_confirmation says what the new question asks, and the test asserts one thing more.

--- a/currantdeal/consensus/node.py
+++ b/currantdeal/consensus/node.py
@@ -191,6 +191,18 @@
         """Return the send time of the last heartbeat a quorum answered."""
         return replication.quorum_acked_s(self._raft, now_s)
 
+    def is_sole_leader(self, now_s):
+        """Return whether no later leader can have been elected yet.
+
+        A voter grants no vote for the shortest election timeout after it has
+        received a heartbeat, unless the leader transfers its leadership.
+        """
+        raft = self._raft
+        if raft.role is not RaftRole.LEADER or raft.transfer_to is not None:
+            return False
+        silent_s = now_s - replication.quorum_acked_s(raft, now_s)
+        return silent_s < raft.settings.election_s
+
     def is_quorum_silent(self, now_s):
         """Return whether a leader has to step down at its next tick."""
         return replication.is_quorum_silent(self._raft, now_s)
--- a/currantdeal/control/confirmation.py
+++ b/currantdeal/control/confirmation.py
@@ -67,12 +67,13 @@
         )
 
     def _confirm_as_leader(self):
-        now_s = self._clock()
+        now_s, node = self._clock(), self._replica.node
         return ConfirmAnswer(
             certain=True,
             version=self._replica.state.version,
-            age_s=now_s - self._replica.node.quorum_acked_s(now_s),
-            fresh=True,
+            age_s=now_s - node.quorum_acked_s(now_s),
+            # One that is held up by its disk may have been replaced.
+            fresh=node.is_sole_leader(now_s),
         )
 
     def _age_s(self):
@@ -81,7 +82,7 @@
         return boot_time_s() - self._confirmed_s
 
     async def _ask(self):
-        """Ask the leader; returns whether it answered."""
+        """Ask the leader; returns whether it knows the newest version."""
         leader = self._leader_link.address
         if leader is None or not self._supports(leader):
             return False
@@ -89,13 +90,13 @@
         answer = await self._leader_link.call(
             ConfirmCall(), timeout_s=ASK_TIMEOUT_S
         )
-        if answer is None or not (answer.certain and answer.fresh):
+        if answer is None or not answer.certain:
             return False
         confirmed_s = sent_s - answer.age_s
         if self._confirmed_s is None or confirmed_s > self._confirmed_s:
             self._version = answer.version
             self._confirmed_s = confirmed_s
-        return True
+        return answer.fresh
 
     async def _wait_for_version(self):
         """Wait until this instance has published the newest version."""
--- a/currantdeal/control/tests/test_confirmation.py
+++ b/currantdeal/control/tests/test_confirmation.py
@@ -48,11 +48,15 @@
     replica = SimpleNamespace(
         is_caught_up_leader=True,
         state=SimpleNamespace(version=7),
-        node=SimpleNamespace(quorum_acked_s=lambda now_s: now_s - 3.0),
+        node=SimpleNamespace(
+            quorum_acked_s=lambda now_s: now_s - 3.0,
+            is_sole_leader=lambda now_s: False,
+        ),
     )
     (answer,) = _answers([ConfirmCall()], leader=_Leader(), replica=replica)
     assert (answer.certain, answer.version) == (True, 7)
     assert round(answer.age_s, 3) == 3.0
+    assert not answer.fresh
 
 
 def test_a_follower_adds_the_age_of_the_answer_that_it_passes_on():
--- a/currantdeal/control/tests/test_replica.py
+++ b/currantdeal/control/tests/test_replica.py
@@ -17,10 +17,12 @@
     VoteRequest,
 )
 from currantdeal.consensus import Replica as Member
+from currantdeal.control.confirmation import ViewConfirmation
 from currantdeal.control.deployment_state import DeploymentState
 from currantdeal.control.errors import NotCertainError, NotCommittedError
 from currantdeal.control.replica import Replica
 from currantdeal.control.tests.builders import FAST, a_change, run_group
+from currantdeal.node.organisation_messages import ConfirmCall
 
 
 def _run(tmp_path, work):
@@ -201,6 +203,38 @@
     assert [m for m in sent if isinstance(m, AppendAnswer)]
 
 
+def test_leader_held_up_by_its_disk_confirms_no_newest_version(tmp_path):
+    """Guards against keys that only a replaced leader does not know."""
+    release = threading.Event()
+
+    async def work(group):
+        old = await group.leader()
+        await old.propose(a_change(1))
+        save = old._folder.save
+        old._folder.save = lambda writes: release.wait() and save(writes)
+        lost = asyncio.ensure_future(old.propose(a_change(2)))
+        try:
+            others = [r for r in group.replicas.values() if r is not old]
+            while not any(r.is_leader for r in others):
+                await asyncio.sleep(0.02)
+            new = next(r for r in others if r.is_leader)
+            await new.propose(a_change(3))
+            confirmation = ViewConfirmation(
+                replica=old,
+                leader_link=None,
+                supports=lambda address: True,
+                clock=asyncio.get_running_loop().time,
+            )
+            return await confirmation.answer(ConfirmCall(fresh=True))
+        finally:
+            release.set()
+            lost.cancel()
+
+    answer = _run(tmp_path, work)
+    assert answer.version < 3
+    assert not answer.fresh
+
+
 def _heartbeat(now_s):
     return AppendRequest(
         term=1,
