Ask for the next attempt as it will be charged before a slow one is left

What callers saw: the end of an idempotent request, with the error of its first upstream, after half of the time that was left, though the second upstream would have answered. By the code; with at most two attempts it cannot happen.

Cause: whether another attempt may follow was asked without the error of the attempt before, while the loop asks with it: repeats after errors are withheld where they mostly fail. The slow attempt was ended for a repeat that was then not made.

Change: both ask with the same error.

--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -74,7 +74,7 @@
             active.add_step(StepKind.NO_BUDGET)
             break
         attempted.add(record.upstream)
-        leave = _early_leave(context, active, attempted, chosen)
+        leave = _early_leave(context, active, attempted, chosen, last)
         answer = await _attempt(context, active, record, leave)
         if last is not None and answer.head is not None:
             context.repeat_outcomes.record(
@@ -212,7 +212,7 @@
     return answer.retryable and runs_left
 
 
-def _early_leave(context, active, attempted, chosen):
+def _early_leave(context, active, attempted, chosen, error):
     """Return when a slow attempt makes place for another one, or None.
 
     It does so only for one that will be sent: the upstream may still answer.
@@ -221,6 +221,8 @@
     ----------
     chosen : list
         The upstream of that attempt is appended to it.
+    error : _AttemptResult or None
+        The last complete answer, an error.
     """
     retryable = active.route.retry_safety is RetrySafety.FREELY
     if not retryable or active.runs + 1 >= active.route.max_upstreams:
@@ -235,7 +237,7 @@
             return False
         if record is None:
             return False
-        if await _may_send(context, active, None):
+        if await _may_send(context, active, error):
             chosen.append(record)
             return True
         active.add_step(StepKind.NO_BUDGET)
--- a/currantdeal/entry/tests/test_plain.py
+++ b/currantdeal/entry/tests/test_plain.py
@@ -10,6 +10,7 @@
 from currantdeal.node.dialect import ResponseMetadata
 from currantdeal.policy.limits.limit_owner import LimitGrant
 from currantdeal.testing.entry_world import (
+    config_body,
     entry_world,
     read_to_end,
     request_bytes,
@@ -23,7 +24,9 @@
 ORDER = request_bytes("/order/1", body=b"cake=1")
 
 
-def _ask(raw, *scripts, allowance=100.0, prepare=lambda world: None):
+def _ask(
+    raw, *scripts, allowance=100.0, prepare=lambda world: None, **options
+):
     """Return the answer to one request, and the stand-ins of its upstreams."""
 
     async def run():
@@ -31,7 +34,7 @@
             StandInUpstream(upstream=f"u{n}", script=script)
             for n, script in enumerate(scripts, start=1)
         ]
-        async with entry_world(allowance=allowance) as world:
+        async with entry_world(allowance=allowance, **options) as world:
             for standin in standins:
                 await standin.start()
                 world.announce(standin)
@@ -307,6 +310,35 @@
     assert raw.startswith(b"HTTP/1.1 200")
 
 
+def test_slow_upstream_is_not_left_for_a_repeat_that_is_withheld():
+    """Guards against the end of an attempt before a repeat that is denied.
+
+    Repeats after an error turn out to fail mostly while the second attempt
+    runs, and a third one is not made for that reason.
+    """
+    worlds, numbers = [], itertools.count(1)
+
+    async def answer(standin, request, writer):
+        if request.is_health_check:
+            return False
+        if next(numbers) == 1:
+            return await _server_error(standin, request, writer)
+        fail_mostly(worlds[0].context)
+        await asyncio.sleep(1.5)
+        return False
+
+    def fail_mostly(context):
+        context.retry_budgets.on_denied("shop")
+        for _ in range(20):
+            context.repeat_outcomes.record(
+                "shop", failed=True, now_s=context.now_s
+            )
+
+    config = config_body().replace(b'"MaxAttempts":2', b'"MaxAttempts":3')
+    raw, _ = _ask(MENU, *[answer] * 3, config=config, prepare=worlds.append)
+    assert raw.startswith(b"HTTP/1.1 200")
+
+
 @pytest.mark.parametrize("has_slot", [False, True])
 def test_slow_upstream_is_left_only_for_one_with_a_slot(has_slot):
     """Guards against the end of an attempt while all others are at limits."""
