Count moves of streams to another engine

Cause: no metric tells how many silent streams are moved, and why a move is given up. Change: moves_total{outcome, why}, of the closed sets MoveOutcome and MoveFailure; moves begun, kept, and given up for memory or the retry budget are counted.

--- a/currantdeal/entry/run_wait.py
+++ b/currantdeal/entry/run_wait.py
@@ -9,6 +9,10 @@
 
 from currantdeal.entry.arrivals import ArrivalKind
 from currantdeal.node.errors import EngineLostError, ResponseTimeoutError
+from currantdeal.policy.answers.handover_outcome import (
+    MoveFailure,
+    MoveOutcome,
+)
 from currantdeal.policy.answers.reset_outcome import ExchangePhase
 
 RESUME_SILENCE_GAPS = 4
@@ -99,16 +103,29 @@
             )
 
     async def _move(self, connection, record):
+        self._count_move(MoveOutcome.BEGUN)
         reservation = await self._reserver.reserve_once(excluding=record)
         if reservation is None:
+            self._count_move(MoveOutcome.GIVEN_UP, MoveFailure.NO_MEMORY)
             return
-        if await self._may_run() and not connection.has_received:
+        if not await self._may_run():
+            self._count_move(MoveOutcome.GIVEN_UP, MoveFailure.RETRY_BUDGET)
+        elif connection.has_received:
+            self._count_move(MoveOutcome.KEPT)
+        else:
             self._reservation = reservation
             raise ResponseTimeoutError(
                 "no event", phase=ExchangePhase.BETWEEN_EVENTS
             )
         self._reserver.release(reservation)
 
+    def _count_move(self, outcome, why=None):
+        self._context.metrics.add(
+            "moves_total",
+            outcome=outcome.value,
+            why="" if why is None else why.value,
+        )
+
     async def _may_run(self):
         return await self._active.arrivals.may_send(ArrivalKind.RUN)
 
