Give each broken-off answer one reason of a closed set

Cause: the line of a request has the reason in prose, the line stopped only a number. Change: BreakReason and Failure; request-ended and stopped have broken_off, answers_broken_off_total{reason} counts them. A run that was not sent after the first event (charge lapsed, key not confirmed) now ends as broken off, no longer as failed.

--- a/currantdeal/cli/entry_drain.py
+++ b/currantdeal/cli/entry_drain.py
@@ -124,8 +124,13 @@
         await self._server.cut_all()
         # What callers have not taken outlives the process in the kernel.
         peer_watch().release()
+        requests = self._service.requests
         _log.info(
-            "stopped", cut=cut, ended=self._service.requests.ended, **counts
+            "stopped",
+            cut=cut,
+            ended=requests.ended,
+            broken_off=requests.broken_off,
+            **counts,
         )
 
     @property
--- a/currantdeal/entry/active_request.py
+++ b/currantdeal/entry/active_request.py
@@ -85,6 +85,8 @@
         it.
     trial : frozenset of bytes
         Quarantined identities that it is to clear by its completion.
+    break_reason : BreakReason or None
+        Why its answer was broken off, if it was.
     """
 
     def __init__(
@@ -117,6 +119,7 @@
         self.was_sent = False
         self.lost_incarnations = []
         self.trial = frozenset()
+        self.break_reason = None
         self.search = MemorySearch()
         self.leaving_gains_s = {}
         self.steps = []
--- a/currantdeal/entry/errors.py
+++ b/currantdeal/entry/errors.py
@@ -1,10 +1,140 @@
 """Errors of the entries: why a request gets no complete answer."""
 
+from dataclasses import dataclass
+from enum import Enum
+from functools import singledispatch
+
 from currantdeal.core.errors import CurrantdealError
+from currantdeal.node.errors import (
+    SendExpiredError,
+    UnchargedError,
+    UnsendableRequestError,
+)
 from currantdeal.node.fingerprint import describe_verdict
 from currantdeal.policy.retries.retry_after import RefusalReason
 
 
+class BreakReason(str, Enum):
+    """Why an answer that had begun was broken off, in one word.
+
+    The value is a label of metrics.  Where several things were in the way,
+    the last one counts.
+
+    Attributes
+    ----------
+    NO_ENGINE
+        No attempt was made; an answer that has begun never has it.
+    NO_MEMORY
+        No engine granted memory for the next run in its time.
+    RETRY_BUDGET
+        The retry budget allowed no further run.
+    NO_PREFILL
+        The prompt was not prefilled for the next run.
+    UNREACHED
+        The engine of the next run accepted no connection.
+    RUN_LOST
+        The run ended early, and its request may not be resumed.
+    ATTEMPTS
+        The run ended early, and was the last one that is allowed.
+    ENGINE_LEFT
+        The engine of the next run, or its process, left.
+    NOT_ALLOWED
+        The caller's key is withdrawn or not confirmed, or the request is
+        suspected to crash upstreams.
+    REFUSED
+        The engine of the next run did not accept it.
+    NOT_SIGNED
+        Another program answered the next run.
+    ERROR
+        The engine of the next run answered with an error.
+    UNKNOWN_END
+        Nobody can tell whether the next run was whole.
+    UNSENDABLE
+        HTTP cannot express the request for the next run.
+    SLOW_CALLER
+        The caller took nothing while an engine waited for it.
+    TIME_OVER
+        The request's time was over, or too short for another run.
+    """
+
+    NO_ENGINE = "no-engine"
+    NO_MEMORY = "no-memory"
+    RETRY_BUDGET = "retry-budget"
+    NO_PREFILL = "no-prefill"
+    UNREACHED = "unreached"
+    RUN_LOST = "run-lost"
+    ATTEMPTS = "attempts"
+    ENGINE_LEFT = "engine-left"
+    NOT_ALLOWED = "not-allowed"
+    REFUSED = "refused"
+    NOT_SIGNED = "not-signed"
+    ERROR = "error"
+    UNKNOWN_END = "unknown-end"
+    UNSENDABLE = "unsendable"
+    SLOW_CALLER = "slow-caller"
+    TIME_OVER = "time-over"
+
+    @property
+    def description(self):
+        """Text for log lines, unless there is more to say.
+
+        Examples
+        --------
+        >>> BreakReason.NO_MEMORY.description
+        'no memory'
+        """
+        return _DESCRIPTIONS[self]
+
+
+_DESCRIPTIONS = {
+    BreakReason.NO_ENGINE: "no engine took it",
+    BreakReason.NO_MEMORY: "no memory",
+    BreakReason.RETRY_BUDGET: "the retry budget is used up",
+    BreakReason.NO_PREFILL: "its prompt was not prefilled",
+    BreakReason.UNREACHED: "the engine accepted no connection",
+    BreakReason.RUN_LOST: "the run was lost",
+    BreakReason.ATTEMPTS: "no attempt is left",
+    BreakReason.ENGINE_LEFT: "the engine left meanwhile",
+    BreakReason.NOT_ALLOWED: (
+        "its key cannot be confirmed, or upstreams crashed"
+    ),
+    BreakReason.REFUSED: "the run was refused",
+    BreakReason.NOT_SIGNED: "the answer is not signed",
+    BreakReason.ERROR: "the resumed run failed",
+    BreakReason.UNKNOWN_END: "the end of a resumed run is unknown",
+    BreakReason.UNSENDABLE: "the request cannot be encoded",
+    BreakReason.SLOW_CALLER: "the caller takes nothing",
+    BreakReason.TIME_OVER: "too little time is left",
+}
+
+
+@dataclass(frozen=True, kw_only=True)
+class Failure:
+    """Why an attempt at a generation failed.
+
+    Parameters
+    ----------
+    reason : BreakReason
+        Word for it, should it break an answer off.
+    text : str
+        Text for logs and for the caller.
+
+    Examples
+    --------
+    >>> lost = Failure(reason=BreakReason.RUN_LOST, text="ended early")
+    >>> lost.followed_by(BreakReason.ATTEMPTS).text
+    'ended early, and no attempt is left'
+    """
+
+    reason: BreakReason
+    text: str
+
+    def followed_by(self, reason):
+        """Return the ``Failure`` if nothing else is tried, for a reason."""
+        text = f"{self.text}, and {reason.description}"
+        return Failure(reason=reason, text=text)
+
+
 class EntryError(CurrantdealError):
     """Base of the errors of this package."""
 
@@ -109,7 +239,20 @@
 
 
 class IncompleteAnswerError(EntryError):
-    """The answer ended early, after a part of it was forwarded."""
+    """The answer ended early, after a part of it was forwarded.
+
+    Parameters
+    ----------
+    text : str
+        Text for logs.
+    reason : BreakReason
+        Word for logs and metrics.
+    """
+
+    def __init__(self, text, *, reason):
+        """Store the text and the ``BreakReason``."""
+        super().__init__(text)
+        self.reason = reason
 
 
 class PrefillFailedError(EntryError):
@@ -127,3 +270,59 @@
         """Store the reason and whether the prefill may be running."""
         super().__init__(reason)
         self.maybe_running = maybe_running
+
+
+@singledispatch
+def break_reason_of(exc):
+    """Return the ``BreakReason`` for a run that was not sent.
+
+    Examples
+    --------
+    >>> break_reason_of(UnchargedError("the charge has lapsed")).value
+    'retry-budget'
+    """
+    raise TypeError(f"does not keep a run from being sent: {exc!r}")
+
+
+@break_reason_of.register
+def _(exc: SendExpiredError):
+    return BreakReason.NOT_ALLOWED
+
+
+@break_reason_of.register
+def _(exc: UnchargedError):
+    return BreakReason.RETRY_BUDGET
+
+
+@break_reason_of.register
+def _(exc: UnsendableRequestError):
+    return BreakReason.UNSENDABLE
+
+
+def error_of(failure, *, has_begun, may_have_run, verdict, retry_after_s):
+    """Return the ``EntryError`` for a generation that has failed.
+
+    Parameters
+    ----------
+    failure : Failure
+        Why its last attempt failed.
+    has_begun : bool
+        Whether a part of its answer was forwarded.
+    may_have_run : bool
+        Whether an engine may have run it.
+    verdict : Verdict or None
+        What of it is quarantined.
+    retry_after_s : float or None
+        See ``MemoryShortError``.
+    """
+    if has_begun:
+        return IncompleteAnswerError(failure.text, reason=failure.reason)
+    if may_have_run:
+        return FailedError(failure.text)
+    if verdict is not None:
+        return QuarantinedError(verdict)
+    if failure.reason is BreakReason.RETRY_BUDGET:
+        return RefusedError(
+            failure.text, refusal_reason=RefusalReason.RETRY_BUDGET
+        )
+    return MemoryShortError(failure.text, retry_after_s=retry_after_s)
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -11,13 +11,7 @@
 from currantdeal.core import Ran
 from currantdeal.entry.arrivals import ArrivalKind
 from currantdeal.entry.distance import Pool
-from currantdeal.entry.errors import (
-    FailedError,
-    IncompleteAnswerError,
-    MemoryShortError,
-    QuarantinedError,
-    RefusedError,
-)
+from currantdeal.entry.errors import BreakReason, Failure, error_of
 from currantdeal.entry.events import position_of
 from currantdeal.entry.memory import MemoryReserver
 from currantdeal.entry.prefill import prefill_prompt, release_kv_cache
@@ -47,7 +41,6 @@
     reset_outcome,
 )
 from currantdeal.policy.placement.distance import MEMORY_WAIT_TARGETS
-from currantdeal.policy.retries.retry_after import RefusalReason
 from currantdeal.policy.retries.retry_detection import (
     RETRY_MAX_FILL,
     RETRY_WAIT_TARGETS,
@@ -74,6 +67,9 @@
 MAX_ATTEMPTS = 3
 """Maximum number of attempts for one generation."""
 
+_FINAL_REASONS = (BreakReason.NO_MEMORY, BreakReason.RETRY_BUDGET)
+"""Reasons after which no other attempt can succeed."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -113,7 +109,7 @@
         self._context = context
         self._active = active
         self._relay = EventRelay(context=context, active=active)
-        self._reason = "no engine took it"
+        self._fail(BreakReason.NO_ENGINE)
         self._reserver = MemoryReserver(context=context, active=active)
         self._wait = RunWait(
             context=context,
@@ -123,7 +119,6 @@
         )
         self._unused_prefill = None
         self._events_before_run = 0
-        self._is_over_budget = False
         self._is_run_counted = False
 
     @property
@@ -157,8 +152,7 @@
         """Make one attempt; returns whether the answer is complete."""
         reservation = self._wait.take_reservation() or await self._reserve()
         if reservation is None:
-            self._reason = "no memory"
-            return False
+            return self._fail(BreakReason.NO_MEMORY)
         used = False
         estimate = speed_of(self._context, reservation.record, Work.DECODE)
         self._active.add_step(
@@ -196,28 +190,31 @@
             if not used:
                 self._reserver.release(reservation)
 
+    def _fail(self, reason, text=""):
+        """Keep why the present attempt failed; returns False."""
+        text = text or reason.description
+        self._failure = Failure(reason=reason, text=text)
+        return False
+
     def _may_send(self):
         if self._context.may_send(self._active):
             return True
-        self._reason = "its key cannot be confirmed, or upstreams crashed"
-        return False
+        return self._fail(BreakReason.NOT_ALLOWED)
 
     async def _may_decode(self, record):
         """Return whether the decode request may be sent to an engine."""
         if not await self._may_run():
             return False
         if not self._context.view.accepts_work(record.upstream):
-            self._reason = "the engine left meanwhile"
-            return False
+            return self._fail(BreakReason.ENGINE_LEFT)
         return self._may_send()
 
     async def _may_run(self):
         """Return whether the retry budget allows the next run."""
         if await self._active.arrivals.may_send(ArrivalKind.RUN):
             return True
-        self._is_over_budget = True
-        self._reason = f"{self._reason}, and the retry budget is used up"
         self._active.add_step(StepKind.NO_BUDGET)
+        self._failure = self._failure.followed_by(BreakReason.RETRY_BUDGET)
         return False
 
     def _are_held(self, reservation, prefill):
@@ -233,7 +230,8 @@
             if held is not None and not view.is_current(held.record)
         ]
         if lost:
-            self._reason = f"{lost[0]!r} was restarted or left meanwhile"
+            text = f"{lost[0]!r} was restarted or left meanwhile"
+            self._fail(BreakReason.ENGINE_LEFT, text)
             self._active.add_step(StepKind.ENGINE_LOST, lost[0])
         return not lost
 
@@ -262,15 +260,15 @@
     async def may_retry(self):
         """Return whether another attempt is allowed and can still succeed."""
         active = self._active
-        if self._reason == "no memory" or self._is_over_budget:
-            return False
-        if active.has_expired or not self._may_send():
-            return False
-        if active.time_left_s(self._now_s) < active.route.target_s / 4:
+        if self._failure.reason in _FINAL_REASONS:
             return False
         if active.runs and not self._may_resume:
             return False
-        return await self._may_run()
+        time_left_s = active.time_left_s(self._now_s)
+        if active.has_expired or time_left_s < active.route.target_s / 4:
+            self._failure = self._failure.followed_by(BreakReason.TIME_OVER)
+            return False
+        return self._may_send() and await self._may_run()
 
     def release_unused(self):
         """Release a reservation and a KV cache that are no longer needed."""
@@ -283,19 +281,15 @@
 
     def raise_failure(self):
         """Raise the error for the outcome of the generation."""
-        if self._relay.started:
-            raise IncompleteAnswerError(self._reason)
-        if self._active.runs:
-            raise FailedError(self._reason)
-        verdict = self._context.crash_watch.find_verdict(self._active)
-        if verdict is not None:
-            raise QuarantinedError(verdict)
-        if self._is_over_budget:
-            raise RefusedError(
-                self._reason, refusal_reason=RefusalReason.RETRY_BUDGET
-            )
-        raise MemoryShortError(
-            self._reason, retry_after_s=self._reserver.return_after_s
+        failure = self._failure
+        if failure.reason is BreakReason.RUN_LOST and self._is_resumable:
+            failure = failure.followed_by(BreakReason.ATTEMPTS)
+        raise error_of(
+            failure,
+            has_begun=self._relay.started,
+            may_have_run=self._active.runs > 0,
+            verdict=self._context.crash_watch.find_verdict(self._active),
+            retry_after_s=self._reserver.return_after_s,
         )
 
     async def _reserve(self):
@@ -362,10 +356,9 @@
 
     def _handle_unreached(self, record, exc, prefill):
         """Keep the prefill for another engine; nothing was sent to this."""
-        self._reason = str(exc)
         self._unused_prefill = prefill
         self._reserver.record_unreachable(record, exc)
-        return False
+        return self._fail(BreakReason.UNREACHED, str(exc))
 
     async def _stream(self, connection, record, sent_s):
         context, active = self._context, self._active
@@ -377,15 +370,15 @@
             # because it changes its stage.  A retry there would waste
             # another prefill.
             context.eject(record, context.health)
-            self._reason = f"refused with {head.status}"
             active.add_step(StepKind.REFUSED, record.upstream, head.status)
-            return False
+            status = head.status
+            return self._fail(BreakReason.REFUSED, f"refused with {status}")
         self._count_run()
         if not metadata.is_signed:
-            self._reason = "the answer is not signed"
-            active.add_step(StepKind.ERROR, record.upstream, self._reason)
+            text = BreakReason.NOT_SIGNED.description
+            active.add_step(StepKind.ERROR, record.upstream, text)
             connection.close()
-            return False
+            return self._fail(BreakReason.NOT_SIGNED)
         if head.status != 200:
             return await self._forward_error(connection, head, record)
         active.add_step(StepKind.STREAM, record.upstream)
@@ -402,7 +395,7 @@
         if not active.call.resume_after and active.runs == 1:
             context.run_lengths.record(active.route.name, took_s)
         if not is_ended:
-            self._reason = "the end of a resumed run is unknown"
+            self._fail(BreakReason.UNKNOWN_END)
         return is_ended
 
     async def _receive_head(self, connection, record):
@@ -466,7 +459,8 @@
             succeeded=False,
         )
         self._active.add_step(StepKind.ERROR, record.upstream, head.status)
-        self._reason = f"resumed run failed with {head.status}"
+        text = f"resumed run failed with {head.status}"
+        self._fail(BreakReason.ERROR, text)
         return self._relay.forward_error(head, body, completeness)
 
     def _record_unfinished(self, record):
@@ -480,7 +474,7 @@
         if reset_outcome(active.kind, phase).ran is not Ran.NO:
             self._count_run()
         self._relay.drop_partial_event()
-        self._reason = str(exc)
+        self._fail(BreakReason.RUN_LOST, str(exc))
         if isinstance(exc, InvalidResponseError):
             self._context.crash_watch.check_lost_run(
                 active, record, phase, events=self._events_of_run
--- a/currantdeal/entry/progress.py
+++ b/currantdeal/entry/progress.py
@@ -64,6 +64,7 @@
         self._active = {}
         self._time_limits = set()
         self._ended = Counter()
+        self._broken_off = Counter()
 
     def stop(self, ends_s):
         """Let all that waits end before a loop time, as the process does."""
@@ -130,6 +131,8 @@
         self._active.pop(active, None)
         if self.ends_s < math.inf:
             self._ended[kind] += 1
+            if active.break_reason is not None:
+                self._broken_off[active.break_reason.value] += 1
 
     @property
     def counts(self):
@@ -140,3 +143,8 @@
     def ended(self):
         """Number of requests that ended since the stop request, by kind."""
         return dict(self._ended)
+
+    @property
+    def broken_off(self):
+        """Number of answers broken off since then, by ``BreakReason``."""
+        return dict(self._broken_off)
--- a/currantdeal/entry/relay.py
+++ b/currantdeal/entry/relay.py
@@ -1,6 +1,6 @@
 """Forwards the events of a generation to its caller, over several runs."""
 
-from currantdeal.entry.errors import IncompleteAnswerError
+from currantdeal.entry.errors import BreakReason, IncompleteAnswerError
 from currantdeal.entry.events import EventSplitter, OpaqueBody
 from currantdeal.entry.run_end import check_end
 from currantdeal.node.errors import (
@@ -174,7 +174,9 @@
         try:
             has_waited = await self._active.responder.send(data, source)
         except SlowCallerError as exc:
-            raise IncompleteAnswerError(str(exc)) from exc
+            raise IncompleteAnswerError(
+                str(exc), reason=BreakReason.SLOW_CALLER
+            ) from exc
         if has_waited:
             self.was_held_up = True
             self._active.record_caller_wait(self._context.now_s)
--- a/currantdeal/entry/request_log.py
+++ b/currantdeal/entry/request_log.py
@@ -84,6 +84,9 @@
                 organisation=self._label(active.organisation.name),
                 outcome=kind,
             )
+        reason = active.break_reason
+        if reason is not None:
+            metrics.add("answers_broken_off_total", reason=reason.value)
         if active.search.outcome:
             metrics.add(
                 "memory_waits_total",
@@ -104,6 +107,7 @@
             service=active.service.name,
             organisation=active.organisation and active.organisation.name,
             outcome=outcome,
+            broken_off=reason and reason.value,
             took=round(took_s, 4),
             first=None if first_s is None else round(first_s, 4),
             longest_pause=round(active.longest_pause_s, 4),
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -9,10 +9,12 @@
 from currantdeal.entry.arrivals import Arrivals
 from currantdeal.entry.context import MAX_OWNER_WAIT_S, OWNER_WAIT_SHARE
 from currantdeal.entry.errors import (
+    BreakReason,
     FailedError,
     IncompleteAnswerError,
     RefusedError,
     UnauthorisedError,
+    break_reason_of,
 )
 from currantdeal.entry.generation import serve_generation
 from currantdeal.entry.plain import serve_plain
@@ -180,8 +182,7 @@
             self._fail(active, 502, f"{_OUTCOME_UNKNOWN}: {exc}")
             return f"failed: {exc}"
         except IncompleteAnswerError as exc:
-            active.responder.abort()
-            return f"broken off: {exc}"
+            return self._break_off(active, exc.reason, str(exc))
         except SendExpiredError as exc:
             return self._end_unsent(active, exc)
         except TimeoutError:
@@ -245,9 +246,17 @@
             raise _stopping_refusal()
         await serve_generation(self._context, active)
 
+    def _break_off(self, active, reason, text):
+        """End an answer that has begun, for a ``BreakReason``."""
+        active.responder.abort()
+        active.break_reason = reason
+        return f"broken off: {text}"
+
     def _end_unsent(self, active, exc):
         """End a request whose last attempt was not sent."""
-        if active.responder.started or active.runs:
+        if active.responder.started:
+            return self._break_off(active, break_reason_of(exc), str(exc))
+        if active.runs:
             self._fail(active, 502, f"{_OUTCOME_UNKNOWN}: {exc}")
             return f"failed: {exc}"
         refusal = RefusedError(
@@ -258,8 +267,9 @@
 
     def _time_out(self, active):
         if active.responder.started:
-            active.responder.abort()
-            return "broken off: its time is over"
+            return self._break_off(
+                active, BreakReason.TIME_OVER, "its time is over"
+            )
         if active.is_ended_by_stop:
             return self._end_at_stop(active)
         if active.runs:
