Decide whose silence the silence of a stream is

Cause: a stream that is silent for four gap targets is moved even while all engines stand still together, where another engine is as silent and each move only adds load. Change: RunContacts records when engines last sent output to any run of the entry, and when the entry itself stood still. scope_of_silence tells from that whether a silence is the stream's, its engine's or common. Nothing uses it yet. Result: tables, properties and plays on a clock of their own pass.

--- a/currantdeal/entry/context.py
+++ b/currantdeal/entry/context.py
@@ -13,6 +13,7 @@
 from currantdeal.entry.probing import Prober
 from currantdeal.entry.quotas import QuotaClient
 from currantdeal.entry.retry_budgets import RetryBudgets
+from currantdeal.entry.run_contacts import RunContacts
 from currantdeal.node.dialect import ForwardingOptions
 from currantdeal.node.errors import (
     MalformedResponseError,
@@ -97,6 +98,12 @@
         self.load = EntryLoad()
         self.speeds = UpstreamSpeeds()
         self.run_lengths = RunLengths()
+        self.run_contacts = RunContacts(
+            clock=lambda: self.now_s,
+            call_later=lambda delay_s, action: (
+                asyncio.get_running_loop().call_later(delay_s, action)
+            ),
+        )
         self._paces_due_s = 0.0
         self.decode_engine_order = DecodeEngineOrder(load=self.load)
         self.memory_turns = MemoryTurns()
