Check that an idle entry keeps no timer for its own pauses

Cause: a timer that goes on without runs would wake an idle entry, and no test noticed it. Change: the test of own pauses counts the timers; a condition that could not change anything is gone.

--- a/currantdeal/entry/tests/test_run_contacts.py
+++ b/currantdeal/entry/tests/test_run_contacts.py
@@ -201,6 +201,7 @@
     assert (late.length_s, late.ended_s) == (2.0, 0.5)
     run.ended()
     clock.move(9.0)
+    assert clock.timers == 0
     contacts.began(an_upstream(), Stage.DECODE)
     idle = contacts.facts(clock.now_s).own_pause
     assert (idle.length_s, idle.ended_s) == (2.0, 9.5)
--- a/currantdeal/policy/health/silence_scope.py
+++ b/currantdeal/policy/health/silence_scope.py
@@ -253,8 +253,7 @@
     if engine.spoke_s < SILENT_GAPS * gap_s:
         return _Relation.SPEAKS
     late_s = SILENT_GAPS * max(gap_s, engine.gap_target_s)
-    is_silent = engine.runs and engine.silence_s >= late_s
-    if is_silent and is_with(engine.silence_s):
+    if engine.silence_s >= late_s and is_with(engine.silence_s):
         return _Relation.TOGETHER
     return _Relation.UNRELATED
 
--- a/currantdeal/testing/contact_play.py
+++ b/currantdeal/testing/contact_play.py
@@ -33,6 +33,11 @@
         self._timers = []
         self._numbers = itertools.count()
 
+    @property
+    def timers(self):
+        """Number of calls that are due later."""
+        return len(self._timers)
+
     def call_later(self, delay_s, action):
         """Call a function once some time has passed."""
         due = (self.now_s + delay_s, next(self._numbers), action)
