Play stops of the entry beside dark engines

Cause: no test said what a stopped entry makes of the silence of engines. Change: plays with a stop of 0.5 to 3 s, with and without a dark engine.

--- a/currantdeal/entry/tests/test_run_contacts.py
+++ b/currantdeal/entry/tests/test_run_contacts.py
@@ -101,6 +101,23 @@
     assert min(left_s) < ONSET_S + 2.5 + 3 * GAP_TARGET_S
 
 
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("places", [SITE, SMALL, {"d0": "dc1"}])
+@pytest.mark.parametrize("for_s", [0.5, 1.5, 3.0])
+def test_stop_of_the_entry_blames_dark_engines_alone(for_s, places, seed):
+    """Guards against moves of all streams after a stop, and of none."""
+    dark = {"d0"} if len(places) > 1 else set()
+    is_silent = _pauses(for_s=0.0, jitter_s=0.0, dark=dark)
+    play = ContactPlay(
+        is_silent=is_silent, seed=seed, stop_s=(ONSET_S + 0.5, for_s)
+    )
+    asked = play.play(places, LOST_S)
+    left = [a for a in asked if a.scope is not SilenceScope.COMMON]
+    assert {a.upstream for a in left} == dark
+    stop_end_s = ONSET_S + 0.5 + for_s
+    assert not left or left[0].at_s < stop_end_s + LEFT_S
+
+
 def test_wait_for_the_first_event_counts_for_prefills_alone():
     """Guards against long prompts that look like silent engines."""
     for stage in (Stage.DECODE, Stage.PREFILL):
--- a/currantdeal/testing/contact_play.py
+++ b/currantdeal/testing/contact_play.py
@@ -107,9 +107,19 @@
         Seed of the times of events.
     event_s : float
         Mean time between two events of a stream.
+    stop_s : tuple of float
+        When the entry stands still, and for how long.
     """
 
-    def __init__(self, *, is_silent, runs=3, seed=1, event_s=0.05):
+    def __init__(
+        self,
+        *,
+        is_silent,
+        runs=3,
+        seed=1,
+        event_s=0.05,
+        stop_s=(float("inf"), 0.0),
+    ):
         """Start without streams."""
         self.clock = PlayClock()
         self.contacts = contacts_of(self.clock)
@@ -117,6 +127,7 @@
         self._runs = runs
         self._random = random.Random(seed)
         self._event_s = event_s
+        self._stop_at_s, self._stop_for_s = stop_s
         self._streams = []
 
     def play(self, places, until_s, *, step_s=0.01):
@@ -133,13 +144,19 @@
                 self._begin(record)
         asked = []
         while self.clock.now_s < until_s:
-            self.clock.move(step_s)
+            self._move(step_s)
             self._random.shuffle(self._streams)
             for stream in self._streams:
                 self._send_if_due(stream)
                 asked += self._ask_if_silent(stream)
         return asked
 
+    def _move(self, step_s):
+        self.clock.move(step_s)
+        if self.clock.now_s >= self._stop_at_s:
+            self._stop_at_s = float("inf")
+            self.clock.stand_still(self._stop_for_s)
+
     def _begin(self, record):
         contact = self.contacts.began(
             record, Stage.DECODE, gap_target_s=GAP_TARGET_S
