Hold moves while most engines are silent

Cause: a pause that engines share looks to each of their streams like an engine that is gone. All of them moved at once, to engines as silent, and used up the retry budget and the runs that their route allows.

Change: DecodeRun and prefills report to RunContacts what engines send. A stream that is silent for four gap targets is moved unless scope_of_silence says that most engines fell silent with its own, or that this process stood still; it asks again at each gap. A link that is cut is left at once, as before. No prompt is sent to prefill engines that are all silent for a run that resumes.

--- a/currantdeal/entry/decode_run.py
+++ b/currantdeal/entry/decode_run.py
@@ -4,11 +4,13 @@
 from currantdeal.entry.distance import Pool
 from currantdeal.entry.events import EventSplitter
 from currantdeal.entry.prefill import release_kv_cache
+from currantdeal.entry.run_wait import gap_target_s
 from currantdeal.entry.speeds import describe, speed_of
 from currantdeal.entry.steps import StepKind
 from currantdeal.node.errors import ConnectError, InvalidResponseError
 from currantdeal.policy.answers.reset_outcome import ExchangePhase
 from currantdeal.policy.speed.paces import Work
+from currantdeal.registry import Stage
 
 
 class DecodeRun:
@@ -55,6 +57,7 @@
         self._is_whole_ahead = False
         self._is_counted = False
         self._is_memory_used = False
+        self._contact = None
         self._add_accounts()
 
     @property
@@ -120,6 +123,11 @@
         self._context.health.request_started(self.record.upstream)
         self.sent_s = self._context.limits.now_s
         self.connection.send(call)
+        self._contact = self._context.run_contacts.began(
+            self.record,
+            Stage.DECODE,
+            gap_target_s=gap_target_s(self._active),
+        )
 
     def take_prefill(self):
         """Return the KV cache, which this run does not use after all."""
@@ -144,7 +152,7 @@
             return self._ahead.pop(0)
         if self._is_whole_ahead:
             return None
-        return await self.connection.chunk()
+        return await self._receive_chunk()
 
     async def read_ahead(self):
         """Read to the first event, or to the end of the answer.
@@ -161,7 +169,7 @@
         for data in self._ahead:
             splitter.feed(data)
         while not splitter.count and not self._is_whole_ahead:
-            data = await self.connection.chunk()
+            data = await self._receive_chunk()
             if data is None:
                 self._is_whole_ahead = True
                 return
@@ -178,6 +186,8 @@
         if self.connection is not None:
             if self.sent_s is not None:
                 self._context.health.request_ended(self.record.upstream)
+            if self._contact is not None:
+                self._contact.ended()
             self._context.pool.release(self.connection)
         if not self._is_memory_used:
             self._reserver.release(self.reservation)
@@ -185,6 +195,13 @@
                 release_kv_cache(self._context, self.prefill)
         self._remove_accounts()
 
+    async def _receive_chunk(self):
+        self._contact.awaits()
+        data = await self.connection.chunk()
+        if data is not None:
+            self._contact.received()
+        return data
+
     def _add_accounts(self):
         context, active = self._context, self._active
         estimate = speed_of(context, self.record, Work.DECODE)
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -29,6 +29,7 @@
     MalformedResponseError,
 )
 from currantdeal.node.exchange import exchange
+from currantdeal.policy.health.silence_scope import are_prefills_silent
 from currantdeal.policy.placement.prefill_choice import (
     estimate_prefill,
     local_prefill_s,
@@ -140,6 +141,8 @@
     estimates = _estimates(context, active, decode_engine)
     if _prefills_locally(context, active, estimates, in_time, decode_engine):
         return None
+    if resumes and _are_silent(context, estimates):
+        return None
     estimate = await _admitted(context, estimates)
     if estimate is None:
         return None
@@ -149,6 +152,13 @@
     return estimate if is_charged else None
 
 
+def _are_silent(context, estimates):
+    """Return whether no prefill engine answers within the usual time."""
+    expected_s = min((e.expected_s for e in estimates), default=0.0)
+    facts = context.run_contacts.facts(context.now_s)
+    return are_prefills_silent(facts, expected_s=expected_s)
+
+
 def expects_local_prefill(context, active):
     """Return whether the prompt would be prefilled locally now."""
     estimates = _estimates(context, active)
@@ -291,10 +301,12 @@
         backlog=context.load.tokens(record.upstream, now_s=began_s),
     )
     detail = describe(speed_of(context, record, Work.PREFILL))
+    contact = context.run_contacts.began(record, Stage.PREFILL)
     context.load.add(record.upstream, active.call.prompt_tokens)
     context.departures.record_sent(active, Pool.PREFILL, record, now_s=began_s)
     try:
         answer = await _request_prefill(context, active, record, timeout_s)
+        contact.received()
     except ExchangeError as exc:
         _handle_failed_prefill(context, record, exc, began_s)
         if kind_of_failure(exc) is StepKind.SILENT:
@@ -308,6 +320,7 @@
         active.add_failure_step(record.upstream, exc)
         raise PrefillFailedError(str(exc), maybe_running=exc.sent) from exc
     finally:
+        contact.ended()
         context.load.remove(record.upstream, active.call.prompt_tokens)
     prefill = _parse_answer(context, active, record, sent_s, answer)
     took_s = context.now_s - began_s
--- a/currantdeal/entry/run_wait.py
+++ b/currantdeal/entry/run_wait.py
@@ -10,6 +10,11 @@
 
 from currantdeal.entry.errors import SupersededError
 from currantdeal.node.errors import EngineLostError
+from currantdeal.policy.health.silence_scope import (
+    SilenceScope,
+    SilentStream,
+    scope_of_silence,
+)
 
 RESUME_SILENCE_GAPS = 4
 """Silence after which a stream is moved to another engine, in gap targets.
@@ -52,6 +57,7 @@
         self._active = active
         self._handover = handover
         self._may_move = may_move
+        self._is_held = False
         self.lost_engines = 0
 
     async def receive(self, work, run):
@@ -72,7 +78,9 @@
             If another run has sent the next event.
         """
         pause_s = gap_target_s(self._active)
+        began_s = self._context.now_s
         silent_gaps = 0
+        self._is_held = False
         while True:
             self._check_successor(run)
             try:
@@ -87,7 +95,7 @@
                 self._handover.on_ready = None
             self._check_successor(run)
             silent_gaps += 1
-            self._move_if_silent(run, silent_gaps)
+            self._move_if_silent(run, silent_gaps, began_s)
             await self._check_engine(run, silent_gaps)
 
     def _check_successor(self, run):
@@ -95,13 +103,31 @@
         if self._handover.is_ready and not run.connection.has_received:
             raise SupersededError(f"{run.record.upstream!r} sent no event")
 
-    def _move_if_silent(self, run, silent_gaps):
+    def _move_if_silent(self, run, silent_gaps, since_s):
+        """Prepare a successor, unless most engines are silent as well."""
+        if self._handover.is_begun:
+            return
+        is_cut = self._context.link_watch.is_hung(run.connection)
         is_due = silent_gaps % RESUME_SILENCE_GAPS == 0
-        if not is_due and not self._context.link_watch.is_hung(run.connection):
+        if not (is_cut or is_due or self._is_held) or not self._may_move():
             return
-        if not self._handover.is_begun and self._may_move():
+        self._is_held = not is_cut and self._is_common(run, since_s)
+        if self._is_held:
+            self._context.metrics.add("moves_held_total")
+        else:
             self._handover.begin(run.record)
 
+    def _is_common(self, run, since_s):
+        """Return whether a run is silent since a time for a common cause."""
+        now_s = self._context.now_s
+        stream = SilentStream(
+            upstream=run.record.upstream,
+            silence_s=now_s - since_s,
+            gap_target_s=gap_target_s(self._active),
+        )
+        facts = self._context.run_contacts.facts(now_s)
+        return scope_of_silence(stream, facts) is SilenceScope.COMMON
+
     async def _check_engine(self, run, silent_gaps):
         is_lost = await self._context.engine_watch.is_lost(
             run.record, silent_gaps=silent_gaps
--- a/currantdeal/entry/tests/test_common_stalls.py
+++ b/currantdeal/entry/tests/test_common_stalls.py
@@ -58,6 +58,7 @@
 
 
 async def _play(*, stall_s, allowance, prefills):
+    """Return the answers, and the number of requests to engines."""
     stalls = _Stalls(prefills=prefills)
     names = [f"p{n}" for n in range(PREFILLS)]
     names += [f"d{n}" for n in range(ENGINES)]
@@ -73,7 +74,9 @@
         ]
         await asyncio.sleep(STALL_AFTER_S)
         await stalls.stall(stall_s)
-        return await asyncio.gather(*calls)
+        answers = await asyncio.gather(*calls)
+    requests = [r for e in engines for r in e.requests if r.is_generation]
+    return answers, len(requests)
 
 
 @pytest.mark.parametrize("prefills", [False, True])
@@ -83,9 +86,18 @@
     stall_s, allowance, prefills
 ):
     """Guards against runs that are given up before another can go on."""
-    answers = asyncio.run(
+    answers, _ = asyncio.run(
         _play(stall_s=stall_s, allowance=allowance, prefills=prefills)
     )
     numbers = [event_numbers(answer) for answer in answers]
     assert numbers == STREAMS * [list(range(1, EVENTS + 1))]
     assert all(answer.endswith(b"0\r\n\r\n") for answer in answers)
+
+
+@pytest.mark.parametrize("stall_s", STALLS_S)
+def test_pause_of_all_engines_moves_no_stream(stall_s):
+    """Guards against a retry storm at engines that stand still together."""
+    _, requests = asyncio.run(
+        _play(stall_s=stall_s, allowance=100.0, prefills=True)
+    )
+    assert requests == 2 * STREAMS
