Return credit of retries that came late once, not without pause

Cause: a client without reserves asked the owner of the retry budgets only for names with a request. Credit that was granted after its request had left waited to be returned, so that it called the owner without pause, with nothing in the call, until the service needed a charge again. Change: names with credit to return are among those of the next call, with or without reserves. Result: the new test fails before (3.09 of 4 units at the owner, calls without end) and passes after; test_quotas.py passes.

--- a/currantdeal/entry/quotas.py
+++ b/currantdeal/entry/quotas.py
@@ -187,12 +187,12 @@
         return pool
 
     def _due(self, now_s):
-        if not self._keeps_reserves:
-            return []
+        """Return names for which the owner is called without a request."""
         return [
             name
             for name, pool in self._pools.items()
-            if pool.credit.needs_refill(now_s=now_s)
+            if pool.credit.has_returns
+            or (self._keeps_reserves and pool.credit.needs_refill(now_s=now_s))
         ]
 
     def _wake(self):
--- a/currantdeal/entry/tests/test_quotas.py
+++ b/currantdeal/entry/tests/test_quotas.py
@@ -273,6 +273,27 @@
     assert _outcomes(owner, work) > 3.9
 
 
+def test_credit_without_a_reserve_is_returned_once():
+    """Guards against calls without pause after a grant that came late."""
+    owner = _Owner()
+    calls = []
+
+    async def ask(asks):
+        calls.append(asks)
+        return await owner.ask(asks)
+
+    async def work(client):
+        client = QuotaClient(keeps_reserves=False)
+        client.ask_owner = ask
+        await _admit(client, wait_s=0.002)
+        await asyncio.sleep(0.2)
+        return owner.owner.level("bakery", now_s=boot_time_s())
+
+    assert _outcomes(owner, work) > 3.9
+    assert [a.needs for asks in calls for a in asks] == [(1,), ()]
+    assert len(calls) == 2
+
+
 def test_credit_that_arrives_late_is_asked_for_again():
     """Guards against use in another window than that of the grant.
 
