Charge a prefill and its run together or not at all

Cause: each arrival was charged by itself. A stream that moves needs a prefill and a run; if the second charge was denied, the first was spent for nothing, and many streams that move at once each held half of what they need. A charge that was not used lapsed, and its credit with it. Change: RetryBudgets.charge takes a number of arrivals and charges all or none: own credit first, the rest from the owner in one ask, own credit put back if that is denied or the caller leaves. Arrivals.give_back returns unused charges, at the latest with the end of the request; a charge that lapsed is given back before it is made again. Credit that is put back keeps the times of the requests that gave it, so that it lapses as before; the owner counts returned credit in the window of its grant, as for quotas. The tests of RequestCredit and of Arrivals use the new calls with the same assertions; the charge of Arrivals is now exact (== for <=), the histories hold and put back credit, and the model of the owner holds credit before it is returned and asks for two units, too.

--- a/currantdeal/entry/arrivals.py
+++ b/currantdeal/entry/arrivals.py
@@ -54,8 +54,11 @@
     service : str
         Service of the request.
     charge : callable
-        Coroutine function that charges the budget of a service for one
-        arrival; returns a ``RetryCharge``, or None if it is used up.
+        Coroutine function that charges the budget of a service for a number
+        of arrivals; returns a ``RetryCharge`` for each, or None if it does
+        not suffice for all.
+    give_back : callable
+        Called with the service and charges of arrivals that are not sent.
     metrics : currantdeal.ports.MetricsPort
         Counts arrivals by their kind.
     clock : callable
@@ -65,10 +68,10 @@
     --------
     >>> import asyncio
     >>> from currantdeal.adapters.metrics import Metrics
-    >>> async def charge(service):
+    >>> async def charge(service, count):
     ...     return None
     >>> arrivals = Arrivals(
-    ...     service="chat", charge=charge, metrics=Metrics())
+    ...     service="chat", charge=charge, give_back=print, metrics=Metrics())
     >>> arrivals.begin(ArrivalKind.PREFILL)
     >>> asyncio.run(arrivals.may_send(ArrivalKind.RUN))
     False
@@ -77,10 +80,13 @@
     True
     """
 
-    def __init__(self, *, service, charge, metrics, clock=boot_time_s):
+    def __init__(
+        self, *, service, charge, give_back, metrics, clock=boot_time_s
+    ):
         """Start before the first arrival."""
         self._service = service
         self._charge = charge
+        self._give_back = give_back
         self._metrics = metrics
         self._clock = clock
         self._counted = 0
@@ -109,28 +115,37 @@
         """Charge the budget for the next arrival, unless that was done.
 
         Returns False if the budget is used up.  A prompt is prefilled once
-        more only if its run can be charged too.
+        more only if its run can be charged too; neither is charged without
+        the other.
 
         Parameters
         ----------
         with_run : bool
             Whether that holds for the first prefill too.
         """
+        self._drop_lapsed()
         needed = self._counted - self._charged
         with_run = with_run or self._is_prefilled
         if kind is ArrivalKind.PREFILL and with_run:
             needed += 1
-        now_s = self._clock()
-        self._unused = [c for c in self._unused if now_s < c.until_s]
-        while len(self._unused) < needed:
-            self._add("retries_wanted_total", kind)
-            charge = await self._charge(self._service)
-            if charge is None:
-                self._add("retries_denied_total", kind)
-                return False
-            self._unused.append(charge)
+        missing = needed - len(self._unused)
+        if missing <= 0:
+            return True
+        self._add("retries_wanted_total", kind, missing)
+        charges = await self._charge(self._service, missing)
+        if charges is None:
+            self._add("retries_denied_total", kind, missing)
+            return False
+        self._unused = sorted(
+            (*self._unused, *charges), key=lambda charge: charge.until_s
+        )
         return True
 
+    def give_back(self):
+        """Give all charges back of which the arrival was not sent."""
+        self._return(self._unused)
+        self._unused = []
+
     def begin(self, kind):
         """Count an arrival, which is sent next.
 
@@ -154,13 +169,22 @@
             self._metrics.add("prefills_accepted_total", service=self._service)
 
     def _use_charge(self):
-        while self._unused:
-            if self._clock() < self._unused.pop(0).until_s:
-                self._charged += 1
-                return
-        raise UnchargedError("the retry budget was not charged for it")
+        self._drop_lapsed()
+        if not self._unused:
+            raise UnchargedError("the retry budget was not charged for it")
+        self._unused.pop(0)
+        self._charged += 1
+
+    def _drop_lapsed(self):
+        now_s = self._clock()
+        self._return([c for c in self._unused if c.until_s <= now_s])
+        self._unused = [c for c in self._unused if now_s < c.until_s]
+
+    def _return(self, charges):
+        if charges:
+            self._give_back(self._service, charges)
 
-    def _add(self, name, kind, **labels):
+    def _add(self, name, kind, amount=1, **labels):
         self._metrics.add(
-            name, service=self._service, kind=kind.value, **labels
+            name, amount, service=self._service, kind=kind.value, **labels
         )
--- a/currantdeal/entry/retry_budgets.py
+++ b/currantdeal/entry/retry_budgets.py
@@ -5,12 +5,13 @@
 whatever becomes of them; see ``currantdeal.organisations.credit``.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from functools import singledispatchmethod
 
 from currantdeal.core import boot_time_s
 from currantdeal.entry.arrivals import RetryCharge
 from currantdeal.entry.errors import RefusedError
-from currantdeal.entry.quotas import QuotaClient
+from currantdeal.entry.quotas import Admission, QuotaClient
 from currantdeal.policy.retries.request_credit import (
     HELD_CREDIT_S,
     RequestCredit,
@@ -31,6 +32,32 @@
     window_s: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class OwnCharge(RetryCharge):
+    """A charge to the credit of this entry's own requests.
+
+    Parameters
+    ----------
+    requests : tuple of float
+        The requests that gave the credit, see ``RequestCredit``.
+    """
+
+    requests: tuple[float, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class OwnerCharge(RetryCharge):
+    """A charge to the credit that the owner granted.
+
+    Parameters
+    ----------
+    admission : Admission
+        Credit for this one arrival.
+    """
+
+    admission: Admission
+
+
 class RetryBudgets:
     """Retry budgets of all services at one entry.
 
@@ -63,20 +90,64 @@
         """Record a request of a caller for a service."""
         self._credit(service).record_request(now_s=self._clock())
 
-    async def charge(self, service):
-        """Return a ``RetryCharge``; None if the budget is used up."""
-        now_s = self._clock()
-        if self._credit(service).try_take(now_s=now_s):
-            return RetryCharge(until_s=now_s + HELD_CREDIT_S)
+    async def charge(self, service, count):
+        """Charge some arrivals, or none of them.
+
+        Returns a ``RetryCharge`` for each; None if the budget does not
+        suffice for all.
+        """
+        own = self._charge_own(service, count)
+        if len(own) == count:
+            return own
         try:
             admission = await self._owner.admit(
-                service, 1, wait_s=OWNER_WAIT_S
+                service, count - len(own), wait_s=OWNER_WAIT_S
             )
         except RefusedError:
             # Counted as denied; the request's log line has a step for it.
+            self.give_back(service, own)
             self.on_denied(service)
             return None
-        return RetryCharge(until_s=admission.until_s)
+        except BaseException:
+            self.give_back(service, own)
+            raise
+        granted = OwnerCharge(
+            until_s=admission.until_s, admission=replace(admission, units=1)
+        )
+        return (*own, *(granted,) * admission.units)
+
+    def give_back(self, service, charges):
+        """Take back charges of arrivals that will not be sent.
+
+        They may have lapsed.
+        """
+        for charge in charges:
+            self._take_back(charge, service)
+
+    @singledispatchmethod
+    def _take_back(self, charge, service):
+        raise TypeError(f"not a charge of a budget: {charge!r}")
+
+    @_take_back.register
+    def _(self, charge: OwnCharge, service):
+        self._credit(service).give_back(charge.requests)
+
+    @_take_back.register
+    def _(self, charge: OwnerCharge, service):
+        if self._clock() < charge.until_s:
+            self._owner.give_back(charge.admission)
+
+    def _charge_own(self, service, count):
+        """Charge up to some arrivals to the credit of own requests."""
+        now_s = self._clock()
+        credit = self._credit(service)
+        return tuple(
+            OwnCharge(
+                until_s=now_s + HELD_CREDIT_S,
+                requests=credit.take(1, now_s=now_s),
+            )
+            for _ in range(min(count, credit.left(now_s=now_s)))
+        )
 
     def left(self):
         """Return the retries for which each service has credit here."""
--- a/currantdeal/entry/service.py
+++ b/currantdeal/entry/service.py
@@ -125,6 +125,7 @@
             arrivals=Arrivals(
                 service=service.name,
                 charge=self._context.retry_budgets.charge,
+                give_back=self._context.retry_budgets.give_back,
                 metrics=self._context.metrics,
             ),
         )
@@ -164,6 +165,7 @@
             outcome = self.log.describe_cancelled(active.responder)
             raise
         finally:
+            active.arrivals.give_back()
             self.requests.remove(active, kind_of(outcome))
             self.log.record_end(active, outcome)
 
--- a/currantdeal/entry/tests/test_retry_budget.py
+++ b/currantdeal/entry/tests/test_retry_budget.py
@@ -127,8 +127,11 @@
     assert sum(_arrivals(engines)) <= 1 + allowance
 
 
-_SENT = st.tuples(st.sampled_from(ArrivalKind), st.booleans(), st.booleans())
-"""A kind, whether it is charged before, and whether it is accepted."""
+_SENT = st.tuples(
+    st.sampled_from(ArrivalKind), st.booleans(), st.booleans(), st.booleans()
+)
+"""A kind, whether it is charged before, whether it is accepted, and whether
+charges are given back before it."""
 
 
 @settings(max_examples=300, derandomize=True, deadline=None)
@@ -137,16 +140,24 @@
     """Guards against a sequence of arrivals of which one is not charged."""
     budget = [RetryCharge(until_s=1.0)] * allowance
 
-    async def charge(service):
-        return budget.pop() if budget else None
+    async def charge(service, count):
+        if len(budget) < count:
+            return None
+        return [budget.pop() for _ in range(count)]
 
     arrivals = Arrivals(
-        service="model", charge=charge, metrics=Metrics(), clock=lambda: 0.0
+        service="model",
+        charge=charge,
+        give_back=lambda service, charges: budget.extend(charges),
+        metrics=Metrics(),
+        clock=lambda: 0.0,
     )
     arrived, is_prefilled = 0, False
-    for kind, asks, is_accepted in sent:
+    for kind, asks, is_accepted, gives_back in sent:
         if asks:
             asyncio.run(arrivals.may_send(kind))
+        if gives_back:
+            arrivals.give_back()
         try:
             arrivals.begin(kind)
         except UnchargedError:
@@ -158,21 +169,23 @@
         else:
             arrived += 1
         assert max(0, arrived - 1) <= arrivals.charged
-    assert arrivals.charged <= allowance - len(budget)
+    arrivals.give_back()
+    assert arrivals.charged == allowance - len(budget)
 
 
 def test_a_charge_that_has_lapsed_sends_nothing():
     """Guards against a charge that is used in another window."""
     now_s = 0.0
 
-    async def charge(service):
-        return RetryCharge(until_s=2.0)
+    async def charge(service, count):
+        return [RetryCharge(until_s=2.0)] * count
 
     async def run():
         nonlocal now_s
         arrivals = Arrivals(
             service="shop",
             charge=charge,
+            give_back=lambda service, charges: None,
             metrics=Metrics(),
             clock=lambda: now_s,
         )
--- a/currantdeal/organisations/tests/credit_model.py
+++ b/currantdeal/organisations/tests/credit_model.py
@@ -105,7 +105,7 @@
     ):
         """Send a request; one that is not kept gives its credit back.
 
-        Credit is held for some time before it is used.
+        Credit is held for some time before it is used or given back.
         """
         if self.now_s < entry.paused_until_s:
             return
@@ -212,14 +212,19 @@
             elif is_open and keeps:
                 self._use(cost, urgency)
             else:
-                entry.pool.give_back(
-                    cost, granted_s=grant.granted_s, epoch=epoch
-                )
+                back = self._give_back(entry, cost, grant.granted_s, epoch)
+                self._later(held_s, back)
 
     def _use(self, cost, urgency):
         self.used.append((self.now_s, cost))
         self.used_by[urgency] = self.used_by.get(urgency, 0) + cost
 
+    def _give_back(self, entry, cost, granted_s, epoch):
+        def give_back():
+            entry.pool.give_back(cost, granted_s=granted_s, epoch=epoch)
+
+        return give_back
+
     def _use_before(self, until_s, entry, cost):
         def use():
             if entry in self.entries and self.now_s < until_s:
--- a/currantdeal/organisations/tests/test_retry_credit.py
+++ b/currantdeal/organisations/tests/test_retry_credit.py
@@ -31,7 +31,7 @@
             for _ in range(rng.randrange(1, 12)):
                 model.request(
                     entry,
-                    1,
+                    rng.choice([1, 1, 2]),
                     delay=Delay(ask_s=delay, answer_s=delay),
                     keeps=rng.random() < 0.9,
                     held_s=rng.choice([0.0, 0.3, 1.5, 3.0]),
--- a/currantdeal/policy/retries/request_credit.py
+++ b/currantdeal/policy/retries/request_credit.py
@@ -7,6 +7,9 @@
 All retries in a window then come from requests of two windows at most, over
 all entries and whatever becomes of them, and one of the two windows has half
 of these requests or more.
+
+Credit is the requests that gave it.  What is given back lapses as it would
+have without being taken, so that this bound holds for it too.
 """
 
 import math
@@ -31,8 +34,12 @@
     >>> credit = RequestCredit(ratio=0.5, window_s=10.0)
     >>> for now_s in range(4):
     ...     credit.record_request(now_s=float(now_s))
-    >>> credit.try_take(now_s=4.0), credit.try_take(now_s=4.0)
-    (True, False)
+    >>> taken = credit.take(1, now_s=4.0)
+    >>> taken, credit.take(1, now_s=4.0)
+    ((0.0, 1.0, 2.0, 3.0), ())
+    >>> credit.give_back(taken)
+    >>> credit.left(now_s=4.0)
+    1
     """
 
     def __init__(self, *, ratio, window_s):
@@ -47,13 +54,20 @@
             self._requests.append(now_s)
             self._drop_lapsed(now_s)
 
-    def try_take(self, *, now_s):
-        """Take the credit for one retry; returns False if there is none."""
-        if not self.left(now_s=now_s):
-            return False
-        for _ in range(self._requests_per_retry):
-            self._requests.popleft()
-        return True
+    def take(self, count, *, now_s):
+        """Take the credit for some retries, or nothing.
+
+        Returns the times of the requests that gave it; empty if there is too
+        little.
+        """
+        if self.left(now_s=now_s) < count:
+            return ()
+        requests = count * self._requests_per_retry
+        return tuple(self._requests.popleft() for _ in range(requests))
+
+    def give_back(self, requests):
+        """Put back credit that was taken and that no retry will use."""
+        self._requests = deque(sorted((*requests, *self._requests)))
 
     def left(self, *, now_s):
         """Return the number of retries for which there is credit."""
