Hold streams while their engine only pauses

Cause: an engine counted as lost by silence after two failed health checks, as soon as two entries reported it and it had missed three heartbeats. All three are true of a sound engine that pauses, or whose network does, for a few seconds, and of all engines that pause together; two checks may fail within 0.7 s. Its streams were ended, though they would have gone on. A check that ended late since this entry itself stood still counted as failed, and bytes of other streams of the engine did not count. Change: silence ends a run only after six seconds from the first failed check without any byte of the engine at this entry; late checks are no finding. Refused connections, another process at the address and a restart are proofs as before, and end it at once.

--- a/currantdeal/entry/engine_watch.py
+++ b/currantdeal/entry/engine_watch.py
@@ -16,6 +16,9 @@
 PROBE_TIMEOUT_S = 0.3
 """Time to answer a health check, including a new connection."""
 
+MAX_PROBE_DELAY_S = 0.2
+"""Delay of the end of a probe beyond which this process stood still."""
+
 _log = structlog.get_logger(__name__)
 
 
@@ -64,18 +67,18 @@
             return False
         await self._probe_once(record, process)
         corroboration = Corroboration(
+            contact_s=self._pool.connector.links.contact_s(record.address),
             is_reported=self._is_reported(record),
             heartbeats_stopped=record.upstream in self._view.silent,
         )
-        return self._engines.is_lost(process, corroboration)
+        return self._engines.is_lost(process, corroboration, now_s=_now_s())
 
     def record_reached(self, record):
         """Record that an engine has answered."""
         self._engines.record_reached((record.upstream, record.started_ms))
 
     def _is_reported(self, record):
-        now_s = asyncio.get_running_loop().time()
-        return self._load.is_suspect(record.upstream, now_s=now_s)
+        return self._load.is_suspect(record.upstream, now_s=_now_s())
 
     async def _probe_once(self, record, process):
         """Probe an engine; the streams that wait for it share one probe."""
@@ -88,12 +91,11 @@
 
     async def _probe(self, record, process):
         result = await self._check_health(record)
-        self._engines.record_probe(process, result)
+        self._engines.record_probe(process, result, now_s=_now_s())
         if result is ProbeResult.REFUSED:
             # The second refusal in a row is the proof.
-            self._engines.record_probe(
-                process, await self._check_health(record)
-            )
+            again = await self._check_health(record)
+            self._engines.record_probe(process, again, now_s=_now_s())
         if result is not ProbeResult.ANSWERED:
             _log.info(
                 "engine-probe-failed",
@@ -108,6 +110,7 @@
             # The configuration no longer has this service.
             return ProbeResult.ANSWERED
         call = self._dialect.check_health(record.address, path)
+        ends_s = _now_s() + PROBE_TIMEOUT_S
         try:
             head, _ = await exchange(
                 self._pool,
@@ -119,8 +122,14 @@
         except ExchangeError as exc:
             if exc.has_ended:
                 return ProbeResult.REFUSED
+            if _now_s() > ends_s + MAX_PROBE_DELAY_S:
+                return ProbeResult.DELAYED
             return ProbeResult.UNANSWERED
         answered_by = self._read_response(record, head).answered_by
         if answered_by not in ("", record.upstream):
             return ProbeResult.REPLACED
         return ProbeResult.ANSWERED
+
+
+def _now_s():
+    return asyncio.get_running_loop().time()
