--- a/currantdeal/entry/arrivals.py
+++ b/currantdeal/entry/arrivals.py
@@ -161,10 +161,6 @@
         charge = "retry" if is_retry else "none"
         self._add("arrivals_total", kind, charge=charge)
 
-    def give_back(self):
-        """Return the charges that are not used."""
-        self._unused.clear()
-
     def accept_prefill(self):
         """Record that an upstream accepted the prefill that was sent last."""
         if not self._is_prefilled:
