Split the call to a prefill engine from the choice of one

Change: entry/prefill_call.py sends a prompt to one engine and holds its KV cache; prefill.py chooses where. Nothing else changes.

--- a/currantdeal/entry/decode_run.py
+++ b/currantdeal/entry/decode_run.py
@@ -3,7 +3,7 @@
 from currantdeal.entry.arrivals import ArrivalKind
 from currantdeal.entry.distance import Pool
 from currantdeal.entry.events import EventSplitter
-from currantdeal.entry.prefill import release_kv_cache
+from currantdeal.entry.prefill_call import release_kv_cache
 from currantdeal.entry.run_wait import gap_target_s
 from currantdeal.entry.speeds import describe, speed_of
 from currantdeal.entry.steps import StepKind
--- a/currantdeal/entry/run_start.py
+++ b/currantdeal/entry/run_start.py
@@ -7,7 +7,8 @@
     Failure,
     PrefillFailedError,
 )
-from currantdeal.entry.prefill import prefill_prompt, release_kv_cache
+from currantdeal.entry.prefill import prefill_prompt
+from currantdeal.entry.prefill_call import release_kv_cache
 from currantdeal.entry.progress import RequestState
 from currantdeal.entry.steps import StepKind
 from currantdeal.node.errors import ConnectError
