Let a slow call go on beside the next attempt

Cause: an idempotent call that had taken half of its time was ended at its upstream once a second attempt was charged. If that one was refused, reset, cut short or silent, or its upstream was gone, the caller got 502 or 504, though the first would still have answered. Change: the slow attempt goes on beside the next one, which is chosen, charged and bounded by the route as before. The first complete answer is forwarded and the others are cancelled; an upstream's own error is forwarded as before once nothing can follow. The slow upstream is ejected at the same moment as before. While one runs, the request counts as running at a stop, and is not refused for limits. What the first attempt's upstream spends beyond half of the call's time is not measured.

--- a/currantdeal/entry/plain.py
+++ b/currantdeal/entry/plain.py
@@ -1,15 +1,17 @@
 """Handles calls that are not generations.
 
-An answer is read completely before it is forwarded.  If it is cut short and
-the call may be repeated, another upstream can still answer.
+An answer is read completely before it is forwarded.  If it is cut short or
+slow and the call may be repeated, another upstream can still answer.
 """
 
 import asyncio
+import math
 
 import structlog
 
 from currantdeal.core import Ran
 from currantdeal.entry.arrivals import ArrivalKind
+from currantdeal.entry.attempts import RunningAttempts
 from currantdeal.entry.distance import Pool
 from currantdeal.entry.errors import (
     FailedError,
@@ -17,6 +19,7 @@
     RefusedError,
 )
 from currantdeal.entry.events import position_of
+from currantdeal.entry.plain_choice import choose_upstream, may_repeat
 from currantdeal.entry.progress import RequestState
 from currantdeal.entry.run_end import check_end, record_completeness
 from currantdeal.entry.steps import StepKind
@@ -26,19 +29,19 @@
     InvalidResponseError,
     MalformedResponseError,
     ResponseTimeoutError,
+    SendExpiredError,
 )
-from currantdeal.node.exchange import EarlyLeave, exchange
+from currantdeal.node.exchange import exchange
 from currantdeal.policy.answers.answer_end import framing_of_buffered
 from currantdeal.policy.answers.reset_outcome import (
     ExchangePhase,
     reset_outcome,
 )
-from currantdeal.policy.health.upstream_health import order_upstreams
 from currantdeal.policy.retries.retry_after import RefusalReason
 from currantdeal.routing import RetrySafety
 
 FIRST_ATTEMPT_SHARE = 0.5
-"""Share of the time left that the first of two attempts may take.
+"""Share of the time left after which the next attempt is made beside one.
 
 Half leaves the second upstream as much time as the first one had; an attempt
 that takes so long has missed its target anyway.
@@ -63,53 +66,157 @@
     FailedError
         If an upstream may have run it and there is no answer.
     """
-    attempted = set()
-    chosen = []
-    last = None
-    while len(attempted) < MAX_ATTEMPTS:
-        record = await _next_upstream(context, active, attempted, chosen)
-        if record is None or not context.may_send(active):
-            break
-        if not await _may_send(context, active, last):
-            active.add_step(StepKind.NO_BUDGET)
-            break
-        attempted.add(record.upstream)
-        leave = _early_leave(context, active, attempted, chosen, last)
-        answer = await _attempt(context, active, record, leave)
-        if last is not None and answer.head is not None:
-            context.repeat_outcomes.record(
-                active.service.name,
-                failed=not answer.final,
-                now_s=context.now_s,
-            )
-        if answer.final:
-            _forward(context, active, answer)
-            return
-        last = answer if answer.head is not None else last
-        if not _may_retry(active, answer):
-            break
-    _end_without_answer(context, active, last)
-
+    call = _PlainCall(context=context, active=active)
+    try:
+        _end(context, active, await call.serve())
+    except asyncio.CancelledError:
+        answer = await call.cancel()
+        if answer is None or not active.has_expired:
+            raise
+        _forward(context, active, answer)
+    finally:
+        await call.cancel()
 
-async def _may_send(context, active, error):
-    """Return whether the retry budget allows the next attempt.
 
-    Repeats after an ``error`` that mostly fail again use the credit of the
-    requests at this entry alone.  The rest of the budget is kept for others.
+class _PlainCall:
+    """The attempts of one call.
 
-    Parameters
-    ----------
-    error : _AttemptResult or None
-        The last complete answer, an error.
+    An attempt ends only by itself, with the call, or once there is an answer:
+    a slow one goes on beside the next.
     """
-    service = active.service.name
-    pays = error is None or context.repeat_outcomes.pays(
-        service, now_s=context.now_s
-    )
-    if not pays and not context.retry_budgets.left().get(service):
-        context.metrics.add("repeats_withheld_total", service=service)
-        return False
-    return await active.arrivals.may_send(ArrivalKind.CALL)
+
+    def __init__(self, *, context, active):
+        self._context = context
+        self._active = active
+        self._attempted = set()
+        self._running = RunningAttempts()
+        self._timely = {}
+        self._last_error = None
+
+    async def serve(self):
+        """Return the complete answer to forward; None if there is none."""
+        record = await self._next()
+        while record is not None or self._running.count:
+            if record is not None:
+                self._start(record)
+            result = await self._running.first(timeout_s=self._slow_after_s)
+            if result is None:
+                record = await self._next_beside()
+                if record is not None:
+                    continue
+                result = await self._running.first()
+            self._record(result)
+            if result.final:
+                return result
+            record = await self._next_after(result)
+            is_last = record is None and not self._running.has_result
+            if is_last and self._last_error is not None:
+                break
+        return self._last_error
+
+    async def cancel(self):
+        """End all attempts; returns an answer that is complete, or None."""
+        final = None
+        for result in await self._running.cancel():
+            self._record(result)
+            final = result if result.final else final
+        return final or self._last_error
+
+    @property
+    def _started(self):
+        """Number of attempts that may have run."""
+        return self._active.runs + self._running.count
+
+    @property
+    def _slow_after_s(self):
+        """Time after which the last attempt is slow.
+
+        It is infinite if none may be made beside it.
+        """
+        active = self._active
+        if active.route.retry_safety is not RetrySafety.FREELY:
+            return math.inf
+        if self._started >= active.route.max_upstreams:
+            return math.inf
+        return FIRST_ATTEMPT_SHARE * active.time_left_s(self._context.now_s)
+
+    def _start(self, record):
+        self._attempted.add(record.upstream)
+        self._timely[record.upstream] = record
+        self._active.enter(RequestState.RUNNING)
+        self._running.start(self._attempt(record, self._slow_after_s))
+
+    async def _attempt(self, record, connect_s):
+        try:
+            return await _attempt(
+                self._context, self._active, record, connect_s
+            )
+        except SendExpiredError:
+            if self._running.count == 1:
+                raise
+            # The other attempt was sent in its place.
+            return _AttemptResult(retryable=False)
+        finally:
+            self._timely.pop(record.upstream, None)
+
+    def _record(self, result):
+        """Record a result that was taken."""
+        if not self._running.count:
+            self._active.enter(RequestState.UPSTREAM)
+        if result.head is None:
+            return
+        if self._last_error is not None:
+            self._context.repeat_outcomes.record(
+                self._active.service.name,
+                failed=not result.final,
+                now_s=self._context.now_s,
+            )
+        if not result.final:
+            self._last_error = result
+
+    async def _next_beside(self):
+        """Return the upstream of an attempt beside slow ones, or None."""
+        record = await self._running.unless_ended(self._next())
+        if record is not None:
+            for slow in self._timely.values():
+                _record_slow(self._context, self._active, slow)
+            self._timely.clear()
+        return record
+
+    async def _next_after(self, result):
+        """Return the upstream to try after a failed attempt, or None."""
+        if self._active.has_expired or not result.retryable:
+            return None
+        if self._started >= max(1, self._active.route.max_upstreams):
+            return None
+        return await self._running.unless_ended(self._next())
+
+    async def _next(self):
+        """Return the upstream of an attempt that is charged, or None.
+
+        Raises
+        ------
+        RefusedError
+            If the request has not run, and all upstreams are at their limits.
+        """
+        context, active = self._context, self._active
+        while len(self._attempted) < MAX_ATTEMPTS:
+            try:
+                record = await choose_upstream(
+                    context, active, self._attempted
+                )
+            except RefusedError:
+                if not self._running.count:
+                    raise
+                return None
+            if record is None or not context.may_send(active):
+                return None
+            if not await may_repeat(context, active, self._last_error):
+                active.add_step(StepKind.NO_BUDGET)
+                return None
+            if context.view.accepts_work(record.upstream):
+                return record
+        return None
 
 
 class _AttemptResult:
@@ -130,141 +237,21 @@
         self.final = final
 
 
-async def _next_upstream(context, active, attempted, chosen=()):
-    """Return the upstream to try next; None if there is none.
-
-    Parameters
-    ----------
-    chosen : iterable of UpstreamRecord
-        Upstreams that were admitted for this attempt already.
-
-    Raises
-    ------
-    RefusedError
-        If the request has not run, and all upstreams are at their limits.
-    """
-    for record in chosen:
-        if (
-            context.view.accepts_work(record.upstream)
-            and record.upstream not in attempted
-        ):
-            return record
-    ordered = _order(context, active, attempted)
-    while ordered:
-        record = await _admitted(context, active, ordered)
-        if record is None or context.view.accepts_work(record.upstream):
-            return record
-        # It left while the request waited.
-        ordered = _order(context, active, attempted)
-    return None
-
-
-def _order(context, active, attempted):
-    ready = [
-        record
-        for record in context.view.ready(active.service.name)
-        if record.upstream not in attempted
-    ]
-    return order_upstreams(
-        ready,
-        context.health,
-        random=context.random,
-        now_s=context.now_s,
-        is_unreachable=lambda name: context.load.reports.is_unreachable(
-            name, now_s=context.now_s
-        ),
-        **context.departures.plain_options(active, ready, now_s=context.now_s),
-    )
-
-
-async def _admitted(context, active, ordered):
-    """Return the first upstream that takes a request now.
-
-    One in need, which limits its requests, is used if the others are busy.
-    """
-    unlimited, limited = context.limits.split(ordered)
-    if not limited:
-        return ordered[0]
-    now_s = context.now_s
-    reachable = [
-        record
-        for record in limited
-        if not context.health.is_ejected(record.upstream, now_s=now_s)
-    ]
-    if unlimited:
-        if context.health.has_room(unlimited[0], now_s=now_s):
-            return unlimited[0]
-        return await context.limits.admit_if_free(reachable) or unlimited[0]
-    try:
-        return await context.limits.admit(
-            reachable or limited, context.limit_patience(active)
-        )
-    except RefusedError:
-        if active.runs:
-            return None
-        raise
-
-
-def _may_retry(active, answer):
-    if active.has_expired:
-        return False
-    runs_left = active.runs == 0 or active.runs < active.route.max_upstreams
-    return answer.retryable and runs_left
-
-
-def _early_leave(context, active, attempted, chosen, error):
-    """Return when a slow attempt makes place for another one, or None.
-
-    It does so only for one that will be sent: the upstream may still answer.
-
-    Parameters
-    ----------
-    chosen : list
-        The upstream of that attempt is appended to it.
-    error : _AttemptResult or None
-        The last complete answer, an error.
-    """
-    retryable = active.route.retry_safety is RetrySafety.FREELY
-    if not retryable or active.runs + 1 >= active.route.max_upstreams:
-        return None
-
-    async def may_leave():
-        if len(attempted) >= MAX_ATTEMPTS or not context.may_send(active):
-            return False
-        try:
-            record = await _next_upstream(context, active, attempted)
-        except RefusedError:
-            return False
-        if record is None:
-            return False
-        if await _may_send(context, active, error):
-            chosen.append(record)
-            return True
-        active.add_step(StepKind.NO_BUDGET)
-        return False
-
-    return EarlyLeave(
-        after_s=FIRST_ATTEMPT_SHARE * active.time_left_s(context.now_s),
-        may_leave=may_leave,
-    )
-
-
-async def _attempt(context, active, record, leave):
+async def _attempt(context, active, record, connect_s):
     now_s = context.now_s
     sent_s = context.limits.now_s
     outgoing = context.encode(active, record, ArrivalKind.CALL)
     context.departures.record_sent(active, Pool.PLAIN, record, now_s=now_s)
     context.health.request_started(record.upstream)
-    active.enter(RequestState.RUNNING)
     try:
         head, body = await exchange(
             context.pool,
             record.address,
             outgoing,
             timeout_s=active.time_left_s(now_s),
+            connect_timeout_s=connect_s,
             limit=MAX_ANSWER_BYTES,
             has_expired=lambda: active.has_expired,
-            leave=leave,
         )
         completeness = check_end(head, position_of(head, body))
     except ExchangeError as exc:
@@ -275,7 +262,6 @@
         context.crash_watch.record_unfinished(active, record)
         raise
     finally:
-        active.enter(RequestState.UPSTREAM)
         context.health.request_ended(record.upstream)
     context.record_reached(record)
     metadata = context.read_response(record, head, sent_s=sent_s)
@@ -290,6 +276,17 @@
         context.eject(record, context.health)
 
 
+def _record_slow(context, active, record):
+    """Eject an upstream whose answer is awaited beside the next attempt."""
+    exc = ResponseTimeoutError(
+        f"no answer from {record.address} yet",
+        phase=ExchangePhase.AWAITING_ANSWER,
+    )
+    context.eject(record, context.health, exc)
+    context.pool.close_idle(record.address)
+    active.add_failure_step(record.upstream, exc)
+
+
 def _record_failure(context, active, record, exc):
     outcome = reset_outcome(active.kind, exc.phase)
     if outcome.ran is not Ran.NO:
@@ -364,9 +361,10 @@
     )
 
 
-def _end_without_answer(context, active, last):
-    if last is not None:
-        _forward(context, active, last)
+def _end(context, active, answer):
+    """Forward an answer, or raise the error for having none."""
+    if answer is not None:
+        _forward(context, active, answer)
         return
     verdict = context.crash_watch.find_verdict(active)
     if active.runs == 0 and verdict is not None:
--- a/currantdeal/node/exchange.py
+++ b/currantdeal/node/exchange.py
@@ -1,50 +1,30 @@
 """Exchanges of small requests and answers with upstreams."""
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass
+import math
 
 from currantdeal.node.errors import (
     ConnectError,
     InvalidResponseError,
     ResponseTimeoutError,
 )
-from currantdeal.node.futures import mark_retrieved
 from currantdeal.policy.answers.reset_outcome import ExchangePhase
 
 MAX_CALL_ANSWER_BYTES = 65_536
 """Maximum size of the answer to a call of the system."""
 
 
-@dataclass(frozen=True, kw_only=True)
-class EarlyLeave:
-    """When an exchange is given up before its time is over.
-
-    Parameters
-    ----------
-    after_s : float
-        Time for which a connection, and then the whole response, is awaited
-        in any case.
-    may_leave : callable
-        Coroutine function that is asked once, after that time; cancelled if
-        the response is received meanwhile.
-    """
-
-    after_s: float
-    may_leave: Callable
-
-
 async def exchange(
     pool,
     address,
     outgoing,
     *,
     timeout_s,
+    connect_timeout_s=math.inf,
     limit=MAX_CALL_ANSWER_BYTES,
     retryable=False,
     may_repeat=None,
     has_expired=lambda: False,
-    leave=None,
 ):
     """Send a small request and return the response head and the whole body.
 
@@ -52,6 +32,8 @@
     ----------
     timeout_s : float
         Time within which the whole response must be received.
+    connect_timeout_s : float
+        Time within which a connection must be open, if that is shorter.
     limit : int
         Maximum size of the response body, in bytes.
     retryable : bool
@@ -64,15 +46,13 @@
     has_expired : callable
         Returns whether a cancellation is the end of the request's own time.
         An answer that is whole at the end of either time is returned.
-    leave : EarlyLeave or None
-        When to give up before ``timeout_s``.
 
     Raises
     ------
     ExchangeError
         If no complete response is received within ``timeout_s``.
     """
-    connect_s = timeout_s if leave is None else leave.after_s
+    connect_s = min(timeout_s, connect_timeout_s)
     connection = await pool.acquire(
         address, outgoing, timeout_s=connect_s, retryable=retryable
     )
@@ -81,7 +61,6 @@
         "timeout_s": timeout_s,
         "limit": limit,
         "has_expired": has_expired,
-        "leave": leave,
     }
     try:
         return await exchange_on(pool, connection, outgoing, **options)
@@ -115,13 +94,12 @@
     timeout_s,
     limit=MAX_CALL_ANSWER_BYTES,
     has_expired=lambda: False,
-    leave=None,
 ):
     """Send a request on a connection, see ``exchange``.
 
     The connection is returned to the pool afterwards, or closed.
     """
-    answer = _Answer(connection=connection, limit=limit, leave=leave)
+    answer = _Answer(connection=connection, limit=limit)
     loop = asyncio.get_running_loop()
     began_s = loop.time()
     try:
@@ -155,17 +133,14 @@
         Connection on which it is awaited.
     limit : int
         Maximum size of its body, in bytes.
-    leave : EarlyLeave or None
-        When to give up before the time is over.
     """
 
-    def __init__(self, *, connection, limit, leave):
+    def __init__(self, *, connection, limit):
         """Start before its head."""
         self.head = None
         self.body = None
         self._connection = connection
         self._limit = limit
-        self._leave = leave
         self._parts = []
 
     async def receive(self, *, timeout_s, has_expired):
@@ -176,7 +151,7 @@
         """
         try:
             async with asyncio.timeout(timeout_s):
-                await self._receive_unless_left()
+                await self._receive_rest()
         except TimeoutError:
             if not self._connection.has_whole_answer():
                 raise
@@ -190,36 +165,6 @@
         """Free what was received, to which an error may refer for a while."""
         self._parts.clear()
 
-    async def _receive_unless_left(self):
-        """Receive it; raise ``TimeoutError`` if it is left before."""
-        if self._leave is None:
-            await self._receive_rest()
-            return
-        receiving = asyncio.ensure_future(self._receive_rest())
-        receiving.add_done_callback(mark_retrieved)
-        try:
-            await asyncio.wait({receiving}, timeout=self._leave.after_s)
-            if not receiving.done() and await self._is_left_during(receiving):
-                raise TimeoutError
-            await receiving
-        finally:
-            receiving.cancel()
-            # Breaks the cycle of the task, its error and this frame, which
-            # would keep the bytes received until the next collection.
-            del receiving
-
-    async def _is_left_during(self, receiving):
-        """Ask whether to leave, until the answer is received."""
-        asking = asyncio.ensure_future(self._leave.may_leave())
-        asking.add_done_callback(mark_retrieved)
-        try:
-            await asyncio.wait(
-                {receiving, asking}, return_when=asyncio.FIRST_COMPLETED
-            )
-            return not receiving.done() and asking.result()
-        finally:
-            asking.cancel()
-
     async def _receive_rest(self):
         if self.head is None:
             self.head = await self._connection.head()
