Release memory that is granted too late

Cause: a reservation that was not answered in 0.4 s was given up with its connection. An engine that stood still granted it all the same once it went on, and held the memory for nobody until it lapsed (HoldMs); when engines pause together, each request that looked for memory left such grants behind, while the streams that go on need it. Change: exchange hands a response that is late to its caller, who may await it for a bounded time on the same connection. The reserver does so for six seconds and releases what is granted; late_grants_released_total counts them.

--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -33,6 +33,12 @@
 RESERVE_TIMEOUT_S = 0.4
 """Time in which an engine must answer a reservation request."""
 
+LATE_GRANT_S = 6.0
+"""Time after that in which a grant is received and released.
+
+Engines that stood still for some seconds grant all that they were asked for.
+"""
+
 HEDGE_S = 0.1
 """Delay after which the next engine is asked while a slow one is pending."""
 
@@ -257,6 +263,9 @@
                 call,
                 timeout_s=RESERVE_TIMEOUT_S,
                 retryable=True,
+                on_late=lambda late: context.in_background(
+                    self._release_late(record, late)
+                ),
             )
         except ExchangeError as exc:
             self.record_unreachable(record, exc)
@@ -277,21 +286,37 @@
                     record.upstream, now_s=self._now_s
                 )
             return None
-        try:
-            number = context.dialect.read_reservation(body)
-        except DialectError as exc:
-            _log.warning("reservation-unreadable", why=str(exc))
-            return None
-        reservation = Reservation(
-            record=record, tokens=self._tokens, number=number
-        )
-        if not accepts_work:
+        reservation = self._read_grant(record, body)
+        if reservation is not None and not accepts_work:
             # The engine was withdrawn while it answered; its remaining
             # streams need the memory.
             self.release(reservation)
             return None
         return reservation
 
+    def _read_grant(self, record, body):
+        """Return the ``Reservation`` of a grant; None if it is unreadable."""
+        try:
+            number = self._context.dialect.read_reservation(body)
+        except DialectError as exc:
+            _log.warning("reservation-unreadable", why=str(exc))
+            return None
+        return Reservation(record=record, tokens=self._tokens, number=number)
+
+    async def _release_late(self, record, late):
+        """Release what an engine grants after its time to answer."""
+        try:
+            head, body = await late.receive(timeout_s=LATE_GRANT_S)
+        except ExchangeError:
+            # It was recorded as unreachable, and probes find it again.
+            return
+        if head.status != 200:
+            return
+        reservation = self._read_grant(record, body)
+        if reservation is not None:
+            self._context.metrics.add("late_grants_released_total")
+            self.release(reservation)
+
     def _prefilling_engines(self, names):
         """Return the engines whose current prefill would delay this prompt.
 
--- a/currantdeal/node/exchange.py
+++ b/currantdeal/node/exchange.py
@@ -25,6 +25,7 @@
     retryable=False,
     may_repeat=None,
     has_expired=lambda: False,
+    on_late=None,
 ):
     """Send a small request and return the response head and the whole body.
 
@@ -46,6 +47,9 @@
     has_expired : callable
         Returns whether a cancellation is the end of the request's own time.
         An answer that is whole at the end of either time is returned.
+    on_late : callable or None
+        Called with a ``LateResponse`` if none was received in time.  Without
+        it, the connection is closed.
 
     Raises
     ------
@@ -61,6 +65,7 @@
         "timeout_s": timeout_s,
         "limit": limit,
         "has_expired": has_expired,
+        "on_late": on_late,
     }
     try:
         return await exchange_on(pool, connection, outgoing, **options)
@@ -94,6 +99,7 @@
     timeout_s,
     limit=MAX_CALL_ANSWER_BYTES,
     has_expired=lambda: False,
+    on_late=None,
 ):
     """Send a request on a connection, see ``exchange``.
 
@@ -106,13 +112,12 @@
         connection.send(outgoing)
         await answer.receive(timeout_s=timeout_s, has_expired=has_expired)
     except TimeoutError:
-        connection.close()
-        answer.discard()
-        raise ResponseTimeoutError(
-            f"no answer from {connection.address} in "
-            f"{loop.time() - began_s:.2f} s",
-            phase=ExchangePhase.AWAITING_ANSWER,
-        ) from None
+        late = LateResponse(connection=connection, answer=answer)
+        if on_late is None:
+            late.discard()
+        else:
+            on_late(late)
+        raise _timeout(connection, loop.time() - began_s) from None
     except BaseException:
         connection.close()
         answer.discard()
@@ -124,6 +129,53 @@
     return answer.head, answer.body
 
 
+class LateResponse:
+    """The response to a request whose time is over, if it still comes.
+
+    Parameters
+    ----------
+    connection : UpstreamConnection
+        Connection on which it is awaited, and which is closed afterwards.
+    answer : _Answer
+        What was received of it.
+    """
+
+    def __init__(self, *, connection, answer):
+        """Start with what was received in time."""
+        self._connection = connection
+        self._answer = answer
+
+    async def receive(self, *, timeout_s):
+        """Return the head and the whole body.
+
+        Raises
+        ------
+        ExchangeError
+            If they are not received within ``timeout_s``.
+        """
+        try:
+            await self._answer.receive(
+                timeout_s=timeout_s, has_expired=lambda: False
+            )
+            return self._answer.head, self._answer.body
+        except TimeoutError:
+            raise _timeout(self._connection, timeout_s) from None
+        finally:
+            self.discard()
+
+    def discard(self):
+        """Close the connection and free what was received."""
+        self._connection.close()
+        self._answer.discard()
+
+
+def _timeout(connection, waited_s):
+    return ResponseTimeoutError(
+        f"no answer from {connection.address} in {waited_s:.2f} s",
+        phase=ExchangePhase.AWAITING_ANSWER,
+    )
+
+
 class _Answer:
     """An answer that is kept as a whole.
 
--- a/currantdeal/node/tests/test_connection_pool.py
+++ b/currantdeal/node/tests/test_connection_pool.py
@@ -6,7 +6,11 @@
 import pytest
 
 from currantdeal.node.connection_pool import ConnectionPool
-from currantdeal.node.errors import InvalidResponseError, UnchargedError
+from currantdeal.node.errors import (
+    InvalidResponseError,
+    ResponseTimeoutError,
+    UnchargedError,
+)
 from currantdeal.node.exchange import exchange
 from currantdeal.node.head import Outgoing
 from currantdeal.node.http_client import UpstreamConnection
@@ -210,3 +214,37 @@
         return pool.buffered_bytes
 
     assert asyncio.run(run()) == 0
+
+
+@pytest.mark.parametrize("is_awaited", [True, False])
+def test_late_response_is_awaited_for_its_time_alone(is_awaited):
+    """Guards against connections that stay open to a silent upstream."""
+
+    async def stay_silent(standin, request, writer):
+        await asyncio.sleep(30.0)
+        return True
+
+    async def run():
+        standin = StandInUpstream(script=stay_silent)
+        await standin.start()
+        pool, late = ConnectionPool(), []
+        connection = await pool.open(standin.address, timeout_s=1.0)
+        pool.release(connection)
+        with pytest.raises(ResponseTimeoutError):
+            await exchange(
+                pool,
+                standin.address,
+                _call(),
+                timeout_s=0.05,
+                retryable=True,
+                on_late=late.append,
+            )
+        assert connection.is_open
+        if is_awaited:
+            with pytest.raises(ResponseTimeoutError):
+                await late[0].receive(timeout_s=0.05)
+        else:
+            late[0].discard()
+        return connection.is_open
+
+    assert not asyncio.run(run())
