Count a run that takes over as part of its attempt

What callers saw: nothing yet; found by review of the mend.

Cause: a takeover was one of the three attempts of a generation. After two refused ones the successor of a silent run had spoken, and the answer broke off all the same.

Change: an attempt goes on with the successors of its run. The route's limit of runs bounds them.

--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -113,7 +113,6 @@
             may_move=lambda: self._may_resume,
         )
         self._run = None
-        self._successor = None
 
     @property
     def _now_s(self):
@@ -145,11 +144,20 @@
         return self._relay.events - self._run.events_before
 
     async def attempt(self):
-        """Make one attempt; returns whether the answer is complete."""
-        run, self._successor = self._successor, None
-        run = run or await self._start_run()
-        if run is None:
-            return False
+        """Make one attempt; returns whether the answer is complete.
+
+        A run that takes over from a silent one belongs to the same attempt.
+        """
+        run = await self._start_run()
+        while run is not None:
+            if await self._forward_run(run):
+                return True
+            run = await self._handover.take()
+        return False
+
+    async def _forward_run(self, run):
+        """Forward a run that was sent; returns whether the answer is whole."""
+        self._active.enter(RequestState.RUNNING)
         run.events_before = self._relay.events
         self._run = run
         try:
@@ -181,10 +189,6 @@
     async def may_retry(self):
         """Return whether another attempt is allowed and can still succeed."""
         active = self._active
-        self._successor = await self._handover.take()
-        if self._successor is not None:
-            active.enter(RequestState.RUNNING)
-            return True
         if self._starter.failure.reason in _FINAL_REASONS:
             return False
         if active.runs and not self._may_resume:
@@ -200,8 +204,6 @@
     def release_unused(self):
         """Release what no run needs any longer."""
         self._handover.close()
-        if self._successor is not None:
-            self._successor.end()
         self._starter.release_unused()
 
     def raise_failure(self):
