Take over only with a successor that has an event

What callers saw: nothing yet; found by review of the mend.

Cause: a successor whose answer ended without an event, or was no stream of events, counted as having spoken. The silent run was ended for it, and the answer broke off or could not go on.

Change: such a successor is given up, and the present run goes on. A takeover that begins as the time of two runs ends no longer moves an expired timeout.

--- a/currantdeal/entry/decode_run.py
+++ b/currantdeal/entry/decode_run.py
@@ -155,7 +155,7 @@
         return await self._receive_chunk()
 
     async def read_ahead(self):
-        """Read to the first event, or to the end of the answer.
+        """Read to the first event; returns False if the answer has none.
 
         What was read is returned by ``chunk`` later.  After a cancellation it
         may be called again.
@@ -172,7 +172,7 @@
             data = await self._receive_chunk()
             if data is None:
                 self._is_whole_ahead = True
-                return
+                break
             self._ahead.append(data)
             splitter.feed(data)
             if splitter.is_endless:
@@ -180,6 +180,7 @@
                     "an event does not end",
                     phase=ExchangePhase.WITHIN_ANSWER,
                 )
+        return splitter.count > 0
 
     def end(self):
         """Release all that is still held; an answer in progress is cut."""
--- a/currantdeal/entry/handover.py
+++ b/currantdeal/entry/handover.py
@@ -9,6 +9,7 @@
 
 from currantdeal.core.errors import CurrantdealError
 from currantdeal.entry.errors import BreakReason
+from currantdeal.entry.relay import has_events
 from currantdeal.entry.run_end import record_lost_run
 from currantdeal.entry.steps import StepKind
 from currantdeal.node.errors import ExchangeError
@@ -100,7 +101,7 @@
         if not self.is_begun:
             return None
         self._runs = self._runs.after(present=RunState.ENDED)
-        if self._overlap is not None:
+        if self._overlap is not None and not self._overlap.expired():
             self._overlap.reschedule(self._context.now_s)
         run = await self._task
         self._task = None
@@ -196,7 +197,10 @@
         return True
 
     async def _reads_event(self, run):
-        """Read to the first event; returns False if the run is refused."""
+        """Read to the first event; returns False if there will be none.
+
+        A run that ends without an event may have been cut short.
+        """
         head = await run.head()
         metadata = self._context.read_response(
             run.record, head, sent_s=run.sent_s
@@ -208,8 +212,7 @@
         if head.status != 200 or not metadata.is_signed:
             self._context.health.record_answer(run.record.upstream, error=True)
             return False
-        await run.read_ahead()
-        return True
+        return has_events(head) and await run.read_ahead()
 
     async def _may_overlap_longer(self):
         """Return whether two runs may go on that have not spoken in time."""
--- a/currantdeal/entry/relay.py
+++ b/currantdeal/entry/relay.py
@@ -153,14 +153,14 @@
         self._body.drop_partial_event()
 
     def _choose_body(self, head):
-        has_events = head.media_type in ("", EVENT_STREAM)
+        is_stream = has_events(head)
         if self.started:
-            if not has_events:
+            if not is_stream:
                 raise InvalidResponseError(
                     f"resumed with {head.media_type!r}",
                     phase=ExchangePhase.WITHIN_ANSWER,
                 )
-        elif has_events:
+        elif is_stream:
             self._body = EventSplitter(
                 resume_after=self._active.call.resume_after
             )
@@ -187,3 +187,8 @@
         self._active.responder.begin(
             head.status, headers, framing=self._framing
         )
+
+
+def has_events(head):
+    """Return whether an answer is a stream of events, by its head."""
+    return head.media_type in ("", EVENT_STREAM)
--- a/currantdeal/entry/tests/test_handover.py
+++ b/currantdeal/entry/tests/test_handover.py
@@ -50,7 +50,8 @@
         Whether its engine answers health checks.
     successor : str
         What the second engine does with a run: ``goes-on``, ``refuses``,
-        ``is-lost`` or ``is-silent``.
+        ``is-lost``, ``is-silent``, or an answer without an event that is
+        ``closed``, ``empty`` or of an ``other`` type.
     memory : bool
         Whether the second engine has memory.
     prefill_s : float
@@ -120,7 +121,18 @@
         if self._successor == "is-lost":
             writer.transport.abort()
             return
-        standin.begin_stream(request, writer)
+        if self._successor == "other":
+            standin.send(request, writer, 200, b"{}", "Content-Type: a/json")
+            return
+        standin.begin_stream(
+            request, writer, is_framed=self._successor != "closed"
+        )
+        if self._successor == "closed":
+            writer.close()
+            return
+        if self._successor == "empty":
+            writer.write(b"0\r\n\r\n")
+            return
         if self._successor == "is-silent":
             await asyncio.sleep(FOREVER_S)
         await _go_on(writer, int(request.get("Last-Event-Id") or 0) + 1)
@@ -262,3 +274,13 @@
 
     asyncio.run(run())
     assert set(pair.cancelled_s) == {"d1", "d2"}
+
+
+@pytest.mark.parametrize("shape", ["closed", "empty", "other"])
+def test_successor_without_an_event_takes_no_stream_over(shape):
+    """Guards against answers that end as their successor has nothing."""
+    pair = _Pair(silent_s=MOVED_S + 0.6, successor=shape)
+    answer, _, world = asyncio.run(_play(pair))
+    assert event_numbers(answer) == ALL
+    assert answer.endswith(b"0\r\n\r\n")
+    assert _moves(world, "given-up", "refused") == 1
