Leave a stream alone if its move fails unexpectedly

What callers saw: nothing yet; found by review of the mend.

Cause: an unexpected error in the preparation of a successor was raised where its result was looked at, in the present run, whose answer then failed.

Change: it is logged as move-failed, and the move is given up.

Result: the new test passes; the others of handovers do.

--- a/currantdeal/entry/handover.py
+++ b/currantdeal/entry/handover.py
@@ -7,7 +7,6 @@
 
 import structlog
 
-from currantdeal.core.errors import CurrantdealError
 from currantdeal.entry.errors import BreakReason
 from currantdeal.entry.relay import has_events
 from currantdeal.entry.run_end import record_lost_run
@@ -141,12 +140,20 @@
         """Return the successor, or None if it can't be had."""
         try:
             run = await self._start()
-        except CurrantdealError as exc:
-            return self._give_up(MoveFailure.REFUSED, text=str(exc))
-        if run is None:
-            return None
+            return None if run is None else await self._wait_for_event(run)
+        except Exception as exc:
+            # Whatever it is, the present run goes on.
+            _log.error(
+                "move-failed",
+                request=self._active.call.request_id,
+                error=repr(exc),
+            )
+            return self._give_up(MoveFailure.REFUSED, text=repr(exc))
+
+    async def _wait_for_event(self, run):
+        """Return a run that was sent once it may take over, or None."""
         try:
-            return run if await self._wait_for_event(run) else None
+            return run if await self._may_take_over(run) else None
         except ExchangeError as exc:
             record_lost_run(
                 self._context, self._active, self._reserver, run, exc
@@ -173,8 +180,8 @@
         self._runs = self._runs.after(successor=RunState.SILENT)
         return run
 
-    async def _wait_for_event(self, run):
-        """Return whether a successor that was sent is to take over."""
+    async def _may_take_over(self, run):
+        """Return whether a successor that was sent has an event in time."""
         while self._runs.present is not RunState.ENDED:
             try:
                 async with asyncio.timeout(MAX_OVERLAP_S) as self._overlap:
--- a/currantdeal/entry/tests/test_handover.py
+++ b/currantdeal/entry/tests/test_handover.py
@@ -7,6 +7,7 @@
 import pytest
 
 from currantdeal.entry.handover import MAX_OVERLAP_S
+from currantdeal.entry.memory import MemoryReserver
 from currantdeal.entry.run_wait import (
     DEFAULT_GAP_TARGET_S,
     RESUME_SILENCE_GAPS,
@@ -284,3 +285,15 @@
     assert event_numbers(answer) == ALL
     assert answer.endswith(b"0\r\n\r\n")
     assert _moves(world, "given-up", "refused") == 1
+
+
+def test_unexpected_error_of_a_move_leaves_the_stream_alone(monkeypatch):
+    """Guards against an answer that ends with an error of its successor."""
+
+    async def fail(self, *, excluding):
+        raise ZeroDivisionError(excluding.upstream)
+
+    monkeypatch.setattr(MemoryReserver, "reserve_once", fail)
+    answer, _, world = asyncio.run(_play(_Pair(silent_s=MOVED_S + 0.6)))
+    assert event_numbers(answer) == ALL
+    assert _moves(world, "given-up", "refused") == 1
