Keep a run only for output that it has sent

What callers saw: nothing yet; found by review of the mend.

Cause: a refusal, an error or the end of the present run counted as its speaking, and cancelled the successor that was to follow it. The successor counts as a run, so that the route allowed no other.

Change: only a head of status 200 and bytes of its body keep a run.

--- a/currantdeal/entry/run_wait.py
+++ b/currantdeal/entry/run_wait.py
@@ -7,9 +7,11 @@
 """
 
 import asyncio
+from functools import singledispatch
 
 from currantdeal.entry.errors import SupersededError
 from currantdeal.node.errors import EngineLostError
+from currantdeal.node.head import ResponseHead
 from currantdeal.policy.health.silence_scope import (
     SilenceScope,
     SilentStream,
@@ -87,7 +89,8 @@
                 async with asyncio.timeout(pause_s) as limit:
                     self._handover.on_ready = _waker(limit)
                     part = await work()
-                self._handover.keep()
+                if _is_output(part):
+                    self._handover.keep()
                 return part
             except TimeoutError:
                 pass
@@ -141,6 +144,17 @@
             )
 
 
+@singledispatch
+def _is_output(part):
+    """Return whether a part of an answer shows that its run goes on."""
+    return part is not None
+
+
+@_is_output.register
+def _(part: ResponseHead):
+    return part.status == 200
+
+
 def _waker(limit):
     """Return what ends a wait at once, unless its time is over."""
 
