Switch to a successor while the silent engine is probed

What callers saw: a pause that is longer by up to 0.3 s.

Cause: a wait looked at the successor only after the health check of the silent engine, so that two engines stayed at work on one answer meanwhile.

Change: the successor's first event ends that wait as well.

--- a/currantdeal/entry/run_wait.py
+++ b/currantdeal/entry/run_wait.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from contextlib import suppress
 from functools import singledispatch
 
 from currantdeal.entry.errors import SupersededError
@@ -86,20 +87,31 @@
         while True:
             self._check_successor(run)
             try:
-                async with asyncio.timeout(pause_s) as limit:
-                    self._handover.on_ready = _waker(limit)
-                    part = await work()
+                part = await self._unless_ready(work(), timeout_s=pause_s)
                 if _is_output(part):
                     self._handover.keep()
                 return part
             except TimeoutError:
-                pass
-            finally:
-                self._handover.on_ready = None
-            self._check_successor(run)
+                self._check_successor(run)
             silent_gaps += 1
             self._move_if_silent(run, silent_gaps, began_s)
-            await self._check_engine(run, silent_gaps)
+            with suppress(TimeoutError):
+                await self._unless_ready(self._check_engine(run, silent_gaps))
+
+    async def _unless_ready(self, work, *, timeout_s=None):
+        """Return the result of a coroutine.
+
+        Raises
+        ------
+        TimeoutError
+            If its time is over, or once the successor has spoken.
+        """
+        try:
+            async with asyncio.timeout(timeout_s) as limit:
+                self._handover.on_ready = _waker(limit)
+                return await work
+        finally:
+            self._handover.on_ready = None
 
     def _check_successor(self, run):
         """End the wait if the next event is here from another run only."""
