--- a/currantdeal/cli/tests/test_streams_at_a_stop.py
+++ b/currantdeal/cli/tests/test_streams_at_a_stop.py
@@ -15,7 +15,7 @@
 TIMEOUT_MS = 14_000
 TARGET_MS = 12_000
 GRACE_S = 8.0
-STATES = ("begun", "silent", "lost")
+STATES = ("begun", "silent", "lost", "broken")
 """What becomes of the first streams, by the ids of their requests."""
 
 WAITING_SENT_S = (0.5, 1.2, 1.8, 2.1, 2.4)
@@ -44,6 +44,12 @@
             await self._stream(request, writer)
         elif request.request_id == "lost":
             writer.transport.abort()
+        elif request.request_id == "broken":
+            self.begin_stream(request, writer)
+            send_event(writer, 1)
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
         else:
             await asyncio.sleep(30.0)
         return True
@@ -129,3 +135,13 @@
     (stopped,) = entry.lines("stopped").values()
     assert stopped["cut"] == 1
     assert stopped["in_progress"] == {"running": 1}
+
+
+def test_line_of_a_stop_has_the_reasons_of_broken_off_answers(played):
+    """Guards against a stop that counts cut answers and not why."""
+    entry = played[0]
+    line = entry.lines("request-ended")["broken"]
+    assert line["broken_off"] == "run-lost"
+    (stopped,) = entry.lines("stopped").values()
+    assert stopped["broken_off"] == {"run-lost": 1}
+    assert stopped["ended"]["broken off"] == 1
