--- a/currantdeal/testing/entry_world.py
+++ b/currantdeal/testing/entry_world.py
@@ -46,11 +46,14 @@
     kv_handle_ttl_s=0.5,
     organisations=None,
     anonymous=(),
+    engine=None,
 ):
     """Return the bytes of a configuration with one route of each kind.
 
     Parameters
     ----------
+    engine : dict or None
+        Changed fields of the engines of the model.
     organisations : list or None
         Organisations, see ``listing``.
     anonymous : iterable of str
@@ -87,6 +90,7 @@
                         "Stride": 10,
                         "SwitchS": 6.0,
                         "HandleTtlS": kv_handle_ttl_s,
+                        **(engine or {}),
                     },
                 },
             ],
--- a/currantdeal/testing/node_processes.py
+++ b/currantdeal/testing/node_processes.py
@@ -24,6 +24,7 @@
 START_TIMEOUT_S = 30.0
 CALL_TIMEOUT_S = 2.0
 LAST_LINES = 5
+BOUNDS = {"GraceS": 8, "RetryBurst": 50, "LeaseMs": 1_000}
 
 
 class NodeProcess:
@@ -146,11 +147,25 @@
         Folder for settings, logs and data folders.
     control, entries : int
         Numbers of control and entry processes.
+    bounds : dict or None
+        Changed fields of the bounds of all processes.
+    data_centers : tuple of str
+        Data centres of the region; the processes are in the first.
     """
 
-    def __init__(self, *, folder, control=3, entries=2):
+    def __init__(
+        self,
+        *,
+        folder,
+        control=3,
+        entries=2,
+        bounds=None,
+        data_centers=("dc1",),
+    ):
         """Assign addresses; ``with`` starts the processes."""
         self._folder = folder
+        self._bounds = {**BOUNDS, **(bounds or {})}
+        self._data_centers = data_centers
         self._address_prefix = _address_prefix()
         self._ports = _free_ports(6)
         self._numbers = itertools.count(1)
@@ -259,9 +274,9 @@
         control_port = self._ports[0]
         return {
             "instance": name,
-            "data_center": "dc1",
+            "data_center": self._data_centers[0],
             "region": "r1",
-            "region_of": {"dc1": "r1"},
+            "region_of": dict.fromkeys(self._data_centers, "r1"),
             "address": host,
             "peer_port": self._ports[2],
             "listen": listen,
@@ -272,7 +287,7 @@
             "first_start": True,
             "data_folder": str(self._folder / name),
             "heartbeat_ms": 1_000,
-            "bounds": {"GraceS": 8, "RetryBurst": 50, "LeaseMs": 1_000},
+            "bounds": self._bounds,
         }
 
     def _make_control(self, number):
--- /dev/null
+++ b/currantdeal/testing/pause_play.py
@@ -0,0 +1,151 @@
+"""Plays common stalls of upstreams on real processes."""
+
+import asyncio
+import random
+import signal
+from collections import Counter
+
+from currantdeal.testing.common_stalls import (
+    ENGINES,
+    HOME,
+    OTHER,
+    PREFILLS,
+    Beside,
+    Group,
+    announcements,
+    members,
+)
+from currantdeal.testing.stall_play import StallPlay
+from currantdeal.testing.stall_verdicts import GRACE_S
+
+CALLS_S = 20.0
+CUT_S = 5.0
+PAUSE_S = (2.0, 4.0)
+"""Seconds between the end of a stall and the next."""
+
+FLEET = {"services": 3, "engines": ENGINES, "prefills": PREFILLS}
+
+
+class PausePlay(StallPlay):
+    """A play whose upstreams stand still together now and then.
+
+    No upstream fails or ends, so that none of the stalls is a reason to end
+    an answer.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Folder for settings, logs and data folders.
+    case : CommonStall
+        What stands still, and what goes on beside.
+    seed : int
+        Seed of the callers and of the times of the stalls.
+
+    Attributes
+    ----------
+    stalls : list of tuple
+        When each stall began and ended.
+    """
+
+    def __init__(self, *, folder, case, seed):
+        """Start nothing before ``run``."""
+        super().__init__(
+            folder=folder,
+            seed=seed,
+            calls=case.rows,
+            fleet={**FLEET, "announced": announcements(runs=case.runs)},
+            engine=case.engine,
+            bounds=case.bounds,
+            data_centers=(HOME, OTHER),
+        )
+        self.stalls = []
+        self._case = case
+        self._rng = random.Random(f"stalls {seed}")
+        self._stopped_s = {}
+        for name in members(Group.DECODE):
+            self.fleet.standins[name].most_runs = case.runs
+
+    @property
+    def called_entries(self):
+        """The entries that callers go to."""
+        if self._case.beside is Beside.ROLLING:
+            return self.cluster.entries
+        return super().called_entries
+
+    def signalled_at_s(self, end):
+        """Return when the entry of a call was signalled to stop."""
+        return self._stopped_s.get(end.entry, self.signalled_s)
+
+    def run(self):
+        """Play the case; return the number of calls by verdict."""
+        self.play(PausePlay._scenario)
+        return Counter(verdict for _, verdict in self.verdicts())
+
+    async def _scenario(self):
+        case = self._case
+        if case.beside in (Beside.HELPER, Beside.HELPER_STOP):
+            self.cut_entry()
+            await asyncio.sleep(CUT_S)
+            await self.wait_serving()
+        works = {
+            Beside.RELOAD: self._reload,
+            Beside.STOP: self.stop_entry,
+            Beside.HELPER_STOP: self.stop_entry,
+            Beside.ROLLING: self._stop_in_turn,
+        }
+        work = works.get(case.beside, self._rest)
+        stalls = asyncio.ensure_future(self._stall_now_and_then())
+        try:
+            await self.call_beside(work())
+        finally:
+            stalls.cancel()
+            self._end_stall()
+
+    async def _rest(self):
+        await asyncio.sleep(CALLS_S)
+
+    async def _reload(self):
+        await asyncio.sleep(CALLS_S / 2)
+        self.entry.send_signal(signal.SIGHUP)
+        await self.put_config()
+        await asyncio.sleep(CALLS_S / 2)
+
+    async def _stop_in_turn(self):
+        loop = asyncio.get_running_loop()
+        for entry in self.cluster.entries:
+            await asyncio.sleep(3.0)
+            self._stopped_s[entry.settings["instance"]] = loop.time()
+            entry.send_signal(signal.SIGTERM)
+            await asyncio.to_thread(entry.wait, GRACE_S + 2.0)
+            await asyncio.to_thread(entry.start)
+
+    async def _stall_now_and_then(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(self._rng.uniform(*PAUSE_S))
+            began_s = loop.time()
+            self._begin_stall()
+            await asyncio.sleep(self._case.stall_s)
+            self._end_stall()
+            self.stalls.append((began_s, loop.time()))
+
+    def _begin_stall(self):
+        case = self._case
+        if case.group is Group.ENTRY and self.entry.is_running:
+            self.entry.send_signal(signal.SIGSTOP)
+        for name in members(case.group):
+            gate = self.fleet.standins[name].gate
+            gate.close(holds_calls=case.holds_calls)
+        if case.is_full:
+            self._set_most_runs(0)
+
+    def _end_stall(self):
+        if self._case.group is Group.ENTRY and self.entry.is_running:
+            self.entry.send_signal(signal.SIGCONT)
+        for name in members(self._case.group):
+            self.fleet.standins[name].gate.open()
+        self._set_most_runs(self._case.runs)
+
+    def _set_most_runs(self, count):
+        for name in members(Group.DECODE):
+            self.fleet.standins[name].most_runs = count
--- a/currantdeal/testing/scripted_upstream.py
+++ b/currantdeal/testing/scripted_upstream.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from currantdeal.testing.pause_gate import PauseGate
 from currantdeal.testing.platform_upstream import (
     ReceivedRequest,
     StandInUpstream,
@@ -108,6 +109,10 @@
         Work on generations and plain requests, prefills among them.
     refused : set of int
         Ids of processes whose connections are reset.
+    gate : PauseGate
+        Stops its work and its answers.
+    most_runs : int or None
+        Streams for which it has memory; unlimited by default.
     """
 
     def __init__(self, *, owners=None, **options):
@@ -115,9 +120,12 @@
         super().__init__(**options)
         self.works = []
         self.refused = set()
+        self.gate = PauseGate()
+        self.most_runs = None
         self._owners = owners
         self._writers = {}
         self._unread = {}
+        self._runs = 0
 
     async def start(self, host="127.0.0.1", port=0):
         """Listen with a small receive buffer."""
@@ -166,6 +174,10 @@
         self._record(request)
         script = script_of(request)
         if script is None or request.is_system_call:
+            await self.gate.pass_call()
+            if request.target == "/v1/hold-take" and self._is_full:
+                send_json(request, writer, {}, status=503)
+                return True
             if not (self.script and await self.script(self, request, writer)):
                 await self.answer(request, writer)
             return True
@@ -175,17 +187,30 @@
             began_s=time.monotonic(),
         )
         self.works.append(work)
+        await self._work(request, writer, script)
+        work.ended_s = time.monotonic()
+        return True
+
+    async def _work(self, request, writer, script):
         if request.is_prefill:
             await asyncio.sleep(script.prefill_s)
+            await self.gate.pass_work()
             send_json(request, writer, _HANDLE)
         elif request.is_generation:
-            await self._send_stream(request, writer, script)
+            self._runs += 1
+            try:
+                await self._send_stream(request, writer, script)
+            finally:
+                self._runs -= 1
         else:
             await asyncio.sleep(script.work_s)
+            await self.gate.pass_work()
             self.send(request, writer, 200, script.body())
         await writer.drain()
-        work.ended_s = time.monotonic()
-        return True
+
+    @property
+    def _is_full(self):
+        return self.most_runs is not None and self._runs >= self.most_runs
 
     async def _begin_body(self, writer, request):
         # It has reached the upstream, which may read its body much later.
@@ -203,12 +228,14 @@
 
     async def _send_stream(self, request, writer, script):
         await asyncio.sleep(script.work_s)
+        await self.gate.pass_work()
         self.begin_stream(request, writer)
         first = int(request.get("Last-Event-Id") or 0) + 1
         for number in range(first, script.events + 1):
             if number == script.events // 2 + 1:
                 await asyncio.sleep(script.pause_s)
             await asyncio.sleep(script.gap_s)
+            await self.gate.pass_work()
             send_chunk(writer, script.part(number))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
--- a/currantdeal/testing/stall_play.py
+++ b/currantdeal/testing/stall_play.py
@@ -22,6 +22,7 @@
 from currantdeal.testing.upstream_fleet import UpstreamFleet
 
 START_S = 30.0
+FLEET = {"services": 12, "engines": 20, "prefills": 10}
 BEFORE_S = 5.0
 """Seconds for which callers come before the planned work."""
 
@@ -44,6 +45,12 @@
         What callers send; ``stalling_rows.rows`` by default.
     scale : float
         Multiple of the rows' rates.
+    fleet : dict
+        Further options of the ``UpstreamFleet``.
+    engine : dict or None
+        Changed fields of the engines in the configuration.
+    cluster_options : dict
+        Further options of the ``NodeCluster``.
 
     Attributes
     ----------
@@ -53,21 +60,31 @@
         When the first entry was signalled to stop; infinite before.
     """
 
-    def __init__(self, *, folder, seed=1, calls=None, scale=1.0):
+    def __init__(
+        self,
+        *,
+        folder,
+        seed=1,
+        calls=None,
+        scale=1.0,
+        fleet=FLEET,
+        engine=None,
+        **cluster_options,
+    ):
         """Start nothing before ``play``."""
-        self.cluster = NodeCluster(folder=folder, control=3, entries=3)
+        self.cluster = NodeCluster(
+            folder=folder, control=3, entries=3, **cluster_options
+        )
         self.fleet = UpstreamFleet(
             cluster=self.cluster,
-            services=12,
-            engines=20,
-            prefills=10,
+            **fleet,
             make_standin=partial(
                 ScriptedUpstream,
                 owners=SocketOwners(process_ids=self._process_ids),
             ),
         )
         self.callers = RowCallers(
-            addresses=lambda: callers_addresses(self.cluster.entries[:1]),
+            addresses=lambda: callers_addresses(self.called_entries),
             rng=random.Random(seed),
             rows=calls or rows(),
             scale=scale,
@@ -75,6 +92,12 @@
         self.signalled_s = float("inf")
         self.watch = LoopWatch()
         self._version = 0
+        self._engine = engine
+
+    @property
+    def called_entries(self):
+        """The entries that callers go to."""
+        return self.cluster.entries[:1]
 
     @property
     def rows(self):
@@ -83,7 +106,7 @@
 
     @property
     def entry(self):
-        """The entry that callers go to."""
+        """The first entry."""
         return self.cluster.entries[0]
 
     def play(self, scenario):
@@ -117,6 +140,7 @@
                 "HeaderTimeoutMs": 5_000,
                 "IdleTimeoutMs": 15_000,
             },
+            engine=self._engine,
         )
         await asyncio.to_thread(self.cluster.put_config, body)
 
@@ -157,10 +181,21 @@
         """Return pairs of a ``CallEnd`` and its verdict, see ``judge``."""
         works = self.works()
         return [
-            (end, judge(end, works.get(end.request_id, ()), self.signalled_s))
+            (
+                end,
+                judge(
+                    end,
+                    works.get(end.request_id, ()),
+                    self.signalled_at_s(end),
+                ),
+            )
             for end in self.callers.ends
         ]
 
+    def signalled_at_s(self, end):
+        """Return when the entry of a call was signalled to stop."""
+        return self.signalled_s
+
     def failed_tasks(self):
         """Return the log lines of tasks that failed, of all processes."""
         return [
--- a/currantdeal/testing/upstream_fleet.py
+++ b/currantdeal/testing/upstream_fleet.py
@@ -19,6 +19,8 @@
         Number of plain upstreams, of decode engines and of prefill engines.
     make_standin : callable
         Creates the ``StandInUpstream`` with a name, passed as ``upstream``.
+    announced : dict or None
+        Changed fields of the heartbeats, by the name of the upstream.
     """
 
     def __init__(
@@ -29,6 +31,7 @@
         engines=4,
         prefills=2,
         make_standin=StandInUpstream,
+        announced=None,
     ):
         """Create the upstreams; they do not listen before ``start``."""
         self._cluster = cluster
@@ -39,6 +42,8 @@
             self._upstreams[f"d{number}"] = ("model", _stage("decode"))
         for number in range(prefills):
             self._upstreams[f"p{number}"] = ("model", _stage("prefill"))
+        for name, more in (announced or {}).items():
+            self._upstreams[name][1].update(more)
         self.standins = {
             name: make_standin(upstream=name) for name in self._upstreams
         }
