Stall stand-ins and entries within one context

Cause: the play and a soak both let stand-ins stand still and go on. Change: pause_gate.standing_still does it for both; PausePlay uses it, and ends its stalls also when a play is cut.

--- a/currantdeal/testing/pause_gate.py
+++ b/currantdeal/testing/pause_gate.py
@@ -1,6 +1,7 @@
 """A gate at which stand-in upstreams stand still and go on."""
 
 import asyncio
+from contextlib import contextmanager
 
 
 class PauseGate:
@@ -52,3 +53,30 @@
     async def pass_call(self):
         """Wait until calls of the system are answered."""
         await self._calls.wait()
+
+
+@contextmanager
+def standing_still(standins, *, holds_calls=False, full=()):
+    """Let stand-ins stand still while the context is open.
+
+    Parameters
+    ----------
+    standins : iterable of ScriptedUpstream
+        Stand still.
+    holds_calls : bool
+        As for ``PauseGate.close``.
+    full : iterable of ScriptedUpstream
+        Grant no memory meanwhile.
+    """
+    most_runs = [(standin, standin.most_runs) for standin in full]
+    for standin in standins:
+        standin.gate.close(holds_calls=holds_calls)
+    for standin, _ in most_runs:
+        standin.most_runs = 0
+    try:
+        yield
+    finally:
+        for standin in standins:
+            standin.gate.open()
+        for standin, most in most_runs:
+            standin.most_runs = most
--- a/currantdeal/testing/pause_play.py
+++ b/currantdeal/testing/pause_play.py
@@ -1,6 +1,7 @@
 """Plays common stalls of upstreams on real processes."""
 
 import asyncio
+import contextlib
 import random
 import signal
 from collections import Counter
@@ -15,6 +16,7 @@
     announcements,
     members,
 )
+from currantdeal.testing.pause_gate import standing_still
 from currantdeal.testing.stall_play import StallPlay
 from currantdeal.testing.stall_verdicts import GRACE_S
 
@@ -62,8 +64,8 @@
         self._case = case
         self._rng = random.Random(f"stalls {seed}")
         self._stopped_s = {}
-        for name in members(Group.DECODE):
-            self.fleet.standins[name].most_runs = case.runs
+        for standin in self._standins(Group.DECODE):
+            standin.most_runs = case.runs
 
     @property
     def called_entries(self):
@@ -99,7 +101,8 @@
             await self.call_beside(work())
         finally:
             stalls.cancel()
-            self._end_stall()
+            with contextlib.suppress(asyncio.CancelledError):
+                await stalls
 
     async def _rest(self):
         await asyncio.sleep(CALLS_S)
@@ -124,28 +127,32 @@
         while True:
             await asyncio.sleep(self._rng.uniform(*PAUSE_S))
             began_s = loop.time()
-            self._begin_stall()
-            await asyncio.sleep(self._case.stall_s)
-            self._end_stall()
+            await self._stall()
             self.stalls.append((began_s, loop.time()))
 
-    def _begin_stall(self):
+    async def _stall(self):
         case = self._case
-        if case.group is Group.ENTRY and self.entry.is_running:
+        engines = self._standins(Group.DECODE) if case.is_full else ()
+        with (
+            self._paused_entry(),
+            standing_still(
+                self._standins(case.group),
+                holds_calls=case.holds_calls,
+                full=engines,
+            ),
+        ):
+            await asyncio.sleep(case.stall_s)
+
+    @contextlib.contextmanager
+    def _paused_entry(self):
+        is_paused = self._case.group is Group.ENTRY and self.entry.is_running
+        if is_paused:
             self.entry.send_signal(signal.SIGSTOP)
-        for name in members(case.group):
-            gate = self.fleet.standins[name].gate
-            gate.close(holds_calls=case.holds_calls)
-        if case.is_full:
-            self._set_most_runs(0)
-
-    def _end_stall(self):
-        if self._case.group is Group.ENTRY and self.entry.is_running:
-            self.entry.send_signal(signal.SIGCONT)
-        for name in members(self._case.group):
-            self.fleet.standins[name].gate.open()
-        self._set_most_runs(self._case.runs)
-
-    def _set_most_runs(self, count):
-        for name in members(Group.DECODE):
-            self.fleet.standins[name].most_runs = count
+        try:
+            yield
+        finally:
+            if is_paused:
+                self.entry.send_signal(signal.SIGCONT)
+
+    def _standins(self, group):
+        return [self.fleet.standins[name] for name in members(group)]
