Split what a soak with scripted upstreams checks from its stalls

Cause: a second soak needs the scripted upstreams, the callers by rows and the verdicts, without slow readers. Change: they move to soak_scripts; nothing else changes.

--- a/benchmarks/soak_runs.py
+++ b/benchmarks/soak_runs.py
@@ -19,7 +19,8 @@
 from benchmarks.soak_repetitions import RepeatingSoak
 from benchmarks.soak_replacements import ReplacingFaultInjector
 from benchmarks.soak_resets import ResettingFaultInjector
-from benchmarks.soak_stalls import StallingFaultInjector, StallingSoak
+from benchmarks.soak_scripts import RecordingFaultInjector
+from benchmarks.soak_stalls import StallingSoak
 
 SOAKS = {
     "random": (NodeSoak, NodeFaultInjector),
@@ -30,7 +31,7 @@
     "ending": (EndingSoak, ResettingFaultInjector),
     "repeating": (RepeatingSoak, NodeFaultInjector),
     "departing": (DepartingSoak, NodeFaultInjector),
-    "stalling": (StallingSoak, StallingFaultInjector),
+    "stalling": (StallingSoak, RecordingFaultInjector),
     "unlinking": (UnlinkingSoak, UnlinkingFaultInjector),
 }
 """Soak class and fault injector by the name of a fault set."""
