--- a/benchmarks/soak_nodes.py
+++ b/benchmarks/soak_nodes.py
@@ -63,8 +63,15 @@
         Numbers of processes.
     faults : type
         Injects and heals the faults, such as ``NodeFaultInjector``.
+
+    Attributes
+    ----------
+    engines, prefills : int
+        Numbers of decode engines and of prefill engines.
     """
 
+    engines, prefills = 2, 1
+
     def __init__(
         self, *, seed, folder, control=3, entries=3, faults=NodeFaultInjector
     ):
@@ -89,9 +96,15 @@
     def _make_upstreams(self):
         return [
             *(SoakUpstream(name=f"s{n}", service="shop") for n in range(3)),
-            SoakUpstream(name="p1", service="model", stage="prefill"),
-            SoakUpstream(name="d1", service="model", stage="decode"),
-            SoakUpstream(name="d2", service="model", stage="decode"),
+            *self._make_engines("prefill", self.prefills),
+            *self._make_engines("decode", self.engines),
+        ]
+
+    @staticmethod
+    def _make_engines(stage, count):
+        return [
+            SoakUpstream(name=f"{stage[0]}{n}", service="model", stage=stage)
+            for n in range(1, count + 1)
         ]
 
     async def run(self, *, rounds):
--- a/benchmarks/soak_runs.py
+++ b/benchmarks/soak_runs.py
@@ -16,6 +16,7 @@
 from benchmarks.soak_links import UnlinkingFaultInjector, UnlinkingSoak
 from benchmarks.soak_node_faults import NodeFaultInjector
 from benchmarks.soak_nodes import NodeSoak
+from benchmarks.soak_pauses import PausingFaultInjector, PausingSoak
 from benchmarks.soak_repetitions import RepeatingSoak
 from benchmarks.soak_replacements import ReplacingFaultInjector
 from benchmarks.soak_resets import ResettingFaultInjector
@@ -32,6 +33,7 @@
     "repeating": (RepeatingSoak, NodeFaultInjector),
     "departing": (DepartingSoak, NodeFaultInjector),
     "stalling": (StallingSoak, RecordingFaultInjector),
+    "pausing": (PausingSoak, PausingFaultInjector),
     "unlinking": (UnlinkingSoak, UnlinkingFaultInjector),
 }
 """Soak class and fault injector by the name of a fault set."""
--- a/benchmarks/tests/test_soak_nodes.py
+++ b/benchmarks/tests/test_soak_nodes.py
@@ -63,6 +63,10 @@
 """Run with callers and upstreams that stop to read."""
 
 
+PAUSING_SEEDS = (pytest.param(2400, marks=pytest.mark.known_red),)
+"""Run with engines and entries that stand still and go on."""
+
+
 def _check(seed, *, faults="random"):
     report = run_seed(seed, rounds=1, faults=faults)
     assert report["violations"] == []
@@ -137,6 +141,12 @@
     _check(seed, faults="stalling")
 
 
+@pytest.mark.parametrize("seed", PAUSING_SEEDS)
+def test_promises_hold_beside_engines_that_stand_still(seed):
+    """Guards against runs that are given up before another can go on."""
+    _check(seed, faults="pausing")
+
+
 @pytest.mark.parametrize("seed", REPEATING_SEEDS)
 def test_promises_hold_beside_upstreams_that_answer_twice(seed):
     """Guards against the answer to another request, late or early."""
