Take the plays of common stalls off the list of known failures

Cause: the plays were listed as failing with the code before the mend.

Change: the marks of the two plays and of the soak's seed are gone, as are their lines. A test of a lapsed charge follows the charge of several arrivals.

--- a/benchmarks/tests/test_soak_nodes.py
+++ b/benchmarks/tests/test_soak_nodes.py
@@ -63,7 +63,7 @@
 """Run with callers and upstreams that stop to read."""
 
 
-PAUSING_SEEDS = (pytest.param(2400, marks=pytest.mark.known_red),)
+PAUSING_SEEDS = (2400,)
 """Run with engines and entries that stand still and go on."""
 
 
--- a/currantdeal/cli/tests/test_common_stalls.py
+++ b/currantdeal/cli/tests/test_common_stalls.py
@@ -12,15 +12,15 @@
 SEED = 74
 
 
-def _case(*marks, **fields):
+def _case(**fields):
     name = "-".join(str(getattr(v, "value", v)) for v in fields.values())
-    return pytest.param(CommonStall(**fields), id=name, marks=marks)
+    return pytest.param(CommonStall(**fields), id=name)
 
 
 CASES = [
     _case(group=Group.DECODE, stall_s=0.5),
-    _case(pytest.mark.known_red, group=Group.DECODE, stall_s=3.0),
-    _case(pytest.mark.known_red, group=Group.ENGINES, stall_s=3.0, runs=30),
+    _case(group=Group.DECODE, stall_s=3.0),
+    _case(group=Group.ENGINES, stall_s=3.0, runs=30),
 ]
 
 
--- a/currantdeal/entry/tests/test_break_reasons.py
+++ b/currantdeal/entry/tests/test_break_reasons.py
@@ -267,11 +267,12 @@
 def test_run_whose_charge_has_lapsed_has_a_reason():
     """Guards against a cut answer that counts as one that never began."""
 
-    async def charge(service):
-        return RetryCharge(until_s=boot_time_s())
+    async def charge(service, count):
+        return [RetryCharge(until_s=boot_time_s())] * count
 
     def prepare(world):
         world.context.retry_budgets.charge = charge
+        world.context.retry_budgets.give_back = lambda service, charges: None
 
     found = asyncio.run(_serve(_Play(None), prepare=prepare))
     _check(BreakReason.RETRY_BUDGET, *found)
