Take over only from a successor that has an event

Cause: a successor counted as having spoken as soon as its answer of status 200 was read to its end, also if that had no event, was broken off or was no stream of events. The present run was cancelled for it, and the answer broke off when the successor was then found unusable. Change: what is read ahead is checked as it is when forwarded: its media type, and its end if it has no event. An answer without events counts from its first bytes, as it is forwarded from them. Result: test_successor_without_an_event_does_not_take_over failed in its three cases at (events 1 and 2 of 6) and passes.

--- a/currantdeal/entry/decode_run.py
+++ b/currantdeal/entry/decode_run.py
@@ -2,8 +2,9 @@
 
 from currantdeal.entry.arrivals import ArrivalKind
 from currantdeal.entry.distance import Pool
-from currantdeal.entry.events import EventSplitter
+from currantdeal.entry.events import body_of
 from currantdeal.entry.prefill import release_kv_cache
+from currantdeal.entry.run_end import check_end
 from currantdeal.entry.run_wait import gap_target_s
 from currantdeal.entry.speeds import describe, speed_of
 from currantdeal.entry.steps import StepKind
@@ -155,27 +156,29 @@
         return await self._receive_chunk()
 
     async def read_ahead(self):
-        """Read to the first event, or to the end of the answer.
+        """Read to the first event, or to the end of a whole answer.
 
-        What was read is returned by ``chunk`` later.  After a cancellation it
-        may be called again.
+        Of an answer without events, the first bytes are read.  What was read
+        is returned by ``chunk`` later.  After a cancellation it may be called
+        again.
 
         Raises
         ------
         ExchangeError
-            If the run is lost.
+            If the run is lost, or ends without an event and may not be whole.
         """
-        splitter = EventSplitter()
+        body = body_of(self._head)
         for data in self._ahead:
-            splitter.feed(data)
-        while not splitter.count and not self._is_whole_ahead:
+            body.feed(data)
+        while not (body.has_begun or self._is_whole_ahead):
             data = await self._receive_chunk()
             if data is None:
+                check_end(self._head, body.position)
                 self._is_whole_ahead = True
                 return
             self._ahead.append(data)
-            splitter.feed(data)
-            if splitter.is_endless:
+            body.feed(data)
+            if body.is_endless:
                 raise InvalidResponseError(
                     "an event does not end",
                     phase=ExchangePhase.WITHIN_ANSWER,
--- a/currantdeal/entry/events.py
+++ b/currantdeal/entry/events.py
@@ -62,6 +62,11 @@
         """Number of data lines returned so far: one for most events."""
         return self._count
 
+    @property
+    def has_begun(self):
+        """Whether an event, or a part of one, was returned."""
+        return self._count > 0
+
     @property
     def last_id(self):
         """Id of the last complete event; empty before the first."""
@@ -159,6 +164,11 @@
         """Start before the first byte."""
         self._received = False
 
+    @property
+    def has_begun(self):
+        """Whether anything was received."""
+        return self._received
+
     @property
     def is_resumable(self):
         """Whether nothing was received, so that another run may replace it."""
@@ -173,6 +183,24 @@
         """Do nothing: there are no events."""
 
 
+def has_events(head):
+    """Return whether an answer may be a stream of events, by its head."""
+    return head.media_type in ("", EVENT_STREAM)
+
+
+def body_of(head, *, resume_after=""):
+    """Return the ``EventSplitter`` or ``OpaqueBody`` for an answer.
+
+    Parameters
+    ----------
+    head, resume_after
+        Its head; see ``EventSplitter``.
+    """
+    if has_events(head):
+        return EventSplitter(resume_after=resume_after)
+    return OpaqueBody()
+
+
 def position_of(head, body):
     """Return the ``Position`` of the end of a whole body.
 
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -105,6 +105,7 @@
             active=active,
             reserver=self._reserver,
             starter=self._starter,
+            relay=self._relay,
         )
         self._wait = RunWait(
             context=context,
--- a/currantdeal/entry/handover.py
+++ b/currantdeal/entry/handover.py
@@ -42,6 +42,8 @@
         Reserves memory for it.
     starter : RunStarter
         Starts its runs.
+    relay : EventRelay
+        What was forwarded to its caller so far.
 
     Attributes
     ----------
@@ -49,13 +51,14 @@
         Called once the successor has spoken.
     """
 
-    def __init__(self, *, context, active, reserver, starter):
+    def __init__(self, *, context, active, reserver, starter, relay):
         """Start without a successor."""
         self.on_ready = None
         self._context = context
         self._active = active
         self._reserver = reserver
         self._starter = starter
+        self._relay = relay
         self._task = None
         self._probe = None
         self._present = None
@@ -208,6 +211,7 @@
         if head.status != 200 or not metadata.is_signed:
             self._context.health.record_answer(run.record.upstream, error=True)
             return False
+        self._relay.check_head(head)
         await run.read_ahead()
         return True
 
--- a/currantdeal/entry/relay.py
+++ b/currantdeal/entry/relay.py
@@ -1,14 +1,13 @@
 """Forwards the events of a generation to its caller, over several runs."""
 
 from currantdeal.entry.errors import BreakReason, IncompleteAnswerError
-from currantdeal.entry.events import EventSplitter, OpaqueBody
+from currantdeal.entry.events import EventSplitter, body_of, has_events
 from currantdeal.entry.run_end import check_end
 from currantdeal.node.errors import (
     InvalidResponseError,
     MalformedResponseError,
     SlowCallerError,
 )
-from currantdeal.node.head import EVENT_STREAM
 from currantdeal.policy.answers.answer_end import (
     Position,
     framing_of_buffered,
@@ -123,6 +122,20 @@
         self._active.responder.finish()
         return True
 
+    def check_head(self, head):
+        """Check whether a run can go on where the answer has come to.
+
+        Raises
+        ------
+        InvalidResponseError
+            If events were forwarded, and it has none.
+        """
+        if self.started and not has_events(head):
+            raise InvalidResponseError(
+                f"resumed with {head.media_type!r}",
+                phase=ExchangePhase.WITHIN_ANSWER,
+            )
+
     def forward_error(self, head, body, completeness):
         """Forward an error; returns False if the answer has started."""
         if self.started:
@@ -153,19 +166,10 @@
         self._body.drop_partial_event()
 
     def _choose_body(self, head):
-        has_events = head.media_type in ("", EVENT_STREAM)
-        if self.started:
-            if not has_events:
-                raise InvalidResponseError(
-                    f"resumed with {head.media_type!r}",
-                    phase=ExchangePhase.WITHIN_ANSWER,
-                )
-        elif has_events:
-            self._body = EventSplitter(
-                resume_after=self._active.call.resume_after
-            )
-        else:
-            self._body = OpaqueBody()
+        self.check_head(head)
+        if not self.started:
+            resume_after = self._active.call.resume_after
+            self._body = body_of(head, resume_after=resume_after)
 
     async def _send(self, head, data, source):
         if not self.started:
--- /dev/null
+++ b/currantdeal/entry/tests/test_handover_ends.py
@@ -0,0 +1,165 @@
+"""Moves of a stream whose runs end in unusual ways, or at the same moment."""
+
+import asyncio
+import socket
+import time
+
+import pytest
+
+from currantdeal.entry.handover import MAX_OVERLAP_S
+from currantdeal.entry.run_wait import (
+    DEFAULT_GAP_TARGET_S,
+    RESUME_SILENCE_GAPS,
+)
+from currantdeal.testing.entry_world import (
+    GENERATION,
+    config_body,
+    entry_world,
+    request_bytes,
+)
+from currantdeal.testing.platform_upstream import (
+    EVENTS,
+    StandInUpstream,
+    event_bytes,
+    event_numbers,
+    send_chunk,
+    send_event,
+    send_refusal,
+)
+
+CONFIG = config_body(timeout_ms=20_000, kv_handle_ttl_s=5.0)
+DRAFT = request_bytes("/draft/1", more=GENERATION).replace(
+    b"Deadline-Ms: 3000", b"Deadline-Ms: 9000"
+)
+SENT = 2
+MOVED_S = RESUME_SILENCE_GAPS * DEFAULT_GAP_TARGET_S
+ALL = list(range(1, EVENTS + 1))
+FOREVER_S = 30.0
+
+
+class _Runs:
+    """Decode engines whose runs follow scripts, in the order of the runs.
+
+    Parameters
+    ----------
+    scripts : tuple of callable
+        Coroutine functions that are called with this object, the engine, the
+        request and the writer of the n-th run.
+    is_reached : bool
+        Whether engines answer health checks.
+    """
+
+    def __init__(self, *scripts, is_reached=True):
+        self._scripts = iter(scripts)
+        self._is_reached = is_reached
+        self.started = 0
+        self.engines = [
+            StandInUpstream(upstream=name, script=self._serve)
+            for name in ("p1", "d1", "d2", "d3", "d4")
+        ]
+
+    async def _serve(self, standin, request, writer):
+        if request.is_health_check and not self._is_reached:
+            await asyncio.sleep(FOREVER_S)
+        if not request.is_generation or request.is_prefill:
+            return False
+        self.started += 1
+        await next(self._scripts)(self, standin, request, writer)
+        return True
+
+    async def until_started(self, number):
+        """Wait for the n-th run."""
+        while self.started < number:
+            await asyncio.sleep(0.005)
+
+
+async def _refuse(_, standin, request, writer):
+    send_refusal(request, writer)
+
+
+async def _fall_silent(_, standin, request, writer):
+    _begin(standin, request, writer)
+    await asyncio.sleep(FOREVER_S)
+
+
+async def _pause(_, standin, request, writer):
+    _begin(standin, request, writer)
+    await asyncio.sleep(MOVED_S + 0.6)
+    await _go_on(writer, SENT + 1)
+
+
+async def _resume(_, standin, request, writer):
+    standin.begin_stream(request, writer)
+    await _go_on(writer, int(request.get("Last-Event-Id") or 0) + 1)
+
+
+async def _resume_late(runs, standin, request, writer):
+    await asyncio.sleep(0.1)
+    await _resume(runs, standin, request, writer)
+
+
+async def _end_at_end_of_overlap(runs, standin, request, writer):
+    _begin(standin, request, writer)
+    await runs.until_started(2)
+    writer.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+    time.sleep(MAX_OVERLAP_S + 0.1)
+
+
+async def _close_within_event(runs, standin, request, writer):
+    standin.begin_stream(request, writer, is_framed=False)
+    for number in ALL[:SENT]:
+        writer.write(event_bytes(number))
+    writer.write(event_bytes(SENT + 1)[:-3])
+    await runs.until_started(2)
+    writer.close()
+
+
+async def _close_without_event(_, standin, request, writer):
+    standin.begin_stream(request, writer, is_framed=False)
+    writer.close()
+
+
+async def _end_within_event(_, standin, request, writer):
+    standin.begin_stream(request, writer)
+    send_chunk(writer, event_bytes(SENT + 1)[:-3])
+    writer.write(b"0\r\n\r\n")
+
+
+async def _answer_without_events(_, standin, request, writer):
+    standin.send(request, writer, 200, b"{}", "Content-Type: application/json")
+
+
+def _begin(standin, request, writer):
+    standin.begin_stream(request, writer)
+    for number in ALL[:SENT]:
+        send_event(writer, number)
+
+
+async def _go_on(writer, first):
+    for number in range(first, EVENTS + 1):
+        send_event(writer, number)
+        await asyncio.sleep(0.02)
+    writer.write(b"0\r\n\r\n")
+
+
+async def _play(runs):
+    """Send one stream; returns its answer and its time."""
+    for engine in runs.engines:
+        await engine.start()
+    async with entry_world(config=CONFIG, allowance=100.0) as world:
+        world.announce_engines(*runs.engines)
+        began_s = time.monotonic()
+        answer = await world.exchange(DRAFT, timeout_s=10.0)
+        return answer, time.monotonic() - began_s
+
+
+@pytest.mark.parametrize(
+    "successor",
+    [_close_without_event, _end_within_event, _answer_without_events],
+)
+def test_successor_without_an_event_does_not_take_over(successor):
+    """Guards against an answer without an event that ends a run."""
+    runs = _Runs(_pause, successor)
+    answer, _ = asyncio.run(_play(runs))
+    assert event_numbers(answer) == ALL
+    assert answer.endswith(b"0\r\n\r\n")
