Let a successor take over in the last attempt

Cause: a takeover was counted as one of three attempts. After two refusals a silent run was cancelled for a successor that had sent the next event, and the loop of attempts ended: the answer broke off ("no attempt is left") though both of its runs could have gone on. Change: only attempts that start a run of their own are counted; takeovers are bounded by the limit of the route.

--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -51,7 +51,8 @@
 """Largest error of an engine that is forwarded."""
 
 MAX_ATTEMPTS = 3
-"""Maximum number of attempts for one generation."""
+"""Maximum number of attempts for one generation, without runs that take over.
+"""
 
 _FINAL_REASONS = (BreakReason.NO_MEMORY, BreakReason.RETRY_BUDGET)
 """Reasons after which no other attempt can succeed."""
@@ -76,11 +77,11 @@
     )
     generation = _Generation(context=context, active=active)
     try:
-        for attempt in range(MAX_ATTEMPTS):
-            if attempt and not await generation.may_retry():
-                break
+        while True:
             if await generation.attempt():
                 return
+            if not await generation.may_retry():
+                break
     finally:
         generation.release_unused()
     generation.raise_failure()
@@ -115,6 +116,7 @@
         )
         self._run = None
         self._successor = None
+        self._attempts_left = MAX_ATTEMPTS - 1
 
     @property
     def _now_s(self):
@@ -186,6 +188,9 @@
         if self._successor is not None:
             active.enter(RequestState.RUNNING)
             return True
+        if not self._attempts_left:
+            return False
+        self._attempts_left -= 1
         if self._starter.failure.reason in _FINAL_REASONS:
             return False
         if active.runs and not self._may_resume:
--- a/currantdeal/entry/tests/test_handover_ends.py
+++ b/currantdeal/entry/tests/test_handover_ends.py
@@ -163,3 +163,11 @@
     answer, _ = asyncio.run(_play(runs))
     assert event_numbers(answer) == ALL
     assert answer.endswith(b"0\r\n\r\n")
+
+
+def test_successor_of_the_last_attempt_goes_on():
+    """Guards against a takeover that counts as an attempt."""
+    runs = _Runs(_refuse, _refuse, _fall_silent, _resume)
+    answer, _ = asyncio.run(_play(runs))
+    assert event_numbers(answer) == ALL
+    assert answer.endswith(b"0\r\n\r\n")
