Leave a time limit alone that is expiring

Cause: where the present run ended in the same turn of the event loop in which the time of two runs was over, as after a pause of this process, the limit was rescheduled while it expired. That raises a RuntimeError: the answer broke off, and the successor was cancelled. Change: a limit that has expired is left alone; the wait for the successor then finds that the present run is over. Result: test_present_run_may_end_as_the_overlap_does failed three times of three without the change ("Cannot change state of expiring Timeout"), and passes three times of three.

--- a/currantdeal/entry/handover.py
+++ b/currantdeal/entry/handover.py
@@ -103,7 +103,7 @@
         if not self.is_begun:
             return None
         self._runs = self._runs.after(present=RunState.ENDED)
-        if self._overlap is not None:
+        if self._overlap is not None and not self._overlap.expired():
             self._overlap.reschedule(self._context.now_s)
         run = await self._task
         self._task = None
--- a/currantdeal/entry/tests/test_handover_ends.py
+++ b/currantdeal/entry/tests/test_handover_ends.py
@@ -171,3 +171,11 @@
     answer, _ = asyncio.run(_play(runs))
     assert event_numbers(answer) == ALL
     assert answer.endswith(b"0\r\n\r\n")
+
+
+def test_present_run_may_end_as_the_overlap_does():
+    """Guards against a time limit that is changed as it expires."""
+    runs = _Runs(_end_at_end_of_overlap, _resume_late)
+    answer, _ = asyncio.run(_play(runs))
+    assert event_numbers(answer) == ALL
+    assert answer.endswith(b"0\r\n\r\n")
