Await a late grant only from an engine that has not begun to answer

Change: only an answer of which nothing has come is awaited, and its rest has the time of any reservation.

--- a/currantdeal/entry/memory.py
+++ b/currantdeal/entry/memory.py
@@ -306,7 +306,9 @@
     async def _release_late(self, record, late):
         """Release what an engine grants after its time to answer."""
         try:
-            head, body = await late.receive(timeout_s=LATE_GRANT_S)
+            head, body = await late.receive(
+                timeout_s=LATE_GRANT_S, rest_s=RESERVE_TIMEOUT_S
+            )
         except ExchangeError:
             # It was recorded as unreachable, and probes find it again.
             return
--- a/currantdeal/node/exchange.py
+++ b/currantdeal/node/exchange.py
@@ -13,6 +13,9 @@
 MAX_CALL_ANSWER_BYTES = 65_536
 """Maximum size of the answer to a call of the system."""
 
+LATE_CHECK_S = 0.1
+"""Interval at which a late answer is looked for."""
+
 
 async def exchange(
     pool,
@@ -145,23 +148,39 @@
         self._connection = connection
         self._answer = answer
 
-    async def receive(self, *, timeout_s):
+    async def receive(self, *, timeout_s, rest_s):
         """Return the head and the whole body.
 
+        Parameters
+        ----------
+        timeout_s, rest_s : float
+            Time in which it must begin, and the time for the rest of it.
+
         Raises
         ------
         ExchangeError
-            If they are not received within ``timeout_s``.
+            If it is not received in that time, or had begun before: its
+            upstream does not stand still, but never ends it.
         """
         try:
-            await self._answer.receive(
-                timeout_s=timeout_s, has_expired=lambda: False
-            )
-            return self._answer.head, self._answer.body
+            if not self._connection.has_begun_answer:
+                await self._begins(timeout_s)
+                await self._answer.receive(
+                    timeout_s=rest_s, has_expired=lambda: False
+                )
+                return self._answer.head, self._answer.body
         except TimeoutError:
-            raise _timeout(self._connection, timeout_s) from None
+            pass
         finally:
             self.discard()
+        raise _timeout(self._connection, timeout_s)
+
+    async def _begins(self, timeout_s):
+        async with asyncio.timeout(timeout_s):
+            while self._connection.is_open:
+                if self._connection.has_begun_answer:
+                    return
+                await asyncio.sleep(LATE_CHECK_S)
 
     def discard(self):
         """Close the connection and free what was received."""
--- a/currantdeal/node/http_client.py
+++ b/currantdeal/node/http_client.py
@@ -85,6 +85,7 @@
         self.address = address
         self.helper = helper
         self.has_received_bytes = False
+        self.has_begun_answer = False
         self._traffic = traffic
         self.used = False
         self._loop = asyncio.get_running_loop()
@@ -144,6 +145,7 @@
             self._parser.record_unexpected(data)
             self._fail("received bytes without a pending request")
             return
+        self.has_begun_answer = True
         self._unparsed += data
         self._parse_step()
 
@@ -276,6 +278,7 @@
         self.used = True
         self._method = outgoing.method
         self._reusable = False
+        self.has_begun_answer = False
         self._phase = ExchangePhase.AWAITING_ANSWER
         self._ended = self._loop.create_future()
         self._longest_hold_s = 0.0
--- a/currantdeal/node/tests/test_connection_pool.py
+++ b/currantdeal/node/tests/test_connection_pool.py
@@ -242,7 +242,7 @@
         assert connection.is_open
         if is_awaited:
             with pytest.raises(ResponseTimeoutError):
-                await late[0].receive(timeout_s=0.05)
+                await late[0].receive(timeout_s=0.05, rest_s=0.05)
         else:
             late[0].discard()
         return connection.is_open
