Return credit whose caller leaves in the moment it arrives

Cause: a request that was cancelled after its credit had arrived and before it ran again took nothing, and gave nothing back: a move that is given up then, or a caller who leaves, cost the budget or the quota a request that was never sent. Change: such credit is returned to the owner; if it arrives together with the end of the wait for it, it is used.

--- a/currantdeal/entry/quotas.py
+++ b/currantdeal/entry/quotas.py
@@ -141,7 +141,13 @@
         try:
             async with asyncio.timeout(wait_s):
                 return await need.outcome
+        except asyncio.CancelledError:
+            if need.is_granted:
+                self.give_back(need.outcome.result())
+            raise
         except TimeoutError:
+            if need.is_granted:
+                return need.outcome.result()
             raise RefusedError(
                 "the owner of the quotas is not reached",
                 refusal_reason=RefusalReason.QUOTA_OWNER,
@@ -304,6 +310,14 @@
         self.urgency = urgency
         self.outcome = asyncio.get_running_loop().create_future()
 
+    @property
+    def is_granted(self):
+        """Whether credit is here, though nobody may have taken it yet."""
+        outcome = self.outcome
+        if not outcome.done() or outcome.cancelled():
+            return False
+        return outcome.exception() is None
+
 
 def _urgencies(needs):
     """Return the urgencies of some needs; empty if one has none."""
--- a/currantdeal/entry/tests/test_quotas.py
+++ b/currantdeal/entry/tests/test_quotas.py
@@ -273,6 +273,30 @@
     assert _outcomes(owner, work) > 3.9
 
 
+def test_credit_is_returned_if_its_caller_leaves_as_it_arrives():
+    """Guards against credit that neither a request nor the owner has."""
+    owner = _Owner()
+
+    async def work(client):
+        async def ask(asks):
+            answer = await owner.ask(asks)
+            asyncio.get_running_loop().call_soon(task.cancel)
+            return answer
+
+        client.ask_owner = ask
+        task = asyncio.ensure_future(_admit(client))
+        await asyncio.wait({task})
+        client.ask_owner = owner.ask
+        await asyncio.sleep(0.05)
+        return task.cancelled(), owner.owner.level(
+            "bakery", now_s=boot_time_s()
+        )
+
+    is_cancelled, level = _outcomes(owner, work)
+    assert is_cancelled
+    assert level > 3.9
+
+
 def test_credit_without_a_reserve_is_returned_once():
     """Guards against calls without pause after a grant that came late."""
     owner = _Owner()
