Keep a run beside its successor only for a complete event

Cause: any bytes of the silent run, the head of a refusal or error, and an end within an event cancelled a successor that was sent. Where the run then ended, the limit of the route was used up by the cancelled one. Change: the successor is cancelled once there is an event to forward, or the answer is whole; until then both go on as before.

--- a/currantdeal/entry/events.py
+++ b/currantdeal/entry/events.py
@@ -101,6 +101,11 @@
             return False
         return not self._count or bool(self._last_id)
 
+    def completes_event(self, data):
+        """Return whether ``feed`` would return any of these bytes."""
+        buffer = self._buffer + data
+        return _end_of_events(buffer, 0) > 0 or len(buffer) > MAX_EVENT_BYTES
+
     def feed(self, data):
         """Add received bytes; returns the bytes of the events now complete.
 
@@ -174,6 +179,10 @@
         """Whether nothing was received, so that another run may replace it."""
         return not self._received
 
+    def completes_event(self, data):
+        """Return True: bytes are forwarded as they arrive."""
+        return True
+
     def feed(self, data):
         """Return the bytes as they are."""
         self._received = True
--- a/currantdeal/entry/generation.py
+++ b/currantdeal/entry/generation.py
@@ -281,7 +281,9 @@
         record_memory_use(context, active, self._relay.events, took_s)
         if not active.call.resume_after and active.runs == 1:
             context.run_lengths.record(active.route.name, took_s)
-        if not is_ended:
+        if is_ended:
+            self._handover.keep()
+        else:
             self._starter.fail(BreakReason.UNKNOWN_END)
         return is_ended
 
@@ -322,6 +324,8 @@
         run.connection.record_buffered(self._relay.buffered_bytes)
         began_s = self._now_s
         chunk = await self._wait.receive(run.chunk, run)
+        if self._handover.is_begun and self._relay.completes_event(chunk):
+            self._handover.keep()
         timer.add(self._now_s - began_s)
         return chunk
 
--- a/currantdeal/entry/relay.py
+++ b/currantdeal/entry/relay.py
@@ -122,6 +122,16 @@
         self._active.responder.finish()
         return True
 
+    def completes_event(self, data):
+        """Return whether there is something to forward with these bytes.
+
+        Parameters
+        ----------
+        data : bytes or None
+            The next bytes of a run; None at its end.
+        """
+        return data is not None and self._body.completes_event(data)
+
     def check_head(self, head):
         """Check whether a run can go on where the answer has come to.
 
--- a/currantdeal/entry/run_wait.py
+++ b/currantdeal/entry/run_wait.py
@@ -86,9 +86,7 @@
             try:
                 async with asyncio.timeout(pause_s) as limit:
                     self._handover.on_ready = _waker(limit)
-                    part = await work()
-                self._handover.keep()
-                return part
+                    return await work()
             except TimeoutError:
                 pass
             finally:
--- a/currantdeal/entry/tests/test_handover_ends.py
+++ b/currantdeal/entry/tests/test_handover_ends.py
@@ -179,3 +179,10 @@
     answer, _ = asyncio.run(_play(runs))
     assert event_numbers(answer) == ALL
     assert answer.endswith(b"0\r\n\r\n")
+
+
+def test_successor_goes_on_if_the_present_run_ends_within_an_event():
+    """Guards against an end that counts as the next event."""
+    runs = _Runs(_close_within_event, _resume_late)
+    answer, _ = asyncio.run(_play(runs))
+    assert event_numbers(answer) == ALL
