Count a cancelled successor before the next attempt

Cause: a successor that was cancelled counted as a run of its request only when its task ended, a turn of the event loop later. Where the present run ended in the turn in which it had spoken, another run was sent beyond the limit of the route. Change: it is counted as it is cancelled. Result: test_cancelled_successor_counts_at_once failed before (three runs where two are allowed) and passes.

--- a/currantdeal/entry/handover.py
+++ b/currantdeal/entry/handover.py
@@ -62,6 +62,7 @@
         self._task = None
         self._probe = None
         self._present = None
+        self._sent = None
         self._began_s = 0.0
         self._overlap = None
         self._runs = RunPair()
@@ -82,6 +83,7 @@
             "moves_total", outcome=MoveOutcome.BEGUN.value, why=""
         )
         self._present = record
+        self._sent = None
         self._began_s = self._context.now_s
         self._runs = RunPair()
         self._probe = asyncio.ensure_future(
@@ -133,6 +135,9 @@
         """End the preparation, or the run that it has come to."""
         task, self._task = self._task, None
         self._probe.cancel()
+        if self._sent is not None:
+            # The task ends later, and another run may be considered before.
+            self._sent.count()
         if not task.done():
             task.cancel()
         elif not task.cancelled() and (run := task.result()) is not None:
@@ -172,6 +177,7 @@
             failure = self._starter.failure
             why = _FAILURES.get(failure.reason, MoveFailure.REFUSED)
             return self._give_up(why, text=failure.text)
+        self._sent = run
         self._runs = self._runs.after(successor=RunState.SILENT)
         return run
 
--- a/currantdeal/entry/tests/test_handover_ends.py
+++ b/currantdeal/entry/tests/test_handover_ends.py
@@ -82,6 +82,10 @@
     await asyncio.sleep(FOREVER_S)
 
 
+async def _never_answer(_, standin, request, writer):
+    await asyncio.sleep(FOREVER_S)
+
+
 async def _pause(_, standin, request, writer):
     _begin(standin, request, writer)
     await asyncio.sleep(MOVED_S + 0.6)
@@ -114,6 +118,13 @@
     writer.close()
 
 
+async def _send_event_and_part(runs, standin, request, writer):
+    _begin(standin, request, writer)
+    await runs.until_started(2)
+    data = event_bytes(SENT + 1) + event_bytes(SENT + 2)[:-3]
+    writer.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(data), data))
+
+
 async def _close_without_event(_, standin, request, writer):
     standin.begin_stream(request, writer, is_framed=False)
     writer.close()
@@ -186,3 +197,10 @@
     runs = _Runs(_close_within_event, _resume_late)
     answer, _ = asyncio.run(_play(runs))
     assert event_numbers(answer) == ALL
+
+
+def test_cancelled_successor_counts_at_once():
+    """Guards against more runs of one request than its route allows."""
+    runs = _Runs(_send_event_and_part, _never_answer, _resume)
+    asyncio.run(_play(runs))
+    assert runs.started == 2
