Keep a stream whose move fails for an unexpected error

Cause: an error in the preparation of a successor, for example of a prefill engine that left the view while its charge was awaited, was raised into the present run once that spoke, and broke its answer off. Change: such an error is logged and gives up the move. Result: test_fault_of_a_move_does_not_end_the_stream failed before (events 1 and 2 of 6, "AttributeError") and passes.

--- a/currantdeal/entry/handover.py
+++ b/currantdeal/entry/handover.py
@@ -150,6 +150,8 @@
             run = await self._start()
         except CurrantdealError as exc:
             return self._give_up(MoveFailure.REFUSED, text=str(exc))
+        except Exception as exc:
+            return self._give_up_for_fault(exc)
         if run is None:
             return None
         try:
@@ -159,6 +161,9 @@
                 self._context, self._active, self._reserver, run, exc
             )
             return self._give_up(MoveFailure.LOST, run, text=str(exc))
+        except Exception as exc:
+            self._drop(run)
+            return self._give_up_for_fault(exc)
         except BaseException:
             self._drop(run)
             raise
@@ -258,6 +263,15 @@
         if self._runs.present is not RunState.ENDED:
             self._task = None
 
+    def _give_up_for_fault(self, exc):
+        """Record an unexpected error, which is none of the present run."""
+        _log.exception(
+            "move-failed",
+            request=self._active.call.request_id,
+            why=repr(exc),
+        )
+        return self._give_up(MoveFailure.REFUSED, text=repr(exc))
+
     def _record_end(self, outcome, *, why=None, text=""):
         """Count and log how a move has ended."""
         cause = "" if why is None else why.value
--- a/currantdeal/entry/tests/test_handover_ends.py
+++ b/currantdeal/entry/tests/test_handover_ends.py
@@ -7,6 +7,7 @@
 import pytest
 
 from currantdeal.entry.handover import MAX_OVERLAP_S
+from currantdeal.entry.memory import MemoryReserver
 from currantdeal.entry.run_wait import (
     DEFAULT_GAP_TARGET_S,
     RESUME_SILENCE_GAPS,
@@ -204,3 +205,15 @@
     runs = _Runs(_send_event_and_part, _never_answer, _resume)
     asyncio.run(_play(runs))
     assert runs.started == 2
+
+
+def test_fault_of_a_move_does_not_end_the_stream(monkeypatch):
+    """Guards against a run that is given up for a fault of its successor."""
+
+    async def fail(self, *, excluding):
+        raise AttributeError("upstream")
+
+    monkeypatch.setattr(MemoryReserver, "reserve_once", fail)
+    answer, _ = asyncio.run(_play(_Runs(_pause)))
+    assert event_numbers(answer) == ALL
+    assert answer.endswith(b"0\r\n\r\n")
