--- a/currantdeal/policy/health/silence_scope.py
+++ b/currantdeal/policy/health/silence_scope.py
@@ -49,7 +49,7 @@
     ENGINE
         Its engine is silent while others speak, or nothing is known of any.
     COMMON
-        Most engines fell silent with it, or this process stood still.
+        Most engines became silent with it, or this process stood still.
     """
 
     STREAM = "stream"
@@ -228,7 +228,7 @@
 
 
 def _onset_s(engine, gap_s):
-    """Return the seconds since an engine fell silent; None if unknown."""
+    """Return the seconds since an engine became silent; None if unknown."""
     if engine is None:
         return None
     if _recovers(engine, gap_s):
@@ -239,8 +239,8 @@
 def _relation(engine, onset_s, gap_s):
     """Compare an engine with a silence that began some seconds ago.
 
-    One that fell silent at another time has a cause of its own.  A silence of
-    unknown beginning is compared with all.
+    One that became silent at another time has a cause of its own.  A silence
+    of unknown beginning is compared with all.
     """
 
     def is_with(other_s):
@@ -259,7 +259,7 @@
 
 
 def _is_common(stream, own, engines):
-    """Return whether most engines fell silent with that of a stream.
+    """Return whether most engines became silent with that of a stream.
 
     They have to be most both in its data centre and in the others, as one
     that is dark as a whole is left for those that speak.
@@ -275,12 +275,12 @@
         (here if is_here else elsewhere).append(relation)
     compared = here + elsewhere
     silent = compared.count(_Relation.TOGETHER)
-    if silent < 2 or not all(map(_are_mostly_silent, (here, elsewhere))):
+    if silent < 2 or not all(map(_is_silent_majority, (here, elsewhere))):
         return False
     is_certain = silent == len(compared) and silent >= MIN_SILENT_ENGINES
     return is_certain or stream.silence_s < MAX_HOLD_GAPS * gap_s
 
 
-def _are_mostly_silent(relations):
+def _is_silent_majority(relations):
     speaking = relations.count(_Relation.SPEAKS)
     return not relations or speaking < MAX_SPEAKING_SHARE * len(relations)
