Let a successor take over while its engine is being checked

Cause: a silent stream began its move and then awaited a health check of its engine, up to 0.3 s. A successor that spoke meanwhile did not take over before its end: both engines were at work, and a dark engine was left later than it could be. Change: a successor that speaks ends that wait as well.

--- a/currantdeal/entry/run_wait.py
+++ b/currantdeal/entry/run_wait.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from contextlib import asynccontextmanager, suppress
 
 from currantdeal.entry.errors import SupersededError
 from currantdeal.node.errors import EngineLostError
@@ -83,18 +84,31 @@
         self._is_held = False
         while True:
             self._check_successor(run)
-            try:
-                async with asyncio.timeout(pause_s) as limit:
-                    self._handover.on_ready = _waker(limit)
+            with suppress(TimeoutError):
+                async with self._until_successor(pause_s):
                     return await work()
-            except TimeoutError:
-                pass
-            finally:
-                self._handover.on_ready = None
             self._check_successor(run)
             silent_gaps += 1
             self._move_if_silent(run, silent_gaps, began_s)
-            await self._check_engine(run, silent_gaps)
+            with suppress(TimeoutError):
+                async with self._until_successor():
+                    await self._check_engine(run, silent_gaps)
+
+    @asynccontextmanager
+    async def _until_successor(self, timeout_s=None):
+        """End a wait once a successor has spoken, or after some seconds.
+
+        Raises
+        ------
+        TimeoutError
+            If it was ended.
+        """
+        async with asyncio.timeout(timeout_s) as limit:
+            self._handover.on_ready = _waker(limit)
+            try:
+                yield
+            finally:
+                self._handover.on_ready = None
 
     def _check_successor(self, run):
         """End the wait if the next event is here from another run only."""
--- a/currantdeal/entry/tests/test_handover_ends.py
+++ b/currantdeal/entry/tests/test_handover_ends.py
@@ -207,6 +207,14 @@
     assert runs.started == 2
 
 
+def test_check_of_a_silent_engine_delays_no_takeover():
+    """Guards against two engines at work while a health check is pending."""
+    runs = _Runs(_fall_silent, _resume, is_reached=False)
+    answer, took_s = asyncio.run(_play(runs))
+    assert event_numbers(answer) == ALL
+    assert took_s < MOVED_S + 0.25
+
+
 def test_fault_of_a_move_does_not_end_the_stream(monkeypatch):
     """Guards against a run that is given up for a fault of its successor."""
 
