--- a/currantdeal/entry/decode_run.py
+++ b/currantdeal/entry/decode_run.py
@@ -2,9 +2,8 @@
 
 from currantdeal.entry.arrivals import ArrivalKind
 from currantdeal.entry.distance import Pool
-from currantdeal.entry.events import body_of
-from currantdeal.entry.prefill import release_kv_cache
-from currantdeal.entry.run_end import check_end
+from currantdeal.entry.events import EventSplitter
+from currantdeal.entry.prefill_call import release_kv_cache
 from currantdeal.entry.run_wait import gap_target_s
 from currantdeal.entry.speeds import describe, speed_of
 from currantdeal.entry.steps import StepKind
@@ -156,33 +155,32 @@
         return await self._receive_chunk()
 
     async def read_ahead(self):
-        """Read to the first event, or to the end of a whole answer.
+        """Read to the first event; returns False if the answer has none.
 
-        Of an answer without events, the first bytes are read.  What was read
-        is returned by ``chunk`` later.  After a cancellation it may be called
-        again.
+        What was read is returned by ``chunk`` later.  After a cancellation it
+        may be called again.
 
         Raises
         ------
         ExchangeError
-            If the run is lost, or ends without an event and may not be whole.
+            If the run is lost.
         """
-        body = body_of(self._head)
+        splitter = EventSplitter()
         for data in self._ahead:
-            body.feed(data)
-        while not (body.has_begun or self._is_whole_ahead):
+            splitter.feed(data)
+        while not splitter.count and not self._is_whole_ahead:
             data = await self._receive_chunk()
             if data is None:
-                check_end(self._head, body.position)
                 self._is_whole_ahead = True
-                return
+                break
             self._ahead.append(data)
-            body.feed(data)
-            if body.is_endless:
+            splitter.feed(data)
+            if splitter.is_endless:
                 raise InvalidResponseError(
                     "an event does not end",
                     phase=ExchangePhase.WITHIN_ANSWER,
                 )
+        return splitter.count > 0
 
     def end(self):
         """Release all that is still held; an answer in progress is cut."""
--- a/currantdeal/entry/handover.py
+++ b/currantdeal/entry/handover.py
@@ -7,8 +7,8 @@
 
 import structlog
 
-from currantdeal.core.errors import CurrantdealError
 from currantdeal.entry.errors import BreakReason
+from currantdeal.entry.relay import has_events
 from currantdeal.entry.run_end import record_lost_run
 from currantdeal.entry.steps import StepKind
 from currantdeal.node.errors import ExchangeError
@@ -42,8 +42,6 @@
         Reserves memory for it.
     starter : RunStarter
         Starts its runs.
-    relay : EventRelay
-        What was forwarded to its caller so far.
 
     Attributes
     ----------
@@ -51,14 +49,13 @@
         Called once the successor has spoken.
     """
 
-    def __init__(self, *, context, active, reserver, starter, relay):
+    def __init__(self, *, context, active, reserver, starter):
         """Start without a successor."""
         self.on_ready = None
         self._context = context
         self._active = active
         self._reserver = reserver
         self._starter = starter
-        self._relay = relay
         self._task = None
         self._probe = None
         self._present = None
@@ -77,8 +74,15 @@
         """Whether the successor has spoken."""
         return self.is_begun and self._runs.successor is RunState.SPOKE
 
-    def begin(self, record):
-        """Prepare a successor for a run at an engine, which goes on."""
+    def begin(self, record, *, is_cut=False):
+        """Prepare a successor for a run at an engine, which goes on.
+
+        Parameters
+        ----------
+        is_cut : bool
+            Whether the link of the run is cut.  Its engine is not reached
+            then, though it may answer on another way.
+        """
         self._context.metrics.add(
             "moves_total", outcome=MoveOutcome.BEGUN.value, why=""
         )
@@ -86,11 +90,15 @@
         self._sent = None
         self._began_s = self._context.now_s
         self._runs = RunPair()
-        self._probe = asyncio.ensure_future(
-            self._context.engine_watch.answers(record)
-        )
+        self._probe = asyncio.ensure_future(self._answers(is_cut))
         self._task = asyncio.ensure_future(self._prepare())
 
+    async def _answers(self, is_cut):
+        """Return whether the engine of the present run is reached."""
+        if is_cut:
+            return False
+        return await self._context.engine_watch.answers(self._present)
+
     def keep(self):
         """Cancel the successor, since the present run has spoken."""
         if self.is_begun:
@@ -148,22 +156,25 @@
         """Return the successor, or None if it can't be had."""
         try:
             run = await self._start()
-        except CurrantdealError as exc:
-            return self._give_up(MoveFailure.REFUSED, text=str(exc))
+            return None if run is None else await self._wait_for_event(run)
         except Exception as exc:
-            return self._give_up_for_fault(exc)
-        if run is None:
-            return None
+            # Whatever it is, the present run goes on.
+            _log.error(
+                "move-failed",
+                request=self._active.call.request_id,
+                error=repr(exc),
+            )
+            return self._give_up(MoveFailure.REFUSED, text=repr(exc))
+
+    async def _wait_for_event(self, run):
+        """Return a run that was sent once it may take over, or None."""
         try:
-            return run if await self._wait_for_event(run) else None
+            return run if await self._may_take_over(run) else None
         except ExchangeError as exc:
             record_lost_run(
                 self._context, self._active, self._reserver, run, exc
             )
             return self._give_up(MoveFailure.LOST, run, text=str(exc))
-        except Exception as exc:
-            self._drop(run)
-            return self._give_up_for_fault(exc)
         except BaseException:
             self._drop(run)
             raise
@@ -186,8 +197,8 @@
         self._runs = self._runs.after(successor=RunState.SILENT)
         return run
 
-    async def _wait_for_event(self, run):
-        """Return whether a successor that was sent is to take over."""
+    async def _may_take_over(self, run):
+        """Return whether a successor that was sent has an event in time."""
         while self._runs.present is not RunState.ENDED:
             try:
                 async with asyncio.timeout(MAX_OVERLAP_S) as self._overlap:
@@ -210,7 +221,10 @@
         return True
 
     async def _reads_event(self, run):
-        """Read to the first event; returns False if the run is refused."""
+        """Read to the first event; returns False if there will be none.
+
+        A run that ends without an event may have been cut short.
+        """
         head = await run.head()
         metadata = self._context.read_response(
             run.record, head, sent_s=run.sent_s
@@ -222,9 +236,7 @@
         if head.status != 200 or not metadata.is_signed:
             self._context.health.record_answer(run.record.upstream, error=True)
             return False
-        self._relay.check_head(head)
-        await run.read_ahead()
-        return True
+        return has_events(head) and await run.read_ahead()
 
     async def _may_overlap_longer(self):
         """Return whether two runs may go on that have not spoken in time."""
@@ -263,15 +275,6 @@
         if self._runs.present is not RunState.ENDED:
             self._task = None
 
-    def _give_up_for_fault(self, exc):
-        """Record an unexpected error, which is none of the present run."""
-        _log.exception(
-            "move-failed",
-            request=self._active.call.request_id,
-            why=repr(exc),
-        )
-        return self._give_up(MoveFailure.REFUSED, text=repr(exc))
-
     def _record_end(self, outcome, *, why=None, text=""):
         """Count and log how a move has ended."""
         cause = "" if why is None else why.value
--- a/currantdeal/entry/run_wait.py
+++ b/currantdeal/entry/run_wait.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from contextlib import asynccontextmanager, suppress
+from contextlib import suppress
 
 from currantdeal.entry.errors import SupersededError
 from currantdeal.node.errors import EngineLostError
@@ -84,31 +84,29 @@
         self._is_held = False
         while True:
             self._check_successor(run)
-            with suppress(TimeoutError):
-                async with self._until_successor(pause_s):
-                    return await work()
-            self._check_successor(run)
+            try:
+                return await self._unless_ready(work(), timeout_s=pause_s)
+            except TimeoutError:
+                self._check_successor(run)
             silent_gaps += 1
             self._move_if_silent(run, silent_gaps, began_s)
             with suppress(TimeoutError):
-                async with self._until_successor():
-                    await self._check_engine(run, silent_gaps)
+                await self._unless_ready(self._check_engine(run, silent_gaps))
 
-    @asynccontextmanager
-    async def _until_successor(self, timeout_s=None):
-        """End a wait once a successor has spoken, or after some seconds.
+    async def _unless_ready(self, work, *, timeout_s=None):
+        """Return the result of a coroutine.
 
         Raises
         ------
         TimeoutError
-            If it was ended.
+            If its time is over, or once the successor has spoken.
         """
-        async with asyncio.timeout(timeout_s) as limit:
-            self._handover.on_ready = _waker(limit)
-            try:
-                yield
-            finally:
-                self._handover.on_ready = None
+        try:
+            async with asyncio.timeout(timeout_s) as limit:
+                self._handover.on_ready = _waker(limit)
+                return await work
+        finally:
+            self._handover.on_ready = None
 
     def _check_successor(self, run):
         """End the wait if the next event is here from another run only."""
@@ -123,11 +121,12 @@
         is_due = silent_gaps % RESUME_SILENCE_GAPS == 0
         if not (is_cut or is_due or self._is_held) or not self._may_move():
             return
+        was_held = self._is_held
         self._is_held = not is_cut and self._is_common(run, since_s)
-        if self._is_held:
+        if not self._is_held:
+            self._handover.begin(run.record, is_cut=is_cut)
+        elif not was_held:
             self._context.metrics.add("moves_held_total")
-        else:
-            self._handover.begin(run.record)
 
     def _is_common(self, run, since_s):
         """Return whether a run is silent since a time for a common cause."""
