--- a/currantdeal/entry/run_wait.py
+++ b/currantdeal/entry/run_wait.py
@@ -8,11 +8,9 @@
 
 import asyncio
 from contextlib import suppress
-from functools import singledispatch
 
 from currantdeal.entry.errors import SupersededError
 from currantdeal.node.errors import EngineLostError
-from currantdeal.node.head import ResponseHead
 from currantdeal.policy.health.silence_scope import (
     SilenceScope,
     SilentStream,
@@ -87,10 +85,7 @@
         while True:
             self._check_successor(run)
             try:
-                part = await self._unless_ready(work(), timeout_s=pause_s)
-                if _is_output(part):
-                    self._handover.keep()
-                return part
+                return await self._unless_ready(work(), timeout_s=pause_s)
             except TimeoutError:
                 self._check_successor(run)
             silent_gaps += 1
@@ -156,17 +151,6 @@
             )
 
 
-@singledispatch
-def _is_output(part):
-    """Return whether a part of an answer shows that its run goes on."""
-    return part is not None
-
-
-@_is_output.register
-def _(part: ResponseHead):
-    return part.status == 200
-
-
 def _waker(limit):
     """Return what ends a wait at once, unless its time is over."""
 
