Record when the sender of a run leaves, and play single engines

Cause: a run that its sender left counted as at work for good, so that it could excuse an answer lost at the end of the grace, and the time for which two runs of a request overlap was not known. Change: stand-ins note the end of a connection; StallPlay.longest_overlap_s; one engine alone may stand still.

--- a/currantdeal/testing/common_stalls.py
+++ b/currantdeal/testing/common_stalls.py
@@ -25,6 +25,7 @@
     PREFILL = "prefill engines"
     ENGINES = "all engines"
     DATA_CENTER = "one data centre"
+    ENGINE = "one engine"
     ENTRY = "the entry"
     STREAM = "single streams"
 
@@ -131,5 +132,7 @@
     found = announcements(runs=1)
     if group is Group.DATA_CENTER:
         return [n for n, more in found.items() if more["Zone"] == HOME]
+    if group is Group.ENGINE:
+        return ["d0"]
     stages = {Group.DECODE: "d", Group.PREFILL: "p", Group.ENGINES: "dp"}
     return [name for name in found if name[0] in stages.get(group, "")]
--- a/currantdeal/testing/scripted_upstream.py
+++ b/currantdeal/testing/scripted_upstream.py
@@ -25,6 +25,8 @@
 SCRIPT_HEADER = "X-Script"
 """Header of a request that holds its ``Script`` as JSON."""
 
+LEAVE_POLL_S = 0.02
+
 _HANDLE = {"KvHandle": "kv-1", "Tokens": 9, "Version": 1}
 
 
@@ -86,7 +88,8 @@
     upstream : str
         The upstream.
     began_s, ended_s : float
-        When it began, and when all of its answer was handed to the kernel.
+        When it began, and when all of its answer was handed to the kernel or
+        its sender left.
     """
 
     request: ReceivedRequest
@@ -94,6 +97,10 @@
     began_s: float
     ended_s: float = float("inf")
 
+    def end(self):
+        """Record that it ends now, unless it has ended."""
+        self.ended_s = min(self.ended_s, time.monotonic())
+
 
 class ScriptedUpstream(StandInUpstream):
     """An upstream with small buffers that follows the ``Script`` of a request.
@@ -187,8 +194,12 @@
             began_s=time.monotonic(),
         )
         self.works.append(work)
-        await self._work(request, writer, script)
-        work.ended_s = time.monotonic()
+        watch = asyncio.ensure_future(_note_leave(reader, work))
+        try:
+            await self._work(request, writer, script)
+        finally:
+            watch.cancel()
+            work.end()
         return True
 
     async def _work(self, request, writer, script):
@@ -247,6 +258,13 @@
     return msgspec.json.decode(raw, type=Script) if raw else None
 
 
+async def _note_leave(reader, work):
+    """Wait until the sender of a request leaves, and record it."""
+    while not reader.at_eof():
+        await asyncio.sleep(LEAVE_POLL_S)
+    work.end()
+
+
 async def _stall(writer, request):
     script = script_of(request)
     if script is None:
--- a/currantdeal/testing/stall_play.py
+++ b/currantdeal/testing/stall_play.py
@@ -1,7 +1,9 @@
 """Plays slow callers and upstreams beside planned work on real processes."""
 
 import asyncio
+import itertools
 import json
+import math
 import random
 import signal
 import time
@@ -177,6 +179,23 @@
         """Return the lists of ``Work`` by request id, prefills left out."""
         return works_by_request(self.fleet.standins.values())
 
+    def longest_overlap_s(self):
+        """Return the longest time for which a request ran at two upstreams.
+
+        Several runs of one request follow each other, but for the time that
+        it takes to cancel one; negative if none has several.
+        """
+        return max(
+            (
+                min(earlier.ended_s, later.ended_s) - later.began_s
+                for works in self.works().values()
+                for earlier, later in itertools.pairwise(
+                    sorted(works, key=lambda work: work.began_s)
+                )
+            ),
+            default=-math.inf,
+        )
+
     def verdicts(self):
         """Return pairs of a ``CallEnd`` and its verdict, see ``judge``."""
         works = self.works()
