--- a/currantdeal/entry/handover.py
+++ b/currantdeal/entry/handover.py
@@ -7,8 +7,8 @@
 
 import structlog
 
-from currantdeal.core.errors import CurrantdealError
 from currantdeal.entry.errors import BreakReason
+from currantdeal.entry.relay import has_events
 from currantdeal.entry.run_end import record_lost_run
 from currantdeal.entry.steps import StepKind
 from currantdeal.node.errors import ExchangeError
@@ -100,7 +100,7 @@
         if not self.is_begun:
             return None
         self._runs = self._runs.after(present=RunState.ENDED)
-        if self._overlap is not None:
+        if self._overlap is not None and not self._overlap.expired():
             self._overlap.reschedule(self._context.now_s)
         run = await self._task
         self._task = None
@@ -140,12 +140,20 @@
         """Return the successor, or None if it can't be had."""
         try:
             run = await self._start()
-        except CurrantdealError as exc:
-            return self._give_up(MoveFailure.REFUSED, text=str(exc))
-        if run is None:
-            return None
+            return None if run is None else await self._wait_for_event(run)
+        except Exception as exc:
+            # Whatever it is, the present run goes on.
+            _log.error(
+                "move-failed",
+                request=self._active.call.request_id,
+                error=repr(exc),
+            )
+            return self._give_up(MoveFailure.REFUSED, text=repr(exc))
+
+    async def _wait_for_event(self, run):
+        """Return a run that was sent once it may take over, or None."""
         try:
-            return run if await self._wait_for_event(run) else None
+            return run if await self._may_take_over(run) else None
         except ExchangeError as exc:
             record_lost_run(
                 self._context, self._active, self._reserver, run, exc
@@ -172,8 +180,8 @@
         self._runs = self._runs.after(successor=RunState.SILENT)
         return run
 
-    async def _wait_for_event(self, run):
-        """Return whether a successor that was sent is to take over."""
+    async def _may_take_over(self, run):
+        """Return whether a successor that was sent has an event in time."""
         while self._runs.present is not RunState.ENDED:
             try:
                 async with asyncio.timeout(MAX_OVERLAP_S) as self._overlap:
@@ -196,7 +204,10 @@
         return True
 
     async def _reads_event(self, run):
-        """Read to the first event; returns False if the run is refused."""
+        """Read to the first event; returns False if there will be none.
+
+        A run that ends without an event may have been cut short.
+        """
         head = await run.head()
         metadata = self._context.read_response(
             run.record, head, sent_s=run.sent_s
@@ -208,8 +219,7 @@
         if head.status != 200 or not metadata.is_signed:
             self._context.health.record_answer(run.record.upstream, error=True)
             return False
-        await run.read_ahead()
-        return True
+        return has_events(head) and await run.read_ahead()
 
     async def _may_overlap_longer(self):
         """Return whether two runs may go on that have not spoken in time."""
