Count a reset as leaving, and wait for an entry that is paused

Change: stand-ins note resets; the wait for a paused entry is longer by two pauses, all others wait as before.

--- a/currantdeal/testing/pause_play.py
+++ b/currantdeal/testing/pause_play.py
@@ -18,7 +18,6 @@
 )
 from currantdeal.testing.pause_gate import standing_still
 from currantdeal.testing.stall_play import StallPlay
-from currantdeal.testing.stall_verdicts import GRACE_S
 
 CALLS_S = 20.0
 CUT_S = 5.0
@@ -64,6 +63,10 @@
         self._case = case
         self._rng = random.Random(f"stalls {seed}")
         self._stopped_s = {}
+        if case.group is Group.ENTRY:
+            # A process that is paused as the signal comes, and as its grace
+            # ends, sees neither before it goes on.
+            self.stop_wait_s += 2 * case.stall_s
         for standin in self._standins(Group.DECODE):
             standin.most_runs = case.runs
 
@@ -119,7 +122,7 @@
             await asyncio.sleep(3.0)
             self._stopped_s[entry.settings["instance"]] = loop.time()
             entry.send_signal(signal.SIGTERM)
-            await asyncio.to_thread(entry.wait, GRACE_S + 2.0)
+            await asyncio.to_thread(entry.wait, self.stop_wait_s)
             await asyncio.to_thread(entry.start)
 
     async def _stall_now_and_then(self):
--- a/currantdeal/testing/scripted_upstream.py
+++ b/currantdeal/testing/scripted_upstream.py
@@ -260,7 +260,7 @@
 
 async def _note_leave(reader, work):
     """Wait until the sender of a request leaves, and record it."""
-    while not reader.at_eof():
+    while not (reader.at_eof() or reader.exception()):
         await asyncio.sleep(LEAVE_POLL_S)
     work.end()
 
--- a/currantdeal/testing/stall_play.py
+++ b/currantdeal/testing/stall_play.py
@@ -56,6 +56,8 @@
 
     Attributes
     ----------
+    stop_wait_s : float
+        Longest time from the signal to the end of a process.
     callers : RowCallers
         The callers, with the ends of their calls.
     signalled_s : float
@@ -92,6 +94,7 @@
             scale=scale,
         )
         self.signalled_s = float("inf")
+        self.stop_wait_s = GRACE_S + 2.0
         self.watch = LoopWatch()
         self._version = 0
         self._engine = engine
@@ -168,7 +171,7 @@
         await asyncio.sleep(BEFORE_S)
         self.signalled_s = time.monotonic()
         self.entry.send_signal(signal.SIGTERM)
-        return await asyncio.to_thread(self.entry.wait, GRACE_S + 2.0)
+        return await asyncio.to_thread(self.entry.wait, self.stop_wait_s)
 
     def cut_entry(self):
         """Cut the entry from all upstreams; the others remain its way."""
