--- a/currantdeal/entry/handover.py
+++ b/currantdeal/entry/handover.py
@@ -59,6 +59,7 @@
         self._task = None
         self._probe = None
         self._present = None
+        self._sent = None
         self._began_s = 0.0
         self._overlap = None
         self._runs = RunPair()
@@ -73,19 +74,31 @@
         """Whether the successor has spoken."""
         return self.is_begun and self._runs.successor is RunState.SPOKE
 
-    def begin(self, record):
-        """Prepare a successor for a run at an engine, which goes on."""
+    def begin(self, record, *, is_cut=False):
+        """Prepare a successor for a run at an engine, which goes on.
+
+        Parameters
+        ----------
+        is_cut : bool
+            Whether the link of the run is cut.  Its engine is not reached
+            then, though it may answer on another way.
+        """
         self._context.metrics.add(
             "moves_total", outcome=MoveOutcome.BEGUN.value, why=""
         )
         self._present = record
+        self._sent = None
         self._began_s = self._context.now_s
         self._runs = RunPair()
-        self._probe = asyncio.ensure_future(
-            self._context.engine_watch.answers(record)
-        )
+        self._probe = asyncio.ensure_future(self._answers(is_cut))
         self._task = asyncio.ensure_future(self._prepare())
 
+    async def _answers(self, is_cut):
+        """Return whether the engine of the present run is reached."""
+        if is_cut:
+            return False
+        return await self._context.engine_watch.answers(self._present)
+
     def keep(self):
         """Cancel the successor, since the present run has spoken."""
         if self.is_begun:
@@ -130,6 +143,9 @@
         """End the preparation, or the run that it has come to."""
         task, self._task = self._task, None
         self._probe.cancel()
+        if self._sent is not None:
+            # The task ends later, and another run may be considered before.
+            self._sent.count()
         if not task.done():
             task.cancel()
         elif not task.cancelled() and (run := task.result()) is not None:
@@ -177,6 +193,7 @@
             failure = self._starter.failure
             why = _FAILURES.get(failure.reason, MoveFailure.REFUSED)
             return self._give_up(why, text=failure.text)
+        self._sent = run
         self._runs = self._runs.after(successor=RunState.SILENT)
         return run
 
--- a/currantdeal/entry/run_wait.py
+++ b/currantdeal/entry/run_wait.py
@@ -8,11 +8,9 @@
 
 import asyncio
 from contextlib import suppress
-from functools import singledispatch
 
 from currantdeal.entry.errors import SupersededError
 from currantdeal.node.errors import EngineLostError
-from currantdeal.node.head import ResponseHead
 from currantdeal.policy.health.silence_scope import (
     SilenceScope,
     SilentStream,
@@ -87,10 +85,7 @@
         while True:
             self._check_successor(run)
             try:
-                part = await self._unless_ready(work(), timeout_s=pause_s)
-                if _is_output(part):
-                    self._handover.keep()
-                return part
+                return await self._unless_ready(work(), timeout_s=pause_s)
             except TimeoutError:
                 self._check_successor(run)
             silent_gaps += 1
@@ -126,11 +121,12 @@
         is_due = silent_gaps % RESUME_SILENCE_GAPS == 0
         if not (is_cut or is_due or self._is_held) or not self._may_move():
             return
+        was_held = self._is_held
         self._is_held = not is_cut and self._is_common(run, since_s)
-        if self._is_held:
+        if not self._is_held:
+            self._handover.begin(run.record, is_cut=is_cut)
+        elif not was_held:
             self._context.metrics.add("moves_held_total")
-        else:
-            self._handover.begin(run.record)
 
     def _is_common(self, run, since_s):
         """Return whether a run is silent since a time for a common cause."""
@@ -156,17 +152,6 @@
             )
 
 
-@singledispatch
-def _is_output(part):
-    """Return whether a part of an answer shows that its run goes on."""
-    return part is not None
-
-
-@_is_output.register
-def _(part: ResponseHead):
-    return part.status == 200
-
-
 def _waker(limit):
     """Return what ends a wait at once, unless its time is over."""
 
