--- a/currantdeal/cli/tests/test_common_stalls.py
+++ b/currantdeal/cli/tests/test_common_stalls.py
@@ -10,6 +10,8 @@
 UNANSWERED = ("lost", "wrong", "failed")
 MIN_SERVED = 20
 SEED = 74
+MAX_OVERLAP_S = 0.4
+"""Time for which two runs of a stream may go on beside each other."""
 
 
 def _case(**fields):
@@ -21,6 +23,7 @@
     _case(group=Group.DECODE, stall_s=0.5),
     _case(group=Group.DECODE, stall_s=3.0),
     _case(group=Group.ENGINES, stall_s=3.0, runs=30),
+    _case(group=Group.DATA_CENTER, stall_s=3.0, runs=30),
 ]
 
 
@@ -36,3 +39,4 @@
     ] == [], play.explain(end for _, end in unanswered)
     assert play.failed_tasks() == []
     assert counts["served"] >= MIN_SERVED, counts
+    assert play.longest_overlap_s() < MAX_OVERLAP_S
