--- a/currantdeal/testing/stall_play.py
+++ b/currantdeal/testing/stall_play.py
@@ -1,7 +1,9 @@
 """Plays slow callers and upstreams beside planned work on real processes."""
 
 import asyncio
+import itertools
 import json
+import math
 import random
 import signal
 import time
@@ -54,6 +56,8 @@
 
     Attributes
     ----------
+    stop_wait_s : float
+        Longest time from the signal to the end of a process.
     callers : RowCallers
         The callers, with the ends of their calls.
     signalled_s : float
@@ -90,6 +94,7 @@
             scale=scale,
         )
         self.signalled_s = float("inf")
+        self.stop_wait_s = GRACE_S + 2.0
         self.watch = LoopWatch()
         self._version = 0
         self._engine = engine
@@ -166,7 +171,7 @@
         await asyncio.sleep(BEFORE_S)
         self.signalled_s = time.monotonic()
         self.entry.send_signal(signal.SIGTERM)
-        return await asyncio.to_thread(self.entry.wait, GRACE_S + 2.0)
+        return await asyncio.to_thread(self.entry.wait, self.stop_wait_s)
 
     def cut_entry(self):
         """Cut the entry from all upstreams; the others remain its way."""
@@ -177,6 +182,23 @@
         """Return the lists of ``Work`` by request id, prefills left out."""
         return works_by_request(self.fleet.standins.values())
 
+    def longest_overlap_s(self):
+        """Return the longest time for which a request ran at two upstreams.
+
+        Several runs of one request follow each other, but for the time that
+        it takes to cancel one; negative if none has several.
+        """
+        return max(
+            (
+                min(earlier.ended_s, later.ended_s) - later.began_s
+                for works in self.works().values()
+                for earlier, later in itertools.pairwise(
+                    sorted(works, key=lambda work: work.began_s)
+                )
+            ),
+            default=-math.inf,
+        )
+
     def verdicts(self):
         """Return pairs of a ``CallEnd`` and its verdict, see ``judge``."""
         works = self.works()
