--- a/currantdeal/entry/decode_run.py
+++ b/currantdeal/entry/decode_run.py
@@ -141,7 +141,7 @@
             self._active.runs += 1
 
     async def head(self):
-        """Return the head of its answer, also repeatedly."""
+        """Return the head of its answer; may be called again."""
         if self._head is None:
             self._head = await self.connection.head()
         return self._head
--- a/currantdeal/entry/prefill.py
+++ b/currantdeal/entry/prefill.py
@@ -55,9 +55,9 @@
     in_time : bool
         Whether the first event can still be in time.
     resumes : bool
-        Whether the caller has received events already.  A run that is denied
-        then breaks its answer off, so that its charge must outlast the
-        prefill.
+        Whether the run goes on where another one has come to, which may
+        still be in progress.  A prompt is prefilled for it only together
+        with the charge of the run, which must outlast the prefill.
     may_prefill_locally : callable or None
         Coroutine function that returns whether the decode engine may do it;
         it always may by default.
